--- /dev/null
+++ b/corianderhold/__init__.py
@@ -0,0 +1,1 @@
+"""Control overload in a service call graph."""
--- /dev/null
+++ b/corianderhold/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Offer the command line."""
--- /dev/null
+++ b/corianderhold/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decide together with other daemons: routing, membership, leases, rates."""
--- /dev/null
+++ b/corianderhold/coordination/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Follow, spread, publish and snapshot the configuration."""
--- /dev/null
+++ b/corianderhold/coordination/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Take calls in, choose an owner and hand each call over."""
--- /dev/null
+++ b/corianderhold/coordination/lease/__init__.py
@@ -0,0 +1,1 @@
+"""Make sure that at most one holder acts for a shard."""
--- /dev/null
+++ b/corianderhold/coordination/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Keep track of daemons and targets with gossip and a stream of the log."""
--- /dev/null
+++ b/corianderhold/coordination/owner/__init__.py
@@ -0,0 +1,1 @@
+"""Admit calls to the local target, and dispatch them."""
--- /dev/null
+++ b/corianderhold/coordination/rate/__init__.py
@@ -0,0 +1,1 @@
+"""Hold every organisation to its rate and burst over the whole fleet."""
--- /dev/null
+++ b/corianderhold/ids.py
@@ -0,0 +1,17 @@
+"""Name the identifiers that the parts exchange."""
+
+from typing import NewType
+
+InstanceId = NewType("InstanceId", str)
+FailureDomainId = NewType("FailureDomainId", str)
+RegionId = NewType("RegionId", str)
+OrganisationId = NewType("OrganisationId", str)
+ServiceName = NewType("ServiceName", str)
+RouteName = NewType("RouteName", str)
+KeyId = NewType("KeyId", str)
+CallId = NewType("CallId", str)
+RootId = NewType("RootId", str)
+ChangeId = NewType("ChangeId", str)
+Incarnation = NewType("Incarnation", int)
+Version = NewType("Version", int)
+Offset = NewType("Offset", int)
--- /dev/null
+++ b/corianderhold/metrics.py
@@ -0,0 +1,65 @@
+"""Count events and record durations for the admin listener."""
+
+import threading
+from collections import Counter
+from dataclasses import dataclass
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_US = 1
+HIGHEST_US = 60_000_000
+SIGNIFICANT_DIGITS = 2
+PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+@dataclass(frozen=True)
+class HistogramSummary:
+    """Percentiles of one histogram, in microseconds."""
+
+    count: int
+    percentiles_us: tuple[tuple[float, int], ...]
+    highest_us: int
+
+
+class Metrics:
+    """Keep the counters and histograms of one process."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._counters: Counter[str] = Counter()
+        self._histograms: dict[str, HdrHistogram] = {}
+
+    def increment(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        with self._lock:
+            self._counters[name] += amount
+
+    def record_duration(self, name: str, seconds: float) -> None:
+        """Record a duration, given in seconds, in a histogram of microseconds."""
+        microseconds = max(LOWEST_US, min(HIGHEST_US, int(seconds * 1e6)))
+        with self._lock:
+            histogram = self._histograms.get(name)
+            if histogram is None:
+                histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+                self._histograms[name] = histogram
+            histogram.record_value(microseconds)
+
+    def read_counters(self) -> dict[str, int]:
+        """Return a copy of all counters."""
+        with self._lock:
+            return dict(self._counters)
+
+    def summarize_histograms(self) -> dict[str, HistogramSummary]:
+        """Return the percentiles of all histograms."""
+        with self._lock:
+            return {
+                name: HistogramSummary(
+                    histogram.get_total_count(),
+                    tuple(
+                        (percent, histogram.get_value_at_percentile(percent))
+                        for percent in PERCENTILES
+                    ),
+                    histogram.get_max_value(),
+                )
+                for name, histogram in self._histograms.items()
+            }
--- /dev/null
+++ b/corianderhold/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Define the messages, verdicts and header names that processes exchange."""
--- /dev/null
+++ b/corianderhold/protocol/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Encode and decode the frames of peer links."""
--- /dev/null
+++ b/corianderhold/protocol/verdict.py
@@ -0,0 +1,74 @@
+"""Say how a call ended and whether the request may have run."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class RunState(Enum):
+    """Whether the target may have executed a request."""
+
+    WHOLE = "whole"
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+
+
+class Reason(Enum):
+    """Why a call was refused or given up."""
+
+    KEY_MISSING = "key_missing"
+    KEY_UNKNOWN = "key_unknown"
+    KEY_WITHDRAWN = "key_withdrawn"
+    ROUTE_UNKNOWN = "route_unknown"
+    ROUTE_FORBIDDEN = "route_forbidden"
+    REQUEST_MALFORMED = "request_malformed"
+    CONTEXT_UNKNOWN = "context_unknown"
+    CONFIGURATION_MISSING = "configuration_missing"
+    VIEW_TOO_OLD = "view_too_old"
+    RATE_EXCEEDED = "rate_exceeded"
+    NO_TARGET = "no_target"
+    SHED = "shed"
+    QUEUE_FULL = "queue_full"
+    DEADLINE_PASSED = "deadline_passed"
+    DISPATCH_EXPIRED = "dispatch_expired"
+    INCARNATION_STALE = "incarnation_stale"
+    DRAINING = "draining"
+    DEPTH_EXCEEDED = "depth_exceeded"
+    PEER_UNREACHABLE = "peer_unreachable"
+    PEER_SILENT = "peer_silent"
+    TARGET_UNREACHABLE = "target_unreachable"
+    TARGET_SILENT = "target_silent"
+    ANSWER_TRUNCATED = "answer_truncated"
+    CANCELLED = "cancelled"
+    REPEAT_IN_PROGRESS = "repeat_in_progress"
+    REPEAT_UNKNOWN = "repeat_unknown"
+
+
+@dataclass(frozen=True)
+class Refusal:
+    """
+    A call that ended without a whole answer.
+
+    `retry_after_ms` tells the caller when to come back, in milliseconds.
+    """
+
+    run_state: RunState
+    reason: Reason
+    retry_after_ms: int = 0
+    detail: str = ""
+
+    @property
+    def not_run(self) -> bool:
+        """Whether the request certainly has not run and will not."""
+        return self.run_state is RunState.NOT_RUN
+
+
+def refuse_not_run(
+    reason: Reason, retry_after_ms: int = 0, detail: str = ""
+) -> Refusal:
+    """Build the refusal of a request that has not run and will not."""
+    return Refusal(RunState.NOT_RUN, reason, retry_after_ms, detail)
+
+
+def refuse_may_have_run(reason: Reason, detail: str = "") -> Refusal:
+    """Build the refusal of a request that may have run."""
+    return Refusal(RunState.MAY_HAVE_RUN, reason, 0, detail)
--- /dev/null
+++ b/corianderhold/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Read and check the INI settings of one process."""
--- /dev/null
+++ b/corianderhold/state/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what a daemon knows, without any input or output."""
--- /dev/null
+++ b/corianderhold/state/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Model the configuration and fold its stream into versions."""
--- /dev/null
+++ b/corianderhold/state/configuration/holder.py
@@ -0,0 +1,52 @@
+"""Hold the configuration that is in force in this daemon."""
+
+import threading
+from collections.abc import Callable
+
+from corianderhold.state.configuration.model import EMPTY_CONFIGURATION, Configuration
+
+Listener = Callable[[Configuration], None]
+
+
+class ConfigurationHolder:
+    """
+    Give the newest accepted configuration; versions only grow.
+
+    `verified_at` is the monotonic time in seconds up to which the view is known to
+    be complete, as the follower of the stream reports it.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._current = EMPTY_CONFIGURATION
+        self._verified_at = float("-inf")
+        self._listeners: list[Listener] = []
+
+    @property
+    def current(self) -> Configuration:
+        """Return the configuration in force."""
+        return self._current
+
+    @property
+    def verified_at(self) -> float:
+        """Return the monotonic time up to which the view is complete."""
+        return self._verified_at
+
+    def add_listener(self, listener: Listener) -> None:
+        """Call `listener` after each replacement, with the new configuration."""
+        self._listeners.append(listener)
+
+    def replace(self, configuration: Configuration) -> bool:
+        """Put a newer configuration in force; return False for an older one."""
+        with self._lock:
+            if configuration.version <= self._current.version:
+                return False
+            self._current = configuration
+        for listener in self._listeners:
+            listener(configuration)
+        return True
+
+    def mark_verified(self, monotonic_s: float) -> None:
+        """Note that the view was complete at this monotonic time."""
+        with self._lock:
+            self._verified_at = max(self._verified_at, monotonic_s)
--- /dev/null
+++ b/corianderhold/state/configuration/model.py
@@ -0,0 +1,103 @@
+"""Model one version of the configuration."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum, IntEnum
+
+from corianderhold.ids import (
+    FailureDomainId,
+    KeyId,
+    OrganisationId,
+    RouteName,
+    ServiceName,
+    Version,
+)
+
+
+class Importance(IntEnum):
+    """How late a request is shed under overload; higher is shed later."""
+
+    BULK = 0
+    NORMAL = 1
+    HIGH = 2
+    CRITICAL = 3
+
+
+class IsolatedBehaviour(Enum):
+    """What a route does when the daemon's view of the configuration is too old."""
+
+    SERVE = "serve"
+    REFUSE = "refuse"
+
+
+@dataclass(frozen=True)
+class Service:
+    """A group of targets that serve the same calls."""
+
+    name: ServiceName
+    max_concurrency: int = 64
+    queue_length: int = 32
+    retry_ratio: float = 0.1
+
+
+@dataclass(frozen=True)
+class Route:
+    """One kind of request to a service, told apart by method and path prefix."""
+
+    name: RouteName
+    service: ServiceName
+    path_prefix: str
+    methods: frozenset[str]
+    importance: Importance = Importance.NORMAL
+    open_to_all: bool = True
+    organisations: frozenset[OrganisationId] = frozenset()
+    idempotent: bool = True
+    deadline_ms: int = 2000
+    retry_budget: int = 2
+    isolated: IsolatedBehaviour = IsolatedBehaviour.SERVE
+    isolated_after_s: float = 60.0
+
+
+@dataclass(frozen=True)
+class Organisation:
+    """
+    A customer with its rate and burst over the whole fleet.
+
+    `rate` is in root requests a second, `burst` in root requests; `shares` gives
+    each failure domain's part of both, with a sum of 1.
+    """
+
+    name: OrganisationId
+    rate: float
+    burst: float
+    weight: float = 1.0
+    shares: Mapping[FailureDomainId, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class ApiKey:
+    """
+    A caller's key, kept as a digest.
+
+    `expires_at` is in seconds since the Unix epoch, or None for no end.
+    """
+
+    key_id: KeyId
+    organisation: OrganisationId
+    digest: str
+    withdrawn: bool = False
+    expires_at: float | None = None
+
+
+@dataclass(frozen=True)
+class Configuration:
+    """Everything that operators decide, at one version."""
+
+    version: Version
+    services: Mapping[ServiceName, Service] = field(default_factory=dict)
+    routes: tuple[Route, ...] = ()
+    organisations: Mapping[OrganisationId, Organisation] = field(default_factory=dict)
+    keys: Mapping[KeyId, ApiKey] = field(default_factory=dict)
+
+
+EMPTY_CONFIGURATION = Configuration(Version(0))
--- /dev/null
+++ b/corianderhold/state/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Model the members that a daemon knows."""
--- /dev/null
+++ b/corianderhold/transport/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Carry frames between daemons over TCP links."""
--- /dev/null
+++ b/corianderhold/transport/store/__init__.py
@@ -0,0 +1,1 @@
+"""Speak to the platform's append-only log service."""
--- /dev/null
+++ b/corianderhold/transport/web/__init__.py
@@ -0,0 +1,1 @@
+"""Serve and send HTTP."""
--- /dev/null
+++ b/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the platform: log service, targets and callers."""
--- /dev/null
+++ b/script/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the maintenance programs of the repository."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test corianderhold."""
--- /dev/null
+++ b/tests/common/__init__.py
@@ -0,0 +1,1 @@
+"""Share fakes and helpers between tests."""
