Define the log's interface, its fake and the frame of measurements

Cause: four parts read the platform's log; each would have modelled it anew. Change: Log protocol with outcomes that keep lost answers apart from refusals, an in-memory fake with faults, script/measure with stated targets.

--- /dev/null
+++ b/script/run_measurement.py
@@ -0,0 +1,29 @@
+"""Run one measurement by name; exit 1 where a stated target is missed."""
+
+import importlib
+import pkgutil
+import sys
+
+import measurements
+
+DEFAULT_SEED = 1
+
+
+def list_names() -> list[str]:
+    """Return the names of all measurements."""
+    modules = pkgutil.iter_modules(measurements.__path__)
+    return sorted(module.name for module in modules if module.name != "report")
+
+
+def main(arguments: list[str]) -> int:
+    """Run `main(seed)` of the named module and return its exit code."""
+    if not arguments or arguments[0] not in list_names():
+        print(f"usage: script/measure NAME [SEED]; names: {', '.join(list_names())}")
+        return 2
+    seed = int(arguments[1]) if len(arguments) > 1 else DEFAULT_SEED
+    module = importlib.import_module(f"measurements.{arguments[0]}")
+    return int(module.main(seed))
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tests/common/log.py
@@ -0,0 +1,60 @@
+"""Fake the platform's log in memory, with its faults on command."""
+
+import threading
+
+from result import Err, Ok, Result
+
+from corianderhold.ids import Offset
+from corianderhold.transport.store.model import (
+    AppendFailure,
+    LogPage,
+    LogRecord,
+    ReadFailure,
+    StreamName,
+)
+
+
+class FakeLog:
+    """Keep streams in memory; set the public flags to bring about faults."""
+
+    def __init__(self) -> None:
+        self.down = False
+        self.lose_append_answers = False
+        self._lock = threading.Lock()
+        self._records: dict[StreamName, list[LogRecord]] = {}
+        self._next: dict[StreamName, int] = {}
+        self.reads = 0
+
+    def append(
+        self, stream: StreamName, data: str, timeout_s: float
+    ) -> Result[Offset, AppendFailure]:
+        """Append one record unless the log is down."""
+        with self._lock:
+            if self.down:
+                return Err(AppendFailure.NOT_APPENDED)
+            offset = Offset(self._next.get(stream, 0))
+            self._next[stream] = offset + 1
+            self._records.setdefault(stream, []).append(LogRecord(offset, data))
+            if self.lose_append_answers:
+                return Err(AppendFailure.UNKNOWN)
+            return Ok(offset)
+
+    def read(
+        self, stream: StreamName, from_offset: Offset, limit: int, timeout_s: float
+    ) -> Result[LogPage, ReadFailure]:
+        """Return a page unless the log is down."""
+        with self._lock:
+            self.reads += 1
+            if self.down:
+                return Err(ReadFailure.UNAVAILABLE)
+            records = self._records.get(stream, [])
+            next_offset = Offset(self._next.get(stream, 0))
+            first = records[0].offset if records else next_offset
+            page = [record for record in records if record.offset >= from_offset]
+            return Ok(LogPage(first, next_offset, tuple(page[:limit])))
+
+    def truncate(self, stream: StreamName, before: int) -> None:
+        """Drop records with an offset below `before`, as retention does."""
+        with self._lock:
+            kept = [r for r in self._records.get(stream, []) if r.offset >= before]
+            self._records[stream] = kept
