--- /dev/null
+++ b/corianderhold/coordination/rate/limiter.py
@@ -0,0 +1,131 @@
+"""Charge root requests to their organisation at the entry."""
+
+import threading
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+from result import Err, Ok, Result
+
+from corianderhold.coordination.rate.bucket import TokenBucket
+from corianderhold.coordination.rate.const import (
+    LONGEST_RETRY_AFTER_MS,
+    UNKNOWN_RETRY_AFTER_MS,
+)
+from corianderhold.ids import OrganisationId
+from corianderhold.protocol.verdict import Reason, Refusal, refuse_not_run
+
+
+class RateLimiter(Protocol):
+    """Decide whether a root request is inside its organisation's rate."""
+
+    def charge(self, organisation: OrganisationId, now: float) -> Result[None, Refusal]:
+        """Charge one request at monotonic time `now`; makes no network request."""
+
+
+@dataclass(frozen=True)
+class Allowance:
+    """
+    What one entry may admit for one organisation until `ends_at`.
+
+    `rate` is in requests a second, `capacity` in requests, `ends_at` in monotonic
+    seconds, infinite for an allowance that is no loan.
+    """
+
+    rate: float
+    capacity: float
+    ends_at: float = float("inf")
+
+
+@dataclass(frozen=True)
+class Demand:
+    """What one organisation asked of this entry since the last reading."""
+
+    admitted: int
+    refused: int
+
+
+@dataclass
+class _Account:
+    """The bucket of one organisation at this entry."""
+
+    bucket: TokenBucket
+    ends_at: float
+    admitted: int = 0
+    refused: int = 0
+
+
+class AllowanceLimiter:
+    """Admit requests within the allowances that were set; thread-safe."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._accounts: dict[OrganisationId, _Account] = {}
+
+    def charge(self, organisation: OrganisationId, now: float) -> Result[None, Refusal]:
+        """Charge one request; refuse with the time until the next token."""
+        with self._lock:
+            account = self._accounts.get(organisation)
+            if account is None:
+                account = _Account(TokenBucket(0.0, 0.0, now), now)
+                self._accounts[organisation] = account
+            if now < account.ends_at and account.bucket.take(now):
+                account.admitted += 1
+                return Ok(None)
+            account.refused += 1
+            wait_s = account.bucket.estimate_wait_s()
+        return Err(_refuse(wait_s))
+
+    def set_allowance(
+        self,
+        organisation: OrganisationId,
+        allowance: Allowance,
+        now: float,
+        tokens: float = 0.0,
+    ) -> None:
+        """Replace an allowance and add `tokens`; tokens past their end are dropped."""
+        with self._lock:
+            account = self._accounts.get(organisation)
+            if account is None:
+                account = _Account(TokenBucket(0.0, 0.0, now), now)
+                self._accounts[organisation] = account
+            bucket = account.bucket
+            if now >= account.ends_at:
+                bucket.resize(now, 0.0, 0.0)
+            bucket.resize(now, allowance.rate, allowance.capacity)
+            bucket.add(now, tokens)
+            account.ends_at = allowance.ends_at
+
+    def remove_allowances_except(self, kept: Mapping[OrganisationId, object]) -> None:
+        """Forget organisations that are not among `kept`."""
+        with self._lock:
+            for organisation in self._accounts.keys() - kept.keys():
+                del self._accounts[organisation]
+
+    def read_demand(self) -> dict[OrganisationId, Demand]:
+        """Return what was asked since the last reading and start over."""
+        with self._lock:
+            demand = {}
+            for organisation, account in self._accounts.items():
+                demand[organisation] = Demand(account.admitted, account.refused)
+                account.admitted = account.refused = 0
+            return demand
+
+    def withdraw_tokens(
+        self, organisation: OrganisationId, now: float, kept: float
+    ) -> float:
+        """Remove tokens above `kept` and return how many were removed."""
+        with self._lock:
+            account = self._accounts.get(organisation)
+            if account is None or now >= account.ends_at:
+                return 0.0
+            account.bucket.refill(now)
+            return account.bucket.take_up_to(now, account.bucket.tokens - kept)
+
+
+def _refuse(wait_s: float) -> Refusal:
+    """Build the refusal for a bucket that has a token in `wait_s` seconds."""
+    if wait_s == float("inf"):
+        return refuse_not_run(Reason.RATE_EXCEEDED, UNKNOWN_RETRY_AFTER_MS)
+    retry_after_ms = min(LONGEST_RETRY_AFTER_MS, int(wait_s * 1000) + 1)
+    return refuse_not_run(Reason.RATE_EXCEEDED, retry_after_ms)
--- /dev/null
+++ b/tests/coordination/lease/__init__.py
@@ -0,0 +1,1 @@
+"""Test the lease package."""
