Fold the configuration stream into versions

Cause: every daemon must reach the same version from the log, whatever races, repeats, retention or damage do to the stream. Ruled out: accepting changes after a gap in the stream, since a loser of a race may look like its winner to a daemon that missed the winner; a flag for the gap, since the next expected offset already tells it.

--- /dev/null
+++ b/corianderhold/state/configuration/checks.py
@@ -0,0 +1,154 @@
+"""Find what makes a configuration inconsistent."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from math import fsum
+
+from corianderhold.ids import KeyId, OrganisationId, RouteName
+from corianderhold.state.configuration.const import SHARE_TOLERANCE
+from corianderhold.state.configuration.model import (
+    ApiKey,
+    Configuration,
+    Organisation,
+    Route,
+)
+from corianderhold.state.configuration.records import EntityKind, Fault
+
+RouteIndex = dict[RouteName, Route]
+PrefixIndex = dict[tuple[str, str], list[RouteName]]
+
+
+@dataclass(frozen=True)
+class Scope:
+    """The entities whose faults are looked for."""
+
+    routes: frozenset[RouteName]
+    organisations: frozenset[OrganisationId]
+    keys: frozenset[KeyId]
+
+
+def list_names(names: Iterable[str]) -> str:
+    """Return names as text for a fault, sorted."""
+    return ", ".join(sorted(names)) or "nothing"
+
+
+def cover_all(configuration: Configuration) -> Scope:
+    """Return the scope of a whole configuration."""
+    return Scope(
+        frozenset(each.name for each in configuration.routes),
+        frozenset(configuration.organisations),
+        frozenset(configuration.keys),
+    )
+
+
+def find_faults(
+    configuration: Configuration, scope: Scope | None = None
+) -> tuple[Fault, ...]:
+    """Return every fault of the entities in `scope`, or of all entities."""
+    scope = cover_all(configuration) if scope is None else scope
+    faults: list[Fault] = []
+    for organisation in sorted(scope.organisations):
+        faults.extend(_check_organisation(configuration.organisations[organisation]))
+    if scope.routes:
+        faults.extend(_check_routes(configuration, scope.routes))
+    for key_id in sorted(scope.keys):
+        faults.extend(_check_key(configuration, configuration.keys[key_id]))
+    return tuple(faults)
+
+
+def _check_organisation(organisation: Organisation) -> Iterator[Fault]:
+    total = fsum(organisation.shares.values())
+    if abs(total - 1.0) > SHARE_TOLERANCE:
+        yield Fault(
+            EntityKind.ORGANISATION,
+            organisation.name,
+            "shares",
+            f"a sum of {total:.10g}",
+            "shares of the failure domains with a sum of 1",
+        )
+
+
+def _check_key(configuration: Configuration, key: ApiKey) -> Iterator[Fault]:
+    if key.organisation not in configuration.organisations:
+        yield Fault(
+            EntityKind.KEY,
+            key.key_id,
+            "organisation",
+            key.organisation,
+            "an organisation of this configuration",
+        )
+
+
+def _check_routes(
+    configuration: Configuration, names: frozenset[RouteName]
+) -> Iterator[Fault]:
+    index: RouteIndex = {each.name: each for each in configuration.routes}
+    prefixes = _index_prefixes(configuration.routes)
+    for name in sorted(names):
+        route = index[name]
+        yield from _check_service(configuration, route)
+        yield from _check_access(configuration, route)
+        yield from _check_prefix(route, prefixes)
+        yield from _check_calls(route, index)
+
+
+def _index_prefixes(routes: Iterable[Route]) -> PrefixIndex:
+    prefixes: PrefixIndex = {}
+    for route in routes:
+        for method in route.methods:
+            names = prefixes.setdefault((method, route.path_prefix), [])
+            names.append(route.name)
+    return prefixes
+
+
+def _describe(route: Route, option: str, given: str, accepted: str) -> Fault:
+    return Fault(EntityKind.ROUTE, route.name, option, given, accepted)
+
+
+def _check_service(configuration: Configuration, route: Route) -> Iterator[Fault]:
+    if route.service not in configuration.services:
+        accepted = f"one of: {list_names(configuration.services)}"
+        yield _describe(route, "service", route.service, accepted)
+
+
+def _check_access(configuration: Configuration, route: Route) -> Iterator[Fault]:
+    known = configuration.organisations
+    for name in sorted(route.organisations):
+        if name not in known:
+            accepted = f"some of: {list_names(known)}"
+            yield _describe(route, "organisations", name, accepted)
+    if route.open_to_all and route.organisations:
+        given = list_names(route.organisations)
+        accepted = "nothing for a route open to all"
+        yield _describe(route, "organisations", given, accepted)
+    if not route.open_to_all and not route.organisations:
+        accepted = "at least one organisation, or open to all"
+        yield _describe(route, "organisations", "nothing", accepted)
+
+
+def _check_prefix(route: Route, prefixes: PrefixIndex) -> Iterator[Fault]:
+    if not route.methods:
+        yield _describe(route, "methods", "nothing", "at least one method")
+    for method in sorted(route.methods):
+        others = [
+            each for each in prefixes[method, route.path_prefix] if each != route.name
+        ]
+        if others:
+            given = f"{method} {route.path_prefix}, as route {list_names(others)}"
+            accepted = "a method and path prefix that no other route has"
+            yield _describe(route, "path_prefix", given, accepted)
+
+
+def _check_calls(route: Route, index: RouteIndex) -> Iterator[Fault]:
+    for name in sorted(route.calls):
+        callee = index.get(name)
+        if callee is None:
+            accepted = "names of routes of this configuration"
+            yield _describe(route, "calls", name, accepted)
+            continue
+        if route.deadline_ms < callee.deadline_ms:
+            accepted = f"at least the {callee.deadline_ms} ms of its callee {name}"
+            yield _describe(route, "deadline_ms", str(route.deadline_ms), accepted)
+        if route.idempotent and not callee.idempotent:
+            accepted = f"no, since its callee {name} is not idempotent"
+            yield _describe(route, "idempotent", "yes", accepted)
--- /dev/null
+++ b/corianderhold/state/configuration/digest.py
@@ -0,0 +1,78 @@
+"""Sum up the content of a configuration so that two can be compared."""
+
+from collections.abc import Iterable
+from hashlib import sha256
+
+from corianderhold.state.configuration.codec import (
+    JsonObject,
+    dump_json,
+    key_to_json,
+    organisation_to_json,
+    route_to_json,
+    service_to_json,
+)
+from corianderhold.state.configuration.model import Configuration
+from corianderhold.state.configuration.records import Delta, EntityKind
+
+SUM_MODULUS = 2**256
+
+
+def hash_entity(kind: EntityKind, value: JsonObject) -> int:
+    """Return the hash of one entity as a number below 2**256."""
+    text = f"{kind.value}:{dump_json(value)}"
+    return int.from_bytes(sha256(text.encode()).digest(), "big")
+
+
+def sum_content(configuration: Configuration) -> int:
+    """Return the sum of the hashes of all entities, modulo 2**256."""
+    return sum(_hash_all(configuration)) % SUM_MODULUS
+
+
+def _hash_all(configuration: Configuration) -> Iterable[int]:
+    for service in configuration.services.values():
+        yield hash_entity(EntityKind.SERVICE, service_to_json(service))
+    for route in configuration.routes:
+        yield hash_entity(EntityKind.ROUTE, route_to_json(route))
+    for organisation in configuration.organisations.values():
+        value = organisation_to_json(organisation)
+        yield hash_entity(EntityKind.ORGANISATION, value)
+    for key in configuration.keys.values():
+        yield hash_entity(EntityKind.KEY, key_to_json(key))
+
+
+def update_sum(
+    content_sum: int, before: Configuration, after: Configuration, delta: Delta
+) -> int:
+    """Return the sum of `after`, made from `before` by `delta`."""
+    old = sum_content(_select(before, delta))
+    new = sum_content(_select(after, delta))
+    return (content_sum - old + new) % SUM_MODULUS
+
+
+def _select(configuration: Configuration, delta: Delta) -> Configuration:
+    """Return only the entities that `delta` names."""
+    services = {each.name for each in delta.services}.union(delta.removed_services)
+    routes = {each.name for each in delta.routes}.union(delta.removed_routes)
+    organisations = {each.name for each in delta.organisations}
+    organisations.update(delta.removed_organisations)
+    keys = {each.key_id for each in delta.keys}.union(delta.removed_keys)
+    old = configuration
+    return Configuration(
+        version=old.version,
+        services={name: old.services[name] for name in services & set(old.services)},
+        routes=tuple(each for each in old.routes if each.name in routes)
+        if routes
+        else (),
+        organisations={
+            name: old.organisations[name]
+            for name in organisations
+            if name in old.organisations
+        },
+        keys={key_id: old.keys[key_id] for key_id in keys if key_id in old.keys},
+    )
+
+
+def compute_digest(configuration: Configuration, content_sum: int) -> str:
+    """Return the digest of a version number and its content as hex text."""
+    text = f"{configuration.version}:{content_sum:064x}"
+    return sha256(text.encode()).hexdigest()
--- a/corianderhold/state/configuration/model.py
+++ b/corianderhold/state/configuration/model.py
@@ -42,7 +42,11 @@
 
 @dataclass(frozen=True)
 class Route:
-    """One kind of request to a service, told apart by method and path prefix."""
+    """
+    One kind of request to a service, told apart by method and path prefix.
+
+    `calls` names the routes that the service calls to answer this one.
+    """
 
     name: RouteName
     service: ServiceName
@@ -56,6 +60,7 @@
     retry_budget: int = 2
     isolated: IsolatedBehaviour = IsolatedBehaviour.SERVE
     isolated_after_s: float = 60.0
+    calls: frozenset[RouteName] = frozenset()
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/tests/common/changes.py
@@ -0,0 +1,73 @@
+"""Build small configurations, changes and streams for tests."""
+
+from collections.abc import Iterable
+
+from corianderhold.ids import (
+    ChangeId,
+    FailureDomainId,
+    KeyId,
+    Offset,
+    OrganisationId,
+    RouteName,
+    ServiceName,
+    Version,
+)
+from corianderhold.state.configuration.codec import encode_change
+from corianderhold.state.configuration.fold import (
+    INITIAL_STATE,
+    FoldOutcome,
+    FoldState,
+    fold,
+)
+from corianderhold.state.configuration.model import (
+    ApiKey,
+    Organisation,
+    Route,
+    Service,
+)
+from corianderhold.state.configuration.records import ChangeRecord, Delta
+
+SEARCH = Route(
+    name=RouteName("search"),
+    service=ServiceName("catalogue"),
+    path_prefix="/search",
+    methods=frozenset({"GET"}),
+)
+CATALOGUE = Service(ServiceName("catalogue"))
+RADIO = Organisation(
+    OrganisationId("radio"), 100.0, 200.0, shares={FailureDomainId("west-a"): 1.0}
+)
+RADIO_KEY = ApiKey(KeyId("k1"), OrganisationId("radio"), "digest")
+BASE = Delta(
+    services=(CATALOGUE,),
+    routes=(SEARCH,),
+    organisations=(RADIO,),
+    keys=(RADIO_KEY,),
+)
+
+
+def make_change(
+    change_id: str, base_version: int, delta: Delta, author: str = "ada"
+) -> ChangeRecord:
+    """Return a change with the given id."""
+    return ChangeRecord(
+        ChangeId(change_id), Version(base_version), author, 1.7e9, "", delta
+    )
+
+
+def make_text(
+    change_id: str, base_version: int, delta: Delta, author: str = "ada"
+) -> str:
+    """Return the text of a change with the given id."""
+    return encode_change(make_change(change_id, base_version, delta, author))
+
+
+def fold_all(
+    texts: Iterable[str], state: FoldState = INITIAL_STATE
+) -> tuple[FoldState, list[FoldOutcome]]:
+    """Fold texts as the records that follow the state's last one."""
+    outcomes = []
+    for text in texts:
+        state, outcome = fold(state, Offset(state.next_offset), text)
+        outcomes.append(outcome)
+    return state, outcomes
--- /dev/null
+++ b/tests/state/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Test the configuration and its fold."""
--- /dev/null
+++ b/tests/state/configuration/test_fold.py
@@ -0,0 +1,330 @@
+"""Test that the fold of the stream is the same everywhere and only grows."""
+
+import json
+import unittest
+from dataclasses import replace
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from corianderhold.ids import KeyId, Offset, OrganisationId, RouteName, ServiceName
+from corianderhold.state.configuration.codec import (
+    encode_change,
+    encode_snapshot,
+)
+from corianderhold.state.configuration.const import REMEMBERED_CHANGES
+from corianderhold.state.configuration.digest import sum_content
+from corianderhold.state.configuration.fold import (
+    INITIAL_STATE,
+    FoldState,
+    OutcomeKind,
+    adopt_snapshot,
+    build_snapshot,
+    fold,
+)
+from corianderhold.state.configuration.records import Delta
+from tests.common.changes import (
+    BASE,
+    CATALOGUE,
+    RADIO,
+    RADIO_KEY,
+    SEARCH,
+    fold_all,
+    make_change,
+    make_text,
+)
+
+GRANT = Delta(keys=(replace(RADIO_KEY, key_id=KeyId("k2")),))
+WITHDRAW = Delta(keys=(replace(RADIO_KEY, withdrawn=True),))
+
+
+class RaceTest(unittest.TestCase):
+    """Test changes that race, repeat or refer to what is not there."""
+
+    def test_first_of_three_racing_operators_wins(self) -> None:
+        state, outcomes = fold_all(
+            [
+                make_text("c1", 0, BASE),
+                make_text("c2", 1, GRANT, "bob"),
+                make_text("c3", 1, WITHDRAW, "cyd"),
+                make_text("c4", 1, WITHDRAW, "dan"),
+                make_text("c5", 2, WITHDRAW, "cyd"),
+            ]
+        )
+        kinds = [each.kind for each in outcomes]
+        lost = OutcomeKind.LOST_RACE
+        accepted = OutcomeKind.ACCEPTED
+        self.assertEqual(kinds, [accepted, accepted, lost, lost, accepted])
+        for loser in outcomes[2:4]:
+            assert loser.earlier is not None
+            self.assertEqual(loser.earlier.author, "bob")
+            self.assertEqual((loser.earlier.version, loser.version), (2, 2))
+        self.assertEqual(state.version, 3)
+        self.assertTrue(state.configuration.keys[KeyId("k1")].withdrawn)
+
+    def test_duplicate_names_its_first_record(self) -> None:
+        text = make_text("c1", 0, BASE)
+        state, outcomes = fold_all([text, text])
+        self.assertEqual(outcomes[1].kind, OutcomeKind.DUPLICATE)
+        assert outcomes[1].earlier is not None
+        self.assertEqual(outcomes[1].earlier.version, 1)
+        self.assertEqual(state.version, 1)
+
+    def test_duplicate_older_than_the_remembered_changes_nothing(self) -> None:
+        text = make_text("c0", 0, BASE)
+        flips = [
+            make_text(f"f{index}", index, WITHDRAW if index % 2 else GRANT)
+            for index in range(1, REMEMBERED_CHANGES + 2)
+        ]
+        before, _ = fold_all([text, *flips])
+        after, outcomes = fold_all([text, flips[0]], before)
+        self.assertEqual(len(after.remembered), REMEMBERED_CHANGES)
+        self.assertEqual([each.kind for each in outcomes], [OutcomeKind.LOST_RACE] * 2)
+        self.assertEqual(after.configuration, before.configuration)
+
+    def test_change_refused_for_its_base_is_not_accepted_when_repeated(self) -> None:
+        early = make_text("early", 1, GRANT)
+        state, outcomes = fold_all([early, make_text("c1", 0, BASE), early])
+        self.assertEqual(outcomes[0].kind, OutcomeKind.BASE_AHEAD)
+        self.assertEqual(outcomes[2].kind, OutcomeKind.DUPLICATE)
+        self.assertEqual(state.version, 1)
+
+    def test_dangling_references_are_refused_with_every_fault(self) -> None:
+        state, _ = fold_all([make_text("c1", 0, BASE)])
+        removal = Delta(
+            removed_services=(ServiceName("catalogue"),),
+            removed_organisations=(OrganisationId("radio"),),
+        )
+        after, outcomes = fold_all([make_text("c2", 1, removal)], state)
+        self.assertEqual(outcomes[0].kind, OutcomeKind.REFUSED)
+        faults = {(each.name, each.option) for each in outcomes[0].faults}
+        self.assertEqual(faults, {("search", "service"), ("k1", "organisation")})
+        self.assertEqual(after.configuration, state.configuration)
+
+    def test_missing_and_repeated_entities_are_refused(self) -> None:
+        for delta in (
+            Delta(removed_keys=(KeyId("gone"),)),
+            Delta(keys=(RADIO_KEY,), removed_keys=(RADIO_KEY.key_id,)),
+            Delta(services=(CATALOGUE, CATALOGUE)),
+        ):
+            texts = [make_text("c1", 0, BASE), make_text("c2", 1, delta)]
+            _, outcomes = fold_all(texts)
+            self.assertEqual(outcomes[1].kind, OutcomeKind.REFUSED, delta)
+
+
+class CorruptRecordTest(unittest.TestCase):
+    """Test that no text stops the fold."""
+
+    def test_broken_records_are_skipped_and_reported(self) -> None:
+        good = json.loads(make_text("c1", 0, BASE))
+        broken = [
+            "",
+            "{",
+            "[" * 100_000,
+            "\ud800",
+            '{"format":1,"kind":"change","body":{}}',
+            json.dumps({**good, "body": {**good["body"], "base_version": True}}),
+            json.dumps({**good, "body": {**good["body"], "made_at": 10**400}}),
+            json.dumps({**good, "body": {**good["body"], "made_at": float("nan")}}),
+            json.dumps({**good, "body": {**good["body"], "author": "a\nb"}}),
+        ]
+        for text in broken:
+            state, outcomes = fold_all([text, make_text("c1", 0, BASE)])
+            self.assertEqual(outcomes[0].kind, OutcomeKind.CORRUPT, text[:60])
+            self.assertTrue(outcomes[0].detail)
+            self.assertEqual((state.version, state.next_offset), (1, 2))
+
+    def test_later_formats_and_kinds_are_skipped(self) -> None:
+        good = json.loads(make_text("c1", 0, BASE))
+        for later in ({**good, "format": 2, "more": 1}, {**good, "kind": "other"}):
+            _, outcomes = fold_all([json.dumps(later)])
+            self.assertEqual(outcomes[0].kind, OutcomeKind.UNKNOWN_FORMAT)
+
+    @given(st.text() | st.binary().map(lambda each: each.decode("latin-1")))
+    def test_any_text_is_skipped(self, text: str) -> None:
+        state, outcomes = fold_all([text])
+        self.assertEqual(state.version, 0)
+        self.assertIn(
+            outcomes[0].kind, (OutcomeKind.CORRUPT, OutcomeKind.UNKNOWN_FORMAT)
+        )
+
+
+class SnapshotTest(unittest.TestCase):
+    """Test snapshots that are stale, newer, damaged or delayed."""
+
+    def setUp(self) -> None:
+        """Make a stream of three changes."""
+        self.texts = [
+            make_text("c1", 0, BASE),
+            make_text("c2", 1, GRANT),
+            make_text("c3", 2, WITHDRAW),
+        ]
+        self.state, _ = fold_all(self.texts)
+
+    def snapshot_at(self, count: int) -> str:
+        """Return the snapshot of the first `count` records."""
+        state, _ = fold_all(self.texts[:count])
+        return encode_snapshot(build_snapshot(state))
+
+    def test_stale_snapshot_of_a_paused_writer_is_ignored(self) -> None:
+        after, outcomes = fold_all([self.snapshot_at(1)], self.state)
+        self.assertEqual(outcomes[0].kind, OutcomeKind.SNAPSHOT_STALE)
+        self.assertEqual(after, replace(self.state, next_offset=Offset(4)))
+
+    def test_daemon_that_lags_past_retention_adopts_and_reads_on(self) -> None:
+        lagging, _ = fold_all(self.texts[:1])
+        snapshot = self.snapshot_at(2)
+        change = self.texts[2]
+        skipped, outcome = fold(lagging, Offset(2), change)
+        self.assertEqual(outcome.kind, OutcomeKind.AFTER_GAP)
+        self.assertEqual(skipped, lagging)
+        adopted, outcome = fold(skipped, Offset(3), snapshot)
+        self.assertEqual(outcome.kind, OutcomeKind.SNAPSHOT_ADOPTED)
+        self.assertEqual((adopted.version, adopted.next_offset), (2, 2))
+        caught_up, _ = fold_all([change, snapshot], adopted)
+        self.assertEqual(caught_up, replace(self.state, next_offset=Offset(4)))
+
+    def test_loser_behind_a_gap_is_not_taken_for_the_winner(self) -> None:
+        lagging, _ = fold_all(self.texts[:1])
+        loser = make_text("loser", 1, WITHDRAW)
+        state, outcome = fold(lagging, Offset(2), loser)
+        self.assertEqual(outcome.kind, OutcomeKind.AFTER_GAP)
+        self.assertEqual(state.version, 1)
+
+    def test_damaged_snapshot_is_skipped(self) -> None:
+        snapshot = build_snapshot(self.state)
+        keys = {KeyId("k1"): RADIO_KEY}
+        changed = replace(snapshot.configuration, keys=keys)
+        damaged = replace(snapshot, configuration=changed)
+        state, outcome = fold(INITIAL_STATE, Offset(9), encode_snapshot(damaged))
+        self.assertEqual((state, outcome.kind), (INITIAL_STATE, OutcomeKind.CORRUPT))
+        ahead = encode_snapshot(replace(snapshot, folded_to=Offset(9)))
+        state, outcome = fold(INITIAL_STATE, Offset(9), ahead)
+        self.assertEqual((state, outcome.kind), (INITIAL_STATE, OutcomeKind.CORRUPT))
+
+    def test_other_content_at_the_same_version_is_reported(self) -> None:
+        other, _ = fold_all(
+            [*self.texts[:2], make_text("c9", 2, Delta(keys=(RADIO_KEY,)))]
+        )
+        after, outcome = adopt_snapshot(self.state, build_snapshot(other))
+        self.assertEqual(outcome.kind, OutcomeKind.SNAPSHOT_DIVERGED)
+        self.assertIs(after, self.state)
+
+    def test_peer_repairs_a_daemon_that_missed_a_change(self) -> None:
+        missed, _ = fold_all([self.texts[0], "damaged on the way", self.texts[2]])
+        self.assertEqual(missed.version, 1)
+        repaired, outcome = adopt_snapshot(missed, build_snapshot(self.state))
+        self.assertEqual(outcome.kind, OutcomeKind.SNAPSHOT_ADOPTED)
+        self.assertEqual(repaired, self.state)
+
+
+def draw_deltas() -> st.SearchStrategy[Delta]:
+    """Return deltas over few names, valid or not."""
+    key_ids = st.sampled_from([KeyId(f"k{index}") for index in range(4)])
+    names = st.sampled_from(["r0", "r1", "search"])
+    owners = st.sampled_from([OrganisationId("radio"), OrganisationId("school")])
+    route = st.builds(
+        lambda name, calls, deadline: replace(
+            SEARCH,
+            name=RouteName(name),
+            path_prefix=f"/{name}",
+            calls=frozenset(map(RouteName, calls)),
+            deadline_ms=deadline,
+        ),
+        names,
+        st.frozensets(names, max_size=2),
+        st.sampled_from([100, 200]),
+    )
+    key = st.builds(
+        lambda key_id, owner: replace(RADIO_KEY, key_id=key_id, organisation=owner),
+        key_ids,
+        owners,
+    )
+    organisation = st.builds(lambda name: replace(RADIO, name=name), owners)
+    return st.builds(
+        Delta,
+        services=st.just((CATALOGUE,)) | st.just(()),
+        routes=st.lists(route, max_size=2).map(tuple),
+        organisations=st.lists(organisation, max_size=1).map(tuple),
+        keys=st.lists(key, max_size=2).map(tuple),
+        removed_routes=st.lists(names.map(RouteName), max_size=1).map(tuple),
+        removed_organisations=st.lists(owners, max_size=1).map(tuple),
+        removed_keys=st.lists(key_ids, max_size=1).map(tuple),
+        removed_services=st.just(()) | st.just((ServiceName("catalogue"),)),
+    )
+
+
+@st.composite
+def draw_streams(draw: st.DrawFn) -> list[str]:
+    """Return a stream of changes, duplicates, noise and snapshots."""
+    texts = [make_text("base", 0, BASE)]
+    state, _ = fold_all(texts)
+    for index in range(draw(st.integers(0, 12))):
+        kind = draw(st.sampled_from(["change"] * 4 + ["repeat", "noise", "snapshot"]))
+        if kind == "change":
+            base = max(0, state.version + draw(st.sampled_from([0, 0, 0, -1, 1])))
+            text = make_text(f"c{index}", base, draw(draw_deltas()))
+        elif kind == "repeat":
+            text = draw(st.sampled_from(texts))
+        elif kind == "noise":
+            text = "noise"
+        else:
+            folded = draw(st.integers(0, len(texts)))
+            past, _ = fold_all(texts[:folded])
+            text = encode_snapshot(build_snapshot(past))
+        texts.append(text)
+        state, _ = fold_all([text], state)
+    return texts
+
+
+class ReplayTest(unittest.TestCase):
+    """Test that every way to the end of a stream gives the same state."""
+
+    @settings(max_examples=60, deadline=None)
+    @given(draw_streams(), st.data())
+    def test_snapshot_and_tail_equal_the_whole_stream(
+        self, texts: list[str], data: st.DataObject
+    ) -> None:
+        whole, outcomes = fold_all(texts)
+        count = data.draw(st.integers(0, len(texts)))
+        part, _ = fold_all(texts[:count])
+        fresh, outcome = adopt_snapshot(INITIAL_STATE, build_snapshot(part))
+        if count == 0:
+            self.assertEqual(outcome.kind, OutcomeKind.SNAPSHOT_STALE)
+        tailed, _ = fold_all(texts[fresh.next_offset :], fresh)
+        self.assertEqual(tailed, whole)
+        versions = [each.version for each in outcomes]
+        steps = [b - a for a, b in zip(versions, versions[1:], strict=False)]
+        self.assertTrue(all(step in (0, 1) for step in steps))
+        self.assertEqual(whole.content_sum, sum_content(whole.configuration))
+
+    @settings(max_examples=60, deadline=None)
+    @given(draw_streams(), st.data())
+    def test_lagging_daemon_never_leaves_the_history(
+        self, texts: list[str], data: st.DataObject
+    ) -> None:
+        """Skip records as retention does; read on where the state says."""
+        history: dict[int, FoldState] = {}
+        state = INITIAL_STATE
+        for text in texts:
+            state, _ = fold_all([text], state)
+            history[state.version] = state
+        lag = data.draw(st.integers(0, len(texts)))
+        first = data.draw(st.integers(lag, len(texts)))
+        lagging, _ = fold_all(texts[:lag])
+        offset = first
+        while offset < len(texts):
+            lagging, outcome = fold(lagging, Offset(offset), texts[offset])
+            offset += 1
+            if outcome.kind is OutcomeKind.SNAPSHOT_ADOPTED:
+                offset = max(first, lagging.next_offset)
+            known = history.get(lagging.version, INITIAL_STATE)
+            self.assertEqual(lagging.digest, known.digest)
+
+
+class CodecTest(unittest.TestCase):
+    """Test the size of records and that they survive the log."""
+
+    def test_key_grant_is_small(self) -> None:
+        text = encode_change(make_change("c" * 26, 123_456, GRANT))
+        self.assertLess(len(text), 512)
