Seal records of the configuration stream with a checksum

Cause: a record damaged on the way to one daemon may still parse and give this daemon another configuration than the rest. Ruled out: a checksum field inside the JSON, which needs a second serialisation on every read. Change: the text is a CRC-32, a space and the JSON; entities have their own module; a draft is a change without id and author, as the answers give it. Conclusion: a changed letter inside a name is reported as corrupt.

--- a/corianderhold/state/configuration/digest.py
+++ b/corianderhold/state/configuration/digest.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from hashlib import sha256
 
-from corianderhold.state.configuration.codec import (
+from corianderhold.state.configuration.entities import (
     JsonObject,
     dump_json,
     key_to_json,
--- /dev/null
+++ b/corianderhold/state/configuration/entities.py
@@ -0,0 +1,185 @@
+"""Convert the entities of a configuration to JSON and back."""
+
+import json
+from collections.abc import Iterable
+from typing import Any
+
+from corianderhold.ids import (
+    FailureDomainId,
+    KeyId,
+    OrganisationId,
+    RouteName,
+    ServiceName,
+    Version,
+)
+from corianderhold.state.configuration.model import (
+    ApiKey,
+    Configuration,
+    Importance,
+    IsolatedBehaviour,
+    Organisation,
+    Route,
+    Service,
+)
+from corianderhold.state.configuration.records import Delta
+
+JsonObject = dict[str, Any]
+
+
+def dump_json(value: JsonObject) -> str:
+    """Return the compact JSON text of a value, the same for equal values."""
+    return json.dumps(value, sort_keys=True, separators=(",", ":"), allow_nan=False)
+
+
+def service_to_json(service: Service) -> JsonObject:
+    """Return the JSON object of a service."""
+    return {
+        "name": service.name,
+        "max_concurrency": service.max_concurrency,
+        "queue_length": service.queue_length,
+        "retry_ratio": float(service.retry_ratio),
+    }
+
+
+def route_to_json(route: Route) -> JsonObject:
+    """Return the JSON object of a route."""
+    return {
+        "name": route.name,
+        "service": route.service,
+        "path_prefix": route.path_prefix,
+        "methods": sorted(route.methods),
+        "importance": route.importance.name.lower(),
+        "open_to_all": route.open_to_all,
+        "organisations": sorted(route.organisations),
+        "idempotent": route.idempotent,
+        "deadline_ms": route.deadline_ms,
+        "retry_budget": route.retry_budget,
+        "isolated": route.isolated.value,
+        "isolated_after_s": float(route.isolated_after_s),
+        "calls": sorted(route.calls),
+    }
+
+
+def organisation_to_json(organisation: Organisation) -> JsonObject:
+    """Return the JSON object of an organisation."""
+    return {
+        "name": organisation.name,
+        "rate": float(organisation.rate),
+        "burst": float(organisation.burst),
+        "weight": float(organisation.weight),
+        "shares": {name: float(each) for name, each in organisation.shares.items()},
+    }
+
+
+def key_to_json(key: ApiKey) -> JsonObject:
+    """Return the JSON object of a key's digest."""
+    return {
+        "key_id": key.key_id,
+        "organisation": key.organisation,
+        "digest": key.digest,
+        "withdrawn": key.withdrawn,
+        "expires_at": None if key.expires_at is None else float(key.expires_at),
+    }
+
+
+def _entities_to_json(
+    services: Iterable[Service],
+    routes: Iterable[Route],
+    organisations: Iterable[Organisation],
+    keys: Iterable[ApiKey],
+) -> JsonObject:
+    return {
+        "services": [service_to_json(each) for each in services],
+        "routes": [route_to_json(each) for each in routes],
+        "organisations": [organisation_to_json(each) for each in organisations],
+        "keys": [key_to_json(each) for each in keys],
+    }
+
+
+def configuration_to_json(configuration: Configuration) -> JsonObject:
+    """Return the JSON object of a configuration, its entities sorted by name."""
+    entities = _entities_to_json(
+        sorted(configuration.services.values(), key=lambda each: each.name),
+        sorted(configuration.routes, key=lambda each: each.name),
+        sorted(configuration.organisations.values(), key=lambda each: each.name),
+        sorted(configuration.keys.values(), key=lambda each: each.key_id),
+    )
+    return {"version": configuration.version, **entities}
+
+
+def delta_to_json(delta: Delta) -> JsonObject:
+    """Return the JSON object of a delta, without its empty parts."""
+    entities = _entities_to_json(
+        delta.services, delta.routes, delta.organisations, delta.keys
+    )
+    removed = {
+        "services": list(delta.removed_services),
+        "routes": list(delta.removed_routes),
+        "organisations": list(delta.removed_organisations),
+        "keys": list(delta.removed_keys),
+    }
+    return {
+        "set": {kind: each for kind, each in entities.items() if each},
+        "removed": {kind: each for kind, each in removed.items() if each},
+    }
+
+
+def _service_from_json(value: JsonObject) -> Service:
+    return Service(**value)
+
+
+def _route_from_json(value: JsonObject) -> Route:
+    return Route(
+        name=RouteName(value["name"]),
+        service=ServiceName(value["service"]),
+        path_prefix=value["path_prefix"],
+        methods=frozenset(value["methods"]),
+        importance=Importance[value["importance"].upper()],
+        open_to_all=value["open_to_all"],
+        organisations=frozenset(map(OrganisationId, value["organisations"])),
+        idempotent=value["idempotent"],
+        deadline_ms=value["deadline_ms"],
+        retry_budget=value["retry_budget"],
+        isolated=IsolatedBehaviour(value["isolated"]),
+        isolated_after_s=value["isolated_after_s"],
+        calls=frozenset(map(RouteName, value["calls"])),
+    )
+
+
+def _organisation_from_json(value: JsonObject) -> Organisation:
+    shares = {FailureDomainId(name): each for name, each in value["shares"].items()}
+    return Organisation(**{**value, "shares": shares})
+
+
+def configuration_from_json(value: JsonObject) -> Configuration:
+    """Return the configuration of an object that the schema has checked."""
+    services = [_service_from_json(each) for each in value["services"]]
+    routes = [_route_from_json(each) for each in value["routes"]]
+    organisations = [_organisation_from_json(each) for each in value["organisations"]]
+    keys = [ApiKey(**each) for each in value["keys"]]
+    return Configuration(
+        version=Version(value["version"]),
+        services={each.name: each for each in services},
+        routes=tuple(sorted(routes, key=lambda each: each.name)),
+        organisations={each.name: each for each in organisations},
+        keys={each.key_id: each for each in keys},
+    )
+
+
+def delta_from_json(value: JsonObject) -> Delta:
+    """Return the delta of an object that the schema has checked."""
+    given, removed = value["set"], value["removed"]
+    return Delta(
+        services=tuple(map(_service_from_json, given.get("services", ()))),
+        routes=tuple(map(_route_from_json, given.get("routes", ()))),
+        organisations=tuple(
+            map(_organisation_from_json, given.get("organisations", ()))
+        ),
+        keys=tuple(ApiKey(**each) for each in given.get("keys", ())),
+        removed_services=tuple(map(ServiceName, removed.get("services", ()))),
+        removed_routes=tuple(map(RouteName, removed.get("routes", ()))),
+        removed_organisations=tuple(
+            map(OrganisationId, removed.get("organisations", ()))
+        ),
+        removed_keys=tuple(map(KeyId, removed.get("keys", ()))),
+    )
--- a/corianderhold/state/configuration/records.py
+++ b/corianderhold/state/configuration/records.py
@@ -60,6 +60,14 @@
         return not any(getattr(self, each.name) for each in fields(self))
 
 
+@dataclass(frozen=True)
+class Draft:
+    """A change as an operator drafts it, before it has an id and an author."""
+
+    base_version: Version
+    delta: Delta
+
+
 @dataclass(frozen=True)
 class ChangeRecord:
     """
--- a/corianderhold/state/configuration/schema.py
+++ b/corianderhold/state/configuration/schema.py
@@ -152,6 +152,11 @@
 CONFIGURATION = {"version": VERSION, **ENTITIES}
 
 CONFIGURATION_SCHEMA = Schema(CONFIGURATION, required=True)
+DELTA = {
+    "set": Schema(ENTITIES, required=False),
+    "removed": Schema(REMOVED, required=False),
+}
+DRAFT_SCHEMA = Schema({"base_version": VERSION, **DELTA}, required=True)
 CHANGE_SCHEMA = Schema(
     {
         "change_id": NAME,
@@ -159,8 +164,7 @@
         "author": bound_text(MAX_AUTHOR_LENGTH),
         "made_at": bound_number(0.0, MAX_UNIX_TIME_S),
         "note": bound_text(MAX_NOTE_LENGTH),
-        "set": Schema(ENTITIES, required=False),
-        "removed": Schema(REMOVED, required=False),
+        **DELTA,
     },
     required=True,
 )
--- a/tests/state/configuration/test_fold.py
+++ b/tests/state/configuration/test_fold.py
@@ -3,6 +3,7 @@
 import json
 import unittest
 from dataclasses import replace
+from zlib import crc32
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -112,21 +113,31 @@
             self.assertEqual(outcomes[1].kind, OutcomeKind.REFUSED, delta)
 
 
+def seal(text: str) -> str:
+    """Return a text with its right checksum before it."""
+    return f"{crc32(text.encode()):08x} {text}"
+
+
 class CorruptRecordTest(unittest.TestCase):
     """Test that no text stops the fold."""
 
     def test_broken_records_are_skipped_and_reported(self) -> None:
-        good = json.loads(make_text("c1", 0, BASE))
+        sealed = make_text("c1", 0, BASE)
+        good = json.loads(sealed.partition(" ")[2])
+        bodies = [
+            {},
+            {**good["body"], "base_version": True},
+            {**good["body"], "made_at": 10**400},
+            {**good["body"], "made_at": float("nan")},
+            {**good["body"], "author": "a\nb"},
+        ]
         broken = [
             "",
             "{",
-            "[" * 100_000,
             "\ud800",
-            '{"format":1,"kind":"change","body":{}}',
-            json.dumps({**good, "body": {**good["body"], "base_version": True}}),
-            json.dumps({**good, "body": {**good["body"], "made_at": 10**400}}),
-            json.dumps({**good, "body": {**good["body"], "made_at": float("nan")}}),
-            json.dumps({**good, "body": {**good["body"], "author": "a\nb"}}),
+            sealed.replace("radio", "ratio"),
+            seal("[" * 100_000),
+            *(seal(json.dumps({**good, "body": body})) for body in bodies),
         ]
         for text in broken:
             state, outcomes = fold_all([text, make_text("c1", 0, BASE)])
@@ -135,18 +146,17 @@
             self.assertEqual((state.version, state.next_offset), (1, 2))
 
     def test_later_formats_and_kinds_are_skipped(self) -> None:
-        good = json.loads(make_text("c1", 0, BASE))
+        good = json.loads(make_text("c1", 0, BASE).partition(" ")[2])
         for later in ({**good, "format": 2, "more": 1}, {**good, "kind": "other"}):
-            _, outcomes = fold_all([json.dumps(later)])
+            _, outcomes = fold_all([seal(json.dumps(later))])
             self.assertEqual(outcomes[0].kind, OutcomeKind.UNKNOWN_FORMAT)
 
     @given(st.text() | st.binary().map(lambda each: each.decode("latin-1")))
     def test_any_text_is_skipped(self, text: str) -> None:
-        state, outcomes = fold_all([text])
+        state, outcomes = fold_all([text, seal(text)] if text.isascii() else [text])
         self.assertEqual(state.version, 0)
-        self.assertIn(
-            outcomes[0].kind, (OutcomeKind.CORRUPT, OutcomeKind.UNKNOWN_FORMAT)
-        )
+        for outcome in outcomes:
+            self.assertEqual(outcome.kind, OutcomeKind.CORRUPT)
 
 
 class SnapshotTest(unittest.TestCase):
