Stand in for the platform: log service, targets, callers

The data path and every measurement need separate processes to speak to. Each runs as python -m emulator SUBCOMMAND on cheroot and urllib3, prints the address that it listens on, and takes faults over HTTP. A target records what it executed with all headers seen, so that runs are counted at the target; its bodies repeat the request's id, so that a crossed answer is recognised. A raised ECONNRESET makes cheroot close a connection without an answer, which serves for lost answers and truncated bodies without a server of our own. No daemon yet: announcement and nested calls are not run.

--- /dev/null
+++ b/emulator/__main__.py
@@ -0,0 +1,10 @@
+"""Run one emulated part: python -m emulator SUBCOMMAND."""
+
+import defopt
+
+from emulator.callers import callers
+from emulator.store import store
+from emulator.target import target
+
+if __name__ == "__main__":
+    defopt.run([store, target, callers], cli_options="all")
--- /dev/null
+++ b/emulator/callers.py
@@ -0,0 +1,225 @@
+"""Send calls at a given rate, however slowly the answers come."""
+
+import random
+import threading
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum
+from pathlib import Path
+from uuid import UUID
+
+import urllib3
+
+from emulator.ledger import Attempt, Call, Ledger
+from emulator.nested import REASON_HEADER, REQUEST_ID_HEADER, VERDICT_HEADER
+
+HARD_RETRY_PAUSE_S = 0.01
+POLITE_FIRST_PAUSE_S = 0.1
+NO_ANSWER = "no_answer"
+NO_VERDICT = "no_verdict"
+WRONG_ANSWER = "wrong_answer"
+
+
+class RetryMode(Enum):
+    """How callers retry: heeding Retry-After and backing off, or at once."""
+
+    POLITE = "polite"
+    HARD = "hard"
+
+
+@dataclass(frozen=True)
+class LoadPlan:
+    """What to send; `timeout_s` bounds one attempt."""
+
+    addresses: Sequence[str]
+    keys: Sequence[str]
+    paths: Sequence[str]
+    method: str
+    rate: float
+    duration_s: float
+    retries: int
+    retry_mode: RetryMode
+    idempotency_keys: bool
+    timeout_s: float
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """One call to send at `at_s` seconds after the start."""
+
+    at_s: float
+    request_id: str
+    address: str
+    key: str
+    path: str
+
+
+def split_weight(text: str) -> tuple[str, float]:
+    """Split "VALUE@WEIGHT"; the weight is 1 where none is given."""
+    value, sign, weight = text.rpartition("@")
+    return (value, float(weight)) if sign else (text, 1.0)
+
+
+def choose_weighted(source: random.Random, choices: Sequence[str]) -> str:
+    """Draw one of several "VALUE@WEIGHT" texts and return its value."""
+    values, weights = zip(*(split_weight(choice) for choice in choices), strict=True)
+    return str(source.choices(values, weights)[0])
+
+
+def generate_arrivals(plan: LoadPlan, seed: int) -> list[Arrival]:
+    """Draw the arrivals of a Poisson process with the plan's rate."""
+    source = random.Random(seed)
+    arrivals = []
+    at_s = source.expovariate(plan.rate)
+    while at_s < plan.duration_s:
+        arrivals.append(
+            Arrival(
+                at_s,
+                str(UUID(int=source.getrandbits(128), version=4)),
+                source.choice(plan.addresses),
+                choose_weighted(source, plan.keys),
+                choose_weighted(source, plan.paths),
+            )
+        )
+        at_s += source.expovariate(plan.rate)
+    return arrivals
+
+
+class LoadGenerator:
+    """Send the arrivals from several workers; each keeps its own connections."""
+
+    def __init__(self, plan: LoadPlan, arrivals: list[Arrival], ledger: Ledger) -> None:
+        self._plan = plan
+        self._arrivals = iter(arrivals)
+        self._ledger = ledger
+        self._lock = threading.Lock()
+        self._started_at = 0.0
+
+    def run(self, workers: int) -> float:
+        """Send everything and return the seconds it took."""
+        threads = [threading.Thread(target=self._work) for _ in range(workers)]
+        self._started_at = time.monotonic()
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        return time.monotonic() - self._started_at
+
+    def _work(self) -> None:
+        pool = urllib3.PoolManager(retries=False, timeout=self._plan.timeout_s)
+        while True:
+            with self._lock:
+                arrival = next(self._arrivals, None)
+            if arrival is None:
+                return
+            due = self._started_at + arrival.at_s
+            time.sleep(max(0.0, due - time.monotonic()))
+            attempts = self._send(pool, arrival)
+            latency_s = time.monotonic() - due
+            self._ledger.add(
+                Call(
+                    arrival.request_id,
+                    arrival.key,
+                    arrival.path,
+                    arrival.at_s,
+                    latency_s,
+                    tuple(attempts),
+                )
+            )
+
+    def _send(self, pool: urllib3.PoolManager, arrival: Arrival) -> list[Attempt]:
+        attempts: list[Attempt] = []
+        while True:
+            attempt = self._attempt(pool, arrival)
+            attempts.append(attempt)
+            if attempt.is_good or len(attempts) > self._plan.retries:
+                return attempts
+            time.sleep(self._choose_pause(attempt, len(attempts)))
+
+    def _choose_pause(self, attempt: Attempt, count: int) -> float:
+        if self._plan.retry_mode is RetryMode.HARD:
+            return HARD_RETRY_PAUSE_S
+        backoff: float = POLITE_FIRST_PAUSE_S * 2 ** (count - 1)
+        return max(attempt.retry_after_s, backoff)
+
+    def _attempt(self, pool: urllib3.PoolManager, arrival: Arrival) -> Attempt:
+        headers = {
+            "Authorization": f"Bearer {arrival.key}",
+            REQUEST_ID_HEADER: arrival.request_id,
+        }
+        if self._plan.idempotency_keys:
+            headers["Idempotency-Key"] = arrival.request_id
+        url = f"http://{arrival.address}{arrival.path}"
+        sent_s = time.monotonic() - self._started_at
+        try:
+            answer = pool.request(self._plan.method, url, headers=headers)
+        except urllib3.exceptions.HTTPError as error:
+            return Attempt(0, NO_ANSWER, type(error).__name__, sent_s, 0.0)
+        return read_attempt(arrival, answer, sent_s)
+
+
+def read_attempt(
+    arrival: Arrival, answer: urllib3.BaseHTTPResponse, sent_s: float
+) -> Attempt:
+    """Judge one answer; one that belongs to another request is a wrong answer."""
+    verdict = answer.headers.get(VERDICT_HEADER, NO_VERDICT)
+    owner = answer.headers.get("X-Emulator-Request-Id", arrival.request_id)
+    if owner != arrival.request_id:
+        verdict = WRONG_ANSWER
+    reason = answer.headers.get(REASON_HEADER, "")
+    retry_after_s = float(answer.headers.get("Retry-After", "0"))
+    return Attempt(answer.status, verdict, reason, sent_s, retry_after_s)
+
+
+def callers(
+    *,
+    addresses: list[str],
+    keys: list[str],
+    paths: list[str],
+    rate: float = 50.0,
+    duration_s: float = 5.0,
+    method: str = "GET",
+    retries: int = 0,
+    retry_mode: RetryMode = RetryMode.POLITE,
+    idempotency_keys: bool = False,
+    timeout_s: float = 10.0,
+    workers: int = 64,
+    ledger: Path | None = None,
+    seed: int = 1,
+) -> None:
+    """
+    Send calls at a given rate and print the totals by verdict.
+
+    :param addresses: caller listeners (ip:port), chosen evenly
+    :param keys: keys of organisations, as KEY or KEY@WEIGHT
+    :param paths: paths with query, as PATH or PATH@WEIGHT
+    :param rate: new calls a second, also while others wait
+    :param duration_s: seconds in which new calls are sent
+    :param method: HTTP method
+    :param retries: further attempts of a call that failed
+    :param retry_mode: polite heeds Retry-After and backs off, hard does neither
+    :param idempotency_keys: send an Idempotency-Key with each call
+    :param timeout_s: seconds to wait for the answer to one attempt
+    :param workers: calls that may wait at the same time
+    :param ledger: file for one JSON line about each call
+    :param seed: seed of the random numbers
+    """
+    plan = LoadPlan(
+        addresses,
+        keys,
+        paths,
+        method,
+        rate,
+        duration_s,
+        retries,
+        retry_mode,
+        idempotency_keys,
+        timeout_s,
+    )
+    record = Ledger()
+    generator = LoadGenerator(plan, generate_arrivals(plan, seed), record)
+    elapsed_s = generator.run(workers)
+    print(record.summarize(seed, elapsed_s), flush=True)
+    if ledger is not None:
+        ledger.write_text(record.format_lines())
--- /dev/null
+++ b/emulator/pattern.py
@@ -0,0 +1,27 @@
+"""Make answer bodies that tell which request they belong to."""
+
+from collections.abc import Iterator
+
+BLOCK_BYTES = 65_536
+
+
+def build_unit(request_id: str) -> bytes:
+    """Return the bytes that the body for a request repeats."""
+    return f"{request_id or '-'};".encode()
+
+
+def generate_pattern(request_id: str, size: int) -> Iterator[bytes]:
+    """Yield `size` bytes in blocks, telling the request throughout."""
+    unit = build_unit(request_id)
+    block = unit * (BLOCK_BYTES // len(unit) + 1)
+    position = 0
+    while position < size:
+        start = position % len(unit)
+        count = min(BLOCK_BYTES, size - position, len(block) - start)
+        yield block[start : start + count]
+        position += count
+
+
+def matches_pattern(request_id: str, size: int, body: bytes) -> bool:
+    """Return whether a body is the whole one for this request."""
+    return body == b"".join(generate_pattern(request_id, size))
--- /dev/null
+++ b/emulator/store.py
@@ -0,0 +1,128 @@
+"""Stand in for the platform's append-only log service, with faults on command."""
+
+import json
+import re
+import threading
+import time
+from dataclasses import dataclass, field, replace
+
+from emulator.web import (
+    Answer,
+    Request,
+    WebServer,
+    answer_json,
+    close_connection,
+    wait_for_signal,
+)
+
+RECORDS_PATH = re.compile(r"^/v1/streams/([a-z0-9_-]+)/records$")
+FAULTS_PATH = "/v1/faults"
+COUNTS_PATH = "/v1/counts"
+DEFAULT_LIMIT = 1000
+WORKER_THREADS = 32
+
+
+@dataclass
+class Stream:
+    """Records of one stream; the first kept one has the offset `first`."""
+
+    first: int = 0
+    records: list[str] = field(default_factory=list)
+
+    @property
+    def next_offset(self) -> int:
+        """Return the offset that the next record gets."""
+        return self.first + len(self.records)
+
+    def truncate(self, before: int) -> None:
+        """Drop records with an offset below `before`, as retention does."""
+        count = max(0, min(before, self.next_offset) - self.first)
+        del self.records[:count]
+        self.first += count
+
+
+@dataclass(frozen=True)
+class StoreFaults:
+    """Faults in force: `delay_ms` holds every request up by that long."""
+
+    down: bool = False
+    delay_ms: float = 0.0
+    lose_answers: bool = False
+
+
+class Store:
+    """Answer the requests of the log service's interface (see store_api)."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._streams: dict[str, Stream] = {}
+        self._faults = StoreFaults()
+        self._appends = 0
+        self._reads = 0
+
+    def handle(self, request: Request) -> Answer:
+        """Route one request."""
+        if request.path == FAULTS_PATH:
+            return self._set_faults(request)
+        if request.path == COUNTS_PATH:
+            return answer_json(200, {"appends": self._appends, "reads": self._reads})
+        match = RECORDS_PATH.match(request.path)
+        if match is None:
+            return answer_json(404, {"error": "unknown path"})
+        body = request.read_body()
+        faults = self._faults
+        time.sleep(faults.delay_ms / 1000)
+        if faults.down:
+            raise close_connection()
+        if request.method == "POST":
+            return self._append(match.group(1), body, faults)
+        return self._read(match.group(1), request)
+
+    def _append(self, name: str, body: bytes, faults: StoreFaults) -> Answer:
+        with self._lock:
+            stream = self._streams.setdefault(name, Stream())
+            offset = stream.next_offset
+            stream.records.append(body.decode())
+            self._appends += 1
+        if faults.lose_answers:
+            raise close_connection()
+        return answer_json(201, {"offset": offset})
+
+    def _read(self, name: str, request: Request) -> Answer:
+        start = int(request.read_query("from", "0"))
+        limit = int(request.read_query("limit", str(DEFAULT_LIMIT)))
+        with self._lock:
+            self._reads += 1
+            stream = self._streams.get(name, Stream())
+            start = max(start, stream.first)
+            index = start - stream.first
+            page = [
+                {"offset": start + position, "data": data}
+                for position, data in enumerate(stream.records[index : index + limit])
+            ]
+            first, following = stream.first, stream.next_offset
+        return answer_json(200, {"first": first, "next": following, "records": page})
+
+    def _set_faults(self, request: Request) -> Answer:
+        wanted = json.loads(request.read_body() or b"{}")
+        known = ("down", "delay_ms", "lose_answers")
+        changes = {name: wanted[name] for name in known if name in wanted}
+        with self._lock:
+            self._faults = replace(self._faults, **changes)
+            for name, before in wanted.get("truncate_before", {}).items():
+                self._streams.setdefault(name, Stream()).truncate(before)
+        return Answer(204, (), 0)
+
+
+def store(*, host: str = "127.0.0.1", port: int = 0) -> None:
+    """
+    Run a stand-in of the platform's append-only log.
+
+    :param host: address to listen on
+    :param port: port to listen on; 0 lets the system choose
+    """
+    server = WebServer("store", host, port, WORKER_THREADS)
+    server.bind(Store())
+    server.start()
+    wait_for_signal()
+    server.stop()
--- a/emulator/store_api.py
+++ b/emulator/store_api.py
@@ -5,5 +5,11 @@
 GET  /v1/streams/{stream}/records?from=N&limit=M
      -> 200 {"first": F, "next": X, "records": [{"offset": N, "data": "text"}, ...]}
      `first` is the oldest offset still kept, `next` the offset the next record gets.
-POST /v1/faults   body: JSON with any of down, delay_ms, lose_answers, truncate_before
+POST /v1/faults   body: JSON with any of
+     down              true: close every connection without an answer
+     delay_ms          milliseconds that each request is held up before it takes effect
+     lose_answers      true: an append takes effect, its answer never comes
+     truncate_before   {"stream": offset}: drop older records, as retention does
+     -> 204; a fault stays until it is set again
+GET  /v1/counts -> 200 {"appends": N, "reads": N} since the start
 """
--- /dev/null
+++ b/emulator/target.py
@@ -0,0 +1,303 @@
+"""Stand in for a target: bounded slots, nested calls, faults on command."""
+
+import hashlib
+import json
+import math
+import random
+import threading
+import time
+from collections.abc import Iterable, Iterator
+from dataclasses import asdict, dataclass, replace
+from enum import Enum
+
+from emulator.announcer import Announcer
+from emulator.executions import Execution, ExecutionLog
+from emulator.nested import (
+    CONTEXT_HEADER,
+    REQUEST_ID_HEADER,
+    NestedCall,
+    NestedCaller,
+)
+from emulator.pattern import generate_pattern
+from emulator.web import (
+    OK,
+    Answer,
+    BodyIncompleteError,
+    Request,
+    WebServer,
+    answer_json,
+    close_connection,
+    wait_for_signal,
+)
+
+ORGANISATION_HEADER = "X-Corianderhold-Organisation"
+SPARE_THREADS = 32
+STALL_CHECK_S = 0.05
+LOGNORMAL_SIGMA = 0.5
+DRAIN_LIMIT_S = 10.0
+
+
+class Distribution(Enum):
+    """How service times vary around their mean."""
+
+    CONSTANT = "constant"
+    EXPONENTIAL = "exponential"
+    LOGNORMAL = "lognormal"
+
+
+@dataclass(frozen=True)
+class TargetFaults:
+    """
+    Faults in force.
+
+    `slow_factor` multiplies service times, `stall` holds every answer back while
+    set, `lying_health` reports no load, `truncate_answers` cuts every body in half,
+    `delay_ms` adds to the service time of each request.
+    """
+
+    slow_factor: float = 1.0
+    stall: bool = False
+    lying_health: bool = False
+    truncate_answers: bool = False
+    delay_ms: float = 0.0
+
+
+class ServiceTimes:
+    """Draw service times in seconds."""
+
+    def __init__(self, mean_ms: float, distribution: Distribution, seed: int) -> None:
+        self._mean_s = mean_ms / 1000
+        self._distribution = distribution
+        self._random = random.Random(seed)
+
+    def draw(self) -> float:
+        """Return the next service time."""
+        if self._distribution is Distribution.EXPONENTIAL:
+            return self._mean_s * self._random.expovariate(1.0)
+        if self._distribution is Distribution.LOGNORMAL:
+            factor = self._random.gauss(-(LOGNORMAL_SIGMA**2) / 2, LOGNORMAL_SIGMA)
+            return self._mean_s * math.exp(factor)
+        return self._mean_s
+
+
+class Target:
+    """Execute requests in slots; the query of a request asks for its behaviour."""
+
+    def __init__(
+        self, service: str, slots: int, times: ServiceTimes, nested: NestedCaller
+    ) -> None:
+        self._service = service
+        self._slots = threading.BoundedSemaphore(slots)
+        self._slot_count = slots
+        self._times = times
+        self._nested = nested
+        self._faults = TargetFaults()
+        self._executions = ExecutionLog()
+        self._lock = threading.Lock()
+        self._in_flight = 0
+        self.drain_requested = threading.Event()
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many requests are being answered or wait for a slot."""
+        return self._in_flight
+
+    def handle(self, request: Request) -> Answer:
+        """Route one request."""
+        if request.path == "/_emulator/executions":
+            return answer_json(200, self._executions.list_newest())
+        if request.path == "/_emulator/counts":
+            return answer_json(200, self._executions.summarize())
+        if request.path == "/_emulator/faults":
+            return self._set_faults(request)
+        if request.path == "/_emulator/drain":
+            self.drain_requested.set()
+            return Answer(204, (), 0)
+        if request.path == "/health":
+            return self._report_health()
+        return self._execute(request)
+
+    def _set_faults(self, request: Request) -> Answer:
+        self._faults = replace(self._faults, **json.loads(request.read_body() or b"{}"))
+        return Answer(204, (), 0)
+
+    def _report_health(self) -> Answer:
+        load = 0 if self._faults.lying_health else self._in_flight
+        health = {"status": "ok", "in_flight": load, "slots": self._slot_count}
+        return answer_json(200, health)
+
+    def _execute(self, request: Request) -> Answer:
+        request_id = request.headers.get(REQUEST_ID_HEADER, "")
+        try:
+            execution = self._receive(request, request_id)
+        except (BodyIncompleteError, OSError):
+            self._executions.add_incomplete()
+            raise close_connection() from None
+        self._executions.add(execution)
+        self._enter()
+        try:
+            answer = self._work(request, request_id)
+        except BaseException:
+            self._leave()
+            raise
+        return replace(answer, body=self._send_body(answer.body))
+
+    def _enter(self) -> None:
+        with self._lock:
+            self._in_flight += 1
+        self._slots.acquire()
+
+    def _leave(self) -> None:
+        self._slots.release()
+        with self._lock:
+            self._in_flight -= 1
+
+    def _send_body(self, body: Iterable[bytes]) -> Iterator[bytes]:
+        try:
+            yield from body
+        finally:
+            self._leave()
+
+    def _receive(self, request: Request, request_id: str) -> Execution:
+        started_at = time.time()
+        digest = hashlib.sha256()
+        size = 0
+        for chunk in request.read_chunks():
+            digest.update(chunk)
+            size += len(chunk)
+        organisation = request.headers.get(ORGANISATION_HEADER, "")
+        return Execution(
+            request_id,
+            organisation,
+            request.method,
+            request.path,
+            request.headers,
+            size,
+            digest.hexdigest(),
+            started_at,
+        )
+
+    def _work(self, request: Request, request_id: str) -> Answer:
+        time.sleep(self._faults.delay_ms / 1000)
+        time.sleep(self._choose_service_time(request))
+        self._wait_while_stalled()
+        context = request.headers.get(CONTEXT_HEADER, "")
+        outcomes = [
+            self._nested.send(call, context, f"{request_id}.{index}")
+            for index, call in enumerate(list_nested_calls(request))
+        ]
+        failed = any(outcome.status != OK for outcome in outcomes)
+        status = 502 if failed else int(request.read_query("status", str(OK)))
+        summary = {
+            "service": self._service,
+            "request_id": request_id,
+            "path": request.path,
+            "nested": [asdict(outcome) for outcome in outcomes],
+        }
+        return self._build_answer(request, request_id, status, summary)
+
+    def _choose_service_time(self, request: Request) -> float:
+        asked = request.read_query("work_ms")
+        drawn = float(asked) / 1000 if asked else self._times.draw()
+        return drawn * self._faults.slow_factor
+
+    def _wait_while_stalled(self) -> None:
+        while self._faults.stall:
+            time.sleep(STALL_CHECK_S)
+
+    def _build_answer(
+        self, request: Request, request_id: str, status: int, summary: object
+    ) -> Answer:
+        size = int(request.read_query("size", "0"))
+        body: Iterable[bytes] = (json.dumps(summary).encode(),)
+        kind = "application/json"
+        if size:
+            body, kind = generate_pattern(request_id, size), "application/octet-stream"
+        else:
+            size = sum(len(part) for part in body)
+        stall_s = float(request.read_query("stall_ms", "0")) / 1000
+        truncate = bool(request.read_query("truncate")) or self._faults.truncate_answers
+        body = break_body(body, size // 2, stall_s, truncate)
+        length = None if request.read_query("chunked") else size
+        headers = {"Content-Type": kind, "X-Emulator-Request-Id": request_id}
+        return Answer(status, body, length, headers)
+
+
+def list_nested_calls(request: Request) -> list[NestedCall]:
+    """Return the nested calls that a request's query asks for."""
+    method = request.read_query("nested_method", "GET")
+    retries = int(request.read_query("nested_retries", "0"))
+    paths = request.query.get("nested", [])
+    return [NestedCall(path, method, retries) for path in paths]
+
+
+def break_body(
+    body: Iterable[bytes], middle: int, stall_s: float, truncate: bool
+) -> Iterator[bytes]:
+    """Yield a body; at `middle` bytes stall for a while or close the connection."""
+    sent = 0
+    broken = not (stall_s or truncate)
+    for block in body:
+        if not broken and sent + len(block) > middle:
+            broken = True
+            yield block[: middle - sent]
+            time.sleep(stall_s)
+            if truncate:
+                raise close_connection()
+            yield block[middle - sent :]
+        else:
+            yield block
+        sent += len(block)
+
+
+def target(
+    *,
+    service: str,
+    daemon_outgoing: str,
+    host: str = "127.0.0.1",
+    port: int = 0,
+    slots: int = 8,
+    service_ms: float = 1.0,
+    distribution: Distribution = Distribution.CONSTANT,
+    seed: int = 1,
+) -> None:
+    """
+    Run a target that announces itself to the daemon beside it.
+
+    :param service: name of the service that the target belongs to
+    :param daemon_outgoing: ip:port of the daemon's outgoing listener
+    :param host: address to listen on
+    :param port: port to listen on; 0 lets the system choose
+    :param slots: requests executed at the same time
+    :param service_ms: mean service time in milliseconds
+    :param distribution: how service times vary
+    :param seed: seed of the random numbers
+    """
+    times = ServiceTimes(service_ms, distribution, seed)
+    emulated = Target(service, slots, times, NestedCaller(daemon_outgoing))
+    server = WebServer("target", host, port, slots + SPARE_THREADS)
+    server.bind(emulated)
+    announcer = Announcer(daemon_outgoing, service, server.address)
+    server.start()
+    announcer.start()
+    drainer = threading.Thread(
+        target=drain_on_request, args=(emulated, announcer), daemon=True
+    )
+    drainer.start()
+    wait_for_signal()
+    announcer.drain()
+    wait_until_idle(emulated)
+    server.stop()
+
+
+def drain_on_request(emulated: Target, announcer: Announcer) -> None:
+    """Drain when the target is told to."""
+    emulated.drain_requested.wait()
+    announcer.drain()
+
+
+def wait_until_idle(emulated: Target) -> None:
+    """Wait until nothing is in flight, at most DRAIN_LIMIT_S."""
+    limit = time.monotonic() + DRAIN_LIMIT_S
+    while emulated.in_flight and time.monotonic() < limit:
+        time.sleep(STALL_CHECK_S)
--- /dev/null
+++ b/emulator/web.py
@@ -0,0 +1,183 @@
+"""Serve HTTP for the emulated parts on cheroot."""
+
+import errno
+import json
+import signal
+import sys
+import threading
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+from urllib.parse import parse_qs
+from wsgiref.types import StartResponse, WSGIEnvironment
+
+from cheroot.wsgi import Server
+
+from corianderhold.log import format_event
+
+READ_SIZE_BYTES = 65_536
+BACKLOG_CONNECTIONS = 1024
+IDLE_TIMEOUT_S = 120
+JSON_TYPE = "application/json"
+OK = 200
+STATUS_LINES = {
+    200: "200 OK",
+    201: "201 Created",
+    204: "204 No Content",
+    400: "400 Bad Request",
+    404: "404 Not Found",
+    500: "500 Internal Server Error",
+    502: "502 Bad Gateway",
+    503: "503 Service Unavailable",
+}
+
+
+class BodyIncompleteError(Exception):
+    """Raised where a request's body ends before its stated length."""
+
+
+@dataclass(frozen=True)
+class Request:
+    """One request; `query` holds the decoded values of each name."""
+
+    method: str
+    path: str
+    query: Mapping[str, list[str]]
+    headers: Mapping[str, str]
+    length: int | None
+    stream: Any
+
+    def read_query(self, name: str, default: str = "") -> str:
+        """Return the first value of a query name."""
+        return self.query.get(name, [default])[0]
+
+    def read_chunks(self) -> Iterable[bytes]:
+        """Yield the body; raise BodyIncompleteError where it ends early."""
+        left = self.length
+        while left is None or left > 0:
+            size = READ_SIZE_BYTES if left is None else min(left, READ_SIZE_BYTES)
+            chunk = self.stream.read(size)
+            if not chunk:
+                break
+            left = None if left is None else left - len(chunk)
+            yield chunk
+        if left:
+            raise BodyIncompleteError(f"{left} bytes are missing")
+
+    def read_body(self) -> bytes:
+        """Return the whole body."""
+        return b"".join(self.read_chunks())
+
+
+@dataclass(frozen=True)
+class Answer:
+    """One answer; without `length` the body is sent in chunks."""
+
+    status: int
+    body: Iterable[bytes] = ()
+    length: int | None = None
+    headers: Mapping[str, str] = field(default_factory=dict)
+
+
+class Handler(Protocol):
+    """Answer requests."""
+
+    def handle(self, request: Request) -> Answer:
+        """Return the answer; called on a worker thread of the server."""
+
+
+def answer_json(status: int, value: object) -> Answer:
+    """Build an answer with a JSON body."""
+    body = json.dumps(value).encode()
+    return Answer(status, (body,), len(body), {"Content-Type": JSON_TYPE})
+
+
+def close_connection() -> ConnectionResetError:
+    """Build the error that makes the server close a connection without a word."""
+    return ConnectionResetError(errno.ECONNRESET, "closed on purpose")
+
+
+def build_request(environ: Mapping[str, Any]) -> Request:
+    """Build a request from a WSGI environment."""
+    headers = {
+        name[5:].replace("_", "-").title(): str(value)
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    length: int | None = int(environ.get("CONTENT_LENGTH") or 0)
+    if headers.get("Transfer-Encoding", "").lower() == "chunked":
+        length = None
+    return Request(
+        method=environ["REQUEST_METHOD"],
+        path=environ["PATH_INFO"],
+        query=parse_qs(environ.get("QUERY_STRING", "")),
+        headers=headers,
+        length=length,
+        stream=environ["wsgi.input"],
+    )
+
+
+class WebServer:
+    """Run a handler behind a cheroot server on its own thread."""
+
+    def __init__(self, name: str, host: str, port: int, threads: int) -> None:
+        self._name = name
+        self._handler: Handler | None = None
+        self._server = Server(
+            (host, port),
+            self._respond,
+            numthreads=threads,
+            request_queue_size=BACKLOG_CONNECTIONS,
+            timeout=IDLE_TIMEOUT_S,
+            shutdown_timeout=1,
+        )
+        self._server.error_log = self._log_error  # type: ignore[method-assign]
+        self._thread = threading.Thread(target=self._server.serve, daemon=True)
+
+    @property
+    def address(self) -> str:
+        """Return ip:port once the server listens."""
+        host, port = self._server.bind_addr[:2]
+        return f"{host}:{port}"
+
+    def bind(self, handler: Handler) -> None:
+        """Take the address and the handler; requests wait until `start`."""
+        self._handler = handler
+        self._server.prepare()
+
+    def start(self) -> None:
+        """Serve requests and print the line that tells the address."""
+        self._thread.start()
+        fields = {"component": self._name, "address": self.address}
+        print(format_event("listening", {**fields}), flush=True)
+
+    def stop(self) -> None:
+        """Close all connections and the listener."""
+        self._server.stop()
+
+    def _respond(
+        self, environ: WSGIEnvironment, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        assert self._handler is not None
+        answer = self._handler.handle(build_request(environ))
+        headers = list(answer.headers.items())
+        if answer.length is not None:
+            headers.append(("Content-Length", str(answer.length)))
+        status = STATUS_LINES.get(answer.status, f"{answer.status} Status")
+        start_response(status, headers)
+        return answer.body
+
+    def _log_error(
+        self, msg: str = "", level: int = 20, traceback: bool = False
+    ) -> None:
+        error = sys.exc_info()[1] if traceback else None
+        fields = {"component": self._name, "message": msg, "error": repr(error)}
+        print(format_event("server_error", {**fields}), file=sys.stderr, flush=True)
+
+
+def wait_for_signal() -> None:
+    """Return when the process is asked to end (SIGTERM or SIGINT)."""
+    stop = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop.set())
+    stop.wait()
