Read and check the daemon's INI settings

Cause: a daemon learns its addresses and failure domain from its settings. Change: voluptuous schema by section, all faults at once with what is accepted.

--- a/corianderhold/protocol/peer/gen/ttypes.py
+++ b/corianderhold/protocol/peer/gen/ttypes.py
@@ -538,6 +538,8 @@
      - idempotent
      - idempotency_key
      - route
+     - body
+     - body_follows
 
     """
 
@@ -558,10 +560,12 @@
         'idempotent',
         'idempotency_key',
         'route',
+        'body',
+        'body_follows',
     )
 
 
-    def __init__(self, call_id=None, root_id=None, incarnation=None, dispatch_by_us=None, deadline_ms=None, organisation=None, importance=None, retry_budget=None, depth=None, service_name=None, method=None, path=None, headers=None, idempotent=None, idempotency_key=None, route=None,):
+    def __init__(self, call_id=None, root_id=None, incarnation=None, dispatch_by_us=None, deadline_ms=None, organisation=None, importance=None, retry_budget=None, depth=None, service_name=None, method=None, path=None, headers=None, idempotent=None, idempotency_key=None, route=None, body=None, body_follows=None,):
         self.call_id = call_id
         self.root_id = root_id
         self.incarnation = incarnation
@@ -578,6 +582,8 @@
         self.idempotent = idempotent
         self.idempotency_key = idempotency_key
         self.route = route
+        self.body = body
+        self.body_follows = body_follows
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -674,6 +680,16 @@
                     self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.STRING:
+                    self.body = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.BOOL:
+                    self.body_follows = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -751,6 +767,14 @@
             oprot.writeFieldBegin('route', TType.STRING, 16)
             oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
             oprot.writeFieldEnd()
+        if self.body is not None:
+            oprot.writeFieldBegin('body', TType.STRING, 17)
+            oprot.writeBinary(self.body)
+            oprot.writeFieldEnd()
+        if self.body_follows is not None:
+            oprot.writeFieldBegin('body_follows', TType.BOOL, 18)
+            oprot.writeBool(self.body_follows)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -785,6 +809,150 @@
             raise TProtocolException(message='Required field idempotent is unset!')
         if self.route is None:
             raise TProtocolException(message='Required field route is unset!')
+        if self.body is None:
+            raise TProtocolException(message='Required field body is unset!')
+        if self.body_follows is None:
+            raise TProtocolException(message='Required field body_follows is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Continue(object):
+    """
+    Attributes:
+     - call_id
+
+    """
+
+    __slots__ = (
+        'call_id',
+    )
+
+
+    def __init__(self, call_id=None,):
+        self.call_id = call_id
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.call_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Continue')
+        if self.call_id is not None:
+            oprot.writeFieldBegin('call_id', TType.STRING, 1)
+            oprot.writeString(self.call_id.encode('utf-8') if sys.version_info[0] == 2 else self.call_id)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.call_id is None:
+            raise TProtocolException(message='Required field call_id is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Progress(object):
+    """
+    Attributes:
+     - call_id
+
+    """
+
+    __slots__ = (
+        'call_id',
+    )
+
+
+    def __init__(self, call_id=None,):
+        self.call_id = call_id
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.call_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Progress')
+        if self.call_id is not None:
+            oprot.writeFieldBegin('call_id', TType.STRING, 1)
+            oprot.writeString(self.call_id.encode('utf-8') if sys.version_info[0] == 2 else self.call_id)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.call_id is None:
+            raise TProtocolException(message='Required field call_id is unset!')
         return
 
     def __repr__(self):
@@ -809,18 +977,21 @@
 class Chunk(object):
     """
     Attributes:
+     - call_id
      - data
      - end
 
     """
 
     __slots__ = (
+        'call_id',
         'data',
         'end',
     )
 
 
-    def __init__(self, data=None, end=None,):
+    def __init__(self, call_id=None, data=None, end=None,):
+        self.call_id = call_id
         self.data = data
         self.end = end
 
@@ -835,10 +1006,15 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.data = iprot.readBinary()
+                    self.call_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
+                if ftype == TType.STRING:
+                    self.data = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
                 if ftype == TType.BOOL:
                     self.end = iprot.readBool()
                 else:
@@ -853,18 +1029,24 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('Chunk')
+        if self.call_id is not None:
+            oprot.writeFieldBegin('call_id', TType.STRING, 1)
+            oprot.writeString(self.call_id.encode('utf-8') if sys.version_info[0] == 2 else self.call_id)
+            oprot.writeFieldEnd()
         if self.data is not None:
-            oprot.writeFieldBegin('data', TType.STRING, 1)
+            oprot.writeFieldBegin('data', TType.STRING, 2)
             oprot.writeBinary(self.data)
             oprot.writeFieldEnd()
         if self.end is not None:
-            oprot.writeFieldBegin('end', TType.BOOL, 2)
+            oprot.writeFieldBegin('end', TType.BOOL, 3)
             oprot.writeBool(self.end)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.call_id is None:
+            raise TProtocolException(message='Required field call_id is unset!')
         if self.data is None:
             raise TProtocolException(message='Required field data is unset!')
         if self.end is None:
@@ -897,6 +1079,9 @@
      - status
      - headers
      - load
+     - body
+     - complete
+     - retry_budget_left
 
     """
 
@@ -905,14 +1090,20 @@
         'status',
         'headers',
         'load',
+        'body',
+        'complete',
+        'retry_budget_left',
     )
 
 
-    def __init__(self, call_id=None, status=None, headers=None, load=None,):
+    def __init__(self, call_id=None, status=None, headers=None, load=None, body=None, complete=None, retry_budget_left=None,):
         self.call_id = call_id
         self.status = status
         self.headers = headers
         self.load = load
+        self.body = body
+        self.complete = complete
+        self.retry_budget_left = retry_budget_left
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -950,6 +1141,21 @@
                     self.load.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.body = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.complete = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.retry_budget_left = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -979,6 +1185,18 @@
             oprot.writeFieldBegin('load', TType.STRUCT, 4)
             self.load.write(oprot)
             oprot.writeFieldEnd()
+        if self.body is not None:
+            oprot.writeFieldBegin('body', TType.STRING, 5)
+            oprot.writeBinary(self.body)
+            oprot.writeFieldEnd()
+        if self.complete is not None:
+            oprot.writeFieldBegin('complete', TType.BOOL, 6)
+            oprot.writeBool(self.complete)
+            oprot.writeFieldEnd()
+        if self.retry_budget_left is not None:
+            oprot.writeFieldBegin('retry_budget_left', TType.I32, 7)
+            oprot.writeI32(self.retry_budget_left)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -991,6 +1209,12 @@
             raise TProtocolException(message='Required field headers is unset!')
         if self.load is None:
             raise TProtocolException(message='Required field load is unset!')
+        if self.body is None:
+            raise TProtocolException(message='Required field body is unset!')
+        if self.complete is None:
+            raise TProtocolException(message='Required field complete is unset!')
+        if self.retry_budget_left is None:
+            raise TProtocolException(message='Required field retry_budget_left is unset!')
         return
 
     def __repr__(self):
@@ -1105,6 +1329,7 @@
      - retry_after_ms
      - load
      - retry_budget_left
+     - detail
 
     """
 
@@ -1115,16 +1340,18 @@
         'retry_after_ms',
         'load',
         'retry_budget_left',
+        'detail',
     )
 
 
-    def __init__(self, call_id=None, run_state=None, reason=None, retry_after_ms=None, load=None, retry_budget_left=None,):
+    def __init__(self, call_id=None, run_state=None, reason=None, retry_after_ms=None, load=None, retry_budget_left=None, detail=None,):
         self.call_id = call_id
         self.run_state = run_state
         self.reason = reason
         self.retry_after_ms = retry_after_ms
         self.load = load
         self.retry_budget_left = retry_budget_left
+        self.detail = detail
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1166,6 +1393,11 @@
                     self.retry_budget_left = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.detail = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1200,6 +1432,10 @@
             oprot.writeFieldBegin('retry_budget_left', TType.I32, 6)
             oprot.writeI32(self.retry_budget_left)
             oprot.writeFieldEnd()
+        if self.detail is not None:
+            oprot.writeFieldBegin('detail', TType.STRING, 7)
+            oprot.writeString(self.detail.encode('utf-8') if sys.version_info[0] == 2 else self.detail)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1216,6 +1452,8 @@
             raise TProtocolException(message='Required field load is unset!')
         if self.retry_budget_left is None:
             raise TProtocolException(message='Required field retry_budget_left is unset!')
+        if self.detail is None:
+            raise TProtocolException(message='Required field detail is unset!')
         return
 
     def __repr__(self):
@@ -1489,6 +1727,8 @@
      - cancel
      - control_request
      - control_reply
+     - proceed
+     - progress
 
     """
 
@@ -1504,10 +1744,12 @@
         'cancel',
         'control_request',
         'control_reply',
+        'proceed',
+        'progress',
     )
 
 
-    def __init__(self, hello=None, ping=None, pong=None, call=None, chunk=None, answer=None, answer_end=None, refusal=None, cancel=None, control_request=None, control_reply=None,):
+    def __init__(self, hello=None, ping=None, pong=None, call=None, chunk=None, answer=None, answer_end=None, refusal=None, cancel=None, control_request=None, control_reply=None, proceed=None, progress=None,):
         self.hello = hello
         self.ping = ping
         self.pong = pong
@@ -1519,6 +1761,8 @@
         self.cancel = cancel
         self.control_request = control_request
         self.control_reply = control_reply
+        self.proceed = proceed
+        self.progress = progress
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1595,6 +1839,18 @@
                     self.control_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRUCT:
+                    self.proceed = Continue()
+                    self.proceed.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRUCT:
+                    self.progress = Progress()
+                    self.progress.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1649,6 +1905,14 @@
             oprot.writeFieldBegin('control_reply', TType.STRUCT, 11)
             self.control_reply.write(oprot)
             oprot.writeFieldEnd()
+        if self.proceed is not None:
+            oprot.writeFieldBegin('proceed', TType.STRUCT, 12)
+            self.proceed.write(oprot)
+            oprot.writeFieldEnd()
+        if self.progress is not None:
+            oprot.writeFieldBegin('progress', TType.STRUCT, 13)
+            self.progress.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1727,12 +1991,25 @@
     (14, TType.BOOL, 'idempotent', None, None, ),  # 14
     (15, TType.STRING, 'idempotency_key', 'UTF8', None, ),  # 15
     (16, TType.STRING, 'route', 'UTF8', None, ),  # 16
+    (17, TType.STRING, 'body', 'BINARY', None, ),  # 17
+    (18, TType.BOOL, 'body_follows', None, None, ),  # 18
+)
+all_structs.append(Continue)
+Continue.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'call_id', 'UTF8', None, ),  # 1
+)
+all_structs.append(Progress)
+Progress.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'call_id', 'UTF8', None, ),  # 1
 )
 all_structs.append(Chunk)
 Chunk.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'data', 'BINARY', None, ),  # 1
-    (2, TType.BOOL, 'end', None, None, ),  # 2
+    (1, TType.STRING, 'call_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'data', 'BINARY', None, ),  # 2
+    (3, TType.BOOL, 'end', None, None, ),  # 3
 )
 all_structs.append(AnswerHead)
 AnswerHead.thrift_spec = (
@@ -1741,6 +2018,9 @@
     (2, TType.I32, 'status', None, None, ),  # 2
     (3, TType.LIST, 'headers', (TType.STRUCT, [Header, None], False), None, ),  # 3
     (4, TType.STRUCT, 'load', [LoadReport, None], None, ),  # 4
+    (5, TType.STRING, 'body', 'BINARY', None, ),  # 5
+    (6, TType.BOOL, 'complete', None, None, ),  # 6
+    (7, TType.I32, 'retry_budget_left', None, None, ),  # 7
 )
 all_structs.append(AnswerEnd)
 AnswerEnd.thrift_spec = (
@@ -1757,6 +2037,7 @@
     (4, TType.I32, 'retry_after_ms', None, None, ),  # 4
     (5, TType.STRUCT, 'load', [LoadReport, None], None, ),  # 5
     (6, TType.I32, 'retry_budget_left', None, None, ),  # 6
+    (7, TType.STRING, 'detail', 'UTF8', None, ),  # 7
 )
 all_structs.append(Cancel)
 Cancel.thrift_spec = (
@@ -1789,6 +2070,8 @@
     (9, TType.STRUCT, 'cancel', [Cancel, None], None, ),  # 9
     (10, TType.STRUCT, 'control_request', [ControlRequest, None], None, ),  # 10
     (11, TType.STRUCT, 'control_reply', [ControlReply, None], None, ),  # 11
+    (12, TType.STRUCT, 'proceed', [Continue, None], None, ),  # 12
+    (13, TType.STRUCT, 'progress', [Progress, None], None, ),  # 13
 )
 fix_spec(all_structs)
 del all_structs
--- a/corianderhold/protocol/peer/peer.thrift
+++ b/corianderhold/protocol/peer/peer.thrift
@@ -37,7 +37,8 @@
   2: required string value
 }
 
-// Opens a call; Chunk frames with the body follow, the last with `end` set.
+// Opens a call. `body` is the whole body, or its first part when `body_follows` is
+// set; the rest then comes in Chunk frames once the owner has sent a Continue.
 struct CallHead {
   1: required string call_id
   2: required string root_id
@@ -55,19 +56,36 @@
   14: required bool idempotent
   15: optional string idempotency_key
   16: required string route
+  17: required binary body
+  18: required bool body_follows
+}
+
+// Says that a call was admitted and that the rest of its body may come.
+struct Continue {
+  1: required string call_id
+}
+
+// Says that a call is still being worked on, so that its link does not look silent.
+struct Progress {
+  1: required string call_id
 }
 
 struct Chunk {
-  1: required binary data
-  2: required bool end
+  1: required string call_id
+  2: required binary data
+  3: required bool end
 }
 
-// Opens a whole answer; Chunk frames follow.
+// Opens an answer. `body` is the whole body when `complete` is set; Chunk frames and
+// an AnswerEnd follow otherwise.
 struct AnswerHead {
   1: required string call_id
   2: required i32 status
   3: required list<Header> headers
   4: required LoadReport load
+  5: required binary body
+  6: required bool complete
+  7: required i32 retry_budget_left
 }
 
 // Closes an answer: the part of the retry budget that was not used comes back.
@@ -84,6 +102,7 @@
   4: required i32 retry_after_ms
   5: required LoadReport load
   6: required i32 retry_budget_left
+  7: required string detail
 }
 
 // Cancels a call that was sent on another link.
@@ -114,4 +133,6 @@
   9: Cancel cancel
   10: ControlRequest control_request
   11: ControlReply control_reply
+  12: Continue proceed
+  13: Progress progress
 }
--- /dev/null
+++ b/corianderhold/settings/const.py
@@ -0,0 +1,38 @@
+"""Name the sections, options and defaults of the settings."""
+
+CONF_INSTANCE = "instance"
+CONF_ID = "id"
+CONF_DOMAIN = "domain"
+CONF_REGION = "region"
+
+CONF_LISTENERS = "listeners"
+CONF_CALLER = "caller"
+CONF_OUTGOING = "outgoing"
+CONF_PEER = "peer"
+CONF_GOSSIP = "gossip"
+CONF_ADMIN = "admin"
+CONF_CALLER_THREADS = "caller_threads"
+CONF_OUTGOING_THREADS = "outgoing_threads"
+
+CONF_TARGET = "target"
+CONF_SERVICE = "service"
+
+CONF_STORE = "store"
+CONF_ADDRESS = "address"
+
+CONF_MEMBERSHIP = "membership"
+CONF_SEEDS = "seeds"
+
+CONF_SECURITY = "security"
+CONF_FLEET_SECRET = "fleet_secret"
+CONF_ADMIN_TOKEN = "admin_token"
+
+CONF_LOGGING = "logging"
+CONF_LEVEL = "level"
+
+LOG_LEVELS = ("debug", "info", "warning", "error")
+DEFAULT_LEVEL = "info"
+DEFAULT_CALLER_THREADS = 96
+DEFAULT_OUTGOING_THREADS = 64
+SECRET_LENGTH_MIN = 16
+HIGHEST_PORT = 65535
--- /dev/null
+++ b/corianderhold/settings/loader.py
@@ -0,0 +1,130 @@
+"""Read a settings file into checked settings."""
+
+from configparser import ConfigParser
+from configparser import Error as ParserError
+from pathlib import Path
+from typing import Any
+
+from voluptuous import Invalid, MultipleInvalid
+
+from corianderhold.ids import FailureDomainId, InstanceId, RegionId
+from corianderhold.settings.const import (
+    CONF_ADDRESS,
+    CONF_ADMIN,
+    CONF_ADMIN_TOKEN,
+    CONF_CALLER,
+    CONF_CALLER_THREADS,
+    CONF_DOMAIN,
+    CONF_FLEET_SECRET,
+    CONF_GOSSIP,
+    CONF_ID,
+    CONF_INSTANCE,
+    CONF_LEVEL,
+    CONF_LISTENERS,
+    CONF_LOGGING,
+    CONF_MEMBERSHIP,
+    CONF_OUTGOING,
+    CONF_OUTGOING_THREADS,
+    CONF_PEER,
+    CONF_REGION,
+    CONF_SECURITY,
+    CONF_SEEDS,
+    CONF_SERVICE,
+    CONF_STORE,
+    CONF_TARGET,
+)
+from corianderhold.settings.errors import SettingsError
+from corianderhold.settings.model import Listeners, Settings
+from corianderhold.settings.schema import REQUIRED_SECTIONS, SECTIONS
+
+Checked = dict[str, dict[str, Any]]
+
+
+def load_settings(path: Path) -> Settings:
+    """
+    Read and check the INI file at `path`.
+
+    Raise `SettingsError` with one line for each fault: file, section, option and
+    what is accepted.
+    """
+    parser = read_file(path)
+    faults: list[str] = []
+    for name in parser.sections():
+        if name not in SECTIONS:
+            accepted = ", ".join(SECTIONS)
+            faults.append(f"{path}: [{name}]: unknown section; accepted: {accepted}")
+    checked: Checked = {}
+    for name in SECTIONS:
+        if not parser.has_section(name) and name in REQUIRED_SECTIONS:
+            faults.append(f"{path}: [{name}]: section is missing")
+            continue
+        options = dict(parser.items(name)) if parser.has_section(name) else {}
+        checked[name] = check_section(path, name, options, faults)
+    if faults:
+        raise SettingsError("\n".join(faults))
+    return build_settings(checked)
+
+
+def read_file(path: Path) -> ConfigParser:
+    """Parse the INI syntax of the file at `path`."""
+    parser = ConfigParser(interpolation=None, strict=True)
+    try:
+        with path.open(encoding="utf-8") as file:
+            parser.read_file(file)
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: can't be read: {error}") from None
+    except ParserError as error:
+        text = " ".join(str(error).split())
+        raise SettingsError(f"{path}: is no INI file: {text}") from None
+    return parser
+
+
+def check_section(
+    path: Path, section: str, options: dict[str, str], faults: list[str]
+) -> dict[str, Any]:
+    """Return the section's checked options and add its faults to `faults`."""
+    try:
+        values: dict[str, Any] = SECTIONS[section](options)
+        return values
+    except MultipleInvalid as error:
+        for fault in error.errors:
+            faults.append(f"{path}: [{section}] {describe_fault(section, fault)}")
+    return {}
+
+
+def describe_fault(section: str, fault: Invalid) -> str:
+    """Return the option and what is accepted as one text."""
+    option = str(fault.path[0]) if fault.path else "?"
+    if fault.error_message == "extra keys not allowed":
+        accepted = ", ".join(str(key) for key in SECTIONS[section].schema)
+        return f"{option}: unknown option; accepted: {accepted}"
+    if fault.error_message == "required key not provided":
+        return f"{option}: option is missing"
+    return f"{option}: {fault.error_message}"
+
+
+def build_settings(checked: Checked) -> Settings:
+    """Build the typed settings from checked sections."""
+    instance = checked[CONF_INSTANCE]
+    listeners = checked[CONF_LISTENERS]
+    security = checked[CONF_SECURITY]
+    return Settings(
+        instance=InstanceId(instance[CONF_ID]),
+        domain=FailureDomainId(instance[CONF_DOMAIN]),
+        region=RegionId(instance[CONF_REGION]),
+        listeners=Listeners(
+            caller=listeners[CONF_CALLER],
+            outgoing=listeners[CONF_OUTGOING],
+            peer=listeners[CONF_PEER],
+            gossip=listeners[CONF_GOSSIP],
+            admin=listeners[CONF_ADMIN],
+            caller_threads=listeners[CONF_CALLER_THREADS],
+            outgoing_threads=listeners[CONF_OUTGOING_THREADS],
+        ),
+        service=checked[CONF_TARGET][CONF_SERVICE],
+        store=checked[CONF_STORE][CONF_ADDRESS],
+        seeds=checked[CONF_MEMBERSHIP][CONF_SEEDS],
+        fleet_secret=security[CONF_FLEET_SECRET].encode(),
+        admin_token=security[CONF_ADMIN_TOKEN],
+        log_level=checked[CONF_LOGGING][CONF_LEVEL],
+    )
--- /dev/null
+++ b/corianderhold/settings/schema.py
@@ -0,0 +1,131 @@
+"""Check the INI settings option by option."""
+
+import ipaddress
+import re
+
+from voluptuous import (
+    All,
+    Coerce,
+    In,
+    Invalid,
+    Length,
+    Optional,
+    Range,
+    Required,
+    Schema,
+)
+
+from corianderhold.ids import ServiceName
+from corianderhold.settings.const import (
+    CONF_ADDRESS,
+    CONF_ADMIN,
+    CONF_ADMIN_TOKEN,
+    CONF_CALLER,
+    CONF_CALLER_THREADS,
+    CONF_DOMAIN,
+    CONF_FLEET_SECRET,
+    CONF_GOSSIP,
+    CONF_ID,
+    CONF_INSTANCE,
+    CONF_LEVEL,
+    CONF_LISTENERS,
+    CONF_LOGGING,
+    CONF_MEMBERSHIP,
+    CONF_OUTGOING,
+    CONF_OUTGOING_THREADS,
+    CONF_PEER,
+    CONF_REGION,
+    CONF_SECURITY,
+    CONF_SEEDS,
+    CONF_SERVICE,
+    CONF_STORE,
+    CONF_TARGET,
+    DEFAULT_CALLER_THREADS,
+    DEFAULT_LEVEL,
+    DEFAULT_OUTGOING_THREADS,
+    HIGHEST_PORT,
+    LOG_LEVELS,
+    SECRET_LENGTH_MIN,
+)
+from corianderhold.state.membership.model import Address
+
+NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9_.-]{0,62}")
+THREADS = All(
+    Coerce(int, msg="accepted: a whole number from 4 to 1024"),
+    Range(min=4, max=1024, msg="accepted: a whole number from 4 to 1024"),
+)
+
+
+def parse_address(text: str) -> Address:
+    """
+    Return the address in `text`, an IP number and a port.
+
+    Raise `voluptuous.Invalid` for anything else.
+    """
+    host, _, port = text.strip().rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        number = int(port)
+    except ValueError:
+        raise Invalid("accepted: IP:PORT, such as 10.0.0.1:8080") from None
+    if not 0 < number <= HIGHEST_PORT:
+        raise Invalid(f"accepted: IP:PORT with a port from 1 to {HIGHEST_PORT}")
+    return Address(host.strip("[]"), number)
+
+
+def parse_addresses(text: str) -> tuple[Address, ...]:
+    """Return the comma-separated addresses in `text`."""
+    parts = [part for part in text.split(",") if part.strip()]
+    return tuple(parse_address(part) for part in parts)
+
+
+def parse_name(text: str) -> str:
+    """Return `text` if it is a name."""
+    if not NAME_PATTERN.fullmatch(text):
+        raise Invalid("accepted: 1 to 63 of a-z, 0-9, '_', '.', '-'")
+    return text
+
+
+def parse_service(text: str) -> ServiceName | None:
+    """Return the service's name, or None for an empty text."""
+    return ServiceName(parse_name(text)) if text else None
+
+
+SECRET = Length(
+    min=SECRET_LENGTH_MIN, msg=f"accepted: at least {SECRET_LENGTH_MIN} characters"
+)
+
+SECTIONS: dict[str, Schema] = {
+    CONF_INSTANCE: Schema(
+        {
+            Required(CONF_ID): parse_name,
+            Required(CONF_DOMAIN): parse_name,
+            Required(CONF_REGION): parse_name,
+        }
+    ),
+    CONF_LISTENERS: Schema(
+        {
+            Required(CONF_CALLER): parse_address,
+            Required(CONF_OUTGOING): parse_address,
+            Required(CONF_PEER): parse_address,
+            Required(CONF_GOSSIP): parse_address,
+            Required(CONF_ADMIN): parse_address,
+            Optional(CONF_CALLER_THREADS, default=DEFAULT_CALLER_THREADS): THREADS,
+            Optional(CONF_OUTGOING_THREADS, default=DEFAULT_OUTGOING_THREADS): THREADS,
+        }
+    ),
+    CONF_TARGET: Schema({Optional(CONF_SERVICE, default=""): parse_service}),
+    CONF_STORE: Schema({Required(CONF_ADDRESS): parse_address}),
+    CONF_MEMBERSHIP: Schema({Optional(CONF_SEEDS, default=""): parse_addresses}),
+    CONF_SECURITY: Schema(
+        {Required(CONF_FLEET_SECRET): SECRET, Required(CONF_ADMIN_TOKEN): SECRET}
+    ),
+    CONF_LOGGING: Schema(
+        {
+            Optional(CONF_LEVEL, default=DEFAULT_LEVEL): In(
+                LOG_LEVELS, msg=f"accepted: one of {', '.join(LOG_LEVELS)}"
+            )
+        }
+    ),
+}
+REQUIRED_SECTIONS = (CONF_INSTANCE, CONF_LISTENERS, CONF_STORE, CONF_SECURITY)
--- /dev/null
+++ b/tests/settings/test_loader.py
@@ -0,0 +1,74 @@
+"""Test that settings are read whole and faults are named."""
+
+import tempfile
+from pathlib import Path
+from unittest import TestCase
+
+from corianderhold.settings.errors import SettingsError
+from corianderhold.settings.loader import load_settings
+from corianderhold.settings.model import Settings
+from corianderhold.state.membership.model import Address
+
+GOOD = """
+[instance]
+id = a1
+domain = lowlands-1
+region = lowlands
+[listeners]
+caller = 127.0.0.1:8080
+outgoing = 127.0.0.1:8081
+peer = 127.0.0.1:8082
+gossip = 127.0.0.1:8082
+admin = 127.0.0.1:8083
+[store]
+address = 127.0.0.1:7000
+[membership]
+seeds = 127.0.0.1:1, 127.0.0.1:2
+[security]
+fleet_secret = 0123456789abcdef
+admin_token = 0123456789abcdef
+"""
+
+
+class LoadSettingsTests(TestCase):
+    """Load settings from text."""
+
+    def load(self, text: str) -> Settings:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "a.ini"
+            path.write_text(text)
+            return load_settings(path)
+
+    def fail_with(self, text: str) -> str:
+        with self.assertRaises(SettingsError) as caught:
+            self.load(text)
+        return str(caught.exception)
+
+    def test_good_file_is_read(self) -> None:
+        settings = self.load(GOOD)
+        self.assertEqual(settings.seeds[1], Address("127.0.0.1", 2))
+        self.assertIsNone(settings.service)
+        self.assertNotIn("0123456789abcdef", repr(settings))
+
+    def test_all_faults_are_named_in_one_line_each(self) -> None:
+        text = GOOD.replace("127.0.0.1:8080", "localhost:8080")
+        text = text.replace("region = lowlands\n", "regoin = lowlands\n")
+        lines = self.fail_with(text + "[extra]\n").splitlines()
+        self.assertEqual(len(lines), 4)
+        faults = "\n".join(lines)
+        self.assertIn("[extra]: unknown section", faults)
+        self.assertIn("[instance] region: option is missing", faults)
+        self.assertIn("[instance] regoin: unknown option; accepted: id", faults)
+        self.assertIn("[listeners] caller: accepted: IP:PORT", faults)
+
+    def test_missing_section_and_missing_file_are_named(self) -> None:
+        text = GOOD.replace("[store]\naddress = 127.0.0.1:7000\n", "")
+        self.assertIn("[store]: section is missing", self.fail_with(text))
+        with self.assertRaises(SettingsError):
+            load_settings(Path("/nonexistent/a.ini"))
+
+    def test_secret_is_not_shown_in_a_fault(self) -> None:
+        text = GOOD.replace("fleet_secret = 0123456789abcdef", "fleet_secret = short")
+        fault = self.fail_with(text)
+        self.assertIn("[security] fleet_secret: accepted: at least 16", fault)
+        self.assertNotIn("short", fault)
