Test the emulated parts and start processes from tests

Tests need processes that are frozen, killed and cleaned up, and connections that break in the ways the issue names. ManagedProcess keeps each child's output in a file and signals it by its id; Relay cuts, silences and filters frame by frame. The announcing line moved out of WebServer.start, since in-process servers of tests printed it into the test report.

--- a/emulator/store.py
+++ b/emulator/store.py
@@ -124,5 +124,6 @@
     server = WebServer("store", host, port, WORKER_THREADS)
     server.bind(Store())
     server.start()
+    server.print_listening()
     wait_for_signal()
     server.stop()
--- a/emulator/target.py
+++ b/emulator/target.py
@@ -279,6 +279,7 @@
     server.bind(emulated)
     announcer = Announcer(daemon_outgoing, service, server.address)
     server.start()
+    server.print_listening()
     announcer.start()
     drainer = threading.Thread(
         target=drain_on_request, args=(emulated, announcer), daemon=True
--- a/emulator/web.py
+++ b/emulator/web.py
@@ -146,8 +146,11 @@
         self._server.prepare()
 
     def start(self) -> None:
-        """Serve requests and print the line that tells the address."""
+        """Serve requests."""
         self._thread.start()
+
+    def print_listening(self) -> None:
+        """Print the line that tells the address."""
         fields = {"component": self._name, "address": self.address}
         print(format_event("listening", {**fields}), flush=True)
 
--- /dev/null
+++ b/tests/common/processes.py
@@ -0,0 +1,150 @@
+"""Start, freeze, kill and clean up the processes of a test."""
+
+import atexit
+import re
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Sequence
+from pathlib import Path
+
+from tests.common.waiting import wait_until
+
+ROOT = Path(__file__).resolve().parents[2]
+STOP_LIMIT_S = 15.0
+LISTENING_LINE = re.compile(r"event=listening .*?address=(\S+)")
+
+
+class ProcessEndedError(AssertionError):
+    """Raised where a process ended while the test still needed it."""
+
+
+class ManagedProcess:
+    """One child process; its output goes to a file that the test can read."""
+
+    def __init__(self, name: str, arguments: Sequence[str], directory: Path) -> None:
+        self.name = name
+        self._log_path = directory / f"{name}.log"
+        with self._log_path.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", *arguments],
+                cwd=ROOT,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+        self._frozen = False
+        atexit.register(self.kill)
+
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self._process.pid
+
+    @property
+    def exit_code(self) -> int | None:
+        """Return the exit code, or None while the process runs."""
+        return self._process.poll()
+
+    def read_log(self) -> str:
+        """Return everything that the process printed."""
+        return self._log_path.read_text(errors="replace")
+
+    def read_processor_s(self) -> float:
+        """Return the processor seconds that the process has used."""
+        fields = Path(f"/proc/{self.pid}/stat").read_text().rpartition(")")[2].split()
+        ticks_per_s = 100
+        return (int(fields[11]) + int(fields[12])) / ticks_per_s
+
+    def wait_for_line(self, pattern: re.Pattern[str]) -> re.Match[str]:
+        """Return the first match of `pattern` in the log once it is there."""
+        self.wait_until_logged(pattern)
+        match = pattern.search(self.read_log())
+        assert match is not None
+        return match
+
+    def wait_until_logged(self, pattern: re.Pattern[str]) -> None:
+        """Return once the log matches; raise ProcessEndedError if it never can."""
+
+        def is_logged() -> bool:
+            ended = self.exit_code is not None
+            if pattern.search(self.read_log()):
+                return True
+            if ended:
+                raise ProcessEndedError(f"{self.name} ended: {self.read_log()[-2000:]}")
+            return False
+
+        wait_until(is_logged, f"{self.name} prints {pattern.pattern}")
+
+    def wait_for_address(self) -> str:
+        """Return the ip:port of the process's first listening line."""
+        return self.wait_for_line(LISTENING_LINE).group(1)
+
+    def freeze(self) -> None:
+        """Pause the process with SIGSTOP."""
+        self._process.send_signal(signal.SIGSTOP)
+        self._frozen = True
+
+    def thaw(self) -> None:
+        """Let a paused process go on."""
+        self._process.send_signal(signal.SIGCONT)
+        self._frozen = False
+
+    def kill(self) -> None:
+        """End the process at once."""
+        atexit.unregister(self.kill)
+        if self._process.poll() is None:
+            self._process.kill()
+            self._process.wait()
+
+    def terminate(self) -> None:
+        """Ask the process to stop, without waiting for it."""
+        if self._process.poll() is None:
+            self._process.send_signal(signal.SIGTERM)
+
+    def wait_for_exit(self, limit_s: float = STOP_LIMIT_S) -> int:
+        """Return the exit code once the process has ended."""
+        wait_until(
+            lambda: self._process.poll() is not None, f"{self.name} ends", limit_s
+        )
+        assert self._process.returncode is not None
+        return self._process.returncode
+
+    def stop(self) -> int | None:
+        """End the process, gently at first, and return its exit code."""
+        if self._frozen and self._process.poll() is None:
+            self.thaw()
+        self.terminate()
+        try:
+            self._process.wait(STOP_LIMIT_S)
+        except subprocess.TimeoutExpired:
+            self.kill()
+        atexit.unregister(self.kill)
+        return self._process.poll()
+
+
+class ProcessGroup:
+    """Keep the processes of one test and end them all."""
+
+    def __init__(self, directory: Path) -> None:
+        self._directory = directory
+        self._processes: list[ManagedProcess] = []
+
+    def start(self, name: str, arguments: Sequence[str]) -> ManagedProcess:
+        """Start `python -m ARGUMENTS` and keep it."""
+        process = ManagedProcess(name, arguments, self._directory)
+        self._processes.append(process)
+        return process
+
+    def stop(self) -> None:
+        """End all processes, those started last first."""
+        for process in reversed(self._processes):
+            if process.exit_code is None:
+                process.terminate()
+        limit = time.monotonic() + STOP_LIMIT_S
+        for process in reversed(self._processes):
+            if time.monotonic() > limit:
+                process.kill()
+            process.stop()
+        self._processes.clear()
--- /dev/null
+++ b/tests/common/relay.py
@@ -0,0 +1,166 @@
+"""Relay TCP connections and break them on command."""
+
+import contextlib
+import socket
+import struct
+import threading
+from collections.abc import Callable, Sequence
+from enum import Enum
+
+READ_SIZE_BYTES = 65_536
+LENGTH_FORMAT = ">I"
+LENGTH_BYTES = struct.calcsize(LENGTH_FORMAT)
+
+
+class Direction(Enum):
+    """Which way bytes go through a relay."""
+
+    TO_SERVER = "to_server"
+    TO_CLIENT = "to_client"
+
+
+FrameFilter = Callable[[Direction, bytes], Sequence[bytes]]
+
+
+class RelayedConnection:
+    """One connection through the relay: two sockets and a thread each way."""
+
+    def __init__(
+        self, client: socket.socket, server: socket.socket, relay: "Relay"
+    ) -> None:
+        self._client = client
+        self._server = server
+        self._relay = relay
+        self.silent = False
+
+    def start(self) -> None:
+        """Begin to copy both ways."""
+        ways = (
+            (Direction.TO_SERVER, self._client, self._server),
+            (Direction.TO_CLIENT, self._server, self._client),
+        )
+        for way in ways:
+            threading.Thread(target=self._copy, args=way, daemon=True).start()
+
+    def close(self) -> None:
+        """Close both sides."""
+        for side in (self._client, self._server):
+            with contextlib.suppress(OSError):
+                side.shutdown(socket.SHUT_RDWR)
+            side.close()
+
+    def _copy(
+        self, direction: Direction, source: socket.socket, sink: socket.socket
+    ) -> None:
+        buffer = b""
+        try:
+            while chunk := source.recv(READ_SIZE_BYTES):
+                buffer = self._forward(direction, buffer + chunk, sink)
+            if not self.silent:
+                sink.sendall(buffer)
+                sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            if not self.silent:
+                self.close()
+
+    def _forward(self, direction: Direction, data: bytes, sink: socket.socket) -> bytes:
+        """Pass on what may pass and return the bytes of an incomplete frame."""
+        frame_filter = self._relay.frame_filter
+        if frame_filter is None:
+            self._send(sink, data)
+            return b""
+        while len(data) >= LENGTH_BYTES:
+            (size,) = struct.unpack_from(LENGTH_FORMAT, data)
+            end = LENGTH_BYTES + size
+            if len(data) < end:
+                break
+            for body in frame_filter(direction, data[LENGTH_BYTES:end]):
+                self._send(sink, struct.pack(LENGTH_FORMAT, len(body)) + body)
+            data = data[end:]
+        return data
+
+    def _send(self, sink: socket.socket, data: bytes) -> None:
+        if not self.silent:
+            sink.sendall(data)
+
+
+class Relay:
+    """
+    Listen on loopback and pass connections on to one upstream address.
+
+    `frame_filter` sees each frame (four bytes of length, then the body) and returns
+    the bodies to pass on in its place; it may block to hold a frame back. Set it
+    before the first connection.
+    """
+
+    def __init__(self, upstream: str) -> None:
+        host, _, port = upstream.rpartition(":")
+        self._upstream = (host, int(port))
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=1024)
+        self._lock = threading.Lock()
+        self._connections: list[RelayedConnection] = []
+        self._cut = False
+        self.frame_filter: FrameFilter | None = None
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    @property
+    def address(self) -> str:
+        """Return the ip:port that clients connect to."""
+        host, port = self._listener.getsockname()
+        return f"{host}:{port}"
+
+    @property
+    def connection_count(self) -> int:
+        """Return how many connections were relayed since the start."""
+        return len(self._connections)
+
+    def cut(self) -> None:
+        """Close all connections and refuse new ones."""
+        with self._lock:
+            self._cut = True
+            connections = list(self._connections)
+        for connection in connections:
+            connection.close()
+
+    def heal(self) -> None:
+        """Relay new connections again."""
+        with self._lock:
+            self._cut = False
+
+    def silence(self) -> None:
+        """Drop all further bytes of the open connections; new ones work."""
+        with self._lock:
+            for connection in self._connections:
+                connection.silent = True
+
+    def stop(self) -> None:
+        """Close the listener and all connections."""
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        self.cut()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                client, _ = self._listener.accept()
+            except OSError:
+                return
+            self._connect(client)
+
+    def _connect(self, client: socket.socket) -> None:
+        with self._lock:
+            cut = self._cut
+        try:
+            server = None if cut else socket.create_connection(self._upstream)
+        except OSError:
+            server = None
+        if server is None:
+            client.close()
+            return
+        for side in (client, server):
+            side.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = RelayedConnection(client, server, self)
+        with self._lock:
+            self._connections.append(connection)
+        connection.start()
--- /dev/null
+++ b/tests/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Test the emulated parts of the platform."""
