Run a fleet of separate processes from tests

The demo, the failure tests and the measurements all start a store, daemons and targets; Fleet writes the settings, waits for health, and counts the runs at the targets. Relays stand before a daemon's peer listener (setting peer_advertised, which the daemon has yet to read) or before a target.

--- a/emulator/target.py
+++ b/emulator/target.py
@@ -260,6 +260,7 @@
     service_ms: float = 1.0,
     distribution: Distribution = Distribution.CONSTANT,
     seed: int = 1,
+    announced_address: str = "",
 ) -> None:
     """
     Run a target that announces itself to the daemon beside it.
@@ -272,12 +273,14 @@
     :param service_ms: mean service time in milliseconds
     :param distribution: how service times vary
     :param seed: seed of the random numbers
+    :param announced_address: ip:port to announce in place of the one listened on
     """
     times = ServiceTimes(service_ms, distribution, seed)
     emulated = Target(service, slots, times, NestedCaller(daemon_outgoing))
     server = WebServer("target", host, port, slots + SPARE_THREADS)
     server.bind(emulated)
-    announcer = Announcer(daemon_outgoing, service, server.address)
+    address = announced_address or server.address
+    announcer = Announcer(daemon_outgoing, service, address)
     server.start()
     server.print_listening()
     announcer.start()
--- /dev/null
+++ b/tests/common/fleet.py
@@ -0,0 +1,246 @@
+"""Run a fleet of separate processes: store, daemons and targets."""
+
+import json
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from configparser import ConfigParser
+from dataclasses import dataclass, field
+from pathlib import Path
+from uuid import uuid4
+
+from tests.common.ports import HOST, find_free_ports
+from tests.common.processes import ManagedProcess, ProcessGroup
+from tests.common.relay import Relay
+from tests.common.waiting import wait_until
+from tests.common.web import Outcome, send_request
+
+FLEET_SECRET = "secret-of-the-test-fleet"
+ADMIN_TOKEN = "token-of-the-test-operators"
+LISTENERS = ("caller", "outgoing", "peer", "gossip", "admin")
+READY_LIMIT_S = 60.0
+
+
+@dataclass(frozen=True)
+class DaemonPlan:
+    """
+    One daemon with the target beside it, if it has a service.
+
+    `relay_peer` and `relay_target` put a relay before its peer listener and before
+    its target.
+    """
+
+    instance: str
+    domain: str
+    service: str | None = None
+    region: str = "ch-west"
+    slots: int = 8
+    service_ms: float = 1.0
+    relay_peer: bool = False
+    relay_target: bool = False
+    log_level: str = "info"
+
+
+@dataclass
+class FleetMember:
+    """A running daemon and its target."""
+
+    plan: DaemonPlan
+    ports: Mapping[str, int]
+    daemon: ManagedProcess | None = None
+    target: ManagedProcess | None = None
+    target_address: str = ""
+    peer_relay: Relay | None = None
+    target_relay: Relay | None = None
+
+    def get_address(self, listener: str) -> str:
+        """Return ip:port of one of the daemon's listeners."""
+        return f"{HOST}:{self.ports[listener]}"
+
+
+@dataclass(frozen=True)
+class RequestPlan:
+    """A request to send with a key, in most tests under an id to count it by."""
+
+    path: str
+    key: str
+    method: str = "GET"
+    request_id: str = field(default_factory=lambda: str(uuid4()))
+    headers: Mapping[str, str] = field(default_factory=dict)
+    body: bytes | None = None
+
+
+class Fleet:
+    """Start and stop all processes; count the runs at the targets."""
+
+    def __init__(self, plans: Sequence[DaemonPlan], directory: Path) -> None:
+        self._directory = directory
+        self._group = ProcessGroup(directory)
+        self._past_runs: Counter[str] = Counter()
+        self._starts = 0
+        self.members = {plan.instance: self._plan_member(plan) for plan in plans}
+        self.store: ManagedProcess | None = None
+        self.store_address = ""
+
+    def start(self, records: Sequence[str]) -> None:
+        """Start everything; `records` go on the configuration stream first."""
+        self.store = self._start("store", ["emulator", "store"])
+        self.store_address = self.store.wait_for_address()
+        for record in records:
+            self.publish(record)
+        for instance in self.members:
+            self.start_daemon(instance)
+        for instance, member in self.members.items():
+            if member.plan.service is not None:
+                self.start_target(instance)
+
+    def stop(self) -> None:
+        """End all processes and relays."""
+        self._group.stop()
+        for member in self.members.values():
+            for relay in (member.peer_relay, member.target_relay):
+                if relay is not None:
+                    relay.stop()
+
+    def publish(self, record: str) -> None:
+        """Append one record to the configuration stream."""
+        url = f"http://{self.store_address}/v1/streams/configuration/records"
+        outcome = send_request("POST", url, body=record.encode())
+        assert outcome.status == 201, outcome
+
+    def start_daemon(self, instance: str) -> ManagedProcess:
+        """Start a daemon, also again after its end, and wait for its listeners."""
+        member = self.members[instance]
+        path = self._write_settings(member)
+        arguments = ["corianderhold", "serve", "--settings", str(path)]
+        daemon = self._start(f"daemon-{instance}", arguments)
+        member.daemon = daemon
+        url = f"http://{member.get_address('admin')}/health"
+
+        def is_healthy() -> bool:
+            assert daemon.exit_code is None, daemon.read_log()[-2000:]
+            return send_request("GET", url).status == 200
+
+        wait_until(is_healthy, f"daemon {instance} is healthy", READY_LIMIT_S)
+        return daemon
+
+    def start_target(self, instance: str) -> ManagedProcess:
+        """Start the target beside a daemon, also again after its end."""
+        member = self.members[instance]
+        plan = member.plan
+        assert plan.service is not None
+        arguments = ["emulator", "target", "--service", plan.service]
+        arguments += ["--daemon-outgoing", member.get_address("outgoing")]
+        arguments += ["--slots", str(plan.slots), "--service-ms", str(plan.service_ms)]
+        if plan.relay_target:
+            port = find_free_ports(1)[0]
+            member.target_relay = Relay(f"{HOST}:{port}")
+            arguments += ["--port", str(port)]
+            arguments += ["--announced-address", member.target_relay.address]
+        member.target = self._start(f"target-{instance}", arguments)
+        member.target_address = member.target.wait_for_address()
+        return member.target
+
+    def kill_target(self, instance: str) -> None:
+        """Kill a target; the runs that it counted are kept."""
+        member = self.members[instance]
+        self._past_runs += self._read_runs(member)
+        assert member.target is not None
+        member.target.kill()
+        member.target_address = ""
+
+    def send(self, entry: str, plan: RequestPlan) -> Outcome:
+        """Send one request to the caller listener of a daemon."""
+        url = f"http://{self.members[entry].get_address('caller')}{plan.path}"
+        headers = {
+            "Authorization": f"Bearer {plan.key}",
+            "X-Request-Id": plan.request_id,
+            **plan.headers,
+        }
+        return send_request(plan.method, url, headers, plan.body)
+
+    def wait_until_served(self, entries: Sequence[str], plan: RequestPlan) -> None:
+        """Return once each entry answers such a request whole."""
+        for entry in entries:
+            self._wait_until_served_by(entry, plan)
+
+    def count_runs(self) -> Counter[str]:
+        """Return how often each request id ran, summed over all targets."""
+        runs = Counter(self._past_runs)
+        for member in self.members.values():
+            runs += self._read_runs(member)
+        return runs
+
+    def set_target_faults(self, instance: str, faults: Mapping[str, object]) -> None:
+        """Set faults of one target."""
+        url = f"http://{self.members[instance].target_address}/_emulator/faults"
+        outcome = send_request("POST", url, body=json.dumps(faults).encode())
+        assert outcome.status == 204, outcome
+
+    def set_store_faults(self, faults: Mapping[str, object]) -> None:
+        """Set faults of the store."""
+        url = f"http://{self.store_address}/v1/faults"
+        outcome = send_request("POST", url, body=json.dumps(faults).encode())
+        assert outcome.status == 204, outcome
+
+    def list_executions(self, instance: str) -> list[dict[str, object]]:
+        """Return what a target executed, with the headers that it saw."""
+        url = f"http://{self.members[instance].target_address}/_emulator/executions"
+        executions: list[dict[str, object]] = json.loads(send_request("GET", url).body)
+        return executions
+
+    def _wait_until_served_by(self, entry: str, plan: RequestPlan) -> None:
+        wait_until(
+            lambda: self._probe(entry, plan).is_whole,
+            f"{entry} serves {plan.path}: {self._probe(entry, plan)}",
+            READY_LIMIT_S,
+        )
+
+    def _probe(self, entry: str, plan: RequestPlan) -> Outcome:
+        probe = RequestPlan(plan.path, plan.key, plan.method, f"probe-{uuid4()}")
+        return self.send(entry, probe)
+
+    def _read_runs(self, member: FleetMember) -> Counter[str]:
+        if not member.target_address:
+            return Counter()
+        url = f"http://{member.target_address}/_emulator/counts"
+        outcome = send_request("GET", url)
+        assert outcome.complete, outcome
+        runs: dict[str, int] = json.loads(outcome.body)["runs"]
+        return Counter(runs)
+
+    def _start(self, name: str, arguments: Sequence[str]) -> ManagedProcess:
+        self._starts += 1
+        return self._group.start(f"{name}-{self._starts}", arguments)
+
+    def _plan_member(self, plan: DaemonPlan) -> FleetMember:
+        ports = dict(zip(LISTENERS, find_free_ports(len(LISTENERS)), strict=True))
+        member = FleetMember(plan, ports)
+        if plan.relay_peer:
+            member.peer_relay = Relay(member.get_address("peer"))
+        return member
+
+    def _write_settings(self, member: FleetMember) -> Path:
+        plan = member.plan
+        seeds = [each.get_address("gossip") for each in self.members.values()]
+        settings = ConfigParser(interpolation=None)
+        settings["instance"] = {
+            "id": plan.instance,
+            "domain": plan.domain,
+            "region": plan.region,
+        }
+        settings["listeners"] = {name: member.get_address(name) for name in LISTENERS}
+        if member.peer_relay is not None:
+            settings["listeners"]["peer_advertised"] = member.peer_relay.address
+        if plan.service is not None:
+            settings["target"] = {"service": plan.service}
+        settings["store"] = {"address": self.store_address}
+        settings["membership"] = {"seeds": ",".join(seeds)}
+        settings["security"] = {
+            "fleet_secret": FLEET_SECRET,
+            "admin_token": ADMIN_TOKEN,
+        }
+        settings["logging"] = {"level": plan.log_level}
+        path = self._directory / f"{plan.instance}.ini"
+        with path.open("w") as file:
+            settings.write(file)
+        return path
--- /dev/null
+++ b/tests/common/ports.py
@@ -0,0 +1,24 @@
+"""Find free ports for processes that need them in their settings."""
+
+import socket
+from contextlib import ExitStack
+
+HOST = "127.0.0.1"
+
+
+def find_free_ports(count: int) -> list[int]:
+    """Return ports that the system chose, free for both TCP and UDP."""
+    ports: list[int] = []
+    with ExitStack() as held:
+        while len(ports) < count:
+            stream = held.enter_context(socket.create_server((HOST, 0)))
+            port: int = stream.getsockname()[1]
+            datagram = held.enter_context(
+                socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            )
+            try:
+                datagram.bind((HOST, port))
+            except OSError:
+                continue
+            ports.append(port)
+    return ports
