--- /dev/null
+++ b/tests/transport/store/__init__.py
@@ -0,0 +1,1 @@
+"""Test the store package."""
--- /dev/null
+++ b/tests/transport/store/test_client.py
@@ -0,0 +1,145 @@
+"""Test the client of the platform's log against small HTTP servers."""
+
+import socket
+import threading
+from unittest import TestCase
+
+from result import Err, Ok
+
+from corianderhold.clock import SystemClock
+from corianderhold.ids import Offset
+from corianderhold.transport.store.client import HttpLog
+from corianderhold.transport.store.model import (
+    AppendFailure,
+    LogPage,
+    LogRecord,
+    ReadFailure,
+    StreamName,
+)
+
+STREAM = StreamName.CONFIGURATION
+TIMEOUT_S = 0.4
+
+
+class ScriptedServer:
+    """Answer each request on any connection with the next scripted bytes."""
+
+    def __init__(self, answers: list[bytes | None]) -> None:
+        self.requests: list[bytes] = []
+        self._answers = answers
+        self._socket = socket.create_server(("127.0.0.1", 0))
+        self.url = f"http://127.0.0.1:{self._socket.getsockname()[1]}"
+        self._open: list[socket.socket] = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        for opened in [self._socket, *self._open]:
+            opened.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self._socket.accept()
+            except OSError:
+                return
+            self._open.append(connection)
+            threading.Thread(target=self._serve, args=[connection], daemon=True).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        while True:
+            try:
+                request = connection.recv(65536)
+            except OSError:
+                return
+            if not request:
+                return
+            if b" HTTP/1.1" not in request:  # a body that came on its own
+                continue
+            self.requests.append(request)
+            answer = self._answers.pop(0) if self._answers else None
+            if answer == b"":
+                connection.close()
+                return
+            if answer is not None:
+                connection.sendall(answer)
+
+
+def build_answer(status: int, body: str) -> bytes:
+    head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+    return (head + body).encode()
+
+
+class HttpLogTests(TestCase):
+    """Check outcomes of appends and reads."""
+
+    def start(self, *answers: bytes | None) -> HttpLog:
+        self.server = ScriptedServer(list(answers))
+        self.addCleanup(self.server.close)
+        log = HttpLog(self.server.url, SystemClock())
+        self.addCleanup(log.close)
+        return log
+
+    def test_append_returns_the_offset(self) -> None:
+        log = self.start(build_answer(201, '{"offset": 7}'))
+        self.assertEqual(log.append(STREAM, "x", TIMEOUT_S), Ok(Offset(7)))
+        self.assertIn(
+            b"POST /v1/streams/configuration/records", self.server.requests[0]
+        )
+
+    def test_append_that_may_have_taken_effect_is_unknown_and_sent_once(self) -> None:
+        cases = {
+            "silent": None,
+            "closed": b"",
+            "server error": build_answer(503, ""),
+            "no offset": build_answer(201, "{}"),
+            "boolean": build_answer(201, '{"offset": true}'),
+            "truncated": build_answer(201, '{"offset": 7}')[:-3],
+        }
+        for name, answer in cases.items():
+            log = self.start(answer)
+            outcome = log.append(STREAM, "x", TIMEOUT_S)
+            self.assertEqual(outcome, Err(AppendFailure.UNKNOWN), name)
+            self.assertEqual(len(self.server.requests), 1, name)
+
+    def test_append_that_was_never_sent_or_was_rejected_is_not_appended(self) -> None:
+        log = self.start(build_answer(413, ""))
+        rejected = log.append(STREAM, "x", TIMEOUT_S)
+        self.assertEqual(rejected, Err(AppendFailure.NOT_APPENDED))
+        self.server.close()
+        unused = socket.create_server(("127.0.0.1", 0))
+        url = f"http://127.0.0.1:{unused.getsockname()[1]}"
+        unused.close()
+        unsent = HttpLog(url, SystemClock()).append(STREAM, "x", TIMEOUT_S)
+        self.assertEqual(unsent, Err(AppendFailure.NOT_APPENDED))
+
+    def test_read_returns_the_page(self) -> None:
+        body = '{"first": 3, "next": 6, "records": [{"offset": 5, "data": "\\u00fc"}]}'
+        log = self.start(build_answer(200, body))
+        expected = LogPage(Offset(3), Offset(6), (LogRecord(Offset(5), "ü"),))
+        self.assertEqual(log.read(STREAM, Offset(4), 10, TIMEOUT_S), Ok(expected))
+
+    def test_read_passes_over_a_silent_connection(self) -> None:
+        page = build_answer(200, '{"first": 0, "next": 0, "records": []}')
+        log = self.start(page, None, page)
+        self.assertTrue(log.read(STREAM, Offset(0), 1, TIMEOUT_S).is_ok())
+        self.assertTrue(log.read(STREAM, Offset(0), 1, TIMEOUT_S).is_ok())
+        self.assertEqual(len(self.server.requests), 3)
+
+    def test_malformed_pages_are_reported(self) -> None:
+        bodies = [
+            "[",
+            "[]",
+            '{"first": 0, "next": 1}',
+            '{"first": 0, "next": 1, "records": [{"offset": 1, "data": "x"}]}',
+            '{"first": 0, "next": 1, "records": [{"offset": 0, "data": 1}]}',
+            "[" * 100_000,
+        ]
+        for body in bodies:
+            log = self.start(build_answer(200, body))
+            outcome = log.read(STREAM, Offset(0), 9, TIMEOUT_S)
+            self.assertEqual(outcome, Err(ReadFailure.MALFORMED), body[:60])
+
+    def test_unavailable_store_is_reported(self) -> None:
+        log = self.start(build_answer(503, ""))
+        outcome = log.read(STREAM, Offset(0), 9, TIMEOUT_S)
+        self.assertEqual(outcome, Err(ReadFailure.UNAVAILABLE))
