Carry thrift frames between daemons on pooled, authenticated links

Cause: a call, a cancellation and every control request need one way between daemons. Change: links with one call in flight, mutual proof of the fleet secret, silence and idle time-outs, the peer's clock for dispatch deadlines, pings on idle links.

--- /dev/null
+++ b/corianderhold/protocol/peer/codec.py
@@ -0,0 +1,280 @@
+"""Turn the messages of peer links into frame bytes and back."""
+
+from collections.abc import Callable
+from typing import Any
+
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAcceleratedFactory
+from thrift.TSerialization import deserialize, serialize
+
+from corianderhold.ids import (
+    CallId,
+    Incarnation,
+    InstanceId,
+    OrganisationId,
+    RootId,
+    RouteName,
+    ServiceName,
+)
+from corianderhold.protocol.peer.control import ControlTopic
+from corianderhold.protocol.peer.errors import FrameError
+from corianderhold.protocol.peer.gen import ttypes
+from corianderhold.protocol.peer.messages import (
+    AnswerEnd,
+    AnswerHead,
+    CallHead,
+    CallRefused,
+    Cancel,
+    Chunk,
+    Continue,
+    ControlReply,
+    ControlRequest,
+    Header,
+    Hello,
+    LoadReport,
+    Message,
+    Ping,
+    Pong,
+    Progress,
+)
+from corianderhold.protocol.verdict import Reason, Refusal, RunState
+
+PROTOCOL_FACTORY = TBinaryProtocolAcceleratedFactory()
+
+
+def encode_message(message: Message) -> bytes:
+    """Return the frame body of a message, without its length."""
+    frame = ENCODERS[type(message)](message)
+    encoded: bytes = serialize(frame, PROTOCOL_FACTORY)
+    return encoded
+
+
+def decode_message(body: bytes) -> Message:
+    """
+    Return the message in a frame body.
+
+    Raise `FrameError` when the bytes are no valid frame.
+    """
+    try:
+        frame = deserialize(ttypes.Frame(), body, PROTOCOL_FACTORY)
+        for field, decode in DECODERS.items():
+            struct = getattr(frame, field)
+            if struct is not None:
+                struct.validate()
+                return decode(struct)
+    except Exception as error:
+        # thrift raises anything from EOFError to TypeError on malformed bytes.
+        raise FrameError(f"malformed frame: {error!r}") from error
+    raise FrameError("frame holds no known message")
+
+
+def encode_load(load: LoadReport) -> Any:
+    """Return the thrift struct of a load report."""
+    return ttypes.LoadReport(
+        load.in_flight, load.limit, load.queued, load.shed_below, load.draining
+    )
+
+
+def decode_load(struct: Any) -> LoadReport:
+    """Return the load report in a thrift struct."""
+    return LoadReport(
+        struct.in_flight,
+        struct.limit,
+        struct.queued,
+        struct.shed_below,
+        struct.draining,
+    )
+
+
+def encode_headers(headers: tuple[Header, ...]) -> list[Any]:
+    """Return the thrift structs of HTTP headers."""
+    return [ttypes.Header(header.name, header.value) for header in headers]
+
+
+def decode_headers(structs: list[Any]) -> tuple[Header, ...]:
+    """Return the HTTP headers in thrift structs."""
+    return tuple(Header(struct.name, struct.value) for struct in structs)
+
+
+def encode_hello(message: Hello) -> Any:
+    """Return the frame of a Hello."""
+    return ttypes.Frame(
+        hello=ttypes.Hello(
+            message.instance,
+            message.incarnation,
+            message.nonce,
+            message.proof,
+            message.clock_us,
+        )
+    )
+
+
+def decode_hello(struct: Any) -> Hello:
+    """Return the Hello in a thrift struct."""
+    return Hello(
+        InstanceId(struct.instance),
+        Incarnation(struct.incarnation),
+        struct.nonce,
+        struct.proof,
+        struct.clock_us,
+    )
+
+
+def encode_pong(message: Pong) -> Any:
+    """Return the frame of a Pong."""
+    load = encode_load(message.load) if message.load else None
+    return ttypes.Frame(pong=ttypes.Pong(message.clock_us, message.incarnation, load))
+
+
+def decode_pong(struct: Any) -> Pong:
+    """Return the Pong in a thrift struct."""
+    load = decode_load(struct.load) if struct.load else None
+    return Pong(struct.clock_us, Incarnation(struct.incarnation), load)
+
+
+def encode_call(message: CallHead) -> Any:
+    """Return the frame of a CallHead."""
+    return ttypes.Frame(
+        call=ttypes.CallHead(
+            call_id=message.call_id,
+            root_id=message.root_id,
+            incarnation=message.incarnation,
+            dispatch_by_us=message.dispatch_by_us,
+            deadline_ms=message.deadline_ms,
+            organisation=message.organisation,
+            importance=message.importance,
+            retry_budget=message.retry_budget,
+            depth=message.depth,
+            service_name=message.service,
+            route=message.route,
+            method=message.method,
+            path=message.path,
+            headers=encode_headers(message.headers),
+            idempotent=message.idempotent,
+            idempotency_key=message.idempotency_key,
+            body=message.body,
+            body_follows=message.body_follows,
+        )
+    )
+
+
+def decode_call(struct: Any) -> CallHead:
+    """Return the CallHead in a thrift struct."""
+    return CallHead(
+        call_id=CallId(struct.call_id),
+        root_id=RootId(struct.root_id),
+        incarnation=Incarnation(struct.incarnation),
+        dispatch_by_us=struct.dispatch_by_us,
+        deadline_ms=struct.deadline_ms,
+        organisation=OrganisationId(struct.organisation),
+        importance=struct.importance,
+        retry_budget=struct.retry_budget,
+        depth=struct.depth,
+        service=ServiceName(struct.service_name),
+        route=RouteName(struct.route),
+        method=struct.method,
+        path=struct.path,
+        headers=decode_headers(struct.headers),
+        idempotent=struct.idempotent,
+        idempotency_key=struct.idempotency_key,
+        body=struct.body,
+        body_follows=struct.body_follows,
+    )
+
+
+def encode_answer(message: AnswerHead) -> Any:
+    """Return the frame of an AnswerHead."""
+    return ttypes.Frame(
+        answer=ttypes.AnswerHead(
+            message.call_id,
+            message.status,
+            encode_headers(message.headers),
+            encode_load(message.load),
+            message.body,
+            message.complete,
+            message.retry_budget_left,
+        )
+    )
+
+
+def decode_answer(struct: Any) -> AnswerHead:
+    """Return the AnswerHead in a thrift struct."""
+    return AnswerHead(
+        CallId(struct.call_id),
+        struct.status,
+        decode_headers(struct.headers),
+        decode_load(struct.load),
+        struct.body,
+        struct.complete,
+        struct.retry_budget_left,
+    )
+
+
+def encode_refused(message: CallRefused) -> Any:
+    """Return the frame of a CallRefused."""
+    refusal = message.refusal
+    return ttypes.Frame(
+        refusal=ttypes.Refusal(
+            call_id=message.call_id,
+            run_state=refusal.run_state.value,
+            reason=refusal.reason.value,
+            retry_after_ms=refusal.retry_after_ms,
+            load=encode_load(message.load),
+            retry_budget_left=message.retry_budget_left,
+            detail=refusal.detail,
+        )
+    )
+
+
+def decode_refused(struct: Any) -> CallRefused:
+    """Return the CallRefused in a thrift struct."""
+    refusal = Refusal(
+        RunState(struct.run_state),
+        Reason(struct.reason),
+        struct.retry_after_ms,
+        struct.detail,
+    )
+    return CallRefused(
+        CallId(struct.call_id),
+        refusal,
+        decode_load(struct.load),
+        struct.retry_budget_left,
+    )
+
+
+ENCODERS: dict[type[Any], Callable[[Any], Any]] = {
+    Hello: encode_hello,
+    Ping: lambda m: ttypes.Frame(ping=ttypes.Ping(m.clock_us)),
+    Pong: encode_pong,
+    CallHead: encode_call,
+    Continue: lambda m: ttypes.Frame(proceed=ttypes.Continue(m.call_id)),
+    Progress: lambda m: ttypes.Frame(progress=ttypes.Progress(m.call_id)),
+    Chunk: lambda m: ttypes.Frame(chunk=ttypes.Chunk(m.call_id, m.data, m.end)),
+    AnswerHead: encode_answer,
+    AnswerEnd: lambda m: ttypes.Frame(
+        answer_end=ttypes.AnswerEnd(m.call_id, m.retry_budget_left)
+    ),
+    CallRefused: encode_refused,
+    Cancel: lambda m: ttypes.Frame(cancel=ttypes.Cancel(m.call_id)),
+    ControlRequest: lambda m: ttypes.Frame(
+        control_request=ttypes.ControlRequest(m.topic.value, m.body)
+    ),
+    ControlReply: lambda m: ttypes.Frame(
+        control_reply=ttypes.ControlReply(m.accepted, m.body)
+    ),
+}
+
+DECODERS: dict[str, Callable[[Any], Message]] = {
+    "call": decode_call,
+    "answer": decode_answer,
+    "refusal": decode_refused,
+    "progress": lambda s: Progress(CallId(s.call_id)),
+    "chunk": lambda s: Chunk(CallId(s.call_id), s.data, s.end),
+    "answer_end": lambda s: AnswerEnd(CallId(s.call_id), s.retry_budget_left),
+    "proceed": lambda s: Continue(CallId(s.call_id)),
+    "ping": lambda s: Ping(s.clock_us),
+    "pong": decode_pong,
+    "cancel": lambda s: Cancel(CallId(s.call_id)),
+    "control_request": lambda s: ControlRequest(ControlTopic(s.topic), s.body),
+    "control_reply": lambda s: ControlReply(s.accepted, s.body),
+    "hello": decode_hello,
+}
--- /dev/null
+++ b/corianderhold/transport/peer/handshake.py
@@ -0,0 +1,123 @@
+"""Prove to each other on a new link that both daemons belong to the fleet."""
+
+import hashlib
+import hmac
+import os
+from dataclasses import dataclass, field
+
+from corianderhold.clock import Clock
+from corianderhold.ids import Incarnation, InstanceId
+from corianderhold.protocol.peer.const import NONCE_BYTES
+from corianderhold.protocol.peer.messages import Hello
+from corianderhold.transport.peer.const import CLOCK_DRIFT_RATIO, HANDSHAKE_TIMEOUT_S
+from corianderhold.transport.peer.errors import LinkClosedError
+from corianderhold.transport.peer.link import Link
+
+SERVER_LABEL = b"corianderhold-peer-server"
+CLIENT_LABEL = b"corianderhold-peer-client"
+MICROSECONDS = 1_000_000
+
+
+@dataclass(frozen=True)
+class Identity:
+    """Name this daemon as it introduces itself on links."""
+
+    instance: InstanceId
+    incarnation: Incarnation
+    secret: bytes = field(repr=False)
+
+
+@dataclass(frozen=True)
+class PeerClock:
+    """
+    A reading of a peer's monotonic clock.
+
+    `peer_us` was read at `received_at` seconds on the local clock or before.
+    """
+
+    peer_us: int
+    received_at: float
+
+    def convert(self, local_s: float) -> int:
+        """Return a peer's clock value in µs that it reaches no later than `local_s`."""
+        elapsed_s = local_s - self.received_at
+        drift_s = abs(elapsed_s) * CLOCK_DRIFT_RATIO
+        return self.peer_us + int((elapsed_s - drift_s) * MICROSECONDS)
+
+
+@dataclass(frozen=True)
+class Peer:
+    """The daemon at the other end of a link."""
+
+    instance: InstanceId
+    incarnation: Incarnation
+    clock: PeerClock
+
+
+def greet_server(link: Link, identity: Identity, clock: Clock) -> Peer:
+    """
+    Open a link as its client and return the server's identity.
+
+    Raise `LinkError` or `FrameError` when the server can't prove the fleet secret.
+    """
+    nonce = os.urandom(NONCE_BYTES)
+    link.send(build_hello(identity, nonce, b"", clock), HANDSHAKE_TIMEOUT_S)
+    answer = receive_hello(link)
+    peer_clock = PeerClock(answer.clock_us, clock.read_monotonic())
+    check_proof(identity, SERVER_LABEL, nonce, answer)
+    proof = compute_proof(
+        identity.secret, CLIENT_LABEL, answer.nonce, nonce, identity.instance
+    )
+    link.send(build_hello(identity, nonce, proof, clock), HANDSHAKE_TIMEOUT_S)
+    return Peer(answer.instance, answer.incarnation, peer_clock)
+
+
+def greet_client(link: Link, identity: Identity, clock: Clock) -> Peer:
+    """
+    Open a link as its server and return the client's identity.
+
+    Raise `LinkError` or `FrameError` when the client can't prove the fleet secret.
+    """
+    first = receive_hello(link)
+    nonce = os.urandom(NONCE_BYTES)
+    proof = compute_proof(
+        identity.secret, SERVER_LABEL, first.nonce, nonce, identity.instance
+    )
+    link.send(build_hello(identity, nonce, proof, clock), HANDSHAKE_TIMEOUT_S)
+    second = receive_hello(link)
+    peer_clock = PeerClock(second.clock_us, clock.read_monotonic())
+    check_proof(identity, CLIENT_LABEL, nonce, second)
+    return Peer(second.instance, second.incarnation, peer_clock)
+
+
+def build_hello(identity: Identity, nonce: bytes, proof: bytes, clock: Clock) -> Hello:
+    """Build this daemon's Hello."""
+    clock_us = int(clock.read_monotonic() * MICROSECONDS)
+    return Hello(identity.instance, identity.incarnation, nonce, proof, clock_us)
+
+
+def receive_hello(link: Link) -> Hello:
+    """Receive a Hello; raise `LinkClosedError` for any other frame."""
+    message = link.receive(HANDSHAKE_TIMEOUT_S)
+    if not isinstance(message, Hello):
+        raise LinkClosedError("the link did not open with a Hello")
+    return message
+
+
+def check_proof(
+    identity: Identity, label: bytes, own_nonce: bytes, hello: Hello
+) -> None:
+    """Raise `LinkClosedError` unless the Hello proves the fleet secret."""
+    expected = compute_proof(
+        identity.secret, label, own_nonce, hello.nonce, hello.instance
+    )
+    if not hmac.compare_digest(expected, hello.proof):
+        raise LinkClosedError("the peer does not know the fleet secret")
+
+
+def compute_proof(
+    secret: bytes, label: bytes, challenge: bytes, nonce: bytes, instance: str
+) -> bytes:
+    """Return the digest that answers a challenge."""
+    text = b"\0".join((label, challenge.hex().encode(), nonce.hex().encode()))
+    return hmac.digest(secret, text + b"\0" + instance.encode(), hashlib.sha256)
--- /dev/null
+++ b/corianderhold/transport/peer/link.py
@@ -0,0 +1,125 @@
+"""Send and receive frames on one TCP connection between two daemons."""
+
+import contextlib
+import select
+import socket
+import struct
+import threading
+
+from corianderhold.protocol.peer.codec import decode_message, encode_message
+from corianderhold.protocol.peer.const import FRAME_BYTES_MAX, LENGTH_BYTES
+from corianderhold.protocol.peer.errors import FrameError
+from corianderhold.protocol.peer.messages import Message
+from corianderhold.transport.peer.const import (
+    RECEIVE_BYTES,
+    UNACKNOWLEDGED_TIMEOUT_MS,
+)
+from corianderhold.transport.peer.errors import (
+    LinkClosedError,
+    LinkError,
+    LinkSilentError,
+)
+
+LENGTH_FORMAT = struct.Struct("!I")
+MILLISECONDS = 1000
+
+
+class Link:
+    """Own one socket; one thread receives, any thread sends whole frames."""
+
+    def __init__(self, connection: socket.socket) -> None:
+        set_options(connection)
+        self._socket = connection
+        self._buffer = bytearray()
+        self._send_lock = threading.Lock()
+        self._readable = select.poll()
+        self._readable.register(connection, select.POLLIN)
+        self._writable = select.poll()
+        self._writable.register(connection, select.POLLOUT)
+
+    def send(self, message: Message, timeout_s: float) -> None:
+        """
+        Send one frame.
+
+        Raise `LinkClosedError` when the connection is broken and `LinkSilentError`
+        when the other side takes nothing for `timeout_s` seconds.
+        """
+        body = encode_message(message)
+        with self._send_lock:
+            self._send_bytes(LENGTH_FORMAT.pack(len(body)) + body, timeout_s)
+
+    def try_send(self, message: Message) -> None:
+        """Send a small frame if the connection takes it at once, or drop it."""
+        if not self._send_lock.acquire(blocking=False):
+            return
+        try:
+            if self._writable.poll(0):
+                body = encode_message(message)
+                self._send_bytes(LENGTH_FORMAT.pack(len(body)) + body, 0)
+        except LinkError:
+            self.close()
+        finally:
+            self._send_lock.release()
+
+    def receive(self, timeout_s: float) -> Message:
+        """
+        Wait for one frame, `timeout_s` seconds at most for each part of it.
+
+        Raise `LinkSilentError` after the time-out, `LinkClosedError` at the end of the
+        connection and `FrameError` on malformed bytes.
+        """
+        self._fill(LENGTH_BYTES, timeout_s)
+        (length,) = LENGTH_FORMAT.unpack_from(self._buffer)
+        if length > FRAME_BYTES_MAX:
+            raise FrameError(f"frame of {length} bytes; accepted: {FRAME_BYTES_MAX}")
+        end = LENGTH_BYTES + length
+        self._fill(end, timeout_s)
+        body = bytes(self._buffer[LENGTH_BYTES:end])
+        del self._buffer[:end]
+        return decode_message(body)
+
+    def is_quiet(self) -> bool:
+        """Return whether the connection is open and nothing waits to be received."""
+        return not self._buffer and not self._readable.poll(0)
+
+    def close(self) -> None:
+        """Close the connection; a thread that waits on it is woken."""
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RDWR)
+        self._socket.close()
+
+    def _send_bytes(self, data: bytes, timeout_s: float) -> None:
+        rest = memoryview(data)
+        while rest:
+            try:
+                rest = rest[self._socket.send(rest) :]
+            except BlockingIOError:
+                if not self._writable.poll(timeout_s * MILLISECONDS):
+                    text = f"nothing was taken for {timeout_s} s"
+                    raise LinkSilentError(text) from None
+            except OSError as error:
+                raise LinkClosedError(str(error)) from error
+
+    def _fill(self, count: int, timeout_s: float) -> None:
+        """Receive until the buffer holds `count` bytes."""
+        while len(self._buffer) < count:
+            try:
+                if not self._readable.poll(timeout_s * MILLISECONDS):
+                    raise LinkSilentError(f"nothing came for {timeout_s} s")
+                data = self._socket.recv(RECEIVE_BYTES)
+            except BlockingIOError:
+                continue
+            except OSError as error:
+                raise LinkClosedError(str(error)) from error
+            if not data:
+                raise LinkClosedError("end of connection")
+            self._buffer += data
+
+
+def set_options(connection: socket.socket) -> None:
+    """Send at once, and give up on data that is not acknowledged."""
+    connection.setblocking(False)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    connection.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
+    )
--- /dev/null
+++ b/corianderhold/transport/peer/pool.py
@@ -0,0 +1,181 @@
+"""Keep links to other daemons, with one call in flight on each."""
+
+import socket
+import threading
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+
+from corianderhold.clock import Clock
+from corianderhold.log import log_event
+from corianderhold.protocol.peer.errors import FrameError
+from corianderhold.protocol.peer.messages import Ping, Pong
+from corianderhold.state.membership.model import Address
+from corianderhold.transport.peer.const import (
+    CONNECT_TIMEOUT_S,
+    IDLE_LINKS_PER_PEER,
+    LINK_UNUSED_S,
+    PING_INTERVAL_S,
+    PING_TIMEOUT_S,
+)
+from corianderhold.transport.peer.errors import LinkError
+from corianderhold.transport.peer.handshake import (
+    MICROSECONDS,
+    Identity,
+    Peer,
+    PeerClock,
+    greet_server,
+)
+from corianderhold.transport.peer.link import Link
+
+
+@dataclass
+class PooledLink:
+    """A link together with what is known of its other end."""
+
+    address: Address
+    link: Link
+    peer: Peer
+    used_at: float
+    checked_at: float
+
+
+@dataclass(frozen=True)
+class Unreachable:
+    """Why no link could be opened; nothing was sent on behalf of a call."""
+
+    detail: str
+
+
+@dataclass
+class Shelf:
+    """The idle links to one address, the last used one at the end."""
+
+    links: list[PooledLink] = field(default_factory=list)
+
+
+class LinkPool:
+    """Lend links to the threads that send calls, and keep idle ones alive."""
+
+    def __init__(self, identity: Identity, clock: Clock) -> None:
+        self._identity = identity
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._shelves: dict[Address, Shelf] = {}
+        self._stopped = threading.Event()
+        self._keeper = threading.Thread(
+            target=self._keep_links, name="link-keeper", daemon=True
+        )
+
+    def start(self) -> None:
+        """Begin to ping idle links."""
+        self._keeper.start()
+
+    def stop(self) -> None:
+        """Close all idle links."""
+        self._stopped.set()
+        with self._lock:
+            shelves, self._shelves = self._shelves, {}
+        for shelf in shelves.values():
+            for pooled in shelf.links:
+                pooled.link.close()
+
+    def borrow(self, address: Address) -> Result[PooledLink, Unreachable]:
+        """Return an idle or new link to the daemon at a peer address."""
+        while True:
+            with self._lock:
+                shelf = self._shelves.get(address)
+                pooled = shelf.links.pop() if shelf and shelf.links else None
+            if pooled is None:
+                return self._open(address)
+            if pooled.link.is_quiet():
+                return Ok(pooled)
+            pooled.link.close()
+
+    def give_back(self, pooled: PooledLink) -> None:
+        """Keep a link whose call has ended and on which nothing is awaited."""
+        pooled.used_at = pooled.checked_at = self._clock.read_monotonic()
+        with self._lock:
+            if not self._stopped.is_set():
+                shelf = self._shelves.setdefault(pooled.address, Shelf())
+                if len(shelf.links) < IDLE_LINKS_PER_PEER:
+                    shelf.links.append(pooled)
+                    return
+        pooled.link.close()
+
+    def discard(self, pooled: PooledLink) -> None:
+        """Close a link that failed, and the idle ones to the same address."""
+        pooled.link.close()
+        with self._lock:
+            shelf = self._shelves.pop(pooled.address, Shelf())
+        for other in shelf.links:
+            other.link.close()
+
+    def _open(self, address: Address) -> Result[PooledLink, Unreachable]:
+        try:
+            connection = socket.create_connection(
+                (address.host, address.port), CONNECT_TIMEOUT_S
+            )
+        except OSError as error:
+            return Err(Unreachable(str(error)))
+        link = Link(connection)
+        try:
+            peer = greet_server(link, self._identity, self._clock)
+        except (LinkError, FrameError) as error:
+            link.close()
+            return Err(Unreachable(str(error)))
+        now = self._clock.read_monotonic()
+        return Ok(PooledLink(address, link, peer, now, now))
+
+    def _keep_links(self) -> None:
+        while not self._stopped.wait(PING_INTERVAL_S / 2):
+            for pooled in self._take_unchecked():
+                if self._ping(pooled):
+                    self._put_at_front(pooled)
+                else:
+                    log_event("link_silent", peer=str(pooled.address))
+                    self.discard(pooled)
+
+    def _take_unchecked(self) -> list[PooledLink]:
+        """Take out the links to ping; close those that were unused for long."""
+        now = self._clock.read_monotonic()
+        taken: list[PooledLink] = []
+        with self._lock:
+            for address, shelf in list(self._shelves.items()):
+                kept = [p for p in shelf.links if now - p.checked_at < PING_INTERVAL_S]
+                taken += [p for p in shelf.links if p not in kept]
+                shelf.links = kept
+                if not kept:
+                    del self._shelves[address]
+        unused = [p for p in taken if now - p.used_at > LINK_UNUSED_S]
+        for pooled in unused:
+            pooled.link.close()
+        return [p for p in taken if p not in unused]
+
+    def _ping(self, pooled: PooledLink) -> bool:
+        """Return whether the peer answers, and note its clock."""
+        try:
+            sent_us = int(self._clock.read_monotonic() * MICROSECONDS)
+            pooled.link.send(Ping(sent_us), PING_TIMEOUT_S)
+            message = pooled.link.receive(PING_TIMEOUT_S)
+        except (LinkError, FrameError):
+            return False
+        if not isinstance(message, Pong):
+            return False
+        now = self._clock.read_monotonic()
+        pooled.peer = Peer(
+            pooled.peer.instance,
+            message.incarnation,
+            PeerClock(message.clock_us, now),
+        )
+        pooled.checked_at = now
+        return True
+
+    def _put_at_front(self, pooled: PooledLink) -> None:
+        """Keep a pinged link without making it the next one to be lent."""
+        with self._lock:
+            if not self._stopped.is_set():
+                shelf = self._shelves.setdefault(pooled.address, Shelf())
+                shelf.links.insert(0, pooled)
+                return
+        pooled.link.close()
