--- a/tests/transport/__init__.py
+++ b/tests/transport/__init__.py
@@ -1,1 +1,1 @@
-"""Test the transport package."""
+"""Test the transport."""
