--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from uuid import uuid4
 
-from tests.common.ports import HOST, find_free_ports
+from tests.common.ports import HOST, find_free_port, find_free_ports
 from tests.common.processes import ManagedProcess, ProcessGroup
 from tests.common.relay import Relay
 from tests.common.waiting import wait_until
@@ -132,7 +132,7 @@
         arguments += ["--daemon-outgoing", member.get_address("outgoing")]
         arguments += ["--slots", str(plan.slots), "--service-ms", str(plan.service_ms)]
         if plan.relay_target:
-            port = find_free_ports(1)[0]
+            port = find_free_port()
             member.target_relay = Relay(f"{HOST}:{port}")
             arguments += ["--port", str(port)]
             arguments += ["--announced-address", member.target_relay.address]
--- a/tests/common/ports.py
+++ b/tests/common/ports.py
@@ -1,4 +1,4 @@
-"""Find free ports for processes that need them in their settings."""
+"""Find free ports on loopback."""
 
 import socket
 from contextlib import ExitStack
@@ -6,8 +6,13 @@
 HOST = "127.0.0.1"
 
 
+def find_free_port() -> int:
+    """Return a port that was free for TCP and UDP a moment ago."""
+    return find_free_ports(1)[0]
+
+
 def find_free_ports(count: int) -> list[int]:
-    """Return ports that the system chose, free for both TCP and UDP."""
+    """Return different ports that were free for TCP and UDP a moment ago."""
     ports: list[int] = []
     with ExitStack() as held:
         while len(ports) < count:
