--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -216,7 +216,7 @@
         ports = dict(zip(LISTENERS, find_free_ports(len(LISTENERS)), strict=True))
         member = FleetMember(plan, ports)
         if plan.relay_peer:
-            member.peer_relay = Relay(member.get_address("peer"))
+            member.peer_relay = Relay(member.get_address("peer"), framed=True)
         return member
 
     def _write_settings(self, member: FleetMember) -> Path:
--- a/tests/common/relay.py
+++ b/tests/common/relay.py
@@ -22,6 +22,11 @@
 FrameFilter = Callable[[Direction, bytes], Sequence[bytes]]
 
 
+def pass_frame(_: Direction, body: bytes) -> Sequence[bytes]:
+    """Pass a frame on as it is."""
+    return (body,)
+
+
 class RelayedConnection:
     """One connection through the relay: two sockets and a thread each way."""
 
@@ -65,8 +70,7 @@
 
     def _forward(self, direction: Direction, data: bytes, sink: socket.socket) -> bytes:
         """Pass on what may pass and return the bytes of an incomplete frame."""
-        frame_filter = self._relay.frame_filter
-        if frame_filter is None:
+        if not self._relay.framed:
             self._send(sink, data)
             return b""
         while len(data) >= LENGTH_BYTES:
@@ -74,7 +78,7 @@
             end = LENGTH_BYTES + size
             if len(data) < end:
                 break
-            for body in frame_filter(direction, data[LENGTH_BYTES:end]):
+            for body in self._relay.frame_filter(direction, data[LENGTH_BYTES:end]):
                 self._send(sink, struct.pack(LENGTH_FORMAT, len(body)) + body)
             data = data[end:]
         return data
@@ -88,19 +92,20 @@
     """
     Listen on loopback and pass connections on to one upstream address.
 
-    `frame_filter` sees each frame (four bytes of length, then the body) and returns
-    the bodies to pass on in its place; it may block to hold a frame back. Set it
-    before the first connection.
+    On a framed relay `frame_filter` sees each frame (four bytes of length, then the
+    body) and returns the bodies to pass on in its place; it may block to hold a frame
+    back, and may be replaced at any time.
     """
 
-    def __init__(self, upstream: str) -> None:
+    def __init__(self, upstream: str, *, framed: bool = False) -> None:
         host, _, port = upstream.rpartition(":")
         self._upstream = (host, int(port))
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=1024)
         self._lock = threading.Lock()
         self._connections: list[RelayedConnection] = []
         self._cut = False
-        self.frame_filter: FrameFilter | None = None
+        self.framed = framed
+        self.frame_filter: FrameFilter = pass_frame
         threading.Thread(target=self._accept, daemon=True).start()
 
     @property
--- a/tests/common/test_relay.py
+++ b/tests/common/test_relay.py
@@ -35,8 +35,8 @@
         self.addCleanup(listener.close)
         self.addCleanup(listener.shutdown, socket.SHUT_RDWR)
         threading.Thread(target=serve_echo, args=(listener,), daemon=True).start()
-        self._relay = Relay("{}:{}".format(*listener.getsockname()))
-        self.addCleanup(self._relay.stop)
+        self._upstream = "{}:{}".format(*listener.getsockname())
+        self._relay = self._start_relay(framed=False)
 
     def test_silent_connection_gets_nothing_while_new_one_works(self) -> None:
         old = self._connect()
@@ -60,6 +60,7 @@
         def duplicate(direction: Direction, body: bytes) -> list[bytes]:
             return [body] * (2 if direction is Direction.TO_SERVER else 1)
 
+        self._relay = self._start_relay(framed=True)
         self._relay.frame_filter = duplicate
         connection = self._connect()
         frame = struct.pack(">I", 3) + b"abc"
@@ -70,6 +71,11 @@
             received += connection.recv(100)
         self.assertEqual(received, frame * 2)
 
+    def _start_relay(self, *, framed: bool) -> Relay:
+        relay = Relay(self._upstream, framed=framed)
+        self.addCleanup(relay.stop)
+        return relay
+
     def _connect(self) -> socket.socket:
         host, _, port = self._relay.address.rpartition(":")
         connection = socket.create_connection((host, int(port)), TIMEOUT_S)
