--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -170,6 +170,20 @@
             runs += self._read_runs(member)
         return runs
 
+    def find_targets(self, request_id: str) -> list[str]:
+        """Return the instances at whose targets a request ran."""
+        return [
+            instance
+            for instance, member in self.members.items()
+            if self._read_runs(member)[request_id]
+        ]
+
+    def drain_target(self, instance: str) -> None:
+        """Have a target tell its daemon that it leaves."""
+        url = f"http://{self.members[instance].target_address}/_emulator/drain"
+        outcome = send_request("POST", url)
+        assert outcome.status == 204, outcome
+
     def set_target_faults(self, instance: str, faults: Mapping[str, object]) -> None:
         """Set faults of one target."""
         url = f"http://{self.members[instance].target_address}/_emulator/faults"
--- /dev/null
+++ b/tests/common/scenario.py
@@ -0,0 +1,87 @@
+"""Share a fleet between the tests of one class and judge its verdicts."""
+
+from collections.abc import Callable, Iterable, Sequence
+from concurrent.futures import Future, ThreadPoolExecutor
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import ClassVar
+from unittest import TestCase
+
+from emulator.sample import BROADCASTER_KEY
+from tests.common.fleet import DaemonPlan, Fleet, RequestPlan
+from tests.common.sample import build_sample_records
+from tests.common.waiting import wait_until
+from tests.common.web import Outcome
+
+SENDERS = 16
+
+Sent = tuple[RequestPlan, Outcome]
+
+
+class FleetTestCase(TestCase):
+    """Start the fleet of `plans` once for the class and stop it at the end."""
+
+    plans: ClassVar[Sequence[DaemonPlan]] = ()
+    probes: ClassVar[Sequence[str]] = ()
+    fleet: ClassVar[Fleet]
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        """Start the fleet and wait until each entry serves each probe path."""
+        directory = TemporaryDirectory(prefix="corianderhold-")
+        cls.addClassCleanup(directory.cleanup)
+        cls.fleet = Fleet(cls.plans, Path(directory.name))
+        cls.addClassCleanup(cls.fleet.stop)
+        cls.fleet.start(build_sample_records())
+        cls.wait_until_served()
+
+    @classmethod
+    def wait_until_served(cls) -> None:
+        """Wait until each daemon serves each probe path."""
+        for path in cls.probes:
+            plan = RequestPlan(path, BROADCASTER_KEY)
+            cls.fleet.wait_until_served(list(cls.fleet.members), plan)
+
+    def setUp(self) -> None:
+        """Offer threads that send requests in the background."""
+        self._senders = ThreadPoolExecutor(SENDERS)
+        self.addCleanup(self._senders.shutdown)
+
+    def send(self, entry: str, plan: RequestPlan) -> Sent:
+        """Send one request and return it with its outcome."""
+        return plan, self.fleet.send(entry, plan)
+
+    def send_in_background(self, entry: str, plan: RequestPlan) -> Future[Sent]:
+        """Send one request on another thread."""
+        return self._senders.submit(self.send, entry, plan)
+
+    def send_until_whole(
+        self, entry: str, make_plan: Callable[[], RequestPlan]
+    ) -> list[Sent]:
+        """Send requests, each a new one, until one is answered whole."""
+        sent: list[Sent] = []
+
+        def is_whole() -> bool:
+            sent.append(self.send(entry, make_plan()))
+            return sent[-1][1].is_whole
+
+        wait_until(is_whole, f"{entry} answers whole")
+        return sent
+
+    def check_verdicts(self, sent: Iterable[Sent]) -> None:
+        """Check each verdict against the runs counted at the targets."""
+        runs = self.fleet.count_runs()
+        for plan, outcome in sent:
+            count = runs[plan.request_id]
+            if plan.method != "GET":
+                self.assertLessEqual(count, 1, f"ran twice: {plan} {outcome}")
+            if outcome.verdict == "not_run":
+                self.assertEqual(count, 0, f"ran although not run: {plan} {outcome}")
+            if outcome.is_whole:
+                self.assertGreaterEqual(count, 1, f"never ran: {plan} {outcome}")
+                self.check_own_answer(plan, outcome)
+
+    def check_own_answer(self, plan: RequestPlan, outcome: Outcome) -> None:
+        """Check that an answer belongs to the request it was given to."""
+        answered = outcome.headers.get("X-Emulator-Request-Id")
+        self.assertEqual(answered, plan.request_id, "crossed answer")
--- /dev/null
+++ b/tests/failures/test_callers.py
@@ -0,0 +1,123 @@
+"""Test what callers, targets and idle connections do wrong."""
+
+import socket
+from contextlib import ExitStack
+
+from emulator.sample import BROADCASTER_KEY, UNKNOWN_KEY
+from tests.common.fleet import DaemonPlan, RequestPlan
+from tests.common.scenario import FleetTestCase
+from tests.common.waiting import wait_until
+
+ENTRY = "entry"
+OWNER = "owner"
+INGEST = "/catalogue/ingest"
+SEARCH = "/catalogue/search"
+IDLE_CONNECTIONS = 600
+OVERSIZED_HEADER_BYTES = 200_000
+TIMEOUT_S = 20.0
+
+
+class CallerTests(FleetTestCase):
+    """Send from callers that misbehave, and have answers break off."""
+
+    plans = (
+        DaemonPlan(ENTRY, "ch-west-a"),
+        DaemonPlan(OWNER, "ch-west-b", service="catalogue"),
+    )
+    probes = (SEARCH,)
+
+    def test_truncated_answer_never_passes_for_whole(self) -> None:
+        sent = []
+        for entry in (ENTRY, OWNER):
+            for query in ("?truncate=1", "?truncate=1&size=3000000"):
+                plan = RequestPlan(INGEST + query, BROADCASTER_KEY, "POST")
+                sent.append(self.send(entry, plan))
+                chunked = f"{INGEST}{query}&chunked=1"
+                plan = RequestPlan(chunked, BROADCASTER_KEY, "POST")
+                sent.append(self.send(entry, plan))
+        for plan, outcome in sent:
+            self.assertFalse(outcome.is_whole, (plan, outcome.headers))
+        self.check_verdicts(sent)
+
+    def test_oversized_header_is_refused(self) -> None:
+        for entry in (ENTRY, OWNER):
+            headers = {"X-Large": "a" * OVERSIZED_HEADER_BYTES}
+            plan = RequestPlan(INGEST, BROADCASTER_KEY, "POST", headers=headers)
+            sent = self.send(entry, plan)
+            self.assertFalse(sent[1].is_whole)
+            self.assertEqual(self.fleet.count_runs()[plan.request_id], 0)
+            self.check_verdicts(self.send_until_whole(entry, plan_ingest))
+
+    def test_body_that_breaks_off_does_not_run(self) -> None:
+        plan = plan_ingest()
+        for entry in (ENTRY, OWNER):
+            for length in (100, 10_000_000):
+                head = (
+                    f"POST {INGEST} HTTP/1.1\r\nHost: x\r\nX-Request-Id: "
+                    f"{plan.request_id}\r\nAuthorization: Bearer {plan.key}\r\n"
+                    f"Content-Length: {length}\r\n\r\n"
+                )
+                with self._connect(entry) as connection:
+                    connection.sendall(head.encode() + b"a" * 50)
+                    connection.shutdown(socket.SHUT_WR)
+                    connection.recv(1000)
+        self.check_verdicts(self.send_until_whole(ENTRY, plan_ingest))
+        self.assertEqual(self.fleet.count_runs()[plan.request_id], 0)
+
+    def test_idle_connections_do_not_keep_others_out(self) -> None:
+        with ExitStack() as stack:
+            idle = [
+                stack.enter_context(self._connect(ENTRY))
+                for _ in range(IDLE_CONNECTIONS)
+            ]
+            self.check_verdicts(self.send_until_whole(ENTRY, plan_ingest))
+            request = (
+                f"GET {SEARCH} HTTP/1.1\r\nHost: x\r\n"
+                f"Authorization: Bearer {BROADCASTER_KEY}\r\n\r\n"
+            )
+            for connection in idle:
+                connection.sendall(request.encode())
+                self.assertIn(b"200", connection.recv(65_536)[:20])
+            self.check_verdicts(self.send_until_whole(ENTRY, plan_ingest))
+
+    def test_key_reaches_no_target_and_no_log(self) -> None:
+        for entry in (ENTRY, OWNER):
+            forged = {"X-Corianderhold-Organisation": "forged"}
+            plan = RequestPlan(INGEST, BROADCASTER_KEY, "POST", headers=forged)
+            self.check_verdicts([self.send(entry, plan)])
+            refused = self.send(entry, RequestPlan(SEARCH, UNKNOWN_KEY))
+            self.assertEqual(refused[1].verdict, "not_run")
+            daemon = self.fleet.members[entry].daemon
+            assert daemon is not None
+            self.assertNotIn(BROADCASTER_KEY, daemon.read_log())
+            self.assertNotIn(UNKNOWN_KEY, daemon.read_log())
+        executions = self.fleet.list_executions(OWNER)
+        self.assertNotIn(BROADCASTER_KEY, str(executions))
+        organisations = {execution["organisation"] for execution in executions}
+        self.assertEqual(organisations, {"broadcaster"})
+
+    def test_drained_target_gets_no_new_work(self) -> None:
+        target = self.fleet.members[OWNER].target
+        assert target is not None
+        self.fleet.drain_target(OWNER)
+
+        def is_refused() -> bool:
+            return self.send(ENTRY, plan_ingest())[1].verdict == "not_run"
+
+        wait_until(is_refused, "new calls are refused")
+        runs = self.fleet.count_runs().total()
+        sent = [self.send(entry, plan_ingest()) for entry in (ENTRY, OWNER)]
+        self.assertEqual(self.fleet.count_runs().total(), runs)
+        self.check_verdicts(sent)
+        self.fleet.kill_target(OWNER)
+        self.fleet.start_target(OWNER)
+        self.check_verdicts(self.send_until_whole(ENTRY, plan_ingest))
+
+    def _connect(self, entry: str) -> socket.socket:
+        port = self.fleet.members[entry].ports["caller"]
+        return socket.create_connection(("127.0.0.1", port), TIMEOUT_S)
+
+
+def plan_ingest() -> RequestPlan:
+    """Plan a non-idempotent request with a new id."""
+    return RequestPlan(INGEST, BROADCASTER_KEY, "POST")
--- /dev/null
+++ b/tests/failures/test_frames.py
@@ -0,0 +1,176 @@
+"""Test calls whose frames come late, twice, crossed, broken or not at all."""
+
+import socket
+import struct
+from typing import ClassVar
+
+from corianderhold.protocol.peer.codec import decode_message, encode_message
+from corianderhold.protocol.peer.messages import AnswerHead, CallHead
+from emulator.pattern import matches_pattern
+from emulator.sample import BROADCASTER_KEY
+from tests.common.fleet import DaemonPlan, RequestPlan
+from tests.common.frames import FrameGate, FrameReplacer
+from tests.common.relay import Relay, pass_frame
+from tests.common.scenario import FleetTestCase, Sent
+from tests.common.waiting import WAIT_LIMIT_S, wait_until
+
+ENTRY = "entry"
+OWNER = "owner"
+INGEST = "/catalogue/ingest?work_ms=20"
+SEARCH = "/catalogue/search?work_ms=20"
+GARBAGE = b"\xff" * 64
+HUGE_LENGTH = 2**31
+BIG_BODY_BYTES = 20_000_000
+
+
+class FrameTests(FleetTestCase):
+    """Send calls from an entry through a relay to an owner in another domain."""
+
+    plans = (
+        DaemonPlan(ENTRY, "ch-west-a"),
+        DaemonPlan(OWNER, "ch-west-b", service="catalogue", relay_peer=True),
+    )
+    probes = ("/catalogue/search",)
+    relay: ClassVar[Relay]
+
+    def setUp(self) -> None:
+        super().setUp()
+        relay = self.fleet.members[OWNER].peer_relay
+        assert relay is not None
+        self.relay = relay
+        self.addCleanup(setattr, relay, "frame_filter", pass_frame)
+
+    def test_call_delivered_after_its_dispatch_deadline_does_not_run(self) -> None:
+        gate = FrameGate(CallHead)
+        self.relay.frame_filter = gate.filter
+        self.addCleanup(gate.released.set)
+        future = self.send_in_background(ENTRY, self._ingest())
+        self.assertTrue(gate.held.wait(WAIT_LIMIT_S))
+        sent = future.result(WAIT_LIMIT_S)
+        self.assertFalse(sent[1].is_whole)
+        gate.released.set()
+        later = self._send_until_whole()
+        self.assertEqual(self.fleet.count_runs()[sent[0].request_id], 0)
+        self.check_verdicts([sent, *later])
+
+    def test_duplicated_call_runs_once(self) -> None:
+        replacer = FrameReplacer(CallHead, lambda body: (body, body))
+        self.relay.frame_filter = replacer.filter
+        sent = self.send(ENTRY, self._ingest())
+        self.assertTrue(replacer.replaced.is_set())
+        later = self._send_until_whole() + self._send_until_whole()
+        self.assertEqual(self.fleet.count_runs()[sent[0].request_id], 1)
+        self.check_verdicts([sent, *later])
+
+    def test_call_replayed_on_another_link_runs_once(self) -> None:
+        kept: list[bytes] = []
+
+        def keep(body: bytes) -> tuple[bytes, ...]:
+            kept.append(body)
+            return (body,)
+
+        self.relay.frame_filter = FrameReplacer(CallHead, keep).filter
+        first = self.send(ENTRY, self._ingest())
+        self.assertTrue(first[1].is_whole, first)
+        replay = FrameReplacer(CallHead, lambda body: (kept[0], body))
+        self.relay.frame_filter = replay.filter
+        second = self.send(ENTRY, self._ingest())
+        later = self._send_until_whole()
+        self.assertEqual(self.fleet.count_runs()[first[0].request_id], 1)
+        self.check_verdicts([first, second, *later])
+
+    def test_late_answer_is_not_given_to_the_next_call(self) -> None:
+        gate = FrameGate(AnswerHead)
+        self.relay.frame_filter = gate.filter
+        self.addCleanup(gate.released.set)
+        first = self.send_in_background(ENTRY, self._ingest()).result(WAIT_LIMIT_S)
+        self.assertTrue(gate.held.is_set())
+        self.assertEqual(first[1].verdict, "may_have_run", first)
+        gate.released.set()
+        later = self._send_until_whole() + self._send_until_whole()
+        self.check_verdicts([first, *later])
+
+    def test_crossed_answer_is_not_taken_for_the_own_one(self) -> None:
+        kept: list[bytes] = []
+
+        def keep(body: bytes) -> tuple[bytes, ...]:
+            kept.append(body)
+            return (body,)
+
+        self.relay.frame_filter = FrameReplacer(AnswerHead, keep).filter
+        first = self.send(ENTRY, self._ingest())
+        crossing = FrameReplacer(AnswerHead, lambda body: (kept[0], body))
+        self.relay.frame_filter = crossing.filter
+        second = self.send(ENTRY, self._ingest())
+        self.assertTrue(crossing.replaced.is_set())
+        self.assertNotEqual(second[1].verdict, "not_run")
+        later = self._send_until_whole() + self._send_until_whole()
+        self.check_verdicts([first, second, *later])
+
+    def test_malformed_answer_is_no_whole_answer(self) -> None:
+        replacer = FrameReplacer(AnswerHead, lambda _: (GARBAGE,))
+        self.relay.frame_filter = replacer.filter
+        sent = self.send(ENTRY, self._ingest())
+        self.assertEqual(sent[1].verdict, "may_have_run", sent)
+        self.check_verdicts([sent, *self._send_until_whole()])
+
+    def test_malformed_call_ends_only_its_link(self) -> None:
+        replacer = FrameReplacer(CallHead, lambda _: (GARBAGE,))
+        self.relay.frame_filter = replacer.filter
+        sent = self.send(ENTRY, self._ingest())
+        self.assertFalse(sent[1].is_whole)
+        self.check_verdicts([sent, *self._send_until_whole()])
+
+    def test_call_for_another_incarnation_does_not_run(self) -> None:
+        def make_stale(body: bytes) -> tuple[bytes, ...]:
+            head = decode_message(body)
+            assert isinstance(head, CallHead)
+            values = {name: getattr(head, name) for name in head.__slots__}
+            values["incarnation"] = head.incarnation - 1
+            return (encode_message(CallHead(**values)),)
+
+        self.relay.frame_filter = FrameReplacer(CallHead, make_stale).filter
+        sent = self.send(ENTRY, self._ingest())
+        self.assertEqual(sent[1].verdict, "not_run", sent)
+        self.assertEqual(self.fleet.count_runs()[sent[0].request_id], 0)
+
+    def test_garbage_on_the_peer_listener_is_survived(self) -> None:
+        port = self.fleet.members[OWNER].ports["peer"]
+        for data in (struct.pack(">I", HUGE_LENGTH), struct.pack(">I", 64) + GARBAGE):
+            with socket.create_connection(("127.0.0.1", port), 5.0) as connection:
+                connection.sendall(data)
+                self.assertEqual(connection.recv(1), b"")
+        self.check_verdicts(self._send_until_whole())
+
+    def test_big_answer_comes_whole(self) -> None:
+        plan = self._plan_big_answer()
+        outcome = self.fleet.send(ENTRY, plan)
+        self.assertTrue(outcome.is_whole, outcome.error)
+        self.assertTrue(
+            matches_pattern(plan.request_id, BIG_BODY_BYTES, outcome.body)
+        )
+
+    def test_answer_cut_on_its_way_is_not_whole(self) -> None:
+        plan = self._plan_big_answer("&stall_ms=1000")
+        connections = self.relay.connection_count
+        future = self.send_in_background(ENTRY, plan)
+        wait_until(
+            lambda: self.fleet.count_runs()[plan.request_id] == 1, "the call runs"
+        )
+        self.relay.cut()
+        sent = future.result(WAIT_LIMIT_S)
+        self.relay.heal()
+        self.assertGreater(connections, 0)
+        self.assertFalse(sent[1].is_whole, "a part was passed off as whole")
+        self.check_verdicts([sent, *self._send_until_whole()])
+
+    def _ingest(self) -> RequestPlan:
+        return RequestPlan(INGEST, BROADCASTER_KEY, "POST")
+
+    def _plan_big_answer(self, more: str = "") -> RequestPlan:
+        path = f"/catalogue/search?size={BIG_BODY_BYTES}{more}"
+        return RequestPlan(path, BROADCASTER_KEY)
+
+    def _send_until_whole(self) -> list[Sent]:
+        """Send non-idempotent calls until one is answered whole."""
+        return self.send_until_whole(ENTRY, self._ingest)
--- /dev/null
+++ b/tests/failures/test_owner_loss.py
@@ -0,0 +1,145 @@
+"""Test calls whose owner is killed, replaced or paused."""
+
+from tests.common.fleet import DaemonPlan, RequestPlan
+from tests.common.frames import FrameGate
+from tests.common.relay import Relay, pass_frame
+from tests.common.scenario import FleetTestCase, Sent
+from tests.common.waiting import WAIT_LIMIT_S, wait_until
+from corianderhold.protocol.peer.messages import CallHead
+from emulator.sample import BROADCASTER_KEY
+
+ENTRY = "entry"
+OWNER = "owner"
+OTHER = "other"
+INGEST = "/catalogue/ingest"
+SEARCH = "/catalogue/search"
+SLOW = "?work_ms=1500"
+
+
+class OwnerLossTests(FleetTestCase):
+    """Take the owner of a call away; a second owner in its domain stays."""
+
+    plans = (
+        DaemonPlan(ENTRY, "ch-west-a"),
+        DaemonPlan(OWNER, "ch-west-b", service="catalogue", relay_peer=True),
+        DaemonPlan(OTHER, "ch-west-b", service="catalogue", relay_peer=True),
+    )
+    probes = (SEARCH,)
+
+    def setUp(self) -> None:
+        super().setUp()
+        for relay in self._list_relays().values():
+            self.addCleanup(setattr, relay, "frame_filter", pass_frame)
+
+    def test_owner_killed_before_dispatch(self) -> None:
+        gates = {}
+        for instance, relay in self._list_relays().items():
+            gates[instance] = FrameGate(CallHead)
+            relay.frame_filter = gates[instance].filter
+            self.addCleanup(gates[instance].released.set)
+        future = self.send_in_background(ENTRY, plan_ingest())
+        wait_until(
+            lambda: any(gate.held.is_set() for gate in gates.values()), "frame held"
+        )
+        victim = next(name for name, gate in gates.items() if gate.held.is_set())
+        self._kill_daemon(victim)
+        for gate in gates.values():
+            gate.released.set()
+        sent = future.result(WAIT_LIMIT_S)
+        self.assertFalse(sent[1].is_whole and sent[1].verdict == "not_run")
+        self._restart_and_check(victim, [sent])
+
+    def test_owner_killed_after_dispatch(self) -> None:
+        plan = plan_ingest(SLOW)
+        future = self.send_in_background(ENTRY, plan)
+        victim = self._wait_for_owner(plan)
+        self._kill_daemon(victim)
+        sent = future.result(WAIT_LIMIT_S)
+        self.assertEqual(sent[1].verdict, "may_have_run", sent)
+        self._restart_and_check(victim, [sent])
+
+    def test_idempotent_call_survives_its_owner(self) -> None:
+        plan = RequestPlan(SEARCH + SLOW, BROADCASTER_KEY)
+        future = self.send_in_background(ENTRY, plan)
+        victim = self._wait_for_owner(plan)
+        self._kill_daemon(victim)
+        sent = future.result(WAIT_LIMIT_S)
+        self._restart_and_check(victim, [sent])
+        self.assertNotEqual(sent[1].verdict, "not_run")
+
+    def test_owner_replaced_beside_a_living_target(self) -> None:
+        plans = [plan_ingest(SLOW) for _ in range(4)]
+        futures = [self.send_in_background(ENTRY, plan) for plan in plans]
+        victim = self._wait_for_owner(plans[0])
+        self._kill_daemon(victim)
+        self.fleet.start_daemon(victim)
+        sent = [future.result(WAIT_LIMIT_S) for future in futures]
+        sent += [self.send(ENTRY, plan_ingest()) for _ in range(20)]
+        sent += self.send_until_whole(victim, plan_ingest)
+        self.check_verdicts(sent)
+
+    def test_paused_owner(self) -> None:
+        plans = [plan_ingest("?work_ms=300") for _ in range(6)]
+        futures = [self.send_in_background(ENTRY, plan) for plan in plans]
+        victim = self._wait_for_owner(plans[0])
+        daemon = self.fleet.members[victim].daemon
+        assert daemon is not None
+        daemon.freeze()
+        self.addCleanup(daemon.thaw)
+        futures += [self.send_in_background(ENTRY, plan_ingest()) for _ in range(6)]
+        sent = [future.result(WAIT_LIMIT_S) for future in futures]
+        sent += self.send_until_whole(ENTRY, plan_ingest)
+        daemon.thaw()
+        sent += self.send_until_whole(victim, plan_ingest)
+        self.check_verdicts(sent)
+
+    def test_paused_entry(self) -> None:
+        plans = [plan_ingest("?work_ms=300") for _ in range(6)]
+        futures = [self.send_in_background(ENTRY, plan) for plan in plans]
+        self._wait_for_owner(plans[0])
+        entry = self.fleet.members[ENTRY].daemon
+        assert entry is not None
+        entry.freeze()
+        self.addCleanup(entry.thaw)
+        runs_done = sum(self.fleet.count_runs()[plan.request_id] for plan in plans)
+        self.assertGreater(runs_done, 0)
+        self.send_until_whole(OWNER, plan_ingest)
+        entry.thaw()
+        sent = [future.result(WAIT_LIMIT_S) for future in futures]
+        sent += self.send_until_whole(ENTRY, plan_ingest)
+        self.check_verdicts(sent)
+
+    def _list_relays(self) -> dict[str, Relay]:
+        relays = {}
+        for instance in (OWNER, OTHER):
+            relay = self.fleet.members[instance].peer_relay
+            assert relay is not None
+            relays[instance] = relay
+        return relays
+
+    def _wait_for_owner(self, plan: RequestPlan) -> str:
+        """Return the owner at whose target a request runs."""
+        found: list[str] = []
+
+        def is_found() -> bool:
+            found.extend(self.fleet.find_targets(plan.request_id))
+            return bool(found)
+
+        wait_until(is_found, "the request runs")
+        return found[0]
+
+    def _kill_daemon(self, instance: str) -> None:
+        daemon = self.fleet.members[instance].daemon
+        assert daemon is not None
+        daemon.kill()
+
+    def _restart_and_check(self, victim: str, sent: list[Sent]) -> None:
+        sent = [*sent, *self.send_until_whole(ENTRY, plan_ingest)]
+        self.fleet.start_daemon(victim)
+        sent += self.send_until_whole(victim, plan_ingest)
+        self.check_verdicts(sent)
+
+
+def plan_ingest(query: str = "") -> RequestPlan:
+    """Plan a non-idempotent request with a new id."""
+    return RequestPlan(INGEST + query, BROADCASTER_KEY, "POST")
--- /dev/null
+++ b/tests/failures/test_silence.py
@@ -0,0 +1,64 @@
+"""Test connections that go silent for good while new ones work."""
+
+from collections.abc import Callable
+
+from emulator.sample import BROADCASTER_KEY
+from tests.common.fleet import DaemonPlan, RequestPlan
+from tests.common.scenario import FleetTestCase
+from tests.common.waiting import WAIT_LIMIT_S, wait_until
+
+ENTRY = "entry"
+OWNER = "owner"
+INGEST = "/catalogue/ingest"
+CALLS = 6
+
+
+class SilentConnectionTests(FleetTestCase):
+    """Silence the open connections on the way of a call."""
+
+    plans = (
+        DaemonPlan(ENTRY, "ch-west-a"),
+        DaemonPlan(
+            OWNER,
+            "ch-west-b",
+            service="catalogue",
+            relay_peer=True,
+            relay_target=True,
+        ),
+    )
+    probes = ("/catalogue/search",)
+
+    def test_silent_peer_links_with_calls_in_flight(self) -> None:
+        relay = self.fleet.members[OWNER].peer_relay
+        assert relay is not None
+        self._silence_in_flight(relay.silence)
+
+    def test_silent_idle_peer_links(self) -> None:
+        relay = self.fleet.members[OWNER].peer_relay
+        assert relay is not None
+        sent = self.send_until_whole(ENTRY, plan_ingest)
+        relay.silence()
+        sent += self.send_until_whole(ENTRY, plan_ingest)
+        self.check_verdicts(sent)
+
+    def test_silent_target_connections(self) -> None:
+        relay = self.fleet.members[OWNER].target_relay
+        assert relay is not None
+        self._silence_in_flight(relay.silence)
+
+    def _silence_in_flight(self, silence: Callable[[], None]) -> None:
+        plans = [plan_ingest("?work_ms=1000") for _ in range(CALLS)]
+        futures = [self.send_in_background(ENTRY, plan) for plan in plans]
+        wait_until(
+            lambda: self.fleet.count_runs()[plans[0].request_id] == 1, "a call runs"
+        )
+        silence()
+        sent = [future.result(WAIT_LIMIT_S) for future in futures]
+        self.assertTrue(all(outcome.verdict for _, outcome in sent), sent)
+        sent += self.send_until_whole(ENTRY, plan_ingest)
+        self.check_verdicts(sent)
+
+
+def plan_ingest(query: str = "") -> RequestPlan:
+    """Plan a non-idempotent request with a new id."""
+    return RequestPlan(INGEST + query, BROADCASTER_KEY, "POST")
