Admit, dispatch, choose and retry calls between entry and owner

Cause: the data path needs its two faces before it can be served end to end. Change: owner with fixed limit, fair queue by importance, cancellable in-flight calls and context tokens; entry with locality chooser, push-back, retry budget and throttle.

--- /dev/null
+++ b/corianderhold/coordination/entry/choice.py
@@ -0,0 +1,213 @@
+"""Choose the owner that a call is sent to."""
+
+import threading
+from dataclasses import dataclass, replace
+from enum import Enum
+from random import Random
+from typing import Protocol
+
+from corianderhold.clock import Clock
+from corianderhold.coordination.entry.const import (
+    CANDIDATES,
+    EJECTION_FAILURES,
+    EJECTION_TIME_MAX_S,
+    EJECTION_TIME_S,
+    LOAD_REPORT_LIFETIME_S,
+    OTHER_REGION_PENALTY,
+    PUSH_BACK_PROBE_RATIO,
+    SAME_DOMAIN_PENALTY,
+    SAME_REGION_PENALTY,
+)
+from corianderhold.ids import FailureDomainId, InstanceId, RegionId
+from corianderhold.protocol.peer.messages import LoadReport
+from corianderhold.state.membership.model import Member
+
+
+class AttemptOutcome(Enum):
+    """What an attempt says about its owner."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True)
+class OwnerView:
+    """What this entry knows of one owner from its own attempts."""
+
+    load: LoadReport | None = None
+    reported_at: float = float("-inf")
+    outstanding: int = 0
+    failures: int = 0
+    ejected_until: float = float("-inf")
+    ejections: int = 0
+
+
+@dataclass(frozen=True)
+class Place:
+    """Where an entry stands."""
+
+    instance: InstanceId
+    domain: FailureDomainId
+    region: RegionId
+
+
+@dataclass(frozen=True)
+class Candidate:
+    """An owner with its score; the lowest score is best."""
+
+    member: Member
+    score: float
+
+
+@dataclass(frozen=True)
+class Choice:
+    """
+    The outcome of a choice.
+
+    `chosen` is None when there is no owner, or when all owners shed calls of this
+    importance, which `pushed_back` tells apart.
+    """
+
+    chosen: Member | None
+    candidates: tuple[Candidate, ...]
+    pushed_back: bool = False
+
+
+class Chooser(Protocol):
+    """Choose owners and learn from the outcomes."""
+
+    def choose(
+        self,
+        owners: tuple[Member, ...],
+        importance: int,
+        tried: frozenset[InstanceId],
+    ) -> Choice:
+        """Choose one of `owners` that was not tried yet."""
+
+    def note_start(self, instance: InstanceId) -> None:
+        """Count an attempt that begins."""
+
+    def note_end(
+        self, instance: InstanceId, outcome: AttemptOutcome, load: LoadReport | None
+    ) -> None:
+        """Count an attempt that ended, with the load that its answer carried."""
+
+
+class LocalityChooser:
+    """
+    Take the better of two random owners, nearest first.
+
+    The score is the load that the last answer carried plus a penalty for the distance.
+    Owners that fail repeatedly are ejected for a while, but never all of them.
+    """
+
+    def __init__(self, place: Place, clock: Clock, random: Random) -> None:
+        self._place = place
+        self._clock = clock
+        self._random = random
+        self._lock = threading.Lock()
+        self._views: dict[InstanceId, OwnerView] = {}
+
+    def choose(
+        self,
+        owners: tuple[Member, ...],
+        importance: int,
+        tried: frozenset[InstanceId],
+    ) -> Choice:
+        """Choose one of `owners` that was not tried yet."""
+        untried = [member for member in owners if member.instance not in tried]
+        if not untried:
+            return Choice(None, ())
+        now = self._clock.read_monotonic()
+        with self._lock:
+            healthy = [
+                m for m in untried if self._view(m.instance).ejected_until <= now
+            ]
+            pool = healthy or untried
+            accepting = [m for m in pool if not self._sheds(m, importance, now)]
+            if not accepting:
+                if self._random.random() >= PUSH_BACK_PROBE_RATIO:
+                    return Choice(None, (), pushed_back=True)
+                accepting = pool
+            return self._take_best(accepting, now)
+
+    def note_start(self, instance: InstanceId) -> None:
+        """Count an attempt that begins."""
+        with self._lock:
+            view = self._view(instance)
+            self._views[instance] = replace(view, outstanding=view.outstanding + 1)
+
+    def note_end(
+        self, instance: InstanceId, outcome: AttemptOutcome, load: LoadReport | None
+    ) -> None:
+        """Count an attempt that ended, with the load that its answer carried."""
+        now = self._clock.read_monotonic()
+        with self._lock:
+            view = self._view(instance)
+            view = replace(view, outstanding=max(0, view.outstanding - 1))
+            if load is not None:
+                view = replace(view, load=load, reported_at=now)
+            self._views[instance] = self._judge(view, outcome, now)
+
+    def forget_missing(self, present: frozenset[InstanceId]) -> None:
+        """Forget owners that are no members any more."""
+        with self._lock:
+            for instance in list(self._views):
+                if instance not in present:
+                    del self._views[instance]
+
+    def _judge(self, view: OwnerView, outcome: AttemptOutcome, now: float) -> OwnerView:
+        """Return the view after an outcome: ejected after repeated failures."""
+        if outcome is not AttemptOutcome.FAILED:
+            ejections = 0 if outcome is AttemptOutcome.ANSWERED else view.ejections
+            return replace(view, failures=0, ejections=ejections)
+        failures = view.failures + 1
+        if failures < EJECTION_FAILURES and view.ejections == 0:
+            return replace(view, failures=failures)
+        doubled = EJECTION_TIME_S * 2.0 ** min(view.ejections, 10)
+        until = now + min(doubled, EJECTION_TIME_MAX_S)
+        return replace(
+            view, failures=0, ejections=view.ejections + 1, ejected_until=until
+        )
+
+    def _view(self, instance: InstanceId) -> OwnerView:
+        return self._views.get(instance, OwnerView())
+
+    def _sheds(self, member: Member, importance: int, now: float) -> bool:
+        view = self._view(member.instance)
+        if view.load is None or now - view.reported_at > LOAD_REPORT_LIFETIME_S:
+            return False
+        return view.load.draining or importance < view.load.shed_below
+
+    def _take_best(self, members: list[Member], now: float) -> Choice:
+        """Score the local owner and a few random near ones, and take the best."""
+        nearest = min(self._penalize_distance(member) for member in members)
+        near = [m for m in members if self._penalize_distance(m) == nearest]
+        drawn = self._random.sample(near, min(CANDIDATES, len(near)))
+        farther = [m for m in members if m not in near]
+        drawn += self._random.sample(farther, min(1, len(farther)))
+        own = [m for m in near if m.instance == self._place.instance and m not in drawn]
+        scored = [Candidate(m, self._score(m, now)) for m in drawn + own]
+        scored.sort(key=lambda candidate: candidate.score)
+        return Choice(scored[0].member, tuple(scored))
+
+    def _score(self, member: Member, now: float) -> float:
+        view = self._view(member.instance)
+        busy = float(view.outstanding)
+        limit = 16
+        fresh = now - view.reported_at <= LOAD_REPORT_LIFETIME_S
+        if view.load is not None and view.load.limit > 0:
+            limit = view.load.limit
+            if fresh:
+                busy = max(busy, view.load.in_flight + view.load.queued)
+        return busy / limit + self._penalize_distance(member)
+
+    def _penalize_distance(self, member: Member) -> float:
+        if member.instance == self._place.instance:
+            return SAME_DOMAIN_PENALTY - 0.1
+        if member.domain == self._place.domain:
+            return SAME_DOMAIN_PENALTY
+        if member.region == self._place.region:
+            return SAME_REGION_PENALTY
+        return OTHER_REGION_PENALTY
--- /dev/null
+++ b/corianderhold/coordination/entry/const.py
@@ -0,0 +1,17 @@
+"""Bound what an entry does on behalf of callers."""
+
+DEPTH_MAX = 16
+NO_TARGET_RETRY_AFTER_MS = 1000
+OVERLOAD_RETRY_AFTER_MS = 300
+RETRY_BURST = 10.0
+LOAD_REPORT_LIFETIME_S = 1.0  # an older report says nothing about the load now
+PUSH_BACK_PROBE_RATIO = 0.05  # calls let through to learn whether an owner recovered
+EJECTION_FAILURES = 3
+EJECTION_TIME_S = 2.0
+EJECTION_TIME_MAX_S = 30.0
+SAME_DOMAIN_PENALTY = 0.0
+SAME_REGION_PENALTY = 0.3
+OTHER_REGION_PENALTY = 1.0
+CANDIDATES = 2
+CALLER_CHECK_INTERVAL_S = 0.1
+RESERVED_THREADS = 8
--- /dev/null
+++ b/corianderhold/coordination/entry/router.py
@@ -0,0 +1,265 @@
+"""Bring a call to an owner, with retries within its budget."""
+
+import threading
+from dataclasses import dataclass, replace
+
+from result import Err, Ok, Result
+
+from corianderhold.clock import Clock
+from corianderhold.coordination.call import Answer, CallContext, RequestBody
+from corianderhold.coordination.entry.choice import (
+    AttemptOutcome,
+    Choice,
+    Chooser,
+)
+from corianderhold.coordination.entry.const import (
+    NO_TARGET_RETRY_AFTER_MS,
+    OVERLOAD_RETRY_AFTER_MS,
+    RETRY_BURST,
+)
+from corianderhold.coordination.entry.sender import PeerSender
+from corianderhold.coordination.owner.owner import CallOwner
+from corianderhold.coordination.retry import RetryBudget, RetryThrottle
+from corianderhold.ids import CallId, InstanceId, ServiceName
+from corianderhold.log import log_event
+from corianderhold.metrics import Metrics
+from corianderhold.protocol.peer.messages import LoadReport
+from corianderhold.protocol.verdict import Reason, Refusal, RunState, refuse_not_run
+from corianderhold.state.configuration.holder import ConfigurationHolder
+from corianderhold.state.membership.model import Member, Members
+
+# The next owner may do better after these; after others it would not.
+RETRYABLE_NOT_RUN = frozenset(
+    {
+        Reason.PEER_UNREACHABLE,
+        Reason.TARGET_UNREACHABLE,
+        Reason.INCARNATION_STALE,
+        Reason.DRAINING,
+        Reason.NO_TARGET,
+        Reason.QUEUE_FULL,
+    }
+)
+RETRYABLE_MAY_HAVE_RUN = frozenset({Reason.PEER_SILENT, Reason.ANSWER_TRUNCATED})
+FAILURES = frozenset(
+    {
+        Reason.PEER_UNREACHABLE,
+        Reason.PEER_SILENT,
+        Reason.TARGET_UNREACHABLE,
+        Reason.TARGET_SILENT,
+        Reason.ANSWER_TRUNCATED,
+        Reason.NO_TARGET,
+    }
+)
+
+
+@dataclass(frozen=True)
+class Attempt:
+    """One attempt at a call: its number from 0, and the owners tried before it."""
+
+    number: int = 0
+    tried: frozenset[InstanceId] = frozenset()
+
+
+class CancelTargets:
+    """Remember where each call in flight was sent, so that it can be cancelled."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._members: dict[CallId, Member] = {}
+
+    def note(self, call_id: CallId, member: Member) -> None:
+        """Note the owner that has the call now."""
+        with self._lock:
+            self._members[call_id] = member
+
+    def forget(self, call_id: CallId) -> None:
+        """Forget a call that ended."""
+        with self._lock:
+            self._members.pop(call_id, None)
+
+    def find(self, call_id: CallId) -> Member | None:
+        """Return the owner that has the call now."""
+        with self._lock:
+            return self._members.get(call_id)
+
+
+class Router:
+    """Choose an owner for each call, send it there, and retry where that is safe."""
+
+    def __init__(
+        self,
+        instance: InstanceId,
+        members: Members,
+        holder: ConfigurationHolder,
+        chooser: Chooser,
+        owner: CallOwner,
+        sender: PeerSender,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._instance = instance
+        self._members = members
+        self._holder = holder
+        self._chooser = chooser
+        self._owner = owner
+        self._sender = sender
+        self._clock = clock
+        self._metrics = metrics
+        self._in_flight = CancelTargets()
+        self._cancelled: set[CallId] = set()
+        self._throttles: dict[ServiceName, RetryThrottle] = {}
+
+    def route(
+        self, context: CallContext, body: RequestBody, retries: RetryBudget
+    ) -> Result[Answer, Refusal]:
+        """Return the answer's beginning, or the final refusal."""
+        throttle = self._find_throttle(context.service)
+        throttle.note_attempt()
+        attempt = Attempt()
+        may_have_run = False
+        try:
+            while True:
+                choice = self._choose(context, attempt)
+                if choice.chosen is None:
+                    refusal = explain_no_choice(choice)
+                else:
+                    outcome = self._try_owner(context, body, retries, choice.chosen)
+                    if isinstance(outcome, Ok):
+                        return outcome
+                    refusal = outcome.err_value
+                may_have_run = may_have_run or not refusal.not_run
+                if choice.chosen is None or not self._may_retry(
+                    context, body, refusal, retries, throttle
+                ):
+                    return Err(widen_refusal(refusal, may_have_run))
+                tried = attempt.tried | {choice.chosen.instance}
+                attempt = Attempt(attempt.number + 1, tried)
+        finally:
+            self._in_flight.forget(context.call_id)
+            self._cancelled.discard(context.call_id)
+
+    def cancel(self, call_id: CallId) -> None:
+        """Cancel a call at the owner that has it now, and make no more attempts."""
+        self._cancelled.add(call_id)
+        member = self._in_flight.find(call_id)
+        if member is None:
+            return
+        log_event("call_abandoned", call=call_id, owner=member.instance)
+        if member.instance == self._instance:
+            self._owner.cancel(call_id)
+        else:
+            self._sender.cancel(member.peer_address, call_id)
+
+    def _choose(self, context: CallContext, attempt: Attempt) -> Choice:
+        owners = self._members.list_owners(context.service)
+        choice = self._chooser.choose(owners, context.importance, attempt.tried)
+        log_event(
+            "call_routed",
+            call=context.call_id,
+            root=context.root_id,
+            organisation=context.organisation,
+            importance=context.importance,
+            route=context.route,
+            attempt=attempt.number,
+            owner=choice.chosen.instance if choice.chosen else None,
+            candidates=",".join(
+                f"{c.member.instance}:{c.score:.2f}" for c in choice.candidates
+            ),
+            owners=len(owners),
+            pushed_back=choice.pushed_back,
+        )
+        return choice
+
+    def _try_owner(
+        self,
+        context: CallContext,
+        body: RequestBody,
+        retries: RetryBudget,
+        member: Member,
+    ) -> Result[Answer, Refusal]:
+        """Send the call to one owner and learn from the outcome."""
+        loads: list[LoadReport] = []
+        self._in_flight.note(context.call_id, member)
+        self._chooser.note_start(member.instance)
+        outcome: Result[Answer, Refusal] | None = None
+        try:
+            if member.instance == self._instance:
+                outcome = self._serve_locally(context, body, retries)
+                loads.append(self._owner.report_load())
+            else:
+                outcome = self._sender.send(
+                    member, context, body, retries, loads.append
+                )
+        finally:
+            load = loads[-1] if loads else None
+            self._chooser.note_end(member.instance, judge_outcome(outcome), load)
+        return outcome
+
+    def _serve_locally(
+        self, context: CallContext, body: RequestBody, retries: RetryBudget
+    ) -> Result[Answer, Refusal]:
+        part = RetryBudget(retries.split())
+        outcome = self._owner.serve(context, body, part, context.deadline_at)
+        retries.give_back(part.left)
+        return outcome
+
+    def _may_retry(
+        self,
+        context: CallContext,
+        body: RequestBody,
+        refusal: Refusal,
+        retries: RetryBudget,
+        throttle: RetryThrottle,
+    ) -> bool:
+        """Spend a retry where it is safe and of use."""
+        if context.call_id in self._cancelled or body.started:
+            return False
+        if refusal.not_run:
+            useful = refusal.reason in RETRYABLE_NOT_RUN
+        else:
+            useful = context.idempotent and refusal.reason in RETRYABLE_MAY_HAVE_RUN
+        if not useful or self._clock.read_monotonic() >= context.deadline_at:
+            return False
+        if not throttle.allow_retry():
+            self._metrics.increment("retries_throttled")
+            return False
+        if not retries.take_one():
+            self._metrics.increment("retries_out_of_budget")
+            return False
+        self._metrics.increment("retries")
+        return True
+
+    def _find_throttle(self, service: ServiceName) -> RetryThrottle:
+        throttle = self._throttles.get(service)
+        if throttle is None:
+            configured = self._holder.current.services.get(service)
+            ratio = configured.retry_ratio if configured else 0.0
+            throttle = RetryThrottle(ratio, RETRY_BURST)
+            throttle = self._throttles.setdefault(service, throttle)
+        return throttle
+
+
+def explain_no_choice(choice: Choice) -> Refusal:
+    """Return the refusal of a call for which no owner was chosen."""
+    if choice.pushed_back:
+        detail = "all owners shed calls of this importance"
+        return refuse_not_run(Reason.SHED, OVERLOAD_RETRY_AFTER_MS, detail)
+    return refuse_not_run(Reason.NO_TARGET, NO_TARGET_RETRY_AFTER_MS)
+
+
+def widen_refusal(refusal: Refusal, may_have_run: bool) -> Refusal:
+    """Return the refusal, as "may have run" when any attempt may have run."""
+    if refusal.not_run and may_have_run:
+        return replace(refusal, run_state=RunState.MAY_HAVE_RUN)
+    return refusal
+
+
+def judge_outcome(outcome: Result[Answer, Refusal] | None) -> AttemptOutcome:
+    """Return what an attempt says about its owner."""
+    if outcome is None:
+        return AttemptOutcome.FAILED
+    if isinstance(outcome, Ok):
+        return AttemptOutcome.ANSWERED
+    if outcome.err_value.reason in FAILURES:
+        return AttemptOutcome.FAILED
+    return AttemptOutcome.REFUSED
--- /dev/null
+++ b/corianderhold/coordination/entry/sender.py
@@ -0,0 +1,232 @@
+"""Send a call to its owner on a link and take the answer in."""
+
+from collections.abc import Callable, Iterator
+
+from result import Err, Ok, Result
+
+from corianderhold.clock import Clock
+from corianderhold.coordination.call import (
+    Answer,
+    AnswerTruncatedError,
+    BodyError,
+    CallContext,
+    RequestBody,
+)
+from corianderhold.coordination.retry import RetryBudget
+from corianderhold.ids import CallId
+from corianderhold.log import log_event
+from corianderhold.protocol.peer.const import CHUNK_BYTES
+from corianderhold.protocol.peer.errors import FrameError
+from corianderhold.protocol.peer.messages import (
+    AnswerEnd,
+    AnswerHead,
+    CallHead,
+    CallRefused,
+    Cancel,
+    Chunk,
+    Continue,
+    LoadReport,
+    Message,
+    Progress,
+)
+from corianderhold.protocol.verdict import (
+    Reason,
+    Refusal,
+    refuse_may_have_run,
+    refuse_not_run,
+)
+from corianderhold.state.membership.model import Address, Member
+from corianderhold.transport.peer.const import SILENCE_TIMEOUT_S
+from corianderhold.transport.peer.errors import (
+    LinkClosedError,
+    LinkError,
+    LinkSilentError,
+)
+from corianderhold.transport.peer.pool import LinkPool, PooledLink
+
+NoteLoad = Callable[[LoadReport], None]
+
+
+class PeerSender:
+    """Send calls to owners beside other targets."""
+
+    def __init__(self, pool: LinkPool, clock: Clock) -> None:
+        self._pool = pool
+        self._clock = clock
+
+    def send(
+        self,
+        member: Member,
+        context: CallContext,
+        body: RequestBody,
+        retries: RetryBudget,
+        note_load: NoteLoad,
+    ) -> Result[Answer, Refusal]:
+        """
+        Send a call and wait for the head of its answer.
+
+        A part of the retry budget goes with the call; what the owner does not use
+        comes back with its answer, and is lost with a lost answer.
+        """
+        borrowed = self._pool.borrow(member.peer_address)
+        if isinstance(borrowed, Err):
+            detail = borrowed.err_value.detail
+            return Err(refuse_not_run(Reason.PEER_UNREACHABLE, detail=detail))
+        exchange = Exchange(
+            self._pool, borrowed.ok_value, context, retries, note_load, self._clock
+        )
+        return exchange.run(body)
+
+    def cancel(self, address: Address, call_id: CallId) -> None:
+        """Tell an owner that nobody waits for a call any more."""
+        borrowed = self._pool.borrow(address)
+        if isinstance(borrowed, Err):
+            return  # the owner ends the call at its deadline
+        pooled = borrowed.ok_value
+        try:
+            pooled.link.send(Cancel(call_id), SILENCE_TIMEOUT_S)
+        except LinkError:
+            self._pool.discard(pooled)
+            return
+        self._pool.give_back(pooled)
+
+
+class Exchange:
+    """Exchange one call and its answer on a borrowed link."""
+
+    def __init__(
+        self,
+        pool: LinkPool,
+        pooled: PooledLink,
+        context: CallContext,
+        retries: RetryBudget,
+        note_load: NoteLoad,
+        clock: Clock,
+    ) -> None:
+        self._pool = pool
+        self._pooled = pooled
+        self._context = context
+        self._retries = retries
+        self._note_load = note_load
+        self._clock = clock
+        self._ended = False
+
+    def run(self, body: RequestBody) -> Result[Answer, Refusal]:
+        """Send the call and wait for the head of its answer."""
+        part = self._retries.split()
+        try:
+            self._pooled.link.send(self._build_head(body, part), SILENCE_TIMEOUT_S)
+            message = self._receive()
+            if isinstance(message, Continue):
+                self._send_body(body)
+                message = self._receive()
+            return self._open(message)
+        except BodyError as error:
+            self._pool.discard(self._pooled)
+            return Err(refuse_may_have_run(Reason.REQUEST_MALFORMED, str(error)))
+        except (LinkError, FrameError) as error:
+            self._pool.discard(self._pooled)
+            return Err(refuse_may_have_run(Reason.PEER_SILENT, str(error)))
+
+    def _build_head(self, body: RequestBody, retry_budget: int) -> CallHead:
+        context = self._context
+        peer = self._pooled.peer
+        left_s = context.deadline_at - self._clock.read_monotonic()
+        inline = body.inline
+        return CallHead(
+            call_id=context.call_id,
+            root_id=context.root_id,
+            incarnation=peer.incarnation,
+            dispatch_by_us=peer.clock.convert(context.deadline_at),
+            deadline_ms=max(0, int(left_s * 1000)),
+            organisation=context.organisation,
+            importance=context.importance,
+            retry_budget=retry_budget,
+            depth=context.depth,
+            service=context.service,
+            route=context.route,
+            method=context.method,
+            path=context.path,
+            headers=context.headers,
+            idempotent=context.idempotent,
+            idempotency_key=context.idempotency_key,
+            body=inline or b"",
+            body_follows=inline is None,
+        )
+
+    def _send_body(self, body: RequestBody) -> None:
+        call_id = self._context.call_id
+        for data in body.read_chunks():
+            for start in range(0, len(data), CHUNK_BYTES):
+                part = data[start : start + CHUNK_BYTES]
+                self._send(Chunk(call_id, part, False))
+        self._send(Chunk(call_id, b"", True))
+
+    def _send(self, chunk: Chunk) -> None:
+        left_s = self._context.deadline_at - self._clock.read_monotonic()
+        self._pooled.link.send(chunk, max(0.0, left_s))
+
+    def _receive(self) -> Message:
+        """
+        Return the next message of this call; drop those of calls that are gone.
+
+        Raise `LinkError` after the deadline or on silence.
+        """
+        give_up_at = self._context.deadline_at + SILENCE_TIMEOUT_S
+        while self._clock.read_monotonic() < give_up_at:
+            message = self._pooled.link.receive(SILENCE_TIMEOUT_S)
+            if isinstance(message, Progress):
+                continue
+            call_id = getattr(message, "call_id", None)
+            if call_id == self._context.call_id:
+                return message
+            log_event("answer_dropped", call=call_id, awaited=self._context.call_id)
+        raise LinkSilentError("no answer came by the deadline")
+
+    def _open(self, message: Message) -> Result[Answer, Refusal]:
+        if isinstance(message, CallRefused):
+            self._settle(message.retry_budget_left)
+            self._note_load(message.load)
+            return Err(message.refusal)
+        if not isinstance(message, AnswerHead):
+            raise LinkClosedError(f"unexpected {type(message).__name__}")
+        self._note_load(message.load)
+        if message.complete:
+            self._settle(message.retry_budget_left)
+            body: bytes | None = message.body
+            return Ok(Answer(message.status, message.headers, body, iter(()), ignore))
+        chunks = self._read_chunks()
+        return Ok(Answer(message.status, message.headers, None, chunks, self._abandon))
+
+    def _read_chunks(self) -> Iterator[bytes]:
+        try:
+            while True:
+                message = self._receive()
+                if isinstance(message, Chunk):
+                    yield message.data
+                elif isinstance(message, AnswerEnd):
+                    self._settle(message.retry_budget_left)
+                    return
+                elif isinstance(message, CallRefused):
+                    self._settle(message.retry_budget_left)
+                    raise AnswerTruncatedError(message.refusal)
+                else:
+                    raise LinkClosedError(f"unexpected {type(message).__name__}")
+        except (LinkError, FrameError) as error:
+            refusal = refuse_may_have_run(Reason.PEER_SILENT, str(error))
+            raise AnswerTruncatedError(refusal) from error
+
+    def _settle(self, retry_budget_left: int) -> None:
+        """Take the unused retries back and keep the link: its call has ended."""
+        self._retries.give_back(retry_budget_left)
+        self._ended = True
+        self._pool.give_back(self._pooled)
+
+    def _abandon(self) -> None:
+        """Close the link of an answer that was not read to its end."""
+        if not self._ended:
+            self._pool.discard(self._pooled)
+
+
+def ignore() -> None:
+    """Close an answer that holds nothing."""
--- /dev/null
+++ b/corianderhold/coordination/owner/admission.py
@@ -0,0 +1,159 @@
+"""Admit calls to the local target within its limit, and queue a few."""
+
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from result import Err, Ok, Result
+
+from corianderhold.clock import Clock
+from corianderhold.coordination.call import CallContext
+from corianderhold.coordination.owner.const import (
+    QUEUE_RETRY_AFTER_MS,
+    RETRY_AFTER_SPREAD,
+    SERVICE_TIME_WEIGHT,
+)
+from corianderhold.coordination.owner.limit import ConcurrencyLimit
+from corianderhold.coordination.owner.queue import FairQueue, Waiter, WaiterState
+from corianderhold.ids import OrganisationId
+from corianderhold.protocol.peer.messages import LoadReport
+from corianderhold.protocol.verdict import Reason, Refusal, refuse_not_run
+
+
+@dataclass(frozen=True)
+class AdmissionPolicy:
+    """The configured part of admission; `weigh` gives an organisation's weight."""
+
+    queue_length: int
+    weigh: Callable[[OrganisationId], float]
+
+
+class Admission:
+    """Hand out permits to call the target."""
+
+    def __init__(
+        self,
+        limit: ConcurrencyLimit,
+        policy: AdmissionPolicy,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self._limit = limit
+        self._policy = policy
+        self._clock = clock
+        self._random = random
+        self._lock = threading.Lock()
+        self._queue = FairQueue()
+        self._in_flight = 0
+        self._service_time_s = 0.0
+        self._shed_below = 0
+
+    def replace_policy(self, limit: ConcurrencyLimit, policy: AdmissionPolicy) -> None:
+        """Go on with another limit and policy; calls in flight stay counted."""
+        with self._lock:
+            self._limit = limit
+            self._policy = policy
+            self._admit_waiters()
+
+    def acquire(
+        self, context: CallContext, hold_waiter: Callable[[Waiter], None]
+    ) -> Result[Waiter, Refusal]:
+        """
+        Wait for a permit until the call's deadline.
+
+        `hold_waiter` gets the waiter before the wait, so that it can be cancelled. The
+        permit is given back by `release`. A refusal is always "not run".
+        """
+        waiter = Waiter(context.importance, context.organisation, context.deadline_at)
+        hold_waiter(waiter)
+        with self._lock:
+            if not self._queue and self._in_flight < self._limit.read_limit():
+                self._in_flight += 1
+                waiter.state = WaiterState.ADMITTED
+                return Ok(waiter)
+            refusal = self._enqueue(waiter)
+        if refusal is not None:
+            return Err(refusal)
+        return self._wait(waiter)
+
+    def release(self, started_at: float, failed: bool) -> None:
+        """Give a permit back; `started_at` is when the call was dispatched."""
+        duration_s = self._clock.read_monotonic() - started_at
+        with self._lock:
+            self._limit.note_completion(duration_s, failed, self._in_flight)
+            change = duration_s - self._service_time_s
+            self._service_time_s += change * SERVICE_TIME_WEIGHT
+            self._in_flight -= 1
+            self._admit_waiters()
+
+    def report_load(self, draining: bool) -> LoadReport:
+        """Return the present load."""
+        with self._lock:
+            shed_below = self._shed_below if self._is_full() else 0
+            return LoadReport(
+                self._in_flight,
+                self._limit.read_limit(),
+                len(self._queue),
+                shed_below,
+                draining,
+            )
+
+    def _is_full(self) -> bool:
+        return len(self._queue) >= self._policy.queue_length
+
+    def _enqueue(self, waiter: Waiter) -> Refusal | None:
+        """Queue a call, in place of a less important one when the queue is full."""
+        wait_s = self._estimate_wait(waiter.importance)
+        if self._clock.read_monotonic() + wait_s > waiter.deadline_at:
+            return self._refuse(Reason.SHED, "the deadline can't be met")
+        if self._is_full():
+            last = self._queue.find_last()
+            if last is None or last.importance >= waiter.importance:
+                self._shed_below = max(self._shed_below, waiter.importance + 1)
+                return self._refuse(Reason.QUEUE_FULL, "")
+            self._queue.remove(last)
+            last.decide(WaiterState.EVICTED)
+            self._shed_below = last.importance + 1
+        weight = self._policy.weigh(waiter.organisation)
+        self._queue.push(waiter, max(weight, 0.01))
+        return None
+
+    def _estimate_wait(self, importance: int) -> float:
+        """Return the expected wait in seconds behind calls as important."""
+        ahead = self._queue.count_at_least(importance)
+        return (ahead + 1) * self._service_time_s / self._limit.read_limit()
+
+    def _wait(self, waiter: Waiter) -> Result[Waiter, Refusal]:
+        left_s = waiter.deadline_at - self._clock.read_monotonic()
+        waiter.decided.wait(max(0.0, left_s))
+        with self._lock:
+            if waiter.state is WaiterState.ADMITTED:
+                return Ok(waiter)
+            if waiter.cancelled:
+                self._queue.remove(waiter)
+                return Err(refuse_not_run(Reason.CANCELLED))
+            if waiter.state is WaiterState.EVICTED:
+                return Err(self._refuse(Reason.SHED, "gave way in the queue"))
+            self._queue.remove(waiter)
+        return Err(refuse_not_run(Reason.DEADLINE_PASSED, detail="in the queue"))
+
+    def _admit_waiters(self) -> None:
+        """Admit the next waiters that fit, and drop those that are too late."""
+        while self._in_flight < self._limit.read_limit():
+            waiter = self._queue.pop()
+            if waiter is None:
+                self._shed_below = 0
+                return
+            if waiter.deadline_at <= self._clock.read_monotonic():
+                waiter.decide(WaiterState.EVICTED)
+                continue
+            self._in_flight += 1
+            waiter.decide(WaiterState.ADMITTED)
+
+    def _refuse(self, reason: Reason, detail: str) -> Refusal:
+        """Refuse with a time to come back that differs from caller to caller."""
+        queued_s = len(self._queue) * self._service_time_s / self._limit.read_limit()
+        base_ms = max(QUEUE_RETRY_AFTER_MS, int(queued_s * 1000))
+        spread = self._random.uniform(1 - RETRY_AFTER_SPREAD, 1 + RETRY_AFTER_SPREAD)
+        return refuse_not_run(reason, int(base_ms * spread), detail)
--- /dev/null
+++ b/corianderhold/coordination/owner/registry.py
@@ -0,0 +1,101 @@
+"""Keep the calls that are in flight at this owner."""
+
+import secrets
+import socket
+import threading
+from dataclasses import dataclass, field
+
+from corianderhold.coordination.call import CallContext
+from corianderhold.coordination.owner.const import CONTEXT_TOKEN_BYTES
+from corianderhold.coordination.owner.queue import Waiter
+from corianderhold.coordination.retry import RetryBudget
+from corianderhold.ids import CallId
+
+
+@dataclass(eq=False)
+class InFlightCall:
+    """
+    A call that this owner queues or runs.
+
+    `token` is what the target passes on with nested calls. It can't be forged, says
+    nothing, and ends with the call.
+    """
+
+    context: CallContext
+    retries: RetryBudget
+    token: str = field(
+        repr=False, default_factory=lambda: secrets.token_hex(CONTEXT_TOKEN_BYTES)
+    )
+    cancelled: threading.Event = field(default_factory=threading.Event)
+    _lock: threading.Lock = field(default_factory=threading.Lock, repr=False)
+    _connection: socket.socket | None = None
+    _waiter: Waiter | None = None
+
+    def hold_waiter(self, waiter: Waiter) -> None:
+        """Name the call's place in the queue, which a cancellation gives up."""
+        with self._lock:
+            self._waiter = waiter
+            if self.cancelled.is_set():
+                waiter.cancel()
+
+    def attach(self, connection: socket.socket | None) -> None:
+        """Name the connection to the target, which a cancellation shuts down."""
+        with self._lock:
+            self._connection = connection
+            if connection is not None and self.cancelled.is_set():
+                shut_down(connection)
+
+    def cancel(self) -> None:
+        """Cancel the call: it is not dispatched any more, or its target is told."""
+        with self._lock:
+            self.cancelled.set()
+            if self._waiter is not None:
+                self._waiter.cancel()
+            if self._connection is not None:
+                shut_down(self._connection)
+
+
+def shut_down(connection: socket.socket) -> None:
+    """Shut a connection down and wake the thread that waits on it."""
+    try:
+        connection.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        return  # it was closed already
+
+
+class InFlightCalls:
+    """Find calls in flight by their id and by their token."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._by_id: dict[CallId, InFlightCall] = {}
+        self._by_token: dict[str, InFlightCall] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_id)
+
+    def add(self, call: InFlightCall) -> None:
+        """Add a call; the latest with the same id is found by it."""
+        with self._lock:
+            self._by_id[call.context.call_id] = call
+            self._by_token[call.token] = call
+
+    def remove(self, call: InFlightCall) -> None:
+        """Remove a call; its token stops working."""
+        with self._lock:
+            if self._by_id.get(call.context.call_id) is call:
+                del self._by_id[call.context.call_id]
+            self._by_token.pop(call.token, None)
+
+    def find_by_token(self, token: str) -> InFlightCall | None:
+        """Return the call that the target was given this token for."""
+        return self._by_token.get(token)
+
+    def cancel(self, call_id: CallId) -> bool:
+        """Cancel a call; return False when it is not in flight here."""
+        with self._lock:
+            call = self._by_id.get(call_id)
+        if call is None:
+            return False
+        call.cancel()
+        return True
--- a/corianderhold/transport/peer/control.py
+++ b/corianderhold/transport/peer/control.py
@@ -26,7 +26,7 @@
         pooled = borrowed.ok_value
         try:
             pooled.link.send(ControlRequest(topic, body), timeout_s)
-            reply = pooled.link.receive(timeout_s)
+            reply = pooled.link.receive_reply(timeout_s)
         except LinkSilentError:
             self._pool.discard(pooled)
             return Err(ControlFailure.TIMEOUT)
--- a/corianderhold/transport/peer/link.py
+++ b/corianderhold/transport/peer/link.py
@@ -9,7 +9,7 @@
 from corianderhold.protocol.peer.codec import decode_message, encode_message
 from corianderhold.protocol.peer.const import FRAME_BYTES_MAX, LENGTH_BYTES
 from corianderhold.protocol.peer.errors import FrameError
-from corianderhold.protocol.peer.messages import Message
+from corianderhold.protocol.peer.messages import Message, Progress
 from corianderhold.transport.peer.const import (
     RECEIVE_BYTES,
     UNACKNOWLEDGED_TIMEOUT_MS,
@@ -78,6 +78,13 @@
         del self._buffer[:end]
         return decode_message(body)
 
+    def receive_reply(self, timeout_s: float) -> Message:
+        """Wait for one frame that is no Progress; raise as `receive` does."""
+        while True:
+            message = self.receive(timeout_s)
+            if not isinstance(message, Progress):
+                return message
+
     def is_quiet(self) -> bool:
         """Return whether the connection is open and nothing waits to be received."""
         return not self._buffer and not self._readable.poll(0)
--- a/corianderhold/transport/peer/pool.py
+++ b/corianderhold/transport/peer/pool.py
@@ -157,7 +157,7 @@
         try:
             sent_us = int(self._clock.read_monotonic() * MICROSECONDS)
             pooled.link.send(Ping(sent_us), PING_TIMEOUT_S)
-            message = pooled.link.receive(PING_TIMEOUT_S)
+            message = pooled.link.receive_reply(PING_TIMEOUT_S)
         except (LinkError, FrameError):
             return False
         if not isinstance(message, Pong):
