--- /dev/null
+++ b/corianderhold/state/configuration/codec.py
@@ -0,0 +1,171 @@
+"""Convert configurations and records of their stream to text and back."""
+
+import json
+from dataclasses import dataclass
+from enum import Enum
+from zlib import crc32
+
+from result import Err, Ok, Result
+from voluptuous import Invalid
+
+from corianderhold.ids import ChangeId, Offset, Version
+from corianderhold.state.configuration.const import RECORD_FORMAT
+from corianderhold.state.configuration.entities import (
+    JsonObject,
+    configuration_from_json,
+    configuration_to_json,
+    delta_from_json,
+    delta_to_json,
+    dump_json,
+)
+from corianderhold.state.configuration.model import Configuration
+from corianderhold.state.configuration.records import (
+    ChangeRecord,
+    Draft,
+    RememberedChange,
+    SnapshotRecord,
+)
+from corianderhold.state.configuration.schema import (
+    CHANGE_SCHEMA,
+    CONFIGURATION_SCHEMA,
+    DRAFT_SCHEMA,
+    ENVELOPE_SCHEMA,
+    SNAPSHOT_SCHEMA,
+)
+
+CHANGE_KIND = "change"
+SNAPSHOT_KIND = "snapshot"
+
+MAX_DETAIL_LENGTH = 200
+MALFORMED = (ValueError, RecursionError, Invalid)
+
+Record = ChangeRecord | SnapshotRecord
+
+
+class DecodeFailure(Enum):
+    """Why a text is no record that this release understands."""
+
+    CORRUPT = "corrupt"
+    UNKNOWN_FORMAT = "unknown_format"
+
+
+@dataclass(frozen=True)
+class DecodeError:
+    """A text that is no record, and what is wrong with it."""
+
+    failure: DecodeFailure
+    detail: str
+
+
+def _seal(kind: str, body: JsonObject) -> str:
+    """Return the text of a record: its CRC-32 in hex, a space and its JSON."""
+    text = dump_json({"format": RECORD_FORMAT, "kind": kind, "body": body})
+    return f"{crc32(text.encode()):08x} {text}"
+
+
+def _unseal(text: str) -> str:
+    """Return the JSON text of a record; raise ValueError where it was damaged."""
+    checksum, _, json_text = text.partition(" ")
+    if checksum != f"{crc32(json_text.encode()):08x}":
+        raise ValueError("the checksum does not fit the record")
+    return json_text
+
+
+def encode_change(change: ChangeRecord) -> str:
+    """Return the text of a change for the log."""
+    body = {
+        "change_id": change.change_id,
+        "base_version": change.base_version,
+        "author": change.author,
+        "made_at": change.made_at,
+        "note": change.note,
+        **delta_to_json(change.delta),
+    }
+    return _seal(CHANGE_KIND, body)
+
+
+def encode_snapshot(snapshot: SnapshotRecord) -> str:
+    """Return the text of a snapshot for the log."""
+    remembered = [
+        {
+            "change_id": each.change_id,
+            "version": each.version,
+            "author": each.author,
+        }
+        for each in snapshot.remembered
+    ]
+    body = {
+        "configuration": configuration_to_json(snapshot.configuration),
+        "folded_to": snapshot.folded_to,
+        "digest": snapshot.digest,
+        "remembered": remembered,
+    }
+    return _seal(SNAPSHOT_KIND, body)
+
+
+def encode_draft(draft: Draft) -> str:
+    """Return the JSON text of a draft."""
+    return dump_json({"base_version": draft.base_version, **delta_to_json(draft.delta)})
+
+
+def _change_from_json(value: JsonObject) -> ChangeRecord:
+    return ChangeRecord(
+        change_id=ChangeId(value["change_id"]),
+        base_version=Version(value["base_version"]),
+        author=value["author"],
+        made_at=value["made_at"],
+        note=value["note"],
+        delta=delta_from_json(value),
+    )
+
+
+def _snapshot_from_json(value: JsonObject) -> SnapshotRecord:
+    return SnapshotRecord(
+        configuration=configuration_from_json(value["configuration"]),
+        folded_to=Offset(value["folded_to"]),
+        digest=value["digest"],
+        remembered=tuple(RememberedChange(**each) for each in value["remembered"]),
+    )
+
+
+def _reject_constant(name: str) -> None:
+    raise ValueError(f"{name} is not a number")
+
+
+def _load_json(text: str) -> object:
+    return json.loads(text, parse_constant=_reject_constant)
+
+
+def decode_configuration(text: str) -> Result[Configuration, DecodeError]:
+    """Return the configuration in a JSON text, or what is wrong with the text."""
+    try:
+        value = CONFIGURATION_SCHEMA(_load_json(text))
+    except MALFORMED as error:
+        return Err(DecodeError(DecodeFailure.CORRUPT, str(error)[:MAX_DETAIL_LENGTH]))
+    return Ok(configuration_from_json(value))
+
+
+def decode_draft(text: str) -> Result[Draft, DecodeError]:
+    """Return the draft in a JSON text, or what is wrong with the text."""
+    try:
+        value = DRAFT_SCHEMA(_load_json(text))
+    except MALFORMED as error:
+        return Err(DecodeError(DecodeFailure.CORRUPT, str(error)[:MAX_DETAIL_LENGTH]))
+    return Ok(Draft(Version(value["base_version"]), delta_from_json(value)))
+
+
+def decode_record(text: str) -> Result[Record, DecodeError]:
+    """Return the record in a text of the log, or what is wrong with the text."""
+    try:
+        envelope = ENVELOPE_SCHEMA(_load_json(_unseal(text)))
+        kind, body = envelope["kind"], envelope["body"]
+        if envelope["format"] != RECORD_FORMAT:
+            detail = f"format {envelope['format']}"
+            return Err(DecodeError(DecodeFailure.UNKNOWN_FORMAT, detail))
+        if kind == CHANGE_KIND:
+            return Ok(_change_from_json(CHANGE_SCHEMA(body)))
+        if kind == SNAPSHOT_KIND:
+            return Ok(_snapshot_from_json(SNAPSHOT_SCHEMA(body)))
+    except MALFORMED as error:
+        return Err(DecodeError(DecodeFailure.CORRUPT, str(error)[:MAX_DETAIL_LENGTH]))
+    return Err(DecodeError(DecodeFailure.UNKNOWN_FORMAT, f"kind {kind[:40]!r}"))
