--- /dev/null
+++ b/corianderhold/coordination/entry/response.py
@@ -0,0 +1,108 @@
+"""Write answers and refusals as HTTP responses."""
+
+import json
+import math
+from collections.abc import Iterable, Iterator
+from http import HTTPStatus
+
+from corianderhold.coordination.call import Answer
+from corianderhold.ids import CallId
+from corianderhold.protocol.headers import (
+    HEADER_CALL_ID,
+    HEADER_REASON,
+    HEADER_RETRY_AFTER,
+    HEADER_VERDICT,
+)
+from corianderhold.protocol.verdict import Reason, Refusal, RunState
+from corianderhold.transport.web.server import StartResponse
+
+STATUS_OF_REASON = {
+    Reason.KEY_MISSING: HTTPStatus.UNAUTHORIZED,
+    Reason.KEY_UNKNOWN: HTTPStatus.UNAUTHORIZED,
+    Reason.KEY_WITHDRAWN: HTTPStatus.UNAUTHORIZED,
+    Reason.ROUTE_UNKNOWN: HTTPStatus.NOT_FOUND,
+    Reason.ROUTE_FORBIDDEN: HTTPStatus.FORBIDDEN,
+    Reason.CONTEXT_UNKNOWN: HTTPStatus.FORBIDDEN,
+    Reason.REQUEST_MALFORMED: HTTPStatus.BAD_REQUEST,
+    Reason.RATE_EXCEEDED: HTTPStatus.TOO_MANY_REQUESTS,
+    Reason.DEPTH_EXCEEDED: HTTPStatus.LOOP_DETECTED,
+}
+TIMEOUTS = frozenset({Reason.TARGET_SILENT, Reason.PEER_SILENT, Reason.DEADLINE_PASSED})
+
+
+def respond_answer(
+    answer: Answer, call_id: CallId, start_response: StartResponse
+) -> Iterable[bytes]:
+    """
+    Write an answer; its parts are passed on as they come.
+
+    An answer that breaks off raises within the iteration: the server then closes the
+    connection before the answer's end, so that the caller can tell.
+    """
+    headers = [(header.name, header.value) for header in answer.headers]
+    headers.append((HEADER_VERDICT, RunState.WHOLE.value))
+    headers.append((HEADER_CALL_ID, call_id))
+    start_response(describe_status(answer.status), headers)
+    if answer.body is not None:
+        answer.close()
+        return [answer.body]
+    return ClosingParts(answer)
+
+
+class ClosingParts:
+    """Pass on the parts of an answer; the server calls `close` in every case."""
+
+    def __init__(self, answer: Answer) -> None:
+        self._answer = answer
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self._answer.chunks
+
+    def close(self) -> None:
+        """Close the answer."""
+        self._answer.close()
+
+
+def respond_refusal(
+    refusal: Refusal, call_id: CallId, start_response: StartResponse
+) -> Iterable[bytes]:
+    """Write a refusal with its verdict and the time to come back."""
+    status = choose_status(refusal)
+    body = json.dumps(
+        {
+            "verdict": refusal.run_state.value,
+            "reason": refusal.reason.value,
+            "retry_after_ms": refusal.retry_after_ms,
+            "detail": refusal.detail,
+            "call_id": call_id,
+        }
+    ).encode()
+    headers = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(body))),
+        (HEADER_VERDICT, refusal.run_state.value),
+        (HEADER_REASON, refusal.reason.value),
+        (HEADER_CALL_ID, call_id),
+    ]
+    if status in (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE):
+        seconds = max(1, math.ceil(refusal.retry_after_ms / 1000))
+        headers.append((HEADER_RETRY_AFTER, str(seconds)))
+    start_response(describe_status(status), headers)
+    return [body]
+
+
+def choose_status(refusal: Refusal) -> HTTPStatus:
+    """Return the HTTP status of a refusal."""
+    if refusal.not_run:
+        return STATUS_OF_REASON.get(refusal.reason, HTTPStatus.SERVICE_UNAVAILABLE)
+    if refusal.reason in TIMEOUTS:
+        return HTTPStatus.GATEWAY_TIMEOUT
+    return HTTPStatus.BAD_GATEWAY
+
+
+def describe_status(status: int) -> str:
+    """Return the status line's text."""
+    try:
+        return f"{int(status)} {HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{int(status)} Unknown"
--- a/corianderhold/coordination/entry/sender.py
+++ b/corianderhold/coordination/entry/sender.py
@@ -152,6 +152,7 @@
             idempotency_key=context.idempotency_key,
             body=inline or b"",
             body_follows=inline is None,
+            body_length=body.length,
         )
 
     def _send_body(self, body: RequestBody) -> None:
--- /dev/null
+++ b/corianderhold/coordination/entry/watch.py
@@ -0,0 +1,61 @@
+"""Notice callers that leave while their calls are in flight."""
+
+import select
+import socket
+import threading
+from collections.abc import Callable
+
+from corianderhold.coordination.entry.const import CALLER_CHECK_INTERVAL_S
+from corianderhold.ids import CallId
+
+Cancel = Callable[[CallId], None]
+
+
+class CallerWatch:
+    """Poll the sockets of callers that wait, and cancel the calls of those gone."""
+
+    def __init__(self, cancel: Cancel) -> None:
+        self._cancel = cancel
+        self._lock = threading.Lock()
+        self._sockets: dict[CallId, socket.socket] = {}
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name="caller-watch", daemon=True
+        )
+
+    def start(self) -> None:
+        """Begin to poll."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End polling."""
+        self._stopped.set()
+
+    def add(self, call_id: CallId, connection: socket.socket) -> None:
+        """Watch the caller of a call."""
+        with self._lock:
+            self._sockets[call_id] = connection
+
+    def remove(self, call_id: CallId) -> None:
+        """Stop watching."""
+        with self._lock:
+            self._sockets.pop(call_id, None)
+
+    def _run(self) -> None:
+        while not self._stopped.wait(CALLER_CHECK_INTERVAL_S):
+            for call_id in self._find_gone():
+                self.remove(call_id)
+                self._cancel(call_id)
+
+    def _find_gone(self) -> list[CallId]:
+        """Return the calls whose caller closed its connection."""
+        with self._lock:
+            sockets = dict(self._sockets)
+        poll = select.poll()
+        calls: dict[int, CallId] = {}
+        for call_id, connection in sockets.items():
+            number = connection.fileno()
+            if number >= 0:
+                calls[number] = call_id
+                poll.register(number, select.POLLRDHUP)
+        return [calls[number] for number, _ in poll.poll(0)]
--- a/corianderhold/coordination/owner/remote.py
+++ b/corianderhold/coordination/owner/remote.py
@@ -97,7 +97,7 @@
     def _build_body(self, link: Link, head: CallHead) -> RequestBody:
         if not head.body_follows:
             return InlineBody(head.body)
-        return StreamedBody(receive_body(link, head), None)
+        return StreamedBody(receive_body(link, head), head.body_length)
 
     def _send_answer(
         self, link: Link, head: CallHead, answer: Answer, retries: RetryBudget
--- a/corianderhold/protocol/peer/codec.py
+++ b/corianderhold/protocol/peer/codec.py
@@ -153,6 +153,7 @@
             idempotency_key=message.idempotency_key,
             body=message.body,
             body_follows=message.body_follows,
+            body_length=message.body_length,
         )
     )
 
@@ -178,6 +179,7 @@
         idempotency_key=struct.idempotency_key,
         body=struct.body,
         body_follows=struct.body_follows,
+        body_length=struct.body_length,
     )
 
 
--- a/corianderhold/protocol/peer/gen/ttypes.py
+++ b/corianderhold/protocol/peer/gen/ttypes.py
@@ -540,6 +540,7 @@
      - route
      - body
      - body_follows
+     - body_length
 
     """
 
@@ -562,10 +563,11 @@
         'route',
         'body',
         'body_follows',
+        'body_length',
     )
 
 
-    def __init__(self, call_id=None, root_id=None, incarnation=None, dispatch_by_us=None, deadline_ms=None, organisation=None, importance=None, retry_budget=None, depth=None, service_name=None, method=None, path=None, headers=None, idempotent=None, idempotency_key=None, route=None, body=None, body_follows=None,):
+    def __init__(self, call_id=None, root_id=None, incarnation=None, dispatch_by_us=None, deadline_ms=None, organisation=None, importance=None, retry_budget=None, depth=None, service_name=None, method=None, path=None, headers=None, idempotent=None, idempotency_key=None, route=None, body=None, body_follows=None, body_length=None,):
         self.call_id = call_id
         self.root_id = root_id
         self.incarnation = incarnation
@@ -584,6 +586,7 @@
         self.route = route
         self.body = body
         self.body_follows = body_follows
+        self.body_length = body_length
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -690,6 +693,11 @@
                     self.body_follows = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.I64:
+                    self.body_length = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -775,6 +783,10 @@
             oprot.writeFieldBegin('body_follows', TType.BOOL, 18)
             oprot.writeBool(self.body_follows)
             oprot.writeFieldEnd()
+        if self.body_length is not None:
+            oprot.writeFieldBegin('body_length', TType.I64, 19)
+            oprot.writeI64(self.body_length)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1993,6 +2005,7 @@
     (16, TType.STRING, 'route', 'UTF8', None, ),  # 16
     (17, TType.STRING, 'body', 'BINARY', None, ),  # 17
     (18, TType.BOOL, 'body_follows', None, None, ),  # 18
+    (19, TType.I64, 'body_length', None, None, ),  # 19
 )
 all_structs.append(Continue)
 Continue.thrift_spec = (
--- a/corianderhold/protocol/peer/messages.py
+++ b/corianderhold/protocol/peer/messages.py
@@ -83,6 +83,7 @@
     idempotency_key: str | None
     body: bytes
     body_follows: bool
+    body_length: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/corianderhold/protocol/peer/peer.thrift
+++ b/corianderhold/protocol/peer/peer.thrift
@@ -58,6 +58,7 @@
   16: required string route
   17: required binary body
   18: required bool body_follows
+  19: optional i64 body_length       // bytes; absent when it is not known
 }
 
 // Says that a call was admitted and that the rest of its body may come.
--- /dev/null
+++ b/corianderhold/transport/web/server.py
@@ -0,0 +1,91 @@
+"""Serve WSGI applications with CherryPy's HTTP server."""
+
+import socket
+import threading
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from cheroot.wsgi import Gateway_10
+from cheroot.wsgi import Server as WSGIServer
+
+from corianderhold.log import log_event
+from corianderhold.state.membership.model import Address
+from corianderhold.transport.web.const import (
+    CALLER_TIMEOUT_S,
+    HEADER_BYTES_MAX,
+    KEEPALIVE_IDLE_S,
+    KEEPALIVE_INTERVAL_S,
+    KEEPALIVE_PROBES,
+    LISTEN_BACKLOG,
+    SHUTDOWN_TIMEOUT_S,
+    UNACKNOWLEDGED_TIMEOUT_MS,
+)
+
+ENVIRON_SOCKET = "corianderhold.socket"
+
+Environ = dict[str, Any]
+StartResponse = Callable[[str, list[tuple[str, str]]], object]
+WSGIApplication = Callable[[Environ, StartResponse], Iterable[bytes]]
+
+
+class SocketGateway(Gateway_10):
+    """Add the caller's socket to the environment, to notice when the caller leaves."""
+
+    def get_environ(self) -> Environ:  # type: ignore[override]
+        """Return the WSGI environment of the request."""
+        environ: Environ = super().get_environ()  # type: ignore[no-untyped-call]
+        environ[ENVIRON_SOCKET] = self.req.conn.socket
+        return environ
+
+
+class WebServer:
+    """Run one listener with a fixed number of threads."""
+
+    def __init__(
+        self, name: str, address: Address, application: WSGIApplication, threads: int
+    ) -> None:
+        self._name = name
+        self._address = address
+        self._server = WSGIServer(
+            (address.host, address.port),
+            application,
+            numthreads=threads,
+            max=threads,
+            request_queue_size=LISTEN_BACKLOG,
+            timeout=CALLER_TIMEOUT_S,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+        )
+        self._server.gateway = SocketGateway
+        self._server.max_request_header_size = HEADER_BYTES_MAX
+        self._server.error_log = log_server_error  # type: ignore[method-assign]
+        self._thread = threading.Thread(
+            target=self._server.serve, name=f"web-{name}", daemon=True
+        )
+
+    def start(self) -> None:
+        """Listen and serve; raise `OSError` when the address can't be had."""
+        self._server.prepare()
+        set_keepalive(self._server.socket)
+        self._thread.start()
+        log_event("listening", listener=self._name, address=str(self._address))
+
+    def stop(self) -> None:
+        """Stop listening; wait a bounded time for the requests that are served."""
+        self._server.stop()
+        if self._thread.is_alive():
+            self._thread.join(SHUTDOWN_TIMEOUT_S)
+
+
+def set_keepalive(listener: socket.socket) -> None:
+    """Find callers that went silent; accepted connections inherit the options."""
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    tcp = socket.IPPROTO_TCP
+    listener.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    listener.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    listener.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    listener.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
+
+
+def log_server_error(msg: str = "", level: int = 20, traceback: bool = False) -> None:
+    """Log what the HTTP server reports in one line."""
+    log_event("http_server_error", message=msg.strip())
--- a/tests/failures/test_frames.py
+++ b/tests/failures/test_frames.py
@@ -146,9 +146,7 @@
         plan = self._plan_big_answer()
         outcome = self.fleet.send(ENTRY, plan)
         self.assertTrue(outcome.is_whole, outcome.error)
-        self.assertTrue(
-            matches_pattern(plan.request_id, BIG_BODY_BYTES, outcome.body)
-        )
+        self.assertTrue(matches_pattern(plan.request_id, BIG_BODY_BYTES, outcome.body))
 
     def test_answer_cut_on_its_way_is_not_whole(self) -> None:
         plan = self._plan_big_answer("&stall_ms=1000")
--- a/tests/failures/test_owner_loss.py
+++ b/tests/failures/test_owner_loss.py
@@ -1,12 +1,12 @@
 """Test calls whose owner is killed, replaced or paused."""
 
+from corianderhold.protocol.peer.messages import CallHead
+from emulator.sample import BROADCASTER_KEY
 from tests.common.fleet import DaemonPlan, RequestPlan
 from tests.common.frames import FrameGate
 from tests.common.relay import Relay, pass_frame
 from tests.common.scenario import FleetTestCase, Sent
 from tests.common.waiting import WAIT_LIMIT_S, wait_until
-from corianderhold.protocol.peer.messages import CallHead
-from emulator.sample import BROADCASTER_KEY
 
 ENTRY = "entry"
 OWNER = "owner"
