Issue and check keys, and find routes by canonical path

Cause: an entry needs the organisation of a key and the route of a path for each call, in microseconds, and a target must serve the path that was matched. Change: keys with salted digests, rotation with overlap, withdrawal that the fold never takes back, Reason.KEY_EXPIRED; an index of routes per version.

--- a/corianderhold/protocol/verdict.py
+++ b/corianderhold/protocol/verdict.py
@@ -18,6 +18,7 @@
     KEY_MISSING = "key_missing"
     KEY_UNKNOWN = "key_unknown"
     KEY_WITHDRAWN = "key_withdrawn"
+    KEY_EXPIRED = "key_expired"
     ROUTE_UNKNOWN = "route_unknown"
     ROUTE_FORBIDDEN = "route_forbidden"
     REQUEST_MALFORMED = "request_malformed"
--- a/corianderhold/state/configuration/delta.py
+++ b/corianderhold/state/configuration/delta.py
@@ -1,6 +1,6 @@
 """Apply a change's delta to a configuration."""
 
-from collections.abc import Hashable, Iterable, Mapping
+from collections.abc import Hashable, Iterable, Iterator, Mapping
 from typing import TypeVar
 
 from result import Err, Ok, Result
@@ -29,7 +29,7 @@
 
 
 def find_delta_faults(configuration: Configuration, delta: Delta) -> tuple[Fault, ...]:
-    """Return the faults of a delta that names an entity twice or a missing one."""
+    """Return the faults of a delta by itself: doubled, missing or revived entities."""
     routes = {each.name for each in configuration.routes}
     return (
         *_check_names(
@@ -56,9 +56,18 @@
             delta.removed_keys,
             configuration.keys,
         ),
+        *_check_revival(configuration, delta),
     )
 
 
+def _check_revival(configuration: Configuration, delta: Delta) -> Iterator[Fault]:
+    for key in delta.keys:
+        old = configuration.keys.get(key.key_id)
+        if old is not None and old.withdrawn and not key.withdrawn:
+            accepted = "yes, since a withdrawn key stays withdrawn"
+            yield Fault(EntityKind.KEY, key.key_id, "withdrawn", "no", accepted)
+
+
 def _check_names(
     kind: EntityKind,
     given: Iterable[str],
--- /dev/null
+++ b/corianderhold/state/configuration/paths.py
@@ -0,0 +1,53 @@
+"""Bring request paths into the one form that is matched and sent on."""
+
+import re
+from urllib.parse import quote, unquote_to_bytes
+
+from result import Err, Ok, Result
+
+from corianderhold.protocol.verdict import Reason
+from corianderhold.state.configuration.const import MAX_REQUEST_PATH_LENGTH
+
+UNESCAPED = "A-Za-z0-9_.~!$&'()*+,=:@-"
+SAFE_CHARACTERS = "_.~!$&'()*+,=:@-"
+PLAIN_PATH = re.compile(rf"/(?:(?!\.{{1,2}}(?:/|\Z))[{UNESCAPED}]+(?:/|\Z))*")
+SEGMENT = re.compile(rf"(?:[{UNESCAPED}]|%[0-9A-Fa-f]{{2}})+")
+FORBIDDEN_DECODED = re.compile(r"[/\\;\x00-\x1f\x7f]|%[0-9A-Fa-f]{2}")
+DOT_SEGMENTS = frozenset({".", ".."})
+
+
+def normalise_path(raw: str) -> Result[str, Reason]:
+    """
+    Return the canonical form of a request's path, given without its query.
+
+    Escapes of characters that need none are decoded and the others written in
+    capitals. A path that a target might read as another one is malformed: empty or
+    dot segments, path parameters, escaped separators, control characters, escapes
+    of escapes and bytes that are not UTF-8.
+    """
+    if len(raw) > MAX_REQUEST_PATH_LENGTH:
+        return Err(Reason.REQUEST_MALFORMED)
+    if PLAIN_PATH.fullmatch(raw):
+        return Ok(raw)
+    if not raw.startswith("/"):
+        return Err(Reason.REQUEST_MALFORMED)
+    segments = raw[1:].split("/")
+    trailing = [""] if len(segments) > 1 and segments[-1] == "" else []
+    if trailing:
+        segments.pop()
+    canonical = [_normalise_segment(each) for each in segments]
+    if None in canonical:
+        return Err(Reason.REQUEST_MALFORMED)
+    return Ok("/".join(["", *(each or "" for each in canonical), *trailing]))
+
+
+def _normalise_segment(raw: str) -> str | None:
+    if not SEGMENT.fullmatch(raw):
+        return None
+    try:
+        decoded = unquote_to_bytes(raw).decode()
+    except UnicodeDecodeError:
+        return None
+    if decoded in DOT_SEGMENTS or FORBIDDEN_DECODED.search(decoded):
+        return None
+    return quote(decoded, safe=SAFE_CHARACTERS)
--- /dev/null
+++ b/corianderhold/state/keys/__init__.py
@@ -0,0 +1,1 @@
+"""Issue callers' keys and check them against their digests."""
--- /dev/null
+++ b/corianderhold/state/keys/const.py
@@ -0,0 +1,14 @@
+"""Size the parts of a key and of its digest."""
+
+import re
+
+KEY_MARK = "ch"
+KEY_ID_BYTES = 8
+SECRET_BYTES = 32
+SALT_BYTES = 16
+DIGEST_ALGORITHM = "sha256"
+DIGEST_MARK = "hmac-sha256"
+KEY_PATTERN = re.compile(
+    rf"{KEY_MARK}_([A-Za-z0-9.-]{{1,64}})_([0-9a-f]{{{2 * SECRET_BYTES}}})"
+)
+MAX_OVERLAP_S = 30 * 86_400.0
--- /dev/null
+++ b/corianderhold/state/keys/ring.py
@@ -0,0 +1,59 @@
+"""Find the organisation that a caller's key belongs to."""
+
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from corianderhold.ids import KeyId, OrganisationId
+from corianderhold.protocol.verdict import Reason
+from corianderhold.state.configuration.model import ApiKey, Configuration
+from corianderhold.state.keys.const import KEY_PATTERN
+from corianderhold.state.keys.digest import fits_digest
+
+
+@dataclass(frozen=True)
+class Caller:
+    """The key that a request came with, and whose it is."""
+
+    key_id: KeyId
+    organisation: OrganisationId
+
+
+def identify_caller(
+    configuration: Configuration, key_text: str | None, now_s: float
+) -> Result[Caller, Reason]:
+    """
+    Return whose key this is, or why it doesn't count, at the Unix time `now_s`.
+
+    Only a caller that holds the secret learns that a key was withdrawn or expired.
+    """
+    if not key_text:
+        return Err(Reason.KEY_MISSING)
+    parts = KEY_PATTERN.fullmatch(key_text)
+    if parts is None:
+        return Err(Reason.KEY_UNKNOWN)
+    key = configuration.keys.get(KeyId(parts[1]))
+    if key is None or not fits_digest(parts[2], key.digest):
+        return Err(Reason.KEY_UNKNOWN)
+    reason = _find_end(key, now_s)
+    if reason is not None:
+        return Err(reason)
+    return Ok(Caller(key.key_id, key.organisation))
+
+
+def recheck_caller(
+    configuration: Configuration, caller: Caller, now_s: float
+) -> Reason | None:
+    """Return why a caller identified earlier doesn't count any more, or None."""
+    key = configuration.keys.get(caller.key_id)
+    if key is None or key.organisation != caller.organisation:
+        return Reason.KEY_UNKNOWN
+    return _find_end(key, now_s)
+
+
+def _find_end(key: ApiKey, now_s: float) -> Reason | None:
+    if key.withdrawn:
+        return Reason.KEY_WITHDRAWN
+    if key.expires_at is not None and now_s >= key.expires_at:
+        return Reason.KEY_EXPIRED
+    return None
--- /dev/null
+++ b/tests/state/configuration/test_routes.py
@@ -0,0 +1,130 @@
+"""Test that a request matches the route that its target will serve."""
+
+import unittest
+from dataclasses import replace
+from urllib.parse import unquote
+
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err
+
+from corianderhold.ids import OrganisationId, RouteName
+from corianderhold.protocol.verdict import Reason
+from corianderhold.state.configuration.model import Route
+from corianderhold.state.configuration.paths import normalise_path
+from corianderhold.state.configuration.routes import RouteIndex, may_use
+from tests.common.changes import SEARCH
+
+
+def make_route(name: str, prefix: str, *methods: str) -> Route:
+    """Return a route with a name, a path prefix and methods."""
+    return replace(
+        SEARCH, name=RouteName(name), path_prefix=prefix, methods=frozenset(methods)
+    )
+
+
+INDEX = RouteIndex(
+    [
+        make_route("root", "/", "GET"),
+        make_route("clips", "/clips", "GET", "PUT"),
+        make_route("licences", "/clips/licences", "POST"),
+        make_route("admin", "/clips/licences/admin", "GET"),
+    ]
+)
+
+
+def find(method: str, path: str) -> str:
+    """Return the name of the route found, or the reason that there is none."""
+    found = INDEX.find(method, path)
+    if isinstance(found, Err):
+        return found.err_value.value
+    return found.ok_value.route.name
+
+
+class RouteIndexTest(unittest.TestCase):
+    """Test which route a request gets."""
+
+    def test_longest_prefix_of_whole_segments_wins(self) -> None:
+        expected = {
+            ("GET", "/"): "root",
+            ("GET", "/clipsy"): "root",
+            ("GET", "/clips"): "clips",
+            ("GET", "/clips/"): "clips",
+            ("GET", "/clips/licences/12"): "clips",
+            ("GET", "/clips/licences/admin"): "admin",
+            ("GET", "/clips/licences/admin/"): "admin",
+            ("GET", "/clips/licences/admin/x"): "admin",
+            ("GET", "/clips/licences/adminx"): "clips",
+            ("GET", "/clips" + "/a" * 4000): "clips",
+            ("POST", "/clips/licences"): "licences",
+            ("POST", "/clips"): "route_unknown",
+            ("DELETE", "/clips"): "route_unknown",
+            ("get", "/clips"): "route_unknown",
+        }
+        found = {request: find(*request) for request in expected}
+        self.assertEqual(found, expected)
+
+    def test_escaped_letters_match_and_are_sent_on_decoded(self) -> None:
+        match = INDEX.find("GET", "/%63lips/licences/%61dmin/b%c3%a4r%20").unwrap()
+        self.assertEqual(match.route.name, "admin")
+        self.assertEqual(match.path, "/clips/licences/admin/b%C3%A4r%20")
+
+    def test_paths_that_a_target_may_read_otherwise_are_malformed(self) -> None:
+        for path in (
+            "",
+            "clips",
+            "*",
+            "http://x/clips",
+            "//clips",
+            "/clips//licences",
+            "/clips/../licences",
+            "/clips/..",
+            "/clips/./x",
+            "/.",
+            "/clips/%2e%2E/x",
+            "/clips/.%2e",
+            "/clips%2flicences",
+            "/clips%5Clicences",
+            "/clips\\licences",
+            "/clips;x=1/licences",
+            "/clips/..;/licences",
+            "/clips/%3b",
+            "/clips%00",
+            "/clips%0d%0a",
+            "/clips\n",
+            "/clips\r\nX: y",
+            "/clips%252e%252e",
+            "/clips%252f",
+            "/clips%c0%af",
+            "/clips%ff",
+            "/clips%",
+            "/clips%2",
+            "/clips%zz",
+            "/clips?x",
+            "/clips#x",
+            "/clips/é",
+            "/clips x",
+            "/" + "a" * 10_000,
+        ):
+            self.assertEqual(find("GET", path), "request_malformed", path)
+
+    @given(st.text(alphabet="/.%25eEfF;ab\\\x00é?", max_size=30))
+    def test_normal_form_is_stable_and_safe(self, text: str) -> None:
+        normal = normalise_path("/" + text)
+        if isinstance(normal, Err):
+            self.assertEqual(normal.err_value, Reason.REQUEST_MALFORMED)
+            return
+        path = normal.ok_value
+        self.assertEqual(normalise_path(path).unwrap(), path)
+        decoded = unquote(path)
+        self.assertEqual(unquote("/" + text), decoded)
+        self.assertEqual(decoded.count("/"), path.count("/"))
+        self.assertNotIn("//", decoded)
+        self.assertTrue({".", ".."}.isdisjoint(decoded.split("/")))
+
+    def test_route_is_open_to_all_or_to_those_named(self) -> None:
+        radio, school = OrganisationId("radio"), OrganisationId("school")
+        closed = replace(SEARCH, open_to_all=False, organisations=frozenset({radio}))
+        self.assertTrue(may_use(SEARCH, school))
+        self.assertTrue(may_use(closed, radio))
+        self.assertFalse(may_use(closed, school))
--- /dev/null
+++ b/tests/state/keys/__init__.py
@@ -0,0 +1,1 @@
+"""Test callers' keys."""
--- /dev/null
+++ b/tests/state/keys/test_keys.py
@@ -0,0 +1,162 @@
+"""Test that only a living key with its own secret counts."""
+
+import unittest
+from dataclasses import replace
+
+from result import Err, Ok
+
+from corianderhold.ids import KeyId, OrganisationId
+from corianderhold.protocol.verdict import Reason
+from corianderhold.state.configuration.fold import FoldState, OutcomeKind
+from corianderhold.state.configuration.model import Configuration
+from corianderhold.state.configuration.records import Delta
+from corianderhold.state.keys.issue import (
+    IssuedKey,
+    KeyRefusal,
+    grant_key,
+    rotate_key,
+    withdraw_key,
+)
+from corianderhold.state.keys.ring import Caller, identify_caller, recheck_caller
+from tests.common.changes import BASE, fold_all, make_text
+
+NOW_S = 1.7e9
+RADIO = OrganisationId("radio")
+
+
+class KeyTest(unittest.TestCase):
+    """Test keys over their whole life, each step published through the fold."""
+
+    def setUp(self) -> None:
+        """Grant one key."""
+        self.state, _ = fold_all([make_text("base", 0, BASE)])
+        self.issued = grant_key(self.configuration, RADIO, NOW_S).unwrap()
+        self.publish(self.issued.delta)
+        self.caller = Caller(self.issued.key.key_id, RADIO)
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return the configuration in force."""
+        return self.state.configuration
+
+    def publish(self, delta: Delta) -> FoldState:
+        """Put a delta in force."""
+        base = self.state.version
+        self.state, outcomes = fold_all(
+            [make_text(f"c{base}", base, delta)], self.state
+        )
+        self.assertEqual(outcomes[0].kind, OutcomeKind.ACCEPTED)
+        return self.state
+
+    def identify(self, text: str | None, now_s: float = NOW_S) -> Caller | Reason:
+        """Return the caller or the reason."""
+        found = identify_caller(self.configuration, text, now_s)
+        return found.err_value if isinstance(found, Err) else found.ok_value
+
+    def rotate(self, overlap_s: float) -> IssuedKey:
+        """Rotate the granted key and publish that."""
+        rotated = rotate_key(
+            self.configuration, self.caller.key_id, overlap_s, NOW_S
+        ).unwrap()
+        self.publish(rotated.delta)
+        return rotated
+
+    def test_granted_key_names_its_organisation(self) -> None:
+        self.assertEqual(self.identify(self.issued.text), self.caller)
+
+    def test_other_texts_are_unknown(self) -> None:
+        text = self.issued.text
+        key_id, secret = text.split("_")[1:]
+        wrong_last = "0" if secret[-1] != "0" else "1"
+        for other in (
+            text[:-1] + wrong_last,
+            text[:-1],
+            text + "0",
+            text + "\n",
+            text.upper(),
+            f"ch_{'0' * 16}_{secret}",
+            f"ch_{key_id}_",
+            "ch__",
+            "é" * 80,
+            "\x00",
+        ):
+            self.assertEqual(self.identify(other), Reason.KEY_UNKNOWN, other)
+        for missing in (None, ""):
+            self.assertEqual(self.identify(missing), Reason.KEY_MISSING)
+
+    def test_secret_of_another_key_is_unknown(self) -> None:
+        other = grant_key(self.configuration, RADIO, NOW_S).unwrap()
+        self.publish(other.delta)
+        mixed = f"ch_{self.caller.key_id}_{other.text.split('_')[2]}"
+        self.assertEqual(self.identify(mixed), Reason.KEY_UNKNOWN)
+
+    def test_withdrawn_key_is_refused_also_on_an_open_connection(self) -> None:
+        delta = withdraw_key(self.configuration, self.caller.key_id).unwrap()
+        self.assertIsNone(recheck_caller(self.configuration, self.caller, NOW_S))
+        self.publish(delta)
+        self.assertEqual(self.identify(self.issued.text), Reason.KEY_WITHDRAWN)
+        reason = recheck_caller(self.configuration, self.caller, NOW_S)
+        self.assertEqual(reason, Reason.KEY_WITHDRAWN)
+        forged = f"ch_{self.caller.key_id}_{'0' * 64}"
+        self.assertEqual(self.identify(forged), Reason.KEY_UNKNOWN)
+        revival = make_text("revival", self.state.version, self.issued.delta)
+        _, outcomes = fold_all([revival], self.state)
+        self.assertEqual(outcomes[0].kind, OutcomeKind.REFUSED)
+        self.publish(Delta(removed_keys=(self.caller.key_id,)))
+        self.assertEqual(self.identify(self.issued.text), Reason.KEY_UNKNOWN)
+        reason = recheck_caller(self.configuration, self.caller, NOW_S)
+        self.assertEqual(reason, Reason.KEY_UNKNOWN)
+
+    def test_rotated_key_overlaps_for_the_stated_time(self) -> None:
+        rotated = self.rotate(60.0)
+        successor = Caller(rotated.key.key_id, RADIO)
+        self.assertEqual(self.identify(self.issued.text, NOW_S + 59.9), self.caller)
+        self.assertEqual(self.identify(rotated.text, NOW_S), successor)
+        ended = self.identify(self.issued.text, NOW_S + 60.0)
+        self.assertEqual(ended, Reason.KEY_EXPIRED)
+        self.assertEqual(self.identify(rotated.text, NOW_S + 60.0), successor)
+
+    def test_rotation_again_does_not_prolong_the_old_key(self) -> None:
+        self.rotate(60.0)
+        self.rotate(600.0)
+        ended = self.identify(self.issued.text, NOW_S + 60.0)
+        self.assertEqual(ended, Reason.KEY_EXPIRED)
+
+    def test_refusals_of_operators(self) -> None:
+        known, key_id = self.configuration, self.caller.key_id
+        expired = replace(self.issued.key, expires_at=NOW_S)
+        self.publish(Delta(keys=(expired,)))
+        dead = self.publish(Delta(keys=(replace(expired, withdrawn=True),)))
+        ended = replace(known, keys={key_id: expired})
+        refusals = [
+            grant_key(known, OrganisationId("nobody"), NOW_S),
+            grant_key(known, RADIO, NOW_S, NOW_S),
+            rotate_key(known, key_id, -1.0, NOW_S),
+            rotate_key(known, key_id, float("nan"), NOW_S),
+            rotate_key(known, KeyId("none"), 1.0, NOW_S),
+            rotate_key(ended, key_id, 1.0, NOW_S),
+            rotate_key(dead.configuration, key_id, 1.0, NOW_S),
+            withdraw_key(dead.configuration, key_id),
+            withdraw_key(known, KeyId("none")),
+        ]
+        expected = [
+            KeyRefusal.ORGANISATION_UNKNOWN,
+            KeyRefusal.EXPIRY_PAST,
+            KeyRefusal.OVERLAP_OUT_OF_BOUNDS,
+            KeyRefusal.OVERLAP_OUT_OF_BOUNDS,
+            KeyRefusal.KEY_UNKNOWN,
+            KeyRefusal.KEY_EXPIRED,
+            KeyRefusal.KEY_WITHDRAWN,
+            KeyRefusal.KEY_WITHDRAWN,
+            KeyRefusal.KEY_UNKNOWN,
+        ]
+        self.assertEqual(refusals, [Err(each) for each in expected])
+        self.assertIsInstance(grant_key(known, RADIO, NOW_S, NOW_S + 1), Ok)
+
+    def test_secret_is_in_no_repr_and_no_record(self) -> None:
+        secret = self.issued.text.split("_")[2]
+        self.assertNotIn(secret, repr(self.issued))
+        self.assertNotIn(secret, repr(self.state))
+        self.assertNotIn(secret, make_text("c", 1, self.issued.delta))
+        other = grant_key(self.configuration, RADIO, NOW_S).unwrap()
+        self.assertNotEqual(other.key.digest, self.issued.key.digest)
