--- /dev/null
+++ b/corianderhold/protocol/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Define what daemons exchange to spread the configuration."""
--- /dev/null
+++ b/corianderhold/protocol/configuration/codec.py
@@ -0,0 +1,154 @@
+"""Turn the messages of the topic configuration into bytes and back."""
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.TSerialization import deserialize, serialize
+
+from corianderhold.ids import Offset, Version
+from corianderhold.protocol.configuration.errors import ExchangeError
+from corianderhold.protocol.configuration.gen import ttypes
+from corianderhold.protocol.configuration.messages import (
+    Batch,
+    Exchange,
+    ExchangeReply,
+    Head,
+    SnapshotMark,
+    SnapshotPart,
+    SnapshotQuery,
+)
+from corianderhold.transport.store.model import LogRecord
+
+PROTOCOL_FACTORY = TCompactProtocolAcceleratedFactory()
+
+T = TypeVar("T")
+
+
+def encode_exchange(exchange: Exchange) -> bytes:
+    """Return the body of a control request."""
+    struct = ttypes.Exchange(
+        head=_encode_head(exchange.head),
+        batch=_encode_batch(exchange.batch),
+        snapshot=_encode_query(exchange.snapshot),
+    )
+    return _serialize(struct)
+
+
+def decode_exchange(body: bytes) -> Exchange:
+    """Return the exchange in the body of a control request; raise ExchangeError."""
+    struct = _deserialize(ttypes.Exchange(), body)
+    return Exchange(
+        _decode_head(struct.head),
+        _decode_optional(struct.batch, _decode_batch),
+        _decode_optional(struct.snapshot, _decode_query),
+    )
+
+
+def encode_reply(reply: ExchangeReply) -> bytes:
+    """Return the body of a control reply."""
+    struct = ttypes.ExchangeReply(
+        head=_encode_head(reply.head),
+        verified_age_ms=reply.verified_age_ms,
+        batch=_encode_batch(reply.batch),
+        part=_encode_part(reply.part),
+        mark=_encode_mark(reply.mark),
+        snapshot_needed=reply.snapshot_needed or None,
+    )
+    return _serialize(struct)
+
+
+def decode_reply(body: bytes) -> ExchangeReply:
+    """Return the reply in the body of a control reply; raise ExchangeError."""
+    struct = _deserialize(ttypes.ExchangeReply(), body)
+    if struct.verified_age_ms is not None and struct.verified_age_ms < 0:
+        raise ExchangeError("a negative age")
+    return ExchangeReply(
+        _decode_head(struct.head),
+        struct.verified_age_ms,
+        _decode_optional(struct.batch, _decode_batch),
+        _decode_optional(struct.part, _decode_part),
+        _decode_optional(struct.mark, _decode_mark),
+        bool(struct.snapshot_needed),
+    )
+
+
+def _serialize(struct: Any) -> bytes:  # noqa: ANN401
+    encoded: bytes = serialize(struct, PROTOCOL_FACTORY)
+    return encoded
+
+
+def _deserialize(struct: Any, body: bytes) -> Any:  # noqa: ANN401
+    try:
+        deserialize(struct, body, PROTOCOL_FACTORY)
+        struct.validate()
+        _validate_parts(struct)
+    except Exception as error:
+        # thrift raises anything from EOFError to TypeError on malformed bytes.
+        raise ExchangeError(f"malformed exchange: {error!r}") from error
+    return struct
+
+
+def _validate_parts(struct: Any) -> None:  # noqa: ANN401
+    """Raise unless every part holds its required fields."""
+    for name in ("head", "batch", "snapshot", "part", "mark"):
+        part = getattr(struct, name, None)
+        if part is None:
+            continue
+        part.validate()
+        for record in getattr(part, "records", ()):
+            record.validate()
+
+
+def _decode_optional(struct: Any, decode: Callable[[Any], T]) -> T | None:  # noqa: ANN401
+    return None if struct is None else decode(struct)
+
+
+def _encode_head(head: Head) -> Any:  # noqa: ANN401
+    return ttypes.Head(head.next_offset, head.version, head.digest)
+
+
+def _decode_head(struct: Any) -> Head:  # noqa: ANN401
+    return Head(Offset(struct.next_offset), Version(struct.version), struct.digest)
+
+
+def _encode_batch(batch: Batch | None) -> Any:  # noqa: ANN401
+    if batch is None:
+        return None
+    records = [ttypes.Record(record.offset, record.data) for record in batch.records]
+    return ttypes.Batch(batch.from_offset, records)
+
+
+def _decode_batch(struct: Any) -> Batch:  # noqa: ANN401
+    records = [
+        LogRecord(Offset(record.offset), record.data) for record in struct.records
+    ]
+    return Batch(Offset(struct.from_offset), tuple(records))
+
+
+def _encode_query(query: SnapshotQuery | None) -> Any:  # noqa: ANN401
+    return query and ttypes.SnapshotQuery(query.folded_to, query.from_byte)
+
+
+def _decode_query(struct: Any) -> SnapshotQuery:  # noqa: ANN401
+    return SnapshotQuery(Offset(struct.folded_to), struct.from_byte)
+
+
+def _encode_part(part: SnapshotPart | None) -> Any:  # noqa: ANN401
+    return part and ttypes.SnapshotPart(
+        part.folded_to, part.from_byte, part.total_bytes, part.data
+    )
+
+
+def _decode_part(struct: Any) -> SnapshotPart:  # noqa: ANN401
+    return SnapshotPart(
+        Offset(struct.folded_to), struct.from_byte, struct.total_bytes, struct.data
+    )
+
+
+def _encode_mark(mark: SnapshotMark | None) -> Any:  # noqa: ANN401
+    return mark and ttypes.SnapshotMark(mark.folded_to, mark.age_s)
+
+
+def _decode_mark(struct: Any) -> SnapshotMark:  # noqa: ANN401
+    return SnapshotMark(Offset(struct.folded_to), struct.age_s)
