--- /dev/null
+++ b/corianderhold/coordination/configuration/follower.py
@@ -0,0 +1,211 @@
+"""Keep the configuration in force up to date, from the log and from peers."""
+
+import threading
+from collections.abc import Callable
+from queue import Empty, SimpleQueue
+from random import Random
+
+from corianderhold.clock import Clock
+from corianderhold.coordination.configuration.const import (
+    ANTI_ENTROPY_ANY_MEMBER_SHARE,
+    ANTI_ENTROPY_INTERVAL_S,
+    ANTI_ENTROPY_JITTER,
+    ANTI_ENTROPY_PARENT_SHARE,
+    POLL_BACKOFF_LIMIT_S,
+    POLL_INTERVAL_S,
+    PUSH_THREADS,
+    SELF_POLL_AFTER_S,
+    SELF_POLL_BACKOFF_LIMIT_S,
+)
+from corianderhold.coordination.configuration.exchanger import Exchanger
+from corianderhold.coordination.configuration.peers import Peers
+from corianderhold.coordination.configuration.reader import LogReader, ReadOutcome
+from corianderhold.coordination.configuration.replica import Replica
+from corianderhold.coordination.configuration.snapshots import SnapshotKeeper
+from corianderhold.ids import FailureDomainId, InstanceId
+from corianderhold.log import log_event, log_warning
+from corianderhold.metrics import Metrics
+from corianderhold.protocol.peer.control import ControlClient, ControlSender
+from corianderhold.state.configuration.holder import ConfigurationHolder
+from corianderhold.state.membership.model import Member, Members
+from corianderhold.transport.store.model import Log
+
+STOP = None
+JOIN_TIMEOUT_S = 5.0
+
+
+class ConfigurationFollower:
+    """
+    Follow the configuration stream; the handler of the topic CONFIGURATION.
+
+    Few daemons of a domain read the log; all compare heads with a peer once a second
+    and push what is new to a few neighbours at once. `retention_s` is how long the
+    log keeps a record.
+    """
+
+    def __init__(
+        self,
+        instance: InstanceId,
+        domain: FailureDomainId,
+        retention_s: float,
+        log: Log,
+        client: ControlClient,
+        members: Members,
+        holder: ConfigurationHolder,
+        clock: Clock,
+        random: Random,
+        metrics: Metrics,
+    ) -> None:
+        self.replica = Replica(holder, metrics)
+        self._holder = holder
+        self._clock = clock
+        self._random = random
+        self._peers = Peers(instance, domain, members, clock, random)
+        self.keeper = SnapshotKeeper(
+            self.replica, self._peers, log, holder, clock, retention_s
+        )
+        self.exchanger = Exchanger(
+            self.replica, self.keeper, holder, client, clock, metrics
+        )
+        self._reader = LogReader(self.replica, self.keeper, log, holder, clock, metrics)
+        self._reader_lock = threading.Lock()
+        self._poll_backoff_s = POLL_INTERVAL_S
+        self._self_poll_after_s = self._draw_self_poll_s(SELF_POLL_AFTER_S)
+        self._self_polled_at = clock.read_monotonic()
+        self._pushes: SimpleQueue[Member | None] = SimpleQueue()
+        self._queued_lock = threading.Lock()
+        self._queued: set[InstanceId] = set()
+        self._stopped = threading.Event()
+        self._threads: list[threading.Thread] = []
+        self.replica.add_news_listener(self._queue_pushes)
+
+    def start(self) -> None:
+        """Start to read the log, to compare heads and to push."""
+        self._spawn("poll", lambda: self._repeat(self.poll_once))
+        self._spawn("spread", lambda: self._repeat(self.spread_once))
+        for _ in range(PUSH_THREADS):
+            self._spawn("push", self._push_until_stopped)
+
+    def stop(self) -> None:
+        """Stop all threads; waits for exchanges under way."""
+        self._stopped.set()
+        for _ in range(PUSH_THREADS):
+            self._pushes.put(STOP)
+        for thread in self._threads:
+            thread.join(JOIN_TIMEOUT_S)
+
+    def handle_control(self, sender: ControlSender, body: bytes) -> bytes:
+        """Answer a peer's exchange; raise ExchangeError when it is malformed."""
+        return self.exchanger.handle_control(sender, body)
+
+    def read_log(self) -> ReadOutcome:
+        """Fold what the log has now; may be called from any thread."""
+        with self._reader_lock:
+            return self._reader.catch_up()
+
+    def poll_once(self) -> float:
+        """Read the log when it is this daemon's part; return seconds to wait."""
+        if self._peers.is_poller():
+            outcome = self.read_log()
+            self._note_poll(outcome)
+        elif self._hears_nothing():
+            self._poll_for_itself()
+        self.keeper.keep()
+        jitter = 1 + ANTI_ENTROPY_JITTER * (self._random.random() - 0.5)
+        return self._poll_backoff_s * jitter
+
+    def spread_once(self) -> float:
+        """Compare heads with one peer; return seconds to wait."""
+        peer = self._pick_peer()
+        if peer is not None:
+            self.exchanger.exchange(peer)
+        jitter = 1 + ANTI_ENTROPY_JITTER * (self._random.random() - 0.5)
+        return ANTI_ENTROPY_INTERVAL_S * jitter
+
+    def push_queued(self) -> bool:
+        """Push to one queued neighbour; return False when none is queued."""
+        try:
+            member = self._pushes.get_nowait()
+        except Empty:
+            return False
+        if member is not STOP:
+            self._push(member)
+        return True
+
+    def _pick_peer(self) -> Member | None:
+        drawn = self._random.random()
+        if drawn < ANTI_ENTROPY_ANY_MEMBER_SHARE:
+            return self._peers.pick_any()
+        if drawn < ANTI_ENTROPY_ANY_MEMBER_SHARE + ANTI_ENTROPY_PARENT_SHARE:
+            return self._peers.pick_parent() or self._peers.pick_neighbour()
+        return self._peers.pick_neighbour() or self._peers.pick_any()
+
+    def _note_poll(self, outcome: ReadOutcome) -> None:
+        if outcome in (ReadOutcome.COMPLETE, ReadOutcome.PARTIAL):
+            self._poll_backoff_s = POLL_INTERVAL_S
+            return
+        log_warning("configuration_poll_failed", outcome=outcome)
+        self._poll_backoff_s = min(POLL_BACKOFF_LIMIT_S, 2 * self._poll_backoff_s)
+
+    def _hears_nothing(self) -> bool:
+        """Return whether no proof of a complete view came for long."""
+        heard_at = max(self._holder.verified_at, self._self_polled_at)
+        if heard_at > self._self_polled_at:
+            self._self_poll_after_s = min(
+                self._self_poll_after_s, 2 * SELF_POLL_AFTER_S
+            )
+        return self._clock.read_monotonic() - heard_at > self._self_poll_after_s
+
+    def _poll_for_itself(self) -> None:
+        """Read the log; wait ever longer, at random, while it can't be read."""
+        outcome = self.read_log()
+        log_event("configuration_self_poll", outcome=outcome)
+        self._self_polled_at = self._clock.read_monotonic()
+        wait_s = SELF_POLL_AFTER_S
+        if outcome is not ReadOutcome.COMPLETE:
+            wait_s = min(SELF_POLL_BACKOFF_LIMIT_S, 2 * self._self_poll_after_s)
+        self._self_poll_after_s = self._draw_self_poll_s(wait_s)
+
+    def _draw_self_poll_s(self, wait_s: float) -> float:
+        return wait_s * (1 + self._random.random())
+
+    def _queue_pushes(self) -> None:
+        """Queue a push to some neighbours, once for each that is still waiting."""
+        for member in self._peers.pick_push_targets():
+            with self._queued_lock:
+                waiting = member.instance in self._queued
+                self._queued.add(member.instance)
+            if not waiting:
+                self._pushes.put(member)
+
+    def _push(self, member: Member) -> None:
+        with self._queued_lock:
+            self._queued.discard(member.instance)
+        self.exchanger.exchange(member, push=True)
+
+    def _repeat(self, step: Callable[[], float]) -> None:
+        wait_s = 0.0
+        while not self._stopped.wait(wait_s):
+            try:
+                wait_s = step()
+            except Exception as error:  # noqa: BLE001
+                # The thread must outlive any one failed step.
+                log_warning("configuration_step_failed", error=repr(error))
+                wait_s = POLL_INTERVAL_S
+
+    def _push_until_stopped(self) -> None:
+        while True:
+            member = self._pushes.get()
+            if member is STOP or self._stopped.is_set():
+                return
+            try:
+                self._push(member)
+            except Exception as error:  # noqa: BLE001
+                log_warning("configuration_push_failed", error=repr(error))
+
+    def _spawn(self, name: str, target: Callable[[], None]) -> None:
+        thread = threading.Thread(
+            target=target, name=f"configuration-{name}", daemon=True
+        )
+        self._threads.append(thread)
+        thread.start()
--- /dev/null
+++ b/corianderhold/coordination/configuration/snapshots.py
@@ -0,0 +1,132 @@
+"""Append a snapshot to the log well before retention drops the last one."""
+
+import threading
+
+from result import Ok
+
+from corianderhold.clock import Clock
+from corianderhold.coordination.configuration.const import (
+    LOG_APPEND_TIMEOUT_S,
+    SNAPSHOT_AGE_SHARE,
+    SNAPSHOT_EVERY_RECORDS,
+    SNAPSHOT_RETRY_S,
+    SNAPSHOT_TURN_S,
+    SNAPSHOT_VIEW_AGE_LIMIT_S,
+)
+from corianderhold.coordination.configuration.peers import Peers
+from corianderhold.coordination.configuration.replica import Replica
+from corianderhold.ids import Offset
+from corianderhold.log import log_event
+from corianderhold.protocol.configuration.messages import SnapshotMark
+from corianderhold.state.configuration.codec import encode_snapshot
+from corianderhold.state.configuration.fold import build_snapshot
+from corianderhold.state.configuration.holder import ConfigurationHolder
+from corianderhold.state.configuration.records import SnapshotRecord
+from corianderhold.transport.store.model import Log, StreamName
+
+NO_SNAPSHOT = Offset(-1)
+
+
+class SnapshotKeeper:
+    """
+    Know the best snapshot in the log and append the next one in turn.
+
+    Daemons take turns by their rank for the last snapshot, so that the first one
+    usually writes alone. `retention_s` is how long the log keeps a record.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        peers: Peers,
+        log: Log,
+        holder: ConfigurationHolder,
+        clock: Clock,
+        retention_s: float,
+    ) -> None:
+        self._replica = replica
+        self._peers = peers
+        self._log = log
+        self._holder = holder
+        self._clock = clock
+        self._age_limit_s = retention_s * SNAPSHOT_AGE_SHARE
+        self._lock = threading.Lock()
+        self._folded_to = NO_SNAPSHOT
+        self._seen_at = clock.read_monotonic()
+        self._first_offset = Offset(0)
+        self._due_since: float | None = None
+        self._retry_at = float("-inf")
+        replica.add_snapshot_listener(self.note_snapshot)
+
+    def read_mark(self) -> SnapshotMark | None:
+        """Return the best snapshot known to be in the log, with its age."""
+        with self._lock:
+            if self._folded_to == NO_SNAPSHOT:
+                return None
+            age_s = self._clock.read_monotonic() - self._seen_at
+            return SnapshotMark(self._folded_to, int(age_s))
+
+    def learn_mark(self, mark: SnapshotMark) -> None:
+        """Take over a peer's knowledge of a newer snapshot or of a greater age."""
+        seen_at = self._clock.read_monotonic() - mark.age_s
+        with self._lock:
+            if mark.folded_to > self._folded_to:
+                self._set_mark(mark.folded_to, seen_at)
+            elif mark.folded_to == self._folded_to:
+                self._seen_at = min(self._seen_at, seen_at)
+
+    def note_snapshot(self, snapshot: SnapshotRecord) -> None:
+        """Note a valid snapshot that was read from the log."""
+        with self._lock:
+            if snapshot.folded_to > self._folded_to:
+                self._set_mark(snapshot.folded_to, self._clock.read_monotonic())
+
+    def note_first_offset(self, first_offset: Offset) -> None:
+        """Note the oldest offset that the log still keeps."""
+        with self._lock:
+            self._first_offset = max(self._first_offset, first_offset)
+
+    def keep(self) -> None:
+        """Append a snapshot when one is due and it is this daemon's turn."""
+        now = self._clock.read_monotonic()
+        if not self._is_due(now):
+            self._due_since = None
+            return
+        if self._due_since is None:
+            self._due_since = now
+        view_age_s = now - self._holder.verified_at
+        if now < self._retry_at or view_age_s > SNAPSHOT_VIEW_AGE_LIMIT_S:
+            return
+        rank = self._peers.rank_self(f"snapshot/{self._folded_to}")
+        if now - self._due_since >= rank * SNAPSHOT_TURN_S:
+            self._retry_at = now + SNAPSHOT_RETRY_S
+            self._append()
+
+    def _set_mark(self, folded_to: Offset, seen_at: float) -> None:
+        self._folded_to = folded_to
+        self._seen_at = seen_at
+        self._due_since = None
+
+    def _is_due(self, now: float) -> bool:
+        state = self._replica.state
+        with self._lock:
+            continued_at = self._folded_to + 1
+            if state.next_offset == 0:
+                return False
+            return (
+                state.next_offset - continued_at >= SNAPSHOT_EVERY_RECORDS
+                or now - self._seen_at >= self._age_limit_s
+                or continued_at < self._first_offset
+            )
+
+    def _append(self) -> None:
+        state = self._replica.state
+        text = encode_snapshot(build_snapshot(state))
+        outcome = self._log.append(StreamName.CONFIGURATION, text, LOG_APPEND_TIMEOUT_S)
+        log_event(
+            "snapshot_appended",
+            version=state.version,
+            next_offset=state.next_offset,
+            bytes=len(text),
+            outcome="ok" if isinstance(outcome, Ok) else outcome.err_value,
+        )
--- /dev/null
+++ b/corianderhold/coordination/configuration/texts.py
@@ -0,0 +1,68 @@
+"""Keep compressed snapshots of the own state for peers that start or lag far."""
+
+import threading
+import zlib
+from collections import OrderedDict
+
+from result import Err, Ok, Result
+
+from corianderhold.coordination.configuration.const import (
+    SNAPSHOT_BYTES_MAX,
+    SNAPSHOT_PART_BYTES,
+    SNAPSHOT_TEXTS_KEPT,
+)
+from corianderhold.coordination.configuration.replica import Replica
+from corianderhold.ids import Offset
+from corianderhold.protocol.configuration.messages import SnapshotPart, SnapshotQuery
+from corianderhold.state.configuration.codec import encode_snapshot
+from corianderhold.state.configuration.fold import build_snapshot
+
+
+class SnapshotTexts:
+    """Serve parts of snapshots; one stays for as long as the tail continues it."""
+
+    def __init__(self, replica: Replica) -> None:
+        self._replica = replica
+        self._lock = threading.Lock()
+        self._texts: OrderedDict[Offset, bytes] = OrderedDict()
+
+    def read_part(self, query: SnapshotQuery) -> SnapshotPart:
+        """Return the part asked for, or the first one of the newest snapshot."""
+        with self._lock:
+            text = self._texts.get(query.folded_to)
+            folded_to, from_byte = query.folded_to, query.from_byte
+            if text is None or not 0 <= from_byte < len(text):
+                folded_to, text = self._find_newest()
+                from_byte = 0
+        data = text[from_byte : from_byte + SNAPSHOT_PART_BYTES]
+        return SnapshotPart(folded_to, from_byte, len(text), data)
+
+    def _find_newest(self) -> tuple[Offset, bytes]:
+        for folded_to in reversed(self._texts):
+            if self._continues(folded_to):
+                return folded_to, self._texts[folded_to]
+        snapshot = build_snapshot(self._replica.state)
+        text = zlib.compress(encode_snapshot(snapshot).encode())
+        self._texts[snapshot.folded_to] = text
+        while len(self._texts) > SNAPSHOT_TEXTS_KEPT:
+            self._texts.popitem(last=False)
+        return snapshot.folded_to, text
+
+    def _continues(self, folded_to: Offset) -> bool:
+        """Return whether the records after a snapshot are still kept."""
+        following = Offset(folded_to + 1)
+        if following == self._replica.head.next_offset:
+            return True
+        return bool(self._replica.slice_tail(following, 1))
+
+
+def decompress_snapshot(data: bytes) -> Result[str, str]:
+    """Return the text of a compressed snapshot, or what is wrong with it."""
+    decompressor = zlib.decompressobj()
+    try:
+        text = decompressor.decompress(data, SNAPSHOT_BYTES_MAX)
+        if not decompressor.eof:
+            return Err("the snapshot is truncated or too long")
+        return Ok(text.decode())
+    except (zlib.error, UnicodeDecodeError) as error:
+        return Err(repr(error))
--- a/corianderhold/protocol/configuration/codec.py
+++ b/corianderhold/protocol/configuration/codec.py
@@ -10,7 +10,6 @@
 from corianderhold.protocol.configuration.errors import ExchangeError
 from corianderhold.protocol.configuration.gen import ttypes
 from corianderhold.protocol.configuration.messages import (
-    Batch,
     Exchange,
     ExchangeReply,
     Head,
@@ -29,7 +28,7 @@
     """Return the body of a control request."""
     struct = ttypes.Exchange(
         head=_encode_head(exchange.head),
-        batch=_encode_batch(exchange.batch),
+        records=_encode_records(exchange.records),
         snapshot=_encode_query(exchange.snapshot),
     )
     return _serialize(struct)
@@ -40,7 +39,7 @@
     struct = _deserialize(ttypes.Exchange(), body)
     return Exchange(
         _decode_head(struct.head),
-        _decode_optional(struct.batch, _decode_batch),
+        _decode_records(struct.records),
         _decode_optional(struct.snapshot, _decode_query),
     )
 
@@ -50,7 +49,7 @@
     struct = ttypes.ExchangeReply(
         head=_encode_head(reply.head),
         verified_age_ms=reply.verified_age_ms,
-        batch=_encode_batch(reply.batch),
+        records=_encode_records(reply.records),
         part=_encode_part(reply.part),
         mark=_encode_mark(reply.mark),
         snapshot_needed=reply.snapshot_needed or None,
@@ -66,7 +65,7 @@
     return ExchangeReply(
         _decode_head(struct.head),
         struct.verified_age_ms,
-        _decode_optional(struct.batch, _decode_batch),
+        _decode_records(struct.records),
         _decode_optional(struct.part, _decode_part),
         _decode_optional(struct.mark, _decode_mark),
         bool(struct.snapshot_needed),
@@ -91,13 +90,12 @@
 
 def _validate_parts(struct: Any) -> None:  # noqa: ANN401
     """Raise unless every part holds its required fields."""
-    for name in ("head", "batch", "snapshot", "part", "mark"):
+    for name in ("head", "snapshot", "part", "mark"):
         part = getattr(struct, name, None)
-        if part is None:
-            continue
-        part.validate()
-        for record in getattr(part, "records", ()):
-            record.validate()
+        if part is not None:
+            part.validate()
+    for record in struct.records or ():
+        record.validate()
 
 
 def _decode_optional(struct: Any, decode: Callable[[Any], T]) -> T | None:  # noqa: ANN401
@@ -112,18 +110,12 @@
     return Head(Offset(struct.next_offset), Version(struct.version), struct.digest)
 
 
-def _encode_batch(batch: Batch | None) -> Any:  # noqa: ANN401
-    if batch is None:
-        return None
-    records = [ttypes.Record(record.offset, record.data) for record in batch.records]
-    return ttypes.Batch(batch.from_offset, records)
+def _encode_records(records: tuple[LogRecord, ...]) -> Any:  # noqa: ANN401
+    return [ttypes.Record(each.offset, each.data) for each in records] or None
 
 
-def _decode_batch(struct: Any) -> Batch:  # noqa: ANN401
-    records = [
-        LogRecord(Offset(record.offset), record.data) for record in struct.records
-    ]
-    return Batch(Offset(struct.from_offset), tuple(records))
+def _decode_records(structs: Any) -> tuple[LogRecord, ...]:  # noqa: ANN401
+    return tuple(LogRecord(Offset(each.offset), each.data) for each in structs or ())
 
 
 def _encode_query(query: SnapshotQuery | None) -> Any:  # noqa: ANN401
--- a/corianderhold/protocol/configuration/configuration.thrift
+++ b/corianderhold/protocol/configuration/configuration.thrift
@@ -10,17 +10,12 @@
   3: required binary digest            // first bytes of the state's digest
 }
 
+// A record without text is a snapshot that changes nothing.
 struct Record {
   1: required i64 offset
   2: required string data
 }
 
-// All records of the stream from `from_offset` to the last one listed.
-struct Batch {
-  1: required i64 from_offset
-  2: required list<Record> records
-}
-
 // Asks for part of a snapshot; `folded_to` is -2 for the newest.
 struct SnapshotQuery {
   1: required i64 folded_to
@@ -43,15 +38,15 @@
 
 struct Exchange {
   1: required Head head
-  2: optional Batch batch
+  2: optional list<Record> records     // without a gap
   3: optional SnapshotQuery snapshot
 }
 
 struct ExchangeReply {
   1: required Head head
   2: optional i64 verified_age_ms      // absent when the view was never verified
-  3: optional Batch batch
+  3: optional list<Record> records     // without a gap, from the asker's head on
   4: optional SnapshotPart part
   5: optional SnapshotMark mark
-  6: optional bool snapshot_needed     // the batch asked for is no longer kept
+  6: optional bool snapshot_needed     // the records missing are no longer kept
 }
--- a/corianderhold/protocol/configuration/gen/ttypes.py
+++ b/corianderhold/protocol/configuration/gen/ttypes.py
@@ -198,99 +198,6 @@
         return not (self == other)
 
 
-class Batch(object):
-    """
-    Attributes:
-     - from_offset
-     - records
-
-    """
-
-    __slots__ = (
-        'from_offset',
-        'records',
-    )
-
-
-    def __init__(self, from_offset=None, records=None,):
-        self.from_offset = from_offset
-        self.records = records
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.I64:
-                    self.from_offset = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.LIST:
-                    self.records = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = Record()
-                        _elem5.read(iprot)
-                        self.records.append(_elem5)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('Batch')
-        if self.from_offset is not None:
-            oprot.writeFieldBegin('from_offset', TType.I64, 1)
-            oprot.writeI64(self.from_offset)
-            oprot.writeFieldEnd()
-        if self.records is not None:
-            oprot.writeFieldBegin('records', TType.LIST, 2)
-            oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter6 in self.records:
-                iter6.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        if self.from_offset is None:
-            raise TProtocolException(message='Required field from_offset is unset!')
-        if self.records is None:
-            raise TProtocolException(message='Required field records is unset!')
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class SnapshotQuery(object):
     """
     Attributes:
@@ -575,21 +482,21 @@
     """
     Attributes:
      - head
-     - batch
+     - records
      - snapshot
 
     """
 
     __slots__ = (
         'head',
-        'batch',
+        'records',
         'snapshot',
     )
 
 
-    def __init__(self, head=None, batch=None, snapshot=None,):
+    def __init__(self, head=None, records=None, snapshot=None,):
         self.head = head
-        self.batch = batch
+        self.records = records
         self.snapshot = snapshot
 
     def read(self, iprot):
@@ -608,9 +515,14 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.STRUCT:
-                    self.batch = Batch()
-                    self.batch.read(iprot)
+                if ftype == TType.LIST:
+                    self.records = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = Record()
+                        _elem5.read(iprot)
+                        self.records.append(_elem5)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
@@ -633,9 +545,12 @@
             oprot.writeFieldBegin('head', TType.STRUCT, 1)
             self.head.write(oprot)
             oprot.writeFieldEnd()
-        if self.batch is not None:
-            oprot.writeFieldBegin('batch', TType.STRUCT, 2)
-            self.batch.write(oprot)
+        if self.records is not None:
+            oprot.writeFieldBegin('records', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.records))
+            for iter6 in self.records:
+                iter6.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.snapshot is not None:
             oprot.writeFieldBegin('snapshot', TType.STRUCT, 3)
@@ -673,7 +588,7 @@
     Attributes:
      - head
      - verified_age_ms
-     - batch
+     - records
      - part
      - mark
      - snapshot_needed
@@ -683,17 +598,17 @@
     __slots__ = (
         'head',
         'verified_age_ms',
-        'batch',
+        'records',
         'part',
         'mark',
         'snapshot_needed',
     )
 
 
-    def __init__(self, head=None, verified_age_ms=None, batch=None, part=None, mark=None, snapshot_needed=None,):
+    def __init__(self, head=None, verified_age_ms=None, records=None, part=None, mark=None, snapshot_needed=None,):
         self.head = head
         self.verified_age_ms = verified_age_ms
-        self.batch = batch
+        self.records = records
         self.part = part
         self.mark = mark
         self.snapshot_needed = snapshot_needed
@@ -719,9 +634,14 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.STRUCT:
-                    self.batch = Batch()
-                    self.batch.read(iprot)
+                if ftype == TType.LIST:
+                    self.records = []
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = Record()
+                        _elem12.read(iprot)
+                        self.records.append(_elem12)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
@@ -759,9 +679,12 @@
             oprot.writeFieldBegin('verified_age_ms', TType.I64, 2)
             oprot.writeI64(self.verified_age_ms)
             oprot.writeFieldEnd()
-        if self.batch is not None:
-            oprot.writeFieldBegin('batch', TType.STRUCT, 3)
-            self.batch.write(oprot)
+        if self.records is not None:
+            oprot.writeFieldBegin('records', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.records))
+            for iter13 in self.records:
+                iter13.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.part is not None:
             oprot.writeFieldBegin('part', TType.STRUCT, 4)
@@ -813,12 +736,6 @@
     (1, TType.I64, 'offset', None, None, ),  # 1
     (2, TType.STRING, 'data', 'UTF8', None, ),  # 2
 )
-all_structs.append(Batch)
-Batch.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'from_offset', None, None, ),  # 1
-    (2, TType.LIST, 'records', (TType.STRUCT, [Record, None], False), None, ),  # 2
-)
 all_structs.append(SnapshotQuery)
 SnapshotQuery.thrift_spec = (
     None,  # 0
@@ -843,7 +760,7 @@
 Exchange.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'head', [Head, None], None, ),  # 1
-    (2, TType.STRUCT, 'batch', [Batch, None], None, ),  # 2
+    (2, TType.LIST, 'records', (TType.STRUCT, [Record, None], False), None, ),  # 2
     (3, TType.STRUCT, 'snapshot', [SnapshotQuery, None], None, ),  # 3
 )
 all_structs.append(ExchangeReply)
@@ -851,7 +768,7 @@
     None,  # 0
     (1, TType.STRUCT, 'head', [Head, None], None, ),  # 1
     (2, TType.I64, 'verified_age_ms', None, None, ),  # 2
-    (3, TType.STRUCT, 'batch', [Batch, None], None, ),  # 3
+    (3, TType.LIST, 'records', (TType.STRUCT, [Record, None], False), None, ),  # 3
     (4, TType.STRUCT, 'part', [SnapshotPart, None], None, ),  # 4
     (5, TType.STRUCT, 'mark', [SnapshotMark, None], None, ),  # 5
     (6, TType.BOOL, 'snapshot_needed', None, None, ),  # 6
--- a/corianderhold/protocol/configuration/messages.py
+++ b/corianderhold/protocol/configuration/messages.py
@@ -15,14 +15,6 @@
     digest: bytes
 
 
-@dataclass(frozen=True)
-class Batch:
-    """All records of the stream from `from_offset` to the last one listed."""
-
-    from_offset: Offset
-    records: tuple[LogRecord, ...]
-
-
 @dataclass(frozen=True)
 class SnapshotQuery:
     """Ask for a part of the snapshot folded to an offset, or of the newest."""
@@ -51,10 +43,14 @@
 
 @dataclass(frozen=True)
 class Exchange:
-    """Tell a peer the own head, with records for it or a query for a snapshot."""
+    """
+    Tell a peer the own head, with records for it or a query for a snapshot.
+
+    `records` have no gap; one without text is a snapshot that changes nothing.
+    """
 
     head: Head
-    batch: Batch | None = None
+    records: tuple[LogRecord, ...] = ()
     snapshot: SnapshotQuery | None = None
 
 
@@ -69,7 +65,7 @@
 
     head: Head
     verified_age_ms: int | None = None
-    batch: Batch | None = None
+    records: tuple[LogRecord, ...] = ()
     part: SnapshotPart | None = None
     mark: SnapshotMark | None = None
     snapshot_needed: bool = False
--- /dev/null
+++ b/tests/common/fleet.py
@@ -0,0 +1,223 @@
+"""Run many configuration followers on a fake clock, network and log."""
+
+import heapq
+from collections.abc import Callable
+from random import Random
+
+from result import Err, Ok, Result
+
+from corianderhold.coordination.configuration.follower import ConfigurationFollower
+from corianderhold.ids import FailureDomainId, Incarnation, InstanceId, RegionId
+from corianderhold.metrics import Metrics
+from corianderhold.protocol.peer.control import (
+    ControlFailure,
+    ControlSender,
+    ControlTopic,
+)
+from corianderhold.state.configuration.holder import ConfigurationHolder
+from corianderhold.state.membership.model import (
+    Address,
+    Member,
+    Members,
+    MemberState,
+    TargetState,
+)
+from corianderhold.transport.store.model import Log
+from tests.common.clock import FakeClock
+
+FRAME_BYTES = 32
+NEAR_DELAY_S = 0.001
+FAR_DELAY_S = 0.030
+
+
+class SettableClock(FakeClock):
+    """Let the simulation set the time of the event that runs."""
+
+    def set_elapsed(self, seconds: float) -> None:
+        self._monotonic_s = 1000.0 + seconds
+        self._wall_s = 1.7e9 + seconds
+
+    @property
+    def elapsed(self) -> float:
+        return self._monotonic_s - 1000.0
+
+
+class StaticMembers:
+    """Know a list of members that tests change."""
+
+    def __init__(self) -> None:
+        self.members: dict[InstanceId, Member] = {}
+
+    def list_owners(self, service: str) -> tuple[Member, ...]:
+        return ()
+
+    def list_members(self) -> tuple[Member, ...]:
+        return tuple(self.members.values())
+
+
+class Daemon:
+    """One daemon of the fleet with its own view of the configuration."""
+
+    def __init__(self, fleet: "Fleet", member: Member, log: Log) -> None:
+        self.member = member
+        self.fleet = fleet
+        self.up = True
+        self.metrics = Metrics()
+        self.holder = ConfigurationHolder()
+        self.versions: list[int] = []
+        self.holder.add_listener(lambda each: self.versions.append(each.version))
+        self.bytes_sent = 0
+        self.log = log
+        members: Members = fleet.members
+        self.follower = ConfigurationFollower(
+            instance=member.instance,
+            domain=member.domain,
+            retention_s=fleet.retention_s,
+            log=log,
+            client=self,
+            members=members,
+            holder=self.holder,
+            clock=fleet.clock,
+            random=Random(f"{fleet.seed}/{member.instance}"),
+            metrics=self.metrics,
+        )
+        self.follower.replica.add_news_listener(self._schedule_push)
+
+    def request(
+        self, address: Address, topic: ControlTopic, body: bytes, timeout_s: float
+    ) -> Result[bytes, ControlFailure]:
+        """Send a control request over the fake network."""
+        return self.fleet.carry(self, address, body, timeout_s)
+
+    def _schedule_push(self) -> None:
+        self.fleet.schedule(0.0, self._push)
+
+    def _push(self) -> None:
+        if self.up and self.follower.push_queued():
+            self.fleet.schedule(0.0, self._push)
+
+
+class Fleet:
+    """
+    Schedule the steps of all daemons.
+
+    A request moves the clock by its delay, for the steps that follow in the same
+    event only, so daemons run side by side.
+    """
+
+    def __init__(
+        self,
+        domains: int,
+        daemons: int,
+        log: Log,
+        seed: int = 1,
+        retention_s: float = 86_400.0,
+    ) -> None:
+        self.seed = seed
+        self.clock = SettableClock()
+        self.retention_s = retention_s
+        self.members = StaticMembers()
+        self.daemons: dict[str, Daemon] = {}
+        self.cuts: set[frozenset[str]] = set()
+        self.observe: Callable[[], None] = lambda: None
+        self._log = log
+        self._domains = domains
+        self._random = Random(seed)
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = 0
+        for number in range(daemons):
+            self.add(f"d{number % domains}", f"10.0.{number // 250}.{number % 250}")
+
+    def add(self, domain: str, host: str, log: Log | None = None) -> Daemon:
+        """Start a daemon, with its own way to the log where one is given."""
+        instance = InstanceId(host)
+        member = Member(
+            instance=instance,
+            incarnation=Incarnation(1),
+            sequence=1,
+            domain=FailureDomainId(domain),
+            region=RegionId("r"),
+            peer_address=Address(host, 7000),
+            gossip_address=Address(host, 7001),
+            service=None,
+            target_state=TargetState.ABSENT,
+        )
+        self.members.members[instance] = member
+        daemon = Daemon(self, member, log or self._log)
+        self.daemons[host] = daemon
+        self._repeat(daemon, daemon.follower.poll_once)
+        self._repeat(daemon, daemon.follower.spread_once)
+        return daemon
+
+    def kill(self, daemon: Daemon) -> None:
+        """Stop a daemon; its peers see it as dead."""
+        daemon.up = False
+        self.daemons.pop(daemon.member.peer_address.host)
+        self.members.members.pop(daemon.member.instance)
+
+    def cut(self, one: str, other: str) -> None:
+        """Cut two domains off from each other."""
+        self.cuts.add(frozenset({one, other}))
+
+    def schedule(self, delay_s: float, step: Callable[[], None]) -> None:
+        """Run a step after a delay."""
+        self._sequence += 1
+        at = self.clock.elapsed + delay_s
+        heapq.heappush(self._events, (at, self._sequence, step))
+
+    def run(self, seconds: float) -> None:
+        """Run all steps that fall due within some seconds."""
+        self.run_until(lambda: False, seconds)
+
+    def run_until(self, condition: Callable[[], bool], limit_s: float) -> bool:
+        """Run steps until a condition holds; return whether it came to hold."""
+        start = self.clock.elapsed
+        while self._events and self._events[0][0] <= start + limit_s:
+            at, _, step = heapq.heappop(self._events)
+            self.clock.set_elapsed(max(start, at))
+            step()
+            self.observe()
+            if condition():
+                return True
+        self.clock.set_elapsed(start + limit_s)
+        return condition()
+
+    def carry(
+        self, sender: Daemon, address: Address, body: bytes, timeout_s: float
+    ) -> Result[bytes, ControlFailure]:
+        """Carry a request and its reply, unless the way is cut or the peer down."""
+        peer = self.daemons.get(address.host)
+        domains = {sender.member.domain, peer.member.domain} if peer else set()
+        if peer is None or frozenset(domains) in self.cuts or not peer.up:
+            self.clock.advance(timeout_s)
+            return Err(ControlFailure.TIMEOUT)
+        delay_s = NEAR_DELAY_S if len(domains) == 1 else FAR_DELAY_S
+        self.clock.advance(delay_s)
+        reply = peer.follower.handle_control(
+            ControlSender(sender.member.instance), body
+        )
+        self.clock.advance(delay_s)
+        sender.bytes_sent += len(body) + FRAME_BYTES
+        peer.bytes_sent += len(reply) + FRAME_BYTES
+        return Ok(reply)
+
+    def in_force(self, version: int) -> int:
+        """Return how many daemons have at least a version in force."""
+        return sum(
+            daemon.holder.current.version >= version
+            for daemon in self.daemons.values()
+        )
+
+    def is_agreed(self) -> bool:
+        """Return whether all daemons have the same state of the stream."""
+        heads = {daemon.follower.replica.head for daemon in self.daemons.values()}
+        return len(heads) == 1
+
+    def _repeat(self, daemon: Daemon, step: Callable[[], float]) -> None:
+        def run_step() -> None:
+            if daemon.up:
+                self.schedule(step(), run_step)
+
+        self.schedule(self._random.random(), run_step)
+
+
