--- a/emulator/sample.py
+++ b/emulator/sample.py
@@ -1,25 +1,40 @@
 """Describe a small deployment for the demo, tests and measurements."""
 
+import time
+
+from corianderhold.state.keys.const import KEY_MARK, SECRET_BYTES
+from corianderhold.state.keys.digest import digest_secret
+
 from corianderhold.ids import (
+    ChangeId,
     FailureDomainId,
+    KeyId,
     OrganisationId,
     RouteName,
     ServiceName,
+    Version,
 )
+from corianderhold.state.configuration.codec import encode_change
 from corianderhold.state.configuration.model import (
+    ApiKey,
     Importance,
     Organisation,
     Route,
     Service,
 )
+from corianderhold.state.configuration.records import ChangeRecord, Delta
 
 DOMAIN_A = FailureDomainId("ch-west-a")
 DOMAIN_B = FailureDomainId("ch-west-b")
 BROADCASTER = OrganisationId("broadcaster")
 SCHOOLS = OrganisationId("schools")
-BROADCASTER_KEY = "key-of-the-broadcaster"
-SCHOOLS_KEY = "key-of-the-schools"
-UNKNOWN_KEY = "key-of-nobody"
+BROADCASTER_KEY_ID = KeyId("broadcaster-1")
+SCHOOLS_KEY_ID = KeyId("schools-1")
+BROADCASTER_SECRET = "1b" * SECRET_BYTES
+SCHOOLS_SECRET = "2c" * SECRET_BYTES
+BROADCASTER_KEY = f"{KEY_MARK}_{BROADCASTER_KEY_ID}_{BROADCASTER_SECRET}"
+SCHOOLS_KEY = f"{KEY_MARK}_{SCHOOLS_KEY_ID}_{SCHOOLS_SECRET}"
+UNKNOWN_KEY = f"{KEY_MARK}_nobody-1_{BROADCASTER_SECRET}"
 CATALOGUE = ServiceName("catalogue")
 RIGHTS = ServiceName("rights")
 TRANSCRIPTS = ServiceName("transcripts")
@@ -58,4 +73,22 @@
     Organisation(BROADCASTER, rate=2000.0, burst=4000.0, shares=SHARES),
     Organisation(SCHOOLS, rate=2000.0, burst=4000.0, shares=SHARES),
 )
-KEYS = {BROADCASTER: BROADCASTER_KEY, SCHOOLS: SCHOOLS_KEY}
+KEYS = (
+    ApiKey(BROADCASTER_KEY_ID, BROADCASTER, digest_secret(BROADCASTER_SECRET)),
+    ApiKey(SCHOOLS_KEY_ID, SCHOOLS, digest_secret(SCHOOLS_SECRET)),
+)
+
+
+def build_records() -> list[str]:
+    """Return the records that put the sample deployment in force as version 1."""
+    delta = Delta(SERVICES, ROUTES, ORGANISATIONS, KEYS)
+    return [build_change(0, delta)]
+
+
+def build_change(base_version: int, delta: Delta) -> str:
+    """Return the record of a change made from `base_version`."""
+    change_id = ChangeId(f"sample-{base_version}")
+    author, note = "emulator", "sample deployment"
+    return encode_change(
+        ChangeRecord(change_id, Version(base_version), author, time.time(), note, delta)
+    )
