--- a/emulator/echo.py
+++ b/emulator/echo.py
@@ -3,7 +3,7 @@
 import socket
 import threading
 
-from corianderhold.log import format_event
+from corianderhold.log import LogValue, format_event
 
 READ_SIZE_BYTES = 65_536
 
@@ -25,8 +25,9 @@
     """
     listener = socket.create_server((host, port))
     name, number = listener.getsockname()
-    fields = {"component": "echo", "address": f"{name}:{number}"}
-    print(format_event("listening", {**fields}), flush=True)
+    fields: dict[str, LogValue] = {"component": "echo"}
+    fields["address"] = f"{name}:{number}"
+    print(format_event("listening", fields), flush=True)
     while True:
         connection, _ = listener.accept()
         threading.Thread(
--- a/emulator/web.py
+++ b/emulator/web.py
@@ -13,7 +13,7 @@
 
 from cheroot.wsgi import Server
 
-from corianderhold.log import format_event
+from corianderhold.log import LogValue, format_event
 
 READ_SIZE_BYTES = 65_536
 BACKLOG_CONNECTIONS = 1024
@@ -151,8 +151,11 @@
 
     def print_listening(self) -> None:
         """Print the line that tells the address."""
-        fields = {"component": self._name, "address": self.address}
-        print(format_event("listening", {**fields}), flush=True)
+        fields: dict[str, LogValue] = {
+            "component": self._name,
+            "address": self.address,
+        }
+        print(format_event("listening", fields), flush=True)
 
     def stop(self) -> None:
         """Close all connections and the listener."""
@@ -174,8 +177,9 @@
         self, msg: str = "", level: int = 20, traceback: bool = False
     ) -> None:
         error = sys.exc_info()[1] if traceback else None
-        fields = {"component": self._name, "message": msg, "error": repr(error)}
-        print(format_event("server_error", {**fields}), file=sys.stderr, flush=True)
+        fields: dict[str, LogValue] = {"component": self._name, "message": msg}
+        fields["error"] = repr(error)
+        print(format_event("server_error", fields), file=sys.stderr, flush=True)
 
 
 def wait_for_signal() -> None:
