Wire the daemon and serve a nested call end to end

Cause: the parts were there, the path was not. Change: bootstrap, command line with serve, graceful stop, log output in a thread of its own, admission in step with the configuration, a health page.

--- /dev/null
+++ b/corianderhold/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Serve operators on the admin listener."""
--- /dev/null
+++ b/corianderhold/bootstrap.py
@@ -0,0 +1,203 @@
+"""Wire the parts of a daemon; the only place that knows all of them."""
+
+import os
+import threading
+import time
+from random import Random
+
+from corianderhold.admin.health import HealthApplication
+from corianderhold.clock import SystemClock
+from corianderhold.coordination.configuration.follower import ConfigurationFollower
+from corianderhold.coordination.entry.application import CallerApplication
+from corianderhold.coordination.entry.choice import LocalityChooser, Place
+from corianderhold.coordination.entry.outgoing import OutgoingApplication
+from corianderhold.coordination.entry.router import Router
+from corianderhold.coordination.entry.sender import PeerSender
+from corianderhold.coordination.entry.watch import CallerWatch
+from corianderhold.coordination.membership.service import (
+    MembershipService,
+    MembershipSettings,
+)
+from corianderhold.coordination.owner.admission import Admission
+from corianderhold.coordination.owner.owner import Owner
+from corianderhold.coordination.owner.policy import (
+    AdmissionConfigurator,
+    build_default_limit,
+    build_default_policy,
+)
+from corianderhold.coordination.owner.remote import RemoteCallServer
+from corianderhold.coordination.rate.limiter import AllowanceLimiter
+from corianderhold.coordination.rate.static import StaticAllocator
+from corianderhold.core import Application
+from corianderhold.drain import GracefulStop
+from corianderhold.ids import Incarnation
+from corianderhold.metrics import Metrics
+from corianderhold.protocol.peer.control import ControlTopic
+from corianderhold.settings.model import Settings
+from corianderhold.state.configuration.holder import ConfigurationHolder
+from corianderhold.transport.peer.control import LinkControlClient
+from corianderhold.transport.peer.handshake import Identity
+from corianderhold.transport.peer.pool import LinkPool
+from corianderhold.transport.peer.server import PeerServer
+from corianderhold.transport.store.client import HttpLog
+from corianderhold.transport.web.server import WebServer
+from corianderhold.transport.web.target import TargetClient
+
+ADMIN_THREADS = 4
+THREAD_STACK_BYTES = 512 * 1024
+
+
+def build_daemon(settings: Settings) -> Application:
+    """Build a daemon from its settings; nothing listens before it starts."""
+    threading.stack_size(THREAD_STACK_BYTES)
+    return DaemonBuilder(settings).build()
+
+
+def draw_incarnation() -> Incarnation:
+    """Return a number that is higher for every later start of a daemon."""
+    return Incarnation(time.time_ns() // 1000)
+
+
+class DaemonBuilder:
+    """Build the parts of one daemon in the order in which they need each other."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._clock = SystemClock()
+        self._random = Random(os.urandom(16))
+        self._metrics = Metrics()
+        self._holder = ConfigurationHolder()
+        self._incarnation = draw_incarnation()
+        self._identity = Identity(
+            settings.instance, self._incarnation, settings.fleet_secret
+        )
+        self._pool = LinkPool(self._identity, self._clock)
+        self._control = LinkControlClient(self._pool)
+        self._log = HttpLog(f"http://{settings.store}", self._clock)
+        self._membership = self._build_membership()
+        self._follower = self._build_follower()
+
+    def build(self) -> Application:
+        """Return the application with all parts."""
+        settings = self._settings
+        admission = Admission(
+            build_default_limit(), build_default_policy(), self._clock, self._random
+        )
+        owner = Owner(
+            self._membership,
+            admission,
+            TargetClient(self._clock),
+            self._clock,
+            self._metrics,
+        )
+        router = self._build_router(owner)
+        watch = CallerWatch(router.cancel)
+        limiter = AllowanceLimiter()
+        listeners = settings.listeners
+        callers = CallerApplication(
+            self._holder,
+            limiter,
+            router,
+            watch,
+            self._clock,
+            self._metrics,
+            listeners.caller_threads,
+        )
+        outgoing = OutgoingApplication(
+            self._holder,
+            owner.calls,
+            router,
+            self._membership,
+            watch,
+            self._clock,
+            self._metrics,
+            listeners.outgoing_threads,
+        )
+        allocator = StaticAllocator(
+            limiter, self._holder, settings.domain, settings.entry_slots, self._clock
+        )
+        return Application(
+            [
+                self._pool,
+                AdmissionConfigurator(admission, self._holder, self._membership),
+                allocator,
+                self._build_peer_server(owner),
+                self._membership,
+                self._follower,
+                watch,
+                WebServer(
+                    "outgoing", listeners.outgoing, outgoing, listeners.outgoing_threads
+                ),
+                WebServer(
+                    "caller", listeners.caller, callers, listeners.caller_threads
+                ),
+                WebServer(
+                    "admin",
+                    listeners.admin,
+                    HealthApplication(self._holder, self._membership, self._metrics),
+                    ADMIN_THREADS,
+                ),
+                GracefulStop(self._membership, callers, owner, self._clock),
+            ]
+        )
+
+    def _build_membership(self) -> MembershipService:
+        settings = self._settings
+        return MembershipService(
+            MembershipSettings(
+                instance=settings.instance,
+                incarnation=self._incarnation,
+                domain=settings.domain,
+                region=settings.region,
+                peer_address=settings.listeners.peer_advertised,
+                gossip_address=settings.listeners.gossip,
+                seeds=settings.seeds,
+                secret=settings.fleet_secret,
+            ),
+            self._clock,
+            Random(os.urandom(16)),
+            self._log,
+            self._control,
+            self._metrics,
+        )
+
+    def _build_follower(self) -> ConfigurationFollower:
+        settings = self._settings
+        return ConfigurationFollower(
+            settings.instance,
+            settings.domain,
+            settings.retention_s,
+            self._log,
+            self._control,
+            self._membership,
+            self._holder,
+            self._clock,
+            Random(os.urandom(16)),
+            self._metrics,
+        )
+
+    def _build_router(self, owner: Owner) -> Router:
+        settings = self._settings
+        place = Place(settings.instance, settings.domain, settings.region)
+        return Router(
+            settings.instance,
+            self._membership,
+            self._holder,
+            LocalityChooser(place, self._clock, self._random),
+            owner,
+            PeerSender(self._pool, self._clock),
+            self._clock,
+            self._metrics,
+        )
+
+    def _build_peer_server(self, owner: Owner) -> PeerServer:
+        return PeerServer(
+            self._settings.listeners.peer,
+            self._identity,
+            self._clock,
+            RemoteCallServer(owner, self._incarnation, self._clock),
+            {
+                ControlTopic.MEMBERSHIP: self._membership,
+                ControlTopic.CONFIGURATION: self._follower,
+            },
+        )
--- /dev/null
+++ b/corianderhold/cli/main.py
@@ -0,0 +1,26 @@
+"""Choose the command that the arguments name."""
+
+from collections.abc import Sequence
+
+from corianderhold.cli.serve import serve
+
+
+def run(arguments: Sequence[str]) -> int:
+    """Run one command and return its exit code."""
+    # defopt costs 4.5 MB of memory, so it is loaded after `serve` was ruled out.
+    if arguments[:1] == ["serve"] and "--help" not in arguments:
+        return serve_from_arguments(arguments[1:])
+    import defopt
+
+    from corianderhold.cli.commands import COMMANDS
+
+    return int(defopt.run(COMMANDS, argv=list(arguments)))
+
+
+def serve_from_arguments(arguments: Sequence[str]) -> int:
+    """Run `serve` without loading what the other commands need."""
+    import argparse
+
+    parser = argparse.ArgumentParser(prog="corianderhold serve")
+    parser.add_argument("--settings", required=True)
+    return serve(settings=parser.parse_args(arguments).settings)
--- /dev/null
+++ b/corianderhold/cli/serve.py
@@ -0,0 +1,43 @@
+"""Run the daemon."""
+
+import signal
+import sys
+from pathlib import Path
+from types import FrameType
+
+from corianderhold.bootstrap import build_daemon
+from corianderhold.cli.const import EXIT_FAILED, EXIT_OK, EXIT_USAGE
+from corianderhold.log import configure_logging, log_warning
+from corianderhold.settings.errors import SettingsError
+from corianderhold.settings.loader import load_settings
+
+
+def serve(*, settings: str) -> int:
+    """
+    Run the daemon beside one target until SIGTERM or SIGINT.
+
+    Exits with 2 when the settings can't be used and with 1 when the daemon can't start.
+
+    :param settings: path of the INI settings file
+    """
+    try:
+        checked = load_settings(Path(settings))
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return EXIT_USAGE
+    log_output = configure_logging(checked.log_level, checked.instance)
+    daemon = build_daemon(checked)
+
+    def request_stop(number: int, frame: FrameType | None) -> None:
+        daemon.request_stop()
+
+    signal.signal(signal.SIGTERM, request_stop)
+    signal.signal(signal.SIGINT, request_stop)
+    try:
+        daemon.run()
+    except OSError as error:
+        log_warning("start_failed", error=str(error))
+        return EXIT_FAILED
+    finally:
+        log_output.close()
+    return EXIT_OK
--- a/corianderhold/coordination/entry/application.py
+++ b/corianderhold/coordination/entry/application.py
@@ -28,7 +28,11 @@
     IsolatedBehaviour,
     Route,
 )
-from corianderhold.state.configuration.routes import RouteIndex
+from corianderhold.state.configuration.routes import (
+    RouteMatch,
+    build_route_index,
+    may_use,
+)
 from corianderhold.state.keys.ring import Caller, identify_caller
 from corianderhold.transport.web.server import (
     ENVIRON_SOCKET,
@@ -57,7 +61,7 @@
         self._clock = clock
         self._metrics = metrics
         self._gate = Gate(threads - RESERVED_THREADS)
-        self._index = RouteIndex(holder.current)
+        self._index = build_route_index(holder.current)
         holder.add_listener(self._follow)
 
     def __call__(
@@ -90,23 +94,23 @@
         return self._gate.count
 
     def _follow(self, configuration: Configuration) -> None:
-        self._index = RouteIndex(configuration)
+        self._index = build_route_index(configuration)
 
     def _handle(self, environ: Environ, call_id: CallId) -> Result[Answer, Refusal]:
         request = read_request(environ)
         admitted = self._admit(request)
         if isinstance(admitted, Err):
             return admitted
-        caller, route = admitted.ok_value
+        caller, match = admitted.ok_value
         try:
             body: RequestBody = read_body(environ)
         except (BodyError, ValueError) as error:
             return Err(refuse_not_run(Reason.REQUEST_MALFORMED, detail=str(error)))
-        context = self._build_context(request, caller.organisation, route, call_id)
+        context = self._build_context(request, caller.organisation, match, call_id)
         self._watch.add(call_id, environ[ENVIRON_SOCKET])
-        return self._router.route(context, body, RetryBudget(route.retry_budget))
+        return self._router.route(context, body, RetryBudget(match.route.retry_budget))
 
-    def _admit(self, request: WebRequest) -> Result[tuple[Caller, Route], Refusal]:
+    def _admit(self, request: WebRequest) -> Result[tuple[Caller, RouteMatch], Refusal]:
         """Return whose request this is and its route, once it is charged."""
         configuration = self._holder.current
         if not configuration.version:
@@ -121,25 +125,25 @@
         found = self._index.find(request.method, request.path)
         if isinstance(found, Err):
             return Err(refuse_not_run(found.err_value))
-        route = found.ok_value
-        refusal = self._check_access(request, caller, route)
+        match = found.ok_value
+        refusal = self._check_access(request, caller, match.route)
         if refusal is not None:
             return Err(refusal)
         now = self._clock.read_monotonic()
         charged = self._limiter.charge(caller.organisation, now)
         if isinstance(charged, Err):
             return charged
-        return Ok((caller, route))
+        return Ok((caller, match))
 
     def _check_access(
         self, request: WebRequest, caller: Caller, route: Route
     ) -> Refusal | None:
         """Return why this caller may not use the route now, or None."""
-        if request.key and request.key in request.path:
+        if request.key and request.key in request.path + request.query:
             return refuse_not_run(
                 Reason.REQUEST_MALFORMED, detail="a key must not stand in the address"
             )
-        if not route.open_to_all and caller.organisation not in route.organisations:
+        if not may_use(route, caller.organisation):
             return refuse_not_run(Reason.ROUTE_FORBIDDEN)
         age_s = self._clock.read_monotonic() - self._holder.verified_at
         if (
@@ -153,9 +157,10 @@
         self,
         request: WebRequest,
         organisation: OrganisationId,
-        route: Route,
+        match: RouteMatch,
         call_id: CallId,
     ) -> CallContext:
+        route = match.route
         now = self._clock.read_monotonic()
         return CallContext(
             call_id=call_id,
@@ -168,7 +173,7 @@
             route=route.name,
             idempotent=route.idempotent,
             method=request.method,
-            path=request.path,
+            path=match.path + request.query,
             headers=request.headers,
             idempotency_key=request.idempotency_key,
         )
--- a/corianderhold/coordination/entry/outgoing.py
+++ b/corianderhold/coordination/entry/outgoing.py
@@ -33,8 +33,12 @@
 from corianderhold.protocol.verdict import Reason, Refusal, refuse_not_run
 from corianderhold.settings.schema import parse_address, parse_name
 from corianderhold.state.configuration.holder import ConfigurationHolder
-from corianderhold.state.configuration.model import Configuration, Route
-from corianderhold.state.configuration.routes import RouteIndex
+from corianderhold.state.configuration.model import Configuration
+from corianderhold.state.configuration.routes import (
+    RouteMatch,
+    build_route_index,
+    may_use,
+)
 from corianderhold.state.membership.model import Address
 from corianderhold.transport.web.server import (
     ENVIRON_SOCKET,
@@ -81,7 +85,7 @@
         self._clock = clock
         self._metrics = metrics
         self._gate = Gate(threads - RESERVED_THREADS)
-        self._index = RouteIndex(holder.current)
+        self._index = build_route_index(holder.current)
         holder.add_listener(self._follow)
 
     def __call__(
@@ -109,7 +113,7 @@
         return respond_answer(outcome.ok_value, call_id, start_response)
 
     def _follow(self, configuration: Configuration) -> None:
-        self._index = RouteIndex(configuration)
+        self._index = build_route_index(configuration)
 
     def _handle(self, environ: Environ, call_id: CallId) -> Result[Answer, Refusal]:
         request = read_request(environ)
@@ -121,15 +125,16 @@
         found = self._index.find(request.method, request.path)
         if isinstance(found, Err):
             return Err(refuse_not_run(found.err_value))
-        route = found.ok_value
+        match = found.ok_value
+        route = match.route
         organisation = parent.context.organisation
-        if not route.open_to_all and organisation not in route.organisations:
+        if not may_use(route, organisation):
             return Err(refuse_not_run(Reason.ROUTE_FORBIDDEN))
         try:
             body = read_body(environ)
         except (BodyError, ValueError) as error:
             return Err(refuse_not_run(Reason.REQUEST_MALFORMED, detail=str(error)))
-        context = self._build_context(request, parent, route, call_id)
+        context = self._build_context(request, parent, match, call_id)
         retries = RetryBudget(min(parent.retries.split(), route.retry_budget))
         self._watch.add(call_id, environ[ENVIRON_SOCKET])
         outcome = self._router.route(context, body, retries)
@@ -137,10 +142,15 @@
         return outcome
 
     def _build_context(
-        self, request: WebRequest, parent: InFlightCall, route: Route, call_id: CallId
+        self,
+        request: WebRequest,
+        parent: InFlightCall,
+        match: RouteMatch,
+        call_id: CallId,
     ) -> CallContext:
         """Build a nested call's context; all that matters comes from its parent."""
         root = parent.context
+        route = match.route
         now = self._clock.read_monotonic()
         return CallContext(
             call_id=call_id,
@@ -153,7 +163,7 @@
             route=route.name,
             idempotent=route.idempotent,
             method=request.method,
-            path=request.path,
+            path=match.path + request.query,
             headers=request.headers,
             idempotency_key=request.idempotency_key,
         )
--- a/corianderhold/coordination/entry/request.py
+++ b/corianderhold/coordination/entry/request.py
@@ -21,12 +21,13 @@
     """
     One HTTP request.
 
-    `path` is the raw path with its query; `key` and `context_token` are None when the
-    caller sent none.
+    `path` is the raw path, `query` what follows it from the question mark on; `key`
+    and `context_token` are None when the caller sent none.
     """
 
     method: str
     path: str
+    query: str
     headers: tuple[Header, ...] = field(repr=False)
     key: str | None = field(repr=False)
     context_token: str | None = field(repr=False)
@@ -39,9 +40,11 @@
     key = None
     if authorization.startswith(BEARER_PREFIX):
         key = authorization[len(BEARER_PREFIX) :].strip()
+    path, mark, query = environ["REQUEST_URI"].partition("?")
     return WebRequest(
         method=environ["REQUEST_METHOD"],
-        path=environ["REQUEST_URI"],
+        path=path,
+        query=mark + query,
         headers=tuple(read_headers(environ, key)),
         key=key,
         context_token=environ.get("HTTP_X_CORIANDERHOLD_CONTEXT"),
--- a/corianderhold/coordination/owner/owner.py
+++ b/corianderhold/coordination/owner/owner.py
@@ -16,8 +16,8 @@
 )
 from corianderhold.coordination.owner.admission import Admission
 from corianderhold.coordination.owner.const import DRAINING_RETRY_AFTER_MS
+from corianderhold.coordination.owner.policy import TargetSource
 from corianderhold.coordination.owner.registry import InFlightCall, InFlightCalls
-from corianderhold.coordination.owner.target import LocalTarget, LocalTargetSource
 from corianderhold.coordination.retry import RetryBudget
 from corianderhold.ids import CallId
 from corianderhold.log import log_event
@@ -37,7 +37,7 @@
     refuse_may_have_run,
     refuse_not_run,
 )
-from corianderhold.state.membership.model import TargetState
+from corianderhold.state.membership.model import Address, TargetState
 from corianderhold.transport.web.errors import TargetError
 from corianderhold.transport.web.target import (
     TargetAnswer,
@@ -70,7 +70,7 @@
 
     def __init__(
         self,
-        source: LocalTargetSource,
+        source: TargetSource,
         admission: Admission,
         client: TargetClient,
         clock: Clock,
@@ -121,28 +121,31 @@
         if self.calls.cancel(call_id):
             log_event("call_cancelled", call=call_id)
 
+    def count_in_flight(self) -> int:
+        """Return the number of calls that wait or run."""
+        return len(self.calls)
+
     def report_load(self) -> LoadReport:
         """Return the present load."""
-        target = self._source.read_local_target()
-        draining = target is None or target.state is not TargetState.SERVING
+        draining = self._source.read_target().state is not TargetState.SERVING
         return self._admission.report_load(draining)
 
-    def _find_target(self, context: CallContext) -> Result[LocalTarget, Refusal]:
-        target = self._source.read_local_target()
-        if target is None or target.service != context.service:
+    def _find_target(self, context: CallContext) -> Result[Address, Refusal]:
+        target = self._source.read_target()
+        if target.address is None or target.service != context.service:
             return Err(refuse_not_run(Reason.NO_TARGET))
         if target.state is TargetState.DRAINING:
             return Err(refuse_not_run(Reason.DRAINING, DRAINING_RETRY_AFTER_MS))
-        return Ok(target)
+        return Ok(target.address)
 
     def _dispatch(
         self,
         call: InFlightCall,
-        target: LocalTarget,
+        target: Address,
         body: RequestBody,
         dispatch_by: float,
     ) -> Result[TargetAnswer, Refusal]:
-        connected = self._client.connect(target.address)
+        connected = self._client.connect(target)
         if isinstance(connected, Err):
             return connected
         connection = connected.ok_value
@@ -157,7 +160,7 @@
             organisation=call.context.organisation,
             importance=call.context.importance,
             route=call.context.route,
-            target=str(target.address),
+            target=str(target),
         )
         return self._exchange(call, target, connection, body)
 
@@ -177,15 +180,13 @@
     def _exchange(
         self,
         call: InFlightCall,
-        target: LocalTarget,
+        target: Address,
         connection: HTTPConnection,
         body: RequestBody,
     ) -> Result[TargetAnswer, Refusal]:
         request = self._build_request(call, body)
         try:
-            outcome = self._client.exchange(
-                target.address, connection, request, call.attach
-            )
+            outcome = self._client.exchange(target, connection, request, call.attach)
         except BodyError as error:
             reason = Reason.REQUEST_MALFORMED
             return Err(refuse_may_have_run(reason, detail=str(error)))
--- /dev/null
+++ b/corianderhold/drain.py
@@ -0,0 +1,58 @@
+"""Let a daemon finish what it holds before its listeners close."""
+
+import time
+from typing import Protocol
+
+from corianderhold.clock import Clock
+from corianderhold.log import log_event
+
+DRAIN_LIMIT_S = 10.0
+CHECK_INTERVAL_S = 0.05
+
+
+class Leaver(Protocol):
+    """Tell the fleet that this daemon leaves."""
+
+    def leave(self) -> None:
+        """Refuse new work for the local target and spread the news at once."""
+
+
+class InFlightSource(Protocol):
+    """Count the requests in flight."""
+
+    def count_in_flight(self) -> int:
+        """Return the number of requests that are being served."""
+
+
+class Door(InFlightSource, Protocol):
+    """Refuse new requests on command."""
+
+    def stop_admitting(self) -> None:
+        """Refuse new requests from now on."""
+
+
+class GracefulStop:
+    """Drain before the listeners close: the last component to start, first to stop."""
+
+    def __init__(
+        self, leaver: Leaver, door: Door, owner: InFlightSource, clock: Clock
+    ) -> None:
+        self._leaver = leaver
+        self._door = door
+        self._owner = owner
+        self._clock = clock
+
+    def start(self) -> None:
+        """Do nothing yet."""
+
+    def stop(self) -> None:
+        """Take no new work and wait a bounded time for what is in flight."""
+        self._leaver.leave()
+        self._door.stop_admitting()
+        give_up_at = self._clock.read_monotonic() + DRAIN_LIMIT_S
+        while self._count() and self._clock.read_monotonic() < give_up_at:
+            time.sleep(CHECK_INTERVAL_S)
+        log_event("drained", in_flight=self._count())
+
+    def _count(self) -> int:
+        return self._door.count_in_flight() + self._owner.count_in_flight()
--- a/corianderhold/settings/const.py
+++ b/corianderhold/settings/const.py
@@ -9,6 +9,7 @@
 CONF_CALLER = "caller"
 CONF_OUTGOING = "outgoing"
 CONF_PEER = "peer"
+CONF_PEER_ADVERTISED = "peer_advertised"
 CONF_GOSSIP = "gossip"
 CONF_ADMIN = "admin"
 CONF_CALLER_THREADS = "caller_threads"
@@ -19,9 +20,11 @@
 
 CONF_STORE = "store"
 CONF_ADDRESS = "address"
+CONF_RETENTION_S = "retention_s"
 
 CONF_MEMBERSHIP = "membership"
 CONF_SEEDS = "seeds"
+CONF_ENTRY_SLOTS = "entry_slots"
 
 CONF_SECURITY = "security"
 CONF_FLEET_SECRET = "fleet_secret"
@@ -36,3 +39,5 @@
 DEFAULT_OUTGOING_THREADS = 64
 SECRET_LENGTH_MIN = 16
 HIGHEST_PORT = 65535
+DEFAULT_RETENTION_S = 86_400.0
+DEFAULT_ENTRY_SLOTS = 0
--- a/corianderhold/settings/model.py
+++ b/corianderhold/settings/model.py
@@ -8,11 +8,16 @@
 
 @dataclass(frozen=True)
 class Listeners:
-    """The addresses that a daemon listens on, and its HTTP thread counts."""
+    """
+    The addresses that a daemon listens on, and its HTTP thread counts.
+
+    Other daemons reach the peer listener at `peer_advertised`.
+    """
 
     caller: Address
     outgoing: Address
     peer: Address
+    peer_advertised: Address
     gossip: Address
     admin: Address
     caller_threads: int
@@ -21,7 +26,12 @@
 
 @dataclass(frozen=True)
 class Settings:
-    """Everything that one daemon is told at its start."""
+    """
+    Everything that one daemon is told at its start.
+
+    `retention_s` is how long the log keeps a record, in seconds; `entry_slots` the
+    highest number of daemons that ever run at once in this failure domain.
+    """
 
     instance: InstanceId
     domain: FailureDomainId
@@ -29,7 +39,9 @@
     listeners: Listeners
     service: ServiceName | None
     store: Address
+    retention_s: float
     seeds: tuple[Address, ...]
+    entry_slots: int
     fleet_secret: bytes = field(repr=False)
     admin_token: str = field(repr=False)
     log_level: str = "info"
--- a/corianderhold/settings/schema.py
+++ b/corianderhold/settings/schema.py
@@ -23,6 +23,7 @@
     CONF_CALLER,
     CONF_CALLER_THREADS,
     CONF_DOMAIN,
+    CONF_ENTRY_SLOTS,
     CONF_FLEET_SECRET,
     CONF_GOSSIP,
     CONF_ID,
@@ -34,15 +35,19 @@
     CONF_OUTGOING,
     CONF_OUTGOING_THREADS,
     CONF_PEER,
+    CONF_PEER_ADVERTISED,
     CONF_REGION,
+    CONF_RETENTION_S,
     CONF_SECURITY,
     CONF_SEEDS,
     CONF_SERVICE,
     CONF_STORE,
     CONF_TARGET,
     DEFAULT_CALLER_THREADS,
+    DEFAULT_ENTRY_SLOTS,
     DEFAULT_LEVEL,
     DEFAULT_OUTGOING_THREADS,
+    DEFAULT_RETENTION_S,
     HIGHEST_PORT,
     LOG_LEVELS,
     SECRET_LENGTH_MIN,
@@ -50,6 +55,8 @@
 from corianderhold.state.membership.model import Address
 
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9_.-]{0,62}")
+RETENTION_ACCEPTED = "accepted: seconds, at least 60"
+ENTRY_SLOTS_ACCEPTED = "accepted: a whole number from 0 to 10000"
 THREADS = All(
     Coerce(int, msg="accepted: a whole number from 4 to 1024"),
     Range(min=4, max=1024, msg="accepted: a whole number from 4 to 1024"),
@@ -108,6 +115,7 @@
             Required(CONF_CALLER): parse_address,
             Required(CONF_OUTGOING): parse_address,
             Required(CONF_PEER): parse_address,
+            Optional(CONF_PEER_ADVERTISED): parse_address,
             Required(CONF_GOSSIP): parse_address,
             Required(CONF_ADMIN): parse_address,
             Optional(CONF_CALLER_THREADS, default=DEFAULT_CALLER_THREADS): THREADS,
@@ -115,8 +123,24 @@
         }
     ),
     CONF_TARGET: Schema({Optional(CONF_SERVICE, default=""): parse_service}),
-    CONF_STORE: Schema({Required(CONF_ADDRESS): parse_address}),
-    CONF_MEMBERSHIP: Schema({Optional(CONF_SEEDS, default=""): parse_addresses}),
+    CONF_STORE: Schema(
+        {
+            Required(CONF_ADDRESS): parse_address,
+            Optional(CONF_RETENTION_S, default=DEFAULT_RETENTION_S): All(
+                Coerce(float, msg=RETENTION_ACCEPTED),
+                Range(min=60, msg=RETENTION_ACCEPTED),
+            ),
+        }
+    ),
+    CONF_MEMBERSHIP: Schema(
+        {
+            Optional(CONF_SEEDS, default=""): parse_addresses,
+            Optional(CONF_ENTRY_SLOTS, default=DEFAULT_ENTRY_SLOTS): All(
+                Coerce(int, msg=ENTRY_SLOTS_ACCEPTED),
+                Range(min=0, max=10_000, msg=ENTRY_SLOTS_ACCEPTED),
+            ),
+        }
+    ),
     CONF_SECURITY: Schema(
         {Required(CONF_FLEET_SECRET): SECRET, Required(CONF_ADMIN_TOKEN): SECRET}
     ),
--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -248,7 +248,11 @@
         if plan.service is not None:
             settings["target"] = {"service": plan.service}
         settings["store"] = {"address": self.store_address}
-        settings["membership"] = {"seeds": ",".join(seeds)}
+        slots = sum(e.plan.domain == plan.domain for e in self.members.values())
+        settings["membership"] = {
+            "seeds": ",".join(seeds),
+            "entry_slots": str(slots),
+        }
         settings["security"] = {
             "fleet_secret": FLEET_SECRET,
             "admin_token": ADMIN_TOKEN,
