Refuse late and repeated frames, and idle connections their threads

Cause: three findings of tests/failures. A frame held back past the time at which its entry had given up still ran, because only the call's deadline was checked; a duplicated or replayed frame ran again, because an owner kept no memory of call ids; 600 connections that sent nothing held all caller threads, because the HTTP library gives a new connection to a thread at once. Ruled out: TCP_DEFER_ACCEPT (hands the connection over after its time-out all the same); a memory of call ids without an end (the acceptance time bounds it). Change: a frame names the time by which its owner must read it, on the owner's clock, and its id is remembered until then; a connection waits for its first bytes outside the threads.

--- a/corianderhold/coordination/entry/router.py
+++ b/corianderhold/coordination/entry/router.py
@@ -199,7 +199,7 @@
         self, context: CallContext, body: RequestBody, retries: RetryBudget
     ) -> Result[Answer, Refusal]:
         part = RetryBudget(retries.split())
-        outcome = self._owner.serve(context, body, part, context.deadline_at)
+        outcome = self._owner.serve(context, body, part)
         retries.give_back(part.left)
         return outcome
 
--- a/corianderhold/coordination/entry/sender.py
+++ b/corianderhold/coordination/entry/sender.py
@@ -131,14 +131,14 @@
     def _build_head(self, body: RequestBody, retry_budget: int) -> CallHead:
         context = self._context
         peer = self._pooled.peer
-        left_s = context.deadline_at - self._clock.read_monotonic()
+        accept_by = self._clock.read_monotonic() + SILENCE_TIMEOUT_S
         inline = body.inline
         return CallHead(
             call_id=context.call_id,
             root_id=context.root_id,
             incarnation=peer.incarnation,
-            dispatch_by_us=peer.clock.convert(context.deadline_at),
-            deadline_ms=max(0, int(left_s * 1000)),
+            accept_by_us=peer.clock.convert(accept_by),
+            deadline_us=peer.clock.convert(context.deadline_at),
             organisation=context.organisation,
             importance=context.importance,
             retry_budget=retry_budget,
--- a/corianderhold/coordination/owner/owner.py
+++ b/corianderhold/coordination/owner/owner.py
@@ -54,7 +54,6 @@
         context: CallContext,
         body: RequestBody,
         retries: RetryBudget,
-        dispatch_by: float,
     ) -> Result[Answer, Refusal]:
         """Run one call and return its answer as soon as it begins."""
 
@@ -88,13 +87,11 @@
         context: CallContext,
         body: RequestBody,
         retries: RetryBudget,
-        dispatch_by: float,
     ) -> Result[Answer, Refusal]:
         """
         Run one call and return its answer as soon as it begins.
 
-        `dispatch_by` is the monotonic time in seconds after which nothing may be sent
-        to the target any more. The answer's `close` gives the permit back.
+        The answer's `close` gives the permit back.
         """
         found = self._find_target(context)
         if isinstance(found, Err):
@@ -107,7 +104,7 @@
             return self._refuse(context, admitted.err_value)
         started_at = self._clock.read_monotonic()
         try:
-            outcome = self._dispatch(call, found.ok_value, body, dispatch_by)
+            outcome = self._dispatch(call, found.ok_value, body)
         except BaseException:
             self._end(call, started_at, failed=True)
             raise
@@ -143,13 +140,12 @@
         call: InFlightCall,
         target: Address,
         body: RequestBody,
-        dispatch_by: float,
     ) -> Result[TargetAnswer, Refusal]:
         connected = self._client.connect(target)
         if isinstance(connected, Err):
             return connected
         connection = connected.ok_value
-        refusal = self._check_still_wanted(call, dispatch_by)
+        refusal = self._check_still_wanted(call)
         if refusal is not None:
             connection.close()
             return Err(refusal)
@@ -164,17 +160,13 @@
         )
         return self._exchange(call, target, connection, body)
 
-    def _check_still_wanted(
-        self, call: InFlightCall, dispatch_by: float
-    ) -> Refusal | None:
+    def _check_still_wanted(self, call: InFlightCall) -> Refusal | None:
         """Return a refusal when the call must not be sent any more."""
         now = self._clock.read_monotonic()
         if call.cancelled.is_set():
             return refuse_not_run(Reason.CANCELLED)
         if now >= call.context.deadline_at:
             return refuse_not_run(Reason.DEADLINE_PASSED)
-        if now >= dispatch_by:
-            return refuse_not_run(Reason.DISPATCH_EXPIRED)
         return None
 
     def _exchange(
--- a/corianderhold/coordination/owner/remote.py
+++ b/corianderhold/coordination/owner/remote.py
@@ -15,6 +15,7 @@
     StreamedBody,
 )
 from corianderhold.coordination.owner.owner import Owner
+from corianderhold.coordination.owner.recent import RecentCalls
 from corianderhold.coordination.retry import RetryBudget
 from corianderhold.ids import CallId, Incarnation
 from corianderhold.protocol.peer.const import CHUNK_BYTES
@@ -28,7 +29,12 @@
     Continue,
     LoadReport,
 )
-from corianderhold.protocol.verdict import Reason, Refusal, refuse_not_run
+from corianderhold.protocol.verdict import (
+    Reason,
+    Refusal,
+    refuse_may_have_run,
+    refuse_not_run,
+)
 from corianderhold.transport.peer.const import SILENCE_TIMEOUT_S
 from corianderhold.transport.peer.errors import LinkClosedError, LinkError
 from corianderhold.transport.peer.handshake import MICROSECONDS
@@ -44,18 +50,18 @@
         self._owner = owner
         self._incarnation = incarnation
         self._clock = clock
+        self._recent = RecentCalls()
 
     def serve_call(self, link: Link, head: CallHead) -> None:
         """Serve one call and send its answer or refusal on the link."""
         retries = RetryBudget(head.retry_budget)
-        if head.incarnation != self._incarnation:
-            refusal = refuse_not_run(Reason.INCARNATION_STALE)
+        refusal = self._check_acceptable(head)
+        if refusal is not None:
             self._send_refusal(link, head, refusal, retries)
             return
-        context = self._build_context(head)
+        context = build_context(head)
         body = self._build_body(link, head)
-        dispatch_by = head.dispatch_by_us / MICROSECONDS
-        outcome = self._owner.serve(context, body, retries, dispatch_by)
+        outcome = self._owner.serve(context, body, retries)
         if isinstance(outcome, Err):
             self._send_refusal(link, head, outcome.err_value, retries)
             if isinstance(body, StreamedBody) and body.started:
@@ -77,22 +83,17 @@
         """Return the present load."""
         return self._owner.report_load()
 
-    def _build_context(self, head: CallHead) -> CallContext:
-        return CallContext(
-            call_id=head.call_id,
-            root_id=head.root_id,
-            organisation=head.organisation,
-            importance=head.importance,
-            deadline_at=self._clock.read_monotonic() + head.deadline_ms / 1000,
-            depth=head.depth,
-            service=head.service,
-            route=head.route,
-            idempotent=head.idempotent,
-            method=head.method,
-            path=head.path,
-            headers=head.headers,
-            idempotency_key=head.idempotency_key,
-        )
+    def _check_acceptable(self, head: CallHead) -> Refusal | None:
+        """Return a refusal of a frame that is for another start, late or repeated."""
+        if head.incarnation != self._incarnation:
+            return refuse_not_run(Reason.INCARNATION_STALE)
+        now = self._clock.read_monotonic()
+        accept_by = head.accept_by_us / MICROSECONDS
+        if now >= accept_by:
+            return refuse_not_run(Reason.DISPATCH_EXPIRED)
+        if not self._recent.add(head.call_id, accept_by, now):
+            return refuse_may_have_run(Reason.REPEAT_UNKNOWN, "the frame was repeated")
+        return None
 
     def _build_body(self, link: Link, head: CallHead) -> RequestBody:
         if not head.body_follows:
@@ -130,6 +131,25 @@
         link.send(message, SILENCE_TIMEOUT_S)
 
 
+def build_context(head: CallHead) -> CallContext:
+    """Return the context of a call that came on a link."""
+    return CallContext(
+        call_id=head.call_id,
+        root_id=head.root_id,
+        organisation=head.organisation,
+        importance=head.importance,
+        deadline_at=head.deadline_us / MICROSECONDS,
+        depth=head.depth,
+        service=head.service,
+        route=head.route,
+        idempotent=head.idempotent,
+        method=head.method,
+        path=head.path,
+        headers=head.headers,
+        idempotency_key=head.idempotency_key,
+    )
+
+
 def receive_body(link: Link, head: CallHead) -> Iterator[bytes]:
     """Ask for the rest of a call's body and yield all of it."""
     try:
--- a/corianderhold/protocol/peer/gen/ttypes.py
+++ b/corianderhold/protocol/peer/gen/ttypes.py
@@ -525,8 +525,8 @@
      - call_id
      - root_id
      - incarnation
-     - dispatch_by_us
-     - deadline_ms
+     - accept_by_us
+     - deadline_us
      - organisation
      - importance
      - retry_budget
@@ -548,8 +548,8 @@
         'call_id',
         'root_id',
         'incarnation',
-        'dispatch_by_us',
-        'deadline_ms',
+        'accept_by_us',
+        'deadline_us',
         'organisation',
         'importance',
         'retry_budget',
@@ -567,12 +567,12 @@
     )
 
 
-    def __init__(self, call_id=None, root_id=None, incarnation=None, dispatch_by_us=None, deadline_ms=None, organisation=None, importance=None, retry_budget=None, depth=None, service_name=None, method=None, path=None, headers=None, idempotent=None, idempotency_key=None, route=None, body=None, body_follows=None, body_length=None,):
+    def __init__(self, call_id=None, root_id=None, incarnation=None, accept_by_us=None, deadline_us=None, organisation=None, importance=None, retry_budget=None, depth=None, service_name=None, method=None, path=None, headers=None, idempotent=None, idempotency_key=None, route=None, body=None, body_follows=None, body_length=None,):
         self.call_id = call_id
         self.root_id = root_id
         self.incarnation = incarnation
-        self.dispatch_by_us = dispatch_by_us
-        self.deadline_ms = deadline_ms
+        self.accept_by_us = accept_by_us
+        self.deadline_us = deadline_us
         self.organisation = organisation
         self.importance = importance
         self.retry_budget = retry_budget
@@ -614,12 +614,12 @@
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.I64:
-                    self.dispatch_by_us = iprot.readI64()
+                    self.accept_by_us = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.I64:
-                    self.deadline_ms = iprot.readI64()
+                    self.deadline_us = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
@@ -720,13 +720,13 @@
             oprot.writeFieldBegin('incarnation', TType.I64, 3)
             oprot.writeI64(self.incarnation)
             oprot.writeFieldEnd()
-        if self.dispatch_by_us is not None:
-            oprot.writeFieldBegin('dispatch_by_us', TType.I64, 4)
-            oprot.writeI64(self.dispatch_by_us)
+        if self.accept_by_us is not None:
+            oprot.writeFieldBegin('accept_by_us', TType.I64, 4)
+            oprot.writeI64(self.accept_by_us)
             oprot.writeFieldEnd()
-        if self.deadline_ms is not None:
-            oprot.writeFieldBegin('deadline_ms', TType.I64, 5)
-            oprot.writeI64(self.deadline_ms)
+        if self.deadline_us is not None:
+            oprot.writeFieldBegin('deadline_us', TType.I64, 5)
+            oprot.writeI64(self.deadline_us)
             oprot.writeFieldEnd()
         if self.organisation is not None:
             oprot.writeFieldBegin('organisation', TType.STRING, 6)
@@ -797,10 +797,10 @@
             raise TProtocolException(message='Required field root_id is unset!')
         if self.incarnation is None:
             raise TProtocolException(message='Required field incarnation is unset!')
-        if self.dispatch_by_us is None:
-            raise TProtocolException(message='Required field dispatch_by_us is unset!')
-        if self.deadline_ms is None:
-            raise TProtocolException(message='Required field deadline_ms is unset!')
+        if self.accept_by_us is None:
+            raise TProtocolException(message='Required field accept_by_us is unset!')
+        if self.deadline_us is None:
+            raise TProtocolException(message='Required field deadline_us is unset!')
         if self.organisation is None:
             raise TProtocolException(message='Required field organisation is unset!')
         if self.importance is None:
@@ -1990,8 +1990,8 @@
     (1, TType.STRING, 'call_id', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'root_id', 'UTF8', None, ),  # 2
     (3, TType.I64, 'incarnation', None, None, ),  # 3
-    (4, TType.I64, 'dispatch_by_us', None, None, ),  # 4
-    (5, TType.I64, 'deadline_ms', None, None, ),  # 5
+    (4, TType.I64, 'accept_by_us', None, None, ),  # 4
+    (5, TType.I64, 'deadline_us', None, None, ),  # 5
     (6, TType.STRING, 'organisation', 'UTF8', None, ),  # 6
     (7, TType.I32, 'importance', None, None, ),  # 7
     (8, TType.I32, 'retry_budget', None, None, ),  # 8
--- a/corianderhold/protocol/peer/messages.py
+++ b/corianderhold/protocol/peer/messages.py
@@ -68,8 +68,8 @@
     call_id: CallId
     root_id: RootId
     incarnation: Incarnation
-    dispatch_by_us: int
-    deadline_ms: int
+    accept_by_us: int
+    deadline_us: int
     organisation: OrganisationId
     importance: int
     retry_budget: int
--- a/corianderhold/protocol/peer/peer.thrift
+++ b/corianderhold/protocol/peer/peer.thrift
@@ -37,14 +37,14 @@
   2: required string value
 }
 
-// Opens a call. `body` is the whole body, or its first part when `body_follows` is
+// Opens a call; its two times are on the owner's monotonic clock. `body` is the whole body, or its first part when `body_follows` is
 // set; the rest then comes in Chunk frames once the owner has sent a Continue.
 struct CallHead {
   1: required string call_id
   2: required string root_id
   3: required i64 incarnation          // of the owner that the frame is meant for
-  4: required i64 dispatch_by_us       // on the owner's monotonic clock
-  5: required i64 deadline_ms          // time left for the whole answer, on arrival
+  4: required i64 accept_by_us         // the owner reads it by then, or refuses
+  5: required i64 deadline_us          // of the whole answer
   6: required string organisation
   7: required i32 importance
   8: required i32 retry_budget         // retries that this call and its callees may use
--- a/corianderhold/transport/web/server.py
+++ b/corianderhold/transport/web/server.py
@@ -1,5 +1,6 @@
 """Serve WSGI applications with CherryPy's HTTP server."""
 
+import select
 import socket
 import threading
 from collections.abc import Callable, Iterable
@@ -11,12 +12,13 @@
 from corianderhold.log import log_event
 from corianderhold.state.membership.model import Address
 from corianderhold.transport.web.const import (
-    CALLER_TIMEOUT_S,
     HEADER_BYTES_MAX,
+    IDLE_TIMEOUT_S,
     KEEPALIVE_IDLE_S,
     KEEPALIVE_INTERVAL_S,
     KEEPALIVE_PROBES,
     LISTEN_BACKLOG,
+    PROGRESS_TIMEOUT_S,
     SHUTDOWN_TIMEOUT_S,
     UNACKNOWLEDGED_TIMEOUT_MS,
 )
@@ -38,6 +40,29 @@
         return environ
 
 
+class PatientServer(WSGIServer):
+    """
+    Give a connection to a thread only once it has sent something.
+
+    The library's own server lets a new connection hold a thread at once.
+    """
+
+    def process_conn(self, conn: Any) -> None:
+        """Queue a connection for the threads, or wait for its first bytes."""
+        if not has_bytes(conn.socket):
+            self.put_conn(conn)
+            return
+        conn.socket.settimeout(PROGRESS_TIMEOUT_S)
+        super().process_conn(conn)
+
+
+def has_bytes(connection: socket.socket) -> bool:
+    """Return whether a connection has something to read, its end included."""
+    poll = select.poll()
+    poll.register(connection, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class WebServer:
     """Run one listener with a fixed number of threads."""
 
@@ -46,13 +71,13 @@
     ) -> None:
         self._name = name
         self._address = address
-        self._server = WSGIServer(
+        self._server = PatientServer(
             (address.host, address.port),
             application,
             numthreads=threads,
             max=threads,
             request_queue_size=LISTEN_BACKLOG,
-            timeout=CALLER_TIMEOUT_S,
+            timeout=IDLE_TIMEOUT_S,
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
         self._server.gateway = SocketGateway
