--- /dev/null
+++ b/corianderhold/coordination/membership/budget.py
@@ -0,0 +1,27 @@
+"""Limit the bytes that a daemon sends."""
+
+
+class ByteBudget:
+    """Allow at most `rate` x seconds + `burst` bytes over any span of time."""
+
+    def __init__(
+        self, rate_bytes_per_s: float, burst_bytes: float, now_s: float
+    ) -> None:
+        self._rate = rate_bytes_per_s
+        self._burst = burst_bytes
+        self._available = burst_bytes
+        self._updated_at_s = now_s
+
+    def read_available(self, now_s: float) -> float:
+        """Return the bytes that may be sent now."""
+        elapsed_s = max(0.0, now_s - self._updated_at_s)
+        self._available = min(self._burst, self._available + elapsed_s * self._rate)
+        self._updated_at_s = max(self._updated_at_s, now_s)
+        return self._available
+
+    def take(self, size_bytes: int, now_s: float) -> bool:
+        """Spend bytes; return False and spend nothing where too few are left."""
+        if self.read_available(now_s) < size_bytes:
+            return False
+        self._available -= size_bytes
+        return True
--- /dev/null
+++ b/corianderhold/coordination/membership/const.py
@@ -0,0 +1,55 @@
+"""Hold the constants of gossip and synchronisation."""
+
+# Probes
+PROBE_INTERVAL_S = 1.0
+PROBE_TIMEOUT_S = 0.4
+INDIRECT_PROBES = 3
+DEAD_PROBE_INTERVAL_S = 5.0
+JOIN_INTERVAL_S = 1.0
+RELAY_TIMEOUT_S = 2.0
+RELAY_LIMIT = 64
+
+# Suspicion
+SUSPICION_MULTIPLIER = 4.0
+HEALTH_LIMIT = 4
+MAX_STEP_S = 0.5  # longer gaps between two looks at the clock count as a pause
+
+# Updates
+GOSSIP_INTERVAL_S = 0.2
+GOSSIP_FANOUT = 2
+URGENT_FANOUT = 6
+REFUTATIONS_LIMIT = 2
+RETRANSMIT_EXTRA = 4
+
+# Bytes, with IP and UDP headers
+HEADER_BYTES = 28
+DATAGRAM_LIMIT_BYTES = 540
+BUDGET_BYTES_PER_S = 1024
+BUDGET_BURST_BYTES = 1024
+PROBE_RESERVE_BYTES = 384  # kept free of gossip for probes and their answers
+
+# Synchronisation
+BUCKETS = 64
+SYNC_PAGE_BYTES = 48 * 1024
+SYNC_PAGES_LIMIT = 64
+SYNC_INTERVAL_S = 60.0
+SYNC_REVIVAL_S = 10.0
+SYNC_RETRY_S = 2.0
+SYNC_TIMEOUT_S = 2.0
+
+# Log
+LOG_INTERVAL_S = 600.0
+LOG_RETRY_S = 10.0
+LOG_TAIL_RECORDS = 256
+LOG_TIMEOUT_S = 2.0
+CONTACT_LIMIT = 32
+LOG_MEMBERS_LOWEST = 8
+
+# Service
+FORGET_INTERVAL_S = 10.0
+RECEIVE_LIMIT = 64
+LEAVE_LINGER_S = 1.0
+STOP_TIMEOUT_S = 5.0
+JOIN_SYNC_DELAY_S = 0.5
+TICK_S = 0.1
+MEMBER_LIMIT_BYTES = 200  # two announcements fit into a datagram beside its head
--- /dev/null
+++ b/corianderhold/coordination/membership/errors.py
@@ -0,0 +1,14 @@
+"""Define the errors of membership."""
+
+from corianderhold.coordination.membership.const import MEMBER_LIMIT_BYTES
+from corianderhold.errors import CorianderholdError
+
+
+class AnnouncementTooLargeError(CorianderholdError):
+    """An announcement whose names do not fit into a datagram."""
+
+    def __init__(self, size_bytes: int) -> None:
+        super().__init__(
+            f"announcement has {size_bytes} bytes, at most {MEMBER_LIMIT_BYTES} fit;"
+            " shorten the names of instance, domain, region or service"
+        )
--- /dev/null
+++ b/corianderhold/coordination/membership/messages.py
@@ -0,0 +1,48 @@
+"""Define the messages that the threads of the membership service exchange."""
+
+from dataclasses import dataclass
+
+from corianderhold.protocol.membership.model import SyncRecord
+from corianderhold.state.membership.model import Address, Member
+
+
+@dataclass(frozen=True)
+class RecordsReceived:
+    """Records of a full synchronisation, for the thread that owns the table."""
+
+    records: tuple[SyncRecord, ...]
+
+
+@dataclass(frozen=True)
+class ContactsFound:
+    """Gossip addresses found in the log, for the thread that owns the table."""
+
+    addresses: tuple[Address, ...]
+
+
+@dataclass(frozen=True)
+class LeaveRequested:
+    """Announce that the daemon leaves for good."""
+
+
+@dataclass(frozen=True)
+class StopRequested:
+    """End the thread that receives this."""
+
+
+@dataclass(frozen=True)
+class SyncRequested:
+    """Synchronise soon: at once at the first, else within `within_s` seconds."""
+
+    within_s: float
+
+
+@dataclass(frozen=True)
+class AnnouncementChanged:
+    """Append this announcement to the log."""
+
+    member: Member
+
+
+TableMessage = RecordsReceived | ContactsFound | LeaveRequested | StopRequested
+WorkerMessage = SyncRequested | AnnouncementChanged | StopRequested
--- /dev/null
+++ b/corianderhold/coordination/membership/roster.py
@@ -0,0 +1,166 @@
+"""Apply announcements to the table, and defend this daemon's own."""
+
+from dataclasses import replace
+
+from corianderhold.coordination.membership.broadcasts import BroadcastQueue
+from corianderhold.coordination.membership.health import ActiveTime, LocalHealth
+from corianderhold.coordination.membership.suspicion import (
+    SuspicionTimers,
+    compute_suspicion_timeout,
+)
+from corianderhold.ids import InstanceId, ServiceName
+from corianderhold.log import log_event, log_warning
+from corianderhold.state.membership.model import Member, MemberState, TargetState
+from corianderhold.state.membership.table import (
+    MemberTable,
+    MemberView,
+    compute_order,
+    is_live,
+)
+
+
+class Roster:
+    """
+    Own the table, the queue of updates and the suspicions of one daemon.
+
+    `own` is this daemon's announcement. A claim that it is suspected or dead is
+    refuted by announcing it under a higher sequence.
+    """
+
+    def __init__(
+        self, own: Member, health: LocalHealth, time: ActiveTime, now_s: float
+    ) -> None:
+        self.own = own
+        self.refutations = 0
+        self.broadcasts = BroadcastQueue()
+        self._health = health
+        self._time = time
+        self._table = MemberTable()
+        self._suspicions = SuspicionTimers()
+        self._changes: list[Member] = []
+        self._revivals = 0
+        self._record(own, now_s)
+        self.broadcasts.add(own)
+
+    @property
+    def view(self) -> MemberView:
+        """Return the current view of all members."""
+        return self._table.read_view()
+
+    def get_member(self, instance: InstanceId) -> Member | None:
+        """Return a member as shown in the view, or None."""
+        return self._table.get_member(instance)
+
+    def count_live(self) -> int:
+        """Return the number of live members, this one included."""
+        return self._table.count_live()
+
+    def apply(self, member: Member, now_s: float) -> None:
+        """Take in an announcement that is being gossiped, and pass it on."""
+        if member.instance == self.own.instance:
+            self._defend(member, now_s)
+        elif self._record(member, now_s):
+            self.broadcasts.add(member)
+
+    def list_refutations(self, claims: list[Member]) -> tuple[Member, ...]:
+        """Return the live members that refute claims of suspicion or death."""
+        refuting = []
+        for claim in claims:
+            known = self._table.get_member(claim.instance)
+            if known is None or known.state is not MemberState.ALIVE:
+                continue
+            if claim.state in (MemberState.SUSPECT, MemberState.DEAD):
+                refuting.append(known)
+        return tuple(refuting)
+
+    def apply_synced(self, member: Member, now_s: float, dead_for_s: float) -> None:
+        """Take in a record of another daemon's table without passing it on."""
+        if member.instance == self.own.instance:
+            self._defend(member, now_s)
+        else:
+            self._record(member, now_s, dead_for_s)
+
+    def announce(
+        self, service: ServiceName | None, state: TargetState, now_s: float
+    ) -> None:
+        """Announce a change of the local target."""
+        own = self.own
+        self._announce(replace(own, service=service, target_state=state), now_s)
+
+    def leave(self, now_s: float) -> None:
+        """Announce that this daemon leaves for good."""
+        left = replace(
+            self.own, state=MemberState.LEFT, target_state=TargetState.ABSENT
+        )
+        self._announce(left, now_s)
+
+    def suspect(self, instance: InstanceId, now_s: float) -> None:
+        """Suspect a member that did not answer a probe."""
+        member = self._table.get_member(instance)
+        if member is not None and member.state is MemberState.ALIVE:
+            self.apply(replace(member, state=MemberState.SUSPECT), now_s)
+
+    def expire(self, now_s: float) -> None:
+        """Declare those dead that did not refute their suspicion in time."""
+        for member in self._suspicions.expire(self._time.seconds):
+            self.apply(member, now_s)
+
+    def forget(self, now_s: float) -> None:
+        """Drop members that have been dead longer than the retention."""
+        for member in self._table.forget(now_s):
+            log_event("member_forgotten", instance=member.instance)
+
+    def take_changes(self) -> list[Member]:
+        """Return the members that changed since the last call, in order."""
+        changes, self._changes = self._changes, []
+        return changes
+
+    def take_revivals(self) -> int:
+        """Return how many dead members came back since the last call."""
+        revivals, self._revivals = self._revivals, 0
+        return revivals
+
+    def _announce(self, own: Member, now_s: float) -> None:
+        self.own = replace(own, sequence=own.sequence + 1)
+        self._record(self.own, now_s)
+        self.broadcasts.add(self.own)
+
+    def _defend(self, claim: Member, now_s: float) -> None:
+        if claim.incarnation > self.own.incarnation:
+            log_warning(
+                "instance_conflict",
+                instance=claim.instance,
+                incarnation=claim.incarnation,
+                own_incarnation=self.own.incarnation,
+            )
+            return
+        if compute_order(claim) <= compute_order(self.own):
+            return
+        log_event("claim_refuted", state=claim.state, sequence=claim.sequence)
+        self._health.worsen()
+        self.refutations += 1
+        self._announce(replace(self.own, sequence=claim.sequence), now_s)
+
+    def _record(self, member: Member, now_s: float, dead_for_s: float = 0.0) -> bool:
+        known = self._table.get_member(member.instance)
+        changes = self._table.merge(member, now_s, dead_for_s)
+        if not changes:
+            return False
+        if known is not None and is_live(member) and not is_live(known):
+            self._revivals += 1
+        timeout_s = compute_suspicion_timeout(
+            self.count_live(), self._health.multiplier
+        )
+        for change in changes:
+            self._suspicions.update(change, self._time.seconds, timeout_s)
+            log_event(
+                "member_changed",
+                instance=change.instance,
+                incarnation=change.incarnation,
+                sequence=change.sequence,
+                state=change.state,
+                service=change.service,
+                target_state=change.target_state,
+            )
+        self._changes.extend(changes)
+        return True
--- /dev/null
+++ b/corianderhold/coordination/membership/sender.py
@@ -0,0 +1,91 @@
+"""Fill datagrams with updates and send them within the byte budget."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from corianderhold.coordination.membership.broadcasts import (
+    LIST_ITEM_BYTES,
+    BroadcastQueue,
+    compute_transmission_limit,
+)
+from corianderhold.coordination.membership.budget import ByteBudget
+from corianderhold.coordination.membership.const import (
+    BUDGET_BURST_BYTES,
+    BUDGET_BYTES_PER_S,
+    DATAGRAM_LIMIT_BYTES,
+    HEADER_BYTES,
+    PROBE_RESERVE_BYTES,
+)
+from corianderhold.metrics import Metrics
+from corianderhold.protocol.membership.codec import encode_datagram, encode_member
+from corianderhold.protocol.membership.model import Datagram, DatagramKind
+from corianderhold.protocol.membership.seal import OVERHEAD_BYTES, DatagramSeal
+from corianderhold.state.membership.model import Address, Member
+
+
+@dataclass(frozen=True)
+class OutgoingDatagram:
+    """Sealed bytes and where to send them."""
+
+    address: Address
+    data: bytes
+
+
+class DatagramSender:
+    """
+    Build datagrams; none is larger than DATAGRAM_LIMIT_BYTES, headers included.
+
+    Probes and their answers may spend the whole budget; updates that ride on them and
+    gossip leave PROBE_RESERVE_BYTES of it.
+    """
+
+    def __init__(
+        self,
+        seal: DatagramSeal,
+        broadcasts: BroadcastQueue,
+        count_live: Callable[[], int],
+        metrics: Metrics,
+        now_s: float,
+    ) -> None:
+        self._seal = seal
+        self._broadcasts = broadcasts
+        self._count_live = count_live
+        self._metrics = metrics
+        self._budget = ByteBudget(BUDGET_BYTES_PER_S, BUDGET_BURST_BYTES, now_s)
+        self._outgoing: list[OutgoingDatagram] = []
+
+    def take_outgoing(self) -> list[OutgoingDatagram]:
+        """Return the datagrams to be sent since the last call."""
+        outgoing, self._outgoing = self._outgoing, []
+        return outgoing
+
+    def send(
+        self,
+        address: Address,
+        datagram: Datagram,
+        now_s: float,
+        members: tuple[Member, ...] = (),
+    ) -> bool:
+        """Send with `members` and with queued updates; return False over budget."""
+        required = tuple(encode_member(member) for member in members)
+        bare = replace(datagram, updates=required)
+        size_bytes = len(encode_datagram(bare)) + OVERHEAD_BYTES + HEADER_BYTES
+        available = self._budget.read_available(now_s)
+        gossips = datagram.kind is DatagramKind.GOSSIP and not members
+        allowed = available - (PROBE_RESERVE_BYTES if gossips else 0)
+        if size_bytes > min(allowed, DATAGRAM_LIMIT_BYTES):
+            self._metrics.increment("membership_datagrams_over_budget")
+            return False
+        room = min(DATAGRAM_LIMIT_BYTES, int(available) - PROBE_RESERVE_BYTES)
+        limit = compute_transmission_limit(self._count_live())
+        queued = self._broadcasts.take(room - size_bytes - LIST_ITEM_BYTES, limit)
+        if gossips and not queued:
+            return False
+        data = self._seal.seal(
+            encode_datagram(replace(bare, updates=required + tuple(queued)))
+        )
+        self._budget.take(len(data) + HEADER_BYTES, now_s)
+        self._outgoing.append(OutgoingDatagram(address, data))
+        self._metrics.increment("membership_datagrams_sent")
+        self._metrics.increment("membership_bytes_sent", len(data) + HEADER_BYTES)
+        return True
--- /dev/null
+++ b/corianderhold/coordination/membership/service.py
@@ -0,0 +1,312 @@
+"""Run membership: one thread that owns the UDP socket and the table of members."""
+
+import queue
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from corianderhold.clock import Clock
+from corianderhold.coordination.membership.const import (
+    JOIN_SYNC_DELAY_S,
+    LEAVE_LINGER_S,
+    MEMBER_LIMIT_BYTES,
+    RECEIVE_LIMIT,
+    STOP_TIMEOUT_S,
+    SYNC_REVIVAL_S,
+    TICK_S,
+)
+from corianderhold.coordination.membership.errors import AnnouncementTooLargeError
+from corianderhold.coordination.membership.messages import (
+    AnnouncementChanged,
+    ContactsFound,
+    LeaveRequested,
+    RecordsReceived,
+    StopRequested,
+    SyncRequested,
+    TableMessage,
+)
+from corianderhold.coordination.membership.swim import Swim
+from corianderhold.coordination.membership.sync import answer_request
+from corianderhold.coordination.membership.synchronizer import Synchronizer
+from corianderhold.ids import (
+    FailureDomainId,
+    Incarnation,
+    InstanceId,
+    RegionId,
+    ServiceName,
+)
+from corianderhold.log import log_event, log_warning
+from corianderhold.metrics import Metrics
+from corianderhold.protocol.membership.codec import (
+    decode_request,
+    encode_member,
+    encode_reply,
+)
+from corianderhold.protocol.membership.seal import DatagramSeal
+from corianderhold.protocol.peer.control import ControlClient, ControlSender
+from corianderhold.state.membership.model import (
+    Address,
+    Member,
+    MemberState,
+    TargetState,
+)
+from corianderhold.state.membership.target import LocalTarget, TargetStatus
+from corianderhold.transport.datagram.endpoint import DatagramEndpoint
+from corianderhold.transport.store.model import Log
+
+MemberListener = Callable[[Member], None]
+
+
+@dataclass(frozen=True)
+class MembershipSettings:
+    """
+    What a daemon says of itself, and whom it asks first.
+
+    `seeds` are gossip addresses; `secret` is shared by the fleet. Port 0 in
+    `gossip_address` lets the operating system choose.
+    """
+
+    instance: InstanceId
+    incarnation: Incarnation
+    domain: FailureDomainId
+    region: RegionId
+    peer_address: Address
+    gossip_address: Address
+    seeds: tuple[Address, ...]
+    secret: bytes
+
+
+class MembershipService:
+    """
+    Know the members of the fleet and announce the local target to them.
+
+    Implements `Members`, `Component` and the control handler of topic MEMBERSHIP. The
+    view is read without a lock from any thread; the membership thread replaces it.
+    """
+
+    def __init__(
+        self,
+        settings: MembershipSettings,
+        clock: Clock,
+        random: Random,
+        log: Log,
+        control: ControlClient,
+        metrics: Metrics,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._metrics = metrics
+        self._target = LocalTarget(clock)
+        self._announced = self._target.read()
+        self._endpoint = DatagramEndpoint(settings.gossip_address)
+        self._own = self._build_own()
+        self._swim = Swim(
+            self._own,
+            settings.seeds,
+            DatagramSeal(settings.secret),
+            random,
+            metrics,
+            clock.read_monotonic(),
+        )
+        self._view = self._swim.view
+        self._synchronizer = Synchronizer(
+            self._own,
+            lambda: self._view,
+            self._post,
+            log,
+            control,
+            clock,
+            Random(random.getrandbits(64)),
+            metrics,
+        )
+        self._listeners: list[MemberListener] = []
+        self._messages: queue.SimpleQueue[TableMessage] = queue.SimpleQueue()
+        self._thread = threading.Thread(target=self._run, name="membership")
+        self._left = threading.Event()
+        self._joined = False
+        self._stopping = False
+
+    @property
+    def gossip_address(self) -> Address:
+        """Return the address that gossip is received at."""
+        return self._endpoint.address
+
+    def start(self) -> None:
+        """Begin to gossip, and to look for members through seeds and the log."""
+        self._thread.start()
+        self._synchronizer.start()
+        log_event(
+            "membership_started",
+            instance=self._own.instance,
+            incarnation=self._own.incarnation,
+            gossip_address=str(self.gossip_address),
+            seeds=len(self._settings.seeds),
+        )
+
+    def leave(self) -> None:
+        """Drain the target for good and tell the fleet that this daemon leaves."""
+        self._target.close()
+        self._post(LeaveRequested())
+        if self._thread.is_alive():
+            self._left.wait(LEAVE_LINGER_S)
+
+    def stop(self) -> None:
+        """Leave, keep spreading the news for LEAVE_LINGER_S, and end the threads."""
+        started = self._thread.ident is not None
+        if started:
+            self.leave()
+            if len(self._view.live) > 0:
+                threading.Event().wait(LEAVE_LINGER_S)
+            self._post(StopRequested())
+            self._thread.join(STOP_TIMEOUT_S)
+            self._synchronizer.stop()
+        self._endpoint.close()
+
+    def add_listener(self, listener: MemberListener) -> None:
+        """Call `listener` with each changed member, on the membership thread."""
+        self._listeners.append(listener)
+
+    def list_owners(self, service: ServiceName) -> tuple[Member, ...]:
+        """Return live members whose target serves `service`, in no order."""
+        return self._view.owners.get(service, ())
+
+    def list_members(self) -> tuple[Member, ...]:
+        """Return all known members, dead and left ones included."""
+        return self._view.members
+
+    def announce_target(
+        self, service: ServiceName, address: Address, restarted: bool = False
+    ) -> None:
+        """
+        Take a heartbeat of the local target, which lasts for TARGET_TTL_S.
+
+        `restarted` marks the first heartbeat of a target's process and ends a drain.
+        Raises AnnouncementTooLargeError for a service whose name is too long.
+        """
+        self._check_size(service)
+        self._target.announce(service, address, restarted)
+        self._endpoint.wake()
+
+    def drain_target(self) -> None:
+        """Refuse new work for the local target from now on, and say so."""
+        self._target.drain()
+        self._endpoint.wake()
+
+    def withdraw_target(self) -> None:
+        """Forget the local target, which has ended, and say so."""
+        self._target.withdraw()
+        self._endpoint.wake()
+
+    def read_target(self) -> TargetStatus:
+        """
+        Return the local target at this moment, exact even if gossip has stalled.
+
+        The owner asks before each dispatch and dispatches only where it is SERVING.
+        """
+        return self._target.read()
+
+    def handle_control(self, sender: ControlSender, body: bytes) -> bytes:
+        """Answer a synchronisation request; raise MalformedMessageError."""
+        request = decode_request(body)
+        if request.pushed:
+            self._post(RecordsReceived(request.pushed))
+        reply = answer_request(self._view, request, self._clock.read_monotonic())
+        encoded = encode_reply(reply)
+        self._metrics.increment("membership_sync_bytes_sent", len(encoded))
+        return encoded
+
+    def _build_own(self) -> Member:
+        settings = self._settings
+        own = Member(
+            settings.instance,
+            settings.incarnation,
+            1,
+            settings.domain,
+            settings.region,
+            settings.peer_address,
+            self._endpoint.address,
+            None,
+            TargetState.ABSENT,
+            MemberState.ALIVE,
+        )
+        self._own = own
+        self._check_size(ServiceName(""))
+        return own
+
+    def _check_size(self, service: ServiceName) -> None:
+        size_bytes = len(encode_member(self._own)) + len(service.encode())
+        if size_bytes > MEMBER_LIMIT_BYTES:
+            raise AnnouncementTooLargeError(size_bytes)
+
+    def _post(self, message: TableMessage) -> None:
+        self._messages.put(message)
+        self._endpoint.wake()
+
+    def _run(self) -> None:
+        while not self._stopping:
+            try:
+                self._run_once()
+            except Exception as error:  # noqa: BLE001
+                log_warning("membership_failed", error=repr(error))
+                self._metrics.increment("membership_failures")
+
+    def _run_once(self) -> None:
+        received = self._endpoint.receive(TICK_S, RECEIVE_LIMIT)
+        now_s = self._clock.read_monotonic()
+        for datagram in received:
+            self._swim.receive(datagram.data, datagram.source, now_s)
+        while not self._messages.empty():
+            self._handle(self._messages.get(), now_s)
+        self._announce_target(now_s)
+        self._swim.tick(now_s)
+        for outgoing in self._swim.take_outgoing():
+            if not self._endpoint.send(outgoing.address, outgoing.data):
+                self._metrics.increment("membership_sends_failed")
+        self._publish()
+
+    def _handle(self, message: TableMessage, now_s: float) -> None:
+        match message:
+            case RecordsReceived(records):
+                self._swim.merge_records(records, now_s)
+            case ContactsFound(addresses):
+                self._swim.replace_contacts(addresses)
+            case LeaveRequested():
+                self._leave(now_s)
+            case StopRequested():
+                self._stopping = True
+
+    def _leave(self, now_s: float) -> None:
+        if self._left.is_set():
+            return
+        self._swim.leave(now_s)
+        self._synchronizer.send(AnnouncementChanged(self._swim.own))
+        self._left.set()
+        log_event("member_left", instance=self._own.instance)
+
+    def _announce_target(self, now_s: float) -> None:
+        status = self._target.read()
+        if self._left.is_set() or status == self._announced:
+            return
+        self._announced = status
+        log_event(
+            "target_announced",
+            service=status.service,
+            state=status.state,
+            address=str(status.address),
+        )
+        self._swim.announce_target(status.service, status.state, now_s)
+
+    def _publish(self) -> None:
+        changes = self._swim.take_changes()
+        if not changes:
+            return
+        self._view = self._swim.view
+        if not self._joined and len(self._view.live) > 1:
+            self._joined = True
+            self._synchronizer.send(SyncRequested(JOIN_SYNC_DELAY_S))
+        if self._swim.take_revivals():
+            self._synchronizer.send(SyncRequested(SYNC_REVIVAL_S))
+        for member in changes:
+            for listener in self._listeners:
+                listener(member)
--- /dev/null
+++ b/corianderhold/coordination/membership/stream.py
@@ -0,0 +1,95 @@
+"""Leave and find gossip addresses in the `members` stream of the log."""
+
+import base64
+import binascii
+
+from result import Err, Ok, Result
+
+from corianderhold.coordination.membership.const import (
+    LOG_TAIL_RECORDS,
+    LOG_TIMEOUT_S,
+)
+from corianderhold.ids import InstanceId, Offset
+from corianderhold.log import log_warning
+from corianderhold.protocol.membership.codec import decode_member, encode_member
+from corianderhold.protocol.membership.model import MalformedMessageError
+from corianderhold.state.membership.model import Address, Member, MemberState
+from corianderhold.state.membership.table import MemberView, compute_order
+from corianderhold.transport.store.model import (
+    AppendFailure,
+    Log,
+    LogPage,
+    LogRecord,
+    ReadFailure,
+    StreamName,
+)
+
+
+class MemberStream:
+    """
+    Read the tail of the stream, at most LOG_TAIL_RECORDS at a time.
+
+    What it says is only where somebody may be found: records may be old, so they
+    never enter the table of members.
+    """
+
+    def __init__(self, log: Log) -> None:
+        self._log = log
+        self._position = Offset(0)
+        self._logged: dict[InstanceId, tuple[Offset, Member]] = {}
+
+    def append(self, member: Member) -> Result[Offset, AppendFailure]:
+        """Append an announcement; a second copy of it does no harm."""
+        data = base64.b64encode(encode_member(member)).decode("ascii")
+        return self._log.append(StreamName.MEMBERS, data, LOG_TIMEOUT_S)
+
+    def read(self) -> Result[None, ReadFailure]:
+        """Take in what was appended since the last read, of that only the tail."""
+        page = self._read_page(self._position)
+        if page.is_ok():
+            next_offset = page.unwrap().next_offset
+            tail = Offset(next_offset - LOG_TAIL_RECORDS)
+            if tail > self._position and len(page.unwrap().records) < (
+                next_offset - self._position
+            ):
+                page = self._read_page(tail)
+        if page.is_err():
+            return Err(page.unwrap_err())
+        self._take_in(page.unwrap())
+        return Ok(None)
+
+    def list_contacts(self) -> tuple[Address, ...]:
+        """Return the gossip addresses of those that have not left, newest last."""
+        entries = sorted(self._logged.values(), key=lambda entry: entry[0])
+        return tuple(
+            member.gossip_address
+            for _, member in entries
+            if member.state is not MemberState.LEFT
+        )
+
+    def count_live(self, view: MemberView) -> int:
+        """Return how many live members can be found through the stream."""
+        return sum(1 for member in view.live if member.instance in self._logged)
+
+    def _read_page(self, position: Offset) -> Result[LogPage, ReadFailure]:
+        return self._log.read(
+            StreamName.MEMBERS, position, LOG_TAIL_RECORDS, LOG_TIMEOUT_S
+        )
+
+    def _take_in(self, page: LogPage) -> None:
+        for record in page.records:
+            self._take_in_record(record)
+            self._position = Offset(record.offset + 1)
+        for instance, (offset, _) in list(self._logged.items()):
+            if offset < max(page.first_offset, page.next_offset - LOG_TAIL_RECORDS):
+                del self._logged[instance]
+
+    def _take_in_record(self, record: LogRecord) -> None:
+        try:
+            member = decode_member(base64.b64decode(record.data, validate=True))
+        except (MalformedMessageError, binascii.Error, ValueError) as error:
+            log_warning("member_record_skipped", offset=record.offset, error=str(error))
+            return
+        known = self._logged.get(member.instance)
+        if known is None or compute_order(member) >= compute_order(known[1]):
+            self._logged[member.instance] = (record.offset, member)
--- /dev/null
+++ b/corianderhold/coordination/membership/swim.py
@@ -0,0 +1,329 @@
+"""Detect failures and spread announcements by SWIM, as a state machine without I/O."""
+
+from dataclasses import dataclass
+from random import Random
+
+from corianderhold.coordination.membership.const import (
+    DEAD_PROBE_INTERVAL_S,
+    FORGET_INTERVAL_S,
+    GOSSIP_FANOUT,
+    GOSSIP_INTERVAL_S,
+    INDIRECT_PROBES,
+    JOIN_INTERVAL_S,
+    PROBE_INTERVAL_S,
+    PROBE_TIMEOUT_S,
+    REFUTATIONS_LIMIT,
+    URGENT_FANOUT,
+)
+from corianderhold.coordination.membership.contacts import ContactBook
+from corianderhold.coordination.membership.health import ActiveTime, LocalHealth
+from corianderhold.coordination.membership.prober import (
+    Probe,
+    ProbeRotation,
+    RelayBook,
+    draw_number,
+)
+from corianderhold.coordination.membership.roster import Roster
+from corianderhold.coordination.membership.sender import (
+    DatagramSender,
+    OutgoingDatagram,
+)
+from corianderhold.ids import InstanceId, ServiceName
+from corianderhold.log import log_event
+from corianderhold.metrics import Metrics
+from corianderhold.protocol.membership.codec import decode_datagram, decode_member
+from corianderhold.protocol.membership.model import (
+    Datagram,
+    DatagramKind,
+    MalformedMessageError,
+    SyncRecord,
+)
+from corianderhold.protocol.membership.seal import DatagramSeal
+from corianderhold.state.membership.model import (
+    Address,
+    Member,
+    MemberState,
+    TargetState,
+)
+from corianderhold.state.membership.table import MemberView
+
+
+@dataclass
+class Schedule:
+    """When each periodic duty is due next, in active seconds."""
+
+    probe_at_s: float = 0.0
+    gossip_at_s: float = 0.0
+    contact_at_s: float = 0.0
+    forget_at_s: float = 0.0
+
+
+class Swim:
+    """
+    Probe members in turn and pass on updates; the caller moves bytes and time.
+
+    After each call, `take_outgoing` and `take_changes` return what it brought about.
+    Times given are monotonic seconds. Timers run on active time, so a daemon that
+    wakes after a pause first hears its peers before it judges them.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        seeds: tuple[Address, ...],
+        seal: DatagramSeal,
+        random: Random,
+        metrics: Metrics,
+        now_s: float,
+    ) -> None:
+        self._random = random
+        self._seal = seal
+        self._metrics = metrics
+        self._health = LocalHealth()
+        self._time = ActiveTime(now_s)
+        self._roster = Roster(own, self._health, self._time, now_s)
+        self._sender = DatagramSender(
+            seal, self._roster.broadcasts, self._roster.count_live, metrics, now_s
+        )
+        self._rotation = ProbeRotation(random)
+        self._contacts = ContactBook(seeds, random)
+        self._relays = RelayBook()
+        self._probe: Probe | None = None
+        self._heard = False
+        self._woke_at_s = float("-inf")
+        self._schedule = Schedule()
+
+    @property
+    def own(self) -> Member:
+        """Return this daemon's own announcement."""
+        return self._roster.own
+
+    @property
+    def view(self) -> MemberView:
+        """Return the current view of all members."""
+        return self._roster.view
+
+    def take_outgoing(self) -> list[OutgoingDatagram]:
+        """Return the datagrams to be sent since the last call."""
+        return self._sender.take_outgoing()
+
+    def take_changes(self) -> list[Member]:
+        """Return the members that changed since the last call, in order."""
+        return self._roster.take_changes()
+
+    def take_revivals(self) -> int:
+        """Return how many dead members came back since the last call."""
+        return self._roster.take_revivals()
+
+    def replace_contacts(self, addresses: tuple[Address, ...]) -> None:
+        """Try these gossip addresses besides the seeds."""
+        self._contacts.replace_logged(addresses)
+
+    def merge_records(self, records: tuple[SyncRecord, ...], now_s: float) -> None:
+        """Take in the records of a full synchronisation."""
+        for record in records:
+            self._roster.apply_synced(record.member, now_s, float(record.dead_for_s))
+
+    def announce_target(
+        self, service: ServiceName | None, state: TargetState, now_s: float
+    ) -> None:
+        """Announce a change of the local target and spread it at once."""
+        self._roster.announce(service, state, now_s)
+        self._send_gossip(URGENT_FANOUT, now_s)
+
+    def leave(self, now_s: float) -> None:
+        """Announce that this daemon leaves and spread it at once."""
+        self._roster.leave(now_s)
+        self._send_gossip(URGENT_FANOUT, now_s)
+
+    def receive(self, data: bytes, source: Address, now_s: float) -> None:
+        """Handle one datagram; what is not a peer's is dropped and counted."""
+        self._advance(now_s)
+        payload = self._seal.open(data)
+        if payload.is_err():
+            self._metrics.increment(f"membership_rejected_{payload.unwrap_err()}")
+            return
+        try:
+            datagram = decode_datagram(payload.unwrap())
+            updates = [decode_member(update) for update in datagram.updates]
+        except MalformedMessageError:
+            self._metrics.increment("membership_rejected_malformed")
+            return
+        if datagram.sender == self.own.instance:
+            return
+        self._metrics.increment("membership_datagrams_received")
+        self._heard = True
+        refutations = self._roster.refutations
+        for member in updates:
+            self._roster.apply(member, now_s)
+        self._dispatch(datagram, source, now_s)
+        refuting = self._roster.list_refutations(updates)
+        if refuting:
+            gossip = Datagram(DatagramKind.GOSSIP, 0, self.own.instance)
+            self._sender.send(source, gossip, now_s, refuting[:REFUTATIONS_LIMIT])
+        if self._roster.refutations > refutations:
+            self._send_gossip(URGENT_FANOUT, now_s)
+
+    def tick(self, now_s: float) -> None:
+        """Do whatever is due by now."""
+        self._advance(now_s)
+        active_s = self._time.seconds
+        self._roster.expire(now_s)
+        self._check_probe(now_s)
+        if active_s >= self._schedule.probe_at_s:
+            interval_s = PROBE_INTERVAL_S * self._health.multiplier
+            self._schedule.probe_at_s = active_s + interval_s
+            self._start_probe(now_s)
+        if active_s >= self._schedule.contact_at_s:
+            alone = self._roster.count_live() <= 1
+            interval_s = JOIN_INTERVAL_S if alone else DEAD_PROBE_INTERVAL_S
+            jitter = self._random.uniform(0.8, 1.2)
+            self._schedule.contact_at_s = active_s + interval_s * jitter
+            self._ping_contact(now_s)
+        if active_s >= self._schedule.gossip_at_s:
+            self._schedule.gossip_at_s = active_s + GOSSIP_INTERVAL_S
+            self._send_gossip(GOSSIP_FANOUT, now_s)
+        if active_s >= self._schedule.forget_at_s:
+            self._schedule.forget_at_s = active_s + FORGET_INTERVAL_S
+            self._roster.forget(now_s)
+
+    def _advance(self, now_s: float) -> None:
+        pause_s = self._time.advance(now_s)
+        if pause_s:
+            log_event("pause_detected", seconds=pause_s)
+            self._woke_at_s = now_s
+            self._health.worsen()
+            self._probe = None
+
+    def _dispatch(self, datagram: Datagram, source: Address, now_s: float) -> None:
+        if datagram.kind is DatagramKind.ACK:
+            self._handle_ack(datagram, now_s)
+        elif now_s == self._woke_at_s:
+            return  # the senders of what waited through a pause have given up
+        elif datagram.kind is DatagramKind.PING:
+            self._answer_ping(datagram, source, now_s)
+        elif datagram.kind is DatagramKind.PING_REQUEST:
+            self._relay_ping(datagram, source, now_s)
+
+    def _answer_ping(self, datagram: Datagram, source: Address, now_s: float) -> None:
+        if datagram.subject not in (None, self.own.instance):
+            self._metrics.increment("membership_pings_misdirected")
+            return
+        members = self._list_claims(datagram.sender)
+        if datagram.subject is None:
+            members = (self.own, *members)
+        ack = Datagram(DatagramKind.ACK, datagram.number, self.own.instance)
+        self._sender.send(source, ack, now_s, members)
+        if self._roster.get_member(datagram.sender) is None:
+            self._ping(source, None, (self.own,), now_s)
+
+    def _handle_ack(self, datagram: Datagram, now_s: float) -> None:
+        if self._probe is not None and datagram.number == self._probe.number:
+            self._probe = None
+            self._health.improve()
+            return
+        relay = self._relays.take(datagram.number)
+        if relay is not None:
+            ack = Datagram(DatagramKind.ACK, relay.number, self.own.instance)
+            self._sender.send(relay.requester, ack, now_s)
+
+    def _relay_ping(self, datagram: Datagram, source: Address, now_s: float) -> None:
+        if datagram.subject is None or datagram.subject_address is None:
+            return
+        if self._relays.is_full(self._time.seconds):
+            return
+        claims = self._list_claims(datagram.subject)
+        number = self._ping(datagram.subject_address, datagram.subject, claims, now_s)
+        if number is not None:
+            self._relays.add(number, source, datagram.number, self._time.seconds)
+
+    def _start_probe(self, now_s: float) -> None:
+        others = [m for m in self.view.live if m.instance != self.own.instance]
+        member = self._rotation.pick(others)
+        if member is None:
+            return
+        active_s = self._time.seconds
+        factor = self._health.multiplier
+        claims = self._list_claims(member.instance)
+        number = self._ping(member.gossip_address, member.instance, claims, now_s)
+        if number is None:
+            return
+        self._heard = False
+        self._probe = Probe(
+            number,
+            member.instance,
+            active_s + PROBE_TIMEOUT_S * factor,
+            active_s + PROBE_INTERVAL_S * factor,
+        )
+
+    def _check_probe(self, now_s: float) -> None:
+        probe = self._probe
+        if probe is None:
+            return
+        if self._time.seconds >= probe.fails_at_s:
+            self._probe = None
+            if not self._heard:
+                self._health.worsen()
+            self._roster.suspect(probe.instance, now_s)
+        elif self._time.seconds >= probe.indirect_at_s and not probe.indirect_sent:
+            probe.indirect_sent = True
+            self._request_pings(probe, now_s)
+
+    def _request_pings(self, probe: Probe, now_s: float) -> None:
+        subject = self._roster.get_member(probe.instance)
+        if subject is None:
+            return
+        request = Datagram(
+            DatagramKind.PING_REQUEST,
+            probe.number,
+            self.own.instance,
+            subject.instance,
+            subject.gossip_address,
+        )
+        for member in self._sample(INDIRECT_PROBES, subject.instance):
+            self._sender.send(member.gossip_address, request, now_s)
+
+    def _ping(
+        self,
+        address: Address,
+        subject: InstanceId | None,
+        members: tuple[Member, ...],
+        now_s: float,
+    ) -> int | None:
+        number = draw_number(self._random)
+        ping = Datagram(DatagramKind.PING, number, self.own.instance, subject)
+        return number if self._sender.send(address, ping, now_s, members) else None
+
+    def _ping_contact(self, now_s: float) -> None:
+        address = self._contacts.pick(self.view, self.own.gossip_address)
+        if address is None:
+            return
+        dead = tuple(
+            member
+            for member in self.view.members
+            if member.gossip_address == address and member.state is MemberState.DEAD
+        )
+        self._ping(address, None, (self.own, *dead[-1:]), now_s)
+
+    def _list_claims(self, instance: InstanceId) -> tuple[Member, ...]:
+        """Return what the member itself must hear to refute it."""
+        member = self._roster.get_member(instance)
+        if member is None or member.state not in (
+            MemberState.SUSPECT,
+            MemberState.DEAD,
+        ):
+            return ()
+        return (member,)
+
+    def _send_gossip(self, fanout: int, now_s: float) -> None:
+        if not len(self._roster.broadcasts):
+            return
+        gossip = Datagram(DatagramKind.GOSSIP, 0, self.own.instance)
+        for member in self._sample(fanout, self.own.instance):
+            self._sender.send(member.gossip_address, gossip, now_s)
+
+    def _sample(self, count: int, excluded: InstanceId) -> list[Member]:
+        live = self.view.live
+        drawn = self._random.sample(live, min(len(live), count + 2))
+        unwanted = (excluded, self.own.instance)
+        return [member for member in drawn if member.instance not in unwanted][:count]
--- /dev/null
+++ b/corianderhold/coordination/membership/synchronizer.py
@@ -0,0 +1,218 @@
+"""Synchronise with peers and with the log, on a thread that may wait for them."""
+
+import queue
+import threading
+from collections.abc import Callable
+from random import Random
+
+from corianderhold.clock import Clock
+from corianderhold.coordination.membership.const import (
+    LOG_INTERVAL_S,
+    LOG_MEMBERS_LOWEST,
+    LOG_RETRY_S,
+    STOP_TIMEOUT_S,
+    SYNC_INTERVAL_S,
+    SYNC_PAGES_LIMIT,
+    SYNC_RETRY_S,
+    SYNC_TIMEOUT_S,
+)
+from corianderhold.coordination.membership.messages import (
+    AnnouncementChanged,
+    ContactsFound,
+    RecordsReceived,
+    StopRequested,
+    SyncRequested,
+    TableMessage,
+    WorkerMessage,
+)
+from corianderhold.coordination.membership.stream import MemberStream
+from corianderhold.coordination.membership.sync import (
+    compute_digests,
+    list_newer,
+    split_pages,
+)
+from corianderhold.log import log_event, log_warning
+from corianderhold.metrics import Metrics
+from corianderhold.protocol.membership.codec import decode_reply, encode_request
+from corianderhold.protocol.membership.model import (
+    MalformedMessageError,
+    SyncRecord,
+    SyncReply,
+    SyncRequest,
+)
+from corianderhold.protocol.peer.control import ControlClient, ControlTopic
+from corianderhold.state.membership.model import Address, Member
+from corianderhold.state.membership.table import MemberView
+from corianderhold.transport.store.model import Log
+
+
+class Synchronizer:
+    """
+    Compare the table with a random peer's now and then, and follow the log's stream.
+
+    It reads the table through `read_view` and changes it only by messages that `post`
+    hands to the thread that owns it.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        read_view: Callable[[], MemberView],
+        post: Callable[[TableMessage], None],
+        log: Log,
+        control: ControlClient,
+        clock: Clock,
+        random: Random,
+        metrics: Metrics,
+    ) -> None:
+        self._own = own
+        self._read_view = read_view
+        self._post = post
+        self._control = control
+        self._clock = clock
+        self._random = random
+        self._metrics = metrics
+        self._stream = MemberStream(log)
+        self._announcement: Member | None = own
+        self._messages: queue.SimpleQueue[WorkerMessage] = queue.SimpleQueue()
+        self._thread = threading.Thread(target=self._run, name="membership-sync")
+        self._sync_at_s = float("inf")
+        self._log_at_s = clock.read_monotonic()
+        self._stopping = False
+
+    def start(self) -> None:
+        """Begin with a read of the log."""
+        self._thread.start()
+
+    def send(self, message: WorkerMessage) -> None:
+        """Hand a message to the thread; returns at once."""
+        self._messages.put(message)
+
+    def stop(self) -> None:
+        """End after what is under way; its requests have time limits."""
+        self._messages.put(StopRequested())
+        if self._thread.ident is not None:
+            self._thread.join(STOP_TIMEOUT_S)
+
+    def _run(self) -> None:
+        while not self._stopping:
+            try:
+                self._run_once()
+            except Exception as error:  # noqa: BLE001
+                log_warning("membership_sync_failed", error=repr(error))
+                self._sync_at_s = self._clock.read_monotonic() + SYNC_INTERVAL_S
+                self._log_at_s = self._clock.read_monotonic() + LOG_INTERVAL_S
+
+    def _run_once(self) -> None:
+        now_s = self._clock.read_monotonic()
+        wait_s = max(0.0, min(self._sync_at_s, self._log_at_s) - now_s)
+        try:
+            self._handle(self._messages.get(timeout=wait_s))
+            return
+        except queue.Empty:
+            pass
+        now_s = self._clock.read_monotonic()
+        if now_s >= self._sync_at_s:
+            self._synchronize()
+        if now_s >= self._log_at_s:
+            self._follow_log()
+
+    def _handle(self, message: WorkerMessage) -> None:
+        match message:
+            case StopRequested():
+                self._stopping = True
+            case SyncRequested(within_s):
+                delay_s = self._random.uniform(0.0, within_s)
+                due_s = self._clock.read_monotonic() + delay_s
+                self._sync_at_s = min(self._sync_at_s, due_s)
+            case AnnouncementChanged(member):
+                self._own = member
+                self._announcement = member
+                self._append_announcement()
+
+    def _synchronize(self) -> None:
+        peer = self._choose_peer()
+        succeeded = peer is not None and self._exchange(peer.peer_address)
+        interval_s = SYNC_INTERVAL_S if succeeded else SYNC_RETRY_S
+        interval_s *= self._random.uniform(0.8, 1.2)
+        self._sync_at_s = self._clock.read_monotonic() + interval_s
+
+    def _choose_peer(self) -> Member | None:
+        view = self._read_view()
+        others = [m for m in view.live if m.instance != self._own.instance]
+        return self._random.choice(others) if others else None
+
+    def _exchange(self, address: Address) -> bool:
+        digests = compute_digests(self._read_view())
+        received: list[SyncRecord] = []
+        buckets: tuple[int, ...] = ()
+        for _ in range(SYNC_PAGES_LIMIT):
+            after = received[-1].member.instance if received else ""
+            reply = self._request(address, SyncRequest(digests, after))
+            if reply is None:
+                return False
+            buckets = reply.buckets
+            received.extend(reply.records)
+            self._post(RecordsReceived(reply.records))
+            if reply.last:
+                break
+        now_s = self._clock.read_monotonic()
+        newer = list_newer(self._read_view(), buckets, received, now_s)
+        pushed = all(
+            self._request(address, SyncRequest((), "", page)) is not None
+            for page in split_pages(newer)
+        )
+        log_event(
+            "members_synchronized",
+            peer=str(address),
+            received=len(received),
+            pushed=len(newer),
+        )
+        return pushed
+
+    def _request(self, address: Address, request: SyncRequest) -> SyncReply | None:
+        body = encode_request(request)
+        result = self._control.request(
+            address, ControlTopic.MEMBERSHIP, body, SYNC_TIMEOUT_S
+        )
+        self._metrics.increment("membership_sync_bytes_sent", len(body))
+        if result.is_err():
+            failure = result.unwrap_err()
+            log_warning("member_sync_failed", peer=str(address), failure=failure)
+            return None
+        try:
+            return decode_reply(result.unwrap())
+        except MalformedMessageError as error:
+            log_warning("member_sync_failed", peer=str(address), failure=str(error))
+            return None
+
+    def _follow_log(self) -> None:
+        self._append_announcement()
+        read = self._stream.read()
+        if read.is_ok():
+            self._post(ContactsFound(self._stream.list_contacts()))
+            self._renew_announcement()
+        live = len(self._read_view().live)
+        settled = read.is_ok() and self._announcement is None and live > 1
+        interval_s = LOG_INTERVAL_S if settled else LOG_RETRY_S
+        interval_s *= self._random.uniform(0.8, 1.2)
+        self._log_at_s = self._clock.read_monotonic() + interval_s
+
+    def _renew_announcement(self) -> None:
+        """Have a few daemons announce themselves again once retention took all."""
+        view = self._read_view()
+        if self._stream.count_live(view) >= LOG_MEMBERS_LOWEST:
+            return
+        if self._random.random() * len(view.live) < LOG_MEMBERS_LOWEST:
+            self._announcement = self._own
+            self._append_announcement()
+
+    def _append_announcement(self) -> None:
+        if self._announcement is None:
+            return
+        result = self._stream.append(self._announcement)
+        if result.is_err():
+            failure = result.unwrap_err()
+            log_warning("member_append_failed", failure=failure)
+        else:
+            self._announcement = None
--- /dev/null
+++ b/corianderhold/protocol/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Encode and decode gossip datagrams and synchronisation messages."""
--- /dev/null
+++ b/corianderhold/protocol/membership/codec.py
@@ -0,0 +1,196 @@
+"""Map datagrams, members and synchronisation messages to bytes and back."""
+
+import struct
+from ipaddress import ip_address
+from typing import Any, TypeVar
+
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.Thrift import TException
+from thrift.TSerialization import deserialize, serialize
+
+from corianderhold.ids import (
+    FailureDomainId,
+    Incarnation,
+    InstanceId,
+    RegionId,
+    ServiceName,
+)
+from corianderhold.protocol.membership.gen import ttypes
+from corianderhold.protocol.membership.model import (
+    Datagram,
+    DatagramKind,
+    MalformedMessageError,
+    SyncRecord,
+    SyncReply,
+    SyncRequest,
+)
+from corianderhold.state.membership.model import (
+    Address,
+    Member,
+    MemberState,
+    TargetState,
+)
+
+FACTORY = TCompactProtocolAcceleratedFactory()
+DECODE_ERRORS = (
+    TException,
+    EOFError,
+    ValueError,
+    TypeError,
+    OverflowError,
+    MemoryError,
+    struct.error,
+)
+
+MEMBER_STATES = {
+    MemberState.ALIVE: 1,
+    MemberState.SUSPECT: 2,
+    MemberState.DEAD: 3,
+    MemberState.LEFT: 4,
+}
+TARGET_STATES = {
+    TargetState.ABSENT: 1,
+    TargetState.SERVING: 2,
+    TargetState.DRAINING: 3,
+}
+MEMBER_STATES_BY_CODE = {code: state for state, code in MEMBER_STATES.items()}
+TARGET_STATES_BY_CODE = {code: state for state, code in TARGET_STATES.items()}
+
+MessageT = TypeVar("MessageT")
+
+
+def encode_member(member: Member) -> bytes:
+    """Return one announcement as bytes; raise ValueError for a host that is no IP."""
+    peer_host = ip_address(member.peer_address.host).packed
+    gossip_host = ip_address(member.gossip_address.host).packed
+    record = ttypes.MemberRecord(
+        instance=member.instance,
+        incarnation=member.incarnation,
+        sequence=member.sequence,
+        domain=member.domain,
+        region=member.region,
+        peer_host=peer_host,
+        peer_port=member.peer_address.port,
+        gossip_host=None if gossip_host == peer_host else gossip_host,
+        gossip_port=member.gossip_address.port,
+        service_name=member.service,
+        target_state=TARGET_STATES[member.target_state],
+        state=MEMBER_STATES[member.state],
+    )
+    return _serialize(record)
+
+
+def decode_member(data: bytes) -> Member:
+    """Return the announcement in `data`; raise MalformedMessageError."""
+    record = _deserialize(ttypes.MemberRecord(), data)
+    try:
+        return _build_member(record)
+    except (ValueError, KeyError, TypeError) as error:
+        raise MalformedMessageError(f"member: {error}") from error
+
+
+def encode_datagram(datagram: Datagram) -> bytes:
+    """Return one datagram as bytes, not yet sealed."""
+    address = datagram.subject_address
+    return _serialize(
+        ttypes.Datagram(
+            kind=datagram.kind.value,
+            number=datagram.number,
+            sender=datagram.sender,
+            subject=datagram.subject,
+            subject_host=ip_address(address.host).packed if address else None,
+            subject_port=address.port if address else None,
+            updates=list(datagram.updates),
+        )
+    )
+
+
+def decode_datagram(data: bytes) -> Datagram:
+    """Return the datagram in `data`; raise MalformedMessageError."""
+    message = _deserialize(ttypes.Datagram(), data)
+    try:
+        address = None
+        if message.subject_host is not None and message.subject_port is not None:
+            address = _build_address(message.subject_host, message.subject_port)
+        subject = None if message.subject is None else InstanceId(message.subject)
+        return Datagram(
+            DatagramKind(message.kind),
+            message.number,
+            InstanceId(message.sender),
+            subject,
+            address,
+            tuple(message.updates),
+        )
+    except (ValueError, TypeError) as error:
+        raise MalformedMessageError(f"datagram: {error}") from error
+
+
+def encode_request(request: SyncRequest) -> bytes:
+    """Return a synchronisation request as bytes."""
+    pushed = [_build_sync_record(record) for record in request.pushed]
+    message = ttypes.SyncRequest(list(request.digests), request.after, pushed)
+    return _serialize(message)
+
+
+def decode_request(data: bytes) -> SyncRequest:
+    """Return the request in `data`; raise MalformedMessageError."""
+    message = _deserialize(ttypes.SyncRequest(), data)
+    pushed = tuple(_read_sync_record(record) for record in message.pushed)
+    return SyncRequest(tuple(message.digests), message.after, pushed)
+
+
+def encode_reply(reply: SyncReply) -> bytes:
+    """Return a synchronisation reply as bytes."""
+    records = [_build_sync_record(record) for record in reply.records]
+    return _serialize(ttypes.SyncReply(list(reply.buckets), records, reply.last))
+
+
+def decode_reply(data: bytes) -> SyncReply:
+    """Return the reply in `data`; raise MalformedMessageError."""
+    message = _deserialize(ttypes.SyncReply(), data)
+    records = tuple(_read_sync_record(record) for record in message.records)
+    return SyncReply(tuple(message.buckets), records, message.last)
+
+
+def _serialize(message: Any) -> bytes:  # noqa: ANN401
+    return bytes(serialize(message, FACTORY))
+
+
+def _deserialize(message: MessageT, data: bytes) -> MessageT:
+    try:
+        deserialize(message, data, FACTORY)
+        message.validate()  # type: ignore[attr-defined]
+    except DECODE_ERRORS as error:
+        raise MalformedMessageError(f"{type(message).__name__}: {error}") from error
+    return message
+
+
+def _build_address(host: bytes, port: int) -> Address:
+    if not 0 < port < 65536:
+        raise ValueError(f"port {port}")
+    return Address(str(ip_address(host)), port)
+
+
+def _build_member(record: ttypes.MemberRecord) -> Member:
+    gossip_host = record.gossip_host or record.peer_host
+    service = record.service_name
+    return Member(
+        InstanceId(record.instance),
+        Incarnation(record.incarnation),
+        record.sequence,
+        FailureDomainId(record.domain),
+        RegionId(record.region),
+        _build_address(record.peer_host, record.peer_port),
+        _build_address(gossip_host, record.gossip_port),
+        None if service is None else ServiceName(service),
+        TARGET_STATES_BY_CODE[record.target_state],
+        MEMBER_STATES_BY_CODE[record.state],
+    )
+
+
+def _build_sync_record(record: SyncRecord) -> ttypes.SyncRecord:
+    return ttypes.SyncRecord(encode_member(record.member), record.dead_for_s)
+
+
+def _read_sync_record(record: ttypes.SyncRecord) -> SyncRecord:
+    return SyncRecord(decode_member(record.member), record.dead_for_s)
--- /dev/null
+++ b/corianderhold/protocol/membership/seal.py
@@ -0,0 +1,34 @@
+"""Authenticate datagrams with a key that all daemons of a fleet share."""
+
+import hmac
+
+from result import Err, Ok, Result
+
+VERSION = b"\x01"
+TAG_BYTES = 16
+OVERHEAD_BYTES = len(VERSION) + TAG_BYTES
+KEY_PURPOSE = b"corianderhold gossip 1"
+
+
+class DatagramSeal:
+    """Add and check a truncated HMAC-SHA256 under a key derived from the secret."""
+
+    def __init__(self, secret: bytes) -> None:
+        self._key = hmac.digest(secret, KEY_PURPOSE, "sha256")
+
+    def seal(self, payload: bytes) -> bytes:
+        """Return `payload` behind the version and its tag."""
+        return VERSION + self._compute_tag(payload) + payload
+
+    def open(self, data: bytes) -> Result[bytes, str]:
+        """Return the payload of an authentic datagram, or why it is rejected."""
+        if len(data) <= OVERHEAD_BYTES or not data.startswith(VERSION):
+            return Err("malformed")
+        tag = data[len(VERSION) : OVERHEAD_BYTES]
+        payload = data[OVERHEAD_BYTES:]
+        if not hmac.compare_digest(tag, self._compute_tag(payload)):
+            return Err("foreign")
+        return Ok(payload)
+
+    def _compute_tag(self, payload: bytes) -> bytes:
+        return hmac.digest(self._key, payload, "sha256")[:TAG_BYTES]
--- /dev/null
+++ b/corianderhold/state/membership/table.py
@@ -0,0 +1,175 @@
+"""Merge announcements into one view that does not depend on their order."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+
+from corianderhold.ids import InstanceId, ServiceName
+from corianderhold.state.membership.const import DEAD_RETENTION_S, PRECEDENCE
+from corianderhold.state.membership.model import (
+    Address,
+    Member,
+    MemberState,
+    TargetState,
+)
+
+OrderKey = tuple[int, int, int, tuple[str, ...]]
+
+
+@dataclass(frozen=True)
+class MemberView:
+    """
+    An immutable picture of the table.
+
+    `records` are the announcements as received, `members` what they amount to.
+    `owners` holds, for each service, the members that may get work. `dead_since`
+    gives the monotonic time in seconds at which a member was taken as dead or left.
+    """
+
+    records: tuple[Member, ...] = ()
+    members: tuple[Member, ...] = ()
+    live: tuple[Member, ...] = ()
+    owners: Mapping[ServiceName, tuple[Member, ...]] = field(default_factory=dict)
+    dead_since: Mapping[InstanceId, float] = field(default_factory=dict)
+
+
+def is_live(member: Member) -> bool:
+    """Return whether a member is neither dead nor has left."""
+    return member.state in (MemberState.ALIVE, MemberState.SUSPECT)
+
+
+def is_owner(member: Member) -> bool:
+    """Return whether a member may get work; a suspected one still may."""
+    return is_live(member) and member.target_state is TargetState.SERVING
+
+
+def compute_order(member: Member) -> OrderKey:
+    """
+    Return the key by which the newer of two announcements is the greater.
+
+    The last part only makes the order total: a daemon never announces two contents
+    under one incarnation and sequence.
+    """
+    content = (
+        member.domain,
+        member.region,
+        str(member.peer_address),
+        str(member.gossip_address),
+        member.service or "",
+        member.target_state.value,
+    )
+    precedence = PRECEDENCE[member.state]
+    return member.incarnation, member.sequence, precedence, content
+
+
+class MemberTable:
+    """
+    Keep the newest announcement of every instance.
+
+    Announcements of one instance are ordered by incarnation, sequence and state.
+    Where two instances hold the same peer address, the one with the lower incarnation
+    is shown as dead. Both rules look only at the set of announcements received, so
+    any order and any repetition give the same view.
+    """
+
+    def __init__(self, retention_s: float = DEAD_RETENTION_S) -> None:
+        self._retention_s = retention_s
+        self._records: dict[InstanceId, Member] = {}
+        self._members: dict[InstanceId, Member] = {}
+        self._by_address: dict[Address, set[InstanceId]] = {}
+        self._dead_since: dict[InstanceId, float] = {}
+        self._view: MemberView | None = None
+
+    def merge(
+        self, record: Member, now_s: float, dead_for_s: float = 0.0
+    ) -> tuple[Member, ...]:
+        """
+        Take in one announcement and return the members that changed in the view.
+
+        `dead_for_s` is the age of a death learnt from another daemon's table, so that
+        passing it on does not prolong its retention.
+        """
+        known = self._records.get(record.instance)
+        if known is not None and compute_order(record) <= compute_order(known):
+            return ()
+        if not is_live(record) and dead_for_s >= self._retention_s:
+            return ()
+        self._records[record.instance] = record
+        addresses = {record.peer_address}
+        if known is not None:
+            addresses.add(known.peer_address)
+            self._by_address[known.peer_address].discard(record.instance)
+        self._by_address.setdefault(record.peer_address, set()).add(record.instance)
+        touched = {record.instance}
+        for address in addresses:
+            touched |= self._by_address[address]
+        return self._refresh(touched, now_s - dead_for_s)
+
+    def count_live(self) -> int:
+        """Return the number of live members."""
+        return len(self._members) - len(self._dead_since)
+
+    def get_member(self, instance: InstanceId) -> Member | None:
+        """Return a member as shown in the view, or None."""
+        return self._members.get(instance)
+
+    def forget(self, now_s: float) -> tuple[Member, ...]:
+        """Drop and return the members that were dead longer than the retention."""
+        dropped = []
+        for instance, since in list(self._dead_since.items()):
+            if now_s - since >= self._retention_s:
+                dropped.append(self._members.pop(instance))
+                record = self._records.pop(instance)
+                self._by_address[record.peer_address].discard(instance)
+                del self._dead_since[instance]
+                self._view = None
+        for address in [
+            address for address, held in self._by_address.items() if not held
+        ]:
+            del self._by_address[address]
+        return tuple(dropped)
+
+    def read_view(self) -> MemberView:
+        """Return the view, rebuilt only after a change."""
+        if self._view is None:
+            self._view = self._build_view()
+        return self._view
+
+    def _refresh(
+        self, instances: set[InstanceId], dead_at_s: float
+    ) -> tuple[Member, ...]:
+        changed = []
+        for instance in sorted(instances):
+            member = self._compute_member(self._records[instance])
+            if member == self._members.get(instance):
+                continue
+            self._members[instance] = member
+            if is_live(member):
+                self._dead_since.pop(instance, None)
+            else:
+                self._dead_since.setdefault(instance, dead_at_s)
+            changed.append(member)
+        if changed:
+            self._view = None
+        return tuple(changed)
+
+    def _compute_member(self, record: Member) -> Member:
+        if not is_live(record):
+            return record
+        rank = (record.incarnation, record.instance)
+        for instance in self._by_address[record.peer_address]:
+            if (self._records[instance].incarnation, instance) > rank:
+                return replace(record, state=MemberState.DEAD)
+        return record
+
+    def _build_view(self) -> MemberView:
+        owners: dict[ServiceName, list[Member]] = {}
+        for member in self._members.values():
+            if member.service is not None and is_owner(member):
+                owners.setdefault(member.service, []).append(member)
+        return MemberView(
+            tuple(self._records.values()),
+            tuple(self._members.values()),
+            tuple(member for member in self._members.values() if is_live(member)),
+            {service: tuple(members) for service, members in owners.items()},
+            dict(self._dead_since),
+        )
--- /dev/null
+++ b/corianderhold/transport/datagram/__init__.py
@@ -0,0 +1,1 @@
+"""Send and receive UDP datagrams."""
--- /dev/null
+++ b/tests/common/membership.py
@@ -0,0 +1,185 @@
+"""Connect SWIM state machines by an in-memory network with faults on command."""
+
+import heapq
+from dataclasses import dataclass, field
+from random import Random
+
+from corianderhold.coordination.membership.const import SYNC_INTERVAL_S
+from corianderhold.coordination.membership.swim import Swim
+from corianderhold.coordination.membership.sync import (
+    answer_request,
+    compute_digests,
+    list_newer,
+)
+from corianderhold.ids import (
+    FailureDomainId,
+    Incarnation,
+    InstanceId,
+    RegionId,
+    ServiceName,
+)
+from corianderhold.metrics import Metrics
+from corianderhold.protocol.membership.model import SyncRequest
+from corianderhold.protocol.membership.seal import DatagramSeal
+from corianderhold.state.membership.model import (
+    Address,
+    Member,
+    MemberState,
+    TargetState,
+)
+
+SECRET = b"fleet secret of the tests"
+STEP_S = 0.05
+START_S = 1000.0
+
+
+def build_member(
+    number: int,
+    incarnation: int = 1,
+    sequence: int = 1,
+    state: MemberState = MemberState.ALIVE,
+    target_state: TargetState = TargetState.ABSENT,
+    service: str | None = None,
+) -> Member:
+    """Return the announcement of the daemon with this number; ports follow it."""
+    return Member(
+        InstanceId(f"daemon-{number:04}"),
+        Incarnation(incarnation),
+        sequence,
+        FailureDomainId(f"domain-{number % 6}"),
+        RegionId(f"region-{number % 3}"),
+        Address("127.0.0.1", 10000 + number),
+        Address("127.0.0.1", 30000 + number),
+        None if service is None else ServiceName(service),
+        target_state,
+        state,
+    )
+
+
+@dataclass
+class Node:
+    """One state machine and what it has sent, as (time in seconds, bytes) pairs."""
+
+    swim: Swim
+    metrics: Metrics
+    running: bool = True
+    sync_at_s: float = 0.0
+    sent: list[tuple[float, int]] = field(default_factory=list)
+    inbox: list[tuple[Address, bytes]] = field(default_factory=list)
+
+
+class FakeNetwork:
+    """Move datagrams and time between nodes; the public fields bring about faults."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = Random(seed)
+        self.now_s = START_S
+        self.loss = 0.0
+        self.duplication = 0.0
+        self.latest_delay_s = 0.02
+        self.nodes: dict[Address, Node] = {}
+        self._sides: dict[Address, int] = {}
+        self._queue: list[tuple[float, int, Address, Address, bytes]] = []
+        self._sent = 0
+
+    def add(self, member: Member, seeds: tuple[Address, ...]) -> Node:
+        """Start a daemon, in place of one that ran at the same address."""
+        metrics = Metrics()
+        swim = Swim(
+            member,
+            seeds,
+            DatagramSeal(SECRET),
+            Random(self.random.getrandbits(64)),
+            metrics,
+            self.now_s,
+        )
+        node = Node(swim, metrics)
+        self.nodes[member.gossip_address] = node
+        return node
+
+    def cut(self, side: list[Node]) -> None:
+        """Separate these nodes from all others."""
+        for node in side:
+            self._sides[node.swim.own.gossip_address] = 1
+
+    def heal(self) -> None:
+        """Connect all nodes again."""
+        self._sides.clear()
+
+    def kill(self, node: Node) -> None:
+        """End a daemon without a word."""
+        del self.nodes[node.swim.own.gossip_address]
+
+    def run(self, seconds: float) -> None:
+        """Let time pass for all running nodes."""
+        end_s = self.now_s + seconds
+        while self.now_s < end_s:
+            self.now_s += STEP_S
+            self._deliver()
+            for node in list(self.nodes.values()):
+                if node.running:
+                    self._run_node(node)
+
+    def _run_node(self, node: Node) -> None:
+        inbox, node.inbox = node.inbox, []
+        for source, data in inbox:
+            node.swim.receive(data, source, self.now_s)
+        node.swim.tick(self.now_s)
+        node.swim.take_changes()
+        self.flush(node)
+        if self.now_s >= node.sync_at_s:
+            self._synchronize(node)
+
+    def flush(self, node: Node) -> None:
+        """Send what a node has to send."""
+        for outgoing in node.swim.take_outgoing():
+            node.sent.append((self.now_s, len(outgoing.data)))
+            self.send(node.swim.own.gossip_address, outgoing.address, outgoing.data)
+
+    def _synchronize(self, node: Node) -> None:
+        """Exchange tables with a random peer, as the service does over links."""
+        others = [m for m in node.swim.view.live if m != node.swim.own]
+        if not others:
+            return
+        node.sync_at_s = self.now_s + SYNC_INTERVAL_S
+        address = self.random.choice(others).gossip_address
+        peer = self.nodes.get(address)
+        own = node.swim.own.gossip_address
+        if peer is None or not peer.running or self._is_cut(own, address):
+            return
+        request = SyncRequest(compute_digests(node.swim.view))
+        reply = answer_request(peer.swim.view, request, self.now_s)
+        newer = list_newer(node.swim.view, reply.buckets, reply.records, self.now_s)
+        node.swim.merge_records(reply.records, self.now_s)
+        peer.swim.merge_records(tuple(newer), self.now_s)
+
+    def _is_cut(self, address: Address, other: Address) -> bool:
+        return self._sides.get(address, 0) != self._sides.get(other, 0)
+
+    def send(self, source: Address, address: Address, data: bytes) -> None:
+        """Put a datagram on its way, subject to loss and duplication."""
+        copies = 2 if self.random.random() < self.duplication else 1
+        for _ in range(copies):
+            if self.random.random() < self.loss:
+                continue
+            self._sent += 1
+            due_s = self.now_s + self.random.uniform(0.0, self.latest_delay_s)
+            heapq.heappush(self._queue, (due_s, self._sent, source, address, data))
+
+    def _deliver(self) -> None:
+        while self._queue and self._queue[0][0] <= self.now_s:
+            _, _, source, address, data = heapq.heappop(self._queue)
+            node = self.nodes.get(address)
+            if node is not None and not self._is_cut(source, address):
+                node.inbox.append((source, data))
+
+
+def build_fleet(network: FakeNetwork, size: int) -> list[Node]:
+    """Start `size` daemons that know the first as their seed."""
+    seeds = (build_member(0).gossip_address,)
+    return [network.add(build_member(number), seeds) for number in range(size)]
+
+
+def count_states(node: Node, state: MemberState) -> int:
+    """Return how many members a node shows in this state."""
+    return sum(1 for member in node.swim.view.members if member.state is state)
--- /dev/null
+++ b/tests/coordination/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Test gossip, synchronisation and the membership service."""
--- /dev/null
+++ b/tests/coordination/membership/test_swim.py
@@ -0,0 +1,281 @@
+"""Test failure detection and dissemination on an in-memory network with faults."""
+
+from collections.abc import Callable
+from dataclasses import replace
+from functools import wraps
+from unittest import TestCase
+
+from loguru import logger
+
+from corianderhold.coordination.membership.const import (
+    BUDGET_BURST_BYTES,
+    BUDGET_BYTES_PER_S,
+    DATAGRAM_LIMIT_BYTES,
+    HEADER_BYTES,
+    SUSPICION_MULTIPLIER,
+)
+from corianderhold.ids import Incarnation, InstanceId, ServiceName
+from corianderhold.protocol.membership.codec import encode_datagram, encode_member
+from corianderhold.protocol.membership.model import Datagram, DatagramKind
+from corianderhold.protocol.membership.seal import DatagramSeal
+from corianderhold.state.membership.model import Address, MemberState, TargetState
+from tests.common.membership import (
+    SECRET,
+    FakeNetwork,
+    Node,
+    build_fleet,
+    build_member,
+    count_states,
+)
+
+SEEDS = (1, 2, 3)
+LIMIT_S = 120.0
+STRANGER = Address("127.0.0.1", 9)
+
+
+def setUpModule() -> None:  # noqa: N802
+    """Keep thousands of log lines out of the output."""
+    logger.disable("corianderhold")
+
+
+def tearDownModule() -> None:  # noqa: N802
+    """Log again."""
+    logger.enable("corianderhold")
+
+
+def with_seeds(test: Callable[["SwimTests", int], None]) -> Callable[..., None]:
+    """Run a test once for each seed."""
+
+    @wraps(test)
+    def run(self: "SwimTests") -> None:
+        for seed in SEEDS:
+            try:
+                test(self, seed)
+            except AssertionError as error:
+                raise AssertionError(f"seed {seed}: {error}") from error
+
+    return run
+
+
+class SwimTests(TestCase):
+    """Bring about faults between a few state machines."""
+
+    def run_until(
+        self, network: FakeNetwork, condition: Callable[[], bool], limit_s: float
+    ) -> float:
+        """Let time pass until the condition holds; return the seconds it took."""
+        start_s = network.now_s
+        while not condition():
+            if network.now_s - start_s > limit_s:
+                self.fail(f"condition not met within {limit_s} s")
+            network.run(0.2)
+        return network.now_s - start_s
+
+    def start_fleet(self, seed: int, size: int) -> tuple[FakeNetwork, list[Node]]:
+        """Start daemons and wait until each sees all others alive."""
+        network = FakeNetwork(seed)
+        nodes = build_fleet(network, size)
+        self.run_until(network, lambda: self.agree(nodes, size), LIMIT_S)
+        return network, nodes
+
+    def agree(self, nodes: list[Node], alive: int) -> bool:
+        """Return whether each of the nodes sees this many members alive."""
+        return all(count_states(node, MemberState.ALIVE) == alive for node in nodes)
+
+    def show_state(self, nodes: list[Node], subject: Node) -> set[MemberState]:
+        """Return the states in which the nodes see one member."""
+        instance = subject.swim.own.instance
+        return {
+            member.state
+            for node in nodes
+            for member in node.swim.view.members
+            if member.instance == instance
+        }
+
+    @with_seeds
+    def test_members_agree_despite_lossy_network(self, seed: int) -> None:
+        network = FakeNetwork(seed)
+        network.loss, network.duplication = 0.2, 0.2
+        network.latest_delay_s = 0.15
+        nodes = build_fleet(network, 12)
+        self.run_until(network, lambda: self.agree(nodes, 12), LIMIT_S)
+        network.run(60.0)
+        for node in nodes:
+            self.assertEqual(count_states(node, MemberState.DEAD), 0)
+
+    @with_seeds
+    def test_killed_member_is_declared_dead_by_all(self, seed: int) -> None:
+        network, nodes = self.start_fleet(seed, 12)
+        victim = nodes.pop()
+        network.kill(victim)
+        dead = {MemberState.DEAD}
+        self.run_until(
+            network,
+            lambda: self.show_state(nodes, victim) == dead,
+            30.0,
+        )
+        self.assertTrue(self.agree(nodes, 11))
+
+    @with_seeds
+    def test_cut_domain_and_rest_find_each_other_again(self, seed: int) -> None:
+        network, nodes = self.start_fleet(seed, 12)
+        near, far = nodes[::2], nodes[1::2]
+        network.cut(far)
+        self.run_until(
+            network,
+            lambda: self.agree(near, 6) and self.agree(far, 6),
+            LIMIT_S,
+        )
+        network.run(60.0)
+        network.heal()
+        self.run_until(network, lambda: self.agree(nodes, 12), 60.0)
+
+    @with_seeds
+    def test_paused_member_wakes_without_declaring_others_dead(self, seed: int) -> None:
+        network, nodes = self.start_fleet(seed, 8)
+        sleeper = nodes[3]
+        sleeper.running = False
+        network.run(40.0)
+        self.assertEqual(self.show_state(nodes[:3], sleeper), {MemberState.DEAD})
+        sleeper.running = True
+        for _ in range(100):
+            network.run(0.2)
+            self.assertEqual(count_states(sleeper, MemberState.DEAD), 0)
+        self.assertTrue(self.agree(nodes, 8))
+
+    def test_pause_shorter_than_suspicion_kills_nobody(self) -> None:
+        network, nodes = self.start_fleet(4, 8)
+        sleeper = nodes[2]
+        sleeper.running = False
+        network.run(SUSPICION_MULTIPLIER * 0.6)
+        sleeper.running = True
+        for _ in range(100):
+            network.run(0.2)
+            for node in nodes:
+                self.assertEqual(count_states(node, MemberState.DEAD), 0)
+
+    def test_false_suspicion_is_refuted_by_higher_sequence(self) -> None:
+        network, nodes = self.start_fleet(5, 6)
+        victim = nodes[4]
+        before = victim.swim.own
+        claim = encode_member(replace(before, state=MemberState.SUSPECT))
+        self.inject(network, nodes[0], claim)
+        network.run(0.1)
+        self.assertIn(MemberState.SUSPECT, self.show_state(nodes, victim))
+        network.run(SUSPICION_MULTIPLIER * 2)
+        self.assertGreater(victim.swim.own.sequence, before.sequence)
+        self.assertEqual(self.show_state(nodes, victim), {MemberState.ALIVE})
+
+    def test_restart_with_new_incarnation_replaces_older(self) -> None:
+        network, nodes = self.start_fleet(6, 6)
+        seeds = (nodes[0].swim.own.gossip_address,)
+        network.kill(nodes[5])
+        nodes[5] = network.add(build_member(5, incarnation=2), seeds)
+        self.run_until(
+            network,
+            lambda: self.agree(nodes, 6) and self.list_incarnations(nodes) == {2},
+            20.0,
+        )
+
+    def list_incarnations(self, nodes: list[Node]) -> set[int]:
+        """Return the incarnations in which the nodes see the sixth daemon."""
+        instance = build_member(5).instance
+        return {
+            member.incarnation
+            for node in nodes
+            for member in node.swim.view.members
+            if member.instance == instance
+        }
+
+    def test_new_instance_at_the_address_replaces_older(self) -> None:
+        network, nodes = self.start_fleet(7, 6)
+        seeds = (nodes[0].swim.own.gossip_address,)
+        old = nodes[5]
+        network.kill(old)
+        fresh = replace(
+            build_member(5), instance=InstanceId("fresh"), incarnation=Incarnation(2)
+        )
+        nodes[5] = network.add(fresh, seeds)
+        dead = {MemberState.DEAD}
+        self.run_until(network, lambda: self.show_state(nodes, old) == dead, 10.0)
+        self.run_until(network, lambda: self.agree(nodes, 6), 10.0)
+
+    @with_seeds
+    def test_leave_and_drain_reach_all_within_three_seconds(self, seed: int) -> None:
+        network, nodes = self.start_fleet(seed, 24)
+        service = ServiceName("rights")
+        nodes[1].swim.announce_target(service, TargetState.SERVING, network.now_s)
+        self.run_until(network, lambda: self.count_owners(nodes) == [1] * 24, 10.0)
+        nodes[1].swim.announce_target(service, TargetState.DRAINING, network.now_s)
+        self.run_until(network, lambda: self.count_owners(nodes) == [0] * 24, 3.0)
+        nodes[2].swim.leave(network.now_s)
+        left = {MemberState.LEFT}
+        self.run_until(network, lambda: self.show_state(nodes, nodes[2]) == left, 3.0)
+
+    def count_owners(self, nodes: list[Node]) -> list[int]:
+        """Return how many owners of the service each node sees."""
+        service = ServiceName("rights")
+        return [len(node.swim.view.owners.get(service, ())) for node in nodes]
+
+    def test_bytes_stay_within_budget_under_many_updates(self) -> None:
+        network, nodes = self.start_fleet(8, 10)
+        victims = nodes[7:]
+        for victim in victims:
+            network.kill(victim)
+        for round_number in range(100):
+            for node in nodes[:7]:
+                state = (TargetState.SERVING, TargetState.DRAINING)[round_number % 2]
+                node.swim.announce_target(ServiceName("rights"), state, network.now_s)
+                network.flush(node)
+            network.run(0.2)
+        for node in nodes[:7]:
+            self.check_budget(node.sent)
+            counters = node.metrics.read_counters()
+            self.assertGreater(counters["membership_datagrams_over_budget"], 0)
+        network.run(10.0)
+        self.assertTrue(self.agree(nodes[:7], 7))
+
+    def check_budget(self, sent: list[tuple[float, int]]) -> None:
+        """Check every span of time between two datagrams against the budget."""
+        sizes = [(at_s, size + HEADER_BYTES) for at_s, size in sent]
+        self.assertLessEqual(max(size for _, size in sizes), DATAGRAM_LIMIT_BYTES)
+        for first, (start_s, _) in enumerate(sizes):
+            total = 0
+            for end_s, size in sizes[first:]:
+                total += size
+                allowed = BUDGET_BURST_BYTES + BUDGET_BYTES_PER_S * (end_s - start_s)
+                self.assertLessEqual(total, allowed + 1e-6)
+
+    def test_hostile_datagrams_change_nothing(self) -> None:
+        network, nodes = self.start_fleet(9, 4)
+        before = nodes[0].swim.view
+        claim = encode_member(replace(nodes[1].swim.own, state=MemberState.DEAD))
+        gossip = Datagram(
+            DatagramKind.GOSSIP, 0, nodes[2].swim.own.instance, updates=(claim,)
+        )
+        genuine = DatagramSeal(SECRET).seal(encode_datagram(gossip))
+        changed = genuine[:-1] + bytes([genuine[-1] ^ 1])
+        foreign = DatagramSeal(b"another fleet").seal(encode_datagram(gossip))
+        payload = network.random.randbytes(100)
+        hostile = [b"", b"\x01", payload, genuine[:-5], changed, foreign]
+        hostile += [DatagramSeal(SECRET).seal(payload[:n]) for n in range(1, 100)]
+        broken = replace(gossip, updates=(claim[:9], b"", payload))
+        hostile.append(DatagramSeal(SECRET).seal(encode_datagram(broken)))
+        for data in hostile:
+            nodes[0].swim.receive(data, STRANGER, network.now_s)
+        self.assertEqual(nodes[0].swim.view, before)
+        self.assertEqual(nodes[0].swim.take_outgoing(), [])
+        counters = nodes[0].metrics.read_counters()
+        rejected = (
+            counters["membership_rejected_malformed"]
+            + counters["membership_rejected_foreign"]
+        )
+        self.assertEqual(rejected, len(hostile))
+
+    def inject(self, network: FakeNetwork, node: Node, update: bytes) -> None:
+        """Hand a node an update as if a peer had gossiped it."""
+        gossip = Datagram(
+            DatagramKind.GOSSIP, 0, InstanceId("somebody"), updates=(update,)
+        )
+        data = DatagramSeal(SECRET).seal(encode_datagram(gossip))
+        node.swim.receive(data, STRANGER, network.now_s)
--- /dev/null
+++ b/tests/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Test the protocol layer."""
--- /dev/null
+++ b/tests/protocol/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Test the encoding of gossip."""
--- /dev/null
+++ b/tests/state/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Test the table of members and the local target."""
--- /dev/null
+++ b/tests/transport/datagram/__init__.py
@@ -0,0 +1,1 @@
+"""Test UDP datagrams."""
