--- a/tests/coordination/__init__.py
+++ b/tests/coordination/__init__.py
@@ -1,1 +1,1 @@
-"""Test the coordination layer."""
+"""Test the coordination package."""
--- a/tests/transport/__init__.py
+++ b/tests/transport/__init__.py
@@ -1,1 +1,1 @@
-"""Test the transport layer."""
+"""Test the transport."""
