Test membership, and announce in the log only when missing there

Cause: in a fleet of fewer than 8 every daemon appended again at every read of the stream, found by the new test that counts its records (4 in place of 2).

--- a/corianderhold/coordination/membership/service.py
+++ b/corianderhold/coordination/membership/service.py
@@ -29,6 +29,7 @@
 from corianderhold.coordination.membership.swim import Swim
 from corianderhold.coordination.membership.sync import answer_request
 from corianderhold.coordination.membership.synchronizer import Synchronizer
+from corianderhold.coordination.owner.target import LocalTarget
 from corianderhold.ids import (
     FailureDomainId,
     Incarnation,
@@ -51,7 +52,7 @@
     MemberState,
     TargetState,
 )
-from corianderhold.state.membership.target import LocalTarget, TargetStatus
+from corianderhold.state.membership.target import TargetHolder
 from corianderhold.transport.datagram.endpoint import DatagramEndpoint
 from corianderhold.transport.store.model import Log
 
@@ -81,8 +82,9 @@
     """
     Know the members of the fleet and announce the local target to them.
 
-    Implements `Members`, `Component` and the control handler of topic MEMBERSHIP. The
-    view is read without a lock from any thread; the membership thread replaces it.
+    Implements `Members`, `Component`, `LocalTargetSource`, `TargetRegistrar` and the
+    control handler of topic MEMBERSHIP. Any thread reads the view without a lock; the
+    membership thread replaces it.
     """
 
     def __init__(
@@ -97,7 +99,7 @@
         self._settings = settings
         self._clock = clock
         self._metrics = metrics
-        self._target = LocalTarget(clock)
+        self._target = TargetHolder(clock)
         self._announced = self._target.read()
         self._endpoint = DatagramEndpoint(settings.gossip_address)
         self._own = self._build_own()
@@ -198,13 +200,16 @@
         self._target.withdraw()
         self._endpoint.wake()
 
-    def read_target(self) -> TargetStatus:
+    def read_local_target(self) -> LocalTarget | None:
         """
         Return the local target at this moment, exact even if gossip has stalled.
 
         The owner asks before each dispatch and dispatches only where it is SERVING.
         """
-        return self._target.read()
+        status = self._target.read()
+        if status.service is None or status.address is None:
+            return None
+        return LocalTarget(status.service, status.address, status.state)
 
     def handle_control(self, sender: ControlSender, body: bytes) -> bytes:
         """Answer a synchronisation request; raise MalformedMessageError."""
--- a/corianderhold/coordination/membership/stream.py
+++ b/corianderhold/coordination/membership/stream.py
@@ -71,6 +71,10 @@
         """Return how many live members can be found through the stream."""
         return sum(1 for member in view.live if member.instance in self._logged)
 
+    def holds(self, instance: InstanceId) -> bool:
+        """Return whether the stream still has an announcement of an instance."""
+        return instance in self._logged
+
     def _read_page(self, position: Offset) -> Result[LogPage, ReadFailure]:
         return self._log.read(
             StreamName.MEMBERS, position, LOG_TAIL_RECORDS, LOG_TIMEOUT_S
--- a/corianderhold/coordination/membership/synchronizer.py
+++ b/corianderhold/coordination/membership/synchronizer.py
@@ -199,8 +199,10 @@
         self._log_at_s = self._clock.read_monotonic() + interval_s
 
     def _renew_announcement(self) -> None:
-        """Have a few daemons announce themselves again once retention took all."""
+        """Have a few daemons announce themselves again once retention took most."""
         view = self._read_view()
+        if self._stream.holds(self._own.instance):
+            return
         if self._stream.count_live(view) >= LOG_MEMBERS_LOWEST:
             return
         if self._random.random() * len(view.live) < LOG_MEMBERS_LOWEST:
--- a/corianderhold/state/membership/target.py
+++ b/corianderhold/state/membership/target.py
@@ -1,4 +1,4 @@
-"""Keep the announcement of the local target, which the owner asks before dispatch."""
+"""Hold the announcement of the local target, which the owner asks for."""
 
 import threading
 from dataclasses import dataclass
@@ -21,7 +21,7 @@
 ABSENT_TARGET = TargetStatus(TargetState.ABSENT)
 
 
-class LocalTarget:
+class TargetHolder:
     """
     Hold the target's announcement for a limited time after each heartbeat.
 
--- /dev/null
+++ b/tests/coordination/membership/test_service.py
@@ -0,0 +1,157 @@
+"""Test the service over real sockets on loopback."""
+
+from random import Random
+from unittest import TestCase
+
+from result import Err, Ok, Result
+
+from corianderhold.clock import SystemClock
+from corianderhold.coordination.membership.errors import AnnouncementTooLargeError
+from corianderhold.coordination.membership.service import (
+    MembershipService,
+    MembershipSettings,
+)
+from corianderhold.ids import (
+    FailureDomainId,
+    Incarnation,
+    InstanceId,
+    RegionId,
+    ServiceName,
+)
+from corianderhold.metrics import Metrics
+from corianderhold.protocol.peer.control import (
+    ControlFailure,
+    ControlSender,
+    ControlTopic,
+)
+from corianderhold.state.membership.model import (
+    Address,
+    Member,
+    MemberState,
+    TargetState,
+)
+from corianderhold.transport.datagram.endpoint import DatagramEndpoint
+from corianderhold.transport.store.model import StreamName
+from tests.common.log import FakeLog
+from tests.common.waiting import wait_until
+
+RIGHTS = ServiceName("rights")
+TARGET = Address("127.0.0.1", 8000)
+LOOPBACK = Address("127.0.0.1", 0)
+
+
+class FakeControl:
+    """Hand control requests to the services of this process."""
+
+    def __init__(self) -> None:
+        self.services: dict[Address, MembershipService] = {}
+        self.requests = 0
+
+    def request(
+        self, address: Address, topic: ControlTopic, body: bytes, timeout_s: float
+    ) -> Result[bytes, ControlFailure]:
+        """Call the handler of the service at `address`."""
+        self.requests += 1
+        service = self.services.get(address)
+        if service is None:
+            return Err(ControlFailure.UNREACHABLE)
+        sender = ControlSender(InstanceId("somebody"))
+        return Ok(service.handle_control(sender, body))
+
+
+class MembershipServiceTests(TestCase):
+    """Run a few services in one process."""
+
+    def setUp(self) -> None:
+        self.control = FakeControl()
+        self.log = FakeLog()
+        self.services: list[MembershipService] = []
+        self.addCleanup(self.stop_all)
+
+    def stop_all(self) -> None:
+        while self.services:
+            self.services.pop().stop()
+
+    def start(self, seeds: tuple[Address, ...] = ()) -> MembershipService:
+        """Start one more service."""
+        number = len(self.services)
+        peer = Address("127.0.0.1", 1000 + number)
+        settings = MembershipSettings(
+            InstanceId(f"daemon-{number}"),
+            Incarnation(number + 1),
+            FailureDomainId("domain"),
+            RegionId("region"),
+            peer,
+            LOOPBACK,
+            seeds,
+            b"secret",
+        )
+        service = MembershipService(
+            settings, SystemClock(), Random(number), self.log, self.control, Metrics()
+        )
+        self.control.services[peer] = service
+        self.services.append(service)
+        service.start()
+        return service
+
+    def wait_for_owners(self, service: MembershipService, count: int) -> None:
+        wait_until(lambda: len(service.list_owners(RIGHTS)) == count, f"{count} owners")
+
+    def test_target_is_seen_served_drained_and_left(self) -> None:
+        first = self.start()
+        second = self.start((first.gossip_address,))
+        changes: list[Member] = []
+        second.add_listener(changes.append)
+        first.announce_target(RIGHTS, TARGET)
+        self.wait_for_owners(second, 1)
+        self.wait_for_owners(first, 1)
+        first.drain_target()
+        local = first.read_local_target()
+        assert local is not None
+        self.assertIs(local.state, TargetState.DRAINING)
+        self.wait_for_owners(second, 0)
+        self.services.remove(first)
+        first.stop()
+        wait_until(
+            lambda: any(m.state is MemberState.LEFT for m in second.list_members()),
+            "the first has left",
+        )
+        seen = [member.target_state for member in changes]
+        self.assertIn(TargetState.SERVING, seen)
+        self.assertIn(TargetState.DRAINING, seen)
+        self.assertGreater(self.control.requests, 0)
+
+    def test_target_without_heartbeat_lapses_everywhere(self) -> None:
+        first = self.start()
+        second = self.start((first.gossip_address,))
+        first.announce_target(RIGHTS, TARGET)
+        self.wait_for_owners(second, 1)
+        self.wait_for_owners(second, 0)
+        self.assertIsNone(first.read_local_target())
+
+    def test_members_find_each_other_through_the_log_alone(self) -> None:
+        first, second = self.start(), self.start()
+        wait_until(lambda: len(first.list_members()) == 2, "both members")
+        wait_until(lambda: len(second.list_members()) == 2, "both members")
+        records = self.log.read(StreamName.MEMBERS, 0, 10, 1.0)  # type: ignore[arg-type]
+        self.assertEqual(len(records.unwrap().records), 2)
+
+    def test_outage_of_the_log_does_not_keep_members_apart(self) -> None:
+        self.log.down = True
+        first = self.start()
+        second = self.start((first.gossip_address,))
+        wait_until(lambda: len(second.list_members()) == 2, "both members")
+
+    def test_hostile_datagrams_do_not_stop_the_service(self) -> None:
+        first = self.start()
+        attacker = DatagramEndpoint(LOOPBACK)
+        self.addCleanup(attacker.close)
+        random = Random(1)
+        for size in (0, 1, 17, 18, 300, 1500):
+            attacker.send(first.gossip_address, random.randbytes(size))
+        second = self.start((first.gossip_address,))
+        wait_until(lambda: len(second.list_members()) == 2, "both members")
+
+    def test_too_long_service_name_is_refused(self) -> None:
+        with self.assertRaises(AnnouncementTooLargeError):
+            self.start().announce_target(ServiceName("x" * 300), TARGET)
--- /dev/null
+++ b/tests/protocol/membership/test_codec.py
@@ -0,0 +1,101 @@
+"""Test that messages survive encoding and that hostile bytes are rejected."""
+
+from contextlib import suppress
+from unittest import TestCase
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from corianderhold.ids import InstanceId
+from corianderhold.protocol.membership.codec import (
+    decode_datagram,
+    decode_member,
+    decode_reply,
+    decode_request,
+    encode_datagram,
+    encode_member,
+    encode_reply,
+    encode_request,
+)
+from corianderhold.protocol.membership.model import (
+    Datagram,
+    DatagramKind,
+    MalformedMessageError,
+    SyncRecord,
+    SyncReply,
+    SyncRequest,
+)
+from corianderhold.protocol.membership.seal import DatagramSeal
+from corianderhold.state.membership.model import Address, MemberState, TargetState
+from tests.common.membership import build_member
+
+NUMBERS = st.integers(-(2**63), 2**63 - 1)
+MEMBERS = st.builds(
+    build_member,
+    st.integers(0, 9999),
+    st.integers(0, 2**62),
+    st.integers(0, 2**31 - 1),
+    st.sampled_from(MemberState),
+    st.sampled_from(TargetState),
+    st.none() | st.text(max_size=20),
+)
+DATAGRAMS = st.builds(
+    Datagram,
+    st.sampled_from(DatagramKind),
+    NUMBERS,
+    st.text(max_size=20).map(InstanceId),
+    st.none() | st.text(max_size=20).map(InstanceId),
+    st.none() | st.builds(Address, st.just("::1"), st.integers(1, 65535)),
+    st.lists(st.binary(max_size=100), max_size=20).map(tuple),
+)
+DECODERS = (decode_datagram, decode_member, decode_request, decode_reply)
+
+
+class CodecTests(TestCase):
+    """Encode and decode every message."""
+
+    @given(MEMBERS)
+    def test_member_survives(self, member: object) -> None:
+        self.assertEqual(decode_member(encode_member(member)), member)  # type: ignore[arg-type]
+
+    @given(DATAGRAMS)
+    def test_datagram_survives(self, datagram: Datagram) -> None:
+        self.assertEqual(decode_datagram(encode_datagram(datagram)), datagram)
+
+    def test_synchronisation_messages_survive(self) -> None:
+        record = SyncRecord(build_member(1), 7)
+        request = SyncRequest((1, -1, 0), "daemon-0001", (record,))
+        self.assertEqual(decode_request(encode_request(request)), request)
+        reply = SyncReply((3, 63), (record, record), last=True)
+        self.assertEqual(decode_reply(encode_reply(reply)), reply)
+
+    @given(st.binary(max_size=200))
+    def test_random_bytes_raise_only_malformed_message(self, data: bytes) -> None:
+        for decode in DECODERS:
+            with suppress(MalformedMessageError):
+                decode(data)
+
+    @given(MEMBERS, st.integers(0, 200), st.integers(1, 255))
+    def test_changed_bytes_raise_only_malformed_message(
+        self, member: object, place: int, change: int
+    ) -> None:
+        data = bytearray(encode_member(member))  # type: ignore[arg-type]
+        data[place % len(data)] ^= change
+        with suppress(MalformedMessageError):
+            decode_member(bytes(data))
+
+
+class SealTests(TestCase):
+    """Open what was sealed with the same secret only."""
+
+    def test_only_the_same_secret_opens(self) -> None:
+        sealed = DatagramSeal(b"one").seal(b"payload")
+        self.assertEqual(DatagramSeal(b"one").open(sealed).unwrap(), b"payload")
+        self.assertEqual(DatagramSeal(b"two").open(sealed).unwrap_err(), "foreign")
+
+    @given(st.integers(0, 23), st.integers(1, 255))
+    def test_any_changed_byte_is_rejected(self, place: int, change: int) -> None:
+        seal = DatagramSeal(b"one")
+        sealed = bytearray(seal.seal(b"payload"))
+        sealed[place] ^= change
+        self.assertTrue(seal.open(bytes(sealed)).is_err())
