Generate the configuration from answers files

Cause: operators describe services, organisations and routes in INI, and must learn every fault of their answers at once.

--- /dev/null
+++ b/corianderhold/answers/__init__.py
@@ -0,0 +1,1 @@
+"""Read the answers of the questionnaire and generate the configuration."""
--- /dev/null
+++ b/corianderhold/answers/options.py
@@ -0,0 +1,206 @@
+"""List the questions of the questionnaire."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from corianderhold.answers.values import (
+    Parser,
+    parse_access,
+    parse_choice,
+    parse_methods,
+    parse_name,
+    parse_names,
+    parse_number,
+    parse_path,
+    parse_shares,
+    parse_time_ms,
+    parse_whole,
+    parse_yes_no,
+)
+from corianderhold.state.configuration.const import (
+    MAX_BURST,
+    MAX_CONCURRENCY,
+    MAX_DEADLINE_MS,
+    MAX_ISOLATED_AFTER_S,
+    MAX_QUEUE_LENGTH,
+    MAX_RATE_PER_S,
+    MAX_RETRY_BUDGET,
+    MAX_WEIGHT,
+)
+from corianderhold.state.configuration.model import Importance, IsolatedBehaviour
+from corianderhold.state.configuration.records import EntityKind
+
+MAX_ISOLATED_AFTER_MS = int(MAX_ISOLATED_AFTER_S * 1000)
+
+
+@dataclass(frozen=True)
+class Option:
+    """
+    One question about a service, organisation or route.
+
+    `default` is the answer that counts when none is given, or None where one must
+    be given; `example` is an answer that is accepted.
+    """
+
+    name: str
+    question: str
+    accepted: str
+    parse: Parser
+    example: str
+    default: str | None = None
+
+
+SERVICE_OPTIONS = (
+    Option(
+        "max_concurrency",
+        "How many calls may one target work on at once, at most?",
+        f"a whole number from 1 to {MAX_CONCURRENCY}",
+        parse_whole(1, MAX_CONCURRENCY),
+        "90",
+        "64",
+    ),
+    Option(
+        "queue_length",
+        "How many calls may wait for one target?",
+        f"a whole number from 0 to {MAX_QUEUE_LENGTH}",
+        parse_whole(0, MAX_QUEUE_LENGTH),
+        "16",
+        "32",
+    ),
+    Option(
+        "retry_ratio",
+        "How many retries may an entry send to the service for each first attempt?",
+        "a number from 0 to 1",
+        parse_number(0.0, 1.0),
+        "0.1",
+        "0.1",
+    ),
+)
+
+ORGANISATION_OPTIONS = (
+    Option(
+        "rate",
+        "How many requests a second may the organisation send to the whole fleet?",
+        f"a number from 0 to {MAX_RATE_PER_S:.10g}",
+        parse_number(0.0, MAX_RATE_PER_S),
+        "250",
+    ),
+    Option(
+        "burst",
+        "How many requests may it send at once after a pause?",
+        f"a number from 0 to {MAX_BURST:.10g}",
+        parse_number(0.0, MAX_BURST),
+        "500",
+    ),
+    Option(
+        "shares",
+        "Which part of rate and burst does each failure domain hold?",
+        "failure domains, each with its share as 0.25, 25% or 1/4, with commas "
+        "between them and a sum of 1",
+        parse_shares,
+        "ch-west-a 1/2, ch-east-a 25%, ch-south-a 0.25",
+    ),
+    Option(
+        "weight",
+        "How much of a full target does it get, compared with the others?",
+        f"a number from 0.001 to {MAX_WEIGHT:.10g}",
+        parse_number(0.001, MAX_WEIGHT),
+        "2",
+        "1",
+    ),
+)
+
+ROUTE_OPTIONS = (
+    Option(
+        "service",
+        "Which service answers it?",
+        "the name of a service in these answers",
+        parse_name,
+        "catalogue",
+    ),
+    Option(
+        "path",
+        "Which path do its requests start with, in whole segments?",
+        "a path that starts with /, without a / at its end, empty or dot segments, "
+        "escapes or semicolons; no other route may have it with the same method",
+        parse_path,
+        "/catalogue/search",
+    ),
+    Option(
+        "methods",
+        "Which HTTP methods does it serve?",
+        "methods in capitals with commas between them",
+        parse_methods,
+        "GET, HEAD",
+    ),
+    Option(
+        "importance",
+        "How late is it shed under overload? The lowest goes first.",
+        "one of: bulk, normal, high, critical",
+        parse_choice({each.name.lower(): each for each in Importance}),
+        "high",
+    ),
+    Option(
+        "open_to",
+        "Who may use it?",
+        "all, or names of organisations in these answers with commas between them",
+        parse_access,
+        "all",
+    ),
+    Option(
+        "idempotent",
+        "May a request run twice without harm? A route that calls one that may not "
+        "may not either.",
+        "yes or no",
+        parse_yes_no,
+        "yes",
+    ),
+    Option(
+        "deadline",
+        "How long may the whole answer take?",
+        f"a time such as 800 ms, 2 s or 5 min, from 1 ms to {MAX_DEADLINE_MS // 60_000}"
+        " min, and at least that of each route in calls",
+        parse_time_ms(1, MAX_DEADLINE_MS),
+        "2 s",
+    ),
+    Option(
+        "calls",
+        "Which routes does the service call to answer it?",
+        "names of routes in these answers with commas between them, or nothing",
+        parse_names,
+        "rights.consent",
+        "",
+    ),
+    Option(
+        "retry_budget",
+        "How many retries may one request cause in the whole chain?",
+        f"a whole number from 0 to {MAX_RETRY_BUDGET}",
+        parse_whole(0, MAX_RETRY_BUDGET),
+        "2",
+        "2",
+    ),
+    Option(
+        "isolated",
+        "What does it do when the failure domain is cut off and its view of the "
+        "configuration is older than isolated_after?",
+        "one of: serve, refuse",
+        parse_choice({each.value: each for each in IsolatedBehaviour}),
+        "refuse",
+        "serve",
+    ),
+    Option(
+        "isolated_after",
+        "How old may the view of the configuration become before that?",
+        "a time such as 800 ms, 2 s or 5 min, from 0 ms to "
+        f"{MAX_ISOLATED_AFTER_MS // 3_600_000} h",
+        parse_time_ms(0, MAX_ISOLATED_AFTER_MS),
+        "60 s",
+        "60 s",
+    ),
+)
+
+OPTIONS: Mapping[EntityKind, tuple[Option, ...]] = {
+    EntityKind.SERVICE: SERVICE_OPTIONS,
+    EntityKind.ORGANISATION: ORGANISATION_OPTIONS,
+    EntityKind.ROUTE: ROUTE_OPTIONS,
+}
--- /dev/null
+++ b/corianderhold/answers/values.py
@@ -0,0 +1,169 @@
+"""Parse the text of single answers."""
+
+import re
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from enum import Enum
+from fractions import Fraction
+
+from voluptuous import Invalid
+
+from corianderhold.ids import FailureDomainId, OrganisationId
+from corianderhold.state.configuration.const import MAX_NAME_LENGTH, MAX_PATH_LENGTH
+from corianderhold.state.configuration.schema import (
+    METHOD_PATTERN,
+    NAME_PATTERN,
+    PATH_PATTERN,
+)
+
+Parser = Callable[[str], object]
+
+NOT_ACCEPTED = "not accepted"
+
+WHOLE_PATTERN = re.compile(r"[0-9]{1,12}")
+NUMBER_PATTERN = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
+SHARE_PATTERN = re.compile(
+    r"(?P<number>[0-9]{1,3}(\.[0-9]{1,12})?)"
+    r"(?P<sign>%|/(?P<divisor>[1-9][0-9]{0,3}))?"
+)
+TIME_PATTERN = re.compile(r"([0-9]{1,9}(?:\.[0-9]{1,3})?)\s*(ms|s|min|h)")
+UNIT_MS = {"ms": 1, "s": 1000, "min": 60_000, "h": 3_600_000}
+
+WORD_ALL = "all"
+WORD_YES = "yes"
+WORD_NO = "no"
+NAME_ACCEPTED = (
+    f"1 to {MAX_NAME_LENGTH} letters, digits, dots, dashes or underscores, "
+    "with a letter or digit first"
+)
+
+
+@dataclass(frozen=True)
+class Access:
+    """Who may use a route."""
+
+    open_to_all: bool
+    organisations: frozenset[OrganisationId]
+
+
+def parse_whole(lowest: int, highest: int) -> Parser:
+    """Return a parser of whole numbers within bounds."""
+
+    def parse(text: str) -> int:
+        if not WHOLE_PATTERN.fullmatch(text) or not lowest <= int(text) <= highest:
+            raise Invalid(NOT_ACCEPTED)
+        return int(text)
+
+    return parse
+
+
+def parse_number(lowest: float, highest: float) -> Parser:
+    """Return a parser of decimal numbers within bounds."""
+
+    def parse(text: str) -> float:
+        if not NUMBER_PATTERN.fullmatch(text) or not lowest <= float(text) <= highest:
+            raise Invalid(NOT_ACCEPTED)
+        return float(text)
+
+    return parse
+
+
+def parse_time_ms(lowest: int, highest: int) -> Parser:
+    """Return a parser of times within bounds in whole milliseconds."""
+
+    def parse(text: str) -> int:
+        parts = TIME_PATTERN.fullmatch(text)
+        if parts is not None:
+            time_ms = Fraction(parts[1]) * UNIT_MS[parts[2]]
+            if time_ms.denominator == 1 and lowest <= time_ms <= highest:
+                return int(time_ms)
+        raise Invalid(NOT_ACCEPTED)
+
+    return parse
+
+
+def parse_yes_no(text: str) -> bool:
+    """Return whether the answer is yes."""
+    if text not in (WORD_YES, WORD_NO):
+        raise Invalid(NOT_ACCEPTED)
+    return text == WORD_YES
+
+
+def parse_choice(choices: Mapping[str, Enum]) -> Parser:
+    """Return a parser of one of several words."""
+
+    def parse(text: str) -> Enum:
+        if text not in choices:
+            raise Invalid(NOT_ACCEPTED)
+        return choices[text]
+
+    return parse
+
+
+def parse_name(text: str) -> str:
+    """Return a name of an entity."""
+    if not NAME_PATTERN.fullmatch(text):
+        raise Invalid(NOT_ACCEPTED)
+    return text
+
+
+def parse_names(text: str) -> frozenset[str]:
+    """Return the names in a list that may be empty."""
+    names = _split(text)
+    if not all(NAME_PATTERN.fullmatch(each) for each in names):
+        raise Invalid(NOT_ACCEPTED)
+    return frozenset(names)
+
+
+def parse_methods(text: str) -> frozenset[str]:
+    """Return the HTTP methods in a list of at least one."""
+    methods = _split(text)
+    if not methods or not all(METHOD_PATTERN.fullmatch(each) for each in methods):
+        raise Invalid(NOT_ACCEPTED)
+    return frozenset(methods)
+
+
+def parse_path(text: str) -> str:
+    """Return a path prefix in canonical form."""
+    if len(text) > MAX_PATH_LENGTH or not PATH_PATTERN.fullmatch(text):
+        raise Invalid(NOT_ACCEPTED)
+    return text
+
+
+def parse_access(text: str) -> Access:
+    """Return who a route is open to."""
+    if text == WORD_ALL:
+        return Access(True, frozenset())
+    names = _split(text)
+    if not names or not all(NAME_PATTERN.fullmatch(each) for each in names):
+        raise Invalid(NOT_ACCEPTED)
+    return Access(False, frozenset(map(OrganisationId, names)))
+
+
+def parse_shares(text: str) -> Mapping[FailureDomainId, float]:
+    """Return the shares of failure domains, which have a sum of exactly 1."""
+    shares: dict[FailureDomainId, Fraction] = {}
+    for each in _split(text):
+        name, _, share = each.partition(" ")
+        parts = SHARE_PATTERN.fullmatch(share.strip())
+        if parts is None or not NAME_PATTERN.fullmatch(name):
+            raise Invalid(f"{each[:40]!r} is no such share")
+        if name in shares:
+            raise Invalid(f"{name} stands twice")
+        shares[FailureDomainId(name)] = _parse_share(parts)
+    if sum(shares.values()) != 1:
+        raise Invalid(f"the sum is {float(sum(shares.values())):.6g}")
+    return {name: float(share) for name, share in shares.items()}
+
+
+def _parse_share(parts: re.Match[str]) -> Fraction:
+    share = Fraction(parts["number"])
+    if parts["sign"] == "%":
+        return share / 100
+    return share / int(parts["divisor"] or 1)
+
+
+def _split(text: str) -> list[str]:
+    """Return the items of a list with commas or line ends between them."""
+    items = (" ".join(each.split()) for each in re.split(r"[,\n]", text))
+    return [each for each in items if each]
--- /dev/null
+++ b/corianderhold/cli/answers.py
@@ -0,0 +1,154 @@
+"""Work on answers files: init, check, generate and diff."""
+
+import sys
+from collections.abc import Sequence
+from json import dumps
+from pathlib import Path
+
+from result import Err, Ok, Result
+
+from corianderhold.answers.errors import AnswersUnreadableError
+from corianderhold.answers.generation import generate_configuration
+from corianderhold.answers.template import write_questionnaire
+from corianderhold.state.configuration.codec import decode_configuration
+from corianderhold.state.configuration.delta import apply_delta
+from corianderhold.state.configuration.difference import compute_delta
+from corianderhold.state.configuration.entities import (
+    JsonObject,
+    configuration_to_json,
+    delta_to_json,
+)
+from corianderhold.state.configuration.model import Configuration
+from corianderhold.state.configuration.records import EntityKind
+from corianderhold.state.configuration.schema import NAME_PATTERN
+
+EXIT_DONE = 0
+EXIT_FAULTS = 1
+EXIT_UNUSABLE = 2
+
+
+def init(
+    file: Path,
+    *,
+    service: Sequence[str] = (),
+    organisation: Sequence[str] = (),
+    route: Sequence[str] = (),
+) -> int:
+    """
+    Write a new answers file with the questions for each given name.
+
+    Without a name there is one section of each kind. Exits with 2 when the file
+    exists, can't be written, or a name can't be used.
+
+    :param file: the answers file to create
+    :param service: names of services
+    :param organisation: names of organisations
+    :param route: names of routes
+    """
+    names = [
+        *((EntityKind.SERVICE, each) for each in service),
+        *((EntityKind.ORGANISATION, each) for each in organisation),
+        *((EntityKind.ROUTE, each) for each in route),
+    ]
+    if not names:
+        kinds = (EntityKind.SERVICE, EntityKind.ORGANISATION, EntityKind.ROUTE)
+        names = [(kind, "NAME") for kind in kinds]
+    for _, name in names:
+        if not NAME_PATTERN.fullmatch(name):
+            return _stop(f"{name!r} is no name of a section")
+    try:
+        with file.open("x", encoding="utf-8") as stream:
+            stream.write(write_questionnaire(names))
+    except OSError as error:
+        return _stop(f"{file}: can't be created: {error}")
+    print(f"{file}: {len(names)} sections to answer")
+    return EXIT_DONE
+
+
+def check(*files: Path) -> int:
+    """
+    Check answers files together and print a line for each fault.
+
+    Exits with 1 when there are faults and with 2 when a file can't be read.
+
+    :param files: answers files, or directories of them
+    """
+    outcome = _generate(files)
+    if isinstance(outcome, Err):
+        return outcome.err_value
+    found = outcome.ok_value
+    print(
+        f"{len(found.services)} services, {len(found.organisations)} organisations, "
+        f"{len(found.routes)} routes: no faults"
+    )
+    return EXIT_DONE
+
+
+def generate(*files: Path) -> int:
+    """
+    Print the configuration of answers files as JSON.
+
+    Exits with 1 when there are faults and with 2 when a file can't be read.
+
+    :param files: answers files, or directories of them
+    """
+    outcome = _generate(files)
+    if isinstance(outcome, Err):
+        return outcome.err_value
+    _print_json(configuration_to_json(outcome.ok_value))
+    return EXIT_DONE
+
+
+def diff(configuration: Path, *files: Path) -> int:
+    """
+    Print what publishing answers files would change, as a draft in JSON.
+
+    Keys are left as they are, but for those of organisations that are removed.
+    Exits with 1 when there are faults and with 2 when a file can't be read.
+
+    :param configuration: the configuration in force, as JSON
+    :param files: answers files, or directories of them
+    """
+    outcome = _generate(files)
+    if isinstance(outcome, Err):
+        return outcome.err_value
+    try:
+        decoded = decode_configuration(configuration.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        return _stop(f"{configuration}: can't be read: {error}")
+    if isinstance(decoded, Err):
+        detail = decoded.err_value.detail
+        return _stop(f"{configuration}: is no configuration: {detail}")
+    current = decoded.ok_value
+    delta = compute_delta(current, outcome.ok_value)
+    applied = apply_delta(current, delta)
+    if isinstance(applied, Err):
+        for fault in applied.err_value:
+            place = f"{fault.kind.value} {fault.name} {fault.option}"
+            print(f"{configuration}: {place}: {fault.given}", file=sys.stderr)
+        return EXIT_FAULTS
+    _print_json({"base_version": current.version, **delta_to_json(delta)})
+    return EXIT_DONE
+
+
+def _generate(files: Sequence[Path]) -> Result[Configuration, int]:
+    """Return the configuration, or the exit code once the faults are printed."""
+    try:
+        outcome = generate_configuration(list(files))
+    except AnswersUnreadableError as error:
+        return Err(_stop(str(error)))
+    if isinstance(outcome, Ok):
+        return outcome
+    for fault in outcome.err_value:
+        print(fault.describe(), file=sys.stderr)
+    print(f"{len(outcome.err_value)} faults", file=sys.stderr)
+    return Err(EXIT_FAULTS)
+
+
+def _print_json(value: JsonObject) -> None:
+    print(dumps(value, indent=2, sort_keys=True))
+
+
+def _stop(message: str) -> int:
+    print(message, file=sys.stderr)
+    return EXIT_UNUSABLE
