Rebase lost drafts and publish the answers of one team alone

Cause: the loser of a race has to publish again without taking back what the winner changed, and a new team should not need every other team's answers. Ruled out: a rebase by entity alone without the base, since it can't tell a change of another operator from an entity left as it was. Conclusion: a hypothesis test finds the check of what a delta touches equal to the check of the whole configuration.

--- a/corianderhold/answers/generation.py
+++ b/corianderhold/answers/generation.py
@@ -9,9 +9,10 @@
 from corianderhold.answers.files import read_answers
 from corianderhold.answers.model import AnswerFault, Section
 from corianderhold.answers.schema import CheckedSection, check_section
-from corianderhold.ids import OrganisationId, RouteName, ServiceName, Version
+from corianderhold.ids import OrganisationId, RouteName, ServiceName
 from corianderhold.state.configuration.checks import find_faults
 from corianderhold.state.configuration.model import (
+    EMPTY_CONFIGURATION,
     Configuration,
     Organisation,
     Route,
@@ -24,6 +25,7 @@
     "organisations": "open_to",
     "deadline_ms": "deadline",
 }
+BASE_FILE = "configuration in force"
 
 
 @dataclass(frozen=True)
@@ -38,13 +40,12 @@
 
 
 def generate_configuration(
-    paths: list[Path],
+    paths: list[Path], base: Configuration = EMPTY_CONFIGURATION
 ) -> Result[Configuration, list[AnswerFault]]:
     """
-    Return the configuration of answers files, or every fault in them.
+    Return `base` with the answers of files put over it, or every fault in them.
 
-    It has version 0 and no keys. Raise `AnswersUnreadableError` for a file that
-    can't be read.
+    Raise `AnswersUnreadableError` for a file that can't be read.
     """
     reading = read_answers(paths)
     faults = list(reading.faults)
@@ -53,17 +54,17 @@
         each, section_faults = check_section(section)
         checked[SectionKey(section.kind, section.name)] = each
         faults.extend(section_faults)
-    configuration = _build_configuration(checked)
+    configuration = _build_configuration(checked, base)
     faults.extend(_cross_check(configuration, checked))
     if faults:
         return Err(sorted(faults, key=lambda each: (each.file, each.section)))
     return Ok(configuration)
 
 
-def _build_configuration(checked: Checked) -> Configuration:
-    services: dict[ServiceName, Service] = {}
-    organisations: dict[OrganisationId, Organisation] = {}
-    routes: dict[RouteName, Route] = {}
+def _build_configuration(checked: Checked, base: Configuration) -> Configuration:
+    services: dict[ServiceName, Service] = dict(base.services)
+    organisations: dict[OrganisationId, Organisation] = dict(base.organisations)
+    routes: dict[RouteName, Route] = {each.name: each for each in base.routes}
     for key, each in checked.items():
         answers: dict[str, Any] = dict(each.answers)
         if key.kind is EntityKind.SERVICE:
@@ -76,7 +77,7 @@
             route = _build_route(RouteName(key.name), answers)
             routes[route.name] = route
     ordered = tuple(routes[name] for name in sorted(routes))
-    return Configuration(Version(0), services, ordered, organisations)
+    return replace(base, services=services, routes=ordered, organisations=organisations)
 
 
 def _build_route(name: RouteName, answers: dict[str, Any]) -> Route:
@@ -102,17 +103,19 @@
     routes = tuple(_hide_examples(each, checked) for each in configuration.routes)
     faults = []
     for fault in find_faults(replace(configuration, routes=routes)):
-        found = checked[SectionKey(fault.kind, fault.name)]
+        found = checked.get(SectionKey(fault.kind, fault.name))
         option = OPTION_OF_FIELD.get(fault.option, fault.option)
-        if option not in found.invalid:
+        if found is None:
+            faults.append(_convert_of_base(fault, option))
+        elif option not in found.invalid:
             faults.append(_convert(fault, option, found.section))
     return faults
 
 
 def _hide_examples(route: Route, checked: Checked) -> Route:
     """Return a route without calls to invalid ones, nor a path that isn't its own."""
-    own = checked[SectionKey(EntityKind.ROUTE, route.name)]
-    if not own.invalid.isdisjoint(("path", "methods")):
+    own = checked.get(SectionKey(EntityKind.ROUTE, route.name))
+    if own is not None and not own.invalid.isdisjoint(("path", "methods")):
         route = replace(route, path_prefix=f"?{route.name}")
     usable = frozenset(name for name in route.calls if not _is_invalid(name, checked))
     return replace(route, calls=usable)
@@ -128,3 +131,8 @@
     if fault.option == "deadline_ms":
         given = section.options[option]
     return AnswerFault(section.file, section.title, option, given, fault.accepted)
+
+
+def _convert_of_base(fault: Fault, option: str) -> AnswerFault:
+    title = f"{fault.kind.value} {fault.name}"
+    return AnswerFault(BASE_FILE, title, option, fault.given, fault.accepted)
--- a/corianderhold/cli/answers.py
+++ b/corianderhold/cli/answers.py
@@ -11,14 +11,13 @@
 from corianderhold.answers.generation import generate_configuration
 from corianderhold.answers.template import write_questionnaire
 from corianderhold.state.configuration.codec import decode_configuration
-from corianderhold.state.configuration.delta import apply_delta
 from corianderhold.state.configuration.difference import compute_delta
 from corianderhold.state.configuration.entities import (
     JsonObject,
     configuration_to_json,
     delta_to_json,
 )
-from corianderhold.state.configuration.model import Configuration
+from corianderhold.state.configuration.model import EMPTY_CONFIGURATION, Configuration
 from corianderhold.state.configuration.records import EntityKind
 from corianderhold.state.configuration.schema import NAME_PATTERN
 
@@ -99,42 +98,49 @@
     return EXIT_DONE
 
 
-def diff(configuration: Path, *files: Path) -> int:
+def diff(configuration: Path, *files: Path, partial: bool = False) -> int:
     """
     Print what publishing answers files would change, as a draft in JSON.
 
-    Keys are left as they are, but for those of organisations that are removed.
-    Exits with 1 when there are faults and with 2 when a file can't be read.
+    What has no section in the files is removed, unless the files are partial. Keys
+    are left as they are, but for those of organisations that are removed. Exits with
+    1 when there are faults and with 2 when a file can't be read.
 
     :param configuration: the configuration in force, as JSON
     :param files: answers files, or directories of them
+    :param partial: whether the files hold only some of the sections
     """
-    outcome = _generate(files)
+    read = _read_configuration(configuration)
+    if isinstance(read, Err):
+        return read.err_value
+    current = read.ok_value
+    base = current if partial else EMPTY_CONFIGURATION
+    outcome = _generate(files, base)
     if isinstance(outcome, Err):
         return outcome.err_value
+    delta = compute_delta(current, outcome.ok_value)
+    _print_json({"base_version": current.version, **delta_to_json(delta)})
+    return EXIT_DONE
+
+
+def _read_configuration(path: Path) -> Result[Configuration, int]:
+    """Return the configuration in a file, or the exit code once that is printed."""
     try:
-        decoded = decode_configuration(configuration.read_text(encoding="utf-8"))
+        decoded = decode_configuration(path.read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError) as error:
-        return _stop(f"{configuration}: can't be read: {error}")
+        return Err(_stop(f"{path}: can't be read: {error}"))
     if isinstance(decoded, Err):
         detail = decoded.err_value.detail
-        return _stop(f"{configuration}: is no configuration: {detail}")
-    current = decoded.ok_value
-    delta = compute_delta(current, outcome.ok_value)
-    applied = apply_delta(current, delta)
-    if isinstance(applied, Err):
-        for fault in applied.err_value:
-            place = f"{fault.kind.value} {fault.name} {fault.option}"
-            print(f"{configuration}: {place}: {fault.given}", file=sys.stderr)
-        return EXIT_FAULTS
-    _print_json({"base_version": current.version, **delta_to_json(delta)})
-    return EXIT_DONE
+        return Err(_stop(f"{path}: is no configuration: {detail}"))
+    return decoded
 
 
-def _generate(files: Sequence[Path]) -> Result[Configuration, int]:
+def _generate(
+    files: Sequence[Path], base: Configuration = EMPTY_CONFIGURATION
+) -> Result[Configuration, int]:
     """Return the configuration, or the exit code once the faults are printed."""
     try:
-        outcome = generate_configuration(list(files))
+        outcome = generate_configuration(list(files), base)
     except AnswersUnreadableError as error:
         return Err(_stop(str(error)))
     if isinstance(outcome, Ok):
--- /dev/null
+++ b/tests/state/configuration/test_difference.py
@@ -0,0 +1,122 @@
+"""Test the comparison of configurations and the rebase of a lost draft."""
+
+import unittest
+from dataclasses import replace
+
+from hypothesis import given, settings
+from result import Err
+
+from corianderhold.ids import KeyId, OrganisationId, RouteName, ServiceName, Version
+from corianderhold.state.configuration.checks import find_faults
+from corianderhold.state.configuration.delta import apply_delta, find_delta_faults
+from corianderhold.state.configuration.difference import compute_delta, rebase_draft
+from corianderhold.state.configuration.model import EMPTY_CONFIGURATION, Configuration
+from corianderhold.state.configuration.records import Delta, Draft, EntityKind
+from tests.common.changes import (
+    BASE,
+    CATALOGUE,
+    RADIO_KEY,
+    SEARCH,
+    draw_deltas,
+    fold_all,
+    make_text,
+)
+
+START = apply_delta(EMPTY_CONFIGURATION, BASE).unwrap()
+SLOWER = Delta(routes=(replace(SEARCH, deadline_ms=5000),))
+WIDER = Delta(services=(replace(CATALOGUE, max_concurrency=7),))
+WITHDRAWAL = Delta(keys=(replace(RADIO_KEY, withdrawn=True),))
+
+
+def merge_unchecked(configuration: Configuration, delta: Delta) -> Configuration:
+    """Return a configuration with a delta in it, whatever its faults."""
+    routes = {each.name: each for each in (*configuration.routes, *delta.routes)}
+    services = {**configuration.services, **{s.name: s for s in delta.services}}
+    owners = {
+        **configuration.organisations,
+        **{each.name: each for each in delta.organisations},
+    }
+    keys = {**configuration.keys, **{each.key_id: each for each in delta.keys}}
+    gone = frozenset(delta.removed_routes)
+    return Configuration(
+        Version(configuration.version + 1),
+        {n: s for n, s in services.items() if n not in delta.removed_services},
+        tuple(routes[name] for name in sorted(routes) if name not in gone),
+        {n: o for n, o in owners.items() if n not in delta.removed_organisations},
+        {k: key for k, key in keys.items() if k not in delta.removed_keys},
+    )
+
+
+class DeltaTest(unittest.TestCase):
+    """Test deltas against the check of whole configurations."""
+
+    @settings(max_examples=300, deadline=None)
+    @given(draw_deltas(), draw_deltas())
+    def test_check_of_what_a_delta_touches_finds_all(
+        self, first: Delta, second: Delta
+    ) -> None:
+        configuration = START
+        for delta in (first, second):
+            applied = apply_delta(configuration, delta)
+            if find_delta_faults(configuration, delta):
+                self.assertIsInstance(applied, Err)
+                continue
+            merged = merge_unchecked(configuration, delta)
+            faults = find_faults(merged)
+            if faults:
+                self.assertEqual(applied, Err(faults))
+                continue
+            configuration = applied.unwrap()
+            self.assertEqual(configuration, merged)
+
+    @settings(max_examples=100, deadline=None)
+    @given(draw_deltas())
+    def test_difference_applied_gives_the_other(self, delta: Delta) -> None:
+        applied = apply_delta(START, delta)
+        if isinstance(applied, Err):
+            return
+        wanted = applied.ok_value
+        difference = compute_delta(START, wanted, with_keys=True)
+        self.assertEqual(apply_delta(START, difference).unwrap(), wanted)
+
+
+class RebaseTest(unittest.TestCase):
+    """Test what the loser of a race may publish again."""
+
+    def test_changes_of_other_entities_are_kept(self) -> None:
+        current = apply_delta(START, SLOWER).unwrap()
+        rebased = rebase_draft(Draft(START.version, WIDER), START, current).unwrap()
+        state, _ = fold_all(
+            [make_text("base", 0, BASE), make_text("slower", 1, SLOWER)]
+        )
+        text = make_text("again", rebased.base_version, rebased.delta)
+        state, _ = fold_all([text], state)
+        self.assertEqual(state.version, 3)
+        self.assertEqual(state.configuration.routes[0].deadline_ms, 5000)
+        catalogue = state.configuration.services[ServiceName("catalogue")]
+        self.assertEqual(catalogue.max_concurrency, 7)
+
+    def test_changes_of_one_entity_conflict(self) -> None:
+        for kind, name, draft, other in (
+            (EntityKind.ROUTE, "search", SLOWER, Delta(removed_routes=(SEARCH.name,))),
+            (EntityKind.KEY, "k1", Delta(removed_keys=(KeyId("k1"),)), WITHDRAWAL),
+        ):
+            current = apply_delta(START, other).unwrap()
+            found = rebase_draft(Draft(START.version, draft), START, current)
+            assert isinstance(found, Err)
+            conflicts = [(each.kind, each.name) for each in found.err_value]
+            self.assertEqual(conflicts, [(kind, name)])
+
+    def test_names_of_other_kinds_do_not_conflict(self) -> None:
+        route = replace(SEARCH, name=RouteName("catalogue"), path_prefix="/other")
+        current = apply_delta(START, Delta(routes=(route,))).unwrap()
+        draft = Draft(START.version, WIDER)
+        self.assertEqual(
+            rebase_draft(draft, START, current).unwrap().base_version, current.version
+        )
+
+    def test_removed_organisation_takes_its_keys_along(self) -> None:
+        wanted = replace(START, organisations={}, routes=())
+        delta = compute_delta(START, wanted)
+        self.assertEqual(delta.removed_organisations, (OrganisationId("radio"),))
+        self.assertEqual(delta.removed_keys, (RADIO_KEY.key_id,))
