Stop on repeated signals without a deadlock

Cause: a test froze a store, sent SIGTERM twice and thawed it; the process hung in a futex. The handler called Event.set while the main thread was inside Event.wait with the event's lock held, which Python's documentation does not make reentrant. Application.request_stop in corianderhold/core.py had the same fault: two SIGTERMs close together could hang a daemon's stop. Ruled out: cheroot's stop (a single signal ended the process). Change: both wait on a SimpleQueue, whose put is documented as reentrant. The test failed before (-9 after 15 s) and passes now; the daemon's own stop is to be tested in the same way when it starts.

--- a/corianderhold/core.py
+++ b/corianderhold/core.py
@@ -1,6 +1,6 @@
 """Own the parts of a process and start and stop them in order."""
 
-import threading
+from queue import SimpleQueue
 from typing import Protocol
 
 from corianderhold.log import log_event, log_warning
@@ -22,7 +22,7 @@
     def __init__(self, components: list[Component]) -> None:
         self._components = components
         self._started: list[Component] = []
-        self._stop_requested = threading.Event()
+        self._stop_requests: SimpleQueue[None] = SimpleQueue()
 
     def start(self) -> None:
         """Start all components; stop those already started when one fails."""
@@ -37,12 +37,12 @@
 
     def request_stop(self) -> None:
         """Ask `run` to return; safe to call from a signal handler."""
-        self._stop_requested.set()
+        self._stop_requests.put(None)  # an Event may deadlock in a handler
 
     def run(self) -> None:
         """Start, wait for a stop request, and stop."""
         self.start()
-        self._stop_requested.wait()
+        self._stop_requests.get()
         self.stop()
 
     def stop(self) -> None:
--- a/emulator/web.py
+++ b/emulator/web.py
@@ -7,6 +7,7 @@
 import threading
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from queue import SimpleQueue
 from typing import Any, Protocol
 from urllib.parse import parse_qs
 from wsgiref.types import StartResponse, WSGIEnvironment
@@ -184,7 +185,7 @@
 
 def wait_for_signal() -> None:
     """Return when the process is asked to end (SIGTERM or SIGINT)."""
-    stop = threading.Event()
+    stop: SimpleQueue[None] = SimpleQueue()  # an Event may deadlock in a handler
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.set())
-    stop.wait()
+        signal.signal(number, lambda *_: stop.put(None))
+    stop.get()
