--- /dev/null
+++ b/corianderhold/coordination/configuration/publisher.py
@@ -0,0 +1,225 @@
+"""Publish changes of the configuration and learn what became of them."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from result import Err, Ok
+
+from corianderhold.clock import Clock
+from corianderhold.coordination.configuration.const import (
+    LOG_APPEND_TIMEOUT_S,
+    PUBLISH_RETRY_PAUSE_S,
+)
+from corianderhold.coordination.configuration.follower import ConfigurationFollower
+from corianderhold.coordination.configuration.history import HistoryEntry
+from corianderhold.coordination.configuration.reader import ReadOutcome
+from corianderhold.ids import ChangeId, Offset, Version
+from corianderhold.log import log_event
+from corianderhold.state.configuration.codec import encode_change
+from corianderhold.state.configuration.fold import FoldOutcome, OutcomeKind, fold
+from corianderhold.state.configuration.records import (
+    ChangeRecord,
+    Fault,
+    RememberedChange,
+)
+from corianderhold.transport.store.model import AppendFailure, Log, StreamName
+
+Pause = Callable[[float], None]
+
+
+class PublishOutcome(Enum):
+    """What is known of a change."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"  # it may be in the log, or may still get there
+
+
+class RefusalReason(Enum):
+    """Why a change was refused."""
+
+    LOST_RACE = "lost_race"
+    BASE_AHEAD = "base_ahead"
+    INVALID = "invalid"
+    CHANGE_ID_USED = "change_id_used"
+    NOT_APPENDED = "not_appended"
+    NOT_REMEMBERED = "not_remembered"
+
+
+REASONS = {
+    OutcomeKind.LOST_RACE: RefusalReason.LOST_RACE,
+    OutcomeKind.BASE_AHEAD: RefusalReason.BASE_AHEAD,
+    OutcomeKind.REFUSED: RefusalReason.INVALID,
+    OutcomeKind.CORRUPT: RefusalReason.INVALID,
+}
+
+
+@dataclass(frozen=True)
+class Published:
+    """
+    What became of a change.
+
+    `version` is the one that the change made. `lost_to` is the change that won, where
+    it is remembered, and `current_version` the one to rebase on.
+    """
+
+    outcome: PublishOutcome
+    change_id: ChangeId
+    current_version: Version
+    version: Version | None = None
+    reason: RefusalReason | None = None
+    lost_to: RememberedChange | None = None
+    faults: tuple[Fault, ...] = ()
+    detail: str = ""
+
+
+class Publisher:
+    """
+    Append changes to the log and read back whether the fold accepted them.
+
+    A change is only ever appended under its own id, so an append that arrives late
+    or twice changes nothing more.
+    """
+
+    def __init__(
+        self,
+        follower: ConfigurationFollower,
+        log: Log,
+        clock: Clock,
+        pause: Pause = time.sleep,
+    ) -> None:
+        self._follower = follower
+        self._replica = follower.replica
+        self._log = log
+        self._clock = clock
+        self._pause = pause
+
+    def publish(self, change: ChangeRecord, timeout_s: float) -> Published:
+        """Publish one change and wait for its outcome, up to a time-out."""
+        deadline = self._clock.read_monotonic() + timeout_s
+        self._follower.read_log()
+        published = self._check(change) or self._append(change, deadline)
+        log_event(
+            "change_published",
+            change=change.change_id,
+            author=change.author,
+            outcome=published.outcome,
+            reason=published.reason,
+            version=published.version,
+        )
+        return published
+
+    def look_up(self, change_id: ChangeId) -> Published | None:
+        """Return what became of a change, None when this daemon knows nothing of it."""
+        entry = self._replica.history.find(change_id)
+        if entry is not None:
+            return self._describe(change_id, entry.outcome)
+        remembered = self._replica.find_change(change_id)
+        if remembered is None:
+            return None
+        current = self._replica.state.version
+        if remembered.version is None:
+            reason = RefusalReason.NOT_REMEMBERED
+            return Published(PublishOutcome.REFUSED, change_id, current, reason=reason)
+        return Published(
+            PublishOutcome.ACCEPTED, change_id, current, remembered.version
+        )
+
+    def resolve(self, change_id: ChangeId) -> Published:
+        """Return what became of a change after reading the log once more."""
+        self._follower.read_log()
+        current = self._replica.state.version
+        unknown = Published(PublishOutcome.UNKNOWN, change_id, current)
+        return self.look_up(change_id) or unknown
+
+    def _check(self, change: ChangeRecord) -> Published | None:
+        """Return the outcome where it is certain before anything is appended."""
+        entry = self._replica.history.find(change.change_id)
+        if entry is not None and not is_same(entry, change):
+            return Published(
+                PublishOutcome.REFUSED,
+                change.change_id,
+                self._replica.state.version,
+                reason=RefusalReason.CHANGE_ID_USED,
+            )
+        known = self.look_up(change.change_id)
+        if known is not None:
+            return known
+        state = self._replica.state
+        _, outcome = fold(state, state.next_offset, encode_change(change))
+        if outcome.kind in (OutcomeKind.ACCEPTED, OutcomeKind.BASE_AHEAD):
+            # A base ahead of the own view may be accepted once the log is read.
+            return None
+        return self._describe(change.change_id, outcome)
+
+    def _append(self, change: ChangeRecord, deadline: float) -> Published:
+        """Append until the outcome is read back or the time is up."""
+        text = encode_change(change)
+        in_doubt = False
+        while True:
+            left_s = deadline - self._clock.read_monotonic()
+            appended = self._log.append(
+                StreamName.CONFIGURATION,
+                text,
+                max(PUBLISH_RETRY_PAUSE_S, min(LOG_APPEND_TIMEOUT_S, left_s)),
+            )
+            in_doubt = in_doubt or appended != Err(AppendFailure.NOT_APPENDED)
+            if isinstance(appended, Ok):
+                return self._await_offset(change, appended.ok_value, deadline)
+            self._follower.read_log()
+            known = self.look_up(change.change_id)
+            if known is not None:
+                return known
+            if self._clock.read_monotonic() >= deadline:
+                return self._give_up(change, in_doubt)
+            self._pause(PUBLISH_RETRY_PAUSE_S)
+
+    def _await_offset(
+        self, change: ChangeRecord, offset: Offset, deadline: float
+    ) -> Published:
+        """Read the log until the record's offset is folded or the time is up."""
+        while True:
+            outcome = self._follower.read_log()
+            known = self.look_up(change.change_id)
+            if known is not None:
+                return known
+            folded = self._replica.head.next_offset > offset
+            if folded and outcome is ReadOutcome.COMPLETE:
+                break
+            if self._clock.read_monotonic() >= deadline:
+                break
+            self._pause(PUBLISH_RETRY_PAUSE_S)
+        return self._give_up(change, in_doubt=True)
+
+    def _give_up(self, change: ChangeRecord, in_doubt: bool) -> Published:
+        current = self._replica.state.version
+        if in_doubt:
+            return Published(PublishOutcome.UNKNOWN, change.change_id, current)
+        reason = RefusalReason.NOT_APPENDED
+        return Published(
+            PublishOutcome.REFUSED, change.change_id, current, reason=reason
+        )
+
+    def _describe(self, change_id: ChangeId, outcome: FoldOutcome) -> Published:
+        current = self._replica.state.version
+        if outcome.kind is OutcomeKind.ACCEPTED:
+            return Published(
+                PublishOutcome.ACCEPTED, change_id, current, outcome.version
+            )
+        return Published(
+            PublishOutcome.REFUSED,
+            change_id,
+            current,
+            reason=REASONS[outcome.kind],
+            lost_to=outcome.earlier,
+            faults=outcome.faults,
+            detail=outcome.detail,
+        )
+
+
+def is_same(entry: HistoryEntry, change: ChangeRecord) -> bool:
+    """Return whether a change repeats the one in the history."""
+    known = entry.change
+    return (known.base_version, known.delta) == (change.base_version, change.delta)
