--- a/emulator/sample.py
+++ b/emulator/sample.py
@@ -2,9 +2,6 @@
 
 import time
 
-from corianderhold.state.keys.const import KEY_MARK, SECRET_BYTES
-from corianderhold.state.keys.digest import digest_secret
-
 from corianderhold.ids import (
     ChangeId,
     FailureDomainId,
@@ -23,6 +20,8 @@
     Service,
 )
 from corianderhold.state.configuration.records import ChangeRecord, Delta
+from corianderhold.state.keys.const import KEY_MARK, SECRET_BYTES
+from corianderhold.state.keys.digest import digest_secret
 
 DOMAIN_A = FailureDomainId("ch-west-a")
 DOMAIN_B = FailureDomainId("ch-west-b")
--- /dev/null
+++ b/tests/common/faults.py
@@ -0,0 +1,66 @@
+"""Bring about faults between one daemon and the log."""
+
+from collections.abc import Callable
+
+from result import Err, Result
+
+from corianderhold.ids import Offset
+from corianderhold.transport.store.model import (
+    AppendFailure,
+    LogPage,
+    ReadFailure,
+    StreamName,
+)
+from tests.common.clock import FakeClock
+from tests.common.log import FakeLog
+
+
+class FaultyLog:
+    """Pass requests to a shared log; set the public fields to bring about faults."""
+
+    def __init__(self, log: FakeLog, clock: FakeClock) -> None:
+        self.cut = False
+        self.delay_s = 0.0
+        self.lose_answers = False
+        self.hold_appends = False
+        self.held: list[str] = []
+        self.before_append: Callable[[], None] | None = None
+        self.appends = 0
+        self._log = log
+        self._clock = clock
+
+    def append(
+        self, stream: StreamName, data: str, timeout_s: float
+    ) -> Result[Offset, AppendFailure]:
+        """Append one record under the faults that are set."""
+        self.appends += 1
+        hook, self.before_append = self.before_append, None
+        if hook is not None:
+            hook()
+        if self.hold_appends:
+            self.held.append(data)
+            self._clock.advance(timeout_s)
+            return Err(AppendFailure.UNKNOWN)
+        if self.cut:
+            return Err(AppendFailure.NOT_APPENDED)
+        outcome = self._log.append(stream, data, timeout_s)
+        self._clock.advance(min(self.delay_s, timeout_s))
+        if self.lose_answers or self.delay_s > timeout_s:
+            return Err(AppendFailure.UNKNOWN)
+        return outcome
+
+    def read(
+        self, stream: StreamName, from_offset: Offset, limit: int, timeout_s: float
+    ) -> Result[LogPage, ReadFailure]:
+        """Read a page under the faults that are set."""
+        self._clock.advance(min(self.delay_s, timeout_s))
+        if self.cut or self.delay_s > timeout_s:
+            return Err(ReadFailure.UNAVAILABLE)
+        return self._log.read(stream, from_offset, limit, timeout_s)
+
+    def release(self) -> None:
+        """Let the held appends arrive at the log."""
+        self.hold_appends = False
+        for data in self.held:
+            self._log.append(StreamName.CONFIGURATION, data, 1.0)
+        self.held.clear()
--- a/tests/common/followers.py
+++ b/tests/common/followers.py
@@ -19,7 +19,6 @@
     Address,
     Member,
     Members,
-    MemberState,
     TargetState,
 )
 from corianderhold.transport.store.model import Log
@@ -204,8 +203,7 @@
     def in_force(self, version: int) -> int:
         """Return how many daemons have at least a version in force."""
         return sum(
-            daemon.holder.current.version >= version
-            for daemon in self.daemons.values()
+            daemon.holder.current.version >= version for daemon in self.daemons.values()
         )
 
     def is_agreed(self) -> bool:
@@ -219,5 +217,3 @@
                 self.schedule(step(), run_step)
 
         self.schedule(self._random.random(), run_step)
-
-
--- /dev/null
+++ b/tests/coordination/configuration/case.py
@@ -0,0 +1,108 @@
+"""Share what the tests of the spread have in common."""
+
+from unittest import TestCase
+
+from result import Ok
+
+from corianderhold.coordination.configuration.publisher import Published, Publisher
+from corianderhold.ids import Offset, ServiceName
+from corianderhold.state.configuration.model import Service
+from corianderhold.state.configuration.records import Delta
+from corianderhold.transport.store.model import StreamName
+from tests.common.changes import BASE, make_change, make_text
+from tests.common.faults import FaultyLog
+from tests.common.followers import Daemon, Fleet
+from tests.common.log import FakeLog
+
+SETTLE_LIMIT_S = 60.0
+PUBLISH_TIMEOUT_S = 10.0
+RETENTION_S = 3_600.0
+
+
+def limit_concurrency(limit: int) -> Delta:
+    """Return a change that tells versions apart."""
+    return Delta(services=(Service(ServiceName("catalogue"), max_concurrency=limit),))
+
+
+class SpreadTestCase(TestCase):
+    """Run nine daemons in three domains, each with its own way to the log."""
+
+    seed = 1
+
+    def setUp(self) -> None:
+        self.log = FakeLog()
+        self.end = Offset(0)
+        self.fleet = Fleet(0, 0, self.log, self.seed, RETENTION_S)
+        self.ways: dict[str, FaultyLog] = {}
+        for number in range(9):
+            self.add_daemon(f"d{number % 3}", f"10.0.0.{number}")
+        self.append(make_text("c1", 0, BASE))
+        self.settle()
+
+    def add_daemon(self, domain: str, host: str) -> Daemon:
+        way = FaultyLog(self.log, self.fleet.clock)
+        daemon = self.fleet.add(domain, host, way)
+        self.ways[host] = way
+        return daemon
+
+    def append(self, data: str) -> None:
+        self.log.append(StreamName.CONFIGURATION, data, 1.0)
+
+    def append_changes(self, first_base: int, count: int) -> None:
+        for base in range(first_base, first_base + count):
+            self.append(make_text(f"c{base + 1}", base, limit_concurrency(base + 1)))
+
+    def get_daemon(self, number: int) -> Daemon:
+        return self.fleet.daemons[f"10.0.0.{number}"]
+
+    def get_domain(self, domain: str) -> list[Daemon]:
+        daemons = self.fleet.daemons.values()
+        return [daemon for daemon in daemons if daemon.member.domain == domain]
+
+    def isolate(self, domain: str) -> None:
+        """Cut a domain off from the log and from all other domains."""
+        for other in ("d0", "d1", "d2"):
+            if other != domain:
+                self.fleet.cut(domain, other)
+        for daemon in self.get_domain(domain):
+            self.ways[daemon.member.instance].cut = True
+
+    def make_publisher(self, daemon: Daemon) -> Publisher:
+        way = self.ways[daemon.member.instance]
+        clock = self.fleet.clock
+        return Publisher(daemon.follower, way, clock, clock.advance)
+
+    def publish(
+        self, daemon: Daemon, change_id: str, base: int, limit: int
+    ) -> Published:
+        change = make_change(change_id, base, limit_concurrency(limit))
+        return self.make_publisher(daemon).publish(change, PUBLISH_TIMEOUT_S)
+
+    def settle(self) -> None:
+        """Check that all come to one state and none ever went back."""
+        fleet = self.fleet
+        page = self.log.read(StreamName.CONFIGURATION, Offset(0), 1, 1.0)
+        if isinstance(page, Ok):
+            self.end = page.ok_value.next_offset
+        settled = fleet.run_until(
+            lambda: (
+                fleet.is_agreed()
+                and self.get_any().follower.replica.head.next_offset == self.end
+            ),
+            SETTLE_LIMIT_S,
+        )
+        heads = {
+            name: daemon.follower.replica.head for name, daemon in fleet.daemons.items()
+        }
+        self.assertTrue(settled, heads)
+        versions = {daemon.holder.current.version for daemon in fleet.daemons.values()}
+        self.assertEqual(len(versions), 1)
+        for daemon in fleet.daemons.values():
+            ascending = sorted(set(daemon.versions))
+            self.assertEqual(daemon.versions, ascending)
+
+    def get_any(self) -> Daemon:
+        return next(iter(self.fleet.daemons.values()))
+
+    def read_version(self) -> int:
+        return self.get_any().holder.current.version
--- /dev/null
+++ b/tests/coordination/configuration/test_spread.py
@@ -0,0 +1,206 @@
+"""Test the spread of the configuration under faults."""
+
+from corianderhold.ids import Offset
+from corianderhold.state.configuration.codec import encode_snapshot
+from corianderhold.state.configuration.fold import build_snapshot
+from corianderhold.transport.store.model import StreamName
+from tests.common.changes import make_text
+from tests.coordination.configuration.case import (
+    RETENTION_S,
+    SpreadTestCase,
+    limit_concurrency,
+)
+
+STREAM = StreamName.CONFIGURATION
+IN_FORCE_LIMIT_S = 8.0
+OUTAGE_S = 300.0
+
+
+class SpreadTests(SpreadTestCase):
+    """Check that all daemons come to the same version after each fault."""
+
+    def test_change_in_the_log_is_in_force_everywhere(self) -> None:
+        self.append_changes(1, 1)
+        spread = self.fleet.run_until(
+            lambda: self.fleet.in_force(2) == 9, IN_FORCE_LIMIT_S
+        )
+        self.assertTrue(spread)
+        self.settle()
+
+    def test_store_outage_costs_few_reads_and_no_version(self) -> None:
+        self.log.down = True
+        reads = self.log.reads
+        self.fleet.run(OUTAGE_S)
+        # Two readers a domain, once in 4 s at most, and the others twice a minute.
+        self.assertLess(self.log.reads - reads, OUTAGE_S * (6 / 4 + 3 / 30) + 30)
+        self.assertEqual(self.fleet.in_force(1), 9)
+        for daemon in self.fleet.daemons.values():
+            age_s = self.fleet.clock.read_monotonic() - daemon.holder.verified_at
+            self.assertGreaterEqual(age_s, OUTAGE_S)
+        self.log.down = False
+        self.append_changes(1, 1)
+        self.settle()
+        self.assertEqual(self.read_version(), 2)
+
+    def test_slow_store_delays_changes_only(self) -> None:
+        for way in self.ways.values():
+            way.delay_s = 5.0
+        self.append_changes(1, 1)
+        self.fleet.run(120.0)
+        self.assertEqual(self.fleet.in_force(2), 0)
+        for way in self.ways.values():
+            way.delay_s = 1.0
+        self.settle()
+        self.assertEqual(self.read_version(), 2)
+
+    def test_isolated_domain_knows_the_age_of_its_view_and_catches_up(self) -> None:
+        self.isolate("d0")
+        self.append_changes(1, 5)
+        self.fleet.run(OUTAGE_S)
+        self.assertEqual(self.fleet.in_force(6), 6)
+        for daemon in self.get_domain("d0"):
+            self.assertEqual(daemon.holder.current.version, 1)
+            age_s = self.fleet.clock.read_monotonic() - daemon.holder.verified_at
+            self.assertGreaterEqual(age_s, OUTAGE_S)
+        self.fleet.cuts.clear()
+        for way in self.ways.values():
+            way.cut = False
+        self.settle()
+        self.assertEqual(self.read_version(), 6)
+
+    def test_domain_learns_over_the_only_way_that_is_left(self) -> None:
+        self.isolate("d0")
+        self.fleet.cuts.remove(frozenset({"d0", "d1"}))
+        self.append_changes(1, 3)
+        self.settle()
+        self.fleet.run(60.0)
+        for daemon in self.get_domain("d0"):
+            age_s = self.fleet.clock.read_monotonic() - daemon.holder.verified_at
+            self.assertLess(age_s, 30.0)
+
+    def test_daemon_starts_from_a_peer_during_an_outage(self) -> None:
+        self.append_changes(1, 600)
+        self.settle()
+        self.log.down = True
+        fresh = self.add_daemon("d1", "10.0.0.99")
+        self.settle()
+        self.assertEqual(fresh.holder.current.version, 601)
+        self.assertEqual(fresh.versions[0], 601)
+        self.assertEqual(
+            fresh.metrics.read_counters()["configuration_snapshots_from_peers"], 1
+        )
+
+    def test_corrupt_records_are_skipped_and_reported(self) -> None:
+        for data in ("", "{", "[]", '{"format":1}', "\u0000" * 100, "[" * 10_000):
+            self.append(data)
+        self.append_changes(1, 1)
+        self.settle()
+        self.assertEqual(self.read_version(), 2)
+        counters = self.get_any().metrics.read_counters()
+        self.assertGreaterEqual(counters["configuration_fold_corrupt"], 4)
+
+    def test_burst_of_changes_reaches_all(self) -> None:
+        self.append_changes(1, 200)
+        self.settle()
+        self.assertEqual(self.read_version(), 201)
+
+
+class RetentionTests(SpreadTestCase):
+    """Check snapshots and daemons that retention has passed."""
+
+    def count_snapshots(self) -> int:
+        page = self.log.read(STREAM, Offset(0), 10**6, 1.0).unwrap()
+        return sum('"kind":"snapshot"' in record.data for record in page.records)
+
+    def lose_daemon_for(self, changes: int) -> None:
+        """Cut the domain d0 off, publish, and drop what the log had before."""
+        self.isolate("d0")
+        self.append_changes(1, changes)
+        self.fleet.run(60.0)
+        page = self.log.read(STREAM, Offset(0), 10**6, 1.0).unwrap()
+        snapshots = [
+            record.offset
+            for record in page.records
+            if '"kind":"snapshot"' in record.data
+        ]
+        self.log.truncate(STREAM, snapshots[-1] - 1)
+
+    def test_one_snapshot_is_written_after_many_records(self) -> None:
+        self.append_changes(1, 300)
+        self.fleet.run(120.0)
+        self.assertEqual(self.count_snapshots(), 1)
+        self.settle()
+
+    def test_snapshot_is_renewed_well_before_retention_ends(self) -> None:
+        self.fleet.run(RETENTION_S / 4 + 600.0)
+        self.assertEqual(self.count_snapshots(), 1)
+        self.log.truncate(STREAM, 1)
+        self.append_changes(1, 1)
+        fresh = self.add_daemon("d1", "10.0.0.99")
+        self.settle()
+        self.assertEqual(fresh.holder.current.version, 2)
+
+    def test_lagging_daemon_recovers_from_the_log_alone(self) -> None:
+        self.lose_daemon_for(300)
+        for daemon in self.get_domain("d0"):
+            self.ways[daemon.member.instance].cut = False
+        self.settle()
+        self.assertEqual(self.read_version(), 301)
+
+    def test_lagging_daemon_recovers_from_peers_alone(self) -> None:
+        self.lose_daemon_for(600)
+        self.fleet.cuts.clear()
+        self.settle()
+        self.assertEqual(self.read_version(), 601)
+
+    def test_gap_without_a_snapshot_leaves_the_version_unverified(self) -> None:
+        self.isolate("d0")
+        self.append_changes(1, 5)
+        self.fleet.run(10.0)
+        self.log.truncate(STREAM, 3)
+        for daemon in self.get_domain("d0"):
+            self.ways[daemon.member.instance].cut = False
+        cut_at = self.fleet.clock.read_monotonic()
+        self.fleet.run(60.0)
+        for daemon in self.get_domain("d0"):
+            self.assertEqual(daemon.holder.current.version, 1)
+            self.assertLessEqual(daemon.holder.verified_at, cut_at)
+        self.fleet.cuts.clear()
+        self.settle()
+
+    def test_snapshot_of_a_paused_writer_changes_nothing(self) -> None:
+        paused = build_snapshot(self.get_daemon(0).follower.replica.state)
+        self.append_changes(1, 300)
+        self.fleet.run(60.0)
+        self.append(encode_snapshot(paused))
+        self.settle()
+        self.assertEqual(self.read_version(), 301)
+        for daemon in list(self.fleet.daemons.values()):
+            self.fleet.kill(daemon)
+        self.log.truncate(STREAM, 200)
+        fresh = self.add_daemon("d1", "10.0.0.99")
+        self.settle()
+        self.assertEqual(fresh.versions[-1], 301)
+
+    def test_writer_that_is_held_up_does_not_hold_up_the_others(self) -> None:
+        for way in self.ways.values():
+            way.hold_appends = True
+        self.append_changes(1, 300)
+        self.fleet.run(60.0)
+        held = [way for way in self.ways.values() if way.held]
+        self.assertGreaterEqual(len(held), 1)
+        for way in self.ways.values():
+            way.hold_appends = False
+        self.fleet.run(600.0)
+        self.append(make_text("last", 301, limit_concurrency(7)))
+        self.settle()
+        for way in held:
+            way.release()
+        self.settle()
+        self.assertEqual(self.read_version(), 302)
+
+
+class OtherSeedTests(SpreadTests):
+    """Repeat the spread with other draws of peers and times."""
+
+    seed = 2
