Give the owner the target's status as membership holds it

Cause: membership had followed a protocol of the owner that was replaced meanwhile. Change: one read_target() with the state, service and address.

--- a/corianderhold/coordination/membership/service.py
+++ b/corianderhold/coordination/membership/service.py
@@ -29,7 +29,6 @@
 from corianderhold.coordination.membership.swim import Swim
 from corianderhold.coordination.membership.sync import answer_request
 from corianderhold.coordination.membership.synchronizer import Synchronizer
-from corianderhold.coordination.owner.target import LocalTarget
 from corianderhold.ids import (
     FailureDomainId,
     Incarnation,
@@ -52,7 +51,7 @@
     MemberState,
     TargetState,
 )
-from corianderhold.state.membership.target import TargetHolder
+from corianderhold.state.membership.target import TargetHolder, TargetStatus
 from corianderhold.transport.datagram.endpoint import DatagramEndpoint
 from corianderhold.transport.store.model import Log
 
@@ -82,7 +81,7 @@
     """
     Know the members of the fleet and announce the local target to them.
 
-    Implements `Members`, `Component`, `LocalTargetSource`, `TargetRegistrar` and the
+    Implements `Members`, `Component`, `TargetSource`, `TargetRegistrar` and the
     control handler of topic MEMBERSHIP. Any thread reads the view without a lock; the
     membership thread replaces it.
     """
@@ -200,16 +199,13 @@
         self._target.withdraw()
         self._endpoint.wake()
 
-    def read_local_target(self) -> LocalTarget | None:
+    def read_target(self) -> TargetStatus:
         """
         Return the local target at this moment, exact even if gossip has stalled.
 
         The owner asks before each dispatch and dispatches only where it is SERVING.
         """
-        status = self._target.read()
-        if status.service is None or status.address is None:
-            return None
-        return LocalTarget(status.service, status.address, status.state)
+        return self._target.read()
 
     def handle_control(self, sender: ControlSender, body: bytes) -> bytes:
         """Answer a synchronisation request; raise MalformedMessageError."""
--- a/tests/coordination/membership/test_service.py
+++ b/tests/coordination/membership/test_service.py
@@ -106,9 +106,7 @@
         self.wait_for_owners(second, 1)
         self.wait_for_owners(first, 1)
         first.drain_target()
-        local = first.read_local_target()
-        assert local is not None
-        self.assertIs(local.state, TargetState.DRAINING)
+        self.assertIs(first.read_target().state, TargetState.DRAINING)
         self.wait_for_owners(second, 0)
         self.services.remove(first)
         first.stop()
@@ -127,7 +125,7 @@
         first.announce_target(RIGHTS, TARGET)
         self.wait_for_owners(second, 1)
         self.wait_for_owners(second, 0)
-        self.assertIsNone(first.read_local_target())
+        self.assertIs(first.read_target().state, TargetState.ABSENT)
 
     def test_members_find_each_other_through_the_log_alone(self) -> None:
         first, second = self.start(), self.start()
