Reserve ports of a fleet so that no other process is given them

Cause: a demo's daemon failed to start with EADDRINUSE: between the choice of a port and its use the system had given the number to an outgoing connection.

--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from uuid import uuid4
 
-from tests.common.ports import HOST, find_free_port, find_free_ports
+from tests.common.ports import HOST, PortReservation
 from tests.common.processes import ManagedProcess, ProcessGroup
 from tests.common.relay import Relay
 from tests.common.waiting import wait_until
@@ -76,6 +76,7 @@
         self._directory = directory
         self._group = ProcessGroup(directory)
         self._past_runs: Counter[str] = Counter()
+        self._reservations: list[PortReservation] = []
         self._starts = 0
         self.members = {plan.instance: self._plan_member(plan) for plan in plans}
         self.store: ManagedProcess | None = None
@@ -100,6 +101,8 @@
             for relay in (member.peer_relay, member.target_relay):
                 if relay is not None:
                     relay.stop()
+        for reservation in self._reservations:
+            reservation.release()
 
     def publish(self, record: str) -> None:
         """Append one record to the configuration stream."""
@@ -132,7 +135,7 @@
         arguments += ["--daemon-outgoing", member.get_address("outgoing")]
         arguments += ["--slots", str(plan.slots), "--service-ms", str(plan.service_ms)]
         if plan.relay_target:
-            port = find_free_port()
+            port = self._reserve_ports(1)[0]
             member.target_relay = Relay(f"{HOST}:{port}")
             arguments += ["--port", str(port)]
             arguments += ["--announced-address", member.target_relay.address]
@@ -226,8 +229,13 @@
         self._starts += 1
         return self._group.start(f"{name}-{self._starts}", arguments)
 
+    def _reserve_ports(self, count: int) -> list[int]:
+        reservation = PortReservation(count)
+        self._reservations.append(reservation)
+        return reservation.ports
+
     def _plan_member(self, plan: DaemonPlan) -> FleetMember:
-        ports = dict(zip(LISTENERS, find_free_ports(len(LISTENERS)), strict=True))
+        ports = dict(zip(LISTENERS, self._reserve_ports(len(LISTENERS)), strict=True))
         member = FleetMember(plan, ports)
         if plan.relay_peer:
             member.peer_relay = Relay(member.get_address("peer"), framed=True)
