--- a/corianderhold/coordination/membership/service.py
+++ b/corianderhold/coordination/membership/service.py
@@ -51,7 +51,7 @@
     MemberState,
     TargetState,
 )
-from corianderhold.state.membership.target import LocalTarget, TargetStatus
+from corianderhold.state.membership.target import TargetHolder, TargetStatus
 from corianderhold.transport.datagram.endpoint import DatagramEndpoint
 from corianderhold.transport.store.model import Log
 
@@ -81,8 +81,9 @@
     """
     Know the members of the fleet and announce the local target to them.
 
-    Implements `Members`, `Component` and the control handler of topic MEMBERSHIP. The
-    view is read without a lock from any thread; the membership thread replaces it.
+    Implements `Members`, `Component`, `TargetSource`, `TargetRegistrar` and the
+    control handler of topic MEMBERSHIP. Any thread reads the view without a lock; the
+    membership thread replaces it.
     """
 
     def __init__(
@@ -97,7 +98,7 @@
         self._settings = settings
         self._clock = clock
         self._metrics = metrics
-        self._target = LocalTarget(clock)
+        self._target = TargetHolder(clock)
         self._announced = self._target.read()
         self._endpoint = DatagramEndpoint(settings.gossip_address)
         self._own = self._build_own()
