--- a/corianderhold/transport/web/server.py
+++ b/corianderhold/transport/web/server.py
@@ -13,6 +13,7 @@
 from corianderhold.state.membership.model import Address
 from corianderhold.transport.web.const import (
     HEADER_BYTES_MAX,
+    IDLE_CONNECTIONS_MAX,
     IDLE_TIMEOUT_S,
     KEEPALIVE_IDLE_S,
     KEEPALIVE_INTERVAL_S,
@@ -81,6 +82,7 @@
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
         self._server.gateway = SocketGateway
+        self._server.keep_alive_conn_limit = IDLE_CONNECTIONS_MAX
         self._server.max_request_header_size = HEADER_BYTES_MAX
         self._server.error_log = log_server_error  # type: ignore[method-assign]
         self._thread = threading.Thread(
--- a/emulator/web.py
+++ b/emulator/web.py
@@ -19,6 +19,7 @@
 READ_SIZE_BYTES = 65_536
 BACKLOG_CONNECTIONS = 1024
 IDLE_TIMEOUT_S = 120
+IDLE_CONNECTIONS_MAX = 4096
 JSON_TYPE = "application/json"
 OK = 200
 STATUS_LINES = {
@@ -132,6 +133,7 @@
             timeout=IDLE_TIMEOUT_S,
             shutdown_timeout=1,
         )
+        self._server.keep_alive_conn_limit = IDLE_CONNECTIONS_MAX
         self._server.error_log = self._log_error  # type: ignore[method-assign]
         self._thread = threading.Thread(target=self._server.serve, daemon=True)
 
--- a/script/run_demo.py
+++ b/script/run_demo.py
@@ -34,6 +34,7 @@
 DEEP = "/rights/lookup?nested=" + quote("/transcripts/read", safe="")
 NESTED_PATH = "/catalogue/search?nested=" + quote(DEEP, safe="")
 SEARCH = "/catalogue/search"
+READ = "/transcripts/read"
 BROWSE = "/catalogue/browse"
 LOAD_RATE = 400
 LOAD_DURATION_S = 4
@@ -106,18 +107,17 @@
         self._check("unknown_key", (outcome.verdict, outcome.reason) == expected)
 
     def _withdraw_route(self) -> None:
-        path = "/transcripts/read"
-        before = self._send("withdraw_route", ENTRIES[0], path, SCHOOLS_KEY)
+        before = self._send("withdraw_route", ENTRIES[0], READ, SCHOOLS_KEY)
         self._check("withdraw_route", before.is_whole)
         self._fleet.publish(build_change(1, Delta(removed_routes=(RouteName("read"),))))
 
         def is_withdrawn() -> bool:
-            plan = RequestPlan(path, SCHOOLS_KEY)
+            plan = RequestPlan(READ, SCHOOLS_KEY)
             return all(not self._fleet.send(each, plan).is_whole for each in ENTRIES)
 
         wait_until(is_withdrawn, "the route is withdrawn at all entries")
         for entry in ENTRIES:
-            outcome = self._send("withdraw_route", entry, path, SCHOOLS_KEY)
+            outcome = self._send("withdraw_route", entry, READ, SCHOOLS_KEY)
             expected = ("not_run", "route_unknown")
             self._check("withdraw_route", (outcome.verdict, outcome.reason) == expected)
 
@@ -198,7 +198,7 @@
         fleet = Fleet(PLANS, Path(name))
         try:
             fleet.start(build_records())
-            for path in (NESTED_PATH, SEARCH):
+            for path in (NESTED_PATH, SEARCH, READ):
                 plan = RequestPlan(path, BROADCASTER_KEY)
                 fleet.wait_until_served(list(ENTRIES), plan)
             as_expected = Demo(fleet, Path(name)).run()
