--- /dev/null
+++ b/corianderhold/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Serve the administration API to operators."""
--- /dev/null
+++ b/corianderhold/admin/errors.py
@@ -0,0 +1,35 @@
+"""Define the errors that the administration API answers with."""
+
+from collections.abc import Sequence
+from enum import Enum
+
+from corianderhold.errors import CorianderholdError
+
+
+class ErrorCode(Enum):
+    """What is wrong with a request, for programs."""
+
+    BODY_MISSING = "body_missing"
+    BODY_TOO_LONG = "body_too_long"
+    BODY_MALFORMED = "body_malformed"
+    PARAMETER_MALFORMED = "parameter_malformed"
+    TOKEN_MISSING_OR_WRONG = "token_missing_or_wrong"
+    CHANGE_UNKNOWN = "change_unknown"
+    KEY_REFUSED = "key_refused"
+    NOT_FOUND = "not_found"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    REQUEST_REFUSED = "request_refused"
+    INTERNAL = "internal"
+
+
+class ApiError(CorianderholdError):
+    """A request that is answered with an HTTP status and a JSON error."""
+
+    def __init__(
+        self, status: int, code: ErrorCode, message: str, details: Sequence[str] = ()
+    ) -> None:
+        super().__init__(message)
+        self.status = status
+        self.code = code
+        self.message = message
+        self.details = tuple(details)
--- /dev/null
+++ b/corianderhold/admin/fleet.py
@@ -0,0 +1,127 @@
+"""Serve the status of the fleet, drain, health and metrics."""
+
+import math
+
+from corianderhold.admin.formats import (
+    JsonObject,
+    format_metrics,
+    heard_to_json,
+    member_to_json,
+)
+from corianderhold.admin.model import Drain, Identity, StreamView
+from corianderhold.admin.request import answer_errors, write_json, write_text
+from corianderhold.clock import Clock
+from corianderhold.log import log_event
+from corianderhold.metrics import Metrics
+from corianderhold.state.configuration.holder import ConfigurationHolder
+from corianderhold.state.membership.model import Members
+
+
+class StatusResource:
+    """Answer /v1/status."""
+
+    exposed = True
+
+    def __init__(
+        self,
+        identity: Identity,
+        holder: ConfigurationHolder,
+        stream: StreamView,
+        members: Members,
+        drain: Drain,
+        clock: Clock,
+    ) -> None:
+        self._identity = identity
+        self._holder = holder
+        self._stream = stream
+        self._members = members
+        self._drain = drain
+        self._clock = clock
+
+    @answer_errors
+    def GET(self) -> bytes:  # noqa: N802
+        """Show the fleet as this daemon sees it."""
+        now_s = self._clock.read_monotonic()
+        head = self._stream.read_head()
+        members = [member_to_json(member) for member in self._members.list_members()]
+        answer: JsonObject = {
+            "instance": self._identity.instance,
+            "domain": self._identity.domain,
+            "draining": self._drain.is_draining(),
+            "configuration": {
+                "version": self._holder.current.version,
+                "next_offset": head.next_offset,
+                "digest": head.digest.hex(),
+                "verified_age_s": read_view_age(self._holder, self._clock),
+            },
+            "members": sorted(members, key=lambda member: member["instance"]),
+            "versions_heard": [
+                heard_to_json(heard, now_s) for heard in self._stream.list_heard()
+            ],
+        }
+        return write_json(200, answer)
+
+
+class DrainResource:
+    """Answer /v1/drain."""
+
+    exposed = True
+
+    def __init__(self, drain: Drain) -> None:
+        self._drain = drain
+
+    @answer_errors
+    def POST(self) -> bytes:  # noqa: N802
+        """Take the target out of service."""
+        log_event("drain_requested")
+        self._drain.drain()
+        return write_json(202, {"draining": True})
+
+
+class HealthResource:
+    """Answer /health; open to all."""
+
+    exposed = True
+
+    def __init__(self, holder: ConfigurationHolder, drain: Drain) -> None:
+        self._holder = holder
+        self._drain = drain
+
+    @answer_errors
+    def GET(self) -> bytes:  # noqa: N802
+        """Answer 200 where the daemon takes requests, else 503."""
+        version = self._holder.current.version
+        draining = self._drain.is_draining()
+        ready = version > 0 and not draining
+        answer = {"ready": ready, "version": version, "draining": draining}
+        return write_json(200 if ready else 503, answer)
+
+
+class MetricsResource:
+    """Answer /metrics."""
+
+    exposed = True
+
+    def __init__(
+        self, metrics: Metrics, holder: ConfigurationHolder, clock: Clock
+    ) -> None:
+        self._metrics = metrics
+        self._holder = holder
+        self._clock = clock
+
+    @answer_errors
+    def GET(self) -> bytes:  # noqa: N802
+        """Show counters and durations in Prometheus' text format."""
+        gauges: dict[str, float] = {
+            "configuration_version": self._holder.current.version
+        }
+        age_s = read_view_age(self._holder, self._clock)
+        if age_s is not None:
+            gauges["configuration_view_age_seconds"] = age_s
+        return write_text(format_metrics(self._metrics, gauges))
+
+
+def read_view_age(holder: ConfigurationHolder, clock: Clock) -> float | None:
+    """Return the age of the view in seconds, None when it was never verified."""
+    age_s = clock.read_monotonic() - holder.verified_at
+    return None if math.isinf(age_s) else round(age_s, 3)
--- /dev/null
+++ b/corianderhold/admin/formats.py
@@ -0,0 +1,156 @@
+"""Turn what the daemon knows into JSON values and metrics text."""
+
+import json
+from collections.abc import Sequence
+from typing import Any
+
+from corianderhold.admin.const import METRIC_PREFIX
+from corianderhold.coordination.configuration.exchanger import HeardHead
+from corianderhold.coordination.configuration.history import HistoryEntry
+from corianderhold.coordination.configuration.publisher import (
+    Published,
+    PublishOutcome,
+)
+from corianderhold.metrics import Metrics
+from corianderhold.state.configuration.entities import (
+    configuration_to_json,
+    delta_to_json,
+)
+from corianderhold.state.configuration.fold import FoldOutcome, OutcomeKind
+from corianderhold.state.configuration.model import Configuration
+from corianderhold.state.configuration.records import Fault, RememberedChange
+from corianderhold.state.membership.model import Member
+
+JsonObject = dict[str, Any]
+MICROSECONDS = 1e6
+
+
+def dump_body(value: JsonObject) -> bytes:
+    """Return the JSON text of an answer."""
+    return (json.dumps(value, indent=2) + "\n").encode()
+
+
+def configuration_to_answer(configuration: Configuration) -> JsonObject:
+    """Return a configuration without the digests of its keys."""
+    value = configuration_to_json(configuration)
+    for key in value["keys"]:
+        del key["digest"]
+    return value
+
+
+def published_to_json(published: Published) -> JsonObject:
+    """Return what became of a change."""
+    return {
+        "change_id": published.change_id,
+        "outcome": published.outcome.value,
+        "version": published.version,
+        "current_version": published.current_version,
+        "reason": None if published.reason is None else published.reason.value,
+        "lost_to": remembered_to_json(published.lost_to),
+        "faults": [fault_to_json(fault) for fault in published.faults],
+        "detail": published.detail,
+    }
+
+
+def remembered_to_json(change: RememberedChange | None) -> JsonObject | None:
+    """Return the change that won a race, None without one."""
+    if change is None:
+        return None
+    return {
+        "change_id": change.change_id,
+        "version": change.version,
+        "author": change.author,
+    }
+
+
+def fault_to_json(fault: Fault) -> JsonObject:
+    """Return one fault of a change."""
+    return {
+        "kind": fault.kind.value,
+        "name": fault.name,
+        "option": fault.option,
+        "given": fault.given,
+        "accepted": fault.accepted,
+    }
+
+
+def entry_to_json(entry: HistoryEntry) -> JsonObject:
+    """Return one line of the audit trail, with the digests of keys left out."""
+    change, outcome = entry.change, entry.outcome
+    delta = delta_to_json(change.delta)
+    for key in delta["set"].get("keys", ()):
+        del key["digest"]
+    return {
+        "change_id": change.change_id,
+        "offset": outcome.offset,
+        "author": change.author,
+        "made_at": change.made_at,
+        "note": change.note,
+        "base_version": change.base_version,
+        "outcome": describe_outcome(outcome).value,
+        "reason": None if is_accepted(outcome) else outcome.kind.value,
+        "version": outcome.version if is_accepted(outcome) else None,
+        "lost_to": remembered_to_json(outcome.earlier),
+        "faults": [fault_to_json(fault) for fault in outcome.faults],
+        **delta,
+    }
+
+
+def is_accepted(outcome: FoldOutcome) -> bool:
+    """Return whether the fold accepted a change."""
+    return outcome.kind is OutcomeKind.ACCEPTED
+
+
+def describe_outcome(outcome: FoldOutcome) -> PublishOutcome:
+    """Return the outcome as publishing answers it."""
+    accepted = is_accepted(outcome)
+    return PublishOutcome.ACCEPTED if accepted else PublishOutcome.REFUSED
+
+
+def member_to_json(member: Member) -> JsonObject:
+    """Return one member of the fleet."""
+    return {
+        "instance": member.instance,
+        "domain": member.domain,
+        "region": member.region,
+        "service": member.service,
+        "state": member.state.value,
+        "target_state": member.target_state.value,
+        "peer_address": str(member.peer_address),
+    }
+
+
+def heard_to_json(heard: HeardHead, now_s: float) -> JsonObject:
+    """Return the version last heard of a peer, with its age in seconds."""
+    return {
+        "instance": heard.instance,
+        "version": heard.head.version,
+        "next_offset": heard.head.next_offset,
+        "age_s": round(now_s - heard.heard_at, 3),
+    }
+
+
+def format_metrics(metrics: Metrics, gauges: dict[str, float]) -> str:
+    """Return counters, gauges and durations in Prometheus' text format."""
+    lines: list[str] = []
+    for name, count in sorted(metrics.read_counters().items()):
+        full = f"{METRIC_PREFIX}_{name}_total"
+        lines += [f"# TYPE {full} counter", f"{full} {count}"]
+    for name, value in sorted(gauges.items()):
+        full = f"{METRIC_PREFIX}_{name}"
+        lines += [f"# TYPE {full} gauge", f"{full} {value:g}"]
+    for name, summary in sorted(metrics.summarize_histograms().items()):
+        full = f"{METRIC_PREFIX}_{name}_seconds"
+        lines.append(f"# TYPE {full} summary")
+        lines += _format_quantiles(full, summary.percentiles_us)
+        lines.append(f"{full}_count {summary.count}")
+    return "\n".join(lines) + "\n"
+
+
+def _format_quantiles(
+    name: str, percentiles_us: Sequence[tuple[float, int]]
+) -> list[str]:
+    return [
+        f'{name}{{quantile="{percent / 100:g}"}} {value_us / MICROSECONDS:g}'
+        for percent, value_us in percentiles_us
+    ]
--- /dev/null
+++ b/corianderhold/admin/model.py
@@ -0,0 +1,60 @@
+"""Say what the administration API needs of the parts behind it."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from corianderhold.coordination.configuration.exchanger import HeardHead
+from corianderhold.coordination.configuration.history import HistoryEntry
+from corianderhold.coordination.configuration.publisher import Published
+from corianderhold.ids import ChangeId, FailureDomainId, InstanceId
+from corianderhold.protocol.configuration.messages import Head
+from corianderhold.state.configuration.records import ChangeRecord
+
+
+@dataclass(frozen=True)
+class Identity:
+    """Which daemon answers."""
+
+    instance: InstanceId
+    domain: FailureDomainId
+
+
+class ChangePublisher(Protocol):
+    """Publish changes and tell what became of them."""
+
+    def publish(self, change: ChangeRecord, timeout_s: float) -> Published:
+        """Publish one change and wait for its outcome, up to a time-out."""
+
+    def resolve(self, change_id: ChangeId) -> Published:
+        """Return what became of a change after reading the log once more."""
+
+
+class ChangeHistory(Protocol):
+    """Give the audit trail of changes."""
+
+    def list_entries(self) -> Sequence[HistoryEntry]:
+        """Return the changes folded, oldest first."""
+
+    def find(self, change_id: ChangeId) -> HistoryEntry | None:
+        """Return the entry of a change, None when it is not known."""
+
+
+class StreamView(Protocol):
+    """Tell how far the stream is folded here and at peers."""
+
+    def read_head(self) -> Head:
+        """Return how far this daemon has folded the stream."""
+
+    def list_heard(self) -> Sequence[HeardHead]:
+        """Return the heads last heard of peers."""
+
+
+class Drain(Protocol):
+    """Take this daemon's target out of service."""
+
+    def drain(self) -> None:
+        """Stop taking new work for the target; a repeated call changes nothing."""
+
+    def is_draining(self) -> bool:
+        """Return whether the target is draining or gone."""
--- /dev/null
+++ b/corianderhold/admin/schema.py
@@ -0,0 +1,43 @@
+"""Check what operators send to the administration API."""
+
+from voluptuous import All, Any, Length, Optional, Required, Schema
+
+from corianderhold.state.configuration.const import (
+    MAX_AUTHOR_LENGTH,
+    MAX_NOTE_LENGTH,
+    MAX_UNIX_TIME_S,
+)
+from corianderhold.state.configuration.schema import (
+    NAME,
+    VERSION,
+    bound_number,
+    bound_text,
+)
+from corianderhold.state.keys.const import MAX_OVERLAP_S
+
+AUTHORSHIP = {
+    Required("author"): All(bound_text(MAX_AUTHOR_LENGTH), Length(min=1)),
+    Optional("note", default=""): bound_text(MAX_NOTE_LENGTH),
+}
+
+# The parts "set" and "removed" are checked as those of a draft are.
+PUBLISH = Schema(
+    {
+        **AUTHORSHIP,
+        Optional("change_id"): NAME,
+        Required("base_version"): VERSION,
+        Optional("set", default=dict): dict,
+        Optional("removed", default=dict): dict,
+    }
+)
+GRANT = Schema(
+    {
+        **AUTHORSHIP,
+        Required("organisation"): NAME,
+        Optional("expires_at", default=None): Any(
+            None, bound_number(0.0, MAX_UNIX_TIME_S)
+        ),
+    }
+)
+WITHDRAW = Schema(AUTHORSHIP)
+ROTATE = Schema({**AUTHORSHIP, Required("overlap_s"): bound_number(0.0, MAX_OVERLAP_S)})
--- a/corianderhold/coordination/configuration/exchanger.py
+++ b/corianderhold/coordination/configuration/exchanger.py
@@ -1,6 +1,9 @@
 """Compare versions with one peer and send each other what is missing."""
 
 import math
+import threading
+from collections import OrderedDict
+from dataclasses import dataclass
 
 from result import Err
 
@@ -8,6 +11,7 @@
 from corianderhold.coordination.configuration.const import (
     EXCHANGE_ROUNDS_MAX,
     EXCHANGE_TIMEOUT_S,
+    HEARD_PEERS_MAX,
     PUSH_BYTES_MAX,
     RECORDS_BYTES_MAX,
     SNAPSHOT_BYTES_MAX,
@@ -18,7 +22,7 @@
     SnapshotTexts,
     decompress_snapshot,
 )
-from corianderhold.ids import Offset
+from corianderhold.ids import InstanceId, Offset
 from corianderhold.log import log_warning
 from corianderhold.metrics import Metrics
 from corianderhold.protocol.configuration.codec import (
@@ -46,6 +50,15 @@
 from corianderhold.transport.store.model import LogRecord
 
 
+@dataclass(frozen=True)
+class HeardHead:
+    """The head that a peer last told, at a monotonic time in seconds."""
+
+    instance: InstanceId
+    head: Head
+    heard_at: float
+
+
 class Exchanger:
     """
     Exchange with peers and answer their exchanges.
@@ -69,10 +82,18 @@
         self._clock = clock
         self._metrics = metrics
         self._texts = SnapshotTexts(replica)
+        self._heard_lock = threading.Lock()
+        self._heard: OrderedDict[InstanceId, HeardHead] = OrderedDict()
+
+    def list_heard(self) -> tuple[HeardHead, ...]:
+        """Return the heads last heard of peers, the newest last."""
+        with self._heard_lock:
+            return tuple(self._heard.values())
 
     def handle_control(self, sender: ControlSender, body: bytes) -> bytes:
         """Answer a peer's exchange; raise ExchangeError when it is malformed."""
         exchange = decode_exchange(body)
+        self._note_heard(sender.instance, exchange.head)
         if exchange.snapshot is not None:
             part = self._texts.read_part(exchange.snapshot)
             return encode_reply(ExchangeReply(self._replica.head, part=part))
@@ -130,8 +151,17 @@
             snapshot_needed=theirs.next_offset < mine.next_offset and not records,
         )
 
+    def _note_heard(self, instance: InstanceId, head: Head) -> None:
+        heard = HeardHead(instance, head, self._clock.read_monotonic())
+        with self._heard_lock:
+            self._heard[instance] = heard
+            self._heard.move_to_end(instance)
+            if len(self._heard) > HEARD_PEERS_MAX:
+                self._heard.popitem(last=False)
+
     def _take_reply(self, member: Member, reply: ExchangeReply) -> bool:
         """Take what the peer sent; return whether the own state advanced."""
+        self._note_heard(member.instance, reply.head)
         if reply.mark is not None:
             self._keeper.learn_mark(reply.mark)
         if reply.snapshot_needed:
--- a/corianderhold/coordination/configuration/follower.py
+++ b/corianderhold/coordination/configuration/follower.py
@@ -17,7 +17,7 @@
     SELF_POLL_AFTER_S,
     SELF_POLL_BACKOFF_LIMIT_S,
 )
-from corianderhold.coordination.configuration.exchanger import Exchanger
+from corianderhold.coordination.configuration.exchanger import Exchanger, HeardHead
 from corianderhold.coordination.configuration.peers import Peers
 from corianderhold.coordination.configuration.reader import LogReader, ReadOutcome
 from corianderhold.coordination.configuration.replica import Replica
@@ -25,6 +25,7 @@
 from corianderhold.ids import FailureDomainId, InstanceId
 from corianderhold.log import log_event, log_warning
 from corianderhold.metrics import Metrics
+from corianderhold.protocol.configuration.messages import Head
 from corianderhold.protocol.peer.control import ControlClient, ControlSender
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.membership.model import Member, Members
@@ -98,6 +99,14 @@
         """Answer a peer's exchange; raise ExchangeError when it is malformed."""
         return self.exchanger.handle_control(sender, body)
 
+    def read_head(self) -> Head:
+        """Return how far this daemon has folded the stream."""
+        return self.replica.head
+
+    def list_heard(self) -> tuple[HeardHead, ...]:
+        """Return the heads last heard of peers, the newest last."""
+        return self.exchanger.list_heard()
+
     def read_log(self) -> ReadOutcome:
         """Fold what the log has now; may be called from any thread."""
         with self._reader_lock:
--- /dev/null
+++ b/tests/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Test the administration API."""
--- /dev/null
+++ b/tests/admin/test_api.py
@@ -0,0 +1,250 @@
+"""Test the administration API over HTTP with the real publisher behind it."""
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from urllib3 import HTTPConnectionPool
+from urllib3.response import BaseHTTPResponse
+
+from corianderhold.admin.api import AdminApi, AdminParts
+from corianderhold.admin.model import Identity
+from corianderhold.ids import KeyId
+from corianderhold.protocol.verdict import Reason
+from corianderhold.state.configuration.entities import delta_to_json
+from corianderhold.state.keys.ring import identify_caller
+from corianderhold.state.membership.model import Address
+from corianderhold.transport.web.server import WebServer
+from tests.common.followers import Daemon
+from tests.common.ports import find_free_port
+from tests.coordination.configuration.case import SpreadTestCase, limit_concurrency
+
+TOKEN = "a token of the operators"
+
+
+class FakeDrain:
+    """Note that a drain was asked for."""
+
+    draining = False
+
+    def drain(self) -> None:
+        self.draining = True
+
+    def is_draining(self) -> bool:
+        return self.draining
+
+
+@dataclass
+class Answer:
+    """Status and parsed body."""
+
+    status: int
+    body: Any
+    headers: Any
+
+
+class AdminApiTests(SpreadTestCase):
+    """Check answers, their status codes and what they leave in the log."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.daemon = self.get_daemon(0)
+        self.drain = FakeDrain()
+        self.pool = self.serve(self.daemon)
+
+    def serve(self, daemon: Daemon) -> HTTPConnectionPool:
+        parts = AdminParts(
+            identity=Identity(daemon.member.instance, daemon.member.domain),
+            holder=daemon.holder,
+            publisher=self.make_publisher(daemon),
+            history=daemon.follower.replica.history,
+            stream=daemon.follower,
+            members=self.fleet.members,
+            drain=self.drain,
+            metrics=daemon.metrics,
+            clock=self.fleet.clock,
+        )
+        address = Address("127.0.0.1", find_free_port())
+        application = AdminApi(parts, TOKEN).mount()
+        server = WebServer("admin", address, application, 2)
+        server.start()
+        self.addCleanup(server.stop)
+        pool = HTTPConnectionPool(address.host, address.port, timeout=10.0)
+        self.addCleanup(pool.close)
+        return pool
+
+    def call(
+        self, method: str, path: str, body: object = None, token: str | None = TOKEN
+    ) -> Answer:
+        headers = {} if token is None else {"Authorization": f"Bearer {token}"}
+        data = body if isinstance(body, bytes | None) else json.dumps(body).encode()
+        response: BaseHTTPResponse = self.pool.request(
+            method, path, body=data, headers=headers, retries=False
+        )
+        text = response.data.decode()
+        is_json = response.headers["Content-Type"] == "application/json"
+        return Answer(
+            response.status, json.loads(text) if is_json else text, response.headers
+        )
+
+    def publish_body(self, base: int, limit: int, change_id: str) -> dict[str, object]:
+        draft = delta_to_json(limit_concurrency(limit))
+        return {
+            "base_version": base,
+            "change_id": change_id,
+            "author": "ada",
+            "note": "more slots",
+            **draft,
+        }
+
+    def test_token_is_needed_but_for_health(self) -> None:
+        for token in (None, "", "wrong", TOKEN + "x", "\u00e9"):
+            for path in ("/v1/configuration", "/v1/status", "/metrics"):
+                answer = self.call("GET", path, token=token)
+                self.assertEqual(answer.status, 401, path)
+                code = answer.body["error"]["code"]
+                self.assertEqual(code, "token_missing_or_wrong")
+        self.assertEqual(self.call("GET", "/health", token=None).status, 200)
+
+    def test_change_is_published_shown_and_in_the_audit_trail(self) -> None:
+        answer = self.call("POST", "/v1/changes", self.publish_body(1, 5, "x"))
+        self.assertEqual((answer.status, answer.body["version"]), (201, 2))
+        shown = self.call("GET", "/v1/configuration").body
+        self.assertEqual(shown["services"][0]["max_concurrency"], 5)
+        self.assertNotIn("digest", json.dumps(shown))
+        newest = self.call("GET", "/v1/changes?limit=1").body["changes"]
+        self.assertEqual(len(newest), 1)
+        self.assertEqual(newest[0]["author"], "ada")
+        self.assertEqual(newest[0]["note"], "more slots")
+        self.assertEqual(newest[0]["outcome"], "accepted")
+        self.settle()
+
+    def test_lost_race_is_explained(self) -> None:
+        self.call("POST", "/v1/changes", self.publish_body(1, 5, "first"))
+        way = self.ways["10.0.0.0"]
+        way.before_append = lambda: self.publish_elsewhere()
+        lost = self.call("POST", "/v1/changes", self.publish_body(2, 6, "second"))
+        self.assertEqual((lost.status, lost.body["reason"]), (409, "lost_race"))
+        self.assertEqual(lost.body["lost_to"]["change_id"], "other")
+        self.assertEqual(lost.body["current_version"], 3)
+        explained = self.call("GET", "/v1/changes/second").body
+        self.assertEqual(explained["reason"], "lost_race")
+        self.assertEqual(explained["change"]["note"], "more slots")
+
+    def publish_elsewhere(self) -> None:
+        self.publish(self.get_daemon(1), "other", 2, 9)
+
+    def test_unknown_outcome_is_said_and_resolved(self) -> None:
+        way = self.ways["10.0.0.0"]
+        way.hold_appends = True
+        unknown = self.call("POST", "/v1/changes", self.publish_body(1, 5, "x"))
+        self.assertEqual((unknown.status, unknown.body["outcome"]), (202, "unknown"))
+        missing = self.call("GET", "/v1/changes/x")
+        self.assertEqual(missing.status, 404)
+        way.release()
+        resolved = self.call("GET", "/v1/changes/x")
+        self.assertEqual((resolved.status, resolved.body["version"]), (200, 2))
+
+    def test_unreachable_store_is_answered_503(self) -> None:
+        self.ways["10.0.0.0"].cut = True
+        answer = self.call("POST", "/v1/changes", self.publish_body(1, 5, "x"))
+        self.assertEqual((answer.status, answer.body["reason"]), (503, "not_appended"))
+
+    def test_invalid_change_has_its_faults(self) -> None:
+        body = self.publish_body(1, 5, "x") | {"removed": {"services": ["none"]}}
+        answer = self.call("POST", "/v1/changes", body)
+        self.assertEqual((answer.status, answer.body["reason"]), (422, "invalid"))
+        self.assertEqual(answer.body["faults"][0]["name"], "none")
+
+    def test_bad_requests_are_refused_with_a_reason(self) -> None:
+        good = self.publish_body(1, 5, "x")
+        cases: list[tuple[str, str, object, int]] = [
+            ("POST", "/v1/changes", b"{", 400),
+            ("POST", "/v1/changes", b"[" * 5000, 400),
+            ("POST", "/v1/changes", b'{"base_version": NaN}', 400),
+            ("POST", "/v1/changes", [], 400),
+            ("POST", "/v1/changes", good | {"base_version": "1"}, 400),
+            ("POST", "/v1/changes", good | {"base_version": True}, 400),
+            ("POST", "/v1/changes", good | {"change_id": "a b"}, 400),
+            ("POST", "/v1/changes", good | {"author": ""}, 400),
+            ("POST", "/v1/changes", good | {"set": {"services": [{}]}}, 400),
+            ("POST", "/v1/changes", good | {"more": 1}, 400),
+            ("GET", "/v1/changes?limit=0", None, 400),
+            ("GET", "/v1/changes?limit=x", None, 400),
+            ("GET", "/v1/changes?other=1", None, 404),
+            ("POST", "/v1/keys", {"author": "ada"}, 400),
+            ("POST", "/v1/keys", {"author": "ada", "organisation": "none"}, 404),
+            ("POST", "/v1/keys/none/withdraw", {"author": "ada"}, 404),
+            ("POST", "/v1/keys/k1/other", {"author": "ada"}, 404),
+            ("POST", "/v1/keys/k1/rotate", {"author": "a", "overlap_s": -1}, 400),
+            ("PUT", "/v1/changes", good, 405),
+            ("GET", "/v1/none", None, 404),
+            ("GET", "/", None, 404),
+        ]
+        for method, path, body, status in cases:
+            answer = self.call(method, path, body)
+            case = f"{method} {path} {body!r:.60}"
+            self.assertEqual(answer.status, status, f"{case}: {answer.body}")
+            self.assertIn("message", answer.body["error"], case)
+        self.assertEqual(self.ways["10.0.0.0"].appends, 0)
+
+    def test_key_is_granted_rotated_and_withdrawn(self) -> None:
+        granted = self.call(
+            "POST", "/v1/keys", {"author": "ada", "organisation": "radio"}
+        )
+        self.assertEqual(granted.status, 201)
+        key_id = granted.body["key_id"]
+        self.assert_key(granted.body["key"], None)
+        path = f"/v1/keys/{key_id}"
+        rotated = self.call(
+            "POST", f"{path}/rotate", {"author": "ada", "overlap_s": 60}
+        )
+        self.assert_key(granted.body["key"], None)
+        self.assert_key(rotated.body["key"], None)
+        self.fleet.run(61.0)
+        self.assert_key(granted.body["key"], Reason.KEY_EXPIRED)
+        withdrawn = self.call(
+            "POST", f"/v1/keys/{rotated.body['key_id']}/withdraw", {"author": "ada"}
+        )
+        self.assertEqual(withdrawn.status, 201)
+        self.settle()
+        self.assert_key(rotated.body["key"], Reason.KEY_WITHDRAWN)
+        trail = json.dumps(self.call("GET", "/v1/changes").body)
+        self.assertNotIn(granted.body["key"], trail)
+        self.assertNotIn("digest", trail)
+
+    def assert_key(self, text: str, reason: Reason | None) -> None:
+        """Check a key at every daemon, once its change has spread."""
+        self.settle()
+        now_s = self.fleet.clock.read_wall()
+        for daemon in self.fleet.daemons.values():
+            found = identify_caller(daemon.holder.current, text, now_s)
+            self.assertEqual(found.err(), reason)
+
+    def test_withdrawal_is_made_anew_after_a_lost_race(self) -> None:
+        way = self.ways["10.0.0.0"]
+        way.before_append = lambda: self.append_changes(1, 1)
+        answer = self.call("POST", "/v1/keys/k1/withdraw", {"author": "ada"})
+        self.assertEqual((answer.status, answer.body["version"]), (201, 3))
+        self.assertTrue(self.daemon.holder.current.keys[KeyId("k1")].withdrawn)
+        again = self.call("POST", "/v1/keys/k1/withdraw", {"author": "ada"})
+        self.assertEqual(again.status, 409)
+
+    def test_status_shows_the_fleet(self) -> None:
+        self.fleet.run(5.0)
+        status = self.call("GET", "/v1/status").body
+        self.assertEqual(status["configuration"]["version"], 1)
+        self.assertLess(status["configuration"]["verified_age_s"], 5.0)
+        self.assertEqual(len(status["members"]), 9)
+        versions = {heard["version"] for heard in status["versions_heard"]}
+        self.assertEqual(versions, {1})
+
+    def test_drain_health_and_metrics(self) -> None:
+        self.assertEqual(self.call("GET", "/health").body["version"], 1)
+        self.assertEqual(self.call("POST", "/v1/drain").status, 202)
+        self.assertTrue(self.drain.draining)
+        self.assertEqual(self.call("GET", "/health").status, 503)
+        self.daemon.metrics.record_duration("call", 0.002)
+        text = self.call("GET", "/metrics").body
+        self.assertIn("corianderhold_configuration_version 1\n", text)
+        self.assertIn('corianderhold_call_seconds{quantile="0.99"} 0.002', text)
