--- a/corianderhold/admin/__init__.py
+++ b/corianderhold/admin/__init__.py
@@ -1,1 +1,1 @@
-"""Serve the administration API to operators."""
+"""Serve operators on the admin listener."""
--- a/corianderhold/state/configuration/schema.py
+++ b/corianderhold/state/configuration/schema.py
@@ -133,10 +133,10 @@
     "expires_at": Maybe(bound_number(0.0, MAX_UNIX_TIME_S)),
 }
 ENTITIES = {
-    "services": [SERVICE_FIELDS],
-    "routes": [ROUTE_FIELDS],
-    "organisations": [ORGANISATION_FIELDS],
-    "keys": [KEY_FIELDS],
+    "services": [Schema(SERVICE_FIELDS, required=True)],
+    "routes": [Schema(ROUTE_FIELDS, required=True)],
+    "organisations": [Schema(ORGANISATION_FIELDS, required=True)],
+    "keys": [Schema(KEY_FIELDS, required=True)],
 }
 REMOVED = {
     "services": [NAME],
