--- a/corianderhold/admin/request.py
+++ b/corianderhold/admin/request.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Callable
+from inspect import signature
 from typing import Any
 
 import cherrypy
@@ -85,8 +86,14 @@
 
 def answer_errors(handler: Callable[..., bytes]) -> Callable[..., bytes]:
     """Answer errors as JSON; wraps a page handler."""
+    accepted = signature(handler)
 
     def handle(*args: Any, **kwargs: Any) -> bytes:  # noqa: ANN401
+        try:
+            accepted.bind(*args, **kwargs)
+        except TypeError as error:
+            message = f"unknown path or parameter: {error}"
+            return write_error(ApiError(NOT_FOUND, ErrorCode.NOT_FOUND, message))
         try:
             return handler(*args, **kwargs)
         except ApiError as error:
