--- a/corianderhold/admin/changes.py
+++ b/corianderhold/admin/changes.py
@@ -13,7 +13,6 @@
 from corianderhold.admin.errors import ApiError, ErrorCode
 from corianderhold.admin.formats import (
     JsonObject,
-    configuration_to_answer,
     entry_to_json,
     published_to_json,
 )
@@ -33,7 +32,7 @@
 )
 from corianderhold.ids import ChangeId
 from corianderhold.state.configuration.codec import decode_draft
-from corianderhold.state.configuration.entities import dump_json
+from corianderhold.state.configuration.entities import configuration_to_json, dump_json
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.configuration.records import ChangeRecord
 
@@ -54,8 +53,8 @@
 
     @answer_errors
     def GET(self) -> bytes:  # noqa: N802
-        """Show the configuration in force in this daemon."""
-        return write_json(200, configuration_to_answer(self._holder.current))
+        """Show the configuration in force; its keys are salted digests."""
+        return write_json(200, configuration_to_json(self._holder.current))
 
 
 class ChangesResource:
--- a/corianderhold/admin/formats.py
+++ b/corianderhold/admin/formats.py
@@ -12,12 +12,8 @@
     PublishOutcome,
 )
 from corianderhold.metrics import Metrics
-from corianderhold.state.configuration.entities import (
-    configuration_to_json,
-    delta_to_json,
-)
+from corianderhold.state.configuration.entities import delta_to_json
 from corianderhold.state.configuration.fold import FoldOutcome, OutcomeKind
-from corianderhold.state.configuration.model import Configuration
 from corianderhold.state.configuration.records import Fault, RememberedChange
 from corianderhold.state.membership.model import Member
 
@@ -30,14 +26,6 @@
     return (json.dumps(value, indent=2) + "\n").encode()
 
 
-def configuration_to_answer(configuration: Configuration) -> JsonObject:
-    """Return a configuration without the digests of its keys."""
-    value = configuration_to_json(configuration)
-    for key in value["keys"]:
-        del key["digest"]
-    return value
-
-
 def published_to_json(published: Published) -> JsonObject:
     """Return what became of a change."""
     return {
--- a/corianderhold/state/configuration/schema.py
+++ b/corianderhold/state/configuration/schema.py
@@ -123,7 +123,7 @@
     "rate": bound_number(0.0, MAX_RATE_PER_S),
     "burst": bound_number(0.0, MAX_BURST),
     "weight": bound_number(0.001, MAX_WEIGHT),
-    "shares": {NAME: bound_number(0.0, 1.0)},
+    "shares": Schema({NAME: bound_number(0.0, 1.0)}, required=False),
 }
 KEY_FIELDS = {
     "key_id": NAME,
--- /dev/null
+++ b/tests/admin/case.py
@@ -0,0 +1,53 @@
+"""Serve the administration API of one daemon in tests."""
+
+from corianderhold.admin.api import AdminApi, AdminParts
+from corianderhold.admin.model import Identity
+from corianderhold.state.membership.model import Address
+from corianderhold.transport.web.server import WebServer
+from tests.common.followers import Daemon
+from tests.common.ports import find_free_port
+from tests.coordination.configuration.case import SpreadTestCase
+
+TOKEN = "a token of the operators"
+
+
+class FakeDrain:
+    """Note that a drain was asked for."""
+
+    draining = False
+
+    def drain(self) -> None:
+        self.draining = True
+
+    def is_draining(self) -> bool:
+        return self.draining
+
+
+class AdminTestCase(SpreadTestCase):
+    """Serve the API of the daemon 0 over HTTP."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.daemon = self.get_daemon(0)
+        self.way = self.ways["10.0.0.0"]
+        self.drain = FakeDrain()
+        self.address = self.serve(self.daemon)
+
+    def serve(self, daemon: Daemon) -> Address:
+        parts = AdminParts(
+            identity=Identity(daemon.member.instance, daemon.member.domain),
+            holder=daemon.holder,
+            publisher=self.make_publisher(daemon),
+            history=daemon.follower.replica.history,
+            stream=daemon.follower,
+            members=self.fleet.members,
+            drain=self.drain,
+            metrics=daemon.metrics,
+            clock=self.fleet.clock,
+        )
+        address = Address("127.0.0.1", find_free_port())
+        application = AdminApi(parts, TOKEN).mount()
+        server = WebServer("admin", address, application, 2)
+        server.start()
+        self.addCleanup(server.stop)
+        return address
--- /dev/null
+++ b/tests/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Test the command line."""
