--- a/tests/coordination/configuration/test_spread.py
+++ b/tests/coordination/configuration/test_spread.py
@@ -1,5 +1,7 @@
 """Test the spread of the configuration under faults."""
 
+from zlib import crc32
+
 from corianderhold.ids import Offset
 from corianderhold.state.configuration.codec import encode_snapshot
 from corianderhold.state.configuration.fold import build_snapshot
@@ -91,13 +93,18 @@
         )
 
     def test_corrupt_records_are_skipped_and_reported(self) -> None:
-        for data in ("", "{", "[]", '{"format":1}', "\u0000" * 100, "[" * 10_000):
+        incomplete = make_text("c9", 1, limit_concurrency(9)).replace(
+            '"max_concurrency":9,', ""
+        )
+        json_text = incomplete.partition(" ")[2]
+        sealed = f"{crc32(json_text.encode()):08x} {json_text}"
+        for data in ("", "{", "[]", "\u0000" * 100, "[" * 10_000, incomplete, sealed):
             self.append(data)
         self.append_changes(1, 1)
         self.settle()
         self.assertEqual(self.read_version(), 2)
         counters = self.get_any().metrics.read_counters()
-        self.assertGreaterEqual(counters["configuration_fold_corrupt"], 4)
+        self.assertGreaterEqual(counters["configuration_fold_corrupt"], 6)
 
     def test_burst_of_changes_reaches_all(self) -> None:
         self.append_changes(1, 200)
