--- a/tests/state/configuration/test_fold.py
+++ b/tests/state/configuration/test_fold.py
@@ -3,6 +3,7 @@
 import json
 import unittest
 from dataclasses import replace
+from typing import Any
 from zlib import crc32
 
 from hypothesis import given, settings
@@ -158,6 +159,57 @@
             self.assertEqual(outcome.kind, OutcomeKind.CORRUPT)
 
 
+JsonValue = dict[str, Any] | list[Any] | str | int | float | bool | None
+JSON_VALUES: st.SearchStrategy[JsonValue] = st.sampled_from(
+    [None, True, -1, 0.5, 10**30, "", "x/y", [], ["a"], {}]
+)
+
+
+def list_places(value: JsonValue) -> list[tuple[Any, Any]]:
+    """Return each container in a JSON value with each of its keys or indices."""
+    places: list[tuple[Any, Any]] = []
+    if isinstance(value, dict):
+        places = [(value, key) for key in value]
+    elif isinstance(value, list):
+        places = [(value, index) for index in range(len(value))]
+    return places + [
+        place for holder, key in tuple(places) for place in list_places(holder[key])
+    ]
+
+
+class DistortedRecordTest(unittest.TestCase):
+    """Test records whose checksum is right and whose content is not."""
+
+    @settings(max_examples=400, deadline=None)
+    @given(st.data(), JSON_VALUES, st.booleans())
+    def test_no_distortion_stops_the_fold(
+        self, data: st.DataObject, value: JsonValue, left_out: bool
+    ) -> None:
+        state, _ = fold_all([make_text("c1", 0, BASE)])
+        snapshot = encode_snapshot(build_snapshot(state))
+        change = make_text("c2", 1, replace(BASE, removed_keys=(KeyId("k1"),)))
+        text = data.draw(st.sampled_from([snapshot, change]))
+        record = json.loads(text.partition(" ")[2])
+        holder, key = data.draw(st.sampled_from(list_places(record)))
+        if left_out:
+            del holder[key]
+        else:
+            holder[key] = value
+        for start, offset in ((INITIAL_STATE, 0), (INITIAL_STATE, 7), (state, 1)):
+            after, _ = fold(start, Offset(offset), seal(json.dumps(record)))
+            self.assertGreaterEqual(after.version, start.version)
+            self.assertEqual(after.content_sum, sum_content(after.configuration))
+
+    def test_entity_without_one_of_its_fields_is_corrupt(self) -> None:
+        record = json.loads(make_text("c1", 0, BASE).partition(" ")[2])
+        for kind, entities in record["body"]["set"].items():
+            for name in tuple(entities[0]):
+                value = entities[0].pop(name)
+                _, outcomes = fold_all([seal(json.dumps(record))])
+                self.assertEqual(outcomes[0].kind, OutcomeKind.CORRUPT, (kind, name))
+                entities[0][name] = value
+
+
 class SnapshotTest(unittest.TestCase):
     """Test snapshots that are stale, newer, damaged or delayed."""
 
