Give listeners of the configuration every version in order

Cause: two replacements could call the listeners in the wrong order, and a listener added just after a replacement missed that version until the next. Ruled out: calling listeners under the lock that guards the age of the view, which readers of another thread may hold for it. Change: replacements and their listeners share one lock; a new listener gets what is in force.

--- a/corianderhold/state/configuration/checks.py
+++ b/corianderhold/state/configuration/checks.py
@@ -5,7 +5,7 @@
 from math import fsum
 
 from corianderhold.ids import KeyId, OrganisationId, RouteName
-from corianderhold.state.configuration.const import SHARE_TOLERANCE
+from corianderhold.state.configuration.const import MAX_LISTED_NAMES, SHARE_TOLERANCE
 from corianderhold.state.configuration.model import (
     ApiKey,
     Configuration,
@@ -28,8 +28,12 @@
 
 
 def list_names(names: Iterable[str]) -> str:
-    """Return names as text for a fault, sorted."""
-    return ", ".join(sorted(names)) or "nothing"
+    """Return the first names as text for a fault, sorted."""
+    listed = sorted(names)
+    if len(listed) > MAX_LISTED_NAMES:
+        more = len(listed) - MAX_LISTED_NAMES
+        listed = [*listed[:MAX_LISTED_NAMES], f"and {more} more"]
+    return ", ".join(listed) or "nothing"
 
 
 def cover_all(configuration: Configuration) -> Scope:
--- a/corianderhold/state/configuration/holder.py
+++ b/corianderhold/state/configuration/holder.py
@@ -12,12 +12,14 @@
     """
     Give the newest accepted configuration; versions only grow.
 
-    `verified_at` is the monotonic time in seconds up to which the view is known to
-    be complete, as the follower of the stream reports it.
+    Listeners get each version once and in order. `verified_at` is the monotonic time
+    in seconds up to which the view is known to be complete, as the follower of the
+    stream reports it.
     """
 
     def __init__(self) -> None:
-        self._lock = threading.Lock()
+        self._replace_lock = threading.RLock()
+        self._verified_lock = threading.Lock()
         self._current = EMPTY_CONFIGURATION
         self._verified_at = float("-inf")
         self._listeners: list[Listener] = []
@@ -33,20 +35,23 @@
         return self._verified_at
 
     def add_listener(self, listener: Listener) -> None:
-        """Call `listener` after each replacement, with the new configuration."""
-        self._listeners.append(listener)
+        """Call `listener` with what is in force, if anything is, and what follows."""
+        with self._replace_lock:
+            self._listeners.append(listener)
+            if self._current.version:
+                listener(self._current)
 
     def replace(self, configuration: Configuration) -> bool:
         """Put a newer configuration in force; return False for an older one."""
-        with self._lock:
+        with self._replace_lock:
             if configuration.version <= self._current.version:
                 return False
             self._current = configuration
-        for listener in self._listeners:
-            listener(configuration)
+            for listener in self._listeners:
+                listener(configuration)
         return True
 
     def mark_verified(self, monotonic_s: float) -> None:
         """Note that the view was complete at this monotonic time."""
-        with self._lock:
+        with self._verified_lock:
             self._verified_at = max(self._verified_at, monotonic_s)
