Try the same examples in each run of the hypothesis tests

Cause: the rule that a test gives the same verdict each run; hypothesis draws new examples and keeps a data base by default. Change: one settings object for the tests of the configuration.

--- a/tests/state/configuration/test_routes.py
+++ b/tests/state/configuration/test_routes.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 from urllib.parse import unquote
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 from result import Err
 
@@ -14,6 +14,7 @@
 from corianderhold.state.configuration.paths import normalise_path
 from corianderhold.state.configuration.routes import RouteIndex, may_use
 from tests.common.changes import SEARCH
+from tests.common.properties import SAME_EXAMPLES
 
 
 def make_route(name: str, prefix: str, *methods: str) -> Route:
@@ -108,6 +109,7 @@
         ):
             self.assertEqual(find("GET", path), "request_malformed", path)
 
+    @settings(SAME_EXAMPLES, max_examples=300)
     @given(st.text(alphabet="/.%25eEfF;ab\\\x00é?", max_size=30))
     def test_normal_form_is_stable_and_safe(self, text: str) -> None:
         normal = normalise_path("/" + text)
