Test checks that no test saw fail

Cause: of 65 changed lines of fold, checks, paths, keys and answers, tried one by one on a scratch copy, 10 made no test fail. Change: tests for faults of entities that a delta does not name, access, methods, shares, moved keys, other digests and examples in place of answers.

--- a/tests/answers/test_check.py
+++ b/tests/answers/test_check.py
@@ -243,6 +243,14 @@
         ):
             self.assertEqual(len(self.check_change(old, new)), 1)
 
+    def test_example_in_place_of_an_answer_brings_no_fault(self) -> None:
+        quick = GOOD.replace("deadline = 2 s", "deadline = 1 s")
+        self.write(quick.replace("deadline = 800 ms", "deadline = long"))
+        self.assertEqual(self.check()[1][-1], "1 faults")
+        shown = GOOD.replace("path = /search", "path = /catalogue/search")
+        self.write(shown.replace("path = /records", "path = records"))
+        self.assertEqual(self.check()[1][-1], "1 faults")
+
 
 class GenerateTest(AnswersTest):
     """Test what is generated from answers."""
--- /dev/null
+++ b/tests/state/configuration/test_checks.py
@@ -0,0 +1,74 @@
+"""Test the checks that hold for every version."""
+
+import unittest
+from dataclasses import replace
+
+from result import Err
+
+from corianderhold.ids import FailureDomainId, OrganisationId
+from corianderhold.state.configuration.checks import find_faults, list_names
+from corianderhold.state.configuration.delta import apply_delta
+from corianderhold.state.configuration.model import EMPTY_CONFIGURATION, Organisation
+from corianderhold.state.configuration.records import Delta
+from tests.common.changes import BASE, RADIO, SEARCH
+
+START = apply_delta(EMPTY_CONFIGURATION, BASE).unwrap()
+SCHOOL = OrganisationId("school")
+
+
+def share(*parts: float) -> Organisation:
+    """Return an organisation with these shares."""
+    shares = {FailureDomainId(f"d{i}"): part for i, part in enumerate(parts)}
+    return replace(RADIO, shares=shares)
+
+
+class ChecksTest(unittest.TestCase):
+    """Test each fault on a change of one entity."""
+
+    def find(self, delta: Delta) -> list[tuple[str, str]]:
+        """Return name and option of the faults of a change."""
+        applied = apply_delta(START, delta)
+        if isinstance(applied, Err):
+            return [(each.name, each.option) for each in applied.err_value]
+        self.assertEqual(find_faults(applied.ok_value), ())
+        return []
+
+    def test_access_and_methods_of_a_route(self) -> None:
+        radio = frozenset({RADIO.name})
+        named = ("search", "organisations")
+        for route, faults in (
+            (replace(SEARCH, open_to_all=False, organisations=radio), []),
+            (replace(SEARCH, open_to_all=True, organisations=radio), [named]),
+            (replace(SEARCH, open_to_all=False), [named]),
+            (
+                replace(SEARCH, open_to_all=False, organisations=frozenset({SCHOOL})),
+                [named],
+            ),
+            (replace(SEARCH, methods=frozenset()), [("search", "methods")]),
+        ):
+            self.assertEqual(self.find(Delta(routes=(route,))), faults)
+
+    def test_shares_above_or_below_one(self) -> None:
+        fault = [("radio", "shares")]
+        for organisation, faults in (
+            (share(*[1 / 15] * 15), []),
+            (share(0.5, 0.5000001), fault),
+            (share(0.5, 0.4999999), fault),
+            (share(), fault),
+        ):
+            delta = Delta(organisations=(organisation,))
+            self.assertEqual(self.find(delta), faults)
+
+    def test_removed_organisation_that_a_route_names(self) -> None:
+        school = replace(RADIO, name=SCHOOL)
+        closed = replace(SEARCH, open_to_all=False, organisations=frozenset({SCHOOL}))
+        given = Delta(routes=(closed,), organisations=(school,))
+        before = apply_delta(START, given).unwrap()
+        applied = apply_delta(before, Delta(removed_organisations=(SCHOOL,)))
+        assert isinstance(applied, Err)
+        faults = [(each.name, each.option) for each in applied.err_value]
+        self.assertEqual(faults, [("search", "organisations")])
+
+    def test_long_lists_of_names_are_cut(self) -> None:
+        text = list_names(f"n{index:02}" for index in range(20))
+        self.assertTrue(text.endswith("n11, and 8 more"), text)
--- a/tests/state/configuration/test_difference.py
+++ b/tests/state/configuration/test_difference.py
@@ -70,6 +70,20 @@
             configuration = applied.unwrap()
             self.assertEqual(configuration, merged)
 
+    def test_fault_of_a_caller_that_the_delta_does_not_name(self) -> None:
+        callee = replace(SEARCH, name=RouteName("callee"), path_prefix="/callee")
+        caller = replace(SEARCH, calls=frozenset({callee.name}))
+        before = apply_delta(START, Delta(routes=(callee, caller))).unwrap()
+        for delta, option in (
+            (Delta(removed_routes=(callee.name,)), "calls"),
+            (Delta(routes=(replace(callee, deadline_ms=2001),)), "deadline_ms"),
+            (Delta(routes=(replace(callee, idempotent=False),)), "idempotent"),
+        ):
+            applied = apply_delta(before, delta)
+            assert isinstance(applied, Err)
+            faults = [(each.name, each.option) for each in applied.err_value]
+            self.assertEqual(faults, [("search", option)])
+
     @settings(SAME_EXAMPLES, max_examples=100)
     @given(draw_deltas())
     def test_difference_applied_gives_the_other(self, delta: Delta) -> None:
--- a/tests/state/configuration/test_fold.py
+++ b/tests/state/configuration/test_fold.py
@@ -341,9 +341,11 @@
         lagging, _ = fold_all(texts[:lag])
         offset = first
         while offset < len(texts):
+            before = (lagging.version, lagging.next_offset)
             lagging, outcome = fold(lagging, Offset(offset), texts[offset])
             offset += 1
             if outcome.kind is OutcomeKind.SNAPSHOT_ADOPTED:
+                self.assertGreater((lagging.version, lagging.next_offset), before)
                 offset = max(first, lagging.next_offset)
             known = history.get(lagging.version, INITIAL_STATE)
             self.assertEqual(lagging.digest, known.digest)
--- a/tests/state/keys/test_keys.py
+++ b/tests/state/keys/test_keys.py
@@ -19,6 +19,7 @@
 )
 from corianderhold.state.keys.ring import Caller, identify_caller, recheck_caller
 from tests.common.changes import BASE, fold_all, make_text
+from tests.common.changes import RADIO as RADIO_ENTITY
 
 NOW_S = 1.7e9
 RADIO = OrganisationId("radio")
@@ -107,6 +108,16 @@
         reason = recheck_caller(self.configuration, self.caller, NOW_S)
         self.assertEqual(reason, Reason.KEY_UNKNOWN)
 
+    def test_key_of_another_organisation_or_digest_does_not_count(self) -> None:
+        other = replace(RADIO_ENTITY, name=OrganisationId("school"))
+        moved = replace(self.issued.key, organisation=other.name)
+        self.publish(Delta(organisations=(other,), keys=(moved,)))
+        reason = recheck_caller(self.configuration, self.caller, NOW_S)
+        self.assertEqual(reason, Reason.KEY_UNKNOWN)
+        later = replace(moved, digest=moved.digest.replace("hmac-sha256", "hmac-sha3"))
+        self.publish(Delta(keys=(later,)))
+        self.assertEqual(self.identify(self.issued.text), Reason.KEY_UNKNOWN)
+
     def test_rotated_key_overlaps_for_the_stated_time(self) -> None:
         rotated = self.rotate(60.0)
         successor = Caller(rotated.key.key_id, RADIO)
