Wait for a target's answer until the deadline, and test planned stops

Cause: urllib3's getresponse sets the socket's time-out to the connection's own, which was the 0.5 s for connecting: every answer that took longer was given up as target_silent, whatever the route's deadline. The failure tests had let this pass as a truthful may_have_run; the tests of a planned stop, which require a whole answer after 1 s, found it. Ruled out: the drain (the entry had nothing in flight when it closed). Change: the connection's time-out is kept at the time left.

--- a/corianderhold/transport/web/target.py
+++ b/corianderhold/transport/web/target.py
@@ -143,6 +143,7 @@
         left_s = deadline_at - self._clock.read_monotonic()
         if left_s <= 0:
             raise TimeoutError("the deadline has passed")
+        connection.timeout = left_s  # `getresponse` sets the socket to it
         if connection.sock is not None:
             connection.sock.settimeout(left_s)
 
--- /dev/null
+++ b/tests/failures/test_stop.py
@@ -0,0 +1,72 @@
+"""Test that a planned stop loses no call."""
+
+from tests.common.fleet import DaemonPlan, RequestPlan
+from tests.common.scenario import FleetTestCase, Sent, plan_ingest
+from tests.common.waiting import WAIT_LIMIT_S, wait_until
+
+ENTRY = "entry"
+OWNER = "owner"
+OTHER = "other"
+SLOW = "?work_ms=1000"
+STOP_LIMIT_S = 20.0
+CALLS = 4
+
+
+class PlannedStopTests(FleetTestCase):
+    """Stop daemons with SIGTERM while they hold calls."""
+
+    plans = (
+        DaemonPlan(ENTRY, "ch-west-a"),
+        DaemonPlan(OWNER, "ch-west-b", service="catalogue"),
+        DaemonPlan(OTHER, "ch-west-b", service="catalogue"),
+    )
+    probes = ("/catalogue/search",)
+
+    def test_stopped_owner_answers_what_it_holds(self) -> None:
+        self._stop_while_calls_run(OWNER, ENTRY)
+
+    def test_stopped_entry_answers_what_it_holds(self) -> None:
+        self._stop_while_calls_run(ENTRY, ENTRY)
+
+    def test_stopped_entry_and_owner_answers_what_it_holds(self) -> None:
+        self._stop_while_calls_run(OTHER, OTHER)
+
+    def test_repeated_stop_requests_end_a_paused_daemon(self) -> None:
+        daemon = self.fleet.members[OWNER].daemon
+        assert daemon is not None
+        daemon.freeze()
+        daemon.terminate()
+        daemon.thaw()
+        daemon.terminate()
+        self.assertEqual(daemon.wait_for_exit(STOP_LIMIT_S), 0)
+        self._restart(OWNER)
+
+    def _stop_while_calls_run(self, stopped: str, entry: str) -> None:
+        plans = [plan_ingest(SLOW) for _ in range(CALLS)]
+        futures = [self.send_in_background(entry, plan) for plan in plans]
+        wait_until(lambda: self._all_run(plans), "all calls run")
+        daemon = self.fleet.members[stopped].daemon
+        assert daemon is not None
+        daemon.terminate()
+        later = [self._send_elsewhere(stopped) for _ in range(CALLS)]
+        self.assertEqual(daemon.wait_for_exit(STOP_LIMIT_S), 0)
+        held = [future.result(WAIT_LIMIT_S) for future in futures]
+        for _, outcome in held:
+            self.assertTrue(outcome.is_whole, outcome)
+        self._restart(stopped)
+        self.check_verdicts([*held, *later])
+
+    def _send_elsewhere(self, stopped: str) -> Sent:
+        entry = OTHER if stopped != OTHER else OWNER
+        sent = self.send(entry, plan_ingest())
+        self.assertNotEqual(sent[1].verdict, "may_have_run", sent)
+        return sent
+
+    def _all_run(self, plans: list[RequestPlan]) -> bool:
+        runs = self.fleet.count_runs()
+        return all(runs[plan.request_id] for plan in plans)
+
+    def _restart(self, instance: str) -> None:
+        self.fleet.start_daemon(instance)
+        self.check_verdicts(self.send_until_whole(instance, plan_ingest))
+        self.check_verdicts(self.send_until_whole(ENTRY, plan_ingest))
