Notice a stop request that another thread took

After a pause the system may give a pending signal to any thread; Python runs its handler only in the main thread, which slept in a lock that nothing woke. Change: the main thread's wait for a stop ends every 0.5 s, which lets handlers run; the emulated parts wait in the same way.

--- a/corianderhold/core.py
+++ b/corianderhold/core.py
@@ -1,10 +1,12 @@
 """Own the parts of a process and start and stop them in order."""
 
-from queue import SimpleQueue
+from queue import Empty, SimpleQueue
 from typing import Protocol
 
 from corianderhold.log import log_event, log_warning
 
+SIGNAL_CHECK_INTERVAL_S = 0.5
+
 
 class Component(Protocol):
     """A part with a life cycle."""
@@ -42,9 +44,23 @@
     def run(self) -> None:
         """Start, wait for a stop request, and stop."""
         self.start()
-        self._stop_requests.get()
+        while not self._is_stop_requested():
+            pass
         self.stop()
 
+    def _is_stop_requested(self) -> bool:
+        """
+        Wait a while for a stop request.
+
+        A signal that the system gives to another thread, as after a pause, does not
+        wake the main thread; its handler runs when the wait ends.
+        """
+        try:
+            self._stop_requests.get(timeout=SIGNAL_CHECK_INTERVAL_S)
+        except Empty:
+            return False
+        return True
+
     def stop(self) -> None:
         """Stop the started components in reverse order."""
         while self._started:
--- a/emulator/web.py
+++ b/emulator/web.py
@@ -1,5 +1,6 @@
 """Serve HTTP for the emulated parts on cheroot."""
 
+import contextlib
 import errno
 import json
 import signal
@@ -7,13 +8,14 @@
 import threading
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from queue import SimpleQueue
+from queue import Empty, SimpleQueue
 from typing import Any, Protocol
 from urllib.parse import parse_qs
 from wsgiref.types import StartResponse, WSGIEnvironment
 
 from cheroot.wsgi import Server
 
+from corianderhold.core import SIGNAL_CHECK_INTERVAL_S
 from corianderhold.log import LogValue, format_event
 
 READ_SIZE_BYTES = 65_536
@@ -190,4 +192,8 @@
     stop: SimpleQueue[None] = SimpleQueue()  # an Event may deadlock in a handler
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stop.put(None))
-    stop.get()
+    while True:
+        with contextlib.suppress(Empty):
+            # A signal that another thread took does not end the wait.
+            stop.get(timeout=SIGNAL_CHECK_INTERVAL_S)
+            return
