Conclude deaths from own probes only, and synchronise sooner after a cut

Cause: in a trial on the in-memory network with 400 members, healing a cut of one domain let claims of death cross over: for 20 s some daemon held only 162 of 400 as live, its own domain's members among the missing. Ruled out: taking received deaths as suspicions (112 refutations at once do not fit the byte budget within the time-out).

--- a/corianderhold/coordination/membership/messages.py
+++ b/corianderhold/coordination/membership/messages.py
@@ -31,10 +31,13 @@
 
 
 @dataclass(frozen=True)
-class SyncRequested:
-    """Synchronise soon: at once at the first, else within `within_s` seconds."""
+class MemberFound:
+    """Tell the synchroniser that this daemon is no longer alone."""
 
-    within_s: float
+
+@dataclass(frozen=True)
+class MembersRevived:
+    """Tell the synchroniser that dead members have come back."""
 
 
 @dataclass(frozen=True)
@@ -45,4 +48,4 @@
 
 
 TableMessage = RecordsReceived | ContactsFound | LeaveRequested | StopRequested
-WorkerMessage = SyncRequested | AnnouncementChanged | StopRequested
+WorkerMessage = MemberFound | MembersRevived | AnnouncementChanged | StopRequested
--- a/corianderhold/coordination/membership/prober.py
+++ b/corianderhold/coordination/membership/prober.py
@@ -1,6 +1,6 @@
 """Choose whom to probe, and remember the probes that wait for an answer."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from random import Random
 
@@ -43,6 +43,11 @@
         self._random = random
         self._order: list[InstanceId] = []
         self._known: set[InstanceId] = set()
+        self._hastened: dict[InstanceId, None] = {}
+
+    def hasten(self, instances: Iterable[InstanceId]) -> None:
+        """Pick these before the others."""
+        self._hastened.update(dict.fromkeys(instances))
 
     def pick(self, candidates: Sequence[Member]) -> Member | None:
         """
@@ -58,6 +63,10 @@
                 place = self._random.randrange(len(self._order) + 1)
                 self._order.insert(place, instance)
         self._known = set(by_instance)
+        while self._hastened:
+            hastened, _ = self._hastened.popitem()
+            if hastened in by_instance:
+                return by_instance[hastened]
         while True:
             if not self._order:
                 self._order = list(by_instance)
--- a/corianderhold/coordination/membership/roster.py
+++ b/corianderhold/coordination/membership/roster.py
@@ -15,6 +15,7 @@
     MemberTable,
     MemberView,
     compute_order,
+    is_claim,
     is_live,
 )
 
@@ -25,6 +26,10 @@
 
     `own` is this daemon's announcement. A claim that it is suspected or dead is
     refuted by announcing it under a higher sequence.
+
+    Death is each daemon's own conclusion from a suspicion that was not refuted in time.
+    A claim of death by others, who may be on the far side of a cut, only makes this
+    daemon doubt the member; its own probe decides.
     """
 
     def __init__(
@@ -39,6 +44,7 @@
         self._suspicions = SuspicionTimers()
         self._changes: list[Member] = []
         self._revivals = 0
+        self._doubted: list[InstanceId] = []
         self._record(own, now_s)
         self.broadcasts.add(own)
 
@@ -59,7 +65,7 @@
         """Take in an announcement that is being gossiped, and pass it on."""
         if member.instance == self.own.instance:
             self._defend(member, now_s)
-        elif self._record(member, now_s):
+        elif not self._doubt(member) and self._record(member, now_s):
             self.broadcasts.add(member)
 
     def list_refutations(self, claims: list[Member]) -> tuple[Member, ...]:
@@ -69,7 +75,8 @@
             known = self._table.get_member(claim.instance)
             if known is None or known.state is not MemberState.ALIVE:
                 continue
-            if claim.state in (MemberState.SUSPECT, MemberState.DEAD):
+            claimed = (claim.incarnation, claim.sequence)
+            if is_claim(claim) and (known.incarnation, known.sequence) > claimed:
                 refuting.append(known)
         return tuple(refuting)
 
@@ -77,7 +84,7 @@
         """Take in a record of another daemon's table without passing it on."""
         if member.instance == self.own.instance:
             self._defend(member, now_s)
-        else:
+        elif not self._doubt(member):
             self._record(member, now_s, dead_for_s)
 
     def announce(
@@ -103,7 +110,7 @@
     def expire(self, now_s: float) -> None:
         """Declare those dead that did not refute their suspicion in time."""
         for member in self._suspicions.expire(self._time.seconds):
-            self.apply(member, now_s)
+            self._record(member, now_s)
 
     def forget(self, now_s: float) -> None:
         """Drop members that have been dead longer than the retention."""
@@ -120,6 +127,19 @@
         revivals, self._revivals = self._revivals, 0
         return revivals
 
+    def take_doubted(self) -> list[InstanceId]:
+        """Return the members to be probed first, as somebody claims they are dead."""
+        doubted, self._doubted = self._doubted, []
+        return doubted
+
+    def _doubt(self, claim: Member) -> bool:
+        """Return whether a claim of death is put to the test rather than believed."""
+        known = self._table.get_member(claim.instance)
+        if claim.state is not MemberState.DEAD or known is None or not is_live(known):
+            return False
+        self._doubted.append(claim.instance)
+        return True
+
     def _announce(self, own: Member, now_s: float) -> None:
         self.own = replace(own, sequence=own.sequence + 1)
         self._record(self.own, now_s)
--- a/corianderhold/coordination/membership/service.py
+++ b/corianderhold/coordination/membership/service.py
@@ -8,12 +8,10 @@
 
 from corianderhold.clock import Clock
 from corianderhold.coordination.membership.const import (
-    JOIN_SYNC_DELAY_S,
     LEAVE_LINGER_S,
     MEMBER_LIMIT_BYTES,
     RECEIVE_LIMIT,
     STOP_TIMEOUT_S,
-    SYNC_REVIVAL_S,
     TICK_S,
 )
 from corianderhold.coordination.membership.errors import AnnouncementTooLargeError
@@ -21,9 +19,10 @@
     AnnouncementChanged,
     ContactsFound,
     LeaveRequested,
+    MemberFound,
+    MembersRevived,
     RecordsReceived,
     StopRequested,
-    SyncRequested,
     TableMessage,
 )
 from corianderhold.coordination.membership.swim import Swim
@@ -309,9 +308,9 @@
         self._view = self._swim.view
         if not self._joined and len(self._view.live) > 1:
             self._joined = True
-            self._synchronizer.send(SyncRequested(JOIN_SYNC_DELAY_S))
+            self._synchronizer.send(MemberFound())
         if self._swim.take_revivals():
-            self._synchronizer.send(SyncRequested(SYNC_REVIVAL_S))
+            self._synchronizer.send(MembersRevived())
         for member in changes:
             for listener in self._listeners:
                 listener(member)
--- a/corianderhold/coordination/membership/swim.py
+++ b/corianderhold/coordination/membership/swim.py
@@ -45,7 +45,7 @@
     MemberState,
     TargetState,
 )
-from corianderhold.state.membership.table import MemberView
+from corianderhold.state.membership.table import MemberView, is_claim
 
 
 @dataclass
@@ -239,6 +239,7 @@
 
     def _start_probe(self, now_s: float) -> None:
         others = [m for m in self.view.live if m.instance != self.own.instance]
+        self._rotation.hasten(self._roster.take_doubted())
         member = self._rotation.pick(others)
         if member is None:
             return
@@ -262,7 +263,9 @@
             return
         if self._time.seconds >= probe.fails_at_s:
             self._probe = None
-            if not self._heard:
+            if self._heard:
+                self._health.improve()
+            else:
                 self._health.worsen()
             self._roster.suspect(probe.instance, now_s)
         elif self._time.seconds >= probe.indirect_at_s and not probe.indirect_sent:
@@ -308,12 +311,7 @@
     def _list_claims(self, instance: InstanceId) -> tuple[Member, ...]:
         """Return what the member itself must hear to refute it."""
         member = self._roster.get_member(instance)
-        if member is None or member.state not in (
-            MemberState.SUSPECT,
-            MemberState.DEAD,
-        ):
-            return ()
-        return (member,)
+        return (member,) if member is not None and is_claim(member) else ()
 
     def _send_gossip(self, fanout: int, now_s: float) -> None:
         if not len(self._roster.broadcasts):
--- a/corianderhold/coordination/membership/synchronizer.py
+++ b/corianderhold/coordination/membership/synchronizer.py
@@ -11,20 +11,20 @@
     LOG_MEMBERS_LOWEST,
     LOG_RETRY_S,
     STOP_TIMEOUT_S,
-    SYNC_INTERVAL_S,
     SYNC_PAGES_LIMIT,
-    SYNC_RETRY_S,
     SYNC_TIMEOUT_S,
 )
 from corianderhold.coordination.membership.messages import (
     AnnouncementChanged,
     ContactsFound,
+    MemberFound,
+    MembersRevived,
     RecordsReceived,
     StopRequested,
-    SyncRequested,
     TableMessage,
     WorkerMessage,
 )
+from corianderhold.coordination.membership.schedule import SyncSchedule
 from corianderhold.coordination.membership.stream import MemberStream
 from corianderhold.coordination.membership.sync import (
     compute_digests,
@@ -76,7 +76,7 @@
         self._announcement: Member | None = own
         self._messages: queue.SimpleQueue[WorkerMessage] = queue.SimpleQueue()
         self._thread = threading.Thread(target=self._run, name="membership-sync")
-        self._sync_at_s = float("inf")
+        self._schedule = SyncSchedule(random)
         self._log_at_s = clock.read_monotonic()
         self._stopping = False
 
@@ -100,19 +100,20 @@
                 self._run_once()
             except Exception as error:  # noqa: BLE001
                 log_warning("membership_sync_failed", error=repr(error))
-                self._sync_at_s = self._clock.read_monotonic() + SYNC_INTERVAL_S
-                self._log_at_s = self._clock.read_monotonic() + LOG_INTERVAL_S
+                now_s = self._clock.read_monotonic()
+                self._schedule.note_outcome(succeeded=False, now_s=now_s)
+                self._log_at_s = now_s + LOG_RETRY_S
 
     def _run_once(self) -> None:
         now_s = self._clock.read_monotonic()
-        wait_s = max(0.0, min(self._sync_at_s, self._log_at_s) - now_s)
+        wait_s = max(0.0, min(self._schedule.due_at_s, self._log_at_s) - now_s)
         try:
             self._handle(self._messages.get(timeout=wait_s))
             return
         except queue.Empty:
             pass
         now_s = self._clock.read_monotonic()
-        if now_s >= self._sync_at_s:
+        if now_s >= self._schedule.due_at_s:
             self._synchronize()
         if now_s >= self._log_at_s:
             self._follow_log()
@@ -121,10 +122,10 @@
         match message:
             case StopRequested():
                 self._stopping = True
-            case SyncRequested(within_s):
-                delay_s = self._random.uniform(0.0, within_s)
-                due_s = self._clock.read_monotonic() + delay_s
-                self._sync_at_s = min(self._sync_at_s, due_s)
+            case MemberFound():
+                self._schedule.note_join(self._clock.read_monotonic())
+            case MembersRevived():
+                self._schedule.note_revival(self._clock.read_monotonic())
             case AnnouncementChanged(member):
                 self._own = member
                 self._announcement = member
@@ -133,9 +134,7 @@
     def _synchronize(self) -> None:
         peer = self._choose_peer()
         succeeded = peer is not None and self._exchange(peer.peer_address)
-        interval_s = SYNC_INTERVAL_S if succeeded else SYNC_RETRY_S
-        interval_s *= self._random.uniform(0.8, 1.2)
-        self._sync_at_s = self._clock.read_monotonic() + interval_s
+        self._schedule.note_outcome(succeeded, self._clock.read_monotonic())
 
     def _choose_peer(self) -> Member | None:
         view = self._read_view()
--- a/corianderhold/state/membership/table.py
+++ b/corianderhold/state/membership/table.py
@@ -37,6 +37,11 @@
     return member.state in (MemberState.ALIVE, MemberState.SUSPECT)
 
 
+def is_claim(member: Member) -> bool:
+    """Return whether a record says of a member what it can refute."""
+    return member.state in (MemberState.SUSPECT, MemberState.DEAD)
+
+
 def is_owner(member: Member) -> bool:
     """Return whether a member may get work; a suspected one still may."""
     return is_live(member) and member.target_state is TargetState.SERVING
--- a/tests/common/membership.py
+++ b/tests/common/membership.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from corianderhold.coordination.membership.const import SYNC_INTERVAL_S
+from corianderhold.coordination.membership.schedule import SyncSchedule
 from corianderhold.coordination.membership.swim import Swim
 from corianderhold.coordination.membership.sync import (
     answer_request,
@@ -19,6 +19,7 @@
     ServiceName,
 )
 from corianderhold.metrics import Metrics
+from corianderhold.protocol.membership.codec import encode_reply, encode_request
 from corianderhold.protocol.membership.model import SyncRequest
 from corianderhold.protocol.membership.seal import DatagramSeal
 from corianderhold.state.membership.model import (
@@ -62,8 +63,9 @@
 
     swim: Swim
     metrics: Metrics
+    schedule: SyncSchedule
     running: bool = True
-    sync_at_s: float = 0.0
+    sync_bytes: int = 0
     sent: list[tuple[float, int]] = field(default_factory=list)
     inbox: list[tuple[Address, bytes]] = field(default_factory=list)
 
@@ -93,7 +95,8 @@
             metrics,
             self.now_s,
         )
-        node = Node(swim, metrics)
+        schedule = SyncSchedule(Random(self.random.getrandbits(64)))
+        node = Node(swim, metrics, schedule)
         self.nodes[member.gossip_address] = node
         return node
 
@@ -125,10 +128,14 @@
         for source, data in inbox:
             node.swim.receive(data, source, self.now_s)
         node.swim.tick(self.now_s)
-        node.swim.take_changes()
+        changes = node.swim.take_changes()
+        if changes and node.schedule.due_at_s == float("inf"):
+            node.schedule.note_join(self.now_s)
+        if node.swim.take_revivals():
+            node.schedule.note_revival(self.now_s)
         self.flush(node)
-        if self.now_s >= node.sync_at_s:
-            self._synchronize(node)
+        if self.now_s >= node.schedule.due_at_s:
+            node.schedule.note_outcome(self._synchronize(node), self.now_s)
 
     def flush(self, node: Node) -> None:
         """Send what a node has to send."""
@@ -136,22 +143,25 @@
             node.sent.append((self.now_s, len(outgoing.data)))
             self.send(node.swim.own.gossip_address, outgoing.address, outgoing.data)
 
-    def _synchronize(self, node: Node) -> None:
+    def _synchronize(self, node: Node) -> bool:
         """Exchange tables with a random peer, as the service does over links."""
         others = [m for m in node.swim.view.live if m != node.swim.own]
         if not others:
-            return
-        node.sync_at_s = self.now_s + SYNC_INTERVAL_S
+            return False
         address = self.random.choice(others).gossip_address
         peer = self.nodes.get(address)
         own = node.swim.own.gossip_address
         if peer is None or not peer.running or self._is_cut(own, address):
-            return
+            return False
         request = SyncRequest(compute_digests(node.swim.view))
         reply = answer_request(peer.swim.view, request, self.now_s)
         newer = list_newer(node.swim.view, reply.buckets, reply.records, self.now_s)
         node.swim.merge_records(reply.records, self.now_s)
         peer.swim.merge_records(tuple(newer), self.now_s)
+        node.sync_bytes += len(encode_request(request))
+        node.sync_bytes += len(encode_request(SyncRequest((), "", tuple(newer))))
+        peer.sync_bytes += len(encode_reply(reply))
+        return True
 
     def _is_cut(self, address: Address, other: Address) -> bool:
         return self._sides.get(address, 0) != self._sides.get(other, 0)
