--- a/corianderhold/coordination/membership/prober.py
+++ b/corianderhold/coordination/membership/prober.py
@@ -4,7 +4,11 @@
 from dataclasses import dataclass
 from random import Random
 
-from corianderhold.coordination.membership.const import RELAY_LIMIT, RELAY_TIMEOUT_S
+from corianderhold.coordination.membership.const import (
+    HEARD_WINDOW_S,
+    RELAY_LIMIT,
+    RELAY_TIMEOUT_S,
+)
 from corianderhold.ids import InstanceId
 from corianderhold.state.membership.model import Address, Member
 
@@ -17,6 +21,7 @@
 
     number: int
     instance: InstanceId
+    sent_at_s: float
     indirect_at_s: float
     fails_at_s: float
     indirect_sent: bool = False
@@ -76,6 +81,39 @@
                 return member
 
 
+class ProbeLog:
+    """
+    Remember whom this daemon has heard lately, and how its last probe ended.
+
+    Times are active seconds. `failing` is whether the last probe had no answer.
+    """
+
+    def __init__(self) -> None:
+        self.failing = False
+        self._heard_at_s: dict[InstanceId, float] = {}
+        self._last_heard_at_s = float("-inf")
+
+    def note_heard(self, instance: InstanceId, active_s: float) -> None:
+        """Note a datagram of a member."""
+        self._heard_at_s[instance] = active_s
+        self._last_heard_at_s = active_s
+
+    def note_outcome(self, answered: bool, active_s: float) -> None:
+        """Note the end of a probe, and forget whom was not heard for long."""
+        self.failing = not answered
+        for instance, heard_at_s in list(self._heard_at_s.items()):
+            if heard_at_s < active_s - HEARD_WINDOW_S:
+                del self._heard_at_s[instance]
+
+    def has_heard_since(self, active_s: float) -> bool:
+        """Return whether any datagram has arrived since then."""
+        return self._last_heard_at_s >= active_s
+
+    def list_heard(self) -> list[InstanceId]:
+        """Return the members heard within HEARD_WINDOW_S of the last probe's end."""
+        return list(self._heard_at_s)
+
+
 class RelayBook:
     """Remember for whom pings were relayed."""
 
--- a/corianderhold/coordination/membership/swim.py
+++ b/corianderhold/coordination/membership/swim.py
@@ -10,15 +10,18 @@
     GOSSIP_INTERVAL_S,
     INDIRECT_PROBES,
     JOIN_INTERVAL_S,
+    LONGEST_PROBE_TIMEOUT_S,
     PROBE_INTERVAL_S,
     PROBE_TIMEOUT_S,
     REFUTATIONS_LIMIT,
+    SAMPLE_FACTOR,
     URGENT_FANOUT,
 )
 from corianderhold.coordination.membership.contacts import ContactBook
 from corianderhold.coordination.membership.health import ActiveTime, LocalHealth
 from corianderhold.coordination.membership.prober import (
     Probe,
+    ProbeLog,
     ProbeRotation,
     RelayBook,
     draw_number,
@@ -45,7 +48,7 @@
     MemberState,
     TargetState,
 )
-from corianderhold.state.membership.table import MemberView, is_claim
+from corianderhold.state.membership.table import MemberView, is_claim, is_live
 
 
 @dataclass
@@ -89,7 +92,7 @@
         self._contacts = ContactBook(seeds, random)
         self._relays = RelayBook()
         self._probe: Probe | None = None
-        self._heard = False
+        self._probe_log = ProbeLog()
         self._woke_at_s = float("-inf")
         self._schedule = Schedule()
 
@@ -103,6 +106,10 @@
         """Return the current view of all members."""
         return self._roster.view
 
+    def get_member(self, instance: InstanceId) -> Member | None:
+        """Return a member as shown in the view, or None."""
+        return self._roster.get_member(instance)
+
     def take_outgoing(self) -> list[OutgoingDatagram]:
         """Return the datagrams to be sent since the last call."""
         return self._sender.take_outgoing()
@@ -152,7 +159,7 @@
         if datagram.sender == self.own.instance:
             return
         self._metrics.increment("membership_datagrams_received")
-        self._heard = True
+        self._probe_log.note_heard(datagram.sender, self._time.seconds)
         refutations = self._roster.refutations
         for member in updates:
             self._roster.apply(member, now_s)
@@ -171,8 +178,7 @@
         self._roster.expire(now_s)
         self._check_probe(now_s)
         if active_s >= self._schedule.probe_at_s:
-            interval_s = PROBE_INTERVAL_S * self._health.multiplier
-            self._schedule.probe_at_s = active_s + interval_s
+            self._schedule.probe_at_s = active_s + PROBE_INTERVAL_S
             self._start_probe(now_s)
         if active_s >= self._schedule.contact_at_s:
             alone = self._roster.count_live() <= 1
@@ -220,6 +226,7 @@
     def _handle_ack(self, datagram: Datagram, now_s: float) -> None:
         if self._probe is not None and datagram.number == self._probe.number:
             self._probe = None
+            self._probe_log.note_outcome(True, self._time.seconds)
             self._health.improve()
             return
         relay = self._relays.take(datagram.number)
@@ -244,17 +251,17 @@
         if member is None:
             return
         active_s = self._time.seconds
-        factor = self._health.multiplier
+        timeout_s = PROBE_TIMEOUT_S * self._health.multiplier
         claims = self._list_claims(member.instance)
         number = self._ping(member.gossip_address, member.instance, claims, now_s)
         if number is None:
             return
-        self._heard = False
         self._probe = Probe(
             number,
             member.instance,
-            active_s + PROBE_TIMEOUT_S * factor,
-            active_s + PROBE_INTERVAL_S * factor,
+            active_s,
+            active_s + min(timeout_s, LONGEST_PROBE_TIMEOUT_S),
+            active_s + PROBE_INTERVAL_S,
         )
 
     def _check_probe(self, now_s: float) -> None:
@@ -263,7 +270,8 @@
             return
         if self._time.seconds >= probe.fails_at_s:
             self._probe = None
-            if self._heard:
+            self._probe_log.note_outcome(False, self._time.seconds)
+            if self._probe_log.has_heard_since(probe.sent_at_s):
                 self._health.improve()
             else:
                 self._health.worsen()
@@ -317,11 +325,25 @@
         if not len(self._roster.broadcasts):
             return
         gossip = Datagram(DatagramKind.GOSSIP, 0, self.own.instance)
-        for member in self._sample(fanout, self.own.instance):
+        for member in self._choose_recipients(fanout):
             self._sender.send(member.gossip_address, gossip, now_s)
 
+    def _choose_recipients(self, count: int) -> list[Member]:
+        """Return random members; once probes fail, half of those heard lately."""
+        chosen: list[Member] = []
+        if self._probe_log.failing:
+            heard = self._probe_log.list_heard()
+            drawn = self._random.sample(heard, min(len(heard), count // 2))
+            members = [self._roster.get_member(instance) for instance in drawn]
+            chosen = [member for member in members if member and is_live(member)]
+        others = self._sample(count - len(chosen), self.own.instance)
+        return chosen + others
+
     def _sample(self, count: int, excluded: InstanceId) -> list[Member]:
+        """Return random live members, suspected ones only where others lack."""
         live = self.view.live
-        drawn = self._random.sample(live, min(len(live), count + 2))
+        drawn = self._random.sample(live, min(len(live), SAMPLE_FACTOR * count + 2))
         unwanted = (excluded, self.own.instance)
-        return [member for member in drawn if member.instance not in unwanted][:count]
+        drawn = [member for member in drawn if member.instance not in unwanted]
+        drawn.sort(key=lambda member: member.state is MemberState.SUSPECT)
+        return drawn[:count]
--- a/tests/common/membership.py
+++ b/tests/common/membership.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from corianderhold.coordination.membership.const import SYNC_INTERVAL_S
 from corianderhold.coordination.membership.schedule import SyncSchedule
 from corianderhold.coordination.membership.swim import Swim
 from corianderhold.coordination.membership.sync import (
@@ -20,7 +21,7 @@
 )
 from corianderhold.metrics import Metrics
 from corianderhold.protocol.membership.codec import encode_reply, encode_request
-from corianderhold.protocol.membership.model import SyncRequest
+from corianderhold.protocol.membership.model import SyncRecord, SyncRequest
 from corianderhold.protocol.membership.seal import DatagramSeal
 from corianderhold.state.membership.model import (
     Address,
@@ -32,6 +33,7 @@
 SECRET = b"fleet secret of the tests"
 STEP_S = 0.05
 START_S = 1000.0
+SETTLE_S = 5.0
 
 
 def build_member(
@@ -190,6 +192,19 @@
     return [network.add(build_member(number), seeds) for number in range(size)]
 
 
+def build_settled_fleet(network: FakeNetwork, size: int) -> list[Node]:
+    """Start daemons that know each other, as after their first synchronisation."""
+    nodes = build_fleet(network, size)
+    records = tuple(SyncRecord(node.swim.own) for node in nodes)
+    for node in nodes:
+        node.swim.merge_records(records, network.now_s)
+        node.swim.take_changes()
+        due_s = network.random.uniform(0.0, SYNC_INTERVAL_S)
+        node.schedule.due_at_s = network.now_s + due_s
+    network.run(SETTLE_S)
+    return nodes
+
+
 def count_states(node: Node, state: MemberState) -> int:
     """Return how many members a node shows in this state."""
     return sum(1 for member in node.swim.view.members if member.state is state)
