--- a/corianderhold/coordination/configuration/exchanger.py
+++ b/corianderhold/coordination/configuration/exchanger.py
@@ -16,7 +16,7 @@
     RECORDS_BYTES_MAX,
     SNAPSHOT_BYTES_MAX,
 )
-from corianderhold.coordination.configuration.replica import Replica
+from corianderhold.coordination.configuration.replica import Replica, decode_snapshot
 from corianderhold.coordination.configuration.snapshots import SnapshotKeeper
 from corianderhold.coordination.configuration.texts import (
     SnapshotTexts,
@@ -204,11 +204,12 @@
 
     def _take_compressed(self, data: bytes) -> bool:
         text = decompress_snapshot(data)
-        if isinstance(text, Err):
-            log_warning("snapshot_corrupt", detail=text.err_value)
+        snapshot = None if isinstance(text, Err) else decode_snapshot(text.ok_value)
+        if snapshot is None:
+            log_warning("snapshot_corrupt", bytes=len(data))
             return False
         self._metrics.increment("configuration_snapshots_from_peers")
-        return self._replica.take_snapshot(text.ok_value)
+        return self._replica.take_snapshot(snapshot)
 
     def _ask_part(self, member: Member, query: SnapshotQuery) -> SnapshotPart | None:
         reply = self._ask(member, Exchange(self._replica.head, snapshot=query))
--- a/corianderhold/coordination/configuration/reader.py
+++ b/corianderhold/coordination/configuration/reader.py
@@ -100,7 +100,7 @@
             snapshot = decode_snapshot(record.data)
             if snapshot is None or snapshot.folded_to + 1 < first_offset:
                 continue
-            if self._replica.take_snapshot(record.data):
+            if self._replica.take_snapshot(snapshot):
                 self._keeper.note_snapshot(snapshot)
                 log_event("snapshot_adopted", offset=record.offset, behind_from=before)
                 return True
--- a/corianderhold/coordination/configuration/replica.py
+++ b/corianderhold/coordination/configuration/replica.py
@@ -112,12 +112,8 @@
             self._notify_news()
         return advanced
 
-    def take_snapshot(self, text: str) -> bool:
-        """Adopt the text of a snapshot where it is ahead; return whether it was."""
-        snapshot = decode_snapshot(text)
-        if snapshot is None:
-            log_warning("snapshot_corrupt", bytes=len(text))
-            return False
+    def take_snapshot(self, snapshot: SnapshotRecord) -> bool:
+        """Adopt a snapshot where it is ahead; return whether it was."""
         with self._lock:
             self._state, outcome = adopt_snapshot(self._state, snapshot)
             self._report(outcome)
--- a/tests/common/followers.py
+++ b/tests/common/followers.py
@@ -29,6 +29,21 @@
 FAR_DELAY_S = 0.030
 
 
+def build_member(domain: FailureDomainId, host: str) -> Member:
+    """Return a live member whose host is also its id."""
+    return Member(
+        instance=InstanceId(host),
+        incarnation=Incarnation(1),
+        sequence=1,
+        domain=domain,
+        region=RegionId("r"),
+        peer_address=Address(host, 7000),
+        gossip_address=Address(host, 7001),
+        service=None,
+        target_state=TargetState.ABSENT,
+    )
+
+
 class SettableClock(FakeClock):
     """Let the simulation set the time of the event that runs."""
 
@@ -129,19 +144,8 @@
 
     def add(self, domain: str, host: str, log: Log | None = None) -> Daemon:
         """Start a daemon, with its own way to the log where one is given."""
-        instance = InstanceId(host)
-        member = Member(
-            instance=instance,
-            incarnation=Incarnation(1),
-            sequence=1,
-            domain=FailureDomainId(domain),
-            region=RegionId("r"),
-            peer_address=Address(host, 7000),
-            gossip_address=Address(host, 7001),
-            service=None,
-            target_state=TargetState.ABSENT,
-        )
-        self.members.members[instance] = member
+        member = build_member(FailureDomainId(domain), host)
+        self.members.members[member.instance] = member
         daemon = Daemon(self, member, log or self._log)
         self.daemons[host] = daemon
         self._repeat(daemon, daemon.follower.poll_once)
--- /dev/null
+++ b/tests/coordination/configuration/test_exchange.py
@@ -0,0 +1,172 @@
+"""Test the exchange of one daemon with another, and its messages."""
+
+import threading
+from unittest import TestCase
+from unittest.mock import patch
+
+from hypothesis import given
+from hypothesis.strategies import binary
+from result import Ok, Result
+
+from corianderhold.coordination.configuration.texts import decompress_snapshot
+from corianderhold.ids import Offset, Version
+from corianderhold.protocol.configuration.codec import (
+    decode_exchange,
+    decode_reply,
+    encode_exchange,
+    encode_reply,
+)
+from corianderhold.protocol.configuration.errors import ExchangeError
+from corianderhold.protocol.configuration.messages import (
+    Exchange,
+    ExchangeReply,
+    Head,
+    SnapshotMark,
+    SnapshotPart,
+    SnapshotQuery,
+)
+from corianderhold.protocol.peer.control import ControlFailure, ControlSender
+from corianderhold.state.configuration.model import Configuration
+from corianderhold.state.membership.model import Address
+from corianderhold.transport.store.model import LogRecord, StreamName
+from tests.common.changes import BASE, make_text
+from tests.common.followers import Daemon, Fleet
+from tests.common.log import FakeLog
+from tests.common.waiting import wait_until
+from tests.coordination.configuration.case import SpreadTestCase, limit_concurrency
+
+HEAD = Head(Offset(70), Version(60), b"12345678")
+AGREED_BYTES_MAX = 64
+
+
+class MessageTests(TestCase):
+    """Check that messages come back whole and bad bytes are refused."""
+
+    def test_messages_come_back_whole(self) -> None:
+        records = (LogRecord(Offset(69), "\u00fc"), LogRecord(Offset(70), ""))
+        exchange = Exchange(HEAD, records, SnapshotQuery(Offset(-2), 0))
+        self.assertEqual(decode_exchange(encode_exchange(exchange)), exchange)
+        part = SnapshotPart(Offset(9), 0, 3, b"\x00\xff1")
+        reply = ExchangeReply(HEAD, 0, records, part, SnapshotMark(Offset(-1), 7), True)
+        self.assertEqual(decode_reply(encode_reply(reply)), reply)
+
+    def test_exchange_of_equal_heads_is_small(self) -> None:
+        self.assertLess(len(encode_exchange(Exchange(HEAD))), AGREED_BYTES_MAX)
+        reply = ExchangeReply(HEAD, 60_000, mark=SnapshotMark(Offset(10**6), 10**6))
+        self.assertLess(len(encode_reply(reply)), AGREED_BYTES_MAX)
+
+    @given(binary(max_size=80))
+    def test_bad_bytes_are_refused(self, body: bytes) -> None:
+        for decode in (decode_exchange, decode_reply):
+            try:
+                decode(body)
+            except ExchangeError:
+                continue
+
+    @given(binary(max_size=80))
+    def test_bad_snapshots_are_refused(self, data: bytes) -> None:
+        decompress_snapshot(data).is_ok()
+
+
+class ExchangeTests(SpreadTestCase):
+    """Check what one exchange does."""
+
+    def test_proof_of_a_complete_view_is_never_taken_as_younger(self) -> None:
+        asker, peer = self.get_daemon(0), self.get_daemon(3)
+        for way in self.ways.values():
+            way.cut = True
+        self.fleet.run(20.0)
+        clock = self.fleet.clock
+        verified_at = clock.read_monotonic()
+        peer.holder.mark_verified(verified_at)
+        clock.advance(30.0)
+        carry = self.fleet.carry
+
+        def carry_slowly(
+            sender: Daemon, address: Address, body: bytes, timeout_s: float
+        ) -> Result[bytes, ControlFailure]:
+            clock.advance(3.0)
+            reply = carry(sender, address, body, timeout_s)
+            clock.advance(3.0)
+            return reply
+
+        with patch.object(self.fleet, "carry", carry_slowly):
+            self.assertTrue(asker.follower.exchanger.exchange(peer.member))
+        self.assertLessEqual(asker.holder.verified_at, verified_at)
+        self.assertGreaterEqual(asker.holder.verified_at, verified_at - 7.0)
+
+    def test_proof_without_the_records_is_not_taken(self) -> None:
+        asker, peer = self.get_daemon(0), self.get_daemon(3)
+        before = asker.holder.verified_at
+        self.append_changes(1, 1)
+        peer.follower.read_log()
+
+        def lose_records(
+            sender: Daemon, address: Address, body: bytes, timeout_s: float
+        ) -> Result[bytes, ControlFailure]:
+            asked = ControlSender(sender.member.instance)
+            reply = decode_reply(peer.follower.handle_control(asked, body))
+            bare = ExchangeReply(reply.head, reply.verified_age_ms)
+            return Ok(encode_reply(bare))
+
+        with patch.object(self.fleet, "carry", lose_records):
+            asker.follower.exchanger.exchange(peer.member)
+        self.assertEqual(asker.holder.current.version, 1)
+        self.assertEqual(asker.holder.verified_at, before)
+
+    def test_lower_version_is_never_put_in_force(self) -> None:
+        self.append_changes(1, 5)
+        self.settle()
+        daemon = self.get_daemon(0)
+        old = make_text("old", 0, BASE)
+        for offset in range(7):
+            records = (LogRecord(Offset(offset), old),)
+            daemon.follower.replica.take_records(records)
+        self.assertEqual(daemon.holder.current.version, 6)
+        self.assertEqual(daemon.versions, sorted(set(daemon.versions)))
+
+
+class ThreadTests(TestCase):
+    """Check a follower with its own threads, and readers of the holder."""
+
+    def test_readers_see_whole_configurations_while_changes_come_in(self) -> None:
+        log = FakeLog()
+        fleet = Fleet(1, 1, log)
+        daemon = next(iter(fleet.daemons.values()))
+        log.append(StreamName.CONFIGURATION, make_text("c1", 0, BASE), 1.0)
+        daemon.follower.read_log()
+        torn: list[Configuration] = []
+        ended = threading.Event()
+
+        def read() -> None:
+            last = Version(0)
+            while not ended.is_set():
+                current = daemon.holder.current
+                limit = current.services[BASE.services[0].name].max_concurrency
+                if current.version < last or limit not in (64, current.version):
+                    torn.append(current)
+                last = current.version
+
+        readers = [threading.Thread(target=read) for _ in range(4)]
+        for reader in readers:
+            reader.start()
+        for version in range(2, 200):
+            text = make_text(f"c{version}", version - 1, limit_concurrency(version))
+            log.append(StreamName.CONFIGURATION, text, 1.0)
+            daemon.follower.read_log()
+        ended.set()
+        for reader in readers:
+            reader.join()
+        self.assertEqual(daemon.holder.current.version, 199)
+        self.assertEqual(torn, [])
+
+    def test_started_follower_reads_the_log_and_stops(self) -> None:
+        log = FakeLog()
+        fleet = Fleet(1, 1, log)
+        daemon = next(iter(fleet.daemons.values()))
+        before = threading.active_count()
+        daemon.follower.start()
+        log.append(StreamName.CONFIGURATION, make_text("c1", 0, BASE), 1.0)
+        wait_until(lambda: daemon.holder.current.version == 1, "version 1 is in force")
+        daemon.follower.stop()
+        wait_until(lambda: threading.active_count() == before, "threads have ended")
