Explain changes that were refused before they were appended

Cause: GET /v1/changes/ID said of a change that lost its race before the append that it might still arrive. Change: a publisher remembers what it refused, until the same id is published anew.

--- a/corianderhold/coordination/configuration/publisher.py
+++ b/corianderhold/coordination/configuration/publisher.py
@@ -1,6 +1,8 @@
 """Publish changes of the configuration and learn what became of them."""
 
+import threading
 import time
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
@@ -9,6 +11,7 @@
 
 from corianderhold.clock import Clock
 from corianderhold.coordination.configuration.const import (
+    HISTORY_ENTRIES_MAX,
     LOG_APPEND_TIMEOUT_S,
     PUBLISH_RETRY_PAUSE_S,
 )
@@ -95,12 +98,17 @@
         self._log = log
         self._clock = clock
         self._pause = pause
+        self._lock = threading.Lock()
+        self._refused: OrderedDict[ChangeId, Published] = OrderedDict()
 
     def publish(self, change: ChangeRecord, timeout_s: float) -> Published:
         """Publish one change and wait for its outcome, up to a time-out."""
         deadline = self._clock.read_monotonic() + timeout_s
         self._follower.read_log()
-        published = self._check(change) or self._append(change, deadline)
+        published = self._check(change)
+        if published is None:
+            published = self._append(change, deadline)
+        self._note_refused(published)
         log_event(
             "change_published",
             change=change.change_id,
@@ -128,11 +136,28 @@
         )
 
     def resolve(self, change_id: ChangeId) -> Published:
-        """Return what became of a change after reading the log once more."""
+        """
+        Return what became of a change after reading the log once more.
+
+        A change that this daemon refused without appending it is known here only.
+        """
         self._follower.read_log()
+        known = self.look_up(change_id)
+        if known is not None:
+            return known
+        with self._lock:
+            refused = self._refused.get(change_id)
         current = self._replica.state.version
-        unknown = Published(PublishOutcome.UNKNOWN, change_id, current)
-        return self.look_up(change_id) or unknown
+        return refused or Published(PublishOutcome.UNKNOWN, change_id, current)
+
+    def _note_refused(self, published: Published) -> None:
+        """Keep a refusal, and drop it when the same id is published anew."""
+        with self._lock:
+            self._refused.pop(published.change_id, None)
+            if published.outcome is PublishOutcome.REFUSED:
+                self._refused[published.change_id] = published
+            if len(self._refused) > HISTORY_ENTRIES_MAX:
+                self._refused.popitem(last=False)
 
     def _check(self, change: ChangeRecord) -> Published | None:
         """Return the outcome where it is certain before anything is appended."""
--- a/tests/coordination/configuration/test_publisher.py
+++ b/tests/coordination/configuration/test_publisher.py
@@ -105,6 +105,9 @@
         self.assertEqual(published.reason, RefusalReason.INVALID)
         self.assertEqual(published.faults[0].name, "none")
         self.assertEqual(self.get_way(0).appends, 0)
+        publisher = self.make_publisher(self.get_daemon(0))
+        publisher.publish(change, PUBLISH_TIMEOUT_S)
+        self.assertEqual(publisher.resolve(change.change_id), published)
 
     def test_repeated_change_id_answers_the_first_outcome(self) -> None:
         first = self.publish(self.get_daemon(0), "x", 1, 5)
