--- /dev/null
+++ b/corianderhold/settings/const.py
@@ -0,0 +1,43 @@
+"""Name the sections, options and defaults of the settings."""
+
+CONF_INSTANCE = "instance"
+CONF_ID = "id"
+CONF_DOMAIN = "domain"
+CONF_REGION = "region"
+
+CONF_LISTENERS = "listeners"
+CONF_CALLER = "caller"
+CONF_OUTGOING = "outgoing"
+CONF_PEER = "peer"
+CONF_PEER_ADVERTISED = "peer_advertised"
+CONF_GOSSIP = "gossip"
+CONF_ADMIN = "admin"
+CONF_CALLER_THREADS = "caller_threads"
+CONF_OUTGOING_THREADS = "outgoing_threads"
+
+CONF_TARGET = "target"
+CONF_SERVICE = "service"
+
+CONF_STORE = "store"
+CONF_ADDRESS = "address"
+CONF_RETENTION_S = "retention_s"
+
+CONF_MEMBERSHIP = "membership"
+CONF_SEEDS = "seeds"
+CONF_ENTRY_SLOTS = "entry_slots"
+
+CONF_SECURITY = "security"
+CONF_FLEET_SECRET = "fleet_secret"
+CONF_ADMIN_TOKEN = "admin_token"
+
+CONF_LOGGING = "logging"
+CONF_LEVEL = "level"
+
+LOG_LEVELS = ("debug", "info", "warning", "error")
+DEFAULT_LEVEL = "info"
+DEFAULT_CALLER_THREADS = 96
+DEFAULT_OUTGOING_THREADS = 64
+SECRET_LENGTH_MIN = 16
+HIGHEST_PORT = 65535
+DEFAULT_RETENTION_S = 86_400.0
+DEFAULT_ENTRY_SLOTS = 0
--- a/tests/state/__init__.py
+++ b/tests/state/__init__.py
@@ -1,1 +1,1 @@
-"""Test the state package."""
+"""Test the state layer."""
