Lend rate and tokens by stewards that hold a lease

Cause: fixed slices refuse much inside the rate when demand is skewed or moves. Ruled out: loans that replace each other in one step (a lost reply would count a grant twice or not at all); on-lending what ends before the new loan does. Tests of these parts are to follow.

--- a/corianderhold/coordination/lease/const.py
+++ b/corianderhold/coordination/lease/const.py
@@ -8,3 +8,17 @@
 PROMISE_KEPT_S = 5.0
 UNREAD_LIMIT_S = 900.0
 NEWCOMER_WAIT_S = 960.0
+
+STEP_INTERVAL_S = 0.5
+HOLDER_READ_INTERVAL_S = 1.0
+CANDIDATE_READ_INTERVAL_S = 2.0
+PROMISE_INTERVAL_S = 1.0
+PROMISE_TIMEOUT_S = 0.5
+LOG_TIMEOUT_S = 0.8
+RESEND_INTERVAL_S = 2.0
+HOLDER_SILENCE_S = 3.0  # without a request for a promise, until a successor claims
+RANK_DELAY_S = 1.0  # between the claims of successors, by rank
+RENEWAL_INTERVAL_S = 600.0  # between records of a holder, well below the retention
+SUCCESSORS = 2
+CANDIDATES = 3
+PAGE_LIMIT = 500
--- /dev/null
+++ b/corianderhold/coordination/lease/follower.py
@@ -0,0 +1,67 @@
+"""Read the leases stream up to its head."""
+
+from dataclasses import dataclass
+
+from result import Err
+
+from corianderhold.clock import Clock
+from corianderhold.coordination.lease.const import LOG_TIMEOUT_S, PAGE_LIMIT
+from corianderhold.ids import Offset
+from corianderhold.log import log_warning
+from corianderhold.state.lease.model import LeaseRecord
+from corianderhold.state.lease.texts import decode_record
+from corianderhold.transport.store.model import Log, StreamName
+
+
+@dataclass(frozen=True)
+class HeadReading:
+    """
+    All records since the last reading up to the head.
+
+    `sent_at` precedes the request that saw the head. `gap` says that records were
+    lost to retention before they were read.
+    """
+
+    sent_at: float
+    records: tuple[LeaseRecord, ...]
+    gap: bool
+
+
+class LeaseFollower:
+    """Keep the position in the leases stream; used by one thread."""
+
+    def __init__(self, log: Log, clock: Clock) -> None:
+        self._log = log
+        self._clock = clock
+        self._position = Offset(0)
+        self._pending: list[LeaseRecord] = []
+        self._gap = False
+
+    def read_head(self) -> HeadReading | None:
+        """Read page by page; None while the log does not answer."""
+        while True:
+            sent_at = self._clock.read_monotonic()
+            answer = self._log.read(
+                StreamName.LEASES, self._position, PAGE_LIMIT, LOG_TIMEOUT_S
+            )
+            if isinstance(answer, Err):
+                return None
+            page = answer.ok_value
+            self._gap = self._gap or page.first_offset > self._position
+            for entry in page.records:
+                self._take(entry.offset, entry.data)
+            if not page.records or self._position >= page.next_offset:
+                reading = HeadReading(sent_at, tuple(self._pending), self._gap)
+                self._position = page.next_offset
+                self._pending.clear()
+                self._gap = False
+                return reading
+
+    def _take(self, offset: Offset, data: str) -> None:
+        """Note one record; one that can't be read is the same for every reader."""
+        self._position = Offset(offset + 1)
+        match decode_record(data):
+            case Err(problem):
+                log_warning("lease_record_skipped", offset=offset, problem=problem)
+            case answer:
+                self._pending.append(answer.ok_value)
--- a/corianderhold/coordination/lease/lease.py
+++ b/corianderhold/coordination/lease/lease.py
@@ -61,7 +61,8 @@
     """
     Keep one daemon's side of the lease of one shard; not thread-safe.
 
-    Times are monotonic seconds of the clock that is handed in.
+    Times are monotonic seconds of the clock that is handed in. `tenure` is the term
+    in which the present holder took the shard.
     """
 
     def __init__(
@@ -80,6 +81,7 @@
         self.claimed_on: LeaseRecord | None = None
         self.stopped = False
         self.lapsed = True
+        self.tenure = 0
         self._read_valid_until = NEVER
         self._unread_until = NEVER
         self._wait_until = NEVER
@@ -131,9 +133,10 @@
         for record in records:
             if record.shard != self.shard:
                 continue
+            previous = self._fold.term
             term = self._fold.apply(record)
             if term is not None:
-                self._begin_term(term, now)
+                self._begin_term(term, previous, now)
         self._read_valid_until = max(
             self._read_valid_until, sent_at + self.times.read_valid_s
         )
@@ -211,8 +214,12 @@
             self._clock.read_monotonic() + self.times.promise_kept_s
         )
 
-    def _begin_term(self, term: LeaseTerm, now: float) -> None:
+    def _begin_term(
+        self, term: LeaseTerm, previous: LeaseTerm | None, now: float
+    ) -> None:
         """Start the wait of a record that is new to this reader."""
+        if previous is None or previous.holder != term.holder:
+            self.tenure = term.number
         if term.wait is WaitClass.NONE:  # only a holder that acts writes one
             self._wait_until = now
         else:
--- /dev/null
+++ b/corianderhold/coordination/lease/manager.py
@@ -0,0 +1,367 @@
+"""Take part in the leases of this daemon's shards."""
+
+import threading
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from result import Err, Ok
+
+from corianderhold.clock import Clock
+from corianderhold.coordination.lease.const import (
+    CANDIDATE_READ_INTERVAL_S,
+    CANDIDATES,
+    HOLDER_READ_INTERVAL_S,
+    HOLDER_SILENCE_S,
+    LOG_TIMEOUT_S,
+    PROMISE_INTERVAL_S,
+    PROMISE_TIMEOUT_S,
+    RANK_DELAY_S,
+    RENEWAL_INTERVAL_S,
+    RESEND_INTERVAL_S,
+    STEP_INTERVAL_S,
+    SUCCESSORS,
+)
+from corianderhold.coordination.lease.follower import HeadReading, LeaseFollower
+from corianderhold.coordination.lease.lease import Lease
+from corianderhold.coordination.lease.ranking import rank_members
+from corianderhold.ids import FailureDomainId, InstanceId
+from corianderhold.log import log_event, log_warning
+from corianderhold.protocol.lease.codec import (
+    PromiseMessageError,
+    decode_reply,
+    decode_request,
+    encode_reply,
+    encode_request,
+)
+from corianderhold.protocol.lease.model import PromiseAsk, PromiseReply, PromiseRequest
+from corianderhold.protocol.peer.control import (
+    ControlClient,
+    ControlSender,
+    ControlTopic,
+)
+from corianderhold.state.lease.model import Holder, LeaseRecord, LeaseRecordId, ShardId
+from corianderhold.state.lease.texts import encode_record
+from corianderhold.state.membership.model import Member, Members, MemberState
+from corianderhold.transport.store.model import AppendFailure, Log, StreamName
+
+NEVER = float("-inf")
+
+
+@dataclass
+class _Entry:
+    """One shard's lease and when things were last done for it."""
+
+    lease: Lease
+    asked_at: float
+    sent_at: float = NEVER
+    promised_at: float = NEVER
+    renewed_at: float = field(default=NEVER)
+    in_doubt: LeaseRecord | None = None
+
+
+class LeaseManager:
+    """
+    Hold, claim and hand over the shards of this daemon's failure domain.
+
+    One thread reads, appends and asks; promises are given on links' threads. The lock
+    covers the leases and is never held during a network request.
+    """
+
+    def __init__(
+        self,
+        node: Holder,
+        domain: FailureDomainId,
+        shards: list[ShardId],
+        clock: Clock,
+        log: Log,
+        control: ControlClient,
+        members: Members,
+    ) -> None:
+        self._node = node
+        self._domain = domain
+        self._clock = clock
+        self._log = log
+        self._control = control
+        self._members = members
+        self._follower = LeaseFollower(log, clock)
+        self._lock = threading.Lock()
+        self._started_at = clock.read_monotonic()
+        self._entries = {
+            shard: _Entry(Lease(shard, node, clock, True), self._started_at)
+            for shard in shards
+        }
+        self._read_at = NEVER
+        self._head_read_at = NEVER
+        self._read_once = False
+        self._record_count = 0
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="leases", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Hand over what this daemon holds."""
+        self._stopping.set()
+        if self._thread.is_alive():
+            self._thread.join(2 * LOG_TIMEOUT_S)
+        self.hand_over()
+
+    def _run(self) -> None:
+        """Step until stopped."""
+        while not self._stopping.wait(STEP_INTERVAL_S):
+            try:
+                self.step()
+            except Exception as error:  # noqa: BLE001
+                log_warning("lease_step_failed", error=repr(error))
+
+    def step(self) -> None:
+        """Read, claim, renew and ask for promises where it is time."""
+        self._read_if_due()
+        self._ask_promises()
+        for shard, entry in self._entries.items():
+            record = self._choose_record(shard, entry)
+            if record is not None:
+                self._append(entry, record)
+
+    def find_tenure(self, shard: ShardId) -> int | None:
+        """Return the term in which this daemon took the shard, None if idle."""
+        entry = self._entries.get(shard)
+        if entry is None:
+            return None
+        with self._lock:
+            return entry.lease.tenure if entry.lease.may_act() else None
+
+    def find_holder(self, shard: ShardId) -> InstanceId | None:
+        """Return the instance that the newest record read names."""
+        entry = self._entries.get(shard)
+        term = entry.lease.seen if entry else None
+        return term.holder.instance if term else None
+
+    def handle_control(self, sender: ControlSender, body: bytes) -> bytes:
+        """Give the promises asked for."""
+        try:
+            request = decode_request(body)
+        except PromiseMessageError as error:
+            log_warning("promise_request_malformed", error=repr(error))
+            return encode_reply(PromiseReply(()))
+        promised = []
+        with self._lock:
+            for ask in request.asks:
+                entry = self._entries.get(ask.shard)
+                if entry is not None and entry.lease.give_promise(ask.term):
+                    entry.asked_at = self._clock.read_monotonic()
+                    promised.append(ask.shard)
+        return encode_reply(PromiseReply(tuple(promised)))
+
+    def hand_over(self) -> None:
+        """Stop acting and append a record that names the next holder."""
+        for shard, entry in self._entries.items():
+            with self._lock:
+                term = entry.lease.seen
+                heir = self._find_heir(shard, term.successors if term else frozenset())
+                if heir is None or not entry.lease.may_act():
+                    entry.lease.stopped = True
+                    continue
+                record = entry.lease.hand_over(self._name_record(), heir)
+            if record is not None:
+                log_event("lease_handed_over", shard=shard, to=heir.instance)
+                self._append(entry, record)
+
+    def _find_heir(
+        self, shard: ShardId, successors: frozenset[InstanceId]
+    ) -> Holder | None:
+        """Return the best live successor."""
+        for member in rank_members(self._members, self._domain, shard):
+            if member.instance in successors:
+                return Holder(member.instance, member.incarnation)
+        return None
+
+    def _read_if_due(self) -> None:
+        """Read the stream where this daemon is a candidate for a shard."""
+        now = self._clock.read_monotonic()
+        holds = any(entry.lease.holds for entry in self._entries.values())
+        interval = HOLDER_READ_INTERVAL_S if holds else CANDIDATE_READ_INTERVAL_S
+        if now - self._read_at < interval:
+            return
+        if not any(self._is_candidate(shard) for shard in self._entries):
+            return
+        reading = self._follower.read_head()
+        self._read_at = now
+        if reading is not None:
+            self._head_read_at = reading.sent_at
+            self._take_reading(reading)
+
+    def _take_reading(self, reading: HeadReading) -> None:
+        """Hand the records to the leases; start over after a gap."""
+        with self._lock:
+            if reading.gap:
+                self._forget_history()
+            self._read_once = True
+            for shard, entry in self._entries.items():
+                before = entry.lease.seen
+                entry.lease.receive_read(reading.sent_at, reading.records)
+                term = entry.lease.seen
+                if term is not None and term != before:
+                    entry.asked_at = self._clock.read_monotonic()
+                    log_event(
+                        "lease_term_seen",
+                        shard=shard,
+                        term=term.number,
+                        holder=term.holder.instance,
+                        wait=term.wait,
+                    )
+
+    def _forget_history(self) -> None:
+        """Begin leases without history; one that was in use is given up."""
+        for shard, entry in self._entries.items():
+            entry.lease = Lease(shard, self._node, self._clock, False)
+            entry.lease.stopped = self._read_once
+
+    def _is_candidate(self, shard: ShardId) -> bool:
+        """Whether this daemon holds the shard or may come to hold it."""
+        term = self._entries[shard].lease.seen
+        if term is not None and self._node.instance in term.members:
+            return True
+        return self._find_rank(shard) < CANDIDATES
+
+    def _find_rank(self, shard: ShardId) -> int:
+        """Return this daemon's rank for a shard, CANDIDATES if it has none."""
+        ranked = rank_members(self._members, self._domain, shard)
+        for rank, member in enumerate(ranked):
+            if member.instance == self._node.instance:
+                return rank
+        return CANDIDATES
+
+    def _choose_record(self, shard: ShardId, entry: _Entry) -> LeaseRecord | None:
+        """Return the record that is due for a shard."""
+        if not self._read_once:
+            return None
+        with self._lock:
+            now = self._clock.read_monotonic()
+            lease = entry.lease
+            if lease.stopped or now - entry.sent_at < RESEND_INTERVAL_S:
+                return None
+            if lease.claimed_on is not None:
+                return lease.claimed_on
+            wanted = self._choose_successors(shard)
+            if lease.holds:
+                return self._choose_renewal(entry, wanted, now)
+            if not self._is_claim_due(shard, entry, now):
+                return None
+            log_event("lease_claimed", shard=shard, rank=self._find_rank(shard))
+            return lease.claim(self._name_record(), wanted)
+
+    def _choose_renewal(
+        self, entry: _Entry, wanted: frozenset[InstanceId], now: float
+    ) -> LeaseRecord | None:
+        """Renew after a change of the successors or before retention ends."""
+        term = entry.lease.seen
+        aged = now - entry.renewed_at >= RENEWAL_INTERVAL_S
+        changed = term is not None and term.successors != wanted
+        if not (aged or changed):
+            return None
+        record = entry.lease.renew(self._name_record(), wanted)
+        if record is not None:
+            entry.renewed_at = now
+        return record
+
+    def _is_claim_due(self, shard: ShardId, entry: _Entry, now: float) -> bool:
+        """
+        Whether the holder seems gone, and this daemon is the one to claim.
+
+        Without the log a claim would only end the promises that carry the holder.
+        """
+        if now - self._head_read_at > 2 * CANDIDATE_READ_INTERVAL_S:
+            return False
+        term = entry.lease.seen
+        rank = self._find_rank(shard)
+        if rank >= CANDIDATES and (
+            term is None or self._node.instance not in term.members
+        ):
+            return False
+        silence = now - max(entry.asked_at, self._started_at)
+        if silence < HOLDER_SILENCE_S + rank * RANK_DELAY_S:
+            return False
+        if term is None or self._node.instance in term.members:
+            return True
+        return not any(
+            member.state is MemberState.ALIVE
+            for member in self._members.list_members()
+            if member.instance in term.members
+        )
+
+    def _choose_successors(self, shard: ShardId) -> frozenset[InstanceId]:
+        """Return the best live members besides this daemon."""
+        ranked = rank_members(self._members, self._domain, shard)
+        others = [m.instance for m in ranked if m.instance != self._node.instance]
+        return frozenset(others[:SUCCESSORS])
+
+    def _append(self, entry: _Entry, record: LeaseRecord) -> None:
+        """Append a record; without a clear answer it stays in doubt."""
+        entry.sent_at = self._clock.read_monotonic()
+        answer = self._log.append(
+            StreamName.LEASES, encode_record(record), LOG_TIMEOUT_S
+        )
+        first = entry.in_doubt != record
+        entry.in_doubt = record
+        match answer:
+            case Ok(_):
+                self._read_at = NEVER
+            case Err(AppendFailure.NOT_APPENDED) if first:
+                with self._lock:
+                    entry.lease.drop_claim()
+
+    def _ask_promises(self) -> None:
+        """Ask every successor of the shards held, one request each."""
+        now = self._clock.read_monotonic()
+        asks: dict[InstanceId, list[PromiseAsk]] = defaultdict(list)
+        with self._lock:
+            for shard, entry in self._entries.items():
+                lease = entry.lease
+                due = now - entry.promised_at >= PROMISE_INTERVAL_S
+                if lease.seen is None or not lease.holds or not due:
+                    continue
+                entry.promised_at = now
+                for successor in lease.list_promisers():
+                    asks[successor].append(PromiseAsk(shard, lease.seen.number))
+        for successor, wanted in asks.items():
+            member = self._find_member(successor)
+            if member is not None:
+                self._ask_promise(member, tuple(wanted))
+
+    def _ask_promise(self, member: Member, asks: tuple[PromiseAsk, ...]) -> None:
+        """Ask one successor; the time runs from before the request."""
+        sent_at = self._clock.read_monotonic()
+        answer = self._control.request(
+            member.peer_address,
+            ControlTopic.LEASE,
+            encode_request(PromiseRequest(asks)),
+            PROMISE_TIMEOUT_S,
+        )
+        if isinstance(answer, Err):
+            return
+        try:
+            promised = decode_reply(answer.ok_value).promised
+        except PromiseMessageError as error:
+            log_warning("promise_reply_malformed", error=repr(error))
+            return
+        with self._lock:
+            for ask in asks:
+                if ask.shard in promised:
+                    lease = self._entries[ask.shard].lease
+                    lease.receive_promise(member.instance, ask.term, sent_at)
+
+    def _find_member(self, instance: InstanceId) -> Member | None:
+        """Return the member with this name."""
+        for member in self._members.list_members():
+            if member.instance == instance:
+                return member
+        return None
+
+    def _name_record(self) -> LeaseRecordId:
+        """Return a record id that no other record has."""
+        self._record_count += 1
+        node = self._node
+        return LeaseRecordId(f"{node.instance}/{node.incarnation}/{self._record_count}")
--- /dev/null
+++ b/corianderhold/coordination/rate/entry.py
@@ -0,0 +1,135 @@
+"""Borrow rate and tokens from the stewards for the requests that arrive here."""
+
+import math
+import threading
+from collections import defaultdict
+from dataclasses import dataclass
+
+from corianderhold.clock import Clock
+from corianderhold.coordination.rate.const import (
+    DEMAND_WINDOW_S,
+    EARLY_RENEW_INTERVAL_S,
+    ENTRY_LOAN_S,
+    IDLE_DEMAND,
+    LOAN_TIMEOUT_S,
+    RENEW_INTERVAL_S,
+)
+from corianderhold.coordination.rate.limiter import Allowance, AllowanceLimiter, Usage
+from corianderhold.coordination.rate.messenger import LoanMessenger
+from corianderhold.coordination.rate.shards import name_shard
+from corianderhold.ids import FailureDomainId, OrganisationId
+from corianderhold.log import log_warning
+from corianderhold.protocol.rate.model import LoanAsk, LoanGrant
+from corianderhold.state.lease.model import ShardId
+
+
+@dataclass
+class _Loan:
+    """The loan of one organisation."""
+
+    number: int = 0
+    ends_at: float = 0.0
+    demand: float = 0.0
+    idle: bool = True
+
+
+class EntryLoans:
+    """
+    Renew this entry's loans in a thread of its own.
+
+    A charge never waits for a loan: it uses the allowances set here.
+    """
+
+    def __init__(
+        self,
+        limiter: AllowanceLimiter,
+        messenger: LoanMessenger,
+        domain: FailureDomainId,
+        clock: Clock,
+    ) -> None:
+        self._limiter = limiter
+        self._messenger = messenger
+        self._domain = domain
+        self._clock = clock
+        self._loans: dict[OrganisationId, _Loan] = {}
+        self._read_at = clock.read_monotonic()
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="loans", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop the thread; loans run out by themselves."""
+        self._stopping.set()
+        self._limiter.short.set()
+        if self._thread.is_alive():
+            self._thread.join(2 * LOAN_TIMEOUT_S)
+
+    def _run(self) -> None:
+        """Renew at an interval, earlier while an organisation runs short."""
+        while not self._stopping.wait(EARLY_RENEW_INTERVAL_S):
+            try:
+                self.renew()
+            except Exception as error:  # noqa: BLE001
+                log_warning("loan_renewal_failed", error=repr(error))
+            self._limiter.short.wait(RENEW_INTERVAL_S)
+
+    def renew(self) -> None:
+        """Ask every steward once, for all organisations with demand."""
+        asks = self._collect_asks()
+        for shard, shard_asks in asks.items():
+            self._request(shard, shard_asks)
+
+    def _collect_asks(self) -> dict[ShardId, list[LoanAsk]]:
+        """Read what was used and write the asks."""
+        now = self._clock.read_monotonic()
+        elapsed = max(now - self._read_at, 1e-3)
+        self._read_at = now
+        asks: dict[ShardId, list[LoanAsk]] = defaultdict(list)
+        for organisation, usage in self._limiter.read_usage(now).items():
+            loan = self._loans.setdefault(organisation, _Loan())
+            _update_demand(loan, usage, elapsed)
+            shard = name_shard(self._domain, organisation)
+            asks[shard].append(self._build_ask(organisation, loan, usage, now))
+        return asks
+
+    def _build_ask(
+        self, organisation: OrganisationId, loan: _Loan, usage: Usage, now: float
+    ) -> LoanAsk:
+        """Ask for what the demand needs, or give the loan up without any."""
+        applied = loan.number if now < loan.ends_at else 0
+        if loan.demand < IDLE_DEMAND:
+            returned = self._limiter.release(organisation, now)
+            del self._loans[organisation]
+            return LoanAsk(organisation, applied, 0.0, returned, 0.0, 0.0)
+        missing = max(0.0, usage.capacity - usage.tokens)
+        wanted = max(missing, float(usage.refused))
+        return LoanAsk(organisation, applied, usage.capacity, 0.0, loan.demand, wanted)
+
+    def _request(self, shard: ShardId, asks: list[LoanAsk]) -> None:
+        """Send one request and apply the grants; times run from before it."""
+        answer = self._messenger.send(self._domain, shard, tuple(asks))
+        if answer is None:
+            return
+        for grant in answer.grants:
+            self._apply(grant, answer.sent_at + ENTRY_LOAN_S)
+
+    def _apply(self, grant: LoanGrant, ends_at: float) -> None:
+        """Use a grant from now until its end."""
+        loan = self._loans.get(grant.organisation)
+        now = self._clock.read_monotonic()
+        if loan is None or now >= ends_at:
+            return
+        loan.number = grant.number
+        loan.ends_at = ends_at
+        allowance = Allowance(grant.rate, grant.capacity, ends_at)
+        self._limiter.set_allowance(grant.organisation, allowance, now, grant.tokens)
+
+
+def _update_demand(loan: _Loan, usage: Usage, elapsed: float) -> None:
+    """Average the demand over DEMAND_WINDOW_S."""
+    kept = math.exp(-elapsed / DEMAND_WINDOW_S)
+    latest = (usage.admitted + usage.refused) / elapsed
+    loan.demand = loan.demand * kept + latest * (1.0 - kept)
--- a/corianderhold/coordination/rate/limiter.py
+++ b/corianderhold/coordination/rate/limiter.py
@@ -10,6 +10,7 @@
 from corianderhold.coordination.rate.bucket import TokenBucket
 from corianderhold.coordination.rate.const import (
     LONGEST_RETRY_AFTER_MS,
+    SHORT_PART,
     UNKNOWN_RETRY_AFTER_MS,
 )
 from corianderhold.ids import OrganisationId
@@ -38,11 +39,13 @@
 
 
 @dataclass(frozen=True)
-class Demand:
-    """What one organisation asked of this entry since the last reading."""
+class Usage:
+    """What one organisation asked since the last reading, and what it has left."""
 
     admitted: int
     refused: int
+    tokens: float
+    capacity: float
 
 
 @dataclass
@@ -54,11 +57,21 @@
     admitted: int = 0
     refused: int = 0
 
+    def drop_ended(self, now: float) -> None:
+        """Empty the bucket of an allowance that has ended."""
+        if now >= self.ends_at:
+            self.bucket.resize(now, 0.0, 0.0)
+
 
 class AllowanceLimiter:
-    """Admit requests within the allowances that were set; thread-safe."""
+    """
+    Admit requests within the allowances that were set; thread-safe.
+
+    `short` is set while an organisation was refused or is about to be.
+    """
 
     def __init__(self) -> None:
+        self.short = threading.Event()
         self._lock = threading.Lock()
         self._accounts: dict[OrganisationId, _Account] = {}
 
@@ -69,13 +82,22 @@
             if account is None:
                 account = _Account(TokenBucket(0.0, 0.0, now), now)
                 self._accounts[organisation] = account
-            if now < account.ends_at and account.bucket.take(now):
+            bucket = account.bucket
+            if now < account.ends_at and bucket.take(now):
                 account.admitted += 1
+                if bucket.tokens < SHORT_PART * bucket.capacity:
+                    self._mark_short()
                 return Ok(None)
             account.refused += 1
+            self._mark_short()
             wait_s = account.bucket.estimate_wait_s()
         return Err(_refuse(wait_s))
 
+    def _mark_short(self) -> None:
+        """Set the event, at little cost where it is set already."""
+        if not self.short.is_set():
+            self.short.set()
+
     def set_allowance(
         self,
         organisation: OrganisationId,
@@ -90,8 +112,7 @@
                 account = _Account(TokenBucket(0.0, 0.0, now), now)
                 self._accounts[organisation] = account
             bucket = account.bucket
-            if now >= account.ends_at:
-                bucket.resize(now, 0.0, 0.0)
+            account.drop_ended(now)
             bucket.resize(now, allowance.rate, allowance.capacity)
             bucket.add(now, tokens)
             account.ends_at = allowance.ends_at
@@ -102,25 +123,31 @@
             for organisation in self._accounts.keys() - kept.keys():
                 del self._accounts[organisation]
 
-    def read_demand(self) -> dict[OrganisationId, Demand]:
-        """Return what was asked since the last reading and start over."""
+    def read_usage(self, now: float) -> dict[OrganisationId, Usage]:
+        """Return each organisation's usage and start counting anew."""
         with self._lock:
-            demand = {}
+            self.short.clear()
+            usage = {}
             for organisation, account in self._accounts.items():
-                demand[organisation] = Demand(account.admitted, account.refused)
+                account.drop_ended(now)
+                account.bucket.refill(now)
+                usage[organisation] = Usage(
+                    account.admitted,
+                    account.refused,
+                    account.bucket.tokens,
+                    account.bucket.capacity,
+                )
                 account.admitted = account.refused = 0
-            return demand
+            return usage
 
-    def withdraw_tokens(
-        self, organisation: OrganisationId, now: float, kept: float
-    ) -> float:
-        """Remove tokens above `kept` and return how many were removed."""
+    def release(self, organisation: OrganisationId, now: float) -> float:
+        """End an allowance and return the tokens that were left."""
         with self._lock:
-            account = self._accounts.get(organisation)
+            account = self._accounts.pop(organisation, None)
             if account is None or now >= account.ends_at:
                 return 0.0
             account.bucket.refill(now)
-            return account.bucket.take_up_to(now, account.bucket.tokens - kept)
+            return account.bucket.tokens
 
 
 def _refuse(wait_s: float) -> Refusal:
--- /dev/null
+++ b/corianderhold/coordination/rate/messenger.py
@@ -0,0 +1,84 @@
+"""Carry loan requests to the steward of a shard."""
+
+from dataclasses import dataclass
+
+from result import Err
+
+from corianderhold.clock import Clock
+from corianderhold.coordination.rate.const import LOAN_TIMEOUT_S
+from corianderhold.coordination.rate.locator import HolderLocator
+from corianderhold.ids import FailureDomainId, InstanceId
+from corianderhold.log import log_warning
+from corianderhold.protocol.peer.control import ControlClient, ControlTopic
+from corianderhold.protocol.rate.codec import (
+    LoanMessageError,
+    decode_reply,
+    encode_request,
+)
+from corianderhold.protocol.rate.model import LoanAsk, LoanGrant, LoanRequest
+from corianderhold.state.lease.model import Holder, ShardId
+
+NOBODY = InstanceId("")
+
+
+@dataclass(frozen=True)
+class LoanAnswer:
+    """The grants of a steward; `sent_at` precedes the request."""
+
+    sent_at: float
+    grants: tuple[LoanGrant, ...]
+
+
+class LoanMessenger:
+    """Number and send the requests of one borrower; used by one thread."""
+
+    def __init__(
+        self,
+        node: Holder,
+        domain: FailureDomainId,
+        steward: bool,
+        clock: Clock,
+        control: ControlClient,
+        locator: HolderLocator,
+    ) -> None:
+        self._node = node
+        self._domain = domain
+        self._steward = steward
+        self._clock = clock
+        self._control = control
+        self._locator = locator
+        self._request_count = 0
+
+    def send(
+        self, domain: FailureDomainId, shard: ShardId, asks: tuple[LoanAsk, ...]
+    ) -> LoanAnswer | None:
+        """Ask the steward of a shard; None without an answer that grants."""
+        located = self._locator.locate_holder(domain, shard)
+        if located is None:
+            return None
+        instance, address = located
+        body = encode_request(self._number_request(asks))
+        sent_at = self._clock.read_monotonic()
+        answer = self._control.request(address, ControlTopic.RATE, body, LOAN_TIMEOUT_S)
+        if isinstance(answer, Err):
+            self._locator.note_answer(shard, instance, False, NOBODY)
+            return None
+        try:
+            reply = decode_reply(answer.ok_value)
+        except LoanMessageError as error:
+            log_warning("loan_reply_malformed", shard=shard, error=repr(error))
+            return None
+        self._locator.note_answer(shard, instance, reply.accepted, reply.holder)
+        return LoanAnswer(sent_at, reply.grants) if reply.accepted else None
+
+    def _number_request(self, asks: tuple[LoanAsk, ...]) -> LoanRequest:
+        """Build the next request."""
+        self._request_count += 1
+        return LoanRequest(
+            self._node.instance,
+            self._node.incarnation,
+            self._request_count,
+            self._domain,
+            self._steward,
+            asks,
+        )
--- /dev/null
+++ b/corianderhold/coordination/rate/policy.py
@@ -0,0 +1,87 @@
+"""Decide how much of a pool to lend to one borrower; safety is the lender's."""
+
+from dataclasses import dataclass
+
+from corianderhold.coordination.rate.const import (
+    DEMAND_FLOOR,
+    DEMAND_HEADROOM,
+    IDLE_DEMAND,
+    LENT_CAPACITY_PART,
+    SPARE_PART,
+)
+from corianderhold.protocol.rate.model import LoanAsk
+
+
+@dataclass(frozen=True)
+class Pool:
+    """
+    What a lender has, and what of it no other borrower may be using.
+
+    `entry_demands` are those of the other entries, in requests a second.
+    """
+
+    rate: float
+    capacity: float
+    free_rate: float
+    free_capacity: float
+    tokens: float
+    entry_demands: tuple[float, ...]
+
+
+@dataclass(frozen=True)
+class Offer:
+    """What to lend; `free_capacity` bounds capacity and tokens together."""
+
+    rate: float
+    capacity: float
+    tokens: float
+    free_capacity: float
+
+
+def offer_to_entry(pool: Pool, ask: LoanAsk) -> Offer:
+    """Share the pool between entries by demand, max-min fair when it is short."""
+    if ask.demand < IDLE_DEMAND:
+        return Offer(0.0, 0.0, 0.0, pool.free_capacity)
+    need = find_need(ask.demand)
+    needs = [find_need(demand) for demand in pool.entry_demands]
+    total = need + sum(needs)
+    if total <= pool.rate:
+        rate = need + (pool.rate - total) / (2 * (len(needs) + 1))
+    else:
+        rate = min(need, find_fair_level(pool.rate, [need, *needs]))
+    part = need / total if total else 0.0
+    capacity = max(1.0, LENT_CAPACITY_PART * pool.capacity * part)
+    wanted = ask.wanted + max(0.0, capacity - ask.capacity)
+    tokens = min(wanted, pool.tokens * max(0.5, part))
+    capacity = min(max(capacity, tokens), pool.free_capacity)
+    return Offer(min(rate, pool.free_rate), capacity, tokens, pool.free_capacity)
+
+
+def offer_to_domain(pool: Pool, ask: LoanAsk) -> Offer:
+    """Lend a part of the rate that the own entries leave, burst in proportion."""
+    needs = sum(find_need(demand) for demand in pool.entry_demands)
+    spare = max(0.0, min(pool.free_rate, pool.rate - needs) * SPARE_PART)
+    rate = min(ask.demand, spare)
+    part = rate / pool.rate if pool.rate else 0.0
+    capacity = min(pool.capacity * part, pool.free_capacity)
+    tokens = min(max(0.0, capacity - ask.capacity), pool.tokens * part)
+    return Offer(rate, capacity, tokens, pool.free_capacity)
+
+
+def find_need(demand: float) -> float:
+    """Return the rate to lend for a demand, both in requests a second."""
+    if demand < IDLE_DEMAND:
+        return 0.0
+    return demand * DEMAND_HEADROOM + DEMAND_FLOOR
+
+
+def find_fair_level(supply: float, needs: list[float]) -> float:
+    """Return the level at which needs cut off there add up to the supply."""
+    left = supply
+    ordered = sorted(needs)
+    for position, need in enumerate(ordered):
+        level = left / (len(ordered) - position)
+        if need >= level:
+            return level
+        left -= need
+    return left
--- /dev/null
+++ b/corianderhold/coordination/rate/steward.py
@@ -0,0 +1,193 @@
+"""Lend the domain's share of every organisation to entries and other domains."""
+
+import threading
+from dataclasses import dataclass
+from random import Random
+
+from corianderhold.clock import Clock
+from corianderhold.coordination.rate.const import (
+    DEMAND_HEADROOM,
+    DOMAIN_LOAN_KEPT_S,
+    DOMAIN_LOAN_S,
+    LOAN_TIMEOUT_S,
+    RENEW_INTERVAL_S,
+    SMALLEST_LOAN,
+)
+from corianderhold.coordination.rate.lender import BorrowerId, BorrowerKind, Lender
+from corianderhold.coordination.rate.messenger import LoanMessenger
+from corianderhold.coordination.rate.shards import LeaseGuard, name_shard
+from corianderhold.ids import FailureDomainId, InstanceId, OrganisationId
+from corianderhold.log import log_event, log_warning
+from corianderhold.protocol.peer.control import ControlSender
+from corianderhold.protocol.rate.codec import (
+    LoanMessageError,
+    decode_request,
+    encode_reply,
+)
+from corianderhold.protocol.rate.model import LoanAsk, LoanReply, LoanRequest
+from corianderhold.state.configuration.holder import ConfigurationHolder
+from corianderhold.state.configuration.model import Organisation
+
+
+@dataclass
+class _Desk:
+    """The loans of one organisation during one tenure of its shard."""
+
+    tenure: int
+    opens_at: float
+    lender: Lender
+
+
+class RateSteward:
+    """
+    Lend while this daemon holds the lease; borrow from other domains in a thread.
+
+    The lock covers the desks only and is never held during a network request.
+    """
+
+    def __init__(
+        self,
+        messenger: LoanMessenger,
+        domain: FailureDomainId,
+        configuration: ConfigurationHolder,
+        clock: Clock,
+        guard: LeaseGuard,
+        random: Random,
+    ) -> None:
+        self._messenger = messenger
+        self._domain = domain
+        self._configuration = configuration
+        self._clock = clock
+        self._guard = guard
+        self._random = random
+        self._lock = threading.Lock()
+        self._desks: dict[OrganisationId, _Desk] = {}
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="steward", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop the thread; loans run out by themselves."""
+        self._stopping.set()
+        if self._thread.is_alive():
+            self._thread.join(2 * LOAN_TIMEOUT_S)
+
+    def _run(self) -> None:
+        """Renew loans from other domains at an interval."""
+        while not self._stopping.wait(RENEW_INTERVAL_S):
+            try:
+                self.renew()
+            except Exception as error:  # noqa: BLE001
+                log_warning("steward_renewal_failed", error=repr(error))
+
+    def handle_control(self, sender: ControlSender, body: bytes) -> bytes:
+        """Answer a loan request; refuse one that another daemon's name is on."""
+        try:
+            request = decode_request(body)
+        except LoanMessageError as error:
+            log_warning("loan_request_malformed", error=repr(error))
+            return encode_reply(LoanReply(False))
+        if request.borrower != sender.instance:
+            log_warning("loan_request_forged", sender=sender.instance)
+            return encode_reply(LoanReply(False))
+        return encode_reply(self.answer(request))
+
+    def answer(self, request: LoanRequest) -> LoanReply:
+        """Grant loans for the organisations whose shard this daemon holds."""
+        kind = BorrowerKind.DOMAIN if request.steward else BorrowerKind.ENTRY
+        if (kind is BorrowerKind.DOMAIN) == (request.domain == self._domain):
+            return LoanReply(False)
+        borrower = BorrowerId(kind, request.borrower, request.incarnation)
+        grants = []
+        accepted = False
+        with self._lock:
+            for ask in request.asks:
+                desk = self._find_open_desk(ask.organisation)
+                if desk is None:
+                    continue
+                accepted = True
+                now = self._clock.read_monotonic()
+                grant = desk.lender.answer(now, borrower, request.number, ask)
+                if grant is not None:
+                    grants.append(grant)
+        return LoanReply(accepted, tuple(grants), self._name_holder(request))
+
+    def _name_holder(self, request: LoanRequest) -> InstanceId:
+        """Name the steward for the request's first organisation, if known."""
+        for ask in request.asks:
+            shard = name_shard(self._domain, ask.organisation)
+            return self._guard.find_holder(shard) or InstanceId("")
+        return InstanceId("")
+
+    def renew(self) -> None:
+        """Ask other domains for what the own entries need beyond the share."""
+        for organisation in self._configuration.current.organisations.values():
+            with self._lock:
+                desk = self._find_open_desk(organisation.name)
+            if desk is not None:
+                self._borrow(organisation, desk)
+
+    def _find_open_desk(self, name: OrganisationId) -> _Desk | None:
+        """
+        Return the desk of an organisation while its lease allows to lend.
+
+        A new tenure opens with an empty bucket, after every loan of the holder before
+        has run out.
+        """
+        organisation = self._configuration.current.organisations.get(name)
+        tenure = self._guard.find_tenure(name_shard(self._domain, name))
+        if organisation is None or tenure is None:
+            return None
+        now = self._clock.read_monotonic()
+        desk = self._desks.get(name)
+        if desk is None or desk.tenure != tenure:
+            opens_at = now + DOMAIN_LOAN_KEPT_S
+            desk = _Desk(tenure, opens_at, Lender(opens_at))
+            self._desks[name] = desk
+            log_event("steward_began", organisation=name, tenure=tenure)
+        if now < desk.opens_at:
+            return None
+        share = organisation.shares.get(self._domain, 0.0)
+        desk.lender.set_own(now, organisation.rate * share, organisation.burst * share)
+        return desk
+
+    def _borrow(self, organisation: Organisation, desk: _Desk) -> None:
+        """Renew the loans of one organisation, domain by domain."""
+        domains = [d for d in organisation.shares if d != self._domain]
+        self._random.shuffle(domains)
+        for domain in domains:
+            ask = self._build_ask(organisation.name, desk, domain)
+            if ask is not None:
+                self._request(domain, desk, ask)
+
+    def _build_ask(
+        self, name: OrganisationId, desk: _Desk, domain: FailureDomainId
+    ) -> LoanAsk | None:
+        """Ask one domain for what the others don't lend; None for nothing."""
+        with self._lock:
+            lender = desk.lender
+            lender.settle(self._clock.read_monotonic())
+            missing = lender.read_demand() * DEMAND_HEADROOM - lender.read_own().rate
+            borrowed = lender.borrowed.find_lent_by_others(domain)
+            wanted = max(0.0, missing - borrowed)
+            if wanted < SMALLEST_LOAN and lender.borrowed.read_rate(domain) <= 0:
+                return None
+            used = lender.borrowed.report_used(domain)
+            return LoanAsk(
+                name, used.number, max(0.0, used.allowance.capacity), 0.0, wanted, 0.0
+            )
+
+    def _request(self, domain: FailureDomainId, desk: _Desk, ask: LoanAsk) -> None:
+        """Send one ask; times run from before it."""
+        shard = name_shard(domain, ask.organisation)
+        answer = self._messenger.send(domain, shard, (ask,))
+        if answer is None:
+            return
+        with self._lock:
+            now = self._clock.read_monotonic()
+            for grant in answer.grants:
+                ends_at = answer.sent_at + DOMAIN_LOAN_S
+                desk.lender.accept_borrowed(now, domain, grant, ends_at)
--- /dev/null
+++ b/corianderhold/protocol/lease/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the candidates for a lease."""
--- /dev/null
+++ b/corianderhold/protocol/lease/lease.thrift
@@ -0,0 +1,16 @@
+// Control requests of topic "lease": a holder asks its successors for promises.
+
+namespace py corianderhold.protocol.lease.gen.lease
+
+struct PromiseAsk {
+  1: required string shard
+  2: required i64 term
+}
+
+struct PromiseRequest {
+  1: required list<PromiseAsk> asks
+}
+
+struct PromiseReply {
+  1: required list<string> promised   // shards
+}
--- /dev/null
+++ b/corianderhold/protocol/rate/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between entries and rate stewards."""
--- /dev/null
+++ b/corianderhold/protocol/rate/codec.py
@@ -0,0 +1,111 @@
+"""Map loan messages to thrift and back."""
+
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAcceleratedFactory
+from thrift.Thrift import TException
+from thrift.TSerialization import deserialize, serialize
+
+from corianderhold.errors import CorianderholdError
+from corianderhold.ids import (
+    FailureDomainId,
+    Incarnation,
+    InstanceId,
+    OrganisationId,
+)
+from corianderhold.protocol.rate.gen import ttypes
+from corianderhold.protocol.rate.model import (
+    LoanAsk,
+    LoanGrant,
+    LoanReply,
+    LoanRequest,
+)
+
+FACTORY = TBinaryProtocolAcceleratedFactory()
+
+
+class LoanMessageError(CorianderholdError):
+    """A loan message could not be read."""
+
+
+def encode_request(request: LoanRequest) -> bytes:
+    """Return the bytes of a request."""
+    asks = [
+        ttypes.LoanAsk(
+            ask.organisation,
+            ask.applied,
+            ask.capacity,
+            ask.returned,
+            ask.demand,
+            ask.wanted,
+        )
+        for ask in request.asks
+    ]
+    message = ttypes.LoanRequest(
+        request.borrower,
+        request.incarnation,
+        request.number,
+        request.domain,
+        request.steward,
+        asks,
+    )
+    return bytes(serialize(message, FACTORY))
+
+
+def decode_request(body: bytes) -> LoanRequest:
+    """Read a request; raise LoanMessageError for other bytes."""
+    message = _read(ttypes.LoanRequest(), body)
+    return LoanRequest(
+        InstanceId(message.borrower),
+        Incarnation(message.incarnation),
+        message.number,
+        FailureDomainId(message.domain),
+        message.steward,
+        tuple(
+            LoanAsk(
+                OrganisationId(ask.organisation),
+                ask.applied,
+                ask.capacity,
+                ask.returned,
+                ask.demand,
+                ask.wanted,
+            )
+            for ask in message.asks
+        ),
+    )
+
+
+def encode_reply(reply: LoanReply) -> bytes:
+    """Return the bytes of a reply."""
+    grants = [
+        ttypes.LoanGrant(
+            grant.organisation, grant.number, grant.rate, grant.capacity, grant.tokens
+        )
+        for grant in reply.grants
+    ]
+    message = ttypes.LoanReply(reply.accepted, grants, reply.holder)
+    return bytes(serialize(message, FACTORY))
+
+
+def decode_reply(body: bytes) -> LoanReply:
+    """Read a reply; raise LoanMessageError for other bytes."""
+    message = _read(ttypes.LoanReply(), body)
+    grants = tuple(
+        LoanGrant(
+            OrganisationId(grant.organisation),
+            grant.number,
+            grant.rate,
+            grant.capacity,
+            grant.tokens,
+        )
+        for grant in message.grants
+    )
+    return LoanReply(message.accepted, grants, InstanceId(message.holder))
+
+
+def _read(message: ttypes.LoanRequest | ttypes.LoanReply, body: bytes):  # type: ignore[no-untyped-def]  # noqa: ANN202
+    """Fill a thrift struct and check its required fields."""
+    try:
+        deserialize(message, body, FACTORY)
+        message.validate()
+    except (TException, EOFError, ValueError, TypeError, OverflowError) as error:
+        raise LoanMessageError(repr(error)) from error
+    return message
--- /dev/null
+++ b/corianderhold/state/lease/texts.py
@@ -0,0 +1,76 @@
+"""Write lease records as text for the log and read them back."""
+
+import json
+from typing import Any
+
+from result import Err, Ok, Result
+from voluptuous import All, Coerce, Invalid, Length, Range, Required, Schema
+
+from corianderhold.ids import Incarnation, InstanceId
+from corianderhold.state.lease.model import (
+    Holder,
+    LeaseRecord,
+    LeaseRecordId,
+    RecordKind,
+    ShardId,
+)
+
+NAME = All(str, Length(min=1, max=200))
+HOLDER_SCHEMA = Schema({Required("instance"): NAME, Required("incarnation"): int})
+RECORD_SCHEMA = Schema(
+    {
+        Required("shard"): NAME,
+        Required("id"): NAME,
+        Required("number"): All(int, Range(min=1)),
+        Required("builds_on"): All(str, Length(max=200)),
+        Required("kind"): Coerce(RecordKind),
+        Required("writer"): HOLDER_SCHEMA,
+        Required("holder"): HOLDER_SCHEMA,
+        Required("successors"): [NAME],
+    }
+)
+
+
+def encode_record(record: LeaseRecord) -> str:
+    """Return the text of a record."""
+    fields = {
+        "shard": record.shard,
+        "id": record.record_id,
+        "number": record.number,
+        "builds_on": record.builds_on,
+        "kind": record.kind.value,
+        "writer": _encode_holder(record.writer),
+        "holder": _encode_holder(record.holder),
+        "successors": sorted(record.successors),
+    }
+    return json.dumps(fields, separators=(",", ":"))
+
+
+def decode_record(text: str) -> Result[LeaseRecord, str]:
+    """Read a record; return what is wrong with other text."""
+    try:
+        fields = RECORD_SCHEMA(json.loads(text))
+    except (ValueError, Invalid, RecursionError) as error:
+        return Err(str(error))
+    return Ok(
+        LeaseRecord(
+            shard=ShardId(fields["shard"]),
+            record_id=LeaseRecordId(fields["id"]),
+            number=fields["number"],
+            builds_on=LeaseRecordId(fields["builds_on"]),
+            kind=fields["kind"],
+            writer=_decode_holder(fields["writer"]),
+            holder=_decode_holder(fields["holder"]),
+            successors=frozenset(InstanceId(name) for name in fields["successors"]),
+        )
+    )
+
+
+def _encode_holder(holder: Holder) -> dict[str, str | int]:
+    """Return a holder as JSON fields."""
+    return {"instance": holder.instance, "incarnation": holder.incarnation}
+
+
+def _decode_holder(fields: dict[str, Any]) -> Holder:
+    """Read a holder from checked JSON fields."""
+    return Holder(InstanceId(fields["instance"]), Incarnation(fields["incarnation"]))
