--- a/tests/common/membership_fleet.py
+++ b/tests/common/membership_fleet.py
@@ -43,7 +43,7 @@
     ReadFailure,
     StreamName,
 )
-from tests.common.ports import find_free_ports
+from tests.common.ports import PortReservation
 
 DOMAINS = 15
 REGIONS = 4
@@ -209,7 +209,8 @@
     """Daemons of one size of fleet, and one more port pair for a late joiner."""
 
     def __init__(self, size: int) -> None:
-        ports = find_free_ports(2 * (size + 1))
+        self._reservation = PortReservation(2 * (size + 1))
+        ports = self._reservation.ports
         self._pairs = list(zip(ports[::2], ports[1::2], strict=True))
         self.daemons = [self.start(number) for number in range(size)]
         for daemon in self.daemons:
