Repeat every record of a stream with hardly any memory of changes

Cause: that a duplicate older than the remembered changes is harmless was argued, and tested for two records only. Change: a hypothesis test that repeats each record of drawn streams with one remembered change.

--- a/tests/state/configuration/test_fold.py
+++ b/tests/state/configuration/test_fold.py
@@ -4,6 +4,7 @@
 import unittest
 from dataclasses import replace
 from typing import Any
+from unittest.mock import patch
 from zlib import crc32
 
 from hypothesis import given, settings
@@ -325,6 +326,18 @@
         self.assertTrue(all(step in (0, 1) for step in steps))
         self.assertEqual(whole.content_sum, sum_content(whole.configuration))
 
+    @settings(SAME_EXAMPLES, max_examples=60)
+    @given(draw_streams())
+    def test_repeats_change_nothing_when_hardly_any_is_remembered(
+        self, texts: list[str]
+    ) -> None:
+        with patch("corianderhold.state.configuration.fold.REMEMBERED_CHANGES", 1):
+            whole, outcomes = fold_all(texts)
+            for text, outcome in zip(texts, outcomes, strict=True):
+                if outcome.kind is not OutcomeKind.BASE_AHEAD:
+                    repeated, _ = fold_all([text], whole)
+                    self.assertEqual(repeated.configuration, whole.configuration)
+
     @settings(SAME_EXAMPLES, max_examples=60)
     @given(draw_streams(), st.data())
     def test_lagging_daemon_never_leaves_the_history(
