Let the HTTP threads wait on their connections themselves

Cause: cheroot wakes a selecting thread for each request, which queues the connection for a second thread; both wake-ups and queue.Queue's locks are on the path of every call. Change: PollingPool gives each readable connection to one thread by a one-shot epoll; it takes the place of PatientServer, new connections hold no thread. Ruled out: SimpleQueue alone (one wake-up is left).

--- a/corianderhold/transport/web/server.py
+++ b/corianderhold/transport/web/server.py
@@ -1,6 +1,5 @@
 """Serve WSGI applications with CherryPy's HTTP server."""
 
-import select
 import socket
 import threading
 from collections.abc import Callable, Iterable
@@ -14,7 +13,6 @@
 from corianderhold.transport.web.const import (
     HEADER_BYTES_MAX,
     IDLE_CONNECTIONS_MAX,
-    IDLE_TIMEOUT_S,
     KEEPALIVE_IDLE_S,
     KEEPALIVE_INTERVAL_S,
     KEEPALIVE_PROBES,
@@ -23,6 +21,7 @@
     SHUTDOWN_TIMEOUT_S,
     UNACKNOWLEDGED_TIMEOUT_MS,
 )
+from corianderhold.transport.web.pool import PollingPool
 
 ENVIRON_SOCKET = "corianderhold.socket"
 
@@ -41,27 +40,38 @@
         return environ
 
 
-class PatientServer(WSGIServer):
+class PollingServer(WSGIServer):
     """
-    Give a connection to a thread only once it has sent something.
+    Let the threads wait on all connections themselves.
 
-    The library's own server lets a new connection hold a thread at once.
+    The library's own server passes each request from a thread that selects to one
+    that serves, and lets a new connection hold a thread before it has sent anything.
     """
 
-    def process_conn(self, conn: Any) -> None:
-        """Queue a connection for the threads, or wait for its first bytes."""
-        if not has_bytes(conn.socket):
-            self.put_conn(conn)
-            return
-        conn.socket.settimeout(PROGRESS_TIMEOUT_S)
-        super().process_conn(conn)
+    def __init__(
+        self, address: Address, application: WSGIApplication, threads: int
+    ) -> None:
+        super().__init__(
+            (address.host, address.port),
+            application,
+            numthreads=threads,
+            max=threads,
+            request_queue_size=LISTEN_BACKLOG,
+            timeout=PROGRESS_TIMEOUT_S,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+        )
+        self.requests = PollingPool(self, threads)
 
+    def process_conn(self, conn: Any) -> None:
+        """Wait for the first request of a new connection."""
+        self.requests.connections.watch(conn)
 
-def has_bytes(connection: socket.socket) -> bool:
-    """Return whether a connection has something to read, its end included."""
-    poll = select.poll()
-    poll.register(connection, select.POLLIN)
-    return bool(poll.poll(0))
+    def put_conn(self, conn: Any) -> None:
+        """Wait for the next request of a connection."""
+        if self.ready:
+            self.requests.connections.watch(conn)
+        else:
+            conn.close()
 
 
 class WebServer:
@@ -72,15 +82,7 @@
     ) -> None:
         self._name = name
         self._address = address
-        self._server = PatientServer(
-            (address.host, address.port),
-            application,
-            numthreads=threads,
-            max=threads,
-            request_queue_size=LISTEN_BACKLOG,
-            timeout=IDLE_TIMEOUT_S,
-            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
-        )
+        self._server = PollingServer(address, application, threads)
         self._server.gateway = SocketGateway
         self._server.keep_alive_conn_limit = IDLE_CONNECTIONS_MAX
         self._server.max_request_header_size = HEADER_BYTES_MAX
--- a/tests/common/ports.py
+++ b/tests/common/ports.py
@@ -8,8 +8,13 @@
 
 def find_free_port() -> int:
     """Return a port that was free for TCP and UDP a moment ago."""
-    with PortReservation(1) as reservation:
-        return reservation.ports[0]
+    return find_free_ports(1)[0]
+
+
+def find_free_ports(count: int) -> list[int]:
+    """Return different ports that were free for TCP and UDP a moment ago."""
+    with PortReservation(count) as reservation:
+        return list(reservation.ports)
 
 
 class PortReservation:
