Make the tests of stops and forged headers fail without their mechanisms

Seen to fail on a scratch copy: no drain limit -> test_stopped_owner (calls of 2.5 s in place of 1 s, which the listeners' own stop had covered); the main thread's wait without an end -> test_stop_request_ends_a_paused_daemon (a second SIGTERM had woken it in the old form); our headers passed on -> test_key_reaches_no_target_and_no_log (it now forges four headers).

--- a/tests/failures/test_callers.py
+++ b/tests/failures/test_callers.py
@@ -82,7 +82,8 @@
 
     def test_key_reaches_no_target_and_no_log(self) -> None:
         for entry in (ENTRY, OWNER):
-            forged = {"X-Corianderhold-Organisation": "forged"}
+            names = ("Organisation", "Importance", "Context", "Other")
+            forged = {f"X-Corianderhold-{name}": "forged" for name in names}
             plan = RequestPlan(INGEST, BROADCASTER_KEY, "POST", headers=forged)
             self.check_verdicts([self.send(entry, plan)])
             refused = self.send(entry, RequestPlan(SEARCH, UNKNOWN_KEY))
@@ -93,6 +94,7 @@
             self.assertNotIn(UNKNOWN_KEY, daemon.read_log())
         executions = self.fleet.list_executions(OWNER)
         self.assertNotIn(BROADCASTER_KEY, str(executions))
+        self.assertNotIn("forged", str(executions))
         organisations = {execution["organisation"] for execution in executions}
         self.assertEqual(organisations, {"broadcaster"})
 
--- a/tests/failures/test_stop.py
+++ b/tests/failures/test_stop.py
@@ -7,7 +7,7 @@
 ENTRY = "entry"
 OWNER = "owner"
 OTHER = "other"
-SLOW = "?work_ms=1000"
+SLOW = "?work_ms=2500"
 STOP_LIMIT_S = 20.0
 CALLS = 4
 
@@ -31,12 +31,20 @@
     def test_stopped_entry_and_owner_answers_what_it_holds(self) -> None:
         self._stop_while_calls_run(OTHER, OTHER)
 
-    def test_repeated_stop_requests_end_a_paused_daemon(self) -> None:
+    def test_stop_request_ends_a_paused_daemon(self) -> None:
+        for instance, member in self.fleet.members.items():
+            daemon = member.daemon
+            assert daemon is not None
+            daemon.freeze()
+            daemon.terminate()
+            daemon.thaw()
+            self.assertEqual(daemon.wait_for_exit(STOP_LIMIT_S), 0)
+            self._restart(instance)
+
+    def test_repeated_stop_requests_end_a_daemon(self) -> None:
         daemon = self.fleet.members[OWNER].daemon
         assert daemon is not None
-        daemon.freeze()
         daemon.terminate()
-        daemon.thaw()
         daemon.terminate()
         self.assertEqual(daemon.wait_for_exit(STOP_LIMIT_S), 0)
         self._restart(OWNER)
