--- a/corianderhold/coordination/entry/router.py
+++ b/corianderhold/coordination/entry/router.py
@@ -54,10 +54,16 @@
 
 @dataclass(frozen=True)
 class Attempt:
-    """One attempt at a call: its number from 0, and the owners tried before it."""
+    """
+    One attempt at a call.
+
+    `number` counts from 0, `tried` holds the owners tried before, and `refusal` is
+    what the last of them said.
+    """
 
     number: int = 0
     tried: frozenset[InstanceId] = frozenset()
+    refusal: Refusal | None = None
 
 
 class CancelTargets:
@@ -121,19 +127,17 @@
             while True:
                 choice = self._choose(context, attempt)
                 if choice.chosen is None:
-                    refusal = explain_no_choice(choice)
-                else:
-                    outcome = self._try_owner(context, body, retries, choice.chosen)
-                    if isinstance(outcome, Ok):
-                        return outcome
-                    refusal = outcome.err_value
+                    refusal = attempt.refusal or explain_no_choice(choice)
+                    return Err(widen_refusal(refusal, may_have_run))
+                outcome = self._try_owner(context, body, retries, choice.chosen)
+                if isinstance(outcome, Ok):
+                    return outcome
+                refusal = outcome.err_value
                 may_have_run = may_have_run or not refusal.not_run
-                if choice.chosen is None or not self._may_retry(
-                    context, body, refusal, retries, throttle
-                ):
+                if not self._may_retry(context, body, refusal, retries, throttle):
                     return Err(widen_refusal(refusal, may_have_run))
                 tried = attempt.tried | {choice.chosen.instance}
-                attempt = Attempt(attempt.number + 1, tried)
+                attempt = Attempt(attempt.number + 1, tried, refusal)
         finally:
             self._in_flight.forget(context.call_id)
             self._cancelled.discard(context.call_id)
