--- a/corianderhold/core.py
+++ b/corianderhold/core.py
@@ -1,10 +1,12 @@
 """Own the parts of a process and start and stop them in order."""
 
-import threading
+from queue import Empty, SimpleQueue
 from typing import Protocol
 
 from corianderhold.log import log_event, log_warning
 
+SIGNAL_CHECK_INTERVAL_S = 0.5
+
 
 class Component(Protocol):
     """A part with a life cycle."""
@@ -22,7 +24,7 @@
     def __init__(self, components: list[Component]) -> None:
         self._components = components
         self._started: list[Component] = []
-        self._stop_requested = threading.Event()
+        self._stop_requests: SimpleQueue[None] = SimpleQueue()
 
     def start(self) -> None:
         """Start all components; stop those already started when one fails."""
@@ -37,14 +39,28 @@
 
     def request_stop(self) -> None:
         """Ask `run` to return; safe to call from a signal handler."""
-        self._stop_requested.set()
+        self._stop_requests.put(None)  # an Event may deadlock in a handler
 
     def run(self) -> None:
         """Start, wait for a stop request, and stop."""
         self.start()
-        self._stop_requested.wait()
+        while not self._is_stop_requested():
+            pass
         self.stop()
 
+    def _is_stop_requested(self) -> bool:
+        """
+        Wait a while for a stop request.
+
+        A signal that the system gives to another thread, as after a pause, does not
+        wake the main thread; its handler runs when the wait ends.
+        """
+        try:
+            self._stop_requests.get(timeout=SIGNAL_CHECK_INTERVAL_S)
+        except Empty:
+            return False
+        return True
+
     def stop(self) -> None:
         """Stop the started components in reverse order."""
         while self._started:
--- a/corianderhold/state/configuration/schema.py
+++ b/corianderhold/state/configuration/schema.py
@@ -123,7 +123,7 @@
     "rate": bound_number(0.0, MAX_RATE_PER_S),
     "burst": bound_number(0.0, MAX_BURST),
     "weight": bound_number(0.001, MAX_WEIGHT),
-    "shares": {NAME: bound_number(0.0, 1.0)},
+    "shares": Schema({NAME: bound_number(0.0, 1.0)}, required=False),
 }
 KEY_FIELDS = {
     "key_id": NAME,
@@ -133,10 +133,10 @@
     "expires_at": Maybe(bound_number(0.0, MAX_UNIX_TIME_S)),
 }
 ENTITIES = {
-    "services": [SERVICE_FIELDS],
-    "routes": [ROUTE_FIELDS],
-    "organisations": [ORGANISATION_FIELDS],
-    "keys": [KEY_FIELDS],
+    "services": [Schema(SERVICE_FIELDS, required=True)],
+    "routes": [Schema(ROUTE_FIELDS, required=True)],
+    "organisations": [Schema(ORGANISATION_FIELDS, required=True)],
+    "keys": [Schema(KEY_FIELDS, required=True)],
 }
 REMOVED = {
     "services": [NAME],
--- a/emulator/web.py
+++ b/emulator/web.py
@@ -1,5 +1,6 @@
 """Serve HTTP for the emulated parts on cheroot."""
 
+import contextlib
 import errno
 import json
 import signal
@@ -7,17 +8,20 @@
 import threading
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from queue import Empty, SimpleQueue
 from typing import Any, Protocol
 from urllib.parse import parse_qs
 from wsgiref.types import StartResponse, WSGIEnvironment
 
 from cheroot.wsgi import Server
 
+from corianderhold.core import SIGNAL_CHECK_INTERVAL_S
 from corianderhold.log import LogValue, format_event
 
 READ_SIZE_BYTES = 65_536
 BACKLOG_CONNECTIONS = 1024
 IDLE_TIMEOUT_S = 120
+IDLE_CONNECTIONS_MAX = 4096
 JSON_TYPE = "application/json"
 OK = 200
 STATUS_LINES = {
@@ -131,6 +135,7 @@
             timeout=IDLE_TIMEOUT_S,
             shutdown_timeout=1,
         )
+        self._server.keep_alive_conn_limit = IDLE_CONNECTIONS_MAX
         self._server.error_log = self._log_error  # type: ignore[method-assign]
         self._thread = threading.Thread(target=self._server.serve, daemon=True)
 
@@ -184,7 +189,11 @@
 
 def wait_for_signal() -> None:
     """Return when the process is asked to end (SIGTERM or SIGINT)."""
-    stop = threading.Event()
+    stop: SimpleQueue[None] = SimpleQueue()  # an Event may deadlock in a handler
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.set())
-    stop.wait()
+        signal.signal(number, lambda *_: stop.put(None))
+    while True:
+        with contextlib.suppress(Empty):
+            # A signal that another thread took does not end the wait.
+            stop.get(timeout=SIGNAL_CHECK_INTERVAL_S)
+            return
--- a/tests/common/followers.py
+++ b/tests/common/followers.py
@@ -19,7 +19,6 @@
     Address,
     Member,
     Members,
-    MemberState,
     TargetState,
 )
 from corianderhold.transport.store.model import Log
@@ -30,6 +29,21 @@
 FAR_DELAY_S = 0.030
 
 
+def build_member(domain: FailureDomainId, host: str) -> Member:
+    """Return a live member whose host is also its id."""
+    return Member(
+        instance=InstanceId(host),
+        incarnation=Incarnation(1),
+        sequence=1,
+        domain=domain,
+        region=RegionId("r"),
+        peer_address=Address(host, 7000),
+        gossip_address=Address(host, 7001),
+        service=None,
+        target_state=TargetState.ABSENT,
+    )
+
+
 class SettableClock(FakeClock):
     """Let the simulation set the time of the event that runs."""
 
@@ -130,19 +144,8 @@
 
     def add(self, domain: str, host: str, log: Log | None = None) -> Daemon:
         """Start a daemon, with its own way to the log where one is given."""
-        instance = InstanceId(host)
-        member = Member(
-            instance=instance,
-            incarnation=Incarnation(1),
-            sequence=1,
-            domain=FailureDomainId(domain),
-            region=RegionId("r"),
-            peer_address=Address(host, 7000),
-            gossip_address=Address(host, 7001),
-            service=None,
-            target_state=TargetState.ABSENT,
-        )
-        self.members.members[instance] = member
+        member = build_member(FailureDomainId(domain), host)
+        self.members.members[member.instance] = member
         daemon = Daemon(self, member, log or self._log)
         self.daemons[host] = daemon
         self._repeat(daemon, daemon.follower.poll_once)
@@ -204,8 +207,7 @@
     def in_force(self, version: int) -> int:
         """Return how many daemons have at least a version in force."""
         return sum(
-            daemon.holder.current.version >= version
-            for daemon in self.daemons.values()
+            daemon.holder.current.version >= version for daemon in self.daemons.values()
         )
 
     def is_agreed(self) -> bool:
@@ -219,5 +221,3 @@
                 self.schedule(step(), run_step)
 
         self.schedule(self._random.random(), run_step)
-
-
