--- a/corianderhold/coordination/membership/health.py
+++ b/corianderhold/coordination/membership/health.py
@@ -34,6 +34,10 @@
         self._last_s = now_s
         self.seconds = 0.0
 
+    def skip(self, now_s: float) -> None:
+        """Leave the time until now out."""
+        self._last_s = max(self._last_s, now_s)
+
     def advance(self, now_s: float) -> float:
         """Take in the time; return the length of the pause that ended, or 0."""
         step_s = max(0.0, now_s - self._last_s)
--- a/corianderhold/coordination/membership/service.py
+++ b/corianderhold/coordination/membership/service.py
@@ -3,7 +3,7 @@
 import queue
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 from corianderhold.clock import Clock
@@ -76,6 +76,29 @@
     secret: bytes
 
 
+def build_own_member(settings: MembershipSettings, gossip_address: Address) -> Member:
+    """Return the first announcement of a daemon, without a target."""
+    return Member(
+        settings.instance,
+        settings.incarnation,
+        1,
+        settings.domain,
+        settings.region,
+        settings.peer_address,
+        gossip_address,
+        None,
+        TargetState.ABSENT,
+        MemberState.ALIVE,
+    )
+
+
+def check_size(member: Member) -> None:
+    """Raise AnnouncementTooLargeError for names that do not fit into a datagram."""
+    size_bytes = len(encode_member(member))
+    if size_bytes > MEMBER_LIMIT_BYTES:
+        raise AnnouncementTooLargeError(size_bytes)
+
+
 class MembershipService:
     """
     Know the members of the fleet and announce the local target to them.
@@ -100,7 +123,7 @@
         self._target = TargetHolder(clock)
         self._announced = self._target.read()
         self._endpoint = DatagramEndpoint(settings.gossip_address)
-        self._own = self._build_own()
+        self._own = build_own_member(settings, self._endpoint.address)
         self._swim = Swim(
             self._own,
             settings.seeds,
@@ -134,6 +157,8 @@
 
     def start(self) -> None:
         """Begin to gossip, and to look for members through seeds and the log."""
+        check_size(self._own)
+        self._swim.resume(self._clock.read_monotonic())
         self._thread.start()
         self._synchronizer.start()
         log_event(
@@ -184,7 +209,7 @@
         `restarted` marks the first heartbeat of a target's process and ends a drain.
         Raises AnnouncementTooLargeError for a service whose name is too long.
         """
-        self._check_size(service)
+        check_size(replace(self._own, service=service))
         self._target.announce(service, address, restarted)
         self._endpoint.wake()
 
@@ -216,29 +241,6 @@
         self._metrics.increment("membership_sync_bytes_sent", len(encoded))
         return encoded
 
-    def _build_own(self) -> Member:
-        settings = self._settings
-        own = Member(
-            settings.instance,
-            settings.incarnation,
-            1,
-            settings.domain,
-            settings.region,
-            settings.peer_address,
-            self._endpoint.address,
-            None,
-            TargetState.ABSENT,
-            MemberState.ALIVE,
-        )
-        self._own = own
-        self._check_size(ServiceName(""))
-        return own
-
-    def _check_size(self, service: ServiceName) -> None:
-        size_bytes = len(encode_member(self._own)) + len(service.encode())
-        if size_bytes > MEMBER_LIMIT_BYTES:
-            raise AnnouncementTooLargeError(size_bytes)
-
     def _post(self, message: TableMessage) -> None:
         self._messages.put(message)
         self._endpoint.wake()
--- a/corianderhold/coordination/membership/swim.py
+++ b/corianderhold/coordination/membership/swim.py
@@ -142,6 +142,10 @@
         self._roster.leave(now_s)
         self._send_gossip(URGENT_FANOUT, now_s)
 
+    def resume(self, now_s: float) -> None:
+        """Count the time until now as idle, not as a pause of this daemon."""
+        self._time.skip(now_s)
+
     def receive(self, data: bytes, source: Address, now_s: float) -> None:
         """Handle one datagram; what is not a peer's is dropped and counted."""
         self._advance(now_s)
--- a/corianderhold/state/membership/table.py
+++ b/corianderhold/state/membership/table.py
@@ -12,6 +12,9 @@
     TargetState,
 )
 
+GONE_STATES = frozenset({MemberState.DEAD, MemberState.LEFT})
+SERVING = TargetState.SERVING
+
 OrderKey = tuple[int, int, int, tuple[str, ...]]
 
 
@@ -21,8 +24,9 @@
     An immutable picture of the table.
 
     `records` are the announcements as received, `members` what they amount to.
-    `owners` holds, for each service, the members that may get work. `dead_since`
-    gives the monotonic time in seconds at which a member was taken as dead or left.
+    `owners` holds, for each service, the members that may get work, suspected ones
+    included. `dead_since` gives the monotonic time in seconds at which a member was
+    taken as dead or left.
     """
 
     records: tuple[Member, ...] = ()
@@ -34,17 +38,12 @@
 
 def is_live(member: Member) -> bool:
     """Return whether a member is neither dead nor has left."""
-    return member.state in (MemberState.ALIVE, MemberState.SUSPECT)
+    return member.state not in GONE_STATES
 
 
 def is_claim(member: Member) -> bool:
     """Return whether a record says of a member what it can refute."""
-    return member.state in (MemberState.SUSPECT, MemberState.DEAD)
-
-
-def is_owner(member: Member) -> bool:
-    """Return whether a member may get work; a suspected one still may."""
-    return is_live(member) and member.target_state is TargetState.SERVING
+    return member.state is MemberState.SUSPECT or member.state is MemberState.DEAD
 
 
 def compute_order(member: Member) -> OrderKey:
@@ -168,13 +167,14 @@
 
     def _build_view(self) -> MemberView:
         owners: dict[ServiceName, list[Member]] = {}
-        for member in self._members.values():
-            if member.service is not None and is_owner(member):
+        live = [m for m in self._members.values() if m.instance not in self._dead_since]
+        for member in live:
+            if member.service is not None and member.target_state is SERVING:
                 owners.setdefault(member.service, []).append(member)
         return MemberView(
             tuple(self._records.values()),
             tuple(self._members.values()),
-            tuple(member for member in self._members.values() if is_live(member)),
+            tuple(live),
             {service: tuple(members) for service, members in owners.items()},
             dict(self._dead_since),
         )
