--- a/tests/coordination/membership/test_service.py
+++ b/tests/coordination/membership/test_service.py
@@ -6,11 +6,14 @@
 from result import Err, Ok, Result
 
 from corianderhold.clock import SystemClock
+from corianderhold.coordination.entry.outgoing import TargetRegistrar
 from corianderhold.coordination.membership.errors import AnnouncementTooLargeError
 from corianderhold.coordination.membership.service import (
     MembershipService,
     MembershipSettings,
 )
+from corianderhold.coordination.owner.policy import TargetSource
+from corianderhold.core import Component
 from corianderhold.ids import (
     FailureDomainId,
     Incarnation,
@@ -21,12 +24,14 @@
 from corianderhold.metrics import Metrics
 from corianderhold.protocol.peer.control import (
     ControlFailure,
+    ControlHandler,
     ControlSender,
     ControlTopic,
 )
 from corianderhold.state.membership.model import (
     Address,
     Member,
+    Members,
     MemberState,
     TargetState,
 )
@@ -59,6 +64,13 @@
         return Ok(service.handle_control(sender, body))
 
 
+def list_roles(
+    service: MembershipService,
+) -> tuple[Members, Component, ControlHandler, TargetSource, TargetRegistrar]:
+    """Return the service in each role that it plays; the type check compares them."""
+    return service, service, service, service, service
+
+
 class MembershipServiceTests(TestCase):
     """Run a few services in one process."""
 
@@ -99,14 +111,16 @@
 
     def test_target_is_seen_served_drained_and_left(self) -> None:
         first = self.start()
+        members, _, _, source, registrar = list_roles(first)
         second = self.start((first.gossip_address,))
         changes: list[Member] = []
         second.add_listener(changes.append)
-        first.announce_target(RIGHTS, TARGET)
+        registrar.announce_target(RIGHTS, TARGET)
         self.wait_for_owners(second, 1)
         self.wait_for_owners(first, 1)
-        first.drain_target()
-        self.assertIs(first.read_target().state, TargetState.DRAINING)
+        self.assertEqual(len(members.list_members()), 2)
+        registrar.drain_target()
+        self.assertIs(source.read_target().state, TargetState.DRAINING)
         self.wait_for_owners(second, 0)
         self.services.remove(first)
         first.stop()
