--- a/corianderhold/coordination/membership/swim.py
+++ b/corianderhold/coordination/membership/swim.py
@@ -14,7 +14,6 @@
     PROBE_INTERVAL_S,
     PROBE_TIMEOUT_S,
     REFUTATIONS_LIMIT,
-    SAMPLE_FACTOR,
     URGENT_FANOUT,
 )
 from corianderhold.coordination.membership.contacts import ContactBook
@@ -26,6 +25,7 @@
     RelayBook,
     draw_number,
 )
+from corianderhold.coordination.membership.recipients import RecipientChooser
 from corianderhold.coordination.membership.roster import Roster
 from corianderhold.coordination.membership.sender import (
     DatagramSender,
@@ -48,7 +48,7 @@
     MemberState,
     TargetState,
 )
-from corianderhold.state.membership.table import MemberView, is_claim, is_live
+from corianderhold.state.membership.table import MemberView, is_claim
 
 
 @dataclass
@@ -93,6 +93,7 @@
         self._relays = RelayBook()
         self._probe: Probe | None = None
         self._probe_log = ProbeLog()
+        self._recipients = RecipientChooser(self._roster, self._probe_log, random)
         self._schedule = Schedule()
 
     @property
@@ -291,7 +292,7 @@
             subject.instance,
             subject.gossip_address,
         )
-        for member in self._sample(INDIRECT_PROBES, subject.instance):
+        for member in self._recipients.choose(INDIRECT_PROBES, subject.instance):
             self._sender.send(member.gossip_address, request, now_s)
 
     def _ping(
@@ -325,25 +326,5 @@
         if not len(self._roster.broadcasts):
             return
         gossip = Datagram(DatagramKind.GOSSIP, 0, self.own.instance)
-        for member in self._choose_recipients(fanout):
+        for member in self._recipients.choose_for_gossip(fanout):
             self._sender.send(member.gossip_address, gossip, now_s)
-
-    def _choose_recipients(self, count: int) -> list[Member]:
-        """Return random members; once probes fail, half of those heard lately."""
-        chosen: list[Member] = []
-        if self._probe_log.failing:
-            heard = self._probe_log.list_heard()
-            drawn = self._random.sample(heard, min(len(heard), count // 2))
-            members = [self._roster.get_member(instance) for instance in drawn]
-            chosen = [member for member in members if member and is_live(member)]
-        others = self._sample(count - len(chosen), self.own.instance)
-        return chosen + others
-
-    def _sample(self, count: int, excluded: InstanceId) -> list[Member]:
-        """Return random live members, suspected ones only where others lack."""
-        live = self.view.live
-        drawn = self._random.sample(live, min(len(live), SAMPLE_FACTOR * count + 2))
-        unwanted = (excluded, self.own.instance)
-        drawn = [member for member in drawn if member.instance not in unwanted]
-        drawn.sort(key=lambda member: member.state is MemberState.SUSPECT)
-        return drawn[:count]
