Gossip suspicions without the announcement

Cause: a suspicion carried the whole announcement (75 bytes), so the loss of a domain filled the byte budget for most of a minute. Ruled out: claims that stand alone (the merge would depend on the order). Change: a claim names an announcement that the receiver has; without it the claim is dropped like a lost datagram, and synchronisation makes up for it.

--- a/corianderhold/coordination/membership/roster.py
+++ b/corianderhold/coordination/membership/roster.py
@@ -10,6 +10,7 @@
 )
 from corianderhold.ids import InstanceId, ServiceName
 from corianderhold.log import log_event, log_warning
+from corianderhold.protocol.membership.model import MemberClaim
 from corianderhold.state.membership.model import Member, MemberState, TargetState
 from corianderhold.state.membership.table import (
     MemberTable,
@@ -68,6 +69,19 @@
         elif not self._doubt(member) and self._record(member, now_s):
             self.broadcasts.add(member)
 
+    def resolve(self, claim: MemberClaim) -> Member | None:
+        """Return the record that a claim amounts to, or None for lack of content."""
+        known = self._table.get_member(claim.instance)
+        claimed = (claim.incarnation, claim.sequence)
+        if known is None or claimed > (known.incarnation, known.sequence):
+            return None
+        return replace(
+            known,
+            incarnation=claim.incarnation,
+            sequence=claim.sequence,
+            state=claim.state,
+        )
+
     def list_refutations(self, claims: list[Member]) -> tuple[Member, ...]:
         """Return the live members that refute claims of suspicion or death."""
         refuting = []
--- a/corianderhold/coordination/membership/sender.py
+++ b/corianderhold/coordination/membership/sender.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass, replace
 
 from corianderhold.coordination.membership.broadcasts import (
-    LIST_ITEM_BYTES,
     BroadcastQueue,
     compute_transmission_limit,
 )
@@ -22,6 +21,8 @@
 from corianderhold.protocol.membership.seal import OVERHEAD_BYTES, DatagramSeal
 from corianderhold.state.membership.model import Address, Member
 
+LISTS_BYTES = 4  # the lengths of long lists of updates and claims
+
 
 @dataclass(frozen=True)
 class OutgoingDatagram:
@@ -78,12 +79,13 @@
             return False
         room = min(DATAGRAM_LIMIT_BYTES, int(available) - PROBE_RESERVE_BYTES)
         limit = compute_transmission_limit(self._count_live())
-        queued = self._broadcasts.take(room - size_bytes - LIST_ITEM_BYTES, limit)
+        queued = self._broadcasts.take(room - size_bytes - LISTS_BYTES, limit)
         if gossips and not queued:
             return False
-        data = self._seal.seal(
-            encode_datagram(replace(bare, updates=required + tuple(queued)))
-        )
+        updates = tuple(each.data for each in queued if not each.short)
+        claims = tuple(each.data for each in queued if each.short)
+        filled = replace(bare, updates=required + updates, claims=claims)
+        data = self._seal.seal(encode_datagram(filled))
         self._budget.take(len(data) + HEADER_BYTES, now_s)
         self._outgoing.append(OutgoingDatagram(address, data))
         self._metrics.increment("membership_datagrams_sent")
--- a/corianderhold/coordination/membership/swim.py
+++ b/corianderhold/coordination/membership/swim.py
@@ -34,7 +34,11 @@
 from corianderhold.ids import InstanceId, ServiceName
 from corianderhold.log import log_event
 from corianderhold.metrics import Metrics
-from corianderhold.protocol.membership.codec import decode_datagram, decode_member
+from corianderhold.protocol.membership.codec import (
+    decode_claim,
+    decode_datagram,
+    decode_member,
+)
 from corianderhold.protocol.membership.model import (
     Datagram,
     DatagramKind,
@@ -157,6 +161,7 @@
         try:
             datagram = decode_datagram(payload.unwrap())
             updates = [decode_member(update) for update in datagram.updates]
+            claims = [decode_claim(claim) for claim in datagram.claims]
         except MalformedMessageError:
             self._metrics.increment("membership_rejected_malformed")
             return
@@ -165,6 +170,8 @@
         self._metrics.increment("membership_datagrams_received")
         self._probe_log.note_heard(datagram.sender, self._time.seconds)
         refutations = self._roster.refutations
+        resolved = [self._roster.resolve(claim) for claim in claims]
+        updates += [member for member in resolved if member is not None]
         for member in updates:
             self._roster.apply(member, now_s)
         self._dispatch(datagram, source, now_s)
--- a/corianderhold/protocol/membership/codec.py
+++ b/corianderhold/protocol/membership/codec.py
@@ -20,6 +20,7 @@
     Datagram,
     DatagramKind,
     MalformedMessageError,
+    MemberClaim,
     SyncRecord,
     SyncReply,
     SyncRequest,
@@ -89,6 +90,32 @@
         raise MalformedMessageError(f"member: {error}") from error
 
 
+def encode_claim(member: Member) -> bytes:
+    """Return what a record claims of its announcement, without the content."""
+    return _serialize(
+        ttypes.MemberClaim(
+            member.instance,
+            member.incarnation,
+            member.sequence,
+            MEMBER_STATES[member.state],
+        )
+    )
+
+
+def decode_claim(data: bytes) -> MemberClaim:
+    """Return the claim in `data`; raise MalformedMessageError."""
+    claim = _deserialize(ttypes.MemberClaim(), data)
+    state = MEMBER_STATES_BY_CODE.get(claim.state)
+    if state is None:
+        raise MalformedMessageError(f"claim: state {claim.state}")
+    return MemberClaim(
+        InstanceId(claim.instance),
+        Incarnation(claim.incarnation),
+        claim.sequence,
+        state,
+    )
+
+
 def encode_datagram(datagram: Datagram) -> bytes:
     """Return one datagram as bytes, not yet sealed."""
     address = datagram.subject_address
@@ -101,6 +128,7 @@
             subject_host=ip_address(address.host).packed if address else None,
             subject_port=address.port if address else None,
             updates=list(datagram.updates),
+            claims=list(datagram.claims),
         )
     )
 
@@ -120,6 +148,7 @@
             subject,
             address,
             tuple(message.updates),
+            tuple(message.claims),
         )
     except (ValueError, TypeError) as error:
         raise MalformedMessageError(f"datagram: {error}") from error
--- a/corianderhold/protocol/membership/gen/ttypes.py
+++ b/corianderhold/protocol/membership/gen/ttypes.py
@@ -236,6 +236,118 @@
         return not (self == other)
 
 
+class MemberClaim(object):
+    """
+    Attributes:
+     - instance
+     - incarnation
+     - sequence
+     - state
+
+    """
+
+    __slots__ = (
+        'instance',
+        'incarnation',
+        'sequence',
+        'state',
+    )
+
+
+    def __init__(self, instance=None, incarnation=None, sequence=None, state=None,):
+        self.instance = instance
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.state = state
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.sequence = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BYTE:
+                    self.state = iprot.readByte()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MemberClaim')
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 1)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I32, 3)
+            oprot.writeI32(self.sequence)
+            oprot.writeFieldEnd()
+        if self.state is not None:
+            oprot.writeFieldBegin('state', TType.BYTE, 4)
+            oprot.writeByte(self.state)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.instance is None:
+            raise TProtocolException(message='Required field instance is unset!')
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        if self.sequence is None:
+            raise TProtocolException(message='Required field sequence is unset!')
+        if self.state is None:
+            raise TProtocolException(message='Required field state is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Datagram(object):
     """
     Attributes:
@@ -246,6 +358,7 @@
      - subject_host
      - subject_port
      - updates
+     - claims
 
     """
 
@@ -257,10 +370,11 @@
         'subject_host',
         'subject_port',
         'updates',
+        'claims',
     )
 
 
-    def __init__(self, kind=None, number=None, sender=None, subject=None, subject_host=None, subject_port=None, updates=None,):
+    def __init__(self, kind=None, number=None, sender=None, subject=None, subject_host=None, subject_port=None, updates=None, claims=None,):
         self.kind = kind
         self.number = number
         self.sender = sender
@@ -268,6 +382,7 @@
         self.subject_host = subject_host
         self.subject_port = subject_port
         self.updates = updates
+        self.claims = claims
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -318,6 +433,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.claims = []
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = iprot.readBinary()
+                        self.claims.append(_elem11)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -355,8 +480,15 @@
         if self.updates is not None:
             oprot.writeFieldBegin('updates', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.updates))
-            for iter6 in self.updates:
-                oprot.writeBinary(iter6)
+            for iter12 in self.updates:
+                oprot.writeBinary(iter12)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.claims is not None:
+            oprot.writeFieldBegin('claims', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRING, len(self.claims))
+            for iter13 in self.claims:
+                oprot.writeBinary(iter13)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -371,6 +503,8 @@
             raise TProtocolException(message='Required field sender is unset!')
         if self.updates is None:
             raise TProtocolException(message='Required field updates is unset!')
+        if self.claims is None:
+            raise TProtocolException(message='Required field claims is unset!')
         return
 
     def __repr__(self):
@@ -509,10 +643,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.digests = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = iprot.readI64()
-                        self.digests.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = iprot.readI64()
+                        self.digests.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -524,11 +658,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.pushed = []
-                    (_etype16, _size13) = iprot.readListBegin()
-                    for _i17 in range(_size13):
-                        _elem18 = SyncRecord()
-                        _elem18.read(iprot)
-                        self.pushed.append(_elem18)
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = SyncRecord()
+                        _elem25.read(iprot)
+                        self.pushed.append(_elem25)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -545,8 +679,8 @@
         if self.digests is not None:
             oprot.writeFieldBegin('digests', TType.LIST, 1)
             oprot.writeListBegin(TType.I64, len(self.digests))
-            for iter19 in self.digests:
-                oprot.writeI64(iter19)
+            for iter26 in self.digests:
+                oprot.writeI64(iter26)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.after is not None:
@@ -556,8 +690,8 @@
         if self.pushed is not None:
             oprot.writeFieldBegin('pushed', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.pushed))
-            for iter20 in self.pushed:
-                iter20.write(oprot)
+            for iter27 in self.pushed:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -624,21 +758,21 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.buckets = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = iprot.readI16()
-                        self.buckets.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = iprot.readI16()
+                        self.buckets.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype30, _size27) = iprot.readListBegin()
-                    for _i31 in range(_size27):
-                        _elem32 = SyncRecord()
-                        _elem32.read(iprot)
-                        self.records.append(_elem32)
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = SyncRecord()
+                        _elem39.read(iprot)
+                        self.records.append(_elem39)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -660,15 +794,15 @@
         if self.buckets is not None:
             oprot.writeFieldBegin('buckets', TType.LIST, 1)
             oprot.writeListBegin(TType.I16, len(self.buckets))
-            for iter33 in self.buckets:
-                oprot.writeI16(iter33)
+            for iter40 in self.buckets:
+                oprot.writeI16(iter40)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter34 in self.records:
-                iter34.write(oprot)
+            for iter41 in self.records:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.last is not None:
@@ -720,6 +854,14 @@
     (11, TType.BYTE, 'target_state', None, None, ),  # 11
     (12, TType.BYTE, 'state', None, None, ),  # 12
 )
+all_structs.append(MemberClaim)
+MemberClaim.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.I32, 'sequence', None, None, ),  # 3
+    (4, TType.BYTE, 'state', None, None, ),  # 4
+)
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
     None,  # 0
@@ -730,6 +872,7 @@
     (5, TType.STRING, 'subject_host', 'BINARY', None, ),  # 5
     (6, TType.I32, 'subject_port', None, None, ),  # 6
     (7, TType.LIST, 'updates', (TType.STRING, 'BINARY', False), None, ),  # 7
+    (8, TType.LIST, 'claims', (TType.STRING, 'BINARY', False), None, ),  # 8
 )
 all_structs.append(SyncRecord)
 SyncRecord.thrift_spec = (
--- a/corianderhold/protocol/membership/membership.thrift
+++ b/corianderhold/protocol/membership/membership.thrift
@@ -20,8 +20,16 @@
   12: required i8 state
 }
 
-// `updates` holds encoded MemberRecords, so that each is encoded once and its size
-// is known when datagrams are filled.
+// A claim about an announcement that the receiver is expected to have.
+struct MemberClaim {
+  1: required string instance
+  2: required i64 incarnation
+  3: required i32 sequence
+  4: required i8 state
+}
+
+// `updates` holds encoded MemberRecords and `claims` encoded MemberClaims, so that
+// each is encoded once and its size is known when datagrams are filled.
 struct Datagram {
   1: required i8 kind
   2: required i64 number
@@ -30,6 +38,7 @@
   5: optional binary subject_host
   6: optional i32 subject_port
   7: required list<binary> updates
+  8: required list<binary> claims
 }
 
 struct SyncRecord {
--- a/corianderhold/protocol/membership/model.py
+++ b/corianderhold/protocol/membership/model.py
@@ -4,8 +4,8 @@
 from enum import Enum
 
 from corianderhold.errors import CorianderholdError
-from corianderhold.ids import InstanceId
-from corianderhold.state.membership.model import Address, Member
+from corianderhold.ids import Incarnation, InstanceId
+from corianderhold.state.membership.model import Address, Member, MemberState
 
 
 class MalformedMessageError(CorianderholdError):
@@ -21,6 +21,16 @@
     GOSSIP = 4
 
 
+@dataclass(frozen=True)
+class MemberClaim:
+    """A state claimed of one announcement, for those who have the announcement."""
+
+    instance: InstanceId
+    incarnation: Incarnation
+    sequence: int
+    state: MemberState
+
+
 @dataclass(frozen=True)
 class Datagram:
     """
@@ -28,7 +38,8 @@
 
     `number` relates an ACK to its PING or PING_REQUEST. `subject` is the member that
     a PING is meant for, None for whoever listens there, or that a PING_REQUEST asks
-    about, together with `subject_address`. `updates` are encoded members.
+    about, together with `subject_address`. `updates` are encoded members, `claims`
+    encoded claims.
     """
 
     kind: DatagramKind
@@ -37,6 +48,7 @@
     subject: InstanceId | None = None
     subject_address: Address | None = None
     updates: tuple[bytes, ...] = ()
+    claims: tuple[bytes, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/tests/coordination/membership/test_swim.py
+++ b/tests/coordination/membership/test_swim.py
@@ -17,6 +17,7 @@
 from corianderhold.ids import Incarnation, InstanceId, ServiceName
 from corianderhold.protocol.membership.codec import (
     decode_datagram,
+    encode_claim,
     encode_datagram,
     encode_member,
 )
@@ -234,6 +235,21 @@
         self.assertGreater(victim.swim.own.sequence, before.sequence)
         self.assertEqual(self.show_state(nodes, victim), {MemberState.ALIVE})
 
+    def test_claim_about_unknown_announcement_changes_nothing(self) -> None:
+        network, nodes = self.start_fleet(14, 4)
+        before = nodes[0].swim.view
+        for member in (build_member(99), build_member(1, sequence=9)):
+            suspect = replace(member, state=MemberState.SUSPECT)
+            gossip = Datagram(
+                DatagramKind.GOSSIP,
+                0,
+                InstanceId("somebody"),
+                claims=(encode_claim(suspect),),
+            )
+            data = DatagramSeal(SECRET).seal(encode_datagram(gossip))
+            nodes[0].swim.receive(data, STRANGER, network.now_s)
+        self.assertEqual(nodes[0].swim.view, before)
+
     def test_restart_with_new_incarnation_replaces_older(self) -> None:
         network, nodes = self.start_fleet(6, 6)
         seeds = (nodes[0].swim.own.gossip_address,)
@@ -334,6 +350,8 @@
         hostile += [DatagramSeal(SECRET).seal(payload[:n]) for n in range(1, 100)]
         broken = replace(gossip, updates=(claim[:9], b"", payload))
         hostile.append(DatagramSeal(SECRET).seal(encode_datagram(broken)))
+        broken = replace(gossip, updates=(), claims=(claim[:9], payload))
+        hostile.append(DatagramSeal(SECRET).seal(encode_datagram(broken)))
         for data in hostile:
             nodes[0].swim.receive(data, STRANGER, network.now_s)
         self.assertEqual(nodes[0].swim.view, before)
--- a/tests/protocol/membership/test_codec.py
+++ b/tests/protocol/membership/test_codec.py
@@ -8,10 +8,12 @@
 
 from corianderhold.ids import InstanceId
 from corianderhold.protocol.membership.codec import (
+    decode_claim,
     decode_datagram,
     decode_member,
     decode_reply,
     decode_request,
+    encode_claim,
     encode_datagram,
     encode_member,
     encode_reply,
@@ -26,7 +28,12 @@
     SyncRequest,
 )
 from corianderhold.protocol.membership.seal import DatagramSeal
-from corianderhold.state.membership.model import Address, MemberState, TargetState
+from corianderhold.state.membership.model import (
+    Address,
+    Member,
+    MemberState,
+    TargetState,
+)
 from tests.common.membership import build_member
 
 NUMBERS = st.integers(-(2**63), 2**63 - 1)
@@ -47,16 +54,25 @@
     st.none() | st.text(max_size=20).map(InstanceId),
     st.none() | st.builds(Address, st.just("::1"), st.integers(1, 65535)),
     st.lists(st.binary(max_size=100), max_size=20).map(tuple),
+    st.lists(st.binary(max_size=30), max_size=20).map(tuple),
 )
-DECODERS = (decode_datagram, decode_member, decode_request, decode_reply)
+DECODERS = (decode_claim, decode_datagram, decode_member, decode_request, decode_reply)
 
 
 class CodecTests(TestCase):
     """Encode and decode every message."""
 
     @given(MEMBERS)
-    def test_member_survives(self, member: object) -> None:
-        self.assertEqual(decode_member(encode_member(member)), member)  # type: ignore[arg-type]
+    def test_member_survives(self, member: Member) -> None:
+        self.assertEqual(decode_member(encode_member(member)), member)
+
+    @given(MEMBERS)
+    def test_claim_names_the_announcement(self, member: Member) -> None:
+        claim = decode_claim(encode_claim(member))
+        self.assertEqual(claim.instance, member.instance)
+        self.assertEqual(claim.incarnation, member.incarnation)
+        self.assertEqual(claim.sequence, member.sequence)
+        self.assertIs(claim.state, member.state)
 
     @given(DATAGRAMS)
     def test_datagram_survives(self, datagram: Datagram) -> None:
@@ -77,9 +93,9 @@
 
     @given(MEMBERS, st.integers(0, 200), st.integers(1, 255))
     def test_changed_bytes_raise_only_malformed_message(
-        self, member: object, place: int, change: int
+        self, member: Member, place: int, change: int
     ) -> None:
-        data = bytearray(encode_member(member))  # type: ignore[arg-type]
+        data = bytearray(encode_member(member))
         data[place % len(data)] ^= change
         with suppress(MalformedMessageError):
             decode_member(bytes(data))
