Keep membership going past a failing listener

Cause: on reading the change, a listener that raised kept the later ones from a change; a socket that fails for good made the thread spin; rejections were bare strings. Change: each listener is guarded and counted; a pause after a failed round; Rejection; threads no longer keep a process alive whose start failed.

--- a/corianderhold/coordination/membership/service.py
+++ b/corianderhold/coordination/membership/service.py
@@ -2,6 +2,7 @@
 
 import queue
 import threading
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from random import Random
@@ -145,7 +146,9 @@
         )
         self._listeners: list[MemberListener] = []
         self._messages: queue.SimpleQueue[TableMessage] = queue.SimpleQueue()
-        self._thread = threading.Thread(target=self._run, name="membership")
+        self._thread = threading.Thread(
+            target=self._run, name="membership", daemon=True
+        )
         self._left = threading.Event()
         self._joined = False
         self._stopping = False
@@ -182,7 +185,7 @@
         if started:
             self.leave()
             if len(self._view.live) > 0:
-                threading.Event().wait(LEAVE_LINGER_S)
+                time.sleep(LEAVE_LINGER_S)
             self._post(StopRequested())
             self._thread.join(STOP_TIMEOUT_S)
             self._synchronizer.stop()
@@ -252,6 +255,7 @@
             except Exception as error:  # noqa: BLE001
                 log_warning("membership_failed", error=repr(error))
                 self._metrics.increment("membership_failures")
+                time.sleep(TICK_S)
 
     def _run_once(self) -> None:
         received = self._endpoint.receive(TICK_S, RECEIVE_LIMIT)
@@ -310,5 +314,12 @@
         if self._swim.take_revivals():
             self._synchronizer.send(MembersRevived())
         for member in changes:
-            for listener in self._listeners:
+            self._notify_listeners(member)
+
+    def _notify_listeners(self, member: Member) -> None:
+        for listener in self._listeners:
+            try:
                 listener(member)
+            except Exception as error:  # noqa: BLE001
+                log_warning("member_listener_failed", error=repr(error))
+                self._metrics.increment("membership_failures")
--- a/corianderhold/coordination/membership/swim.py
+++ b/corianderhold/coordination/membership/swim.py
@@ -45,7 +45,7 @@
     MalformedMessageError,
     SyncRecord,
 )
-from corianderhold.protocol.membership.seal import DatagramSeal
+from corianderhold.protocol.membership.seal import DatagramSeal, Rejection
 from corianderhold.state.membership.model import (
     Address,
     Member,
@@ -156,14 +156,14 @@
         self._advance(now_s)
         payload = self._seal.open(data)
         if payload.is_err():
-            self._metrics.increment(f"membership_rejected_{payload.unwrap_err()}")
+            self._reject(payload.unwrap_err())
             return
         try:
             datagram = decode_datagram(payload.unwrap())
             updates = [decode_member(update) for update in datagram.updates]
             claims = [decode_claim(claim) for claim in datagram.claims]
         except MalformedMessageError:
-            self._metrics.increment("membership_rejected_malformed")
+            self._reject(Rejection.MALFORMED)
             return
         if datagram.sender == self.own.instance:
             return
@@ -211,6 +211,9 @@
             self._health.worsen()
             self._probe = None  # its answer may have been lost in the pause
 
+    def _reject(self, rejection: Rejection) -> None:
+        self._metrics.increment(f"membership_rejected_{rejection.value}")
+
     def _dispatch(self, datagram: Datagram, source: Address, now_s: float) -> None:
         if datagram.kind is DatagramKind.ACK:
             self._handle_ack(datagram, now_s)
--- a/corianderhold/coordination/membership/synchronizer.py
+++ b/corianderhold/coordination/membership/synchronizer.py
@@ -75,7 +75,9 @@
         self._stream = MemberStream(log)
         self._announcement: Member | None = own
         self._messages: queue.SimpleQueue[WorkerMessage] = queue.SimpleQueue()
-        self._thread = threading.Thread(target=self._run, name="membership-sync")
+        self._thread = threading.Thread(
+            target=self._run, name="membership-sync", daemon=True
+        )
         self._schedule = SyncSchedule(random)
         self._log_at_s = clock.read_monotonic()
         self._stopping = False
--- a/corianderhold/protocol/membership/seal.py
+++ b/corianderhold/protocol/membership/seal.py
@@ -1,6 +1,7 @@
 """Authenticate datagrams with a key that all daemons of a fleet share."""
 
 import hmac
+from enum import Enum
 
 from result import Err, Ok, Result
 
@@ -10,6 +11,13 @@
 KEY_PURPOSE = b"corianderhold gossip 1"
 
 
+class Rejection(Enum):
+    """Why a datagram is dropped."""
+
+    MALFORMED = "malformed"
+    FOREIGN = "foreign"
+
+
 class DatagramSeal:
     """Add and check a truncated HMAC-SHA256 under a key derived from the secret."""
 
@@ -20,14 +28,14 @@
         """Return `payload` behind the version and its tag."""
         return VERSION + self._compute_tag(payload) + payload
 
-    def open(self, data: bytes) -> Result[bytes, str]:
+    def open(self, data: bytes) -> Result[bytes, Rejection]:
         """Return the payload of an authentic datagram, or why it is rejected."""
         if len(data) <= OVERHEAD_BYTES or not data.startswith(VERSION):
-            return Err("malformed")
+            return Err(Rejection.MALFORMED)
         tag = data[len(VERSION) : OVERHEAD_BYTES]
         payload = data[OVERHEAD_BYTES:]
         if not hmac.compare_digest(tag, self._compute_tag(payload)):
-            return Err("foreign")
+            return Err(Rejection.FOREIGN)
         return Ok(payload)
 
     def _compute_tag(self, payload: bytes) -> bytes:
--- a/tests/coordination/membership/test_service.py
+++ b/tests/coordination/membership/test_service.py
@@ -164,6 +164,18 @@
         second = self.start((first.gossip_address,))
         wait_until(lambda: len(second.list_members()) == 2, "both members")
 
+    def test_failing_listener_does_not_stop_the_others(self) -> None:
+        def fail(member: Member) -> None:
+            raise ValueError(member.instance)
+
+        changes: list[Member] = []
+        first = self.start()
+        first.add_listener(fail)
+        first.add_listener(changes.append)
+        self.start((first.gossip_address,))
+        wait_until(lambda: len(first.list_members()) == 2, "both members")
+        wait_until(lambda: len(changes) > 0, "a change")
+
     def test_too_long_service_name_is_refused(self) -> None:
         with self.assertRaises(AnnouncementTooLargeError):
             self.start().announce_target(ServiceName("x" * 300), TARGET)
--- a/tests/protocol/membership/test_codec.py
+++ b/tests/protocol/membership/test_codec.py
@@ -27,7 +27,7 @@
     SyncReply,
     SyncRequest,
 )
-from corianderhold.protocol.membership.seal import DatagramSeal
+from corianderhold.protocol.membership.seal import DatagramSeal, Rejection
 from corianderhold.state.membership.model import (
     Address,
     Member,
@@ -107,7 +107,9 @@
     def test_only_the_same_secret_opens(self) -> None:
         sealed = DatagramSeal(b"one").seal(b"payload")
         self.assertEqual(DatagramSeal(b"one").open(sealed).unwrap(), b"payload")
-        self.assertEqual(DatagramSeal(b"two").open(sealed).unwrap_err(), "foreign")
+        self.assertEqual(
+            DatagramSeal(b"two").open(sealed).unwrap_err(), Rejection.FOREIGN
+        )
 
     @given(st.integers(0, 23), st.integers(1, 255))
     def test_any_changed_byte_is_rejected(self, place: int, change: int) -> None:
