Test indirect probes and the schedule of synchronisations

Cause: no test failed with the indirect probes taken out. Change: a broken way between two members; times of the schedule.

--- a/tests/common/membership.py
+++ b/tests/common/membership.py
@@ -82,6 +82,7 @@
         self.duplication = 0.0
         self.latest_delay_s = 0.02
         self.nodes: dict[Address, Node] = {}
+        self.blocked: set[frozenset[Address]] = set()
         self._sides: dict[Address, int] = {}
         self._queue: list[tuple[float, int, Address, Address, bytes]] = []
         self._sent = 0
@@ -166,6 +167,8 @@
         return True
 
     def _is_cut(self, address: Address, other: Address) -> bool:
+        if frozenset({address, other}) in self.blocked:
+            return True
         return self._sides.get(address, 0) != self._sides.get(other, 0)
 
     def send(self, source: Address, address: Address, data: bytes) -> None:
--- a/tests/coordination/membership/test_swim.py
+++ b/tests/coordination/membership/test_swim.py
@@ -123,6 +123,15 @@
         )
         self.assertTrue(self.agree(nodes, 11))
 
+    def test_broken_way_between_two_members_raises_no_suspicion(self) -> None:
+        network, nodes = self.start_fleet(15, 6)
+        pair = nodes[1].swim.own.gossip_address, nodes[2].swim.own.gossip_address
+        network.blocked.add(frozenset(pair))
+        for _ in range(200):
+            network.run(0.2)
+            for node in nodes:
+                self.assertEqual(count_states(node, MemberState.SUSPECT), 0)
+
     @with_seeds
     def test_cut_domain_and_rest_find_each_other_again(self, seed: int) -> None:
         network, nodes = self.start_fleet(seed, 13)
--- a/tests/coordination/membership/test_sync.py
+++ b/tests/coordination/membership/test_sync.py
@@ -1,12 +1,17 @@
 """Test the comparison of tables and the stream of the log."""
 
 from dataclasses import replace
+from random import Random
 from unittest import TestCase
 
 from corianderhold.coordination.membership.const import (
+    JOIN_SYNC_DELAY_S,
     LOG_TAIL_RECORDS,
     SYNC_PAGE_BYTES,
+    SYNC_RETRY_S,
+    SYNC_SPACING_S,
 )
+from corianderhold.coordination.membership.schedule import SyncSchedule
 from corianderhold.coordination.membership.stream import MemberStream
 from corianderhold.coordination.membership.sync import (
     answer_request,
@@ -82,6 +87,30 @@
         self.assertLess(SYNC_PAGE_BYTES, MESSAGE_LIMIT_BYTES)
 
 
+class SyncScheduleTests(TestCase):
+    """Ask when the next synchronisation is due."""
+
+    def setUp(self) -> None:
+        self.schedule = SyncSchedule(Random(1))
+
+    def test_nothing_is_due_before_the_join(self) -> None:
+        self.assertEqual(self.schedule.due_at_s, float("inf"))
+        self.schedule.note_join(NOW_S)
+        self.assertLessEqual(self.schedule.due_at_s, NOW_S + JOIN_SYNC_DELAY_S)
+
+    def test_revivals_hasten_it_but_keep_the_spacing(self) -> None:
+        self.schedule.note_outcome(succeeded=True, now_s=NOW_S)
+        regular_s = self.schedule.due_at_s
+        for _ in range(100):
+            self.schedule.note_revival(NOW_S)
+        self.assertLess(self.schedule.due_at_s, regular_s)
+        self.assertGreaterEqual(self.schedule.due_at_s, NOW_S + SYNC_SPACING_S)
+
+    def test_failure_is_tried_again_soon(self) -> None:
+        self.schedule.note_outcome(succeeded=False, now_s=NOW_S)
+        self.assertLess(self.schedule.due_at_s, NOW_S + 2 * SYNC_RETRY_S)
+
+
 class MemberStreamTests(TestCase):
     """Find contacts in the log."""
 
