--- a/corianderhold/coordination/membership/service.py
+++ b/corianderhold/coordination/membership/service.py
@@ -2,8 +2,9 @@
 
 import queue
 import threading
+import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 from corianderhold.clock import Clock
@@ -76,6 +77,29 @@
     secret: bytes
 
 
+def build_own_member(settings: MembershipSettings, gossip_address: Address) -> Member:
+    """Return the first announcement of a daemon, without a target."""
+    return Member(
+        settings.instance,
+        settings.incarnation,
+        1,
+        settings.domain,
+        settings.region,
+        settings.peer_address,
+        gossip_address,
+        None,
+        TargetState.ABSENT,
+        MemberState.ALIVE,
+    )
+
+
+def check_size(member: Member) -> None:
+    """Raise AnnouncementTooLargeError for names that do not fit into a datagram."""
+    size_bytes = len(encode_member(member))
+    if size_bytes > MEMBER_LIMIT_BYTES:
+        raise AnnouncementTooLargeError(size_bytes)
+
+
 class MembershipService:
     """
     Know the members of the fleet and announce the local target to them.
@@ -100,7 +124,7 @@
         self._target = TargetHolder(clock)
         self._announced = self._target.read()
         self._endpoint = DatagramEndpoint(settings.gossip_address)
-        self._own = self._build_own()
+        self._own = build_own_member(settings, self._endpoint.address)
         self._swim = Swim(
             self._own,
             settings.seeds,
@@ -122,7 +146,9 @@
         )
         self._listeners: list[MemberListener] = []
         self._messages: queue.SimpleQueue[TableMessage] = queue.SimpleQueue()
-        self._thread = threading.Thread(target=self._run, name="membership")
+        self._thread = threading.Thread(
+            target=self._run, name="membership", daemon=True
+        )
         self._left = threading.Event()
         self._joined = False
         self._stopping = False
@@ -134,6 +160,8 @@
 
     def start(self) -> None:
         """Begin to gossip, and to look for members through seeds and the log."""
+        check_size(self._own)
+        self._swim.resume(self._clock.read_monotonic())
         self._thread.start()
         self._synchronizer.start()
         log_event(
@@ -157,7 +185,7 @@
         if started:
             self.leave()
             if len(self._view.live) > 0:
-                threading.Event().wait(LEAVE_LINGER_S)
+                time.sleep(LEAVE_LINGER_S)
             self._post(StopRequested())
             self._thread.join(STOP_TIMEOUT_S)
             self._synchronizer.stop()
@@ -184,7 +212,7 @@
         `restarted` marks the first heartbeat of a target's process and ends a drain.
         Raises AnnouncementTooLargeError for a service whose name is too long.
         """
-        self._check_size(service)
+        check_size(replace(self._own, service=service))
         self._target.announce(service, address, restarted)
         self._endpoint.wake()
 
@@ -216,29 +244,6 @@
         self._metrics.increment("membership_sync_bytes_sent", len(encoded))
         return encoded
 
-    def _build_own(self) -> Member:
-        settings = self._settings
-        own = Member(
-            settings.instance,
-            settings.incarnation,
-            1,
-            settings.domain,
-            settings.region,
-            settings.peer_address,
-            self._endpoint.address,
-            None,
-            TargetState.ABSENT,
-            MemberState.ALIVE,
-        )
-        self._own = own
-        self._check_size(ServiceName(""))
-        return own
-
-    def _check_size(self, service: ServiceName) -> None:
-        size_bytes = len(encode_member(self._own)) + len(service.encode())
-        if size_bytes > MEMBER_LIMIT_BYTES:
-            raise AnnouncementTooLargeError(size_bytes)
-
     def _post(self, message: TableMessage) -> None:
         self._messages.put(message)
         self._endpoint.wake()
@@ -250,6 +255,7 @@
             except Exception as error:  # noqa: BLE001
                 log_warning("membership_failed", error=repr(error))
                 self._metrics.increment("membership_failures")
+                time.sleep(TICK_S)
 
     def _run_once(self) -> None:
         received = self._endpoint.receive(TICK_S, RECEIVE_LIMIT)
@@ -308,5 +314,12 @@
         if self._swim.take_revivals():
             self._synchronizer.send(MembersRevived())
         for member in changes:
-            for listener in self._listeners:
+            self._notify_listeners(member)
+
+    def _notify_listeners(self, member: Member) -> None:
+        for listener in self._listeners:
+            try:
                 listener(member)
+            except Exception as error:  # noqa: BLE001
+                log_warning("member_listener_failed", error=repr(error))
+                self._metrics.increment("membership_failures")
