--- a/tests/state/configuration/test_fold.py
+++ b/tests/state/configuration/test_fold.py
@@ -4,6 +4,7 @@
 import unittest
 from dataclasses import replace
 from typing import Any
+from unittest.mock import patch
 from zlib import crc32
 
 from hypothesis import given, settings
@@ -34,6 +35,7 @@
     make_change,
     make_text,
 )
+from tests.common.properties import SAME_EXAMPLES
 
 GRANT = Delta(keys=(replace(RADIO_KEY, key_id=KeyId("k2")),))
 WITHDRAW = Delta(keys=(replace(RADIO_KEY, withdrawn=True),))
@@ -151,6 +153,7 @@
             _, outcomes = fold_all([seal(json.dumps(later))])
             self.assertEqual(outcomes[0].kind, OutcomeKind.UNKNOWN_FORMAT)
 
+    @SAME_EXAMPLES
     @given(st.text() | st.binary().map(lambda each: each.decode("latin-1")))
     def test_any_text_is_skipped(self, text: str) -> None:
         state, outcomes = fold_all([text, seal(text)] if text.isascii() else [text])
@@ -180,7 +183,7 @@
 class DistortedRecordTest(unittest.TestCase):
     """Test records whose checksum is right and whose content is not."""
 
-    @settings(max_examples=400, deadline=None)
+    @settings(SAME_EXAMPLES, max_examples=400)
     @given(st.data(), JSON_VALUES, st.booleans())
     def test_no_distortion_stops_the_fold(
         self, data: st.DataObject, value: JsonValue, left_out: bool
@@ -305,7 +308,7 @@
 class ReplayTest(unittest.TestCase):
     """Test that every way to the end of a stream gives the same state."""
 
-    @settings(max_examples=60, deadline=None)
+    @settings(SAME_EXAMPLES, max_examples=60)
     @given(draw_streams(), st.data())
     def test_snapshot_and_tail_equal_the_whole_stream(
         self, texts: list[str], data: st.DataObject
@@ -323,7 +326,19 @@
         self.assertTrue(all(step in (0, 1) for step in steps))
         self.assertEqual(whole.content_sum, sum_content(whole.configuration))
 
-    @settings(max_examples=60, deadline=None)
+    @settings(SAME_EXAMPLES, max_examples=60)
+    @given(draw_streams())
+    def test_repeats_change_nothing_when_hardly_any_is_remembered(
+        self, texts: list[str]
+    ) -> None:
+        with patch("corianderhold.state.configuration.fold.REMEMBERED_CHANGES", 1):
+            whole, outcomes = fold_all(texts)
+            for text, outcome in zip(texts, outcomes, strict=True):
+                if outcome.kind is not OutcomeKind.BASE_AHEAD:
+                    repeated, _ = fold_all([text], whole)
+                    self.assertEqual(repeated.configuration, whole.configuration)
+
+    @settings(SAME_EXAMPLES, max_examples=60)
     @given(draw_streams(), st.data())
     def test_lagging_daemon_never_leaves_the_history(
         self, texts: list[str], data: st.DataObject
@@ -339,9 +354,11 @@
         lagging, _ = fold_all(texts[:lag])
         offset = first
         while offset < len(texts):
+            before = (lagging.version, lagging.next_offset)
             lagging, outcome = fold(lagging, Offset(offset), texts[offset])
             offset += 1
             if outcome.kind is OutcomeKind.SNAPSHOT_ADOPTED:
+                self.assertGreater((lagging.version, lagging.next_offset), before)
                 offset = max(first, lagging.next_offset)
             known = history.get(lagging.version, INITIAL_STATE)
             self.assertEqual(lagging.digest, known.digest)
