Keep records that fit no frame out of the exchange

Cause: a record of more than 1 MiB could not be sent on a peer link, so a domain without the log would have stopped at the version before it.

--- a/corianderhold/coordination/configuration/tail.py
+++ b/corianderhold/coordination/configuration/tail.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 
+from corianderhold.coordination.configuration.const import SENT_RECORD_BYTES_MAX
 from corianderhold.ids import Offset
 from corianderhold.transport.store.model import LogRecord
 
@@ -16,7 +17,14 @@
         self._bytes = 0
 
     def append(self, record: LogRecord) -> None:
-        """Add the next record; drop the oldest ones beyond the bounds."""
+        """
+        Add the next record; drop the oldest ones beyond the bounds.
+
+        A record too long for a frame is not kept: peers take a snapshot instead.
+        """
+        if len(record.data) > SENT_RECORD_BYTES_MAX:
+            self.clear()
+            return
         if self._records and record.offset != self._records[-1].offset + 1:
             self.clear()
         self._records.append(record)
--- a/tests/common/faults.py
+++ b/tests/common/faults.py
@@ -21,6 +21,7 @@
     def __init__(self, log: FakeLog, clock: FakeClock) -> None:
         self.cut = False
         self.delay_s = 0.0
+        self.answer_delay_s = 0.0
         self.lose_answers = False
         self.hold_appends = False
         self.held: list[str] = []
@@ -56,7 +57,9 @@
         self._clock.advance(min(self.delay_s, timeout_s))
         if self.cut or self.delay_s > timeout_s:
             return Err(ReadFailure.UNAVAILABLE)
-        return self._log.read(stream, from_offset, limit, timeout_s)
+        page = self._log.read(stream, from_offset, limit, timeout_s)
+        self._clock.advance(self.answer_delay_s)
+        return page
 
     def release(self) -> None:
         """Let the held appends arrive at the log."""
--- a/tests/common/followers.py
+++ b/tests/common/followers.py
@@ -9,6 +9,7 @@
 from corianderhold.coordination.configuration.follower import ConfigurationFollower
 from corianderhold.ids import FailureDomainId, Incarnation, InstanceId, RegionId
 from corianderhold.metrics import Metrics
+from corianderhold.protocol.peer.const import FRAME_BYTES_MAX
 from corianderhold.protocol.peer.control import (
     ControlFailure,
     ControlSender,
@@ -200,6 +201,8 @@
             ControlSender(sender.member.instance), body
         )
         self.clock.advance(delay_s)
+        if max(len(body), len(reply)) + FRAME_BYTES > FRAME_BYTES_MAX:
+            return Err(ControlFailure.REJECTED)
         sender.bytes_sent += len(body) + FRAME_BYTES
         peer.bytes_sent += len(reply) + FRAME_BYTES
         return Ok(reply)
--- a/tests/coordination/configuration/test_exchange.py
+++ b/tests/coordination/configuration/test_exchange.py
@@ -95,6 +95,13 @@
         self.assertLessEqual(asker.holder.verified_at, verified_at)
         self.assertGreaterEqual(asker.holder.verified_at, verified_at - 7.0)
 
+    def test_read_proves_the_view_up_to_when_it_was_asked_for(self) -> None:
+        daemon = self.get_daemon(0)
+        self.ways[daemon.member.instance].answer_delay_s = 1.5
+        asked_at = self.fleet.clock.read_monotonic()
+        daemon.follower.read_log()
+        self.assertEqual(daemon.holder.verified_at, asked_at)
+
     def test_proof_without_the_records_is_not_taken(self) -> None:
         asker, peer = self.get_daemon(0), self.get_daemon(3)
         before = asker.holder.verified_at
--- a/tests/coordination/configuration/test_spread.py
+++ b/tests/coordination/configuration/test_spread.py
@@ -1,12 +1,15 @@
 """Test the spread of the configuration under faults."""
 
+from dataclasses import replace
 from zlib import crc32
 
-from corianderhold.ids import Offset
+from corianderhold.ids import KeyId, Offset
+from corianderhold.protocol.peer.const import FRAME_BYTES_MAX
 from corianderhold.state.configuration.codec import encode_snapshot
 from corianderhold.state.configuration.fold import build_snapshot
+from corianderhold.state.configuration.records import Delta
 from corianderhold.transport.store.model import StreamName
-from tests.common.changes import make_text
+from tests.common.changes import RADIO_KEY, make_text
 from tests.coordination.configuration.case import (
     RETENTION_S,
     SpreadTestCase,
@@ -106,6 +109,19 @@
         counters = self.get_any().metrics.read_counters()
         self.assertGreaterEqual(counters["configuration_fold_corrupt"], 6)
 
+    def test_change_too_long_for_a_frame_reaches_a_domain_without_the_log(self) -> None:
+        for daemon in self.get_domain("d0"):
+            self.ways[daemon.member.instance].cut = True
+        keys = tuple(
+            replace(RADIO_KEY, key_id=KeyId(f"key{number}"), digest="0" * 250)
+            for number in range(4000)
+        )
+        text = make_text("long", 1, Delta(keys=keys))
+        self.assertGreater(len(text), FRAME_BYTES_MAX)
+        self.append(text)
+        self.settle()
+        self.assertEqual(self.read_version(), 2)
+
     def test_burst_of_changes_reaches_all(self) -> None:
         self.append_changes(1, 200)
         self.settle()
