Split the measurement of the spread and add running processes

Change: measurements/spread holds the parts; 6 daemons in processes of their own withdraw keys. script/run_measurement lists modules only, not packages.

--- /dev/null
+++ b/measurements/spread/changes.py
@@ -0,0 +1,48 @@
+"""Make changes to measure with, and sum up when they were in force."""
+
+import math
+from dataclasses import dataclass, replace
+
+from corianderhold.ids import ChangeId, KeyId, Version
+from corianderhold.state.configuration.codec import encode_change
+from corianderhold.state.configuration.records import ChangeRecord, Delta
+from corianderhold.transport.store.model import Log, StreamName
+from tests.common.changes import RADIO_KEY
+
+RETENTION_S = 86_400.0
+WARM_UP_S = 5.0
+SETTLE_S = 2.0
+LIMIT_S = 30.0
+LOG_TIMEOUT_S = 2.0
+
+
+@dataclass(frozen=True)
+class Spread:
+    """Seconds from acceptance until 99 in 100 and all daemons had a change."""
+
+    most_s: float
+    all_s: float
+
+
+def summarize_times(times: list[float]) -> Spread:
+    """Return the 99th percentile and the highest of sorted times."""
+    most = max(0, math.ceil(len(times) * 0.99) - 1)
+    return Spread(times[most], times[-1])
+
+
+def make_withdrawal(base: int) -> ChangeRecord:
+    """Return a change of one key, made from a version."""
+    key = replace(RADIO_KEY, key_id=KeyId(f"key-{base}"), withdrawn=base % 2 == 0)
+    return make_record(base, Delta(keys=(key,)))
+
+
+def make_record(base: int, delta: Delta) -> ChangeRecord:
+    """Return a change with the id of its base."""
+    change_id = ChangeId(f"change-{base}")
+    return ChangeRecord(change_id, Version(base), "measurement", 1.7e9, "", delta)
+
+
+def append(log: Log, change: ChangeRecord) -> None:
+    """Append a change behind the daemons' backs, as a publisher that then dies."""
+    text = encode_change(change)
+    log.append(StreamName.CONFIGURATION, text, LOG_TIMEOUT_S).unwrap()
--- a/script/run_measurement.py
+++ b/script/run_measurement.py
@@ -12,7 +12,11 @@
 def list_names() -> list[str]:
     """Return the names of all measurements."""
     modules = pkgutil.iter_modules(measurements.__path__)
-    return sorted(module.name for module in modules if module.name != "report")
+    return sorted(
+        module.name
+        for module in modules
+        if module.name != "report" and not module.ispkg
+    )
 
 
 def main(arguments: list[str]) -> int:
