Test loans under faults, pace early renewals, share by demand

Cause: the first policy lent spare rate to entries that did not need it, reacted a second late to bursts and lost tokens; the parts had no tests.

--- a/corianderhold/coordination/lease/manager.py
+++ b/corianderhold/coordination/lease/manager.py
@@ -14,7 +14,6 @@
     HOLDER_SILENCE_S,
     LOG_TIMEOUT_S,
     PROMISE_INTERVAL_S,
-    PROMISE_TIMEOUT_S,
     RANK_DELAY_S,
     RENEWAL_INTERVAL_S,
     RESEND_INTERVAL_S,
@@ -23,25 +22,20 @@
 )
 from corianderhold.coordination.lease.follower import HeadReading, LeaseFollower
 from corianderhold.coordination.lease.lease import Lease
+from corianderhold.coordination.lease.promises import PromiseAsker
 from corianderhold.coordination.lease.ranking import rank_members
 from corianderhold.ids import FailureDomainId, InstanceId
 from corianderhold.log import log_event, log_warning
 from corianderhold.protocol.lease.codec import (
     PromiseMessageError,
-    decode_reply,
     decode_request,
     encode_reply,
-    encode_request,
-)
-from corianderhold.protocol.lease.model import PromiseAsk, PromiseReply, PromiseRequest
-from corianderhold.protocol.peer.control import (
-    ControlClient,
-    ControlSender,
-    ControlTopic,
 )
+from corianderhold.protocol.lease.model import PromiseAsk, PromiseReply
+from corianderhold.protocol.peer.control import ControlClient, ControlSender
 from corianderhold.state.lease.model import Holder, LeaseRecord, LeaseRecordId, ShardId
 from corianderhold.state.lease.texts import encode_record
-from corianderhold.state.membership.model import Member, Members, MemberState
+from corianderhold.state.membership.model import Members, MemberState
 from corianderhold.transport.store.model import AppendFailure, Log, StreamName
 
 NEVER = float("-inf")
@@ -81,7 +75,7 @@
         self._domain = domain
         self._clock = clock
         self._log = log
-        self._control = control
+        self._asker = PromiseAsker(clock, control, members)
         self._members = members
         self._follower = LeaseFollower(log, clock)
         self._lock = threading.Lock()
@@ -119,7 +113,7 @@
     def step(self) -> None:
         """Read, claim, renew and ask for promises where it is time."""
         self._read_if_due()
-        self._ask_promises()
+        self._renew_promises()
         for shard, entry in self._entries.items():
             record = self._choose_record(shard, entry)
             if record is not None:
@@ -282,7 +276,8 @@
         ):
             return False
         silence = now - max(entry.asked_at, self._started_at)
-        if silence < HOLDER_SILENCE_S + rank * RANK_DELAY_S:
+        least = HOLDER_SILENCE_S if term is not None else 0.0
+        if silence < least + rank * RANK_DELAY_S:
             return False
         if term is None or self._node.instance in term.members:
             return True
@@ -313,8 +308,19 @@
                 with self._lock:
                     entry.lease.drop_claim()
 
-    def _ask_promises(self) -> None:
+    def _renew_promises(self) -> None:
         """Ask every successor of the shards held, one request each."""
+        for successor, asks in self._list_due_asks().items():
+            answer = self._asker.ask(successor, asks)
+            if answer is None:
+                continue
+            with self._lock:
+                for ask in answer.promised:
+                    lease = self._entries[ask.shard].lease
+                    lease.receive_promise(successor, ask.term, answer.sent_at)
+
+    def _list_due_asks(self) -> dict[InstanceId, list[PromiseAsk]]:
+        """Return what is to be asked of each successor now."""
         now = self._clock.read_monotonic()
         asks: dict[InstanceId, list[PromiseAsk]] = defaultdict(list)
         with self._lock:
@@ -326,39 +332,7 @@
                 entry.promised_at = now
                 for successor in lease.list_promisers():
                     asks[successor].append(PromiseAsk(shard, lease.seen.number))
-        for successor, wanted in asks.items():
-            member = self._find_member(successor)
-            if member is not None:
-                self._ask_promise(member, tuple(wanted))
-
-    def _ask_promise(self, member: Member, asks: tuple[PromiseAsk, ...]) -> None:
-        """Ask one successor; the time runs from before the request."""
-        sent_at = self._clock.read_monotonic()
-        answer = self._control.request(
-            member.peer_address,
-            ControlTopic.LEASE,
-            encode_request(PromiseRequest(asks)),
-            PROMISE_TIMEOUT_S,
-        )
-        if isinstance(answer, Err):
-            return
-        try:
-            promised = decode_reply(answer.ok_value).promised
-        except PromiseMessageError as error:
-            log_warning("promise_reply_malformed", error=repr(error))
-            return
-        with self._lock:
-            for ask in asks:
-                if ask.shard in promised:
-                    lease = self._entries[ask.shard].lease
-                    lease.receive_promise(member.instance, ask.term, sent_at)
-
-    def _find_member(self, instance: InstanceId) -> Member | None:
-        """Return the member with this name."""
-        for member in self._members.list_members():
-            if member.instance == instance:
-                return member
-        return None
+        return asks
 
     def _name_record(self) -> LeaseRecordId:
         """Return a record id that no other record has."""
--- a/corianderhold/coordination/rate/entry.py
+++ b/corianderhold/coordination/rate/entry.py
@@ -8,14 +8,15 @@
 from corianderhold.clock import Clock
 from corianderhold.coordination.rate.const import (
     DEMAND_WINDOW_S,
-    EARLY_RENEW_INTERVAL_S,
     ENTRY_LOAN_S,
     IDLE_DEMAND,
     LOAN_TIMEOUT_S,
-    RENEW_INTERVAL_S,
+    PACE_CHECK_INTERVAL_S,
+    SURE_DEVIATIONS,
 )
 from corianderhold.coordination.rate.limiter import Allowance, AllowanceLimiter, Usage
 from corianderhold.coordination.rate.messenger import LoanMessenger
+from corianderhold.coordination.rate.pace import RenewalPace
 from corianderhold.coordination.rate.shards import name_shard
 from corianderhold.ids import FailureDomainId, OrganisationId
 from corianderhold.log import log_warning
@@ -52,6 +53,7 @@
         self._domain = domain
         self._clock = clock
         self._loans: dict[OrganisationId, _Loan] = {}
+        self._pace = RenewalPace(clock.read_monotonic())
         self._read_at = clock.read_monotonic()
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="loans", daemon=True)
@@ -63,18 +65,22 @@
     def stop(self) -> None:
         """Stop the thread; loans run out by themselves."""
         self._stopping.set()
-        self._limiter.short.set()
         if self._thread.is_alive():
             self._thread.join(2 * LOAN_TIMEOUT_S)
 
     def _run(self) -> None:
         """Renew at an interval, earlier while an organisation runs short."""
-        while not self._stopping.wait(EARLY_RENEW_INTERVAL_S):
+        while not self._stopping.wait(PACE_CHECK_INTERVAL_S):
             try:
-                self.renew()
+                self.renew_if_due()
             except Exception as error:  # noqa: BLE001
                 log_warning("loan_renewal_failed", error=repr(error))
-            self._limiter.short.wait(RENEW_INTERVAL_S)
+
+    def renew_if_due(self) -> None:
+        """Renew where the pace allows it."""
+        now = self._clock.read_monotonic()
+        if self._pace.take_due(now, self._limiter.short.is_set()):
+            self.renew()
 
     def renew(self) -> None:
         """Ask every steward once, for all organisations with demand."""
@@ -129,7 +135,11 @@
 
 
 def _update_demand(loan: _Loan, usage: Usage, elapsed: float) -> None:
-    """Average the demand over DEMAND_WINDOW_S."""
+    """Average over DEMAND_WINDOW_S, but follow a sure rise or fall at once."""
     kept = math.exp(-elapsed / DEMAND_WINDOW_S)
-    latest = (usage.admitted + usage.refused) / elapsed
-    loan.demand = loan.demand * kept + latest * (1.0 - kept)
+    count = usage.admitted + usage.refused
+    average = loan.demand * kept + count / elapsed * (1.0 - kept)
+    spread = SURE_DEVIATIONS * math.sqrt(count)
+    lowest = (count - spread) / elapsed
+    highest = (count + spread + SURE_DEVIATIONS) / elapsed
+    loan.demand = min(max(average, lowest), highest)
--- a/corianderhold/coordination/rate/lender.py
+++ b/corianderhold/coordination/rate/lender.py
@@ -13,6 +13,7 @@
 from corianderhold.coordination.rate.policy import (
     Offer,
     Pool,
+    find_need,
     offer_to_domain,
     offer_to_entry,
 )
@@ -72,6 +73,7 @@
     """
     Keep the loans of one organisation at one steward; not thread-safe.
 
+    `unmet_tokens` adds up what entries wanted in vain; whoever borrows resets it.
     At every moment the own bucket and all that borrowers may be using add up to at
     most the domain's share and what it has borrowed. Times are monotonic seconds.
     """
@@ -83,6 +85,7 @@
         self._loans: dict[BorrowerId, _Loan] = {}
         self._bucket = TokenBucket(0.0, 0.0, now)
         self._grant_count = 0
+        self.unmet_tokens = 0.0
 
     def set_own(self, now: float, rate: float, capacity: float) -> None:
         """Change the share; what was raised counts after RAISE_DELAY_S."""
@@ -110,10 +113,11 @@
         self.settle(now)
         self._bucket.add(now, grant.tokens)
 
-    def read_demand(self) -> float:
-        """Return the demand of the own entries in requests a second."""
+    def find_need(self) -> float:
+        """Return the rate that the own entries need, in requests a second."""
         loans = self._loans.values()
-        return sum(loan.demand for loan in loans if loan.kind is BorrowerKind.ENTRY)
+        demands = (x.demand for x in loans if x.kind is BorrowerKind.ENTRY)
+        return sum(find_need(demand) for demand in demands)
 
     def read_own(self) -> Allowance:
         """Return the domain's own share."""
@@ -153,7 +157,10 @@
         entry = borrower.kind is BorrowerKind.ENTRY
         ends_at = now + (ENTRY_LOAN_KEPT_S if entry else DOMAIN_LOAN_KEPT_S)
         offer = self._offer(loan, ask, ends_at)
-        return self._grant(now, loan, ask, offer, ends_at)
+        grant = self._grant(now, loan, ask, offer, ends_at)
+        if entry and ask.wanted > ask.capacity:
+            self.unmet_tokens += max(0.0, ask.wanted - grant.tokens)
+        return grant
 
     def _confirm(self, now: float, loan: _Loan, ask: LoanAsk) -> None:
         """Take back every grant but the one in use, and the tokens returned."""
--- a/corianderhold/coordination/rate/limiter.py
+++ b/corianderhold/coordination/rate/limiter.py
@@ -10,7 +10,6 @@
 from corianderhold.coordination.rate.bucket import TokenBucket
 from corianderhold.coordination.rate.const import (
     LONGEST_RETRY_AFTER_MS,
-    SHORT_PART,
     UNKNOWN_RETRY_AFTER_MS,
 )
 from corianderhold.ids import OrganisationId
@@ -67,7 +66,7 @@
     """
     Admit requests within the allowances that were set; thread-safe.
 
-    `short` is set while an organisation was refused or is about to be.
+    `short` is set once an organisation was refused, until the usage is read.
     """
 
     def __init__(self) -> None:
@@ -82,11 +81,8 @@
             if account is None:
                 account = _Account(TokenBucket(0.0, 0.0, now), now)
                 self._accounts[organisation] = account
-            bucket = account.bucket
-            if now < account.ends_at and bucket.take(now):
+            if now < account.ends_at and account.bucket.take(now):
                 account.admitted += 1
-                if bucket.tokens < SHORT_PART * bucket.capacity:
-                    self._mark_short()
                 return Ok(None)
             account.refused += 1
             self._mark_short()
--- /dev/null
+++ b/corianderhold/coordination/rate/pace.py
@@ -0,0 +1,34 @@
+"""Pace renewals: regular ones, and a bounded number of early ones."""
+
+from corianderhold.coordination.rate.bucket import TokenBucket
+from corianderhold.coordination.rate.const import (
+    EARLY_RENEW_INTERVAL_S,
+    EARLY_RENEWALS,
+    EARLY_RENEWALS_PER_S,
+    RENEW_INTERVAL_S,
+)
+
+
+class RenewalPace:
+    """
+    Decide when to renew; used by one thread.
+
+    Early renewals are limited, so that a lasting shortage costs few messages more
+    than a steady demand.
+    """
+
+    def __init__(self, now: float) -> None:
+        self._renewed_at = now
+        self._early = TokenBucket(EARLY_RENEWALS_PER_S, EARLY_RENEWALS, now)
+        self._early.add(now, EARLY_RENEWALS)
+
+    def take_due(self, now: float, short: bool) -> bool:
+        """Return whether to renew now, and count it as done."""
+        elapsed = now - self._renewed_at
+        if elapsed < RENEW_INTERVAL_S:
+            if not short or elapsed < EARLY_RENEW_INTERVAL_S:
+                return False
+            if not self._early.take(now):
+                return False
+        self._renewed_at = now
+        return True
--- a/corianderhold/coordination/rate/policy.py
+++ b/corianderhold/coordination/rate/policy.py
@@ -1,5 +1,6 @@
 """Decide how much of a pool to lend to one borrower; safety is the lender's."""
 
+import math
 from dataclasses import dataclass
 
 from corianderhold.coordination.rate.const import (
@@ -7,6 +8,7 @@
     DEMAND_HEADROOM,
     IDLE_DEMAND,
     LENT_CAPACITY_PART,
+    LENT_TOKENS_PART,
     SPARE_PART,
 )
 from corianderhold.protocol.rate.model import LoanAsk
@@ -46,11 +48,12 @@
     needs = [find_need(demand) for demand in pool.entry_demands]
     total = need + sum(needs)
     if total <= pool.rate:
-        rate = need + (pool.rate - total) / (2 * (len(needs) + 1))
+        rate = need
     else:
         rate = min(need, find_fair_level(pool.rate, [need, *needs]))
     part = need / total if total else 0.0
-    capacity = max(1.0, LENT_CAPACITY_PART * pool.capacity * part)
+    lent = need / max(total, pool.rate / 2)
+    capacity = max(1.0, LENT_CAPACITY_PART * pool.capacity * lent)
     wanted = ask.wanted + max(0.0, capacity - ask.capacity)
     tokens = min(wanted, pool.tokens * max(0.5, part))
     capacity = min(max(capacity, tokens), pool.free_capacity)
@@ -63,8 +66,12 @@
     spare = max(0.0, min(pool.free_rate, pool.rate - needs) * SPARE_PART)
     rate = min(ask.demand, spare)
     part = rate / pool.rate if pool.rate else 0.0
-    capacity = min(pool.capacity * part, pool.free_capacity)
-    tokens = min(max(0.0, capacity - ask.capacity), pool.tokens * part)
+    capacity = pool.capacity * part
+    growth = max(0.0, capacity - ask.capacity)
+    tokens = max(
+        min(growth, pool.tokens * part), min(ask.wanted, pool.tokens * LENT_TOKENS_PART)
+    )
+    capacity = min(max(capacity, tokens), pool.free_capacity)
     return Offer(rate, capacity, tokens, pool.free_capacity)
 
 
@@ -72,7 +79,7 @@
     """Return the rate to lend for a demand, both in requests a second."""
     if demand < IDLE_DEMAND:
         return 0.0
-    return demand * DEMAND_HEADROOM + DEMAND_FLOOR
+    return demand + DEMAND_HEADROOM * math.sqrt(demand) + DEMAND_FLOOR
 
 
 def find_fair_level(supply: float, needs: list[float]) -> float:
--- a/corianderhold/coordination/rate/steward.py
+++ b/corianderhold/coordination/rate/steward.py
@@ -6,15 +6,15 @@
 
 from corianderhold.clock import Clock
 from corianderhold.coordination.rate.const import (
-    DEMAND_HEADROOM,
     DOMAIN_LOAN_KEPT_S,
     DOMAIN_LOAN_S,
     LOAN_TIMEOUT_S,
-    RENEW_INTERVAL_S,
+    PACE_CHECK_INTERVAL_S,
     SMALLEST_LOAN,
 )
 from corianderhold.coordination.rate.lender import BorrowerId, BorrowerKind, Lender
 from corianderhold.coordination.rate.messenger import LoanMessenger
+from corianderhold.coordination.rate.pace import RenewalPace
 from corianderhold.coordination.rate.shards import LeaseGuard, name_shard
 from corianderhold.ids import FailureDomainId, InstanceId, OrganisationId
 from corianderhold.log import log_event, log_warning
@@ -28,6 +28,8 @@
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.configuration.model import Organisation
 
+FIRST_TERM = 1
+
 
 @dataclass
 class _Desk:
@@ -62,6 +64,8 @@
         self._random = random
         self._lock = threading.Lock()
         self._desks: dict[OrganisationId, _Desk] = {}
+        self._short = threading.Event()
+        self._pace = RenewalPace(clock.read_monotonic())
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="steward", daemon=True)
 
@@ -76,13 +80,20 @@
             self._thread.join(2 * LOAN_TIMEOUT_S)
 
     def _run(self) -> None:
-        """Renew loans from other domains at an interval."""
-        while not self._stopping.wait(RENEW_INTERVAL_S):
+        """Renew loans from other domains, earlier while the own share is short."""
+        while not self._stopping.wait(PACE_CHECK_INTERVAL_S):
             try:
-                self.renew()
+                self.renew_if_due()
             except Exception as error:  # noqa: BLE001
                 log_warning("steward_renewal_failed", error=repr(error))
 
+    def renew_if_due(self) -> None:
+        """Renew where the pace allows it."""
+        now = self._clock.read_monotonic()
+        if self._pace.take_due(now, self._short.is_set()):
+            self._short.clear()
+            self.renew()
+
     def handle_control(self, sender: ControlSender, body: bytes) -> bytes:
         """Answer a loan request; refuse one that another daemon's name is on."""
         try:
@@ -111,8 +122,12 @@
                 accepted = True
                 now = self._clock.read_monotonic()
                 grant = desk.lender.answer(now, borrower, request.number, ask)
-                if grant is not None:
-                    grants.append(grant)
+                if grant is None:
+                    continue
+                grants.append(grant)
+                missing = grant.rate < ask.demand or desk.lender.unmet_tokens >= 1.0
+                if missing and not request.steward:
+                    self._short.set()
         return LoanReply(accepted, tuple(grants), self._name_holder(request))
 
     def _name_holder(self, request: LoanRequest) -> InstanceId:
@@ -135,7 +150,7 @@
         Return the desk of an organisation while its lease allows to lend.
 
         A new tenure opens with an empty bucket, after every loan of the holder before
-        has run out.
+        has run out; before the first term there was none.
         """
         organisation = self._configuration.current.organisations.get(name)
         tenure = self._guard.find_tenure(name_shard(self._domain, name))
@@ -144,7 +159,8 @@
         now = self._clock.read_monotonic()
         desk = self._desks.get(name)
         if desk is None or desk.tenure != tenure:
-            opens_at = now + DOMAIN_LOAN_KEPT_S
+            first = tenure == FIRST_TERM
+            opens_at = now if first else now + DOMAIN_LOAN_KEPT_S
             desk = _Desk(tenure, opens_at, Lender(opens_at))
             self._desks[name] = desk
             log_event("steward_began", organisation=name, tenure=tenure)
@@ -156,38 +172,48 @@
 
     def _borrow(self, organisation: Organisation, desk: _Desk) -> None:
         """Renew the loans of one organisation, domain by domain."""
+        with self._lock:
+            tokens = desk.lender.unmet_tokens
+            desk.lender.unmet_tokens = 0.0
         domains = [d for d in organisation.shares if d != self._domain]
         self._random.shuffle(domains)
         for domain in domains:
-            ask = self._build_ask(organisation.name, desk, domain)
+            ask = self._build_ask(organisation.name, desk, domain, tokens)
             if ask is not None:
-                self._request(domain, desk, ask)
+                tokens -= self._request(domain, desk, ask)
 
     def _build_ask(
-        self, name: OrganisationId, desk: _Desk, domain: FailureDomainId
+        self, name: OrganisationId, desk: _Desk, domain: FailureDomainId, tokens: float
     ) -> LoanAsk | None:
         """Ask one domain for what the others don't lend; None for nothing."""
         with self._lock:
             lender = desk.lender
             lender.settle(self._clock.read_monotonic())
-            missing = lender.read_demand() * DEMAND_HEADROOM - lender.read_own().rate
+            missing = lender.find_need() - lender.read_own().rate
             borrowed = lender.borrowed.find_lent_by_others(domain)
             wanted = max(0.0, missing - borrowed)
-            if wanted < SMALLEST_LOAN and lender.borrowed.read_rate(domain) <= 0:
+            unused = lender.borrowed.read_rate(domain) <= 0
+            if wanted < SMALLEST_LOAN and tokens < 1.0 and unused:
                 return None
             used = lender.borrowed.report_used(domain)
             return LoanAsk(
-                name, used.number, max(0.0, used.allowance.capacity), 0.0, wanted, 0.0
+                name,
+                used.number,
+                used.allowance.capacity,
+                0.0,
+                wanted,
+                max(0.0, tokens),
             )
 
-    def _request(self, domain: FailureDomainId, desk: _Desk, ask: LoanAsk) -> None:
-        """Send one ask; times run from before it."""
+    def _request(self, domain: FailureDomainId, desk: _Desk, ask: LoanAsk) -> float:
+        """Send one ask and return the tokens that came; times run from before it."""
         shard = name_shard(domain, ask.organisation)
         answer = self._messenger.send(domain, shard, (ask,))
         if answer is None:
-            return
+            return 0.0
         with self._lock:
             now = self._clock.read_monotonic()
             for grant in answer.grants:
                 ends_at = answer.sent_at + DOMAIN_LOAN_S
                 desk.lender.accept_borrowed(now, domain, grant, ends_at)
+        return sum(grant.tokens for grant in answer.grants)
--- a/corianderhold/state/lease/fold.py
+++ b/corianderhold/state/lease/fold.py
@@ -81,6 +81,6 @@
         wait = WaitClass.TAKEOVER
     else:
         successors = record.successors
-        wait = WaitClass.TAKEOVER if base is None else WaitClass.NEWCOMER
+        wait = WaitClass.NONE if base is None else WaitClass.NEWCOMER
     successors -= {record.holder.instance}
     return LeaseTerm(record.number, record.record_id, record.holder, successors, wait)
--- /dev/null
+++ b/tests/coordination/rate/test_lender.py
@@ -0,0 +1,148 @@
+"""Test what a lender keeps back and takes back."""
+
+from unittest import TestCase
+
+from corianderhold.coordination.rate.const import (
+    DOMAIN_LOAN_KEPT_S,
+    DOMAIN_LOAN_S,
+    ENTRY_LOAN_KEPT_S,
+    RAISE_DELAY_S,
+)
+from corianderhold.coordination.rate.lender import BorrowerId, BorrowerKind, Lender
+from corianderhold.ids import (
+    FailureDomainId,
+    Incarnation,
+    InstanceId,
+    OrganisationId,
+)
+from corianderhold.protocol.rate.model import LoanAsk, LoanGrant
+
+ARCHIVE = OrganisationId("archive")
+NORTH = FailureDomainId("north")
+ROUNDING = 1e-6
+
+
+def name_borrower(name: str, kind: BorrowerKind = BorrowerKind.ENTRY) -> BorrowerId:
+    return BorrowerId(kind, InstanceId(name), Incarnation(1))
+
+
+def build_ask(
+    demand: float, applied: int = 0, capacity: float = 0.0, returned: float = 0.0
+) -> LoanAsk:
+    return LoanAsk(ARCHIVE, applied, capacity, returned, demand, 5.0)
+
+
+class LenderTests(TestCase):
+    """Check one organisation's share of 10 requests a second and a burst of 20."""
+
+    def setUp(self) -> None:
+        self.lender = Lender(0.0)
+        self.lender.set_own(0.0, 10.0, 20.0)
+        self.numbers = 0
+
+    def lend(self, now: float, borrower: BorrowerId, ask: LoanAsk) -> LoanGrant:
+        self.numbers += 1
+        grant = self.lender.answer(now, borrower, self.numbers, ask)
+        assert grant is not None
+        return grant
+
+    def test_new_lender_has_no_tokens(self) -> None:
+        grant = self.lend(0.0, name_borrower("a"), build_ask(5.0))
+        self.assertEqual(grant.tokens, 0.0)
+
+    def test_two_borrowers_never_get_more_than_the_share(self) -> None:
+        first = self.lend(5.0, name_borrower("a"), build_ask(50.0))
+        second = self.lend(5.0, name_borrower("b"), build_ask(50.0))
+        self.assertLessEqual(first.rate + second.rate, 10.0 + ROUNDING)
+        self.assertLessEqual(first.capacity + second.capacity, 20.0 + ROUNDING)
+
+    def test_own_bucket_is_lowered_by_what_is_lent(self) -> None:
+        grant = self.lend(5.0, name_borrower("a"), build_ask(5.0))
+        self.lender.settle(6.0)
+        self.assertLessEqual(
+            self.lender.read_tokens() + grant.capacity, 20.0 + ROUNDING
+        )
+
+    def test_ended_loan_brings_back_no_tokens(self) -> None:
+        self.lend(5.0, name_borrower("a"), build_ask(50.0))
+        end = 5.0 + ENTRY_LOAN_KEPT_S
+        self.lender.settle(end - 0.01)
+        before = self.lender.read_tokens()
+        self.lender.settle(end)
+        self.assertLessEqual(self.lender.read_tokens() - before, 0.1 + ROUNDING)
+
+    def test_unconfirmed_grant_stays_reserved(self) -> None:
+        borrower = name_borrower("a")
+        first = self.lend(5.0, borrower, build_ask(50.0))
+        self.lend(5.5, borrower, build_ask(1.0, first.number, first.capacity))
+        other = self.lend(6.0, name_borrower("b"), build_ask(50.0))
+        self.assertLessEqual(first.rate + other.rate, 10.0 + ROUNDING)
+
+    def test_confirmed_grant_replaces_the_others(self) -> None:
+        borrower = name_borrower("a")
+        first = self.lend(5.0, borrower, build_ask(50.0))
+        second = self.lend(5.5, borrower, build_ask(1.0, first.number, first.capacity))
+        self.lend(6.0, borrower, build_ask(1.0, second.number, second.capacity))
+        other = self.lend(6.0, name_borrower("b"), build_ask(50.0))
+        self.assertGreater(other.rate, 5.0)
+
+    def test_late_request_is_ignored(self) -> None:
+        borrower = name_borrower("a")
+        self.assertIsNotNone(self.lender.answer(5.0, borrower, 7, build_ask(1.0)))
+        self.assertIsNone(self.lender.answer(5.1, borrower, 6, build_ask(1.0)))
+
+    def test_returned_tokens_count_only_within_the_capacity_given_up(self) -> None:
+        borrower = name_borrower("a")
+        grant = self.lend(5.0, borrower, build_ask(5.0))
+        self.lender.settle(5.0)
+        before = self.lender.read_tokens()
+        ask = LoanAsk(ARCHIVE, grant.number, 0.0, 1000.0, 0.0, 0.0)
+        self.lend(5.0, borrower, ask)
+        gained = self.lender.read_tokens() - before
+        self.assertLessEqual(gained, grant.capacity + ROUNDING)
+
+    def test_domain_gets_only_what_entries_leave(self) -> None:
+        entry = self.lend(5.0, name_borrower("a"), build_ask(6.0))
+        domain = name_borrower("north", BorrowerKind.DOMAIN)
+        grant = self.lend(5.0, domain, build_ask(50.0))
+        self.assertLessEqual(entry.rate + grant.rate, 10.0 + ROUNDING)
+        later = 5.0 + DOMAIN_LOAN_KEPT_S - 0.01
+        other = self.lend(later, name_borrower("b"), build_ask(50.0))
+        self.assertLessEqual(other.rate + grant.rate, 10.0 + ROUNDING)
+
+    def test_borrowed_rate_is_lent_on_only_while_it_lasts(self) -> None:
+        loan = LoanGrant(ARCHIVE, 1, 30.0, 30.0, 0.0)
+        self.lender.accept_borrowed(5.0, NORTH, loan, 5.0 + DOMAIN_LOAN_S)
+        early = self.lend(5.1, name_borrower("a"), build_ask(30.0))
+        self.assertGreater(early.rate, 10.0)
+        last = 5.0 + DOMAIN_LOAN_S - ENTRY_LOAN_KEPT_S + 0.1
+        late = self.lend(last, name_borrower("b"), build_ask(30.0))
+        self.assertLessEqual(late.rate, 10.0 + ROUNDING)
+
+    def test_smaller_loan_waits_until_nothing_depends_on_the_larger(self) -> None:
+        large = LoanGrant(ARCHIVE, 1, 30.0, 30.0, 0.0)
+        self.lender.accept_borrowed(5.0, NORTH, large, 5.0 + DOMAIN_LOAN_S)
+        self.lend(5.1, name_borrower("a"), build_ask(30.0))
+        small = LoanGrant(ARCHIVE, 2, 1.0, 1.0, 0.0)
+        self.lender.accept_borrowed(8.0, NORTH, small, 8.0 + DOMAIN_LOAN_S)
+        self.assertEqual(self.lender.borrowed.find_total(8.0).rate, 30.0)
+        end = 5.1 + ENTRY_LOAN_KEPT_S
+        self.lender.settle(end)
+        self.assertEqual(self.lender.borrowed.find_total(end).rate, 1.0)
+
+    def test_grant_not_named_in_a_request_is_forgotten(self) -> None:
+        large = LoanGrant(ARCHIVE, 1, 30.0, 30.0, 0.0)
+        small = LoanGrant(ARCHIVE, 2, 1.0, 1.0, 0.0)
+        self.lender.accept_borrowed(5.0, NORTH, large, 5.0 + DOMAIN_LOAN_S)
+        self.lend(5.1, name_borrower("a"), build_ask(30.0))
+        self.lender.accept_borrowed(6.0, NORTH, small, 6.0 + DOMAIN_LOAN_S)
+        self.assertEqual(self.lender.borrowed.report_used(NORTH).number, 1)
+        self.lender.settle(5.0 + DOMAIN_LOAN_S)
+        self.assertEqual(self.lender.borrowed.find_total(11.0).rate, 0.0)
+
+    def test_raised_share_counts_after_a_delay_and_a_lowered_one_at_once(self) -> None:
+        self.lender.set_own(5.0, 20.0, 10.0)
+        self.assertEqual(self.lender.read_own().rate, 10.0)
+        self.assertEqual(self.lender.read_own().capacity, 10.0)
+        self.lender.settle(5.0 + RAISE_DELAY_S)
+        self.assertEqual(self.lender.read_own().rate, 20.0)
