--- a/corianderhold/coordination/rate/lender.py
+++ b/corianderhold/coordination/rate/lender.py
@@ -73,18 +73,19 @@
     """
     Keep the loans of one organisation at one steward; not thread-safe.
 
-    `unmet_tokens` adds up what entries wanted in vain; whoever borrows resets it.
     At every moment the own bucket and all that borrowers may be using add up to at
     most the domain's share and what it has borrowed. Times are monotonic seconds.
+    Grants are numbered from `last_number` + 1. `unmet_tokens` adds up what entries
+    wanted in vain; whoever borrows resets it.
     """
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, last_number: int = 0) -> None:
         self._own = Allowance(0.0, 0.0)
         self._raise: tuple[float, Allowance] | None = None
         self.borrowed = BorrowedSupply()
         self._loans: dict[BorrowerId, _Loan] = {}
         self._bucket = TokenBucket(0.0, 0.0, now)
-        self._grant_count = 0
+        self._last_number = last_number
         self.unmet_tokens = 0.0
 
     def set_own(self, now: float, rate: float, capacity: float) -> None:
@@ -200,13 +201,13 @@
         room = max(0.0, offer.free_capacity - in_use)
         tokens = self._bucket.take_up_to(now, min(offer.tokens, room))
         reserved = max(offer.capacity, in_use + tokens)
-        self._grant_count += 1
+        self._last_number += 1
         loan.grants.append(
-            _Grant(self._grant_count, offer.rate, offer.capacity, reserved, ends_at)
+            _Grant(self._last_number, offer.rate, offer.capacity, reserved, ends_at)
         )
         self._resize(now)
         return LoanGrant(
-            ask.organisation, self._grant_count, offer.rate, offer.capacity, tokens
+            ask.organisation, self._last_number, offer.rate, offer.capacity, tokens
         )
 
     def _fits(self, borrowed: Allowance) -> bool:
--- a/corianderhold/coordination/rate/steward.py
+++ b/corianderhold/coordination/rate/steward.py
@@ -29,6 +29,7 @@
 from corianderhold.state.configuration.model import Organisation
 
 FIRST_TERM = 1
+GRANT_NUMBER_BITS = 32
 
 
 @dataclass
@@ -36,7 +37,7 @@
     """The loans of one organisation during one tenure of its shard."""
 
     tenure: int
-    opens_at: float
+    own_from: float
     lender: Lender
 
 
@@ -116,7 +117,7 @@
         accepted = False
         with self._lock:
             for ask in request.asks:
-                desk = self._find_open_desk(ask.organisation)
+                desk = self._find_desk(ask.organisation)
                 if desk is None:
                     continue
                 accepted = True
@@ -141,16 +142,17 @@
         """Ask other domains for what the own entries need beyond the share."""
         for organisation in self._configuration.current.organisations.values():
             with self._lock:
-                desk = self._find_open_desk(organisation.name)
+                desk = self._find_desk(organisation.name)
             if desk is not None:
                 self._borrow(organisation, desk)
 
-    def _find_open_desk(self, name: OrganisationId) -> _Desk | None:
+    def _find_desk(self, name: OrganisationId) -> _Desk | None:
         """
         Return the desk of an organisation while its lease allows to lend.
 
-        A new tenure opens with an empty bucket, after every loan of the holder before
-        has run out; before the first term there was none.
+        A new tenure begins without tokens and lends only what it borrows; the own
+        share is added after every loan of the holder before has run out. Before the
+        first term there was none.
         """
         organisation = self._configuration.current.organisations.get(name)
         tenure = self._guard.find_tenure(name_shard(self._domain, name))
@@ -159,15 +161,14 @@
         now = self._clock.read_monotonic()
         desk = self._desks.get(name)
         if desk is None or desk.tenure != tenure:
-            first = tenure == FIRST_TERM
-            opens_at = now if first else now + DOMAIN_LOAN_KEPT_S
-            desk = _Desk(tenure, opens_at, Lender(opens_at))
+            own_from = now if tenure == FIRST_TERM else now + DOMAIN_LOAN_KEPT_S
+            desk = _Desk(tenure, own_from, Lender(now, tenure << GRANT_NUMBER_BITS))
             self._desks[name] = desk
             log_event("steward_began", organisation=name, tenure=tenure)
-        if now < desk.opens_at:
-            return None
-        share = organisation.shares.get(self._domain, 0.0)
-        desk.lender.set_own(now, organisation.rate * share, organisation.burst * share)
+        if now >= desk.own_from:
+            share = organisation.shares.get(self._domain, 0.0)
+            rate, burst = organisation.rate * share, organisation.burst * share
+            desk.lender.set_own(now, rate, burst)
         return desk
 
     def _borrow(self, organisation: Organisation, desk: _Desk) -> None:
--- /dev/null
+++ b/tests/coordination/lease/test_manager.py
@@ -0,0 +1,124 @@
+"""Test how a daemon takes part in the leases of its domain."""
+
+from unittest import TestCase
+
+from loguru import logger
+
+from corianderhold.coordination.lease.const import (
+    NEWCOMER_WAIT_S,
+    RESEND_INTERVAL_S,
+    UNREAD_LIMIT_S,
+)
+from corianderhold.coordination.rate.shards import name_shard
+from corianderhold.ids import FailureDomainId, InstanceId, OrganisationId
+from corianderhold.protocol.lease.codec import (
+    PromiseMessageError,
+    decode_reply,
+    encode_request,
+)
+from corianderhold.protocol.lease.model import PromiseAsk, PromiseRequest
+from corianderhold.protocol.peer.control import ControlSender
+from corianderhold.transport.store.model import StreamName
+from tests.common.rate_fleet import Node, RateFleet
+
+ARCHIVE = OrganisationId("archive")
+DOMAIN = FailureDomainId("domain")
+SHARD = name_shard(DOMAIN, ARCHIVE)
+SENDER = ControlSender(InstanceId("sender"))
+
+
+class LeaseManagerTests(TestCase):
+    """Check claims, outages, records in doubt and lost history."""
+
+    def setUp(self) -> None:
+        logger.disable("corianderhold")
+        self.addCleanup(logger.enable, "corianderhold")
+        self.fleet = RateFleet([], [DOMAIN], 4, 1)
+
+    def find_acting(self) -> list[Node]:
+        nodes = self.fleet.list_live(DOMAIN)
+        return [n for n in nodes if n.manager.find_tenure(SHARD) is not None]
+
+    def find_holder(self) -> Node:
+        acting = self.find_acting()
+        self.assertEqual(len(acting), 1)
+        return acting[0]
+
+    def count_records(self) -> int:
+        page = self.fleet.log.read(StreamName.LEASES, 0, 1000, 1.0)  # type: ignore[arg-type]
+        return len(page.unwrap().records)
+
+    def test_one_of_all_holds_and_stays(self) -> None:
+        self.fleet.run(5)
+        holder = self.find_holder()
+        records = self.count_records()
+        self.fleet.run(60)
+        self.assertIs(self.find_holder(), holder)
+        self.assertEqual(self.count_records(), records)
+
+    def test_holder_outlasts_an_outage_up_to_the_limit(self) -> None:
+        self.fleet.run(5)
+        holder = self.find_holder()
+        self.fleet.log.down = True
+        self.fleet.run(UNREAD_LIMIT_S - 20)
+        self.assertIs(self.find_holder(), holder)
+        self.fleet.run(40)
+        self.assertEqual(self.find_acting(), [])
+        self.fleet.log.down = False
+        self.fleet.run(10)
+        self.find_holder()
+
+    def test_killed_holder_is_followed_by_a_successor(self) -> None:
+        self.fleet.run(5)
+        holder = self.find_holder()
+        self.fleet.kill(holder)
+        self.fleet.run(15)
+        self.assertIsNot(self.find_holder(), holder)
+
+    def test_lost_append_answers_leave_no_one_in_doubt_for_long(self) -> None:
+        self.fleet.log.lose_append_answers = True
+        self.fleet.run(5)
+        holder = self.find_holder()
+        self.fleet.kill(holder)
+        self.fleet.run(15 + 2 * RESEND_INTERVAL_S)
+        self.assertIsNot(self.find_holder(), holder)
+
+    def test_daemon_that_missed_records_gives_its_lease_up(self) -> None:
+        self.fleet.run(5)
+        holder = self.find_holder()
+        for number in range(5):
+            self.fleet.log.append(StreamName.LEASES, f"record {number}", 1.0)
+        self.fleet.log.truncate(StreamName.LEASES, 1000)
+        self.fleet.run(3)
+        self.assertNotIn(holder, self.find_acting())
+
+    def test_shortened_log_is_claimed_only_after_the_newcomers_wait(self) -> None:
+        fleet = RateFleet([], [DOMAIN], 1, 1)
+        fleet.log.append(StreamName.LEASES, "old", 1.0)
+        fleet.log.truncate(StreamName.LEASES, 1)
+        fleet.run(NEWCOMER_WAIT_S - 5)
+        node = fleet.nodes[0]
+        self.assertIsNone(node.manager.find_tenure(SHARD))
+        fleet.run(10)
+        self.assertIsNotNone(node.manager.find_tenure(SHARD))
+
+    def test_holder_gives_no_promise(self) -> None:
+        self.fleet.run(5)
+        request = encode_request(PromiseRequest((PromiseAsk(SHARD, 99),)))
+        body = self.find_holder().manager.handle_control(SENDER, request)
+        self.assertEqual(decode_reply(body).promised, ())
+
+    def test_malformed_message_is_refused(self) -> None:
+        body = self.fleet.nodes[0].manager.handle_control(SENDER, b"\x00\x01garbage")
+        self.assertEqual(decode_reply(body).promised, ())
+        with self.assertRaises(PromiseMessageError):
+            decode_reply(b"\x0f\x00")
+
+    def test_threads_start_and_stop(self) -> None:
+        node = self.fleet.nodes[0]
+        parts = (node.manager, node.steward, node.loans)
+        for part in parts:
+            part.start()
+        for part in parts:
+            part.stop()
+        self.assertIsNone(node.manager.find_tenure(SHARD))
--- a/tests/coordination/rate/test_loans.py
+++ b/tests/coordination/rate/test_loans.py
@@ -65,7 +65,7 @@
                 account.bucket.refill(now)
                 tokens += account.bucket.tokens
                 rate += account.bucket.rate
-            desk = node.steward._find_open_desk(ARCHIVE)
+            desk = node.steward._find_desk(ARCHIVE)
             if desk is not None:
                 desk.lender.settle(now)
                 tokens += desk.lender._bucket.tokens
--- /dev/null
+++ b/tests/coordination/rate/test_steward.py
@@ -0,0 +1,81 @@
+"""Test whom a steward answers."""
+
+from unittest import TestCase
+
+from loguru import logger
+
+from corianderhold.ids import (
+    FailureDomainId,
+    Incarnation,
+    InstanceId,
+    OrganisationId,
+)
+from corianderhold.protocol.peer.control import ControlSender
+from corianderhold.protocol.rate.codec import decode_reply, encode_request
+from corianderhold.protocol.rate.model import LoanAsk, LoanReply, LoanRequest
+from corianderhold.state.configuration.model import Organisation
+from tests.common.rate_fleet import Node, RateFleet
+
+ARCHIVE = OrganisationId("archive")
+EAST = FailureDomainId("east")
+WEST = FailureDomainId("west")
+ASKER = InstanceId("asker")
+
+
+class RateStewardTests(TestCase):
+    """Check requests from entries, other stewards and strangers."""
+
+    def setUp(self) -> None:
+        logger.disable("corianderhold")
+        self.addCleanup(logger.enable, "corianderhold")
+        shares = {EAST: 0.5, WEST: 0.5}
+        organisation = Organisation(ARCHIVE, 10.0, 10.0, shares=shares)
+        self.fleet = RateFleet([organisation], [EAST, WEST], 2, 1)
+        self.fleet.run(5)
+        steward = self.fleet.find_steward(EAST, ARCHIVE)
+        assert steward is not None
+        self.steward: Node = steward
+
+    def ask(
+        self,
+        node: Node,
+        domain: FailureDomainId,
+        steward: bool = False,
+        sender: InstanceId = ASKER,
+        organisation: OrganisationId = ARCHIVE,
+    ) -> LoanReply:
+        loan_ask = LoanAsk(organisation, 0, 0.0, 0.0, 4.0, 1.0)
+        request = LoanRequest(ASKER, Incarnation(1), 1, domain, steward, (loan_ask,))
+        body = encode_request(request)
+        answer = node.steward.handle_control(ControlSender(sender), body)
+        return decode_reply(answer)
+
+    def test_entry_gets_a_loan(self) -> None:
+        reply = self.ask(self.steward, EAST)
+        self.assertTrue(reply.accepted)
+        self.assertGreater(reply.grants[0].rate, 4.0)
+
+    def test_daemon_without_the_lease_names_the_holder(self) -> None:
+        others = [n for n in self.fleet.list_live(EAST) if n is not self.steward]
+        reply = self.ask(others[0], EAST)
+        self.assertFalse(reply.accepted)
+        self.assertEqual(reply.holder, self.steward.name)
+
+    def test_entry_of_another_domain_is_refused(self) -> None:
+        self.assertFalse(self.ask(self.steward, WEST).accepted)
+
+    def test_steward_of_another_domain_gets_a_loan(self) -> None:
+        self.assertTrue(self.ask(self.steward, WEST, steward=True).accepted)
+
+    def test_request_in_anothers_name_is_refused(self) -> None:
+        stranger = InstanceId("stranger")
+        self.assertFalse(self.ask(self.steward, EAST, sender=stranger).accepted)
+
+    def test_unknown_organisation_gets_nothing(self) -> None:
+        unknown = OrganisationId("unknown")
+        self.assertEqual(self.ask(self.steward, EAST, organisation=unknown).grants, ())
+
+    def test_malformed_request_is_refused(self) -> None:
+        sender = ControlSender(ASKER)
+        answer = self.steward.steward.handle_control(sender, b"\x0b\x00\x01")
+        self.assertFalse(decode_reply(answer).accepted)
