--- a/corianderhold/coordination/lease/manager.py
+++ b/corianderhold/coordination/lease/manager.py
@@ -239,19 +239,19 @@
                 return None
             if lease.claimed_on is not None:
                 return lease.claimed_on
-            wanted = self._choose_successors(shard)
             if lease.holds:
-                return self._choose_renewal(entry, wanted, now)
+                return self._choose_renewal(shard, entry, now)
             if not self._is_claim_due(shard, entry, now):
                 return None
             log_event("lease_claimed", shard=shard, rank=self._find_rank(shard))
-            return lease.claim(self._name_record(), wanted)
+            return lease.claim(self._name_record(), self._choose_successors(shard))
 
     def _choose_renewal(
-        self, entry: _Entry, wanted: frozenset[InstanceId], now: float
+        self, shard: ShardId, entry: _Entry, now: float
     ) -> LeaseRecord | None:
         """Renew after a change of the successors or before retention ends."""
         term = entry.lease.seen
+        wanted = self._choose_successors(shard)
         aged = now - entry.renewed_at >= RENEWAL_INTERVAL_S
         changed = term is not None and term.successors != wanted
         if not (aged or changed):
--- a/tests/coordination/rate/test_lender.py
+++ b/tests/coordination/rate/test_lender.py
@@ -79,6 +79,15 @@
         other = self.lend(6.0, name_borrower("b"), build_ask(50.0))
         self.assertLessEqual(first.rate + other.rate, 10.0 + ROUNDING)
 
+    def test_tokens_on_their_way_are_reserved_above_the_capacity_in_use(self) -> None:
+        borrower = name_borrower("a")
+        first = self.lend(5.0, borrower, build_ask(2.0))
+        ask = build_ask(2.0, first.number, first.capacity)
+        second = self.lend(5.5, borrower, ask)
+        self.assertGreater(second.tokens, 0.0)
+        out = first.capacity + second.tokens
+        self.assertLessEqual(self.lender._bucket.capacity + out, 20.0 + ROUNDING)
+
     def test_confirmed_grant_replaces_the_others(self) -> None:
         borrower = name_borrower("a")
         first = self.lend(5.0, borrower, build_ask(50.0))
