Take the service's limit over when the target announces late

Cause: AdmissionConfigurator read the target's service only when a configuration arrived; a target that announced later kept the default limit of 64 and queue of 32. Change: follow members as well; keep the limit, which may have learnt, unless the target or its bound changed; a lapsed or moved target gets a new one. Checked: the new test gives 64 instead of 5 without the listener.

--- a/corianderhold/coordination/owner/admission.py
+++ b/corianderhold/coordination/owner/admission.py
@@ -49,11 +49,15 @@
         self._service_time_s = 0.0
         self._shed_below = 0
 
-    def replace_policy(self, limit: ConcurrencyLimit, policy: AdmissionPolicy) -> None:
-        """Go on with another limit and policy; calls in flight stay counted."""
+    def replace_policy(self, policy: AdmissionPolicy) -> None:
+        """Go on with another policy."""
         with self._lock:
-            self._limit = limit
             self._policy = policy
+
+    def replace_limit(self, limit: ConcurrencyLimit) -> None:
+        """Go on with another limit; calls in flight stay counted."""
+        with self._lock:
+            self._limit = limit
             self._admit_waiters()
 
     def acquire(
--- a/corianderhold/coordination/owner/policy.py
+++ b/corianderhold/coordination/owner/policy.py
@@ -1,5 +1,8 @@
-"""Keep the owner's admission in step with the configuration."""
+"""Keep the owner's admission in step with the configuration and the target."""
 
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol
 
 from corianderhold.coordination.owner.admission import Admission, AdmissionPolicy
@@ -7,6 +10,7 @@
 from corianderhold.ids import OrganisationId, ServiceName
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.configuration.model import Configuration, Service
+from corianderhold.state.membership.model import Member, TargetState
 from corianderhold.state.membership.target import TargetStatus
 
 DEFAULT_SERVICE = Service(ServiceName("default"))
@@ -19,6 +23,21 @@
         """Return the target's state, service and address."""
 
 
+class ObservedTargetSource(TargetSource, Protocol):
+    """Give the local target, and tell when members change."""
+
+    def add_listener(self, listener: Callable[[Member], None]) -> None:
+        """Call `listener` with each changed member, this daemon's own included."""
+
+
+@dataclass(frozen=True)
+class LimitKey:
+    """What a limit was built for; a change of it calls for a new limit."""
+
+    target: TargetStatus
+    max_concurrency: int
+
+
 def build_default_limit() -> ConcurrencyLimit:
     """Return the limit of a service that is not configured."""
     return FixedLimit(DEFAULT_SERVICE.max_concurrency)
@@ -30,33 +49,69 @@
 
 
 class AdmissionConfigurator:
-    """Give the admission the limit and weights of the local target's service."""
+    """
+    Give the admission the limit and weights of the local target's service.
+
+    A limit that has learnt is kept until the target or its service's bound changes.
+    """
 
     def __init__(
-        self, admission: Admission, holder: ConfigurationHolder, source: TargetSource
+        self,
+        admission: Admission,
+        holder: ConfigurationHolder,
+        source: ObservedTargetSource,
     ) -> None:
         self._admission = admission
         self._holder = holder
         self._source = source
+        self._lock = threading.Lock()
+        self._key: LimitKey | None = None
 
     def start(self) -> None:
-        """Follow the configuration."""
-        self._holder.add_listener(self.apply)
+        """Follow the configuration and the local target."""
+        self._holder.add_listener(self._follow_configuration)
+        self._source.add_listener(self._follow_member)
 
     def stop(self) -> None:
         """Hold nothing that needs releasing."""
 
-    def apply(self, configuration: Configuration) -> None:
-        """Take the limit, queue and weights over."""
-        name = self._source.read_target().service
-        service = configuration.services.get(name) if name else None
-        service = service or DEFAULT_SERVICE
-
-        def weigh(organisation: OrganisationId) -> float:
-            found = configuration.organisations.get(organisation)
-            return found.weight if found else 1.0
-
-        self._admission.replace_policy(
-            FixedLimit(service.max_concurrency),
-            AdmissionPolicy(service.queue_length, weigh),
-        )
+    def apply(self) -> None:
+        """Take the limit, queue and weights of the present target over."""
+        with self._lock:
+            target = self._source.read_target()
+            configuration = self._holder.current
+            service = find_service(configuration, target)
+            self._admission.replace_policy(
+                AdmissionPolicy(service.queue_length, weigh_by(configuration))
+            )
+            if target.state is TargetState.DRAINING:
+                return
+            key = LimitKey(target, service.max_concurrency)
+            if key != self._key:
+                self._key = key
+                self._admission.replace_limit(FixedLimit(service.max_concurrency))
+
+    def _follow_configuration(self, configuration: Configuration) -> None:
+        self.apply()
+
+    def _follow_member(self, member: Member) -> None:
+        known = self._key
+        if known is None or known.target != self._source.read_target():
+            self.apply()
+
+
+def find_service(configuration: Configuration, target: TargetStatus) -> Service:
+    """Return the target's service, or the default for an unknown one."""
+    if target.service is None:
+        return DEFAULT_SERVICE
+    return configuration.services.get(target.service, DEFAULT_SERVICE)
+
+
+def weigh_by(configuration: Configuration) -> Callable[[OrganisationId], float]:
+    """Return the function that gives an organisation's weight."""
+
+    def weigh(organisation: OrganisationId) -> float:
+        found = configuration.organisations.get(organisation)
+        return found.weight if found else 1.0
+
+    return weigh
--- /dev/null
+++ b/tests/coordination/owner/test_policy.py
@@ -0,0 +1,75 @@
+"""Test that admission follows the configuration and the local target."""
+
+from collections.abc import Callable
+from random import Random
+from unittest import TestCase
+
+from corianderhold.coordination.owner.admission import Admission
+from corianderhold.coordination.owner.policy import (
+    AdmissionConfigurator,
+    build_default_limit,
+    build_default_policy,
+)
+from corianderhold.ids import Version
+from corianderhold.state.configuration.holder import ConfigurationHolder
+from corianderhold.state.configuration.model import Configuration, Service
+from corianderhold.state.membership.model import Address, Member, TargetState
+from corianderhold.state.membership.target import ABSENT_TARGET, TargetStatus
+from tests.common.calls import CATALOGUE, make_member
+from tests.common.clock import FakeClock
+
+ADDRESS = Address("127.0.0.1", 1)
+SERVING = TargetStatus(TargetState.SERVING, CATALOGUE, ADDRESS)
+
+
+class FakeSource:
+    """Hold a target that the test changes."""
+
+    def __init__(self) -> None:
+        self.target = ABSENT_TARGET
+        self.listeners: list[Callable[[Member], None]] = []
+
+    def read_target(self) -> TargetStatus:
+        """Return the target."""
+        return self.target
+
+    def add_listener(self, listener: Callable[[Member], None]) -> None:
+        """Keep a listener."""
+        self.listeners.append(listener)
+
+    def announce(self, target: TargetStatus) -> None:
+        """Change the target and tell the listeners."""
+        self.target = target
+        for listener in self.listeners:
+            listener(make_member("own"))
+
+
+class AdmissionConfiguratorTests(TestCase):
+    """Follow both sources in either order."""
+
+    def setUp(self) -> None:
+        self.admission = Admission(
+            build_default_limit(), build_default_policy(), FakeClock(), Random(1)
+        )
+        self.holder = ConfigurationHolder()
+        self.source = FakeSource()
+        AdmissionConfigurator(self.admission, self.holder, self.source).start()
+
+    def configure(self, version: int, limit: int) -> None:
+        services = {CATALOGUE: Service(CATALOGUE, limit, 3)}
+        self.holder.replace(Configuration(Version(version), services))
+
+    def read_limit(self) -> int:
+        return self.admission.report_load(False).limit
+
+    def test_target_that_announces_after_the_configuration_is_limited(self) -> None:
+        self.configure(1, 5)
+        self.source.announce(SERVING)
+        self.assertEqual(self.read_limit(), 5)
+
+    def test_target_that_announces_first_is_limited(self) -> None:
+        self.source.announce(SERVING)
+        self.configure(1, 6)
+        self.assertEqual(self.read_limit(), 6)
+        self.configure(2, 7)
+        self.assertEqual(self.read_limit(), 7)
