--- a/corianderhold/answers/options.py
+++ b/corianderhold/answers/options.py
@@ -75,6 +75,15 @@
         "0.1",
         "0.1",
     ),
+    Option(
+        "adaptive_limit",
+        "May the system give a target fewer calls at once than max_concurrency, as it "
+        "learns what the target can do?",
+        "yes or no",
+        parse_yes_no,
+        "yes",
+        "yes",
+    ),
 )
 
 ORGANISATION_OPTIONS = (
--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -123,7 +123,9 @@
         return Application(
             [
                 self._pool,
-                AdmissionConfigurator(admission, self._holder, self._membership),
+                AdmissionConfigurator(
+                    admission, self._holder, self._membership, self._clock
+                ),
                 self._build_peer_server(owner, rate.handlers),
                 self._membership,
                 self._follower,
--- a/corianderhold/coordination/entry/choice.py
+++ b/corianderhold/coordination/entry/choice.py
@@ -15,6 +15,7 @@
     EJECTION_TIME_S,
     LOAD_REPORT_LIFETIME_S,
     OTHER_REGION_PENALTY,
+    PUSH_BACK_LIFETIME_S,
     PUSH_BACK_PROBE_RATIO,
     SAME_DOMAIN_PENALTY,
     SAME_REGION_PENALTY,
@@ -183,9 +184,12 @@
 
     def _sheds(self, member: Member, importance: int, now: float) -> bool:
         view = self._view(member.instance)
-        if view.load is None or now - view.reported_at > LOAD_REPORT_LIFETIME_S:
+        age_s = now - view.reported_at
+        if view.load is None or age_s > LOAD_REPORT_LIFETIME_S:
             return False
-        return view.load.draining or importance < view.load.shed_below
+        pushes_back = age_s <= PUSH_BACK_LIFETIME_S
+        sheds = pushes_back and importance < view.load.shed_below
+        return view.load.draining or sheds
 
     def _take_best(self, members: list[Member], now: float) -> Choice:
         """Score the local owner and a few random near ones, and take the best."""
--- a/corianderhold/coordination/owner/admission.py
+++ b/corianderhold/coordination/owner/admission.py
@@ -12,13 +12,16 @@
 from corianderhold.coordination.owner.const import (
     QUEUE_RETRY_AFTER_MS,
     RETRY_AFTER_SPREAD,
-    SERVICE_TIME_WEIGHT,
 )
+from corianderhold.coordination.owner.estimate import ServiceTimes
 from corianderhold.coordination.owner.limit import ConcurrencyLimit
 from corianderhold.coordination.owner.queue import FairQueue, Waiter, WaiterState
-from corianderhold.ids import OrganisationId
+from corianderhold.ids import OrganisationId, RouteName
 from corianderhold.protocol.peer.messages import LoadReport
 from corianderhold.protocol.verdict import Reason, Refusal, refuse_not_run
+from corianderhold.state.configuration.model import Importance
+
+DEADLINE_UNMEETABLE = "the deadline can't be met"
 
 
 @dataclass(frozen=True)
@@ -46,8 +49,7 @@
         self._lock = threading.Lock()
         self._queue = FairQueue()
         self._in_flight = 0
-        self._service_time_s = 0.0
-        self._shed_below = 0
+        self._service_times = ServiceTimes(clock)
 
     def replace_policy(self, policy: AdmissionPolicy) -> None:
         """Go on with another policy."""
@@ -69,7 +71,12 @@
         `hold_waiter` gets the waiter before the wait, so that it can be cancelled. The
         permit is given back by `release`. A refusal is always "not run".
         """
-        waiter = Waiter(context.importance, context.organisation, context.deadline_at)
+        waiter = Waiter(
+            context.importance,
+            context.organisation,
+            context.deadline_at,
+            context.route,
+        )
         hold_waiter(waiter)
         with self._lock:
             if not self._queue and self._in_flight < self._limit.read_limit():
@@ -81,44 +88,52 @@
             return Err(refusal)
         return self._wait(waiter)
 
-    def release(self, started_at: float, failed: bool) -> None:
+    def release(self, route: RouteName, started_at: float, failed: bool) -> None:
         """Give a permit back; `started_at` is when the call was dispatched."""
         duration_s = self._clock.read_monotonic() - started_at
         with self._lock:
             self._limit.note_completion(duration_s, failed, self._in_flight)
-            change = duration_s - self._service_time_s
-            self._service_time_s += change * SERVICE_TIME_WEIGHT
+            if not failed:
+                self._service_times.note(route, duration_s)
             self._in_flight -= 1
             self._admit_waiters()
 
     def report_load(self, draining: bool) -> LoadReport:
         """Return the present load."""
         with self._lock:
-            shed_below = self._shed_below if self._is_full() else 0
             return LoadReport(
                 self._in_flight,
                 self._limit.read_limit(),
                 len(self._queue),
-                shed_below,
+                self._find_shed_level(),
                 draining,
             )
 
+    def _find_shed_level(self) -> int:
+        """
+        Return the importance below which calls are refused now.
+
+        The most important calls are never pushed back at the entry, which knows the
+        queue only as it was: whether they fit is decided here.
+        """
+        last = self._queue.find_last() if self._is_full() else None
+        if last is None:
+            return 0
+        return min(last.importance + 1, Importance.CRITICAL)
+
     def _is_full(self) -> bool:
         return len(self._queue) >= self._policy.queue_length
 
     def _enqueue(self, waiter: Waiter) -> Refusal | None:
         """Queue a call, in place of a less important one when the queue is full."""
-        wait_s = self._estimate_wait(waiter.importance)
-        if self._clock.read_monotonic() + wait_s > waiter.deadline_at:
-            return self._refuse(Reason.SHED, "the deadline can't be met")
+        if self._is_late(waiter, self._estimate_wait(waiter.importance)):
+            return self._refuse(Reason.SHED, DEADLINE_UNMEETABLE)
         if self._is_full():
             last = self._queue.find_last()
             if last is None or last.importance >= waiter.importance:
-                self._shed_below = max(self._shed_below, waiter.importance + 1)
                 return self._refuse(Reason.QUEUE_FULL, "")
             self._queue.remove(last)
             last.decide(WaiterState.EVICTED)
-            self._shed_below = last.importance + 1
         weight = self._policy.weigh(waiter.organisation)
         self._queue.push(waiter, max(weight, 0.01))
         return None
@@ -126,7 +141,13 @@
     def _estimate_wait(self, importance: int) -> float:
         """Return the expected wait in seconds behind calls as important."""
         ahead = self._queue.count_at_least(importance)
-        return (ahead + 1) * self._service_time_s / self._limit.read_limit()
+        return (ahead + 1) * self._service_times.read_mean() / self._limit.read_limit()
+
+    def _is_late(self, waiter: Waiter, wait_s: float) -> bool:
+        """Return whether a call that waits this long can't end by its deadline."""
+        service_s = self._service_times.read_mean_of(waiter.route)
+        ends_at = self._clock.read_monotonic() + wait_s + service_s
+        return ends_at >= waiter.deadline_at
 
     def _wait(self, waiter: Waiter) -> Result[Waiter, Refusal]:
         left_s = waiter.deadline_at - self._clock.read_monotonic()
@@ -139,6 +160,8 @@
                 return Err(refuse_not_run(Reason.CANCELLED))
             if waiter.state is WaiterState.EVICTED:
                 return Err(self._refuse(Reason.SHED, "gave way in the queue"))
+            if waiter.state is WaiterState.LATE:
+                return Err(self._refuse(Reason.SHED, DEADLINE_UNMEETABLE))
             self._queue.remove(waiter)
         return Err(refuse_not_run(Reason.DEADLINE_PASSED, detail="in the queue"))
 
@@ -147,17 +170,17 @@
         while self._in_flight < self._limit.read_limit():
             waiter = self._queue.pop()
             if waiter is None:
-                self._shed_below = 0
                 return
-            if waiter.deadline_at <= self._clock.read_monotonic():
-                waiter.decide(WaiterState.EVICTED)
+            if self._is_late(waiter, wait_s=0.0):
+                waiter.decide(WaiterState.LATE)
                 continue
             self._in_flight += 1
             waiter.decide(WaiterState.ADMITTED)
 
     def _refuse(self, reason: Reason, detail: str) -> Refusal:
         """Refuse with a time to come back that differs from caller to caller."""
-        queued_s = len(self._queue) * self._service_time_s / self._limit.read_limit()
+        mean_s = self._service_times.read_mean()
+        queued_s = len(self._queue) * mean_s / self._limit.read_limit()
         base_ms = max(QUEUE_RETRY_AFTER_MS, int(queued_s * 1000))
         spread = self._random.uniform(1 - RETRY_AFTER_SPREAD, 1 + RETRY_AFTER_SPREAD)
         return refuse_not_run(reason, int(base_ms * spread), detail)
--- a/corianderhold/coordination/owner/limit.py
+++ b/corianderhold/coordination/owner/limit.py
@@ -2,6 +2,18 @@
 
 from typing import Protocol
 
+from corianderhold.clock import Clock
+from corianderhold.coordination.owner.const import (
+    FAILED_RATIO_MAX,
+    INITIAL_LIMIT,
+    LIMIT_DECREASE,
+    LIMIT_GROWTH,
+    ROUND_CALLS,
+    SLOWER_GROWS_BELOW,
+    SLOWER_SHRINKS_ABOVE,
+    USEFUL_DECREASE,
+)
+
 
 class ConcurrencyLimit(Protocol):
     """Give the number of calls that may be in flight at the target."""
@@ -25,3 +37,98 @@
 
     def note_completion(self, duration_s: float, failed: bool, in_flight: int) -> None:
         """Ignore the call."""
+
+
+class Round:
+    """Collect calls that were both dispatched and ended under one limit."""
+
+    def __init__(self, started_at: float) -> None:
+        self.started_at = started_at
+        self.calls = 0
+        self.failures = 0
+        self.limit_reached = False
+        self._total_s = 0.0
+
+    @property
+    def mean_s(self) -> float:
+        """Return the mean service time in seconds."""
+        return self._total_s / self.calls
+
+    @property
+    def is_failing(self) -> bool:
+        """Whether too many of the calls failed."""
+        return self.failures > self.calls * FAILED_RATIO_MAX
+
+    def add(self, duration_s: float, failed: bool) -> None:
+        """Count one call."""
+        self.calls += 1
+        self.failures += failed
+        self._total_s += duration_s
+
+
+class AdaptiveLimit:
+    """
+    Find the limit from which on the target only makes calls wait.
+
+    The limit begins low and doubles each round, then grows by one, while it is reached
+    and the mean service time stays near the lowest one seen. It shrinks when the mean
+    is far above that, or calls fail. Where a smaller limit brings no shorter service
+    times, the target itself has become slower: the limit is restored and the new mean
+    becomes the one to compare with. Callers hold a lock.
+    """
+
+    def __init__(self, maximum: int, clock: Clock) -> None:
+        self._maximum = max(1, maximum)
+        self._clock = clock
+        self._limit = min(float(INITIAL_LIMIT), self._maximum)
+        self._is_starting = True
+        self._lowest_mean_s: float | None = None
+        self._shrunk_from: tuple[float, float] | None = None
+        self._round = Round(clock.read_monotonic())
+
+    def read_limit(self) -> int:
+        """Return the present limit."""
+        return int(self._limit)
+
+    def note_completion(self, duration_s: float, failed: bool, in_flight: int) -> None:
+        """Learn from a call that ended; `in_flight` is the count before its end."""
+        now = self._clock.read_monotonic()
+        if in_flight >= self.read_limit():
+            self._round.limit_reached = True
+        if now - duration_s < self._round.started_at:
+            return
+        self._round.add(duration_s, failed)
+        if self._round.calls >= max(ROUND_CALLS, self.read_limit()):
+            self._end_round(self._round)
+            self._round = Round(now)
+
+    def _end_round(self, ended: Round) -> None:
+        lowest_s = self._compare_with_lowest(ended)
+        if ended.is_failing or ended.mean_s > SLOWER_SHRINKS_ABOVE * lowest_s:
+            self._shrink(ended)
+        elif ended.limit_reached and ended.mean_s <= SLOWER_GROWS_BELOW * lowest_s:
+            self._grow()
+
+    def _compare_with_lowest(self, ended: Round) -> float:
+        """Return the lowest mean; take the new one if shrinking did not help."""
+        shrunk_from, self._shrunk_from = self._shrunk_from, None
+        if ended.is_failing:
+            return self._lowest_mean_s or ended.mean_s
+        lowest_s = min(ended.mean_s, self._lowest_mean_s or ended.mean_s)
+        if shrunk_from is not None:
+            limit, mean_s = shrunk_from
+            if ended.mean_s > USEFUL_DECREASE * mean_s:
+                lowest_s = ended.mean_s
+                self._limit = limit
+        self._lowest_mean_s = lowest_s
+        return lowest_s
+
+    def _shrink(self, ended: Round) -> None:
+        self._is_starting = False
+        if not ended.is_failing:
+            self._shrunk_from = (self._limit, ended.mean_s)
+        self._limit = max(1.0, self._limit * LIMIT_DECREASE)
+
+    def _grow(self) -> None:
+        grown = self._limit * LIMIT_GROWTH if self._is_starting else self._limit + 1
+        self._limit = min(grown, self._maximum)
--- a/corianderhold/coordination/owner/policy.py
+++ b/corianderhold/coordination/owner/policy.py
@@ -5,8 +5,13 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from corianderhold.clock import Clock
 from corianderhold.coordination.owner.admission import Admission, AdmissionPolicy
-from corianderhold.coordination.owner.limit import ConcurrencyLimit, FixedLimit
+from corianderhold.coordination.owner.limit import (
+    AdaptiveLimit,
+    ConcurrencyLimit,
+    FixedLimit,
+)
 from corianderhold.ids import OrganisationId, ServiceName
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.configuration.model import Configuration, Service
@@ -36,6 +41,7 @@
 
     target: TargetStatus
     max_concurrency: int
+    adaptive: bool
 
 
 def build_default_limit() -> ConcurrencyLimit:
@@ -60,10 +66,12 @@
         admission: Admission,
         holder: ConfigurationHolder,
         source: ObservedTargetSource,
+        clock: Clock,
     ) -> None:
         self._admission = admission
         self._holder = holder
         self._source = source
+        self._clock = clock
         self._lock = threading.Lock()
         self._key: LimitKey | None = None
 
@@ -86,10 +94,15 @@
             )
             if target.state is TargetState.DRAINING:
                 return
-            key = LimitKey(target, service.max_concurrency)
+            key = LimitKey(target, service.max_concurrency, service.adaptive_limit)
             if key != self._key:
                 self._key = key
-                self._admission.replace_limit(FixedLimit(service.max_concurrency))
+                self._admission.replace_limit(self._build_limit(service))
+
+    def _build_limit(self, service: Service) -> ConcurrencyLimit:
+        if service.adaptive_limit:
+            return AdaptiveLimit(service.max_concurrency, self._clock)
+        return FixedLimit(service.max_concurrency)
 
     def _follow_configuration(self, configuration: Configuration) -> None:
         self.apply()
--- a/corianderhold/coordination/owner/queue.py
+++ b/corianderhold/coordination/owner/queue.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from corianderhold.ids import OrganisationId
+from corianderhold.ids import OrganisationId, RouteName
 
 
 class WaiterState(Enum):
@@ -13,6 +13,7 @@
     WAITING = "waiting"
     ADMITTED = "admitted"
     EVICTED = "evicted"
+    LATE = "late"
 
 
 @dataclass(eq=False)
@@ -22,6 +23,7 @@
     importance: int
     organisation: OrganisationId
     deadline_at: float
+    route: RouteName = RouteName("")
     finish_tag: float = 0.0
     sequence: int = 0
     state: WaiterState = WaiterState.WAITING
--- a/corianderhold/state/configuration/entities.py
+++ b/corianderhold/state/configuration/entities.py
@@ -38,6 +38,7 @@
         "max_concurrency": service.max_concurrency,
         "queue_length": service.queue_length,
         "retry_ratio": float(service.retry_ratio),
+        "adaptive_limit": service.adaptive_limit,
     }
 
 
--- a/corianderhold/state/configuration/model.py
+++ b/corianderhold/state/configuration/model.py
@@ -32,12 +32,18 @@
 
 @dataclass(frozen=True)
 class Service:
-    """A group of targets that serve the same calls."""
+    """
+    A group of targets that serve the same calls.
+
+    `max_concurrency` bounds the limit of a target's owner; with `adaptive_limit` the
+    owner learns a lower one.
+    """
 
     name: ServiceName
     max_concurrency: int = 64
     queue_length: int = 32
     retry_ratio: float = 0.1
+    adaptive_limit: bool = True
 
 
 @dataclass(frozen=True)
--- a/corianderhold/state/configuration/schema.py
+++ b/corianderhold/state/configuration/schema.py
@@ -102,6 +102,7 @@
     "max_concurrency": bound_integer(1, MAX_CONCURRENCY),
     "queue_length": bound_integer(0, MAX_QUEUE_LENGTH),
     "retry_ratio": bound_number(0.0, 1.0),
+    "adaptive_limit": require_boolean,
 }
 ROUTE_FIELDS = {
     "name": NAME,
--- a/emulator/ledger.py
+++ b/emulator/ledger.py
@@ -51,6 +51,11 @@
         self._lock = threading.Lock()
         self._calls: list[Call] = []
 
+    @property
+    def calls(self) -> tuple[Call, ...]:
+        """Return the calls that have finished."""
+        return tuple(self._calls)
+
     def add(self, call: Call) -> None:
         """Record one finished call."""
         with self._lock:
--- a/emulator/target.py
+++ b/emulator/target.py
@@ -50,12 +50,13 @@
     """
     Faults in force.
 
-    `slow_factor` multiplies service times, `stall` holds every answer back while
-    set, `lying_health` reports no load, `truncate_answers` cuts every body in half,
-    `delay_ms` adds to the service time of each request.
+    `slow_factor` multiplies service times for `slow_for_s` seconds, `stall` holds
+    every answer back while set, `lying_health` reports no load, `truncate_answers`
+    cuts every body in half, `delay_ms` adds to the service time of each request.
     """
 
     slow_factor: float = 1.0
+    slow_for_s: float = math.inf
     stall: bool = False
     lying_health: bool = False
     truncate_answers: bool = False
@@ -92,6 +93,7 @@
         self._times = times
         self._nested = nested
         self._faults = TargetFaults()
+        self._faults_set_at = time.monotonic()
         self._executions = ExecutionLog()
         self._lock = threading.Lock()
         self._in_flight = 0
@@ -118,6 +120,7 @@
         return self._execute(request)
 
     def _set_faults(self, request: Request) -> Answer:
+        self._faults_set_at = time.monotonic()
         self._faults = replace(self._faults, **json.loads(request.read_body() or b"{}"))
         return Answer(204, (), 0)
 
@@ -199,7 +202,9 @@
     def _choose_service_time(self, request: Request) -> float:
         asked = request.read_query("work_ms")
         drawn = float(asked) / 1000 if asked else self._times.draw()
-        return drawn * self._faults.slow_factor
+        faults = self._faults
+        is_slow = time.monotonic() - self._faults_set_at < faults.slow_for_s
+        return drawn * faults.slow_factor if is_slow else drawn
 
     def _wait_while_stalled(self) -> None:
         while self._faults.stall:
--- /dev/null
+++ b/measurements/load/figures.py
@@ -0,0 +1,129 @@
+"""Work out the figures of a scenario from its calls."""
+
+import re
+from collections import Counter
+from collections.abc import Sequence
+
+from emulator.ledger import Call
+from measurements.load.deployment import CRITICAL_PATH
+from measurements.load.scenario import CAUSE_ENDS_S, CAUSE_STARTS_S, ENDS_S, Scenario
+
+BIN_S = 0.5
+RECOVERED_RATIO = 0.95
+ROUTED_LINE = re.compile(r"event=call_routed .*?root=(\S+) .*? owner=(\S+)")
+NO_OWNER = frozenset({"None", '""', "-", "none"})
+
+
+def is_good(call: Call) -> bool:
+    """Return whether the whole answer came."""
+    return call.attempts[-1].is_good
+
+
+def select_due(calls: Sequence[Call], start_s: float, end_s: float) -> list[Call]:
+    """Return the calls that were due within a time."""
+    return [call for call in calls if start_s <= call.due_s < end_s]
+
+
+def divide(part: float, whole: float) -> float:
+    """Return a ratio, 1 where there was nothing to serve."""
+    return part / whole if whole else 1.0
+
+
+def compute_goodput_ratio(calls: Sequence[Call], scenario: Scenario) -> float:
+    """Return the whole answers within the cause by what the targets can do."""
+    duration_s = CAUSE_ENDS_S - CAUSE_STARTS_S
+    due = select_due(calls, CAUSE_STARTS_S, CAUSE_ENDS_S)
+    good = sum(
+        is_good(call) and CAUSE_STARTS_S <= call.due_s + call.latency_s < CAUSE_ENDS_S
+        for call in calls
+    )
+    admissible = sum(count_within_rate(due, scenario, duration_s).values())
+    return divide(good, min(admissible, scenario.capacity * duration_s))
+
+
+def count_within_rate(
+    calls: Sequence[Call], scenario: Scenario, duration_s: float
+) -> dict[str, float]:
+    """Return what each organisation sent, at most its rate."""
+    sent = Counter(call.key for call in calls)
+    return {key: min(n, scenario.rate * duration_s) for key, n in sent.items()}
+
+
+def compute_recovery_s(calls: Sequence[Call]) -> float:
+    """Return the time after the cause from which on calls are served again."""
+    bins = int((ENDS_S - CAUSE_ENDS_S) / BIN_S)
+    recovered_s = 0.0
+    for index in range(bins):
+        start_s = CAUSE_ENDS_S + index * BIN_S
+        due = select_due(calls, start_s, start_s + BIN_S)
+        if divide(sum(map(is_good, due)), len(due)) < RECOVERED_RATIO:
+            recovered_s = (index + 1) * BIN_S
+    return float("inf") if recovered_s >= bins * BIN_S else recovered_s
+
+
+def share_fairly(demands: dict[str, float], capacity: float) -> dict[str, float]:
+    """Return the max-min fair shares of a capacity."""
+    shares: dict[str, float] = {}
+    left = capacity
+    ordered = sorted(demands.items(), key=lambda item: item[1])
+    for index, (key, demand) in enumerate(ordered):
+        shares[key] = min(demand, left / (len(ordered) - index))
+        left -= shares[key]
+    return shares
+
+
+def compute_worst_organisation_ratio(
+    calls: Sequence[Call], scenario: Scenario
+) -> float:
+    """Return the lowest ratio of what was served to the fair share of the capacity."""
+    duration_s = CAUSE_ENDS_S - CAUSE_STARTS_S
+    due = select_due(calls, CAUSE_STARTS_S, CAUSE_ENDS_S)
+    demands = count_within_rate(due, scenario, duration_s)
+    shares = share_fairly(demands, scenario.capacity * duration_s)
+    good = Counter(call.key for call in due if is_good(call))
+    return min(divide(good[key], share) for key, share in shares.items())
+
+
+def compute_refused_within_rate_ratio(
+    calls: Sequence[Call], scenario: Scenario
+) -> float:
+    """Return the failed part of what organisations sent that kept to their rate."""
+    duration_s = CAUSE_ENDS_S - CAUSE_STARTS_S
+    due = select_due(calls, CAUSE_STARTS_S, CAUSE_ENDS_S)
+    sent = Counter(call.key for call in due)
+    within = [call for call in due if sent[call.key] <= scenario.rate * duration_s]
+    return 1.0 - divide(sum(map(is_good, within)), len(within))
+
+
+def compute_top_importance_ratio(calls: Sequence[Call], scenario: Scenario) -> float:
+    """Return the served part of the critical calls of organisations in their rate."""
+    duration_s = CAUSE_ENDS_S - CAUSE_STARTS_S
+    due = select_due(calls, CAUSE_STARTS_S, CAUSE_ENDS_S)
+    sent = Counter(call.key for call in due)
+    critical = [
+        call
+        for call in due
+        if call.path == CRITICAL_PATH and sent[call.key] <= scenario.rate * duration_s
+    ]
+    return divide(sum(map(is_good, critical)), len(critical))
+
+
+def count_attempts(logs: Sequence[str]) -> Counter[str]:
+    """Return the attempts of each root request that the daemons logged."""
+    attempts: Counter[str] = Counter()
+    for log in logs:
+        for root, owner in ROUTED_LINE.findall(log):
+            if owner not in NO_OWNER:
+                attempts[root] += 1
+    return attempts
+
+
+def compute_figures(calls: Sequence[Call], scenario: Scenario) -> dict[str, float]:
+    """Return all figures that calls alone give."""
+    return {
+        "goodput_ratio": compute_goodput_ratio(calls, scenario),
+        "recovery_s": compute_recovery_s(calls),
+        "worst_organisation_ratio": compute_worst_organisation_ratio(calls, scenario),
+        "refused_within_rate_ratio": compute_refused_within_rate_ratio(calls, scenario),
+        "top_importance_ratio": compute_top_importance_ratio(calls, scenario),
+    }
--- a/tests/answers/test_check.py
+++ b/tests/answers/test_check.py
@@ -18,6 +18,7 @@
             "max_concurrency": "0",
             "queue_length": "many",
             "retry_ratio": "1.1",
+            "adaptive_limit": "perhaps",
             "rate": "-1",
             "burst": "1e9",
             "shares": "west-a",
--- a/tests/coordination/owner/test_admission.py
+++ b/tests/coordination/owner/test_admission.py
@@ -10,12 +10,13 @@
 from corianderhold.coordination.owner.admission import Admission, AdmissionPolicy
 from corianderhold.coordination.owner.limit import FixedLimit
 from corianderhold.coordination.owner.queue import FairQueue, Waiter
-from corianderhold.ids import OrganisationId
+from corianderhold.ids import OrganisationId, RouteName
 from corianderhold.protocol.verdict import Reason, Refusal
 from tests.common.calls import make_context
 from tests.common.waiting import wait_until
 
 CLOCK = SystemClock()
+SEARCH = RouteName("search")
 
 
 def make_waiter(importance: int, organisation: str) -> Waiter:
@@ -81,7 +82,7 @@
         return thread
 
     def release(self) -> None:
-        self.admission.release(CLOCK.read_monotonic(), failed=False)
+        self.admission.release(SEARCH, CLOCK.read_monotonic(), failed=False)
 
     def reason(self, name: str) -> Reason:
         return self.outcomes[name].unwrap_err().reason
--- a/tests/coordination/owner/test_policy.py
+++ b/tests/coordination/owner/test_policy.py
@@ -5,6 +5,8 @@
 from unittest import TestCase
 
 from corianderhold.coordination.owner.admission import Admission
+from corianderhold.coordination.owner.const import INITIAL_LIMIT
+from corianderhold.coordination.owner.limit import FixedLimit
 from corianderhold.coordination.owner.policy import (
     AdmissionConfigurator,
     build_default_limit,
@@ -53,10 +55,13 @@
         )
         self.holder = ConfigurationHolder()
         self.source = FakeSource()
-        AdmissionConfigurator(self.admission, self.holder, self.source).start()
+        AdmissionConfigurator(
+            self.admission, self.holder, self.source, FakeClock()
+        ).start()
 
-    def configure(self, version: int, limit: int) -> None:
-        services = {CATALOGUE: Service(CATALOGUE, limit, 3)}
+    def configure(self, version: int, limit: int, adaptive: bool = False) -> None:
+        service = Service(CATALOGUE, limit, 3, adaptive_limit=adaptive)
+        services = {CATALOGUE: service}
         self.holder.replace(Configuration(Version(version), services))
 
     def read_limit(self) -> int:
@@ -73,3 +78,18 @@
         self.assertEqual(self.read_limit(), 6)
         self.configure(2, 7)
         self.assertEqual(self.read_limit(), 7)
+
+    def test_adaptive_limit_begins_below_its_bound(self) -> None:
+        self.configure(1, 50, adaptive=True)
+        self.source.announce(SERVING)
+        self.assertEqual(self.read_limit(), INITIAL_LIMIT)
+
+    def test_target_that_comes_back_is_cold(self) -> None:
+        self.configure(1, 5)
+        self.source.announce(SERVING)
+        self.admission.replace_limit(FixedLimit(9))
+        self.configure(2, 5)
+        self.assertEqual(self.read_limit(), 9)
+        self.source.announce(ABSENT_TARGET)
+        self.source.announce(SERVING)
+        self.assertEqual(self.read_limit(), 5)
