--- a/corianderhold/coordination/entry/outgoing.py
+++ b/corianderhold/coordination/entry/outgoing.py
@@ -137,7 +137,9 @@
         context = self._build_context(request, parent, match, call_id)
         retries = RetryBudget(min(parent.retries.split(), route.retry_budget))
         self._watch.add(call_id, environ[ENVIRON_SOCKET])
+        started_at = self._clock.read_monotonic()
         outcome = self._router.route(context, body, retries)
+        parent.note_nested(self._clock.read_monotonic() - started_at)
         parent.retries.give_back(retries.left)
         return outcome
 
--- a/corianderhold/coordination/entry/response.py
+++ b/corianderhold/coordination/entry/response.py
@@ -2,10 +2,12 @@
 
 import json
 import math
+import zlib
 from collections.abc import Iterable, Iterator
 from http import HTTPStatus
 
 from corianderhold.coordination.call import Answer
+from corianderhold.coordination.entry.const import RETRY_AFTER_EXTRA_S
 from corianderhold.ids import CallId
 from corianderhold.protocol.headers import (
     HEADER_CALL_ID,
@@ -85,12 +87,23 @@
         (HEADER_CALL_ID, call_id),
     ]
     if status in (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE):
-        seconds = max(1, math.ceil(refusal.retry_after_ms / 1000))
+        seconds = choose_retry_after_s(refusal, call_id)
         headers.append((HEADER_RETRY_AFTER, str(seconds)))
     start_response(describe_status(status), headers)
     return [body]
 
 
+def choose_retry_after_s(refusal: Refusal, call_id: CallId) -> int:
+    """
+    Return the whole seconds after which to come back, at least those of the refusal.
+
+    The header has no fractions, which would send all callers back in the same second.
+    So each call gets up to RETRY_AFTER_EXTRA_S more, drawn from its id.
+    """
+    drawn = zlib.crc32(call_id.encode()) % (RETRY_AFTER_EXTRA_S + 1)
+    return max(1, math.ceil(refusal.retry_after_ms / 1000)) + drawn
+
+
 def choose_status(refusal: Refusal) -> HTTPStatus:
     """Return the HTTP status of a refusal."""
     if refusal.not_run:
--- a/corianderhold/coordination/owner/admission.py
+++ b/corianderhold/coordination/owner/admission.py
@@ -17,6 +17,7 @@
 from corianderhold.coordination.owner.limit import ConcurrencyLimit
 from corianderhold.coordination.owner.queue import FairQueue, Waiter, WaiterState
 from corianderhold.ids import OrganisationId, RouteName
+from corianderhold.log import log_event
 from corianderhold.protocol.peer.messages import LoadReport
 from corianderhold.protocol.verdict import Reason, Refusal, refuse_not_run
 from corianderhold.state.configuration.model import Importance
@@ -88,16 +89,42 @@
             return Err(refusal)
         return self._wait(waiter)
 
-    def release(self, route: RouteName, started_at: float, failed: bool) -> None:
-        """Give a permit back; `started_at` is when the call was dispatched."""
+    def release(
+        self,
+        route: RouteName,
+        started_at: float,
+        failed: bool,
+        nested_s: float = 0.0,
+    ) -> None:
+        """
+        Give a permit back; `started_at` is when the call was dispatched.
+
+        The limit learns from the target's own time, without the `nested_s` seconds that
+        it waited for others: their overload is not cured by a lower limit here.
+        """
         duration_s = self._clock.read_monotonic() - started_at
         with self._lock:
-            self._limit.note_completion(duration_s, failed, self._in_flight)
+            self._note_completion(max(0.0, duration_s - nested_s), failed)
             if not failed:
                 self._service_times.note(route, duration_s)
             self._in_flight -= 1
             self._admit_waiters()
 
+    def _note_completion(self, duration_s: float, failed: bool) -> None:
+        """Let the limit learn, and log what it decides."""
+        before = self._limit.read_limit()
+        self._limit.note_completion(duration_s, failed, self._in_flight)
+        after = self._limit.read_limit()
+        if after != before:
+            log_event(
+                "limit_changed",
+                limit=after,
+                previous=before,
+                in_flight=self._in_flight,
+                queued=len(self._queue),
+                mean_s=self._service_times.read_mean(),
+            )
+
     def report_load(self, draining: bool) -> LoadReport:
         """Return the present load."""
         with self._lock:
--- a/corianderhold/coordination/owner/limit.py
+++ b/corianderhold/coordination/owner/limit.py
@@ -11,6 +11,7 @@
     ROUND_CALLS,
     SLOWER_GROWS_BELOW,
     SLOWER_SHRINKS_ABOVE,
+    SLOWER_SLACK_S,
     USEFUL_DECREASE,
 )
 
@@ -104,9 +105,10 @@
 
     def _end_round(self, ended: Round) -> None:
         lowest_s = self._compare_with_lowest(ended)
-        if ended.is_failing or ended.mean_s > SLOWER_SHRINKS_ABOVE * lowest_s:
+        slower_s = max(0.0, ended.mean_s - SLOWER_SLACK_S)
+        if ended.is_failing or slower_s > SLOWER_SHRINKS_ABOVE * lowest_s:
             self._shrink(ended)
-        elif ended.limit_reached and ended.mean_s <= SLOWER_GROWS_BELOW * lowest_s:
+        elif ended.limit_reached and slower_s <= SLOWER_GROWS_BELOW * lowest_s:
             self._grow()
 
     def _compare_with_lowest(self, ended: Round) -> float:
--- a/corianderhold/coordination/owner/owner.py
+++ b/corianderhold/coordination/owner/owner.py
@@ -226,7 +226,9 @@
 
     def _end(self, call: InFlightCall, started_at: float, *, failed: bool) -> None:
         self.calls.remove(call)
-        self._admission.release(call.context.route, started_at, failed)
+        self._admission.release(
+            call.context.route, started_at, failed, nested_s=call.nested_s
+        )
         duration_s = self._clock.read_monotonic() - started_at
         self._metrics.record_duration("owner_service_time", duration_s)
 
--- a/corianderhold/coordination/owner/registry.py
+++ b/corianderhold/coordination/owner/registry.py
@@ -30,6 +30,17 @@
     _lock: threading.Lock = field(default_factory=threading.Lock, repr=False)
     _connection: socket.socket | None = None
     _waiter: Waiter | None = None
+    _nested_s: float = 0.0
+
+    @property
+    def nested_s(self) -> float:
+        """Return the seconds that the target waited for nested calls, summed up."""
+        return self._nested_s
+
+    def note_nested(self, duration_s: float) -> None:
+        """Count the time of a nested call."""
+        with self._lock:
+            self._nested_s += duration_s
 
     def hold_waiter(self, waiter: Waiter) -> None:
         """Name the call's place in the queue, which a cancellation gives up."""
--- a/tests/coordination/owner/test_limit.py
+++ b/tests/coordination/owner/test_limit.py
@@ -1,9 +1,15 @@
 """Test what the adaptive limit learns from a simulated target."""
 
+from random import Random
 from unittest import TestCase
 
+from corianderhold.coordination.owner.admission import Admission
 from corianderhold.coordination.owner.const import INITIAL_LIMIT
-from corianderhold.coordination.owner.limit import AdaptiveLimit
+from corianderhold.coordination.owner.limit import AdaptiveLimit, FixedLimit
+from corianderhold.coordination.owner.policy import build_default_policy
+from corianderhold.coordination.owner.registry import InFlightCall
+from corianderhold.coordination.retry import RetryBudget
+from tests.common.calls import make_context
 from tests.common.clock import FakeClock
 
 SLOTS = 10
@@ -71,3 +77,37 @@
         for _ in range(100):
             self.limit.note_completion(1000.0, False, before)
         self.assertEqual(self.limit.read_limit(), before)
+
+
+class RecordingLimit(FixedLimit):
+    """Remember the durations that it is told."""
+
+    def __init__(self) -> None:
+        super().__init__(1)
+        self.durations_s: list[float] = []
+
+    def note_completion(self, duration_s: float, failed: bool, in_flight: int) -> None:
+        """Remember the duration."""
+        self.durations_s.append(duration_s)
+
+
+class OwnTimeTests(TestCase):
+    """Learn from the target's own time only."""
+
+    def test_time_of_nested_calls_is_not_the_targets(self) -> None:
+        clock, limit = FakeClock(), RecordingLimit()
+        admission = Admission(limit, build_default_policy(), clock, Random(1))
+        started_at = clock.read_monotonic()
+        for nested_s in (0.0, 1.5, 3.0):
+            context = make_context(deadline_at=started_at + 100.0)
+            admission.acquire(context, lambda waiter: None)
+            clock.advance(2.0)
+            call_started_at = clock.read_monotonic() - 2.0
+            admission.release(context.route, call_started_at, False, nested_s)
+        self.assertEqual(limit.durations_s, [2.0, 0.5, 0.0])
+
+    def test_call_sums_up_its_nested_calls(self) -> None:
+        call = InFlightCall(make_context(), RetryBudget(0))
+        call.note_nested(0.5)
+        call.note_nested(1.0)
+        self.assertEqual(call.nested_s, 1.5)
