Give a full queue's last place to the organisation that waits for less

Cause: a call behind a full queue was refused whatever its organisation had waiting, and evicted calls still cost their organisation its turn. Change: queue first, then evict the last by importance and fair order; an evicted call is not charged.

--- a/corianderhold/coordination/owner/admission.py
+++ b/corianderhold/coordination/owner/admission.py
@@ -12,6 +12,7 @@
 from corianderhold.coordination.owner.const import (
     QUEUE_RETRY_AFTER_MS,
     RETRY_AFTER_SPREAD,
+    WEIGHT_MIN,
 )
 from corianderhold.coordination.owner.estimate import ServiceTimes
 from corianderhold.coordination.owner.limit import ConcurrencyLimit
@@ -152,17 +153,22 @@
         return len(self._queue) >= self._policy.queue_length
 
     def _enqueue(self, waiter: Waiter) -> Refusal | None:
-        """Queue a call, in place of a less important one when the queue is full."""
+        """
+        Queue a call, in place of the last one when the queue is full.
+
+        That is a less important one, or one of an organisation that waits for more.
+        """
         if self._is_late(waiter, self._estimate_wait(waiter.importance)):
             return self._refuse(Reason.SHED, DEADLINE_UNMEETABLE)
-        if self._is_full():
-            last = self._queue.find_last()
-            if last is None or last.importance >= waiter.importance:
-                return self._refuse(Reason.QUEUE_FULL, "")
-            self._queue.remove(last)
-            last.decide(WaiterState.EVICTED)
         weight = self._policy.weigh(waiter.organisation)
-        self._queue.push(waiter, max(weight, 0.01))
+        self._queue.push(waiter, max(weight, WEIGHT_MIN))
+        if len(self._queue) <= self._policy.queue_length:
+            return None
+        last = self._queue.evict_last()
+        if last is waiter:
+            return self._refuse(Reason.QUEUE_FULL, "")
+        if last is not None:
+            last.decide(WaiterState.EVICTED)
         return None
 
     def _estimate_wait(self, importance: int) -> float:
--- a/corianderhold/coordination/owner/const.py
+++ b/corianderhold/coordination/owner/const.py
@@ -5,6 +5,7 @@
 RETRY_AFTER_SPREAD = 0.5  # clients come back between 0.5 and 1.5 of the hint
 SERVICE_TIME_WEIGHT = 0.1
 ESTIMATE_LIFETIME_S = 2.0  # an older service time says nothing about the next call
+WEIGHT_MIN = 0.01
 CONTEXT_TOKEN_BYTES = 16
 INITIAL_LIMIT = 4
 ROUND_CALLS = 6
--- a/corianderhold/coordination/owner/queue.py
+++ b/corianderhold/coordination/owner/queue.py
@@ -25,6 +25,7 @@
     deadline_at: float
     route: RouteName = RouteName("")
     finish_tag: float = 0.0
+    cost: float = 0.0
     sequence: int = 0
     state: WaiterState = WaiterState.WAITING
     cancelled: bool = False
@@ -63,7 +64,8 @@
         start = max(
             self._virtual_time, self._tags.get(waiter.organisation, float("-inf"))
         )
-        waiter.finish_tag = start + 1.0 / weight
+        waiter.cost = 1.0 / weight
+        waiter.finish_tag = start + waiter.cost
         self._tags[waiter.organisation] = waiter.finish_tag
         self._sequence += 1
         waiter.sequence = self._sequence
@@ -80,6 +82,14 @@
         self._virtual_time = max(self._virtual_time, best.finish_tag)
         return best
 
+    def evict_last(self) -> Waiter | None:
+        """Take out the waiter that would go last; its organisation pays nothing."""
+        last = self.find_last()
+        if last is not None:
+            self._tags[last.organisation] -= last.cost
+            self.remove(last)
+        return last
+
     def count_at_least(self, importance: int) -> int:
         """Return the number of waiters that are at least as important."""
         return sum(waiter.importance >= importance for waiter in self._waiters)
--- a/tests/coordination/entry/test_choice.py
+++ b/tests/coordination/entry/test_choice.py
@@ -11,6 +11,7 @@
 from corianderhold.coordination.entry.const import (
     EJECTION_FAILURES,
     EJECTION_TIME_S,
+    PUSH_BACK_LIFETIME_S,
 )
 from corianderhold.ids import FailureDomainId, InstanceId, RegionId
 from corianderhold.protocol.peer.messages import LoadReport
@@ -84,3 +85,9 @@
         self.assertNotIn(None, high)
         self.clock.advance(2)
         self.assertIsNotNone(self.choose(NEAR, NEAR2, importance=0))
+
+    def test_push_back_ends_soon_without_a_new_report(self) -> None:
+        self.end("near", AttemptOutcome.REFUSED, LoadReport(10, 10, 5, 2))
+        self.clock.advance(2 * PUSH_BACK_LIFETIME_S)
+        later = [self.choose(NEAR, importance=1) for _ in range(200)]
+        self.assertNotIn(None, later)
--- a/tests/coordination/owner/test_admission.py
+++ b/tests/coordination/owner/test_admission.py
@@ -45,6 +45,18 @@
         served = [waiter.organisation for waiter in first if waiter is not None]
         self.assertEqual(served.count(OrganisationId("modest")), 10)
 
+    def test_evicted_call_costs_its_organisation_nothing(self) -> None:
+        queue = FairQueue()
+        queue.push(make_waiter(1, "other"), 1.0)
+        for _ in range(20):
+            queue.push(make_waiter(1, "greedy"), 1.0)
+        for _ in range(19):
+            queue.evict_last()
+        queue.push(make_waiter(1, "greedy"), 1.0)
+        queue.push(make_waiter(1, "other"), 1.0)
+        served = [waiter.organisation for _ in range(4) if (waiter := queue.pop())]
+        self.assertEqual(served, ["other", "greedy", "greedy", "other"])
+
 
 class AdmissionTests(TestCase):
     """Admit calls on real threads."""
@@ -59,9 +71,15 @@
         self.outcomes: dict[str, Result[Waiter, Refusal]] = {}
         self.waiters: dict[str, Waiter] = {}
 
-    def acquire(self, name: str, importance: int, wait_s: float = 30.0) -> None:
+    def acquire(
+        self,
+        name: str,
+        importance: int,
+        wait_s: float = 30.0,
+        organisation: str = "schools",
+    ) -> None:
         deadline = CLOCK.read_monotonic() + wait_s
-        context = make_context(name, importance, deadline_at=deadline)
+        context = make_context(name, importance, organisation, deadline)
         self.outcomes[name] = self.admission.acquire(
             context, lambda waiter: self.waiters.update({name: waiter})
         )
@@ -132,3 +150,18 @@
         self.assertEqual(self.reason("gone"), Reason.CANCELLED)
         self.release()
         self.assertEqual(self.admission.report_load(False).in_flight, 0)
+
+    def test_organisation_with_less_waiting_gets_a_place_in_a_full_queue(self) -> None:
+        self.acquire("running", 1)
+        threads = [self.acquire_in_background(f"greedy{i}", 1) for i in range(2)]
+        modest = threading.Thread(
+            target=self.acquire, args=("modest", 1, 30.0, "radio")
+        )
+        modest.start()
+        wait_until(lambda: "greedy1" in self.outcomes, "the greedy one gives way")
+        self.assertEqual(self.reason("greedy1"), Reason.SHED)
+        for _ in range(3):
+            self.release()
+        for thread in (*threads, modest):
+            thread.join()
+        self.assertIsInstance(self.outcomes["modest"], Ok)
