--- /dev/null
+++ b/tests/measurements/__init__.py
@@ -0,0 +1,1 @@
+"""Test what the measurements work out."""
