--- a/corianderhold/coordination/owner/const.py
+++ b/corianderhold/coordination/owner/const.py
@@ -15,4 +15,5 @@
 SLOWER_SHRINKS_ABOVE = 2.0
 SLOWER_SLACK_S = 0.01  # differences below this are the machine's, not the target's
 USEFUL_DECREASE = 0.9  # a shorter mean than this part shows that calls had waited
-FAILED_RATIO_MAX = 0.5
+STEADY_INCREASE = 1.1
+FAILED_RATIO_MAX = 0.25
--- a/corianderhold/coordination/owner/limit.py
+++ b/corianderhold/coordination/owner/limit.py
@@ -12,6 +12,7 @@
     SLOWER_GROWS_BELOW,
     SLOWER_SHRINKS_ABOVE,
     SLOWER_SLACK_S,
+    STEADY_INCREASE,
     USEFUL_DECREASE,
 )
 
@@ -104,26 +105,32 @@
             self._round = Round(now)
 
     def _end_round(self, ended: Round) -> None:
-        lowest_s = self._compare_with_lowest(ended)
+        shrunk_from, self._shrunk_from = self._shrunk_from, None
+        if not ended.is_failing:
+            if shrunk_from is not None and self._restore(ended, *shrunk_from):
+                return
+            known_s = self._lowest_mean_s or ended.mean_s
+            self._lowest_mean_s = min(known_s, ended.mean_s)
+        lowest_s = self._lowest_mean_s or 0.0
         slower_s = max(0.0, ended.mean_s - SLOWER_SLACK_S)
         if ended.is_failing or slower_s > SLOWER_SHRINKS_ABOVE * lowest_s:
             self._shrink(ended)
         elif ended.limit_reached and slower_s <= SLOWER_GROWS_BELOW * lowest_s:
             self._grow()
 
-    def _compare_with_lowest(self, ended: Round) -> float:
-        """Return the lowest mean; take the new one if shrinking did not help."""
-        shrunk_from, self._shrunk_from = self._shrunk_from, None
-        if ended.is_failing:
-            return self._lowest_mean_s or ended.mean_s
-        lowest_s = min(ended.mean_s, self._lowest_mean_s or ended.mean_s)
-        if shrunk_from is not None:
-            limit, mean_s = shrunk_from
-            if ended.mean_s > USEFUL_DECREASE * mean_s:
-                lowest_s = ended.mean_s
-                self._limit = limit
-        self._lowest_mean_s = lowest_s
-        return lowest_s
+    def _restore(self, ended: Round, limit: float, mean_s: float) -> bool:
+        """
+        Take a decrease back if it brought no shorter calls; return whether it did.
+
+        Only a steady mean is taken for the target's own time. One that rises further
+        says that the target is just changing, and is compared again.
+        """
+        if ended.mean_s <= USEFUL_DECREASE * mean_s:
+            return False
+        self._limit = limit
+        if ended.mean_s <= STEADY_INCREASE * mean_s:
+            self._lowest_mean_s = ended.mean_s
+        return True
 
     def _shrink(self, ended: Round) -> None:
         self._is_starting = False
--- a/tests/coordination/owner/test_limit.py
+++ b/tests/coordination/owner/test_limit.py
@@ -64,6 +64,13 @@
         self.serve()
         self.assertGreaterEqual(self.limit.read_limit(), SLOTS)
 
+    def test_target_that_slows_within_a_round_is_not_given_more(self) -> None:
+        self.serve()
+        before = self.limit.read_limit()
+        for factor in (2.5, 5.0, 10.0, 10.0, 10.0, 10.0, 10.0, 10.0):
+            self.serve(service_s=factor * SERVICE_S, rounds=2)
+            self.assertLessEqual(self.limit.read_limit(), before)
+
     def test_failures_shrink_the_limit_to_one(self) -> None:
         self.serve()
         self.serve(failed=True)
