Run a request with an idempotency key at most once over the fleet

Cause: the same Idempotency-Key sent to two entries, or again after its daemon died, ran twice; only a single dispatch was held to one run. Ruled out: a claim in the log a request (several hundred appends a second); running at the holder's own target (a shard without a target would stand still); plain-text keys (minutes of refusals after each takeover). Change: shards of keys under the lease, records with a horizon that no forgotten or inherited key passes, keys are UUIDs of version 7. The lease manager takes a filter of members for each shard instead of a domain. Cancellation marks only calls in flight; ids of ended calls were kept for ever before.

--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -17,10 +17,15 @@
 from corianderhold.coordination.entry.router import Router
 from corianderhold.coordination.entry.sender import PeerSender
 from corianderhold.coordination.entry.watch import CallerWatch
+from corianderhold.coordination.lease.locator import HolderLocator
+from corianderhold.coordination.lease.manager import LeaseManager
 from corianderhold.coordination.membership.service import (
     MembershipService,
     MembershipSettings,
 )
+from corianderhold.coordination.once.keeper import OnceKeeper
+from corianderhold.coordination.once.key import list_shards as list_once_shards
+from corianderhold.coordination.once.router import KeyedRouter
 from corianderhold.coordination.owner.admission import Admission
 from corianderhold.coordination.owner.owner import Owner
 from corianderhold.coordination.owner.policy import (
@@ -34,6 +39,7 @@
     build_fixed_slices,
     build_loans,
 )
+from corianderhold.coordination.rate.shards import list_shards as list_rate_shards
 from corianderhold.core import Application
 from corianderhold.drain import GracefulStop, TargetDrain
 from corianderhold.ids import Incarnation
@@ -83,6 +89,10 @@
         self._log = HttpLog(f"http://{settings.store}", self._clock)
         self._membership = self._build_membership()
         self._follower = self._build_follower()
+        self._sender = PeerSender(self._pool, self._clock)
+        self._locator = HolderLocator(self._membership)
+        self._node = Holder(settings.instance, self._incarnation)
+        self._leases = self._build_leases()
 
     def build(self) -> Application:
         """Return the application with all parts."""
@@ -97,7 +107,16 @@
             self._clock,
             self._metrics,
         )
-        router = self._build_router(owner)
+        direct = self._build_router(owner)
+        keeper = OnceKeeper(self._leases, direct, self._clock)
+        router = KeyedRouter(
+            settings.instance,
+            keeper,
+            direct,
+            self._sender,
+            self._locator,
+            self._membership,
+        )
         watch = CallerWatch(router.cancel)
         rate = self._build_rate()
         listeners = settings.listeners
@@ -124,9 +143,11 @@
             [
                 self._pool,
                 AdmissionConfigurator(admission, self._holder, self._membership),
-                self._build_peer_server(owner, rate.handlers),
+                self._build_peer_server(owner, keeper, rate.handlers),
                 self._membership,
                 self._follower,
+                self._leases,
+                keeper,
                 *rate.components,
                 watch,
                 WebServer(
@@ -204,11 +225,21 @@
             self._holder,
             LocalityChooser(place, self._clock, self._random),
             owner,
-            PeerSender(self._pool, self._clock),
+            self._sender,
             self._clock,
             self._metrics,
         )
 
+    def _build_leases(self) -> LeaseManager:
+        """Take part in the leases of idempotency keys and, with loans, of rates."""
+        settings = self._settings
+        shards = list_once_shards()
+        if not settings.entry_slots:
+            shards |= list_rate_shards(settings.domain)
+        return LeaseManager(
+            self._node, shards, self._clock, self._log, self._control, self._membership
+        )
+
     def _build_rate(self) -> RateParts:
         """Build loans, or fixed slices where the settings name the entry slots."""
         settings = self._settings
@@ -217,26 +248,30 @@
                 self._holder, settings.domain, settings.entry_slots, self._clock
             )
         return build_loans(
-            Holder(settings.instance, self._incarnation),
+            self._node,
             settings.domain,
             self._holder,
-            self._membership,
-            self._log,
+            self._leases,
+            self._locator,
             self._control,
             self._clock,
         )
 
     def _build_peer_server(
-        self, owner: Owner, handlers: Mapping[ControlTopic, ControlHandler]
+        self,
+        owner: Owner,
+        keeper: OnceKeeper,
+        handlers: Mapping[ControlTopic, ControlHandler],
     ) -> PeerServer:
         return PeerServer(
             self._settings.listeners.peer,
             self._identity,
             self._clock,
-            RemoteCallServer(owner, self._incarnation, self._clock),
+            RemoteCallServer(owner, keeper, self._incarnation, self._clock),
             {
                 ControlTopic.MEMBERSHIP: self._membership,
                 ControlTopic.CONFIGURATION: self._follower,
+                ControlTopic.LEASE: self._leases,
                 **handlers,
             },
         )
--- a/corianderhold/coordination/entry/application.py
+++ b/corianderhold/coordination/entry/application.py
@@ -14,8 +14,8 @@
 from corianderhold.coordination.entry.gate import Gate
 from corianderhold.coordination.entry.request import WebRequest, read_body, read_request
 from corianderhold.coordination.entry.response import respond_answer, respond_refusal
-from corianderhold.coordination.entry.router import Router
 from corianderhold.coordination.entry.watch import CallerWatch
+from corianderhold.coordination.once.keeper import CallRouter
 from corianderhold.coordination.rate.limiter import RateLimiter
 from corianderhold.coordination.retry import RetryBudget
 from corianderhold.ids import CallId, OrganisationId, RootId
@@ -48,7 +48,7 @@
         self,
         holder: ConfigurationHolder,
         limiter: RateLimiter,
-        router: Router,
+        router: CallRouter,
         watch: CallerWatch,
         clock: Clock,
         metrics: Metrics,
--- a/corianderhold/coordination/entry/outgoing.py
+++ b/corianderhold/coordination/entry/outgoing.py
@@ -23,8 +23,8 @@
     respond_answer,
     respond_refusal,
 )
-from corianderhold.coordination.entry.router import Router
 from corianderhold.coordination.entry.watch import CallerWatch
+from corianderhold.coordination.once.keeper import CallRouter
 from corianderhold.coordination.owner.registry import InFlightCall, InFlightCalls
 from corianderhold.coordination.retry import RetryBudget
 from corianderhold.ids import CallId, ServiceName
@@ -71,7 +71,7 @@
         self,
         holder: ConfigurationHolder,
         calls: InFlightCalls,
-        router: Router,
+        router: CallRouter,
         registrar: TargetRegistrar,
         watch: CallerWatch,
         clock: Clock,
--- a/corianderhold/coordination/entry/response.py
+++ b/corianderhold/coordination/entry/response.py
@@ -27,6 +27,10 @@
     Reason.RATE_EXCEEDED: HTTPStatus.TOO_MANY_REQUESTS,
     Reason.DEPTH_EXCEEDED: HTTPStatus.LOOP_DETECTED,
 }
+REPEATS = frozenset({Reason.REPEAT_IN_PROGRESS, Reason.REPEAT_UNKNOWN})
+RETRY_LATER = frozenset(
+    {HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.CONFLICT}
+)
 TIMEOUTS = frozenset({Reason.TARGET_SILENT, Reason.PEER_SILENT, Reason.DEADLINE_PASSED})
 
 
@@ -84,7 +88,7 @@
         (HEADER_REASON, refusal.reason.value),
         (HEADER_CALL_ID, call_id),
     ]
-    if status in (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE):
+    if status in RETRY_LATER:
         seconds = max(1, math.ceil(refusal.retry_after_ms / 1000))
         headers.append((HEADER_RETRY_AFTER, str(seconds)))
     start_response(describe_status(status), headers)
@@ -95,6 +99,8 @@
     """Return the HTTP status of a refusal."""
     if refusal.not_run:
         return STATUS_OF_REASON.get(refusal.reason, HTTPStatus.SERVICE_UNAVAILABLE)
+    if refusal.reason in REPEATS:
+        return HTTPStatus.CONFLICT
     if refusal.reason in TIMEOUTS:
         return HTTPStatus.GATEWAY_TIMEOUT
     return HTTPStatus.BAD_GATEWAY
--- a/corianderhold/coordination/entry/router.py
+++ b/corianderhold/coordination/entry/router.py
@@ -1,6 +1,5 @@
 """Bring a call to an owner, with retries within its budget."""
 
-import threading
 from dataclasses import dataclass, replace
 
 from result import Err, Ok, Result
@@ -17,6 +16,7 @@
     OVERLOAD_RETRY_AFTER_MS,
     RETRY_BURST,
 )
+from corianderhold.coordination.entry.flight import CancelTargets
 from corianderhold.coordination.entry.sender import PeerSender
 from corianderhold.coordination.owner.owner import CallOwner
 from corianderhold.coordination.retry import RetryBudget, RetryThrottle
@@ -66,29 +66,6 @@
     refusal: Refusal | None = None
 
 
-class CancelTargets:
-    """Remember where each call in flight was sent, so that it can be cancelled."""
-
-    def __init__(self) -> None:
-        self._lock = threading.Lock()
-        self._members: dict[CallId, Member] = {}
-
-    def note(self, call_id: CallId, member: Member) -> None:
-        """Note the owner that has the call now."""
-        with self._lock:
-            self._members[call_id] = member
-
-    def forget(self, call_id: CallId) -> None:
-        """Forget a call that ended."""
-        with self._lock:
-            self._members.pop(call_id, None)
-
-    def find(self, call_id: CallId) -> Member | None:
-        """Return the owner that has the call now."""
-        with self._lock:
-            return self._members.get(call_id)
-
-
 class Router:
     """Choose an owner for each call, send it there, and retry where that is safe."""
 
@@ -112,7 +89,6 @@
         self._clock = clock
         self._metrics = metrics
         self._in_flight = CancelTargets()
-        self._cancelled: set[CallId] = set()
         self._throttles: dict[ServiceName, RetryThrottle] = {}
 
     def route(
@@ -123,6 +99,7 @@
         throttle.note_attempt()
         attempt = Attempt()
         may_have_run = False
+        self._in_flight.begin(context.call_id)
         try:
             while True:
                 choice = self._choose(context, attempt)
@@ -140,12 +117,10 @@
                 attempt = Attempt(attempt.number + 1, tried, refusal)
         finally:
             self._in_flight.forget(context.call_id)
-            self._cancelled.discard(context.call_id)
 
     def cancel(self, call_id: CallId) -> None:
         """Cancel a call at the owner that has it now, and make no more attempts."""
-        self._cancelled.add(call_id)
-        member = self._in_flight.find(call_id)
+        member = self._in_flight.cancel(call_id)
         if member is None:
             return
         log_event("call_abandoned", call=call_id, owner=member.instance)
@@ -216,7 +191,7 @@
         throttle: RetryThrottle,
     ) -> bool:
         """Spend a retry where it is safe and of use."""
-        if context.call_id in self._cancelled or body.started:
+        if self._in_flight.is_cancelled(context.call_id) or body.started:
             return False
         if refusal.not_run:
             useful = refusal.reason in RETRYABLE_NOT_RUN
--- a/corianderhold/coordination/rate/locator.py
+++ b/corianderhold/coordination/lease/locator.py
@@ -1,9 +1,9 @@
-"""Find the steward of a shard by hints, or else by rank."""
+"""Find the holder of a shard by hints, or else by rank."""
 
 import threading
 
-from corianderhold.coordination.lease.ranking import rank_members
-from corianderhold.ids import FailureDomainId, InstanceId
+from corianderhold.coordination.lease.ranking import MemberFilter, rank_members
+from corianderhold.ids import InstanceId
 from corianderhold.state.lease.model import ShardId
 from corianderhold.state.membership.model import Address, Members, MemberState
 
@@ -23,7 +23,7 @@
         self._tried: dict[ShardId, int] = {}
 
     def locate_holder(
-        self, domain: FailureDomainId, shard: ShardId
+        self, accepts: MemberFilter, shard: ShardId
     ) -> tuple[InstanceId, Address] | None:
         """Return the instance to ask and its peer address."""
         with self._lock:
@@ -32,7 +32,7 @@
         for member in self._members.list_members():
             if member.instance == believed and member.state is MemberState.ALIVE:
                 return member.instance, member.peer_address
-        ranked = rank_members(self._members, domain, shard)
+        ranked = rank_members(self._members, accepts, shard)
         if not ranked:
             return None
         member = ranked[tried % len(ranked)]
--- a/corianderhold/coordination/lease/manager.py
+++ b/corianderhold/coordination/lease/manager.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections import defaultdict
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from result import Err, Ok
@@ -23,8 +24,8 @@
 from corianderhold.coordination.lease.follower import HeadReading, LeaseFollower
 from corianderhold.coordination.lease.lease import Lease
 from corianderhold.coordination.lease.promises import PromiseAsker
-from corianderhold.coordination.lease.ranking import rank_members
-from corianderhold.ids import FailureDomainId, InstanceId
+from corianderhold.coordination.lease.ranking import MemberFilter, rank_members
+from corianderhold.ids import InstanceId
 from corianderhold.log import log_event, log_warning
 from corianderhold.protocol.lease.codec import (
     PromiseMessageError,
@@ -55,8 +56,9 @@
 
 class LeaseManager:
     """
-    Hold, claim and hand over the shards of this daemon's failure domain.
+    Hold, claim and hand over the shards that this daemon may hold.
 
+    `shards` gives for each shard the members that may hold it, this daemon among them.
     One thread reads, appends and asks; promises are given on links' threads. The lock
     covers the leases and is never held during a network request.
     """
@@ -64,15 +66,14 @@
     def __init__(
         self,
         node: Holder,
-        domain: FailureDomainId,
-        shards: list[ShardId],
+        shards: Mapping[ShardId, MemberFilter],
         clock: Clock,
         log: Log,
         control: ControlClient,
         members: Members,
     ) -> None:
         self._node = node
-        self._domain = domain
+        self._filters = shards
         self._clock = clock
         self._log = log
         self._asker = PromiseAsker(clock, control, members)
@@ -167,7 +168,7 @@
         self, shard: ShardId, successors: frozenset[InstanceId]
     ) -> Holder | None:
         """Return the best live successor."""
-        for member in rank_members(self._members, self._domain, shard):
+        for member in rank_members(self._members, self._filters[shard], shard):
             if member.instance in successors:
                 return Holder(member.instance, member.incarnation)
         return None
@@ -222,7 +223,7 @@
 
     def _find_rank(self, shard: ShardId) -> int:
         """Return this daemon's rank for a shard, CANDIDATES if it has none."""
-        ranked = rank_members(self._members, self._domain, shard)
+        ranked = rank_members(self._members, self._filters[shard], shard)
         for rank, member in enumerate(ranked):
             if member.instance == self._node.instance:
                 return rank
@@ -289,7 +290,7 @@
 
     def _choose_successors(self, shard: ShardId) -> frozenset[InstanceId]:
         """Return the best live members besides this daemon."""
-        ranked = rank_members(self._members, self._domain, shard)
+        ranked = rank_members(self._members, self._filters[shard], shard)
         others = [m.instance for m in ranked if m.instance != self._node.instance]
         return frozenset(others[:SUCCESSORS])
 
--- a/corianderhold/coordination/lease/ranking.py
+++ b/corianderhold/coordination/lease/ranking.py
@@ -1,20 +1,33 @@
-"""Rank the daemons of a failure domain for a shard by rendezvous hashing."""
+"""Rank the daemons that may hold a shard by rendezvous hashing."""
 
+from collections.abc import Callable
 from hashlib import blake2b
 
 from corianderhold.ids import FailureDomainId, InstanceId
 from corianderhold.state.lease.model import ShardId
 from corianderhold.state.membership.model import Member, Members, MemberState
 
+MemberFilter = Callable[[Member], bool]
+
+
+def accept_domain(domain: FailureDomainId) -> MemberFilter:
+    """Return the filter that accepts the members of one failure domain."""
+    return lambda member: member.domain == domain
+
+
+def accept_all(member: Member) -> bool:
+    """Accept every member."""
+    return True
+
 
 def rank_members(
-    members: Members, domain: FailureDomainId, shard: ShardId
+    members: Members, accepts: MemberFilter, shard: ShardId
 ) -> list[Member]:
-    """Return the live members of a domain, the best candidate first."""
+    """Return the live members that a filter accepts, the best candidate first."""
     live = [
         member
         for member in members.list_members()
-        if member.domain == domain and member.state is MemberState.ALIVE
+        if member.state is MemberState.ALIVE and accepts(member)
     ]
     return sorted(live, key=lambda member: _hash_pair(shard, member.instance))
 
--- /dev/null
+++ b/corianderhold/coordination/once/__init__.py
@@ -0,0 +1,1 @@
+"""Run a request with an idempotency key at most once."""
--- /dev/null
+++ b/corianderhold/coordination/once/const.py
@@ -0,0 +1,13 @@
+"""Bound the memory of idempotency keys and the errors of clocks."""
+
+SHARDS = 16
+KEY_VERSION = 7  # RFC 9562: a UUID that begins with its time
+KEY_AHEAD_S = 5.0  # a key from further in the future is refused
+CLOCK_ERROR_S = 1.0  # highest error of a daemon's wall clock
+RECORDS_MAX = 20_000
+RECORDED_BYTES_MAX = 8 * 1024 * 1024
+RECORD_LIFETIME_S = 900.0
+IN_PROGRESS_RETRY_AFTER_MS = 500
+NO_HOLDER_RETRY_AFTER_MS = 1000
+HOLDERS_TRIED_MAX = 3
+OBSERVATION_INTERVAL_S = 0.5
--- /dev/null
+++ b/corianderhold/coordination/once/keeper.py
@@ -0,0 +1,183 @@
+"""Run requests under the keys of the shards that this daemon holds."""
+
+import threading
+from dataclasses import dataclass, replace
+from typing import Protocol
+
+from result import Err, Ok, Result
+
+from corianderhold.clock import Clock
+from corianderhold.coordination.call import Answer, CallContext, RequestBody
+from corianderhold.coordination.lease.guard import LeaseGuard
+from corianderhold.coordination.once.const import (
+    IN_PROGRESS_RETRY_AFTER_MS,
+    NO_HOLDER_RETRY_AFTER_MS,
+    OBSERVATION_INTERVAL_S,
+)
+from corianderhold.coordination.once.key import (
+    compute_fingerprint,
+    find_shard,
+    list_shards,
+    read_key,
+)
+from corianderhold.coordination.once.records import (
+    Begin,
+    BeginState,
+    OnceRecords,
+    RecordedAnswer,
+)
+from corianderhold.coordination.retry import RetryBudget
+from corianderhold.ids import CallId
+from corianderhold.log import log_event
+from corianderhold.protocol.verdict import (
+    Reason,
+    Refusal,
+    refuse_may_have_run,
+    refuse_not_run,
+)
+from corianderhold.state.lease.model import ShardId
+
+
+class CallRouter(Protocol):
+    """Bring calls to owners."""
+
+    def route(
+        self, context: CallContext, body: RequestBody, retries: RetryBudget
+    ) -> Result[Answer, Refusal]:
+        """Return the answer's beginning, or the final refusal."""
+
+    def cancel(self, call_id: CallId) -> None:
+        """Cancel a call that nobody waits for any more."""
+
+
+@dataclass(frozen=True)
+class Tenure:
+    """The records of one tenure of a shard."""
+
+    number: int
+    records: OnceRecords
+
+
+class OnceKeeper:
+    """
+    Decide on keyed requests while holding their shard, and route those that may run.
+
+    The lease is checked before each decision. A pause between the check and the run
+    does no harm: a later holder never runs a key that this one can have accepted.
+    """
+
+    def __init__(self, guard: LeaseGuard, router: CallRouter, clock: Clock) -> None:
+        self._guard = guard
+        self._router = router
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._tenures: dict[ShardId, Tenure] = {}
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run_observation, name="once", daemon=True
+        )
+
+    def start(self) -> None:
+        """Begin to observe which shards this daemon holds."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the observation."""
+        self._stopped.set()
+
+    def observe_tenures(self) -> None:
+        """Open the records of each shard that is held, long before its first key."""
+        for shard in list_shards():
+            self._open_records(shard)
+
+    def run(
+        self, context: CallContext, body: RequestBody, retries: RetryBudget
+    ) -> Result[Answer, Refusal]:
+        """
+        Run a keyed request, replay its answer or refuse it.
+
+        A daemon that does not hold the shard refuses with NOT_HOLDER and names the
+        holder that it knows in the detail.
+        """
+        read = read_key(context)
+        if isinstance(read, Err):
+            return read
+        key = read.ok_value
+        shard = find_shard(key)
+        fingerprint = compute_fingerprint(context, body)
+        records = self._open_records(shard)
+        if records is None:
+            hint = self._guard.find_holder(shard) or ""
+            return Err(
+                refuse_not_run(Reason.NOT_HOLDER, NO_HOLDER_RETRY_AFTER_MS, hint)
+            )
+        begin = records.begin(key, fingerprint, self._clock.read_wall())
+        log_event(
+            "keyed_request_judged",
+            call=context.call_id,
+            shard=shard,
+            state=begin.state,
+        )
+        if begin.state is not BeginState.RUN:
+            return answer_repeat(begin)
+        try:
+            outcome = self._router.route(
+                replace(context, idempotency_key=None), body, retries
+            )
+        except BaseException:
+            records.end_run(key, None)
+            raise
+        if isinstance(outcome, Err) and outcome.err_value.not_run:
+            records.end_not_run(key)
+            return outcome
+        recorded = None
+        if isinstance(outcome, Ok) and outcome.ok_value.body is not None:
+            answer = outcome.ok_value
+            recorded = RecordedAnswer(answer.status, answer.headers, answer.body or b"")
+        records.end_run(key, recorded)
+        return outcome
+
+    def cancel(self, call_id: CallId) -> None:
+        """Cancel a keyed call that was routed on from here."""
+        self._router.cancel(call_id)
+
+    def _run_observation(self) -> None:
+        while not self._stopped.wait(OBSERVATION_INTERVAL_S):
+            self.observe_tenures()
+
+    def _open_records(self, shard: ShardId) -> OnceRecords | None:
+        """Return the records of the present tenure; None when not the holder."""
+        number = self._guard.find_tenure(shard)
+        if number is None:
+            return None
+        with self._lock:
+            tenure = self._tenures.get(shard)
+            if tenure is None or tenure.number != number:
+                tenure = Tenure(number, OnceRecords(self._clock.read_wall()))
+                self._tenures[shard] = tenure
+                log_event("once_tenure_began", shard=shard, tenure=number)
+            return tenure.records
+
+
+def answer_repeat(begin: Begin) -> Result[Answer, Refusal]:
+    """Return the answer or refusal of a request that must not run now."""
+    match begin.state:
+        case BeginState.REPLAY if begin.answer is not None:
+            kept = begin.answer
+            answer = Answer(
+                kept.status, kept.headers, kept.body, iter(()), lambda: None
+            )
+            return Ok(answer)
+        case BeginState.IN_PROGRESS:
+            refusal = refuse_may_have_run(
+                Reason.REPEAT_IN_PROGRESS, "the first request runs"
+            )
+            return Err(replace(refusal, retry_after_ms=IN_PROGRESS_RETRY_AFTER_MS))
+        case BeginState.MISMATCH:
+            detail = "the Idempotency-Key was used for another request"
+            return Err(refuse_not_run(Reason.REQUEST_MALFORMED, detail=detail))
+        case BeginState.FROM_THE_FUTURE:
+            detail = "the Idempotency-Key carries a time in the future"
+            return Err(refuse_not_run(Reason.REQUEST_MALFORMED, detail=detail))
+    detail = "its outcome is not remembered"
+    return Err(refuse_may_have_run(Reason.REPEAT_UNKNOWN, detail))
--- /dev/null
+++ b/corianderhold/coordination/once/router.py
@@ -0,0 +1,123 @@
+"""Bring keyed requests to the holder of their key's shard."""
+
+from dataclasses import replace
+
+from result import Err, Ok, Result
+
+from corianderhold.coordination.call import Answer, CallContext, RequestBody
+from corianderhold.coordination.entry.flight import CancelTargets
+from corianderhold.coordination.entry.sender import PeerSender
+from corianderhold.coordination.lease.locator import HolderLocator
+from corianderhold.coordination.lease.ranking import accept_all
+from corianderhold.coordination.once.const import (
+    HOLDERS_TRIED_MAX,
+    NO_HOLDER_RETRY_AFTER_MS,
+)
+from corianderhold.coordination.once.keeper import CallRouter, OnceKeeper
+from corianderhold.coordination.once.key import find_shard, read_key
+from corianderhold.coordination.retry import RetryBudget
+from corianderhold.ids import CallId, InstanceId
+from corianderhold.log import log_event
+from corianderhold.protocol.verdict import Reason, Refusal, refuse_not_run
+from corianderhold.state.lease.model import ShardId
+from corianderhold.state.membership.model import Member, Members
+
+NOBODY = InstanceId("")
+# No holder was reached, so another one may be tried.
+TRY_NEXT_HOLDER = frozenset({Reason.NOT_HOLDER, Reason.PEER_UNREACHABLE})
+
+
+class KeyedRouter:
+    """Route keyed requests through their holder and all others directly."""
+
+    def __init__(
+        self,
+        instance: InstanceId,
+        keeper: OnceKeeper,
+        router: CallRouter,
+        sender: PeerSender,
+        locator: HolderLocator,
+        members: Members,
+    ) -> None:
+        self._instance = instance
+        self._keeper = keeper
+        self._router = router
+        self._sender = sender
+        self._locator = locator
+        self._members = members
+        self._in_flight = CancelTargets()
+
+    def route(
+        self, context: CallContext, body: RequestBody, retries: RetryBudget
+    ) -> Result[Answer, Refusal]:
+        """Return the answer's beginning, or the final refusal."""
+        if context.idempotent or context.idempotency_key is None:
+            return self._router.route(
+                replace(context, idempotency_key=None), body, retries
+            )
+        read = read_key(context)
+        if isinstance(read, Err):
+            return read
+        shard = find_shard(read.ok_value)
+        try:
+            return self._ask_holders(shard, context, body, retries)
+        finally:
+            self._in_flight.forget(context.call_id)
+
+    def cancel(self, call_id: CallId) -> None:
+        """Cancel a call here and at the holder that has it."""
+        member = self._in_flight.find(call_id)
+        if member is not None:
+            self._sender.cancel(member.peer_address, call_id)
+        self._router.cancel(call_id)
+
+    def _ask_holders(
+        self,
+        shard: ShardId,
+        context: CallContext,
+        body: RequestBody,
+        retries: RetryBudget,
+    ) -> Result[Answer, Refusal]:
+        """Ask the believed holder, then the one that it names; each was not run."""
+        refusal = refuse_not_run(Reason.NOT_HOLDER, NO_HOLDER_RETRY_AFTER_MS)
+        for _ in range(HOLDERS_TRIED_MAX):
+            located = self._locator.locate_holder(accept_all, shard)
+            if located is None or body.started:
+                break
+            instance, _ = located
+            outcome = self._ask_holder(instance, context, body, retries)
+            if isinstance(outcome, Ok):
+                self._locator.note_answer(shard, instance, True, NOBODY)
+                return outcome
+            refusal = outcome.err_value
+            if refusal.reason not in TRY_NEXT_HOLDER:
+                self._locator.note_answer(shard, instance, True, NOBODY)
+                return outcome
+            hint = NOBODY
+            if refusal.reason is Reason.NOT_HOLDER:
+                hint = InstanceId(refusal.detail)
+            self._locator.note_answer(shard, instance, False, hint)
+        return Err(replace(refusal, retry_after_ms=NO_HOLDER_RETRY_AFTER_MS))
+
+    def _ask_holder(
+        self,
+        instance: InstanceId,
+        context: CallContext,
+        body: RequestBody,
+        retries: RetryBudget,
+    ) -> Result[Answer, Refusal]:
+        """Send the request to one daemon that may hold the shard."""
+        log_event("keyed_request_routed", call=context.call_id, holder=instance)
+        if instance == self._instance:
+            return self._keeper.run(context, body, retries)
+        member = self._find_member(instance)
+        if member is None:
+            return Err(refuse_not_run(Reason.PEER_UNREACHABLE))
+        self._in_flight.note(context.call_id, member)
+        return self._sender.send(member, context, body, retries, lambda load: None)
+
+    def _find_member(self, instance: InstanceId) -> Member | None:
+        for member in self._members.list_members():
+            if member.instance == instance:
+                return member
+        return None
--- a/corianderhold/coordination/owner/remote.py
+++ b/corianderhold/coordination/owner/remote.py
@@ -1,8 +1,9 @@
 """Serve the calls that other daemons send on links."""
 
 from collections.abc import Iterator
+from typing import Protocol
 
-from result import Err
+from result import Err, Result
 
 from corianderhold.clock import Clock
 from corianderhold.coordination.call import (
@@ -43,11 +44,35 @@
 ANSWER_SEND_TIMEOUT_S = 10.0  # a slow caller holds the link up for that long
 
 
-class RemoteCallServer:
-    """Serve each call of a link with the local owner."""
+class KeyedCalls(Protocol):
+    """Run calls with an idempotency key."""
+
+    def run(
+        self, context: CallContext, body: RequestBody, retries: RetryBudget
+    ) -> Result[Answer, Refusal]:
+        """Run a keyed call, replay its answer or refuse it."""
+
+    def cancel(self, call_id: CallId) -> None:
+        """Cancel a keyed call that was routed on from here."""
 
-    def __init__(self, owner: Owner, incarnation: Incarnation, clock: Clock) -> None:
+
+class RemoteCallServer:
+    """
+    Serve each call of a link.
+
+    A call with an idempotency key comes to this daemon as the holder of the key's
+    shard, any other to the owner of the local target.
+    """
+
+    def __init__(
+        self,
+        owner: Owner,
+        keeper: KeyedCalls,
+        incarnation: Incarnation,
+        clock: Clock,
+    ) -> None:
         self._owner = owner
+        self._keeper = keeper
         self._incarnation = incarnation
         self._clock = clock
         self._recent = RecentCalls()
@@ -61,7 +86,10 @@
             return
         context = build_context(head)
         body = self._build_body(link, head)
-        outcome = self._owner.serve(context, body, retries)
+        if context.idempotency_key is None:
+            outcome = self._owner.serve(context, body, retries)
+        else:
+            outcome = self._keeper.run(context, body, retries)
         if isinstance(outcome, Err):
             self._send_refusal(link, head, outcome.err_value, retries)
             if isinstance(body, StreamedBody) and body.started:
@@ -78,6 +106,7 @@
     def cancel_call(self, call_id: str) -> None:
         """Cancel a call that is in flight, if there is one with this id."""
         self._owner.cancel(CallId(call_id))
+        self._keeper.cancel(CallId(call_id))
 
     def report_load(self) -> LoadReport:
         """Return the present load."""
--- a/corianderhold/coordination/rate/messenger.py
+++ b/corianderhold/coordination/rate/messenger.py
@@ -6,8 +6,9 @@
 from result import Err
 
 from corianderhold.clock import Clock
+from corianderhold.coordination.lease.locator import HolderLocator
+from corianderhold.coordination.lease.ranking import accept_domain
 from corianderhold.coordination.rate.const import LOAN_TIMEOUT_S
-from corianderhold.coordination.rate.locator import HolderLocator
 from corianderhold.ids import FailureDomainId, InstanceId
 from corianderhold.log import log_warning
 from corianderhold.protocol.peer.control import ControlClient, ControlTopic
@@ -59,7 +60,7 @@
         timeout_s: float = LOAN_TIMEOUT_S,
     ) -> LoanAnswer | None:
         """Ask the steward of a shard; None without an answer that grants."""
-        located = self._locator.locate_holder(domain, shard)
+        located = self._locator.locate_holder(accept_domain(domain), shard)
         if located is None:
             return None
         instance, address = located
--- a/corianderhold/coordination/rate/parts.py
+++ b/corianderhold/coordination/rate/parts.py
@@ -6,13 +6,12 @@
 from random import Random
 
 from corianderhold.clock import Clock
-from corianderhold.coordination.lease.manager import LeaseManager
+from corianderhold.coordination.lease.guard import LeaseGuard
+from corianderhold.coordination.lease.locator import HolderLocator
 from corianderhold.coordination.rate.charger import StewardCharger
 from corianderhold.coordination.rate.entry import EntryLoans
 from corianderhold.coordination.rate.limiter import AllowanceLimiter, RateLimiter
-from corianderhold.coordination.rate.locator import HolderLocator
 from corianderhold.coordination.rate.messenger import LoanMessenger
-from corianderhold.coordination.rate.shards import list_shards
 from corianderhold.coordination.rate.static import StaticAllocator
 from corianderhold.coordination.rate.steward import RateSteward
 from corianderhold.core import Component
@@ -24,8 +23,6 @@
 )
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.lease.model import Holder
-from corianderhold.state.membership.model import Members
-from corianderhold.transport.store.model import Log
 
 
 @dataclass(frozen=True)
@@ -53,16 +50,12 @@
     node: Holder,
     domain: FailureDomainId,
     configuration: ConfigurationHolder,
-    members: Members,
-    log: Log,
+    guard: LeaseGuard,
+    locator: HolderLocator,
     control: ControlClient,
     clock: Clock,
 ) -> RateParts:
     """Let this entry borrow from the stewards, and this daemon be one of them."""
-    manager = LeaseManager(
-        node, domain, list_shards(domain), clock, log, control, members
-    )
-    locator = HolderLocator(members)
 
     def build_messenger(*, steward: bool) -> LoanMessenger:
         return LoanMessenger(node, domain, steward, clock, control, locator)
@@ -72,7 +65,7 @@
         domain,
         configuration,
         clock,
-        manager,
+        guard,
         Random(os.urandom(16)),
     )
     limiter = AllowanceLimiter()
@@ -80,6 +73,6 @@
     loans = EntryLoans(limiter, build_messenger(steward=False), domain, clock)
     return RateParts(
         charger,
-        (manager, steward, loans),
-        {ControlTopic.LEASE: manager, ControlTopic.RATE: steward},
+        (steward, loans),
+        {ControlTopic.RATE: steward},
     )
--- a/corianderhold/coordination/rate/steward.py
+++ b/corianderhold/coordination/rate/steward.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from corianderhold.clock import Clock
+from corianderhold.coordination.lease.guard import LeaseGuard
 from corianderhold.coordination.rate.const import (
     DOMAIN_LOAN_KEPT_S,
     DOMAIN_LOAN_S,
@@ -15,7 +16,7 @@
 from corianderhold.coordination.rate.lender import BorrowerId, BorrowerKind, Lender
 from corianderhold.coordination.rate.messenger import LoanMessenger
 from corianderhold.coordination.rate.pace import RenewalPace
-from corianderhold.coordination.rate.shards import LeaseGuard, name_shard
+from corianderhold.coordination.rate.shards import name_shard
 from corianderhold.ids import FailureDomainId, InstanceId, OrganisationId
 from corianderhold.log import log_event, log_warning
 from corianderhold.protocol.peer.control import ControlSender
--- a/corianderhold/protocol/verdict.py
+++ b/corianderhold/protocol/verdict.py
@@ -42,6 +42,7 @@
     CANCELLED = "cancelled"
     REPEAT_IN_PROGRESS = "repeat_in_progress"
     REPEAT_UNKNOWN = "repeat_unknown"
+    NOT_HOLDER = "not_holder"
 
 
 @dataclass(frozen=True)
--- a/tests/common/rate_fleet.py
+++ b/tests/common/rate_fleet.py
@@ -6,11 +6,11 @@
 from result import Err, Ok, Result
 
 from corianderhold.coordination.lease.const import STEP_INTERVAL_S
+from corianderhold.coordination.lease.locator import HolderLocator
 from corianderhold.coordination.lease.manager import LeaseManager
 from corianderhold.coordination.rate.charger import StewardCharger
 from corianderhold.coordination.rate.entry import EntryLoans
 from corianderhold.coordination.rate.limiter import AllowanceLimiter
-from corianderhold.coordination.rate.locator import HolderLocator
 from corianderhold.coordination.rate.messenger import LoanMessenger
 from corianderhold.coordination.rate.shards import list_shards, name_shard
 from corianderhold.coordination.rate.steward import RateSteward
@@ -153,7 +153,7 @@
         control = NodeControl(fleet.network, self.name, domain)
         log = NodeLog(fleet.log, fleet.network, domain)
         self.manager = LeaseManager(
-            holder, domain, list_shards(domain), clock, log, control, members
+            holder, list_shards(domain), clock, log, control, members
         )
         locator = HolderLocator(members)
         self.steward = RateSteward(
--- /dev/null
+++ b/tests/coordination/once/__init__.py
@@ -0,0 +1,1 @@
+"""Test idempotency keys."""
--- /dev/null
+++ b/tests/coordination/once/test_records.py
@@ -0,0 +1,98 @@
+"""Test the memory of idempotency keys."""
+
+from unittest import TestCase
+from uuid import UUID
+
+from corianderhold.coordination.once.const import (
+    CLOCK_ERROR_S,
+    KEY_AHEAD_S,
+    RECORD_LIFETIME_S,
+)
+from corianderhold.coordination.once.key import RequestKey
+from corianderhold.coordination.once.records import (
+    BeginState,
+    OnceRecords,
+    RecordedAnswer,
+)
+from corianderhold.ids import OrganisationId, RouteName
+from tests.common.keys import make_key
+
+BEGAN_AT = 1_700_000_000.0
+NOW = BEGAN_AT + 100
+PRINT = b"fingerprint"
+ANSWER = RecordedAnswer(200, (), b"granted")
+
+
+def make_request_key(made_at: float) -> RequestKey:
+    """Return a new key made at a Unix time."""
+    uuid = UUID(make_key(made_at))
+    return RequestKey(OrganisationId("schools"), RouteName("grant"), uuid)
+
+
+class OnceRecordsTests(TestCase):
+    """Begin and end requests under keys."""
+
+    def setUp(self) -> None:
+        self.records = OnceRecords(BEGAN_AT, records_max=10, bytes_max=1000)
+
+    def begin(self, key: RequestKey, now: float = NOW) -> BeginState:
+        return self.records.begin(key, PRINT, now).state
+
+    def test_time_of_a_key_is_read(self) -> None:
+        self.assertAlmostEqual(make_request_key(NOW).made_at, NOW, places=2)
+
+    def test_repeat_is_told_and_replayed(self) -> None:
+        key = make_request_key(NOW)
+        self.assertIs(self.begin(key), BeginState.RUN)
+        self.assertIs(self.begin(key), BeginState.IN_PROGRESS)
+        self.records.end_run(key, ANSWER)
+        self.assertEqual(self.records.begin(key, PRINT, NOW).answer, ANSWER)
+        other = self.records.begin(key, b"other", NOW)
+        self.assertIs(other.state, BeginState.MISMATCH)
+
+    def test_request_that_was_not_run_may_come_again(self) -> None:
+        key = make_request_key(NOW)
+        self.begin(key)
+        self.records.end_not_run(key)
+        self.assertIs(self.begin(key), BeginState.RUN)
+
+    def test_unknown_outcome_is_never_run_again(self) -> None:
+        key = make_request_key(NOW)
+        self.begin(key)
+        self.records.end_run(key, None)
+        self.assertIs(self.begin(key), BeginState.UNKNOWN)
+
+    def test_key_that_an_earlier_holder_can_have_run_is_refused(self) -> None:
+        latest = BEGAN_AT + CLOCK_ERROR_S + KEY_AHEAD_S  # accepted just before
+        for made_at in (0.0, BEGAN_AT - 1, BEGAN_AT, latest):
+            self.assertIs(self.begin(make_request_key(made_at)), BeginState.UNKNOWN)
+
+    def test_key_from_the_future_is_refused(self) -> None:
+        key = make_request_key(NOW + KEY_AHEAD_S + 1)
+        self.assertIs(self.begin(key), BeginState.FROM_THE_FUTURE)
+
+    def test_forgotten_key_is_refused_and_not_run_again(self) -> None:
+        keys = [make_request_key(NOW + number / 100) for number in range(50)]
+        for key in keys:
+            self.assertIs(self.begin(key), BeginState.RUN)
+            self.records.end_run(key, ANSWER)
+        self.assertLessEqual(len(self.records), 10)
+        states = {self.begin(key) for key in keys}
+        self.assertEqual(states, {BeginState.UNKNOWN, BeginState.REPLAY})
+
+    def test_old_key_is_forgotten_and_refused(self) -> None:
+        key = make_request_key(NOW)
+        self.begin(key)
+        self.records.end_run(key, ANSWER)
+        later = NOW + RECORD_LIFETIME_S + 1
+        self.assertIs(self.begin(make_request_key(later), later), BeginState.RUN)
+        self.assertIs(self.begin(key, later), BeginState.UNKNOWN)
+
+    def test_answers_are_kept_within_the_bound(self) -> None:
+        large = RecordedAnswer(200, (), b"x" * 600)
+        keys = [make_request_key(NOW) for _ in range(2)]
+        for key in keys:
+            self.begin(key)
+            self.records.end_run(key, large)
+        self.assertIs(self.begin(keys[0]), BeginState.REPLAY)
+        self.assertIs(self.begin(keys[1]), BeginState.UNKNOWN)
--- a/tests/coordination/rate/test_entry.py
+++ b/tests/coordination/rate/test_entry.py
@@ -6,11 +6,11 @@
 from loguru import logger
 from result import Ok, Result
 
+from corianderhold.coordination.lease.locator import HolderLocator
 from corianderhold.coordination.lease.promises import PromiseAsker
 from corianderhold.coordination.rate.const import ENTRY_LOAN_S
 from corianderhold.coordination.rate.entry import EntryLoans
 from corianderhold.coordination.rate.limiter import AllowanceLimiter
-from corianderhold.coordination.rate.locator import HolderLocator
 from corianderhold.coordination.rate.messenger import LoanMessenger
 from corianderhold.ids import (
     FailureDomainId,
--- /dev/null
+++ b/tests/failures/test_once.py
@@ -0,0 +1,78 @@
+"""Test that a key runs once over two entries, repeats and the loss of its holder."""
+
+import time
+
+from emulator.sample import BROADCASTER_KEY, CATALOGUE, DOMAIN_A, DOMAIN_B
+from tests.common.fleet import DaemonPlan, RequestPlan
+from tests.common.keys import make_key
+from tests.common.scenario import FleetTestCase, Sent
+from tests.common.waiting import wait_until
+
+INGEST = "/catalogue/ingest"
+ENTRIES = ("a1", "a2", "b1")
+
+
+class OnceTests(FleetTestCase):
+    """Send keyed requests to three daemons in two domains."""
+
+    plans = tuple(
+        DaemonPlan(instance, domain, CATALOGUE, slots=16)
+        for instance, domain in (("a1", DOMAIN_A), ("a2", DOMAIN_A), ("b1", DOMAIN_B))
+    )
+    probes = ("/catalogue/search",)
+
+    def setUp(self) -> None:
+        super().setUp()
+        wait_until(self.is_every_shard_held, "fresh keys run")
+
+    def is_every_shard_held(self) -> bool:
+        """Return whether a number of fresh keys, on most shards, all run."""
+        return all(self.send_keyed("a1", make_key())[1].is_whole for _ in range(24))
+
+    def send_keyed(self, entry: str, key: str, query: str = "") -> Sent:
+        """Send one request whose id for counting is its key."""
+        headers = {"Idempotency-Key": key}
+        plan = RequestPlan(INGEST + query, BROADCASTER_KEY, "POST", key, headers)
+        return self.send(entry, plan)
+
+    def check_one_run(self, key: str, sent: list[Sent]) -> None:
+        """Check that a key ran at most once and each verdict is true."""
+        runs = self.fleet.count_runs()[key]
+        self.assertLessEqual(runs, 1)
+        for _, outcome in sent:
+            if outcome.is_whole:
+                self.assertEqual(runs, 1, outcome)
+
+    def test_same_key_at_all_entries_at_once(self) -> None:
+        for _ in range(10):
+            key = make_key()
+            futures = [
+                self._senders.submit(self.send_keyed, entry, key, "?work_ms=50")
+                for entry in ENTRIES * 2
+            ]
+            sent = [future.result() for future in futures]
+            sent += [self.send_keyed(entry, key, "?work_ms=50") for entry in ENTRIES]
+            self.assertTrue(all(outcome.is_whole for _, outcome in sent[-3:]), sent)
+            self.check_one_run(key, sent)
+
+    def test_key_survives_no_change_of_the_request(self) -> None:
+        key = make_key()
+        first = self.send_keyed("a1", key)
+        other = self.send_keyed("b1", key, "?work_ms=1")[1]
+        self.assertEqual((other.status, other.verdict), (400, "not_run"))
+        self.check_one_run(key, [first])
+
+    def test_keys_of_before_the_loss_of_a_holder_run_once(self) -> None:
+        keys = [make_key() for _ in range(30)]
+        sent = {key: [self.send_keyed("b1", key)] for key in keys}
+        daemon = self.fleet.members["a1"].daemon
+        assert daemon is not None
+        daemon.kill()
+        ends_at = time.monotonic() + 10  # longer than a takeover takes
+        while time.monotonic() < ends_at:
+            for key in keys:
+                sent[key].append(self.send_keyed("b1", key))
+        self.fleet.start_daemon("a1")
+        for key in keys:
+            sent[key].append(self.send_keyed("a2", key))
+            self.check_one_run(key, sent[key])
