--- a/corianderhold/settings/schema.py
+++ b/corianderhold/settings/schema.py
@@ -80,6 +80,19 @@
     return Address(host.strip("[]"), number)
 
 
+def parse_loopback(text: str) -> Address:
+    """
+    Return the loopback address in `text`.
+
+    Whoever reaches the outgoing listener can announce a target, so it must not be
+    reached from elsewhere.
+    """
+    address = parse_address(text)
+    if not ipaddress.ip_address(address.host).is_loopback:
+        raise Invalid("accepted: IP:PORT on loopback, such as 127.0.0.1:8081")
+    return address
+
+
 def parse_addresses(text: str) -> tuple[Address, ...]:
     """Return the comma-separated addresses in `text`."""
     parts = [part for part in text.split(",") if part.strip()]
@@ -113,7 +126,7 @@
     CONF_LISTENERS: Schema(
         {
             Required(CONF_CALLER): parse_address,
-            Required(CONF_OUTGOING): parse_address,
+            Required(CONF_OUTGOING): parse_loopback,
             Required(CONF_PEER): parse_address,
             Optional(CONF_PEER_ADVERTISED): parse_address,
             Required(CONF_GOSSIP): parse_address,
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -61,6 +61,10 @@
         self.assertIn("[instance] regoin: unknown option; accepted: id", faults)
         self.assertIn("[listeners] caller: accepted: IP:PORT", faults)
 
+    def test_outgoing_listener_must_be_on_loopback(self) -> None:
+        text = GOOD.replace("outgoing = 127.0.0.1", "outgoing = 10.0.0.1")
+        self.assertIn("outgoing: accepted: IP:PORT on loopback", self.fail_with(text))
+
     def test_missing_section_and_missing_file_are_named(self) -> None:
         text = GOOD.replace("[store]\naddress = 127.0.0.1:7000\n", "")
         self.assertIn("[store]: section is missing", self.fail_with(text))
