--- a/measurements/control_cost.py
+++ b/measurements/control_cost.py
@@ -9,15 +9,18 @@
 """
 
 import time
+import tracemalloc
 from collections.abc import Mapping
 from statistics import linear_regression, mean
 
 from loguru import logger
 
 from corianderhold.clock import SystemClock
+from corianderhold.protocol.membership.codec import decode_member, encode_member
+from corianderhold.state.membership.table import MemberTable
 from measurements.membership_scale import measure_rest
 from measurements.report import Target, judge_figures, print_figures
-from tests.common.membership import FakeNetwork
+from tests.common.membership import FakeNetwork, build_member
 from tests.common.membership_fleet import Fleet, open_fleet
 
 SIZES = (6, 24, 100)
@@ -100,7 +103,7 @@
     """Print and return the figures at DESIGN_MEMBERS."""
     at_design = measure_state_machines(DESIGN_MEMBERS, seed)
     at_largest = measure_state_machines(SIZES[-1], seed)
-    table_bytes = at_design["table_bytes_per_member"] * (DESIGN_MEMBERS - SIZES[-1])
+    table_bytes = measure_table(DESIGN_MEMBERS) - measure_table(SIZES[-1])
     bytes_per_s = at_design["steady_bytes_per_s"] - at_largest["steady_bytes_per_s"]
     expected = {
         "bytes_per_s": largest["bytes_per_s"] + bytes_per_s,
@@ -113,6 +116,20 @@
     return expected
 
 
+def measure_table(size: int) -> int:
+    """Print and return the bytes that a table of `size` members takes."""
+    tracemalloc.start()
+    table = MemberTable()
+    for number in range(size):
+        received = encode_member(build_member(number, service=f"service-{number}"))
+        table.merge(decode_member(received), 0.0)
+    table.read_view()
+    table_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    print_figures(f"table_{size}", 0, {"bytes_per_member": table_bytes / size})
+    return table_bytes
+
+
 def measure_state_machines(size: int, seed: int) -> dict[str, float]:
     """Print and return the cost at rest of one of `size` state machines."""
     _, figures = measure_rest(FakeNetwork(seed), size)
--- a/measurements/membership_scale.py
+++ b/measurements/membership_scale.py
@@ -6,11 +6,9 @@
 daemons know of one change, and the bytes each sends.
 """
 
-import os
 import time
 from collections.abc import Callable
 from dataclasses import replace
-from pathlib import Path
 
 from loguru import logger
 
@@ -35,12 +33,6 @@
 ]
 
 
-def read_resident_bytes() -> int:
-    """Return this process's resident memory."""
-    pages = int(Path("/proc/self/statm").read_text().split()[1])
-    return pages * os.sysconf("SC_PAGE_SIZE")
-
-
 def count_bytes(nodes: list[Node]) -> float:
     """Return the mean bytes that a daemon has sent, synchronisation included."""
     gossip = sum(n.metrics.read_counters()["membership_bytes_sent"] for n in nodes)
@@ -94,16 +86,13 @@
     network: FakeNetwork, size: int
 ) -> tuple[list[Node], dict[str, float]]:
     """Start a fleet and return it with the cost of a daemon while nothing changes."""
-    before_bytes = read_resident_bytes()
     nodes = build_settled_fleet(network, size)
-    grown_bytes = read_resident_bytes() - before_bytes
     sent_bytes, processor_s = count_bytes(nodes), time.process_time()
     network.run(WINDOW_S)
     processor_s = time.process_time() - processor_s
     return nodes, {
         "steady_bytes_per_s": (count_bytes(nodes) - sent_bytes) / WINDOW_S,
         "core_share": processor_s / size / WINDOW_S,
-        "table_bytes_per_member": grown_bytes / size / size,
     }
 
 
