--- a/tests/coordination/membership/test_swim.py
+++ b/tests/coordination/membership/test_swim.py
@@ -1,11 +1,6 @@
-"""Test failure detection and dissemination on an in-memory network with faults."""
+"""Test failure detection and dissemination on a fake network with faults."""
 
-from collections.abc import Callable
 from dataclasses import replace
-from functools import wraps
-from unittest import TestCase
-
-from loguru import logger
 
 from corianderhold.coordination.membership.const import (
     BUDGET_BURST_BYTES,
@@ -23,81 +18,21 @@
 )
 from corianderhold.protocol.membership.model import Datagram, DatagramKind
 from corianderhold.protocol.membership.seal import DatagramSeal
-from corianderhold.state.membership.model import Address, MemberState, TargetState
+from corianderhold.state.membership.model import MemberState, TargetState
 from tests.common.membership import (
     SECRET,
     START_S,
-    STEP_S,
     FakeNetwork,
     Node,
     build_fleet,
     build_member,
     count_states,
 )
+from tests.common.swim_case import LIMIT_S, STRANGER, SwimTestCase, with_seeds
 
-SEEDS = (1, 2, 3)
-LIMIT_S = 120.0
-STRANGER = Address("127.0.0.1", 9)
-
-
-def setUpModule() -> None:  # noqa: N802
-    """Keep thousands of log lines out of the output."""
-    logger.disable("corianderhold")
-
-
-def tearDownModule() -> None:  # noqa: N802
-    """Log again."""
-    logger.enable("corianderhold")
-
-
-def with_seeds(test: Callable[["SwimTests", int], None]) -> Callable[..., None]:
-    """Run a test once for each seed."""
-
-    @wraps(test)
-    def run(self: "SwimTests") -> None:
-        for seed in SEEDS:
-            try:
-                test(self, seed)
-            except AssertionError as error:
-                raise AssertionError(f"seed {seed}: {error}") from error
-
-    return run
 
-
-class SwimTests(TestCase):
-    """Bring about faults between a few state machines."""
-
-    def run_until(
-        self, network: FakeNetwork, condition: Callable[[], bool], limit_s: float
-    ) -> float:
-        """Let time pass until the condition holds; return the seconds it took."""
-        start_s = network.now_s
-        while not condition():
-            if network.now_s - start_s > limit_s:
-                self.fail(f"condition not met within {limit_s} s")
-            network.run(0.2)
-        return network.now_s - start_s
-
-    def start_fleet(self, seed: int, size: int) -> tuple[FakeNetwork, list[Node]]:
-        """Start daemons and wait until each sees all others alive."""
-        network = FakeNetwork(seed)
-        nodes = build_fleet(network, size)
-        self.run_until(network, lambda: self.agree(nodes, size), LIMIT_S)
-        return network, nodes
-
-    def agree(self, nodes: list[Node], alive: int) -> bool:
-        """Return whether each of the nodes sees this many members alive."""
-        return all(count_states(node, MemberState.ALIVE) == alive for node in nodes)
-
-    def show_state(self, nodes: list[Node], subject: Node) -> set[MemberState]:
-        """Return the states in which the nodes see one member."""
-        instance = subject.swim.own.instance
-        return {
-            member.state
-            for node in nodes
-            for member in node.swim.view.members
-            if member.instance == instance
-        }
+class SwimTests(SwimTestCase):
+    """Lose datagrams, members and ways between them."""
 
     @with_seeds
     def test_members_agree_despite_lossy_network(self, seed: int) -> None:
@@ -150,52 +85,6 @@
             self.assertLess(network.now_s, START_S + 400.0)
             self.assertTrue(self.see_alive(near, near) and self.see_alive(far, far))
 
-    def see_alive(self, nodes: list[Node], subjects: list[Node]) -> bool:
-        """Return whether the nodes see no subject as dead."""
-        return all(
-            MemberState.DEAD not in self.show_state(nodes, subject)
-            for subject in subjects
-        )
-
-    @with_seeds
-    def test_paused_member_wakes_without_declaring_others_dead(self, seed: int) -> None:
-        network, nodes = self.start_fleet(seed, 8)
-        sleeper = nodes[3]
-        sleeper.running = False
-        network.run(40.0)
-        self.assertEqual(self.show_state(nodes[:3], sleeper), {MemberState.DEAD})
-        sleeper.running = True
-        for _ in range(100):
-            network.run(0.2)
-            self.assertEqual(count_states(sleeper, MemberState.DEAD), 0)
-        self.assertTrue(self.agree(nodes, 8))
-
-    def test_pause_runs_out_no_timer(self) -> None:
-        network, nodes = self.start_fleet(10, 8)
-        sleeper, suspected = nodes[3], nodes[4]
-        claim = replace(suspected.swim.own, state=MemberState.SUSPECT)
-        self.inject(network, sleeper, encode_member(claim))
-        sleeper.running = False
-        network.run(40.0)
-        sleeper.inbox.clear()
-        sleeper.running = True
-        for _ in range(200):
-            network.run(STEP_S)
-            self.assertEqual(count_states(sleeper, MemberState.DEAD), 0)
-
-    def test_answer_lost_in_a_pause_raises_no_suspicion(self) -> None:
-        network, nodes = self.start_fleet(11, 8)
-        network.latest_delay_s = 0.3
-        sleeper = nodes[3]
-        for pause in range(30):
-            sleeper.running = False
-            network.run(1.0 + pause * 0.05)
-            sleeper.inbox.clear()
-            sleeper.running = True
-            for _ in range(20 + pause % 7):
-                network.run(STEP_S)
-                self.assertEqual(count_states(sleeper, MemberState.SUSPECT), 0)
-
     def test_claim_of_death_is_put_to_the_test(self) -> None:
         network, nodes = self.start_fleet(12, 6)
         claim = replace(nodes[1].swim.own, state=MemberState.DEAD)
@@ -221,17 +110,6 @@
         payload = DatagramSeal(SECRET).open(answers[0]).unwrap()
         self.assertIn(encode_member(newer), decode_datagram(payload).updates)
 
-    def test_pause_shorter_than_suspicion_kills_nobody(self) -> None:
-        network, nodes = self.start_fleet(4, 8)
-        sleeper = nodes[2]
-        sleeper.running = False
-        network.run(SUSPICION_MULTIPLIER * 0.6)
-        sleeper.running = True
-        for _ in range(100):
-            network.run(0.2)
-            for node in nodes:
-                self.assertEqual(count_states(node, MemberState.DEAD), 0)
-
     def test_false_suspicion_is_refuted_by_higher_sequence(self) -> None:
         network, nodes = self.start_fleet(5, 6)
         victim = nodes[4]
@@ -371,11 +249,3 @@
             + counters["membership_rejected_foreign"]
         )
         self.assertEqual(rejected, len(hostile))
-
-    def inject(self, network: FakeNetwork, node: Node, update: bytes) -> None:
-        """Hand a node an update as if a peer had gossiped it."""
-        gossip = Datagram(
-            DatagramKind.GOSSIP, 0, InstanceId("somebody"), updates=(update,)
-        )
-        data = DatagramSeal(SECRET).seal(encode_datagram(gossip))
-        node.swim.receive(data, STRANGER, network.now_s)
