--- a/corianderhold/coordination/rate/lender.py
+++ b/corianderhold/coordination/rate/lender.py
@@ -8,11 +8,13 @@
     DOMAIN_LOAN_KEPT_S,
     ENTRY_LOAN_KEPT_S,
     RAISE_DELAY_S,
+    SINGLE_LOAN_KEPT_S,
 )
 from corianderhold.coordination.rate.limiter import Allowance
 from corianderhold.coordination.rate.policy import (
     Offer,
     Pool,
+    find_need,
     offer_to_domain,
     offer_to_entry,
 )
@@ -74,15 +76,19 @@
 
     At every moment the own bucket and all that borrowers may be using add up to at
     most the domain's share and what it has borrowed. Times are monotonic seconds.
+    Grants are numbered from `last_number` + 1. `unmet_tokens` adds up what entries
+    wanted in vain; whoever borrows resets it.
     """
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, last_number: int = 0) -> None:
         self._own = Allowance(0.0, 0.0)
         self._raise: tuple[float, Allowance] | None = None
         self.borrowed = BorrowedSupply()
         self._loans: dict[BorrowerId, _Loan] = {}
+        self._singles: list[_Grant] = []
         self._bucket = TokenBucket(0.0, 0.0, now)
-        self._grant_count = 0
+        self._last_number = last_number
+        self.unmet_tokens = 0.0
 
     def set_own(self, now: float, rate: float, capacity: float) -> None:
         """Change the share; what was raised counts after RAISE_DELAY_S."""
@@ -110,10 +116,11 @@
         self.settle(now)
         self._bucket.add(now, grant.tokens)
 
-    def read_demand(self) -> float:
-        """Return the demand of the own entries in requests a second."""
+    def find_need(self) -> float:
+        """Return the rate that the own entries need, in requests a second."""
         loans = self._loans.values()
-        return sum(loan.demand for loan in loans if loan.kind is BorrowerKind.ENTRY)
+        demands = (x.demand for x in loans if x.kind is BorrowerKind.ENTRY)
+        return sum(find_need(demand) for demand in demands)
 
     def read_own(self) -> Allowance:
         """Return the domain's own share."""
@@ -136,6 +143,7 @@
             loan.grants = [grant for grant in loan.grants if grant.ends_at > now]
             if not loan.grants:
                 del self._loans[borrower]
+        self._singles = [grant for grant in self._singles if grant.ends_at > now]
         self.borrowed.use_smaller(self._fits, now + ENTRY_LOAN_KEPT_S)
         self._resize(now)
 
@@ -153,7 +161,25 @@
         entry = borrower.kind is BorrowerKind.ENTRY
         ends_at = now + (ENTRY_LOAN_KEPT_S if entry else DOMAIN_LOAN_KEPT_S)
         offer = self._offer(loan, ask, ends_at)
-        return self._grant(now, loan, ask, offer, ends_at)
+        grant = self._grant(now, loan, ask, offer, ends_at)
+        if entry and ask.wanted > ask.capacity:
+            self.unmet_tokens += max(0.0, ask.wanted - grant.tokens)
+        return grant
+
+    def answer_single(self, now: float, ask: LoanAsk) -> LoanGrant:
+        """Grant one token for one call, or none; it is out for a short time."""
+        self.settle(now)
+        self._last_number += 1
+        tokens = 1.0 if self._bucket.take(now) else 0.0
+        if tokens:
+            number = self._last_number
+            ends_at = now + SINGLE_LOAN_KEPT_S
+            grant = _Grant(number, 0.0, tokens, tokens, ends_at)
+            self._singles.append(grant)
+            self._resize(now)
+        else:
+            self.unmet_tokens += 1.0
+        return LoanGrant(ask.organisation, self._last_number, 0.0, tokens, tokens)
 
     def _confirm(self, now: float, loan: _Loan, ask: LoanAsk) -> None:
         """Take back every grant but the one in use, and the tokens returned."""
@@ -178,7 +204,7 @@
             capacity=supply.capacity,
             free_rate=max(0.0, supply.rate - sum(other.rate for other in others)),
             free_capacity=max(
-                0.0, supply.capacity - sum(other.reserved for other in others)
+                0.0, supply.capacity - self._sum_reserved() + loan.reserved
             ),
             tokens=self._bucket.tokens,
             entry_demands=tuple(entries),
@@ -193,15 +219,20 @@
         room = max(0.0, offer.free_capacity - in_use)
         tokens = self._bucket.take_up_to(now, min(offer.tokens, room))
         reserved = max(offer.capacity, in_use + tokens)
-        self._grant_count += 1
+        self._last_number += 1
         loan.grants.append(
-            _Grant(self._grant_count, offer.rate, offer.capacity, reserved, ends_at)
+            _Grant(self._last_number, offer.rate, offer.capacity, reserved, ends_at)
         )
         self._resize(now)
         return LoanGrant(
-            ask.organisation, self._grant_count, offer.rate, offer.capacity, tokens
+            ask.organisation, self._last_number, offer.rate, offer.capacity, tokens
         )
 
+    def _sum_reserved(self) -> float:
+        """Return the capacity of all that is lent."""
+        reserved = sum(loan.reserved for loan in self._loans.values())
+        return reserved + sum(grant.reserved for grant in self._singles)
+
     def _fits(self, borrowed: Allowance) -> bool:
         """Whether all that is lent fits into the share and `borrowed`."""
         loans = self._loans.values()
@@ -209,7 +240,7 @@
         capacity = self._own.capacity + borrowed.capacity
         return (
             sum(loan.rate for loan in loans) <= rate
-            and sum(loan.reserved for loan in loans) <= capacity
+            and self._sum_reserved() <= capacity
         )
 
     def _find_grantable(self, until: float) -> Allowance:
@@ -224,5 +255,5 @@
         rate = self._own.rate + borrowed.rate
         rate -= sum(loan.rate for loan in self._loans.values())
         capacity = self._own.capacity + borrowed.capacity
-        capacity -= sum(loan.reserved for loan in self._loans.values())
+        capacity -= self._sum_reserved()
         self._bucket.resize(now, max(0.0, rate), max(0.0, capacity))
