--- a/corianderhold/admin/const.py
+++ b/corianderhold/admin/const.py
@@ -1,6 +1,5 @@
 """Name the parts of the administration API."""
 
-API_VERSION = "v1"
 BODY_BYTES_MAX = 4 * 1024 * 1024
 PUBLISH_TIMEOUT_S = 10.0
 REBASES_MAX = 5
--- a/corianderhold/coordination/configuration/history.py
+++ b/corianderhold/coordination/configuration/history.py
@@ -6,7 +6,10 @@
 
 from result import Ok
 
-from corianderhold.coordination.configuration.const import HISTORY_ENTRIES_MAX
+from corianderhold.coordination.configuration.const import (
+    HISTORY_BYTES_MAX,
+    HISTORY_ENTRIES_MAX,
+)
 from corianderhold.ids import ChangeId
 from corianderhold.state.configuration.codec import decode_record
 from corianderhold.state.configuration.fold import FoldOutcome, OutcomeKind
@@ -31,11 +34,13 @@
 
 
 class History:
-    """Hold the newest changes that were accepted or refused."""
+    """Hold the newest changes, accepted or refused, within a number and a size."""
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._entries: deque[HistoryEntry] = deque(maxlen=HISTORY_ENTRIES_MAX)
+        self._entries: deque[HistoryEntry] = deque()
+        self._sizes: deque[int] = deque()
+        self._bytes = 0
 
     def record(self, data: str, outcome: FoldOutcome) -> None:
         """Note a folded record when it is a change seen for the first time."""
@@ -43,8 +48,22 @@
             return
         decoded = decode_record(data)
         if isinstance(decoded, Ok) and isinstance(decoded.ok_value, ChangeRecord):
-            with self._lock:
-                self._entries.append(HistoryEntry(decoded.ok_value, outcome))
+            self._append(HistoryEntry(decoded.ok_value, outcome), len(data))
+
+    def _append(self, entry: HistoryEntry, size: int) -> None:
+        """Add an entry and drop the oldest ones beyond the bounds, never this one."""
+        with self._lock:
+            self._entries.append(entry)
+            self._sizes.append(size)
+            self._bytes += size
+            while len(self._entries) > 1 and self._is_full():
+                self._entries.popleft()
+                self._bytes -= self._sizes.popleft()
+
+    def _is_full(self) -> bool:
+        return (
+            len(self._entries) > HISTORY_ENTRIES_MAX or self._bytes > HISTORY_BYTES_MAX
+        )
 
     def find(self, change_id: ChangeId) -> HistoryEntry | None:
         """Return the entry of a change, None when this daemon has not folded it."""
--- a/corianderhold/coordination/configuration/peers.py
+++ b/corianderhold/coordination/configuration/peers.py
@@ -97,13 +97,6 @@
         far = self._random.sample(choice.far, min(FAR_PUSHES, len(choice.far)))
         return near + far
 
-    def find(self, instance: InstanceId) -> Member | None:
-        """Return the member of an id."""
-        for member in self._members.list_members():
-            if member.instance == instance:
-                return member
-        return None
-
     def rank_self(self, key: str) -> int:
         """Return the own place among all live members for a key."""
         weight = compute_weight(key, self._instance)
