--- a/tests/coordination/configuration/test_publisher.py
+++ b/tests/coordination/configuration/test_publisher.py
@@ -1,5 +1,6 @@
 """Test publishing under lost answers and races."""
 
+from corianderhold.coordination.configuration.const import ANTI_ENTROPY_INTERVAL_S
 from corianderhold.coordination.configuration.publisher import (
     Published,
     PublishOutcome,
@@ -29,6 +30,11 @@
         self.settle()
         self.assertEqual(self.read_version(), 2)
 
+    def test_accepted_change_is_pushed_before_heads_are_compared(self) -> None:
+        self.publish(self.get_daemon(0), "x", 1, 5)
+        self.fleet.run(ANTI_ENTROPY_INTERVAL_S / 5)
+        self.assertGreater(self.fleet.in_force(2), len(self.fleet.daemons) / 2)
+
     def test_lost_answer_is_resolved_by_reading_back(self) -> None:
         self.get_way(0).lose_answers = True
         published = self.publish(self.get_daemon(0), "x", 1, 5)
