Ask the steward for one token wherever an entry has none left

Cause: in a trial with real processes a call was refused at an entry that held a loan without tokens while its steward had thousands. Ruled out: asking only for cold organisations (that fault); a fixed pause after a refusal (about ten requests a second while an organisation is over its rate).

--- a/corianderhold/coordination/rate/charger.py
+++ b/corianderhold/coordination/rate/charger.py
@@ -1,6 +1,7 @@
 """Charge calls at the steward where this entry has nothing to charge them to."""
 
 import threading
+from dataclasses import dataclass
 
 from result import Err, Ok, Result
 
@@ -8,6 +9,7 @@
 from corianderhold.coordination.rate.const import (
     SINGLE_CHARGES,
     SINGLE_LOAN_S,
+    SINGLE_RETRY_MAX_S,
     SINGLE_RETRY_S,
     SINGLE_TIMEOUT_S,
 )
@@ -19,13 +21,21 @@
 from corianderhold.protocol.verdict import Reason, Refusal, refuse_not_run
 
 
+@dataclass(frozen=True)
+class _Pause:
+    """No request for an organisation until then; the pause grows with refusals."""
+
+    until: float
+    length_s: float
+
+
 class StewardCharger:
     """
-    Charge warm organisations here and all others with one request to the steward.
+    Charge here, and with one request to the steward where nothing is left here.
 
-    An organisation is cold at an entry that has just begun to receive its calls, and
-    stays so while its burst is too small to be spread over the entries. Few requests
-    are made at once, and none for a short time after the steward refused.
+    An organisation has nothing left at an entry that has just begun to receive its
+    calls, in a burst, and while its burst is too small to be spread over the entries.
+    Few requests are made at once, and none for a time after the steward refused.
     """
 
     def __init__(
@@ -40,28 +50,39 @@
         self._domain = domain
         self._clock = clock
         self._slots = threading.BoundedSemaphore(SINGLE_CHARGES)
-        self._refused_until: dict[OrganisationId, float] = {}
+        self._pauses: dict[OrganisationId, _Pause] = {}
 
     def charge(self, organisation: OrganisationId, now: float) -> Result[None, Refusal]:
-        """Charge one request; waits for the steward only where it is cold."""
+        """Charge one request; waits for the steward only where it saves a refusal."""
         charged = self._limiter.charge(organisation, now)
-        if charged.is_ok() or self._limiter.is_warm(organisation, now):
+        if charged.is_ok():
             return charged
-        if now < self._refused_until.get(organisation, 0.0):
-            return Err(_refuse())
+        pause = self._pauses.get(organisation)
+        if pause is not None and now < pause.until:
+            return Err(_refuse(pause.until - now))
         if not self._slots.acquire(blocking=False):
-            return Err(_refuse())
+            return Err(_refuse(SINGLE_RETRY_S))
         try:
             admitted = self._charge_at_steward(organisation)
         finally:
             self._slots.release()
         if not admitted:
-            until = self._clock.read_monotonic() + SINGLE_RETRY_S
-            self._refused_until[organisation] = until
-            return Err(_refuse())
+            return Err(_refuse(self._lengthen_pause(organisation, pause)))
+        self._pauses.pop(organisation, None)
         self._limiter.count_admitted(organisation)
         return Ok(None)
 
+    def _lengthen_pause(
+        self, organisation: OrganisationId, pause: _Pause | None
+    ) -> float:
+        """Make no request for a time that doubles, and return it in seconds."""
+        length_s = SINGLE_RETRY_S
+        if pause is not None:
+            length_s = min(2 * pause.length_s, SINGLE_RETRY_MAX_S)
+        until = self._clock.read_monotonic() + length_s
+        self._pauses[organisation] = _Pause(until, length_s)
+        return length_s
+
     def _charge_at_steward(self, organisation: OrganisationId) -> bool:
         """Ask for one token and use it before its end."""
         ask = LoanAsk(organisation, 0, 0.0, 0.0, 0.0, 1.0, single=True)
@@ -73,6 +94,6 @@
         return in_time and any(grant.tokens >= 1.0 for grant in answer.grants)
 
 
-def _refuse() -> Refusal:
+def _refuse(wait_s: float) -> Refusal:
     """Build the refusal of a call that the steward has no token for."""
-    return refuse_not_run(Reason.RATE_EXCEEDED, int(SINGLE_RETRY_S * 1000))
+    return refuse_not_run(Reason.RATE_EXCEEDED, int(wait_s * 1000) + 1)
--- a/corianderhold/coordination/rate/limiter.py
+++ b/corianderhold/coordination/rate/limiter.py
@@ -89,14 +89,6 @@
             wait_s = account.bucket.estimate_wait_s()
         return Err(_refuse(wait_s))
 
-    def is_warm(self, organisation: OrganisationId, now: float) -> bool:
-        """Whether there is an allowance to wait for the next token of."""
-        with self._lock:
-            account = self._accounts.get(organisation)
-            if account is None or now >= account.ends_at:
-                return False
-            return account.bucket.capacity >= 1.0
-
     def count_admitted(self, organisation: OrganisationId) -> None:
         """Count a refused request as admitted: it was charged elsewhere."""
         with self._lock:
