Test the router's retries and verdicts

Cause: which refusals are retried and how several attempts add up to one verdict had no test of its own. Change: CallSender protocol and a scripted sender.

--- a/corianderhold/coordination/entry/router.py
+++ b/corianderhold/coordination/entry/router.py
@@ -17,7 +17,7 @@
     RETRY_BURST,
 )
 from corianderhold.coordination.entry.flight import CancelTargets
-from corianderhold.coordination.entry.sender import PeerSender
+from corianderhold.coordination.entry.sender import CallSender
 from corianderhold.coordination.owner.owner import CallOwner
 from corianderhold.coordination.retry import RetryBudget, RetryThrottle
 from corianderhold.ids import CallId, InstanceId, ServiceName
@@ -76,7 +76,7 @@
         holder: ConfigurationHolder,
         chooser: Chooser,
         owner: CallOwner,
-        sender: PeerSender,
+        sender: CallSender,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
--- a/corianderhold/coordination/entry/sender.py
+++ b/corianderhold/coordination/entry/sender.py
@@ -1,6 +1,7 @@
 """Send a call to its owner on a link and take the answer in."""
 
 from collections.abc import Callable, Iterator
+from typing import Protocol
 
 from result import Err, Ok, Result
 
@@ -47,6 +48,23 @@
 NoteLoad = Callable[[LoadReport], None]
 
 
+class CallSender(Protocol):
+    """Send calls to owners beside other targets."""
+
+    def send(
+        self,
+        member: Member,
+        context: CallContext,
+        body: RequestBody,
+        retries: RetryBudget,
+        note_load: NoteLoad,
+    ) -> Result[Answer, Refusal]:
+        """Send a call and wait for the head of its answer."""
+
+    def cancel(self, address: Address, call_id: CallId) -> None:
+        """Tell an owner that nobody waits for a call any more."""
+
+
 class PeerSender:
     """Send calls to owners beside other targets."""
 
--- a/corianderhold/coordination/once/router.py
+++ b/corianderhold/coordination/once/router.py
@@ -6,7 +6,7 @@
 
 from corianderhold.coordination.call import Answer, CallContext, RequestBody
 from corianderhold.coordination.entry.flight import CancelTargets
-from corianderhold.coordination.entry.sender import PeerSender
+from corianderhold.coordination.entry.sender import CallSender
 from corianderhold.coordination.lease.locator import HolderLocator
 from corianderhold.coordination.lease.ranking import accept_all
 from corianderhold.coordination.once.const import (
@@ -35,7 +35,7 @@
         instance: InstanceId,
         keeper: OnceKeeper,
         router: CallRouter,
-        sender: PeerSender,
+        sender: CallSender,
         locator: HolderLocator,
         members: Members,
     ) -> None:
--- a/tests/coordination/entry/test_router.py
+++ b/tests/coordination/entry/test_router.py
@@ -1,9 +1,9 @@
-"""Test how the router ends calls that no owner takes."""
+"""Test which refusals are retried, and what the caller is told at the end."""
 
 from random import Random
 from unittest import TestCase
 
-from result import Err, Result
+from result import Err, Ok, Result
 
 from corianderhold.coordination.call import (
     Answer,
@@ -13,71 +13,139 @@
 )
 from corianderhold.coordination.entry.choice import LocalityChooser, Place
 from corianderhold.coordination.entry.router import Router
-from corianderhold.coordination.entry.sender import PeerSender
+from corianderhold.coordination.entry.sender import NoteLoad
 from corianderhold.coordination.retry import RetryBudget
-from corianderhold.ids import CallId
+from corianderhold.ids import (
+    CallId,
+    FailureDomainId,
+    InstanceId,
+    RegionId,
+    ServiceName,
+    Version,
+)
 from corianderhold.metrics import Metrics
 from corianderhold.protocol.peer.messages import LoadReport
-from corianderhold.protocol.verdict import Reason, Refusal, refuse_not_run
+from corianderhold.protocol.verdict import (
+    Reason,
+    Refusal,
+    RunState,
+    refuse_may_have_run,
+    refuse_not_run,
+)
 from corianderhold.state.configuration.holder import ConfigurationHolder
-from corianderhold.state.membership.model import Member
-from corianderhold.transport.peer.handshake import Identity
-from corianderhold.transport.peer.pool import LinkPool
-from tests.common.calls import make_context, make_member
+from corianderhold.state.configuration.model import Configuration, Service
+from corianderhold.state.membership.model import Address, Member
+from tests.common.calls import CATALOGUE, make_context, make_member
 from tests.common.clock import FakeClock
 
-MEMBER = make_member("only")
-FULL = refuse_not_run(Reason.QUEUE_FULL, retry_after_ms=200)
+ENTRY = InstanceId("entry")
+ANSWER = Answer(200, (), b"", iter(()), lambda: None)
+SILENT = refuse_may_have_run(Reason.PEER_SILENT)
+UNREACHABLE = refuse_not_run(Reason.PEER_UNREACHABLE)
+FULL = refuse_not_run(Reason.QUEUE_FULL, 100)
 
 
-class OneMember:
-    """Know one member."""
+class FixedMembers:
+    """Know a fixed set of owners."""
 
-    def list_owners(self, service: str) -> tuple[Member, ...]:
-        return (MEMBER,)
+    def __init__(self, owners: tuple[Member, ...]) -> None:
+        self.owners = owners
 
-    def list_members(self) -> tuple[Member, ...]:
-        return (MEMBER,)
+    def list_owners(self, service: ServiceName) -> tuple[Member, ...]:
+        return self.owners
 
+    def list_members(self) -> tuple[Member, ...]:
+        return self.owners
 
-class FullOwner:
-    """Refuse every call because the queue is full."""
 
-    def __init__(self) -> None:
-        self.calls = 0
+class NoOwner:
+    """Own no target."""
 
     def serve(
         self, context: CallContext, body: RequestBody, retries: RetryBudget
     ) -> Result[Answer, Refusal]:
-        self.calls += 1
-        return Err(FULL)
+        raise AssertionError(context)
 
     def cancel(self, call_id: CallId) -> None:
-        """Ignore the call."""
+        raise AssertionError(call_id)
 
     def report_load(self) -> LoadReport:
-        return LoadReport(limit=1)
+        raise AssertionError
+
+
+class ScriptedSender:
+    """Give the outcomes of a script, one an attempt, and note the attempts."""
+
+    def __init__(self, *script: Refusal | None) -> None:
+        self.script = list(script)
+        self.attempts: list[InstanceId] = []
+        self.cancelled: list[Address] = []
+
+    def send(
+        self,
+        member: Member,
+        context: CallContext,
+        body: RequestBody,
+        retries: RetryBudget,
+        note_load: NoteLoad,
+    ) -> Result[Answer, Refusal]:
+        self.attempts.append(member.instance)
+        refusal = self.script.pop(0)
+        return Ok(ANSWER) if refusal is None else Err(refusal)
+
+    def cancel(self, address: Address, call_id: CallId) -> None:
+        self.cancelled.append(address)
 
 
 class RouterTests(TestCase):
-    """Route calls at a daemon whose own target is the only one."""
+    """Route calls to three owners elsewhere."""
 
-    def test_reason_of_the_last_owner_is_kept_when_none_is_left(self) -> None:
+    def route(
+        self, sender: ScriptedSender, idempotent: bool, budget: int = 2
+    ) -> Result[Answer, Refusal]:
+        holder = ConfigurationHolder()
+        services = {CATALOGUE: Service(CATALOGUE, retry_ratio=0.1)}
+        holder.replace(Configuration(Version(1), services))
         clock = FakeClock()
-        place = Place(MEMBER.instance, MEMBER.domain, MEMBER.region)
-        identity = Identity(MEMBER.instance, MEMBER.incarnation, b"secret")
-        owner = FullOwner()
+        place = Place(ENTRY, FailureDomainId("west-a"), RegionId("west"))
+        owners = tuple(make_member(f"o{number}") for number in range(3))
         router = Router(
-            MEMBER.instance,
-            OneMember(),
-            ConfigurationHolder(),
+            ENTRY,
+            FixedMembers(owners),
+            holder,
             LocalityChooser(place, clock, Random(1)),
-            owner,
-            PeerSender(LinkPool(identity, clock), clock),
+            NoOwner(),
+            sender,
             clock,
             Metrics(),
         )
-        context = make_context(deadline_at=clock.read_monotonic() + 10.0)
-        outcome = router.route(context, InlineBody(b""), RetryBudget(2))
-        self.assertEqual(outcome, Err(FULL))
-        self.assertEqual(owner.calls, 1)
+        context = make_context(idempotent=idempotent)
+        return router.route(context, InlineBody(b""), RetryBudget(budget))
+
+    def test_not_run_is_tried_at_another_owner(self) -> None:
+        sender = ScriptedSender(UNREACHABLE, None)
+        self.assertEqual(self.route(sender, idempotent=False), Ok(ANSWER))
+        self.assertEqual(len(set(sender.attempts)), 2)
+
+    def test_may_have_run_is_tried_again_only_when_idempotent(self) -> None:
+        sender = ScriptedSender(SILENT, None)
+        self.assertEqual(self.route(sender, idempotent=True), Ok(ANSWER))
+        sender = ScriptedSender(SILENT, None)
+        self.assertEqual(self.route(sender, idempotent=False), Err(SILENT))
+        self.assertEqual(len(sender.attempts), 1)
+
+    def test_attempts_end_with_the_budget(self) -> None:
+        for budget in range(3):
+            sender = ScriptedSender(UNREACHABLE, UNREACHABLE, UNREACHABLE)
+            self.route(sender, idempotent=True, budget=budget)
+            self.assertEqual(len(sender.attempts), budget + 1)
+
+    def test_one_attempt_that_may_have_run_decides_the_verdict(self) -> None:
+        sender = ScriptedSender(SILENT, FULL, FULL)
+        refusal = self.route(sender, idempotent=True).unwrap_err()
+        self.assertIs(refusal.run_state, RunState.MAY_HAVE_RUN)
+
+    def test_missed_deadline_is_not_tried_again(self) -> None:
+        sender = ScriptedSender(refuse_not_run(Reason.DEADLINE_PASSED), None)
+        self.assertIsInstance(self.route(sender, idempotent=True), Err)
+        self.assertEqual(len(sender.attempts), 1)
