--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -217,6 +217,11 @@
         idempotency_keys,
         timeout_s,
     )
+    run_plan(plan, workers, ledger, seed)
+
+
+def run_plan(plan: LoadPlan, workers: int, ledger: Path | None, seed: int) -> None:
+    """Send the calls of a plan, print the totals and write the ledger."""
     record = Ledger()
     generator = LoadGenerator(plan, generate_arrivals(plan, seed), record)
     elapsed_s = generator.run(workers)
--- /dev/null
+++ b/tests/transport/web/__init__.py
@@ -0,0 +1,1 @@
+"""Test serving and sending HTTP."""
--- /dev/null
+++ b/tests/transport/web/test_pool.py
@@ -0,0 +1,65 @@
+"""Test the threads that wait on connections themselves."""
+
+import socket
+from collections.abc import Iterable
+from contextlib import ExitStack
+from unittest import TestCase
+
+from corianderhold.state.membership.model import Address
+from corianderhold.transport.web.server import Environ, StartResponse, WebServer
+from tests.common.ports import HOST, find_free_port
+
+THREADS = 2
+IDLE_CONNECTIONS = 20
+TIMEOUT_S = 8.0  # less than a silent caller may hold a thread
+REQUEST = b"GET /%d HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+def echo_path(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+    """Answer with the request's path."""
+    body = environ["PATH_INFO"].encode()
+    start_response("200 OK", [("Content-Length", str(len(body)))])
+    return [body]
+
+
+class PollingPoolTests(TestCase):
+    """Serve with two threads."""
+
+    def setUp(self) -> None:
+        self._address = Address(HOST, find_free_port())
+        self._server = WebServer("test", self._address, echo_path, THREADS)
+        self._server.start()
+        self._stack = ExitStack()
+        self.addCleanup(self._server.stop)
+        self.addCleanup(self._stack.close)
+
+    def test_connections_without_a_request_hold_no_thread(self) -> None:
+        idle = [self._connect() for _ in range(IDLE_CONNECTIONS)]
+        for number, connection in enumerate(reversed(idle)):
+            connection.sendall(REQUEST % number)
+            self.assertIn(b"/%d" % number, self._receive(connection, b"/%d" % number))
+
+    def test_requests_sent_together_are_all_answered(self) -> None:
+        connection = self._connect()
+        connection.sendall(b"".join(REQUEST % number for number in range(3)))
+        self._receive(connection, b"/2")
+
+    def test_stop_closes_idle_connections(self) -> None:
+        connection = self._connect()
+        connection.sendall(REQUEST % 1)
+        self._receive(connection, b"/1")
+        self._server.stop()
+        self.assertEqual(connection.recv(1), b"")
+
+    def _connect(self) -> socket.socket:
+        address = (self._address.host, self._address.port)
+        connection = socket.create_connection(address, TIMEOUT_S)
+        return self._stack.enter_context(connection)
+
+    def _receive(self, connection: socket.socket, end: bytes) -> bytes:
+        data = b""
+        while not data.endswith(end):
+            received = connection.recv(1000)
+            self.assertTrue(received, data)
+            data += received
+        return data
