--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -13,6 +13,7 @@
 from corianderhold.coordination.configuration.publisher import Publisher
 from corianderhold.coordination.entry.application import CallerApplication
 from corianderhold.coordination.entry.choice import LocalityChooser, Place
+from corianderhold.coordination.entry.intake import Intake
 from corianderhold.coordination.entry.outgoing import OutgoingApplication
 from corianderhold.coordination.entry.router import Router
 from corianderhold.coordination.entry.sender import PeerSender
@@ -96,49 +97,17 @@
 
     def build(self) -> Application:
         """Return the application with all parts."""
-        settings = self._settings
         admission = Admission(
             build_default_limit(), build_default_policy(), self._clock, self._random
         )
-        owner = Owner(
-            self._membership,
-            admission,
-            TargetClient(self._clock),
-            self._clock,
-            self._metrics,
-        )
+        owner = self._build_owner(admission)
         direct = self._build_router(owner)
         keeper = OnceKeeper(self._leases, direct, self._clock)
-        router = KeyedRouter(
-            settings.instance,
-            keeper,
-            direct,
-            self._sender,
-            self._locator,
-            self._membership,
-        )
+        router = self._build_keyed_router(keeper, direct)
         watch = CallerWatch(router.cancel)
         rate = self._build_rate()
-        listeners = settings.listeners
-        callers = CallerApplication(
-            self._holder,
-            rate.limiter,
-            router,
-            watch,
-            self._clock,
-            self._metrics,
-            listeners.caller_threads,
-        )
-        outgoing = OutgoingApplication(
-            self._holder,
-            owner.calls,
-            router,
-            self._membership,
-            watch,
-            self._clock,
-            self._metrics,
-            listeners.outgoing_threads,
-        )
+        callers = self._build_callers(router, watch, rate)
+        outgoing = self._build_outgoing(router, watch, owner)
         return Application(
             [
                 self._pool,
@@ -152,22 +121,59 @@
                 keeper,
                 *rate.components,
                 watch,
-                WebServer(
-                    "outgoing", listeners.outgoing, outgoing, listeners.outgoing_threads
-                ),
-                WebServer(
-                    "caller", listeners.caller, callers, listeners.caller_threads
-                ),
-                WebServer(
-                    "admin",
-                    listeners.admin,
-                    self._build_admin_api().mount(),
-                    ADMIN_THREADS,
-                ),
+                *self._build_web_servers(callers, outgoing),
                 GracefulStop(self._membership, callers, owner, self._clock),
             ]
         )
 
+    def _build_owner(self, admission: Admission) -> Owner:
+        client = TargetClient(self._clock)
+        return Owner(self._membership, admission, client, self._clock, self._metrics)
+
+    def _build_keyed_router(self, keeper: OnceKeeper, direct: Router) -> KeyedRouter:
+        return KeyedRouter(
+            self._settings.instance,
+            keeper,
+            direct,
+            self._sender,
+            self._locator,
+            self._membership,
+        )
+
+    def _build_intake(
+        self, name: str, router: KeyedRouter, watch: CallerWatch, threads: int
+    ) -> Intake:
+        return Intake(name, router, watch, self._clock, self._metrics, threads)
+
+    def _build_callers(
+        self, router: KeyedRouter, watch: CallerWatch, rate: RateParts
+    ) -> CallerApplication:
+        threads = self._settings.listeners.caller_threads
+        intake = self._build_intake("request", router, watch, threads)
+        return CallerApplication(intake, self._holder, rate.limiter, self._clock)
+
+    def _build_outgoing(
+        self, router: KeyedRouter, watch: CallerWatch, owner: Owner
+    ) -> OutgoingApplication:
+        threads = self._settings.listeners.outgoing_threads
+        intake = self._build_intake("nested_call", router, watch, threads)
+        return OutgoingApplication(
+            intake, self._holder, owner.calls, self._membership, self._clock
+        )
+
+    def _build_web_servers(
+        self, callers: CallerApplication, outgoing: OutgoingApplication
+    ) -> list[WebServer]:
+        listeners = self._settings.listeners
+        admin = self._build_admin_api().mount()
+        return [
+            WebServer(
+                "outgoing", listeners.outgoing, outgoing, listeners.outgoing_threads
+            ),
+            WebServer("caller", listeners.caller, callers, listeners.caller_threads),
+            WebServer("admin", listeners.admin, admin, ADMIN_THREADS),
+        ]
+
     def _build_admin_api(self) -> AdminApi:
         settings = self._settings
         parts = AdminParts(
