--- a/tests/coordination/entry/test_router.py
+++ b/tests/coordination/entry/test_router.py
@@ -149,3 +149,8 @@
         sender = ScriptedSender(refuse_not_run(Reason.DEADLINE_PASSED), None)
         self.assertIsInstance(self.route(sender, idempotent=True), Err)
         self.assertEqual(len(sender.attempts), 1)
+
+    def test_reason_of_the_last_owner_is_kept_when_none_is_left(self) -> None:
+        sender = ScriptedSender(FULL, FULL, FULL)
+        self.assertEqual(self.route(sender, idempotent=True, budget=9), Err(FULL))
+        self.assertEqual(len(sender.attempts), 3)
