--- a/corianderhold/coordination/entry/gate.py
+++ b/corianderhold/coordination/entry/gate.py
@@ -1,12 +1,11 @@
 """Bound the requests that are served at once on one listener."""
 
 import threading
-from types import TracebackType
 
 
 class Gate:
     """
-    Let at most `limit` requests in; a context manager that says whether it did.
+    Let at most `limit` requests in.
 
     The listener has more threads than that, so that refusals never wait for a thread.
     """
@@ -16,7 +15,6 @@
         self._closed = False
         self._count = 0
         self._lock = threading.Lock()
-        self._entered = threading.local()
 
     @property
     def count(self) -> int:
@@ -27,19 +25,15 @@
         """Let no more requests in."""
         self._closed = True
 
-    def __enter__(self) -> bool:
+    def enter(self) -> bool:
+        """Let a request in; it has to leave once. Return False for one too many."""
         with self._lock:
-            entered = not self._closed and self._count < self._limit
-            self._count += entered
-        self._entered.value = entered
-        return entered
-
-    def __exit__(
-        self,
-        exception_type: type[BaseException] | None,
-        exception: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        if self._entered.value:
-            with self._lock:
-                self._count -= 1
+            if self._closed or self._count >= self._limit:
+                return False
+            self._count += 1
+            return True
+
+    def leave(self) -> None:
+        """Count a request that has ended, the last byte of its answer included."""
+        with self._lock:
+            self._count -= 1
--- a/corianderhold/coordination/entry/intake.py
+++ b/corianderhold/coordination/entry/intake.py
@@ -2,7 +2,7 @@
 
 import os
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from result import Err, Result
 
@@ -75,21 +75,25 @@
     ) -> Iterable[bytes]:
         """Handle one request and write its answer or refusal."""
         call_id = CallId(os.urandom(16).hex())
+        if not self.gate.enter():
+            refusal = refuse_not_run(Reason.SHED, OVERLOAD_RETRY_AFTER_MS)
+            return self._refuse(refusal, call_id, start_response)
         started_at = self._clock.read_monotonic()
-        with self.gate as entered:
-            if not entered:
-                refusal = refuse_not_run(Reason.SHED, OVERLOAD_RETRY_AFTER_MS)
-                return self._refuse(refusal, call_id, start_response)
-            try:
-                outcome = handle(environ, call_id)
-            finally:
-                self._watch.remove(call_id)
+        try:
+            outcome = handle(environ, call_id)
+        except BaseException:
+            self.gate.leave()
+            raise
+        finally:
+            self._watch.remove(call_id)
         duration_s = self._clock.read_monotonic() - started_at
         self._metrics.record_duration(f"{self._name}_time", duration_s)
         if isinstance(outcome, Err):
+            self.gate.leave()
             return self._refuse(outcome.err_value, call_id, start_response)
         self._metrics.increment(f"{self._name}_answered")
-        return respond_answer(outcome.ok_value, call_id, start_response)
+        answer = leave_at_close(outcome.ok_value, self.gate)
+        return respond_answer(answer, call_id, start_response)
 
     def route(
         self, environ: Environ, context: CallContext, retries: RetryBudget
@@ -117,6 +121,18 @@
         return respond_refusal(refusal, call_id, start_response)
 
 
+def leave_at_close(answer: Answer, gate: Gate) -> Answer:
+    """Return the answer with its request inside the gate until the answer's end."""
+
+    def close() -> None:
+        try:
+            answer.close()
+        finally:
+            gate.leave()
+
+    return replace(answer, close=close)
+
+
 def build_context(
     request: WebRequest, match: RouteMatch, origin: Origin, call_id: CallId
 ) -> CallContext:
