--- a/corianderhold/admin/fleet.py
+++ b/corianderhold/admin/fleet.py
@@ -112,9 +112,8 @@
     @answer_errors
     def GET(self) -> bytes:  # noqa: N802
         """Show counters and durations in Prometheus' text format."""
-        gauges: dict[str, float] = {
-            "configuration_version": self._holder.current.version
-        }
+        gauges = self._metrics.read_gauges()
+        gauges["configuration_version"] = self._holder.current.version
         age_s = read_view_age(self._holder, self._clock)
         if age_s is not None:
             gauges["configuration_view_age_seconds"] = age_s
--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -107,6 +107,7 @@
         watch = CallerWatch(router.cancel)
         rate = self._build_rate()
         callers = self._build_callers(router, watch, rate)
+        self._metrics.add_gauge("request_in_flight", callers.count_in_flight)
         outgoing = self._build_outgoing(router, watch, owner)
         return Application(
             [
@@ -128,7 +129,13 @@
 
     def _build_owner(self, admission: Admission) -> Owner:
         client = TargetClient(self._clock)
-        return Owner(self._membership, admission, client, self._clock, self._metrics)
+        owner = Owner(self._membership, admission, client, self._clock, self._metrics)
+        self._metrics.add_gauge(
+            "owner_in_flight", lambda: owner.report_load().in_flight
+        )
+        self._metrics.add_gauge("owner_queued", lambda: owner.report_load().queued)
+        self._metrics.add_gauge("owner_limit", lambda: owner.report_load().limit)
+        return owner
 
     def _build_keyed_router(self, keeper: OnceKeeper, direct: Router) -> KeyedRouter:
         return KeyedRouter(
--- a/corianderhold/metrics.py
+++ b/corianderhold/metrics.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from hdrh.histogram import HdrHistogram
@@ -22,12 +23,21 @@
 
 
 class Metrics:
-    """Keep the counters and histograms of one process."""
+    """Keep the counters, gauges and histograms of one process."""
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._counters: Counter[str] = Counter()
         self._histograms: dict[str, HdrHistogram] = {}
+        self._gauges: dict[str, Callable[[], float]] = {}
+
+    def add_gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Read a gauge with `read` whenever the metrics are asked for."""
+        self._gauges[name] = read
+
+    def read_gauges(self) -> dict[str, float]:
+        """Return the present values of all gauges."""
+        return {name: read() for name, read in self._gauges.items()}
 
     def increment(self, name: str, amount: int = 1) -> None:
         """Add to a counter."""
