--- a/script/run_demo.py
+++ b/script/run_demo.py
@@ -195,7 +195,7 @@
 def main() -> int:
     """Run the demo and return 0 only if all went as expected."""
     with TemporaryDirectory(prefix="corianderhold-") as name:
-        fleet = Fleet(PLANS, Path(name))
+        fleet = Fleet(PLANS, Path(name), loans=True)
         try:
             fleet.start(build_records())
             for path in (NESTED_PATH, SEARCH, READ):
