--- a/corianderhold/coordination/entry/outgoing.py
+++ b/corianderhold/coordination/entry/outgoing.py
@@ -118,7 +118,9 @@
         part = parent.retries.split()
         allowed = min(part, route.retry_budget)
         retries = RetryBudget(allowed)
+        started_at = self._clock.read_monotonic()
         outcome = self._intake.route(environ, context, retries)
+        parent.note_nested(self._clock.read_monotonic() - started_at)
         parent.retries.give_back(part - allowed + retries.left)
         return outcome
 
--- a/corianderhold/coordination/owner/admission.py
+++ b/corianderhold/coordination/owner/admission.py
@@ -12,11 +12,13 @@
 from corianderhold.coordination.owner.const import (
     QUEUE_RETRY_AFTER_MS,
     RETRY_AFTER_SPREAD,
+    WEIGHT_MIN,
 )
 from corianderhold.coordination.owner.estimate import ServiceTimes
 from corianderhold.coordination.owner.limit import ConcurrencyLimit
 from corianderhold.coordination.owner.queue import FairQueue, Waiter, WaiterState
 from corianderhold.ids import OrganisationId, RouteName
+from corianderhold.log import log_event
 from corianderhold.protocol.peer.messages import LoadReport
 from corianderhold.protocol.verdict import Reason, Refusal, refuse_not_run
 from corianderhold.state.configuration.model import Importance
@@ -88,16 +90,42 @@
             return Err(refusal)
         return self._wait(waiter)
 
-    def release(self, route: RouteName, started_at: float, failed: bool) -> None:
-        """Give a permit back; `started_at` is when the call was dispatched."""
+    def release(
+        self,
+        route: RouteName,
+        started_at: float,
+        failed: bool,
+        nested_s: float = 0.0,
+    ) -> None:
+        """
+        Give a permit back; `started_at` is when the call was dispatched.
+
+        The limit learns from the target's own time, without the `nested_s` seconds that
+        it waited for others: their overload is not cured by a lower limit here.
+        """
         duration_s = self._clock.read_monotonic() - started_at
         with self._lock:
-            self._limit.note_completion(duration_s, failed, self._in_flight)
+            self._note_completion(max(0.0, duration_s - nested_s), failed)
             if not failed:
                 self._service_times.note(route, duration_s)
             self._in_flight -= 1
             self._admit_waiters()
 
+    def _note_completion(self, duration_s: float, failed: bool) -> None:
+        """Let the limit learn, and log what it decides."""
+        before = self._limit.read_limit()
+        self._limit.note_completion(duration_s, failed, self._in_flight)
+        after = self._limit.read_limit()
+        if after != before:
+            log_event(
+                "limit_changed",
+                limit=after,
+                previous=before,
+                in_flight=self._in_flight,
+                queued=len(self._queue),
+                mean_s=self._service_times.read_mean(),
+            )
+
     def report_load(self, draining: bool) -> LoadReport:
         """Return the present load."""
         with self._lock:
@@ -125,17 +153,22 @@
         return len(self._queue) >= self._policy.queue_length
 
     def _enqueue(self, waiter: Waiter) -> Refusal | None:
-        """Queue a call, in place of a less important one when the queue is full."""
+        """
+        Queue a call, in place of the last one when the queue is full.
+
+        That is a less important one, or one of an organisation that waits for more.
+        """
         if self._is_late(waiter, self._estimate_wait(waiter.importance)):
             return self._refuse(Reason.SHED, DEADLINE_UNMEETABLE)
-        if self._is_full():
-            last = self._queue.find_last()
-            if last is None or last.importance >= waiter.importance:
-                return self._refuse(Reason.QUEUE_FULL, "")
-            self._queue.remove(last)
-            last.decide(WaiterState.EVICTED)
         weight = self._policy.weigh(waiter.organisation)
-        self._queue.push(waiter, max(weight, 0.01))
+        self._queue.push(waiter, max(weight, WEIGHT_MIN))
+        if len(self._queue) <= self._policy.queue_length:
+            return None
+        last = self._queue.evict_last()
+        if last is waiter:
+            return self._refuse(Reason.QUEUE_FULL, "")
+        if last is not None:
+            last.decide(WaiterState.EVICTED)
         return None
 
     def _estimate_wait(self, importance: int) -> float:
--- a/corianderhold/coordination/owner/owner.py
+++ b/corianderhold/coordination/owner/owner.py
@@ -167,7 +167,8 @@
             return refuse_not_run(Reason.CANCELLED)
         if now >= call.context.deadline_at:
             return refuse_not_run(Reason.DEADLINE_PASSED)
-        return None
+        found = self._find_target(call.context)
+        return found.err_value if isinstance(found, Err) else None
 
     def _exchange(
         self,
@@ -226,7 +227,9 @@
 
     def _end(self, call: InFlightCall, started_at: float, *, failed: bool) -> None:
         self.calls.remove(call)
-        self._admission.release(call.context.route, started_at, failed)
+        self._admission.release(
+            call.context.route, started_at, failed, nested_s=call.nested_s
+        )
         duration_s = self._clock.read_monotonic() - started_at
         self._metrics.record_duration("owner_service_time", duration_s)
 
