Index members by instance; let a restarted target end its drain

Change: Members.find_member; an announcement may say restarted, as the emulated target's first one does; tests of the outgoing listener.

--- a/corianderhold/coordination/entry/outgoing.py
+++ b/corianderhold/coordination/entry/outgoing.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from result import Err, Result
-from voluptuous import Invalid, Required, Schema
+from voluptuous import Invalid, Optional, Required, Schema
 
 from corianderhold.clock import Clock
 from corianderhold.coordination.call import Answer, CallContext
@@ -32,14 +32,20 @@
 DRAIN_PATH = "/_corianderhold/drain"
 ANNOUNCEMENT_BYTES_MAX = 4096
 ANNOUNCEMENT_SCHEMA = Schema(
-    {Required("service"): parse_name, Required("address"): parse_address}
+    {
+        Required("service"): parse_name,
+        Required("address"): parse_address,
+        Optional("restarted", default=False): bool,
+    }
 )
 
 
 class TargetRegistrar(Protocol):
     """Take the announcements of the local target."""
 
-    def announce_target(self, service: ServiceName, address: Address) -> None:
+    def announce_target(
+        self, service: ServiceName, address: Address, restarted: bool
+    ) -> None:
         """Note that the target serves; repeated as its heartbeat."""
 
     def drain_target(self) -> None:
@@ -135,7 +141,9 @@
             refusal = refuse_not_run(Reason.REQUEST_MALFORMED, detail=detail)
             return respond_refusal(refusal, CallId(""), start_response)
         service = ServiceName(announcement["service"])
-        self._registrar.announce_target(service, announcement["address"])
+        self._registrar.announce_target(
+            service, announcement["address"], announcement["restarted"]
+        )
         return respond_empty(HTTPStatus.NO_CONTENT, start_response)
 
 
--- a/corianderhold/coordination/lease/locator.py
+++ b/corianderhold/coordination/lease/locator.py
@@ -29,9 +29,9 @@
         with self._lock:
             believed = self._believed.get(shard)
             tried = self._tried.get(shard, 0)
-        for member in self._members.list_members():
-            if member.instance == believed and member.state is MemberState.ALIVE:
-                return member.instance, member.peer_address
+        known = self._members.find_member(believed) if believed else None
+        if known is not None and known.state is MemberState.ALIVE:
+            return known.instance, known.peer_address
         ranked = rank_members(self._members, accepts, shard)
         if not ranked:
             return None
--- a/corianderhold/coordination/lease/promises.py
+++ b/corianderhold/coordination/lease/promises.py
@@ -58,7 +58,5 @@
 
     def _find_address(self, instance: InstanceId) -> Address | None:
         """Return the peer address of a member."""
-        for member in self._members.list_members():
-            if member.instance == instance:
-                return member.peer_address
-        return None
+        member = self._members.find_member(instance)
+        return member.peer_address if member else None
--- a/corianderhold/coordination/membership/service.py
+++ b/corianderhold/coordination/membership/service.py
@@ -199,6 +199,10 @@
         """Return live members whose target serves `service`, in no order."""
         return self._view.owners.get(service, ())
 
+    def find_member(self, instance: InstanceId) -> Member | None:
+        """Return one member, dead or left ones included."""
+        return self._view.by_instance.get(instance)
+
     def list_members(self) -> tuple[Member, ...]:
         """Return all known members, dead and left ones included."""
         return self._view.members
--- a/corianderhold/coordination/once/router.py
+++ b/corianderhold/coordination/once/router.py
@@ -20,7 +20,7 @@
 from corianderhold.log import log_event
 from corianderhold.protocol.verdict import Reason, Refusal, refuse_not_run
 from corianderhold.state.lease.model import ShardId
-from corianderhold.state.membership.model import Member, Members
+from corianderhold.state.membership.model import Members
 
 NOBODY = InstanceId("")
 # No holder was reached, so another one may be tried.
@@ -110,14 +110,8 @@
         log_event("keyed_request_routed", call=context.call_id, holder=instance)
         if instance == self._instance:
             return self._keeper.run(context, body, retries)
-        member = self._find_member(instance)
+        member = self._members.find_member(instance)
         if member is None:
             return Err(refuse_not_run(Reason.PEER_UNREACHABLE))
         self._in_flight.note(context.call_id, member)
         return self._sender.send(member, context, body, retries, lambda load: None)
-
-    def _find_member(self, instance: InstanceId) -> Member | None:
-        for member in self._members.list_members():
-            if member.instance == instance:
-                return member
-        return None
--- a/corianderhold/state/membership/model.py
+++ b/corianderhold/state/membership/model.py
@@ -68,5 +68,8 @@
     def list_owners(self, service: ServiceName) -> tuple[Member, ...]:
         """Return live members whose target serves `service`, in no order."""
 
+    def find_member(self, instance: InstanceId) -> Member | None:
+        """Return one member, dead or left ones included."""
+
     def list_members(self) -> tuple[Member, ...]:
         """Return all known members, dead and left ones included."""
--- a/corianderhold/state/membership/table.py
+++ b/corianderhold/state/membership/table.py
@@ -34,6 +34,7 @@
     live: tuple[Member, ...] = ()
     owners: Mapping[ServiceName, tuple[Member, ...]] = field(default_factory=dict)
     dead_since: Mapping[InstanceId, float] = field(default_factory=dict)
+    by_instance: Mapping[InstanceId, Member] = field(default_factory=dict)
 
 
 def is_live(member: Member) -> bool:
@@ -177,4 +178,5 @@
             tuple(live),
             {service: tuple(members) for service, members in owners.items()},
             dict(self._dead_since),
+            dict(self._members),
         )
--- a/emulator/announcer.py
+++ b/emulator/announcer.py
@@ -20,10 +20,11 @@
 
     def __init__(self, daemon_outgoing: str, service: str, address: str) -> None:
         self._base = f"http://{daemon_outgoing}"
-        self._body = json.dumps({"service": service, "address": address})
+        self._announcement = {"service": service, "address": address}
         self._pool = urllib3.PoolManager(retries=False, timeout=ANNOUNCE_TIMEOUT_S)
         self._stopped = threading.Event()
         self._accepted = False
+        self._restarted = True
         self._thread = threading.Thread(target=self._repeat, daemon=True)
 
     def start(self) -> None:
@@ -47,6 +48,7 @@
 
     def _note_outcome(self, status: int | None) -> None:
         accepted = status == NO_CONTENT
+        self._restarted = self._restarted and not accepted
         if accepted == self._accepted:
             return
         self._accepted = accepted
@@ -56,8 +58,9 @@
     def _post(self, path: str) -> int | None:
         headers = {"Content-Type": "application/json"}
         url = self._base + path
+        body = json.dumps({**self._announcement, "restarted": self._restarted})
         try:
-            answer = self._pool.request("POST", url, body=self._body, headers=headers)
+            answer = self._pool.request("POST", url, body=body, headers=headers)
         except urllib3.exceptions.HTTPError:
             return None
         return answer.status
--- a/tests/common/followers.py
+++ b/tests/common/followers.py
@@ -66,6 +66,10 @@
     def list_owners(self, service: str) -> tuple[Member, ...]:
         return ()
 
+    def find_member(self, instance: InstanceId) -> Member | None:
+        """Return one member."""
+        return self.members.get(instance)
+
     def list_members(self) -> tuple[Member, ...]:
         return tuple(self.members.values())
 
--- a/tests/common/rate_fleet.py
+++ b/tests/common/rate_fleet.py
@@ -83,6 +83,10 @@
         """Return nothing: no calls are routed here."""
         return ()
 
+    def find_member(self, instance: InstanceId) -> Member | None:
+        """Return one member."""
+        return self.members.get(instance)
+
     def list_members(self) -> tuple[Member, ...]:
         """Return all nodes."""
         return tuple(self.members.values())
--- /dev/null
+++ b/tests/coordination/entry/test_outgoing.py
@@ -0,0 +1,115 @@
+"""Test what the local target may say and ask on the outgoing listener."""
+
+import io
+import json
+from unittest import TestCase
+
+from result import Result
+
+from corianderhold.clock import SystemClock
+from corianderhold.coordination.call import Answer, CallContext, RequestBody
+from corianderhold.coordination.entry.intake import Intake
+from corianderhold.coordination.entry.outgoing import (
+    ANNOUNCE_PATH,
+    DRAIN_PATH,
+    OutgoingApplication,
+)
+from corianderhold.coordination.entry.watch import CallerWatch
+from corianderhold.coordination.owner.registry import InFlightCalls
+from corianderhold.coordination.retry import RetryBudget
+from corianderhold.ids import CallId, ServiceName
+from corianderhold.metrics import Metrics
+from corianderhold.protocol.verdict import Refusal
+from corianderhold.state.configuration.holder import ConfigurationHolder
+from corianderhold.state.membership.model import Address
+
+THREADS = 16
+
+
+class NoRouter:
+    """Route nothing."""
+
+    def route(
+        self, context: CallContext, body: RequestBody, retries: RetryBudget
+    ) -> Result[Answer, Refusal]:
+        raise AssertionError(context)
+
+    def cancel(self, call_id: CallId) -> None:
+        raise AssertionError(call_id)
+
+
+class RecordingRegistrar:
+    """Note what the target announced."""
+
+    def __init__(self) -> None:
+        self.announced: list[tuple[ServiceName, Address, bool]] = []
+        self.drains = 0
+
+    def announce_target(
+        self, service: ServiceName, address: Address, restarted: bool
+    ) -> None:
+        self.announced.append((service, address, restarted))
+
+    def drain_target(self) -> None:
+        self.drains += 1
+
+
+class OutgoingTests(TestCase):
+    """Send requests as the local target does."""
+
+    def setUp(self) -> None:
+        clock = SystemClock()
+        watch = CallerWatch(lambda call_id: None)
+        intake = Intake("nested_call", NoRouter(), watch, clock, Metrics(), THREADS)
+        self.registrar = RecordingRegistrar()
+        self.application = OutgoingApplication(
+            intake, ConfigurationHolder(), InFlightCalls(), self.registrar, clock
+        )
+        self.status = ""
+
+    def post(self, path: str, body: bytes, **headers: str) -> bytes:
+        def start_response(status: str, pairs: list[tuple[str, str]]) -> None:
+            self.status = status
+
+        environ = {
+            "REQUEST_METHOD": "POST",
+            "REQUEST_URI": path,
+            "wsgi.input": io.BytesIO(body),
+            **headers,
+        }
+        return b"".join(self.application(environ, start_response))
+
+    def test_announcement_and_drain_are_passed_on(self) -> None:
+        announcement = {"service": "rights", "address": "127.0.0.1:9000"}
+        self.post(ANNOUNCE_PATH, json.dumps(announcement).encode())
+        self.post(
+            ANNOUNCE_PATH, json.dumps({**announcement, "restarted": True}).encode()
+        )
+        self.assertEqual(self.status, "204 No Content")
+        target = (ServiceName("rights"), Address("127.0.0.1", 9000))
+        expected = [(*target, False), (*target, True)]
+        self.assertEqual(self.registrar.announced, expected)
+        self.post(DRAIN_PATH, b"")
+        self.assertEqual(self.registrar.drains, 1)
+
+    def test_malformed_announcement_is_refused_with_what_is_accepted(self) -> None:
+        for body in (
+            b"",
+            b"{",
+            b"[]",
+            b'{"service": "rights"}',
+            b'{"service": "rights", "address": "localhost:1"}',
+            b'{"service": "rights", "address": "127.0.0.1:1", "restarted": 1}',
+        ):
+            answer = self.post(ANNOUNCE_PATH, body)
+            self.assertTrue(self.status.startswith("400"), body)
+            self.assertIn(b"announcement", answer)
+        self.assertEqual(self.registrar.announced, [])
+
+    def test_forged_context_is_refused(self) -> None:
+        for token in ("", "0" * 32):
+            answer = self.post(
+                "/rights/lookup", b"", HTTP_X_CORIANDERHOLD_CONTEXT=token
+            )
+            self.assertTrue(self.status.startswith("403"))
+            self.assertEqual(json.loads(answer)["reason"], "context_unknown")
--- a/tests/coordination/entry/test_router.py
+++ b/tests/coordination/entry/test_router.py
@@ -54,6 +54,9 @@
     def list_owners(self, service: ServiceName) -> tuple[Member, ...]:
         return self.owners
 
+    def find_member(self, instance: InstanceId) -> Member | None:
+        raise AssertionError(instance)
+
     def list_members(self) -> tuple[Member, ...]:
         return self.owners
 
--- a/tests/coordination/membership/test_service.py
+++ b/tests/coordination/membership/test_service.py
@@ -115,7 +115,7 @@
         second = self.start((first.gossip_address,))
         changes: list[Member] = []
         second.add_listener(changes.append)
-        registrar.announce_target(RIGHTS, TARGET)
+        registrar.announce_target(RIGHTS, TARGET, False)
         self.wait_for_owners(second, 1)
         self.wait_for_owners(first, 1)
         self.assertEqual(len(members.list_members()), 2)
