Use the field's terms for idle links, sent calls, loans and listeners

Cause: shelf, desk, door, leaver and flight were words of our own; a daemon that ends refused requests as shed. Change: names only, and the reason draining while a daemon ends.

--- a/corianderhold/coordination/entry/gate.py
+++ b/corianderhold/coordination/entry/gate.py
@@ -21,6 +21,11 @@
         """Return the number of requests inside."""
         return self._count
 
+    @property
+    def is_closed(self) -> bool:
+        """Return whether no more requests get in."""
+        return self._closed
+
     def close(self) -> None:
         """Let no more requests in."""
         self._closed = True
--- a/corianderhold/coordination/entry/intake.py
+++ b/corianderhold/coordination/entry/intake.py
@@ -76,7 +76,8 @@
         """Handle one request and write its answer or refusal."""
         call_id = CallId(os.urandom(16).hex())
         if not self.gate.enter():
-            refusal = refuse_not_run(Reason.SHED, OVERLOAD_RETRY_AFTER_MS)
+            reason = Reason.DRAINING if self.gate.is_closed else Reason.SHED
+            refusal = refuse_not_run(reason, OVERLOAD_RETRY_AFTER_MS)
             return self._refuse(refusal, call_id, start_response)
         started_at = self._clock.read_monotonic()
         try:
--- a/corianderhold/coordination/entry/router.py
+++ b/corianderhold/coordination/entry/router.py
@@ -16,8 +16,8 @@
     OVERLOAD_RETRY_AFTER_MS,
     RETRY_BURST,
 )
-from corianderhold.coordination.entry.flight import CancelTargets
 from corianderhold.coordination.entry.sender import CallSender
+from corianderhold.coordination.entry.sent import SentCalls
 from corianderhold.coordination.owner.owner import CallOwner
 from corianderhold.coordination.retry import RetryBudget, RetryThrottle
 from corianderhold.ids import CallId, InstanceId, ServiceName
@@ -88,7 +88,7 @@
         self._sender = sender
         self._clock = clock
         self._metrics = metrics
-        self._in_flight = CancelTargets()
+        self._in_flight = SentCalls()
         self._throttles: dict[ServiceName, RetryThrottle] = {}
 
     def route(
--- a/corianderhold/coordination/once/router.py
+++ b/corianderhold/coordination/once/router.py
@@ -5,8 +5,8 @@
 from result import Err, Ok, Result
 
 from corianderhold.coordination.call import Answer, CallContext, RequestBody
-from corianderhold.coordination.entry.flight import CancelTargets
 from corianderhold.coordination.entry.sender import CallSender
+from corianderhold.coordination.entry.sent import SentCalls
 from corianderhold.coordination.lease.locator import HolderLocator
 from corianderhold.coordination.lease.ranking import accept_all
 from corianderhold.coordination.once.const import (
@@ -45,7 +45,7 @@
         self._sender = sender
         self._locator = locator
         self._members = members
-        self._in_flight = CancelTargets()
+        self._in_flight = SentCalls()
 
     def route(
         self, context: CallContext, body: RequestBody, retries: RetryBudget
--- a/corianderhold/coordination/rate/steward.py
+++ b/corianderhold/coordination/rate/steward.py
@@ -34,7 +34,7 @@
 
 
 @dataclass
-class _Desk:
+class _OrganisationLoans:
     """The loans of one organisation during one tenure of its shard."""
 
     tenure: int
@@ -46,7 +46,7 @@
     """
     Lend while this daemon holds the lease; borrow from other domains in a thread.
 
-    The lock covers the desks only and is never held during a network request.
+    The lock covers the loans only and is never held during a network request.
     """
 
     def __init__(
@@ -65,7 +65,7 @@
         self._guard = guard
         self._random = random
         self._lock = threading.Lock()
-        self._desks: dict[OrganisationId, _Desk] = {}
+        self._loans: dict[OrganisationId, _OrganisationLoans] = {}
         self._short = threading.Event()
         self._pace = RenewalPace(clock.read_monotonic())
         self._stopping = threading.Event()
@@ -118,19 +118,19 @@
         accepted = False
         with self._lock:
             for ask in request.asks:
-                desk = self._find_desk(ask.organisation)
-                if desk is None:
+                loans = self._find_loans(ask.organisation)
+                if loans is None:
                     continue
                 accepted = True
                 now = self._clock.read_monotonic()
                 if ask.single and not request.steward:
-                    grants.append(desk.lender.answer_single(now, ask))
+                    grants.append(loans.lender.answer_single(now, ask))
                     continue
-                grant = desk.lender.answer(now, borrower, request.number, ask)
+                grant = loans.lender.answer(now, borrower, request.number, ask)
                 if grant is None:
                     continue
                 grants.append(grant)
-                missing = grant.rate < ask.demand or desk.lender.unmet_tokens >= 1.0
+                missing = grant.rate < ask.demand or loans.lender.unmet_tokens >= 1.0
                 if missing and not request.steward:
                     self._short.set()
         return LoanReply(accepted, tuple(grants), self._name_holder(request))
@@ -146,13 +146,13 @@
         """Ask other domains for what the own entries need beyond the share."""
         for organisation in self._configuration.current.organisations.values():
             with self._lock:
-                desk = self._find_desk(organisation.name)
-            if desk is not None:
-                self._borrow(organisation, desk)
+                loans = self._find_loans(organisation.name)
+            if loans is not None:
+                self._borrow(organisation, loans)
 
-    def _find_desk(self, name: OrganisationId) -> _Desk | None:
+    def _find_loans(self, name: OrganisationId) -> _OrganisationLoans | None:
         """
-        Return the desk of an organisation while its lease allows to lend.
+        Return the loans of an organisation while its lease allows to lend.
 
         A new tenure begins without tokens and lends only what it borrows; the own
         share is added after every loan of the holder before has run out. Before the
@@ -163,36 +163,42 @@
         if organisation is None or tenure is None:
             return None
         now = self._clock.read_monotonic()
-        desk = self._desks.get(name)
-        if desk is None or desk.tenure != tenure:
+        loans = self._loans.get(name)
+        if loans is None or loans.tenure != tenure:
             own_from = now if tenure == FIRST_TERM else now + DOMAIN_LOAN_KEPT_S
-            desk = _Desk(tenure, own_from, Lender(now, tenure << GRANT_NUMBER_BITS))
-            self._desks[name] = desk
+            loans = _OrganisationLoans(
+                tenure, own_from, Lender(now, tenure << GRANT_NUMBER_BITS)
+            )
+            self._loans[name] = loans
             log_event("steward_began", organisation=name, tenure=tenure)
-        if now >= desk.own_from:
+        if now >= loans.own_from:
             share = organisation.shares.get(self._domain, 0.0)
             rate, burst = organisation.rate * share, organisation.burst * share
-            desk.lender.set_own(now, rate, burst)
-        return desk
+            loans.lender.set_own(now, rate, burst)
+        return loans
 
-    def _borrow(self, organisation: Organisation, desk: _Desk) -> None:
+    def _borrow(self, organisation: Organisation, loans: _OrganisationLoans) -> None:
         """Renew the loans of one organisation, domain by domain."""
         with self._lock:
-            tokens = desk.lender.unmet_tokens
-            desk.lender.unmet_tokens = 0.0
+            tokens = loans.lender.unmet_tokens
+            loans.lender.unmet_tokens = 0.0
         domains = [d for d in organisation.shares if d != self._domain]
         self._random.shuffle(domains)
         for domain in domains:
-            ask = self._build_ask(organisation.name, desk, domain, tokens)
+            ask = self._build_ask(organisation.name, loans, domain, tokens)
             if ask is not None:
-                tokens -= self._request(domain, desk, ask)
+                tokens -= self._request(domain, loans, ask)
 
     def _build_ask(
-        self, name: OrganisationId, desk: _Desk, domain: FailureDomainId, tokens: float
+        self,
+        name: OrganisationId,
+        loans: _OrganisationLoans,
+        domain: FailureDomainId,
+        tokens: float,
     ) -> LoanAsk | None:
         """Ask one domain for what the others don't lend; None for nothing."""
         with self._lock:
-            lender = desk.lender
+            lender = loans.lender
             lender.settle(self._clock.read_monotonic())
             missing = lender.find_need() - lender.read_own().rate
             borrowed = lender.borrowed.find_lent_by_others(domain)
@@ -210,7 +216,9 @@
                 max(0.0, tokens),
             )
 
-    def _request(self, domain: FailureDomainId, desk: _Desk, ask: LoanAsk) -> float:
+    def _request(
+        self, domain: FailureDomainId, loans: _OrganisationLoans, ask: LoanAsk
+    ) -> float:
         """Send one ask and return the tokens that came; times run from before it."""
         shard = name_shard(domain, ask.organisation)
         answer = self._messenger.send(domain, shard, (ask,))
@@ -220,5 +228,5 @@
             now = self._clock.read_monotonic()
             for grant in answer.grants:
                 ends_at = answer.sent_at + DOMAIN_LOAN_S
-                desk.lender.accept_borrowed(now, domain, grant, ends_at)
+                loans.lender.accept_borrowed(now, domain, grant, ends_at)
         return sum(grant.tokens for grant in answer.grants)
--- a/corianderhold/drain.py
+++ b/corianderhold/drain.py
@@ -37,7 +37,7 @@
         return self._holder.read_target().state is TargetState.DRAINING
 
 
-class Leaver(Protocol):
+class FleetMember(Protocol):
     """Tell the fleet that this daemon leaves."""
 
     def leave(self) -> None:
@@ -51,7 +51,7 @@
         """Return the number of requests that are being served."""
 
 
-class Door(InFlightSource, Protocol):
+class RequestListener(InFlightSource, Protocol):
     """Refuse new requests on command."""
 
     def stop_admitting(self) -> None:
@@ -62,10 +62,14 @@
     """Drain before the listeners close: the last component to start, first to stop."""
 
     def __init__(
-        self, leaver: Leaver, door: Door, owner: InFlightSource, clock: Clock
+        self,
+        member: FleetMember,
+        listener: RequestListener,
+        owner: InFlightSource,
+        clock: Clock,
     ) -> None:
-        self._leaver = leaver
-        self._door = door
+        self._member = member
+        self._listener = listener
         self._owner = owner
         self._clock = clock
 
@@ -74,12 +78,12 @@
 
     def stop(self) -> None:
         """Take no new work and wait a bounded time for what is in flight."""
-        self._leaver.leave()
-        self._door.stop_admitting()
+        self._member.leave()
+        self._listener.stop_admitting()
         give_up_at = self._clock.read_monotonic() + DRAIN_LIMIT_S
         while self._count() and self._clock.read_monotonic() < give_up_at:
             time.sleep(CHECK_INTERVAL_S)
         log_event("drained", in_flight=self._count())
 
     def _count(self) -> int:
-        return self._door.count_in_flight() + self._owner.count_in_flight()
+        return self._listener.count_in_flight() + self._owner.count_in_flight()
--- a/corianderhold/transport/peer/pool.py
+++ b/corianderhold/transport/peer/pool.py
@@ -48,7 +48,7 @@
 
 
 @dataclass
-class Shelf:
+class IdleLinks:
     """The idle links to one address, the last used one at the end."""
 
     links: list[PooledLink] = field(default_factory=list)
@@ -61,7 +61,7 @@
         self._identity = identity
         self._clock = clock
         self._lock = threading.Lock()
-        self._shelves: dict[Address, Shelf] = {}
+        self._idle: dict[Address, IdleLinks] = {}
         self._stopped = threading.Event()
         self._keeper = threading.Thread(
             target=self._keep_links, name="link-keeper", daemon=True
@@ -75,17 +75,17 @@
         """Close all idle links."""
         self._stopped.set()
         with self._lock:
-            shelves, self._shelves = self._shelves, {}
-        for shelf in shelves.values():
-            for pooled in shelf.links:
+            all_idle, self._idle = self._idle, {}
+        for idle in all_idle.values():
+            for pooled in idle.links:
                 pooled.link.close()
 
     def borrow(self, address: Address) -> Result[PooledLink, Unreachable]:
         """Return an idle or new link to the daemon at a peer address."""
         while True:
             with self._lock:
-                shelf = self._shelves.get(address)
-                pooled = shelf.links.pop() if shelf and shelf.links else None
+                idle = self._idle.get(address)
+                pooled = idle.links.pop() if idle and idle.links else None
             if pooled is None:
                 return self._open(address)
             if pooled.link.is_quiet():
@@ -97,9 +97,9 @@
         pooled.used_at = pooled.checked_at = self._clock.read_monotonic()
         with self._lock:
             if not self._stopped.is_set():
-                shelf = self._shelves.setdefault(pooled.address, Shelf())
-                if len(shelf.links) < IDLE_LINKS_PER_PEER:
-                    shelf.links.append(pooled)
+                idle = self._idle.setdefault(pooled.address, IdleLinks())
+                if len(idle.links) < IDLE_LINKS_PER_PEER:
+                    idle.links.append(pooled)
                     return
         pooled.link.close()
 
@@ -107,8 +107,8 @@
         """Close a link that failed, and the idle ones to the same address."""
         pooled.link.close()
         with self._lock:
-            shelf = self._shelves.pop(pooled.address, Shelf())
-        for other in shelf.links:
+            idle = self._idle.pop(pooled.address, IdleLinks())
+        for other in idle.links:
             other.link.close()
 
     def _open(self, address: Address) -> Result[PooledLink, Unreachable]:
@@ -141,12 +141,12 @@
         now = self._clock.read_monotonic()
         taken: list[PooledLink] = []
         with self._lock:
-            for address, shelf in list(self._shelves.items()):
-                kept = [p for p in shelf.links if now - p.checked_at < PING_INTERVAL_S]
-                taken += [p for p in shelf.links if p not in kept]
-                shelf.links = kept
+            for address, idle in list(self._idle.items()):
+                kept = [p for p in idle.links if now - p.checked_at < PING_INTERVAL_S]
+                taken += [p for p in idle.links if p not in kept]
+                idle.links = kept
                 if not kept:
-                    del self._shelves[address]
+                    del self._idle[address]
         unused = [p for p in taken if now - p.used_at > LINK_UNUSED_S]
         for pooled in unused:
             pooled.link.close()
@@ -175,7 +175,7 @@
         """Keep a pinged link without making it the next one to be lent."""
         with self._lock:
             if not self._stopped.is_set():
-                shelf = self._shelves.setdefault(pooled.address, Shelf())
-                shelf.links.insert(0, pooled)
+                idle = self._idle.setdefault(pooled.address, IdleLinks())
+                idle.links.insert(0, pooled)
                 return
         pooled.link.close()
--- a/tests/coordination/entry/test_intake.py
+++ b/tests/coordination/entry/test_intake.py
@@ -64,6 +64,12 @@
         parts.close()  # type: ignore[attr-defined]
         self.assertEqual((self.intake.gate.count, self.closed), (0, 1))
 
+    def test_listener_that_ends_refuses_as_draining(self) -> None:
+        self.intake.gate.close()
+        body = self.serve(Ok(self.make_answer(b"all")))
+        self.assertIn(b'"draining"', list(body)[0])  # type: ignore[call-overload]
+        self.assertEqual(self.intake.gate.count, 0)
+
     def test_refusal_and_failure_end_their_requests(self) -> None:
         def fail(environ: Environ, call_id: CallId) -> Result[Answer, Refusal]:
             raise RuntimeError
--- a/tests/coordination/rate/test_loans.py
+++ b/tests/coordination/rate/test_loans.py
@@ -65,11 +65,11 @@
                 account.bucket.refill(now)
                 tokens += account.bucket.tokens
                 rate += account.bucket.rate
-            desk = node.steward._find_desk(ARCHIVE)
-            if desk is not None:
-                desk.lender.settle(now)
-                tokens += desk.lender._bucket.tokens
-                rate += desk.lender._bucket.rate
+            loans = node.steward._find_loans(ARCHIVE)
+            if loans is not None:
+                loans.lender.settle(now)
+                tokens += loans.lender._bucket.tokens
+                rate += loans.lender._bucket.rate
         self.highest_tokens = max(self.highest_tokens, tokens)
         self.highest_rate = max(self.highest_rate, rate)
 
