--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -13,14 +13,20 @@
 from corianderhold.coordination.configuration.publisher import Publisher
 from corianderhold.coordination.entry.application import CallerApplication
 from corianderhold.coordination.entry.choice import LocalityChooser, Place
+from corianderhold.coordination.entry.intake import Intake
 from corianderhold.coordination.entry.outgoing import OutgoingApplication
 from corianderhold.coordination.entry.router import Router
 from corianderhold.coordination.entry.sender import PeerSender
 from corianderhold.coordination.entry.watch import CallerWatch
+from corianderhold.coordination.lease.locator import HolderLocator
+from corianderhold.coordination.lease.manager import LeaseManager
 from corianderhold.coordination.membership.service import (
     MembershipService,
     MembershipSettings,
 )
+from corianderhold.coordination.once.keeper import OnceKeeper
+from corianderhold.coordination.once.key import list_shards as list_once_shards
+from corianderhold.coordination.once.router import KeyedRouter
 from corianderhold.coordination.owner.admission import Admission
 from corianderhold.coordination.owner.owner import Owner
 from corianderhold.coordination.owner.policy import (
@@ -34,6 +40,7 @@
     build_fixed_slices,
     build_loans,
 )
+from corianderhold.coordination.rate.shards import list_shards as list_rate_shards
 from corianderhold.core import Application
 from corianderhold.drain import GracefulStop, TargetDrain
 from corianderhold.ids import Incarnation
@@ -83,70 +90,97 @@
         self._log = HttpLog(f"http://{settings.store}", self._clock)
         self._membership = self._build_membership()
         self._follower = self._build_follower()
+        self._sender = PeerSender(self._pool, self._clock)
+        self._locator = HolderLocator(self._membership)
+        self._node = Holder(settings.instance, self._incarnation)
+        self._leases = self._build_leases()
 
     def build(self) -> Application:
         """Return the application with all parts."""
-        settings = self._settings
         admission = Admission(
             build_default_limit(), build_default_policy(), self._clock, self._random
         )
-        owner = Owner(
-            self._membership,
-            admission,
-            TargetClient(self._clock),
-            self._clock,
-            self._metrics,
-        )
-        router = self._build_router(owner)
+        owner = self._build_owner(admission)
+        direct = self._build_router(owner)
+        keeper = OnceKeeper(self._leases, direct, self._clock)
+        router = self._build_keyed_router(keeper, direct)
         watch = CallerWatch(router.cancel)
         rate = self._build_rate()
-        listeners = settings.listeners
-        callers = CallerApplication(
-            self._holder,
-            rate.limiter,
-            router,
-            watch,
-            self._clock,
-            self._metrics,
-            listeners.caller_threads,
-        )
-        outgoing = OutgoingApplication(
-            self._holder,
-            owner.calls,
-            router,
-            self._membership,
-            watch,
-            self._clock,
-            self._metrics,
-            listeners.outgoing_threads,
-        )
+        callers = self._build_callers(router, watch, rate)
+        self._metrics.add_gauge("request_in_flight", callers.count_in_flight)
+        outgoing = self._build_outgoing(router, watch, owner)
         return Application(
             [
                 self._pool,
                 AdmissionConfigurator(
                     admission, self._holder, self._membership, self._clock
                 ),
-                self._build_peer_server(owner, rate.handlers),
+                self._build_peer_server(owner, keeper, rate.handlers),
                 self._membership,
                 self._follower,
+                self._leases,
+                keeper,
                 *rate.components,
                 watch,
-                WebServer(
-                    "outgoing", listeners.outgoing, outgoing, listeners.outgoing_threads
-                ),
-                WebServer(
-                    "caller", listeners.caller, callers, listeners.caller_threads
-                ),
-                WebServer(
-                    "admin",
-                    listeners.admin,
-                    self._build_admin_api().mount(),
-                    ADMIN_THREADS,
-                ),
+                *self._build_web_servers(callers, outgoing),
                 GracefulStop(self._membership, callers, owner, self._clock),
             ]
         )
 
+    def _build_owner(self, admission: Admission) -> Owner:
+        client = TargetClient(self._clock)
+        owner = Owner(self._membership, admission, client, self._clock, self._metrics)
+        self._metrics.add_gauge(
+            "owner_in_flight", lambda: owner.report_load().in_flight
+        )
+        self._metrics.add_gauge("owner_queued", lambda: owner.report_load().queued)
+        self._metrics.add_gauge("owner_limit", lambda: owner.report_load().limit)
+        return owner
+
+    def _build_keyed_router(self, keeper: OnceKeeper, direct: Router) -> KeyedRouter:
+        return KeyedRouter(
+            self._settings.instance,
+            keeper,
+            direct,
+            self._sender,
+            self._locator,
+            self._membership,
+        )
+
+    def _build_intake(
+        self, name: str, router: KeyedRouter, watch: CallerWatch, threads: int
+    ) -> Intake:
+        return Intake(name, router, watch, self._clock, self._metrics, threads)
+
+    def _build_callers(
+        self, router: KeyedRouter, watch: CallerWatch, rate: RateParts
+    ) -> CallerApplication:
+        threads = self._settings.listeners.caller_threads
+        intake = self._build_intake("request", router, watch, threads)
+        return CallerApplication(intake, self._holder, rate.limiter, self._clock)
+
+    def _build_outgoing(
+        self, router: KeyedRouter, watch: CallerWatch, owner: Owner
+    ) -> OutgoingApplication:
+        threads = self._settings.listeners.outgoing_threads
+        intake = self._build_intake("nested_call", router, watch, threads)
+        return OutgoingApplication(
+            intake, self._holder, owner.calls, self._membership, self._clock
+        )
+
+    def _build_web_servers(
+        self, callers: CallerApplication, outgoing: OutgoingApplication
+    ) -> list[WebServer]:
+        listeners = self._settings.listeners
+        admin = self._build_admin_api().mount()
+        return [
+            WebServer(
+                "outgoing", listeners.outgoing, outgoing, listeners.outgoing_threads
+            ),
+            WebServer("caller", listeners.caller, callers, listeners.caller_threads),
+            WebServer("admin", listeners.admin, admin, ADMIN_THREADS),
+        ]
+
     def _build_admin_api(self) -> AdminApi:
         settings = self._settings
         parts = AdminParts(
@@ -206,11 +240,21 @@
             self._holder,
             LocalityChooser(place, self._clock, self._random),
             owner,
-            PeerSender(self._pool, self._clock),
+            self._sender,
             self._clock,
             self._metrics,
         )
 
+    def _build_leases(self) -> LeaseManager:
+        """Take part in the leases of idempotency keys and, with loans, of rates."""
+        settings = self._settings
+        shards = list_once_shards()
+        if not settings.entry_slots:
+            shards |= list_rate_shards(settings.domain)
+        return LeaseManager(
+            self._node, shards, self._clock, self._log, self._control, self._membership
+        )
+
     def _build_rate(self) -> RateParts:
         """Build loans, or fixed slices where the settings name the entry slots."""
         settings = self._settings
@@ -219,26 +263,30 @@
                 self._holder, settings.domain, settings.entry_slots, self._clock
             )
         return build_loans(
-            Holder(settings.instance, self._incarnation),
+            self._node,
             settings.domain,
             self._holder,
-            self._membership,
-            self._log,
+            self._leases,
+            self._locator,
             self._control,
             self._clock,
         )
 
     def _build_peer_server(
-        self, owner: Owner, handlers: Mapping[ControlTopic, ControlHandler]
+        self,
+        owner: Owner,
+        keeper: OnceKeeper,
+        handlers: Mapping[ControlTopic, ControlHandler],
     ) -> PeerServer:
         return PeerServer(
             self._settings.listeners.peer,
             self._identity,
             self._clock,
-            RemoteCallServer(owner, self._incarnation, self._clock),
+            RemoteCallServer(owner, keeper, self._incarnation, self._clock),
             {
                 ControlTopic.MEMBERSHIP: self._membership,
                 ControlTopic.CONFIGURATION: self._follower,
+                ControlTopic.LEASE: self._leases,
                 **handlers,
             },
         )
--- a/corianderhold/coordination/owner/owner.py
+++ b/corianderhold/coordination/owner/owner.py
@@ -167,7 +167,8 @@
             return refuse_not_run(Reason.CANCELLED)
         if now >= call.context.deadline_at:
             return refuse_not_run(Reason.DEADLINE_PASSED)
-        return None
+        found = self._find_target(call.context)
+        return found.err_value if isinstance(found, Err) else None
 
     def _exchange(
         self,
--- a/tests/common/rate_fleet.py
+++ b/tests/common/rate_fleet.py
@@ -6,11 +6,11 @@
 from result import Err, Ok, Result
 
 from corianderhold.coordination.lease.const import STEP_INTERVAL_S
+from corianderhold.coordination.lease.locator import HolderLocator
 from corianderhold.coordination.lease.manager import LeaseManager
 from corianderhold.coordination.rate.charger import StewardCharger
 from corianderhold.coordination.rate.entry import EntryLoans
 from corianderhold.coordination.rate.limiter import AllowanceLimiter
-from corianderhold.coordination.rate.locator import HolderLocator
 from corianderhold.coordination.rate.messenger import LoanMessenger
 from corianderhold.coordination.rate.shards import list_shards, name_shard
 from corianderhold.coordination.rate.steward import RateSteward
@@ -83,6 +83,10 @@
         """Return nothing: no calls are routed here."""
         return ()
 
+    def find_member(self, instance: InstanceId) -> Member | None:
+        """Return one member."""
+        return self.members.get(instance)
+
     def list_members(self) -> tuple[Member, ...]:
         """Return all nodes."""
         return tuple(self.members.values())
@@ -153,7 +157,7 @@
         control = NodeControl(fleet.network, self.name, domain)
         log = NodeLog(fleet.log, fleet.network, domain)
         self.manager = LeaseManager(
-            holder, domain, list_shards(domain), clock, log, control, members
+            holder, list_shards(domain), clock, log, control, members
         )
         locator = HolderLocator(members)
         self.steward = RateSteward(
