--- a/tests/coordination/owner/test_limit.py
+++ b/tests/coordination/owner/test_limit.py
@@ -64,12 +64,22 @@
         self.serve()
         self.assertGreaterEqual(self.limit.read_limit(), SLOTS)
 
-    def test_target_that_slows_within_a_round_is_not_given_more(self) -> None:
+    def test_decrease_that_brings_no_shorter_calls_is_taken_back(self) -> None:
+        self.limit = AdaptiveLimit(SLOTS, self.clock)
         self.serve()
-        before = self.limit.read_limit()
-        for factor in (2.5, 5.0, 10.0, 10.0, 10.0, 10.0, 10.0, 10.0):
-            self.serve(service_s=factor * SERVICE_S, rounds=2)
-            self.assertLessEqual(self.limit.read_limit(), before)
+        self.serve(service_s=10 * SERVICE_S, rounds=1)
+        self.assertLess(self.limit.read_limit(), SLOTS)
+        self.serve(service_s=10 * SERVICE_S, rounds=1)
+        self.assertEqual(self.limit.read_limit(), SLOTS)
+        self.serve(service_s=10 * SERVICE_S)
+        self.assertEqual(self.limit.read_limit(), SLOTS)
+
+    def test_target_that_is_still_slowing_is_compared_again(self) -> None:
+        self.limit = AdaptiveLimit(SLOTS, self.clock)
+        self.serve()
+        self.serve(service_s=5 * SERVICE_S, rounds=1)
+        self.serve(service_s=10 * SERVICE_S, rounds=2)
+        self.assertLess(self.limit.read_limit(), SLOTS)
 
     def test_failures_shrink_the_limit_to_one(self) -> None:
         self.serve()
