--- a/corianderhold/coordination/owner/admission.py
+++ b/corianderhold/coordination/owner/admission.py
@@ -90,6 +90,12 @@
             return Err(refusal)
         return self._wait(waiter)
 
+    def release_unused(self) -> None:
+        """Give back a permit whose call was not sent to the target."""
+        with self._lock:
+            self._in_flight -= 1
+            self._admit_waiters()
+
     def release(
         self,
         route: RouteName,
--- a/corianderhold/coordination/owner/owner.py
+++ b/corianderhold/coordination/owner/owner.py
@@ -109,7 +109,7 @@
             self._end(call, started_at, failed=True)
             raise
         if isinstance(outcome, Err):
-            self._end(call, started_at, failed=True)
+            self._end_refused(call, started_at, outcome.err_value)
             return self._refuse(context, outcome.err_value)
         return self._open_answer(call, outcome.ok_value, started_at)
 
@@ -233,6 +233,16 @@
         duration_s = self._clock.read_monotonic() - started_at
         self._metrics.record_duration("owner_service_time", duration_s)
 
+    def _end_refused(
+        self, call: InFlightCall, started_at: float, refusal: Refusal
+    ) -> None:
+        """End a call; the limit learns nothing from one that was not sent."""
+        if refusal.not_run and refusal.reason is not Reason.TARGET_UNREACHABLE:
+            self.calls.remove(call)
+            self._admission.release_unused()
+        else:
+            self._end(call, started_at, failed=True)
+
     def _refuse(
         self, context: CallContext, refusal: Refusal
     ) -> Result[Answer, Refusal]:
--- a/tests/coordination/owner/test_owner.py
+++ b/tests/coordination/owner/test_owner.py
@@ -7,9 +7,9 @@
 from corianderhold.clock import SystemClock
 from corianderhold.coordination.call import InlineBody
 from corianderhold.coordination.owner.admission import Admission
+from corianderhold.coordination.owner.limit import FixedLimit
 from corianderhold.coordination.owner.owner import Owner
 from corianderhold.coordination.owner.policy import (
-    build_default_limit,
     build_default_policy,
 )
 from corianderhold.coordination.retry import RetryBudget
@@ -33,6 +33,17 @@
         return self.script.pop(0) if len(self.script) > 1 else self.script[0]
 
 
+class RecordingLimit(FixedLimit):
+    """Count the failures that the limit is told of."""
+
+    def __init__(self) -> None:
+        super().__init__(8)
+        self.failures = 0
+
+    def note_completion(self, duration_s: float, failed: bool, in_flight: int) -> None:
+        self.failures += failed
+
+
 class OwnerTests(TestCase):
     """Serve calls beside a target that only listens."""
 
@@ -41,14 +52,13 @@
         self.addCleanup(self.listener.close)
         host, port = self.listener.getsockname()
         self.address = Address(host, port)
+        self.limit = RecordingLimit()
         self.serving = TargetStatus(TargetState.SERVING, CATALOGUE, self.address)
         self.draining = TargetStatus(TargetState.DRAINING, CATALOGUE, self.address)
 
     def refuse(self, *script: TargetStatus) -> Reason:
         """Serve one call, which must be refused as not run, and return why."""
-        admission = Admission(
-            build_default_limit(), build_default_policy(), CLOCK, Random(1)
-        )
+        admission = Admission(self.limit, build_default_policy(), CLOCK, Random(1))
         client = TargetClient(CLOCK)
         owner = Owner(ScriptedSource(*script), admission, client, CLOCK, Metrics())
         context = make_context(deadline_at=CLOCK.read_monotonic() + 5)
@@ -68,3 +78,9 @@
     def test_call_that_waited_is_refused_after_the_loss_of_the_target(self) -> None:
         reason = self.refuse(self.serving, ABSENT_TARGET)
         self.assertEqual(reason, Reason.NO_TARGET)
+        self.assertEqual(self.limit.failures, 0)
+
+    def test_unreachable_target_counts_as_its_failure(self) -> None:
+        self.listener.close()
+        self.assertEqual(self.refuse(self.serving), Reason.TARGET_UNREACHABLE)
+        self.assertEqual(self.limit.failures, 1)
