--- a/script/run_demo.py
+++ b/script/run_demo.py
@@ -192,16 +192,20 @@
     return verdicts
 
 
+def run_demo(fleet: Fleet, directory: Path) -> bool:
+    """Show all steps on a started fleet and return whether each went as expected."""
+    for path in (NESTED_PATH, SEARCH, READ):
+        fleet.wait_until_served(list(ENTRIES), RequestPlan(path, BROADCASTER_KEY))
+    return Demo(fleet, directory).run()
+
+
 def main() -> int:
     """Run the demo and return 0 only if all went as expected."""
     with TemporaryDirectory(prefix="corianderhold-") as name:
         fleet = Fleet(PLANS, Path(name))
         try:
             fleet.start(build_records())
-            for path in (NESTED_PATH, SEARCH, READ):
-                plan = RequestPlan(path, BROADCASTER_KEY)
-                fleet.wait_until_served(list(ENTRIES), plan)
-            as_expected = Demo(fleet, Path(name)).run()
+            as_expected = run_demo(fleet, Path(name))
         finally:
             fleet.stop()
     print(format_event("demo_ended", {"as_expected": as_expected}))
--- /dev/null
+++ b/tests/build/__init__.py
@@ -0,0 +1,1 @@
+"""Test what the one-file build is made of."""
--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -9,7 +9,12 @@
 from uuid import uuid4
 
 from tests.common.ports import HOST, PortReservation
-from tests.common.processes import ManagedProcess, ProcessGroup
+from tests.common.processes import (
+    PYTHON_MODULE,
+    ManagedProcess,
+    ProcessGroup,
+    Program,
+)
 from tests.common.relay import Relay
 from tests.common.waiting import wait_until
 from tests.common.web import Outcome, send_request
@@ -18,6 +23,7 @@
 ADMIN_TOKEN = "token-of-the-test-operators"
 LISTENERS = ("caller", "outgoing", "peer", "gossip", "admin")
 READY_LIMIT_S = 60.0
+DAEMON_MODULE = Program((*PYTHON_MODULE.command, "corianderhold"))
 
 
 @dataclass(frozen=True)
@@ -73,13 +79,19 @@
     """
     Start and stop all processes; count the runs at the targets.
 
-    Rates come as fixed slices, which are there at once, or as `loans`.
+    Rates come as fixed slices, which are there at once, or as `loans`. The daemons
+    run `daemon_program`.
     """
 
     def __init__(
-        self, plans: Sequence[DaemonPlan], directory: Path, loans: bool = False
+        self,
+        plans: Sequence[DaemonPlan],
+        directory: Path,
+        loans: bool = False,
+        daemon_program: Program = DAEMON_MODULE,
     ) -> None:
         self._loans = loans
+        self._daemon_program = daemon_program
         self._directory = directory
         self._group = ProcessGroup(directory)
         self._past_runs: Counter[str] = Counter()
@@ -121,8 +133,9 @@
         """Start a daemon, also again after its end, and wait for its listeners."""
         member = self.members[instance]
         path = self._write_settings(member)
-        arguments = ["corianderhold", "serve", "--settings", str(path)]
-        daemon = self._start(f"daemon-{instance}", arguments)
+        arguments = ["serve", "--settings", str(path)]
+        program = self._daemon_program
+        daemon = self._start(f"daemon-{instance}", arguments, program)
         member.daemon = daemon
         url = f"http://{member.get_address('admin')}/health"
 
@@ -232,9 +245,11 @@
         runs: dict[str, int] = json.loads(outcome.body)["runs"]
         return Counter(runs)
 
-    def _start(self, name: str, arguments: Sequence[str]) -> ManagedProcess:
+    def _start(
+        self, name: str, arguments: Sequence[str], program: Program = PYTHON_MODULE
+    ) -> ManagedProcess:
         self._starts += 1
-        return self._group.start(f"{name}-{self._starts}", arguments)
+        return self._group.start(f"{name}-{self._starts}", arguments, program)
 
     def _reserve_ports(self, count: int) -> list[int]:
         reservation = PortReservation(count)
--- a/tests/common/processes.py
+++ b/tests/common/processes.py
@@ -1,12 +1,14 @@
 """Start, freeze, kill and clean up the processes of a test."""
 
 import atexit
+import os
 import re
 import signal
 import subprocess
 import sys
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
 from pathlib import Path
 
 from tests.common.waiting import wait_until
@@ -16,6 +18,17 @@
 LISTENING_LINE = re.compile(r"event=listening .*?address=(\S+)")
 
 
+@dataclass(frozen=True)
+class Program:
+    """A command to start, before its arguments, and additions to its environment."""
+
+    command: tuple[str, ...]
+    environment: Mapping[str, str] = field(default_factory=dict)
+
+
+PYTHON_MODULE = Program((sys.executable, "-m"))
+
+
 class ProcessEndedError(AssertionError):
     """Raised where a process ended while the test still needed it."""
 
@@ -23,13 +36,20 @@
 class ManagedProcess:
     """One child process; its output goes to a file that the test can read."""
 
-    def __init__(self, name: str, arguments: Sequence[str], directory: Path) -> None:
+    def __init__(
+        self,
+        name: str,
+        arguments: Sequence[str],
+        directory: Path,
+        program: Program = PYTHON_MODULE,
+    ) -> None:
         self.name = name
         self._log_path = directory / f"{name}.log"
         with self._log_path.open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", *arguments],
+                [*program.command, *arguments],
                 cwd=ROOT,
+                env={**os.environ, **program.environment},
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=subprocess.STDOUT,
@@ -131,9 +151,11 @@
         self._directory = directory
         self._processes: list[ManagedProcess] = []
 
-    def start(self, name: str, arguments: Sequence[str]) -> ManagedProcess:
-        """Start `python -m ARGUMENTS` and keep it."""
-        process = ManagedProcess(name, arguments, self._directory)
+    def start(
+        self, name: str, arguments: Sequence[str], program: Program = PYTHON_MODULE
+    ) -> ManagedProcess:
+        """Start a program, by default `python -m ARGUMENTS`, and keep it."""
+        process = ManagedProcess(name, arguments, self._directory, program)
         self._processes.append(process)
         return process
 
