Run the owner loss scenario against the one file

Ruled out: a scenario of its own; the existing tests run unchanged on another program. Change: FleetTestCase names the program of its daemons; the measurement runs the tests of lost and paused owners with the binary. The test of reuse looks for a marker in the unpacked directory, since a new file may get the inode of the removed one.

--- a/measurements/one_binary.py
+++ b/measurements/one_binary.py
@@ -1,5 +1,5 @@
 """
-Run the demo against dist/corianderhold and measure what the file costs.
+Run the demo and one scenario against dist/corianderhold and measure what it costs.
 
 Builds it with script/build where it is missing. Prints the seconds of a first start,
 which unpacks, and of a second one, until the daemon is healthy; the bytes of the file
@@ -15,12 +15,14 @@
 from contextlib import contextmanager
 from pathlib import Path
 from tempfile import TemporaryDirectory
+from unittest import TextTestRunner, defaultTestLoader
 
 from emulator.sample import build_records
 from measurements.report import Target, judge_figures, print_figures
 from script.run_demo import PLANS, run_demo
 from tests.common.fleet import DAEMON_MODULE, DaemonPlan, Fleet
 from tests.common.processes import ROOT, ManagedProcess, Program
+from tests.failures.test_owner_loss import OwnerLossTests
 
 BINARY = ROOT / "dist" / "corianderhold"
 UNPACK_DIRECTORY_VARIABLE = "CORIANDERHOLD_UNPACK_DIR"
@@ -33,6 +35,8 @@
     Target("idle_resident_mb", highest=64.0),
     Target("processes_per_daemon", lowest=1.0, highest=1.0),
     Target("demo_as_expected", lowest=1.0),
+    Target("scenario_tests", lowest=1.0),
+    Target("scenario_failures", highest=0.0),
 ]
 
 
@@ -125,6 +129,20 @@
         }
 
 
+def run_scenario(program: Program) -> dict[str, float]:
+    """Run the tests of lost and paused owners and count those that fail."""
+
+    class BinaryOwnerLossTests(OwnerLossTests):
+        daemon_program = program
+
+    suite = defaultTestLoader.loadTestsFromTestCase(BinaryOwnerLossTests)
+    result = TextTestRunner(verbosity=2).run(suite)
+    return {
+        "scenario_tests": float(result.testsRun),
+        "scenario_failures": float(len(result.failures) + len(result.errors)),
+    }
+
+
 def main(seed: int) -> int:
     """Print all figures and return 1 where a target is missed."""
     build_s = build_binary() if not BINARY.exists() else 0.0
@@ -133,6 +151,7 @@
         program = Program((str(BINARY),), {UNPACK_DIRECTORY_VARIABLE: directory})
         idle = measure_idle(program, unpacked)
         demo = measure_demo(program, unpacked)
+        scenario = run_scenario(program)
         unpacked_mb = measure_tree_mb(unpacked)
         interpreted = measure_idle(DAEMON_MODULE, unpacked)
     figures = {
@@ -142,6 +161,7 @@
         **{f"idle_{name}": value for name, value in idle.items()},
         **{f"interpreter_{name}": value for name, value in interpreted.items()},
         **demo,
+        **scenario,
     }
     print_figures("one_binary", seed, dict(figures))
     return 0 if judge_figures(figures, TARGETS) else 1
--- a/tests/build/test_launcher.py
+++ b/tests/build/test_launcher.py
@@ -107,9 +107,10 @@
         self.check_starts()
         (unpacked,) = self.list_unpacked()
         self.assertEqual(unpacked.stat().st_mode & 0o7777, 0o700)
-        inode = (unpacked / "corianderhold").stat().st_ino
+        marker = unpacked / "marker"
+        marker.touch()
         self.check_starts()
-        self.assertEqual((unpacked / "corianderhold").stat().st_ino, inode)
+        self.assertTrue(marker.exists())
 
     def test_other_content_is_unpacked_beside(self) -> None:
         self.check_starts()
--- a/tests/common/scenario.py
+++ b/tests/common/scenario.py
@@ -8,7 +8,8 @@
 from unittest import TestCase
 
 from emulator.sample import BROADCASTER_KEY, build_records
-from tests.common.fleet import DaemonPlan, Fleet, RequestPlan
+from tests.common.fleet import DAEMON_MODULE, DaemonPlan, Fleet, RequestPlan
+from tests.common.processes import Program
 from tests.common.waiting import wait_until
 from tests.common.web import Outcome
 
@@ -23,6 +24,7 @@
     plans: ClassVar[Sequence[DaemonPlan]] = ()
     probes: ClassVar[Sequence[str]] = ()
     loans: ClassVar[bool] = False
+    daemon_program: ClassVar[Program] = DAEMON_MODULE
     fleet: ClassVar[Fleet]
 
     @classmethod
@@ -30,7 +32,9 @@
         """Start the fleet and wait until each entry serves each probe path."""
         directory = TemporaryDirectory(prefix="corianderhold-")
         cls.addClassCleanup(directory.cleanup)
-        cls.fleet = Fleet(cls.plans, Path(directory.name), cls.loans)
+        cls.fleet = Fleet(
+            cls.plans, Path(directory.name), cls.loans, cls.daemon_program
+        )
         cls.addClassCleanup(cls.fleet.stop)
         cls.fleet.start(build_records())
         cls.wait_until_served()
