Read the time before the lease is checked for a key

Cause: found by reading: a holder that was paused between the check of its lease and its decision judged the key by the time after the pause. A key that a caller with a fast clock had made too early then passed, and a later holder could run it too. Result: tests.coordination.once 17 passed; with the time read after the check 16 passed, 1 failed.

--- a/corianderhold/coordination/once/keeper.py
+++ b/corianderhold/coordination/once/keeper.py
@@ -15,6 +15,7 @@
     OBSERVATION_INTERVAL_S,
 )
 from corianderhold.coordination.once.key import (
+    RequestKey,
     compute_fingerprint,
     find_shard,
     list_shards,
@@ -105,13 +106,14 @@
         key = read.ok_value
         shard = find_shard(key)
         fingerprint = compute_fingerprint(context, body)
+        now = self._clock.read_wall()  # before the check, or a pause would age the key
         records = self._open_records(shard)
         if records is None:
             hint = self._guard.find_holder(shard) or ""
             return Err(
                 refuse_not_run(Reason.NOT_HOLDER, NO_HOLDER_RETRY_AFTER_MS, hint)
             )
-        begin = records.begin(key, fingerprint, self._clock.read_wall())
+        begin = records.begin(key, fingerprint, now)
         log_event(
             "keyed_request_judged",
             call=context.call_id,
@@ -120,22 +122,7 @@
         )
         if begin.state is not BeginState.RUN:
             return answer_repeat(begin)
-        try:
-            outcome = self._router.route(
-                replace(context, idempotency_key=None), body, retries
-            )
-        except BaseException:
-            records.end_run(key, None)
-            raise
-        if isinstance(outcome, Err) and outcome.err_value.not_run:
-            records.end_not_run(key)
-            return outcome
-        recorded = None
-        if isinstance(outcome, Ok) and outcome.ok_value.body is not None:
-            answer = outcome.ok_value
-            recorded = RecordedAnswer(answer.status, answer.headers, answer.body or b"")
-        records.end_run(key, recorded)
-        return outcome
+        return self._run_first(records, key, context, body, retries)
 
     def cancel(self, call_id: CallId) -> None:
         """Cancel a keyed call that was routed on from here."""
@@ -145,6 +132,27 @@
         while not self._stopped.wait(OBSERVATION_INTERVAL_S):
             self.observe_tenures()
 
+    def _run_first(
+        self,
+        records: OnceRecords,
+        key: RequestKey,
+        context: CallContext,
+        body: RequestBody,
+        retries: RetryBudget,
+    ) -> Result[Answer, Refusal]:
+        """Route the first request under a key and record what became of it."""
+        try:
+            unkeyed = replace(context, idempotency_key=None)
+            outcome = self._router.route(unkeyed, body, retries)
+        except BaseException:
+            records.end_run(key, None)
+            raise
+        if isinstance(outcome, Err) and outcome.err_value.not_run:
+            records.end_not_run(key)
+        else:
+            records.end_run(key, record_answer(outcome))
+        return outcome
+
     def _open_records(self, shard: ShardId) -> OnceRecords | None:
         """Return the records of the present tenure; None when not the holder."""
         number = self._guard.find_tenure(shard)
@@ -159,6 +167,14 @@
             return tenure.records
 
 
+def record_answer(outcome: Result[Answer, Refusal]) -> RecordedAnswer | None:
+    """Return the answer to keep, None where it is not whole in memory."""
+    if isinstance(outcome, Err) or outcome.ok_value.body is None:
+        return None
+    answer = outcome.ok_value
+    return RecordedAnswer(answer.status, answer.headers, answer.body or b"")
+
+
 def answer_repeat(begin: Begin) -> Result[Answer, Refusal]:
     """Return the answer or refusal of a request that must not run now."""
     match begin.state:
--- a/tests/coordination/once/test_keeper.py
+++ b/tests/coordination/once/test_keeper.py
@@ -1,5 +1,6 @@
 """Test keyed requests at daemons that hold a shard, lose it and take it over."""
 
+from collections.abc import Callable
 from dataclasses import replace
 from unittest import TestCase
 
@@ -34,8 +35,10 @@
 
     def __init__(self, term: int | None) -> None:
         self.term = term
+        self.pause: Callable[[], None] = lambda: None
 
     def find_tenure(self, shard: ShardId) -> int | None:
+        self.pause()
         return self.term
 
     def find_holder(self, shard: ShardId) -> InstanceId | None:
@@ -130,6 +133,13 @@
         self.assertIsInstance(self.send(self.make_fresh_key(), successor), Ok)
         self.assertEqual(self.router.runs, 2)
 
+    def test_pause_after_the_check_of_the_lease_lets_no_early_key_in(self) -> None:
+        key = make_key(self.clock.read_wall() + SETTLED_S)
+        self.guard.pause = lambda: self.clock.advance(SETTLED_S)
+        refusal = self.send(key).unwrap_err()
+        self.assertEqual(refusal.reason, Reason.REQUEST_MALFORMED)
+        self.assertEqual(self.router.runs, 0)
+
     def test_shard_that_was_lost_and_taken_again_forgets_nothing_wrongly(self) -> None:
         key = self.make_fresh_key()
         self.guard.term = 3
