--- a/tests/failures/test_once.py
+++ b/tests/failures/test_once.py
@@ -1,14 +1,18 @@
 """Test that a key runs once over two entries, repeats and the loss of its holder."""
 
 import time
+from collections.abc import Callable
 
 from emulator.sample import BROADCASTER_KEY, CATALOGUE, DOMAIN_A, DOMAIN_B
 from tests.common.fleet import DaemonPlan, RequestPlan
 from tests.common.keys import make_key
+from tests.common.processes import ManagedProcess
 from tests.common.scenario import FleetTestCase, Sent
 from tests.common.waiting import wait_until
 
 INGEST = "/catalogue/ingest"
+VICTIM = "a1"
+FAULT_S = 10.0  # longer than a takeover takes
 ENTRIES = ("a1", "a2", "b1")
 
 
@@ -16,7 +20,7 @@
     """Send keyed requests to three daemons in two domains."""
 
     plans = tuple(
-        DaemonPlan(instance, domain, CATALOGUE, slots=16)
+        DaemonPlan(instance, domain, CATALOGUE, slots=16, relay_peer=True)
         for instance, domain in (("a1", DOMAIN_A), ("a2", DOMAIN_A), ("b1", DOMAIN_B))
     )
     probes = ("/catalogue/search",)
@@ -62,17 +66,43 @@
         self.assertEqual((other.status, other.verdict), (400, "not_run"))
         self.check_one_run(key, [first])
 
-    def test_keys_of_before_the_loss_of_a_holder_run_once(self) -> None:
+    def test_holder_is_killed(self) -> None:
+        daemon = self.get_daemon()
+        self.check_keys_across(daemon.kill, lambda: self.fleet.start_daemon(VICTIM))
+
+    def test_holder_is_stopped_as_planned(self) -> None:
+        daemon = self.get_daemon()
+        self.check_keys_across(daemon.stop, lambda: self.fleet.start_daemon(VICTIM))
+
+    def test_holder_is_paused(self) -> None:
+        daemon = self.get_daemon()
+        self.check_keys_across(daemon.freeze, daemon.thaw)
+
+    def test_holder_is_cut_off_from_callers(self) -> None:
+        relay = self.fleet.members[VICTIM].peer_relay
+        assert relay is not None
+        self.check_keys_across(relay.cut, relay.heal)
+
+    def get_daemon(self) -> ManagedProcess:
+        """Return the daemon that a fault is brought about at."""
+        daemon = self.fleet.members[VICTIM].daemon
+        assert daemon is not None
+        return daemon
+
+    def check_keys_across(
+        self, fail: Callable[[], object], repair: Callable[[], object]
+    ) -> None:
+        """Repeat keys from before a fault during it and after its repair."""
         keys = [make_key() for _ in range(30)]
         sent = {key: [self.send_keyed("b1", key)] for key in keys}
-        daemon = self.fleet.members["a1"].daemon
-        assert daemon is not None
-        daemon.kill()
-        ends_at = time.monotonic() + 10  # longer than a takeover takes
-        while time.monotonic() < ends_at:
-            for key in keys:
-                sent[key].append(self.send_keyed("b1", key))
-        self.fleet.start_daemon("a1")
+        fail()
+        try:
+            ends_at = time.monotonic() + FAULT_S
+            while time.monotonic() < ends_at:
+                for key in keys:
+                    sent[key].append(self.send_keyed("b1", key))
+        finally:
+            repair()
         for key in keys:
             sent[key].append(self.send_keyed("a2", key))
             self.check_one_run(key, sent[key])
