--- a/corianderhold/coordination/configuration/exchanger.py
+++ b/corianderhold/coordination/configuration/exchanger.py
@@ -45,9 +45,9 @@
     ControlSender,
     ControlTopic,
 )
+from corianderhold.protocol.store.model import LogRecord
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.membership.model import Member
-from corianderhold.transport.store.model import LogRecord
 
 
 @dataclass(frozen=True)
--- a/corianderhold/coordination/configuration/follower.py
+++ b/corianderhold/coordination/configuration/follower.py
@@ -27,9 +27,9 @@
 from corianderhold.metrics import Metrics
 from corianderhold.protocol.configuration.messages import Head
 from corianderhold.protocol.peer.control import ControlClient, ControlSender
+from corianderhold.protocol.store.model import Log
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.membership.model import Member, Members
-from corianderhold.transport.store.model import Log
 
 STOP = None
 JOIN_TIMEOUT_S = 5.0
--- a/corianderhold/coordination/configuration/publisher.py
+++ b/corianderhold/coordination/configuration/publisher.py
@@ -20,6 +20,7 @@
 from corianderhold.coordination.configuration.reader import ReadOutcome
 from corianderhold.ids import ChangeId, Offset, Version
 from corianderhold.log import log_event
+from corianderhold.protocol.store.model import AppendFailure, Log, StreamName
 from corianderhold.state.configuration.codec import encode_change
 from corianderhold.state.configuration.fold import FoldOutcome, OutcomeKind, fold
 from corianderhold.state.configuration.records import (
@@ -27,7 +28,6 @@
     Fault,
     RememberedChange,
 )
-from corianderhold.transport.store.model import AppendFailure, Log, StreamName
 
 Pause = Callable[[float], None]
 
--- a/corianderhold/coordination/configuration/reader.py
+++ b/corianderhold/coordination/configuration/reader.py
@@ -15,8 +15,8 @@
 from corianderhold.ids import Offset
 from corianderhold.log import log_event, log_warning
 from corianderhold.metrics import Metrics
+from corianderhold.protocol.store.model import Log, LogPage, StreamName
 from corianderhold.state.configuration.holder import ConfigurationHolder
-from corianderhold.transport.store.model import Log, LogPage, StreamName
 
 
 class ReadOutcome(Enum):
--- a/corianderhold/coordination/configuration/replica.py
+++ b/corianderhold/coordination/configuration/replica.py
@@ -17,6 +17,7 @@
 from corianderhold.metrics import Metrics
 from corianderhold.protocol.configuration.const import DIGEST_BYTES
 from corianderhold.protocol.configuration.messages import Head
+from corianderhold.protocol.store.model import LogRecord
 from corianderhold.state.configuration.codec import decode_record
 from corianderhold.state.configuration.fold import (
     INITIAL_STATE,
@@ -31,7 +32,6 @@
     RememberedChange,
     SnapshotRecord,
 )
-from corianderhold.transport.store.model import LogRecord
 
 NewsListener = Callable[[], None]
 SnapshotListener = Callable[[SnapshotRecord], None]
--- a/corianderhold/coordination/configuration/snapshots.py
+++ b/corianderhold/coordination/configuration/snapshots.py
@@ -18,11 +18,11 @@
 from corianderhold.ids import Offset
 from corianderhold.log import log_event
 from corianderhold.protocol.configuration.messages import SnapshotMark
+from corianderhold.protocol.store.model import Log, StreamName
 from corianderhold.state.configuration.codec import encode_snapshot
 from corianderhold.state.configuration.fold import build_snapshot
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.configuration.records import SnapshotRecord
-from corianderhold.transport.store.model import Log, StreamName
 
 NO_SNAPSHOT = Offset(-1)
 
--- a/corianderhold/coordination/configuration/tail.py
+++ b/corianderhold/coordination/configuration/tail.py
@@ -4,7 +4,7 @@
 
 from corianderhold.coordination.configuration.const import SENT_RECORD_BYTES_MAX
 from corianderhold.ids import Offset
-from corianderhold.transport.store.model import LogRecord
+from corianderhold.protocol.store.model import LogRecord
 
 
 class Tail:
--- a/corianderhold/coordination/lease/follower.py
+++ b/corianderhold/coordination/lease/follower.py
@@ -8,9 +8,9 @@
 from corianderhold.coordination.lease.const import LOG_TIMEOUT_S, PAGE_LIMIT
 from corianderhold.ids import Offset
 from corianderhold.log import log_warning
+from corianderhold.protocol.store.model import Log, StreamName
 from corianderhold.state.lease.model import LeaseRecord
 from corianderhold.state.lease.texts import decode_record
-from corianderhold.transport.store.model import Log, StreamName
 
 
 @dataclass(frozen=True)
--- a/corianderhold/coordination/lease/manager.py
+++ b/corianderhold/coordination/lease/manager.py
@@ -34,10 +34,10 @@
 )
 from corianderhold.protocol.lease.model import PromiseAsk, PromiseReply
 from corianderhold.protocol.peer.control import ControlClient, ControlSender
+from corianderhold.protocol.store.model import AppendFailure, Log, StreamName
 from corianderhold.state.lease.model import Holder, LeaseRecord, LeaseRecordId, ShardId
 from corianderhold.state.lease.texts import encode_record
 from corianderhold.state.membership.model import Members, MemberState
-from corianderhold.transport.store.model import AppendFailure, Log, StreamName
 
 NEVER = float("-inf")
 
--- a/corianderhold/coordination/membership/service.py
+++ b/corianderhold/coordination/membership/service.py
@@ -45,6 +45,7 @@
 )
 from corianderhold.protocol.membership.seal import DatagramSeal
 from corianderhold.protocol.peer.control import ControlClient, ControlSender
+from corianderhold.protocol.store.model import Log
 from corianderhold.state.membership.model import (
     Address,
     Member,
@@ -53,7 +54,6 @@
 )
 from corianderhold.state.membership.target import TargetHolder, TargetStatus
 from corianderhold.transport.datagram.endpoint import DatagramEndpoint
-from corianderhold.transport.store.model import Log
 
 MemberListener = Callable[[Member], None]
 
--- a/corianderhold/coordination/membership/stream.py
+++ b/corianderhold/coordination/membership/stream.py
@@ -13,9 +13,7 @@
 from corianderhold.log import log_warning
 from corianderhold.protocol.membership.codec import decode_member, encode_member
 from corianderhold.protocol.membership.model import MalformedMessageError
-from corianderhold.state.membership.model import Address, Member, MemberState
-from corianderhold.state.membership.table import MemberView, compute_order
-from corianderhold.transport.store.model import (
+from corianderhold.protocol.store.model import (
     AppendFailure,
     Log,
     LogPage,
@@ -23,6 +21,8 @@
     ReadFailure,
     StreamName,
 )
+from corianderhold.state.membership.model import Address, Member, MemberState
+from corianderhold.state.membership.table import MemberView, compute_order
 
 
 class MemberStream:
--- a/corianderhold/coordination/membership/synchronizer.py
+++ b/corianderhold/coordination/membership/synchronizer.py
@@ -41,9 +41,9 @@
     SyncRequest,
 )
 from corianderhold.protocol.peer.control import ControlClient, ControlTopic
+from corianderhold.protocol.store.model import Log
 from corianderhold.state.membership.model import Address, Member
 from corianderhold.state.membership.table import MemberView
-from corianderhold.transport.store.model import Log
 
 
 class Synchronizer:
--- a/corianderhold/protocol/configuration/codec.py
+++ b/corianderhold/protocol/configuration/codec.py
@@ -17,7 +17,7 @@
     SnapshotPart,
     SnapshotQuery,
 )
-from corianderhold.transport.store.model import LogRecord
+from corianderhold.protocol.store.model import LogRecord
 
 PROTOCOL_FACTORY = TCompactProtocolAcceleratedFactory()
 
--- a/corianderhold/protocol/configuration/messages.py
+++ b/corianderhold/protocol/configuration/messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from corianderhold.ids import Offset, Version
-from corianderhold.transport.store.model import LogRecord
+from corianderhold.protocol.store.model import LogRecord
 
 
 @dataclass(frozen=True)
--- a/corianderhold/transport/store/client.py
+++ b/corianderhold/transport/store/client.py
@@ -17,6 +17,12 @@
 from corianderhold.clock import Clock
 from corianderhold.ids import Offset
 from corianderhold.log import log_warning
+from corianderhold.protocol.store.model import (
+    AppendFailure,
+    LogPage,
+    ReadFailure,
+    StreamName,
+)
 from corianderhold.transport.store.const import (
     CONNECT_TIMEOUT_S,
     CONNECTION_IDLE_LIMIT_S,
@@ -25,12 +31,6 @@
     READ_CHUNK_BYTES,
     SILENT_CONNECTION_SHARE,
 )
-from corianderhold.transport.store.model import (
-    AppendFailure,
-    LogPage,
-    ReadFailure,
-    StreamName,
-)
 from corianderhold.transport.store.schema import parse_appended, parse_page
 
 CREATED = 201
--- a/corianderhold/transport/store/schema.py
+++ b/corianderhold/transport/store/schema.py
@@ -6,7 +6,7 @@
 from voluptuous import All, Invalid, Length, Range, Schema
 
 from corianderhold.ids import Offset
-from corianderhold.transport.store.model import LogPage, LogRecord
+from corianderhold.protocol.store.model import LogPage, LogRecord
 
 
 def check_integer(value: object) -> int:
--- a/measurements/spread/changes.py
+++ b/measurements/spread/changes.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass, replace
 
 from corianderhold.ids import ChangeId, KeyId, Version
+from corianderhold.protocol.store.model import Log, StreamName
 from corianderhold.state.configuration.codec import encode_change
 from corianderhold.state.configuration.records import ChangeRecord, Delta
-from corianderhold.transport.store.model import Log, StreamName
 from tests.common.changes import RADIO_KEY
 
 RETENTION_S = 86_400.0
--- a/measurements/spread/cold_start.py
+++ b/measurements/spread/cold_start.py
@@ -8,11 +8,11 @@
 from corianderhold.coordination.configuration.follower import ConfigurationFollower
 from corianderhold.ids import FailureDomainId, InstanceId, KeyId, OrganisationId
 from corianderhold.metrics import Metrics
+from corianderhold.protocol.store.model import StreamName
 from corianderhold.state.configuration.codec import encode_snapshot
 from corianderhold.state.configuration.fold import build_snapshot
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.configuration.model import ApiKey
-from corianderhold.transport.store.model import StreamName
 from measurements.spread.changes import (
     LOG_TIMEOUT_S,
     RETENTION_S,
--- a/measurements/spread/threads.py
+++ b/measurements/spread/threads.py
@@ -18,11 +18,11 @@
     ControlSender,
     ControlTopic,
 )
+from corianderhold.protocol.store.model import Log
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.configuration.records import ChangeRecord
 from corianderhold.state.membership.model import Address, Member
 from corianderhold.transport.store.client import HttpLog
-from corianderhold.transport.store.model import Log
 from emulator.store import Store
 from emulator.web import WebServer
 from measurements.spread.changes import (
--- a/tests/common/faults.py
+++ b/tests/common/faults.py
@@ -5,7 +5,7 @@
 from result import Err, Result
 
 from corianderhold.ids import Offset
-from corianderhold.transport.store.model import (
+from corianderhold.protocol.store.model import (
     AppendFailure,
     LogPage,
     ReadFailure,
--- a/tests/common/followers.py
+++ b/tests/common/followers.py
@@ -15,6 +15,7 @@
     ControlSender,
     ControlTopic,
 )
+from corianderhold.protocol.store.model import Log
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.membership.model import (
     Address,
@@ -22,7 +23,6 @@
     Members,
     TargetState,
 )
-from corianderhold.transport.store.model import Log
 from tests.common.clock import FakeClock
 
 FRAME_BYTES = 32
--- a/tests/common/log.py
+++ b/tests/common/log.py
@@ -5,7 +5,7 @@
 from result import Err, Ok, Result
 
 from corianderhold.ids import Offset
-from corianderhold.transport.store.model import (
+from corianderhold.protocol.store.model import (
     AppendFailure,
     LogPage,
     LogRecord,
--- a/tests/common/membership_fleet.py
+++ b/tests/common/membership_fleet.py
@@ -31,18 +31,18 @@
 from corianderhold.metrics import Metrics
 from corianderhold.protocol.peer.control import ControlTopic
 from corianderhold.protocol.peer.messages import CallHead, LoadReport
+from corianderhold.protocol.store.model import (
+    AppendFailure,
+    LogPage,
+    ReadFailure,
+    StreamName,
+)
 from corianderhold.state.membership.model import Address, Member
 from corianderhold.transport.peer.control import LinkControlClient
 from corianderhold.transport.peer.handshake import Identity
 from corianderhold.transport.peer.link import Link
 from corianderhold.transport.peer.pool import LinkPool
 from corianderhold.transport.peer.server import PeerServer
-from corianderhold.transport.store.model import (
-    AppendFailure,
-    LogPage,
-    ReadFailure,
-    StreamName,
-)
 from tests.common.ports import PortReservation
 
 DOMAINS = 15
--- a/tests/common/rate_fleet.py
+++ b/tests/common/rate_fleet.py
@@ -30,6 +30,12 @@
     ControlSender,
     ControlTopic,
 )
+from corianderhold.protocol.store.model import (
+    AppendFailure,
+    LogPage,
+    ReadFailure,
+    StreamName,
+)
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.configuration.model import Configuration, Organisation
 from corianderhold.state.lease.model import Holder
@@ -39,12 +45,6 @@
     MemberState,
     TargetState,
 )
-from corianderhold.transport.store.model import (
-    AppendFailure,
-    LogPage,
-    ReadFailure,
-    StreamName,
-)
 from tests.common.clock import FakeClock
 from tests.common.log import FakeLog
 
--- a/tests/coordination/configuration/case.py
+++ b/tests/coordination/configuration/case.py
@@ -6,9 +6,9 @@
 
 from corianderhold.coordination.configuration.publisher import Published, Publisher
 from corianderhold.ids import Offset, ServiceName
+from corianderhold.protocol.store.model import StreamName
 from corianderhold.state.configuration.model import Service
 from corianderhold.state.configuration.records import Delta
-from corianderhold.transport.store.model import StreamName
 from tests.common.changes import BASE, make_change, make_text
 from tests.common.faults import FaultyLog
 from tests.common.followers import Daemon, Fleet
--- a/tests/coordination/configuration/test_exchange.py
+++ b/tests/coordination/configuration/test_exchange.py
@@ -26,9 +26,9 @@
     SnapshotQuery,
 )
 from corianderhold.protocol.peer.control import ControlFailure, ControlSender
+from corianderhold.protocol.store.model import LogRecord, StreamName
 from corianderhold.state.configuration.model import Configuration
 from corianderhold.state.membership.model import Address
-from corianderhold.transport.store.model import LogRecord, StreamName
 from tests.common.changes import BASE, make_text
 from tests.common.followers import Daemon, Fleet
 from tests.common.log import FakeLog
--- a/tests/coordination/configuration/test_history.py
+++ b/tests/coordination/configuration/test_history.py
@@ -10,9 +10,9 @@
 from corianderhold.coordination.configuration.history import History
 from corianderhold.coordination.configuration.tail import Tail
 from corianderhold.ids import ChangeId, Offset, Version
+from corianderhold.protocol.store.model import LogRecord
 from corianderhold.state.configuration.fold import FoldOutcome, OutcomeKind
 from corianderhold.state.configuration.records import Delta
-from corianderhold.transport.store.model import LogRecord
 from tests.common.changes import RADIO_KEY, make_text
 
 ACCEPTED = FoldOutcome(OutcomeKind.ACCEPTED, Offset(0), Version(1))
--- a/tests/coordination/configuration/test_spread.py
+++ b/tests/coordination/configuration/test_spread.py
@@ -5,10 +5,10 @@
 
 from corianderhold.ids import KeyId, Offset
 from corianderhold.protocol.peer.const import FRAME_BYTES_MAX
+from corianderhold.protocol.store.model import StreamName
 from corianderhold.state.configuration.codec import encode_snapshot
 from corianderhold.state.configuration.fold import build_snapshot
 from corianderhold.state.configuration.records import Delta
-from corianderhold.transport.store.model import StreamName
 from tests.common.changes import RADIO_KEY, make_text
 from tests.coordination.configuration.case import (
     RETENTION_S,
--- a/tests/coordination/lease/test_manager.py
+++ b/tests/coordination/lease/test_manager.py
@@ -18,7 +18,7 @@
 )
 from corianderhold.protocol.lease.model import PromiseAsk, PromiseRequest
 from corianderhold.protocol.peer.control import ControlSender
-from corianderhold.transport.store.model import StreamName
+from corianderhold.protocol.store.model import StreamName
 from tests.common.rate_fleet import Node, RateFleet
 
 ARCHIVE = OrganisationId("archive")
--- a/tests/coordination/membership/test_service.py
+++ b/tests/coordination/membership/test_service.py
@@ -28,6 +28,7 @@
     ControlSender,
     ControlTopic,
 )
+from corianderhold.protocol.store.model import StreamName
 from corianderhold.state.membership.model import (
     Address,
     Member,
@@ -36,7 +37,6 @@
     TargetState,
 )
 from corianderhold.transport.datagram.endpoint import DatagramEndpoint
-from corianderhold.transport.store.model import StreamName
 from tests.common.log import FakeLog
 from tests.common.waiting import wait_until
 
--- a/tests/coordination/membership/test_sync.py
+++ b/tests/coordination/membership/test_sync.py
@@ -21,9 +21,9 @@
 )
 from corianderhold.protocol.membership.codec import encode_reply
 from corianderhold.protocol.membership.model import SyncRecord, SyncRequest
+from corianderhold.protocol.store.model import StreamName
 from corianderhold.state.membership.model import MemberState
 from corianderhold.state.membership.table import MemberTable
-from corianderhold.transport.store.model import StreamName
 from tests.common.log import FakeLog
 from tests.common.membership import build_member
 
--- a/tests/transport/store/test_client.py
+++ b/tests/transport/store/test_client.py
@@ -8,14 +8,14 @@
 
 from corianderhold.clock import SystemClock
 from corianderhold.ids import Offset
-from corianderhold.transport.store.client import HttpLog
-from corianderhold.transport.store.model import (
+from corianderhold.protocol.store.model import (
     AppendFailure,
     LogPage,
     LogRecord,
     ReadFailure,
     StreamName,
 )
+from corianderhold.transport.store.client import HttpLog
 
 STREAM = StreamName.CONFIGURATION
 TIMEOUT_S = 0.4
