--- a/corianderhold/coordination/entry/choice.py
+++ b/corianderhold/coordination/entry/choice.py
@@ -172,13 +172,6 @@
                 view.reported_at = now
             judge_outcome(view, outcome, now)
 
-    def forget_missing(self, present: frozenset[InstanceId]) -> None:
-        """Forget owners that are no members any more."""
-        with self._lock:
-            for instance in list(self._views):
-                if instance not in present:
-                    del self._views[instance]
-
     def _view(self, instance: InstanceId) -> OwnerView:
         return self._views.get(instance, UNKNOWN_OWNER)
 
--- a/corianderhold/coordination/membership/service.py
+++ b/corianderhold/coordination/membership/service.py
@@ -225,11 +225,6 @@
         self._target.drain()
         self._endpoint.wake()
 
-    def withdraw_target(self) -> None:
-        """Forget the local target, which has ended, and say so."""
-        self._target.withdraw()
-        self._endpoint.wake()
-
     def read_target(self) -> TargetStatus:
         """
         Return the local target at this moment, exact even if gossip has stalled.
--- a/corianderhold/state/configuration/records.py
+++ b/corianderhold/state/configuration/records.py
@@ -1,6 +1,6 @@
 """Define the records of the configuration stream."""
 
-from dataclasses import dataclass, field, fields
+from dataclasses import dataclass, field
 from enum import Enum
 
 from corianderhold.ids import (
@@ -54,11 +54,6 @@
     removed_organisations: tuple[OrganisationId, ...] = ()
     removed_keys: tuple[KeyId, ...] = ()
 
-    @property
-    def is_empty(self) -> bool:
-        """Whether the delta changes nothing."""
-        return not any(getattr(self, each.name) for each in fields(self))
-
 
 @dataclass(frozen=True)
 class Draft:
--- a/tests/common/calls.py
+++ b/tests/common/calls.py
@@ -1,6 +1,9 @@
 """Make call contexts and members for tests."""
 
-from corianderhold.coordination.call import CallContext
+from result import Err, Result
+
+from corianderhold.coordination.call import Answer, CallContext, RequestBody
+from corianderhold.coordination.retry import RetryBudget
 from corianderhold.ids import (
     CallId,
     FailureDomainId,
@@ -12,11 +15,25 @@
     RouteName,
     ServiceName,
 )
+from corianderhold.protocol.verdict import Reason, Refusal, refuse_not_run
 from corianderhold.state.membership.model import Address, Member, TargetState
 
 CATALOGUE = ServiceName("catalogue")
 
 
+class RefusingRouter:
+    """Refuse every call as not run."""
+
+    def route(
+        self, context: CallContext, body: RequestBody, retries: RetryBudget
+    ) -> Result[Answer, Refusal]:
+        """Refuse for want of a target."""
+        return Err(refuse_not_run(Reason.NO_TARGET))
+
+    def cancel(self, call_id: CallId) -> None:
+        """Have nothing to cancel."""
+
+
 def make_context(
     call_id: str = "c1",
     importance: int = 1,
