Define header names and target announcements that deployments fill in

Cause: the users' platform names its headers and its targets' starts itself. Change: HeaderNames and TargetAnnouncement, not used yet; the parts that use them follow. No measurement: no behaviour changes.

--- a/corianderhold/protocol/headers.py
+++ b/corianderhold/protocol/headers.py
@@ -1,5 +1,7 @@
 """Name the headers between callers, daemons and targets."""
 
+from dataclasses import dataclass
+
 HEADER_PREFIX = "x-corianderhold-"
 HEADER_VERDICT = "X-Corianderhold-Verdict"
 HEADER_REASON = "X-Corianderhold-Reason"
@@ -8,6 +10,10 @@
 HEADER_ORGANISATION = "X-Corianderhold-Organisation"
 HEADER_IMPORTANCE = "X-Corianderhold-Importance"
 HEADER_DEADLINE_MS = "X-Corianderhold-Deadline-Ms"
+HEADER_CALLER_SERVICE = "X-Corianderhold-Caller-Service"
+HEADER_EXPECTED_TARGET = "X-Corianderhold-Expected-Target"
+HEADER_NOT_RUN = "X-Corianderhold-Not-Run"
+HEADER_REQUEST_ID = "X-Request-Id"
 HEADER_AUTHORIZATION = "Authorization"
 HEADER_IDEMPOTENCY_KEY = "Idempotency-Key"
 HEADER_RETRY_AFTER = "Retry-After"
@@ -40,3 +46,25 @@
     """Return whether a target's header is passed on to a caller."""
     lowered = name.lower()
     return lowered not in HOP_BY_HOP and not lowered.startswith(HEADER_PREFIX)
+
+
+@dataclass(frozen=True)
+class HeaderNames:
+    """
+    The names of the headers that a deployment may call otherwise.
+
+    `request_id` comes from the caller, goes to the target unchanged and comes back
+    with its answer. `deadline_ms` comes from the caller and goes to the target with
+    the milliseconds that are left. `caller_service` is the service beside the entry.
+    A target that is not the one named in `expected_target` refuses with 421; one that
+    has not run a request says so with `not_run`.
+    """
+
+    request_id: str = HEADER_REQUEST_ID
+    deadline_ms: str = HEADER_DEADLINE_MS
+    organisation: str = HEADER_ORGANISATION
+    importance: str = HEADER_IMPORTANCE
+    context: str = HEADER_CONTEXT
+    caller_service: str = HEADER_CALLER_SERVICE
+    expected_target: str = HEADER_EXPECTED_TARGET
+    not_run: str = HEADER_NOT_RUN
--- a/corianderhold/state/membership/target.py
+++ b/corianderhold/state/membership/target.py
@@ -18,6 +18,27 @@
     address: Address | None = None
 
 
+@dataclass(frozen=True)
+class TargetAnnouncement:
+    """
+    What a target says of itself in one heartbeat.
+
+    `target_id` names the target, which may start again under the same id; `started`
+    orders its starts and `sequence` its heartbeats within one start, both None where
+    the target does not say. `slots` is how many calls it runs at once, None if unknown.
+    `cold_s` is for how many more seconds it is slow after its start.
+    """
+
+    service: ServiceName
+    address: Address
+    draining: bool = False
+    target_id: str | None = None
+    started: int | None = None
+    sequence: int | None = None
+    slots: int | None = None
+    cold_s: float = 0.0
+
+
 ABSENT_TARGET = TargetStatus(TargetState.ABSENT)
 
 
