Let a read of the log wait for a record, and know streams that others write

Cause: followers poll the log once a second and lease holders every 0.7 s, and each call to a platform's store has a price. A deployment's operators may also write the configuration stream with a tool of their own; daemons must not append to it then.

Ruled out: a setting (retention_s = 0) for streams that are kept for good: whether a stream may be written is known to the log's client, and a setting could contradict it.

Change: Log.read takes wait_s (long polling); HttpLog passes it on as wait_ms and sends such a read once. The stand-in holds the answer. Log.read_only names streams that others write: SnapshotKeeper appends nothing to them and Publisher refuses with read_only (409).

--- a/corianderhold/coordination/configuration/publisher.py
+++ b/corianderhold/coordination/configuration/publisher.py
@@ -49,6 +49,7 @@
     CHANGE_ID_USED = "change_id_used"
     NOT_APPENDED = "not_appended"
     NOT_REMEMBERED = "not_remembered"
+    READ_ONLY = "read_only"
 
 
 REASONS = {
@@ -104,10 +105,10 @@
     def publish(self, change: ChangeRecord, timeout_s: float) -> Published:
         """Publish one change and wait for its outcome, up to a time-out."""
         deadline = self._clock.read_monotonic() + timeout_s
-        self._follower.read_log()
-        published = self._check(change)
+        published = self._refuse_read_only(change)
         if published is None:
-            published = self._append(change, deadline)
+            self._follower.read_log()
+            published = self._check(change) or self._append(change, deadline)
         self._note_refused(published)
         log_event(
             "change_published",
@@ -159,6 +160,18 @@
             if len(self._refused) > HISTORY_ENTRIES_MAX:
                 self._refused.popitem(last=False)
 
+    def _refuse_read_only(self, change: ChangeRecord) -> Published | None:
+        """Refuse the change where the operators' own tool writes the stream."""
+        if StreamName.CONFIGURATION not in self._log.read_only:
+            return None
+        return Published(
+            PublishOutcome.REFUSED,
+            change.change_id,
+            self._replica.state.version,
+            reason=RefusalReason.READ_ONLY,
+            detail="this deployment's configuration is written to the log directly",
+        )
+
     def _check(self, change: ChangeRecord) -> Published | None:
         """Return the outcome where it is certain before anything is appended."""
         entry = self._replica.history.find(change.change_id)
--- a/corianderhold/coordination/configuration/snapshots.py
+++ b/corianderhold/coordination/configuration/snapshots.py
@@ -32,7 +32,8 @@
     Know the best snapshot in the log and append the next one in turn.
 
     Daemons take turns by their rank for the last snapshot, so that the first one
-    usually writes alone. `retention_s` is how long the log keeps a record.
+    usually writes alone. `retention_s` is how long the log keeps a record. Nothing is
+    appended to a stream that is read-only.
     """
 
     def __init__(
@@ -108,6 +109,8 @@
         self._due_since = None
 
     def _is_due(self, now: float) -> bool:
+        if StreamName.CONFIGURATION in self._log.read_only:
+            return False
         state = self._replica.state
         with self._lock:
             continued_at = self._folded_to + 1
--- a/corianderhold/protocol/store/model.py
+++ b/corianderhold/protocol/store/model.py
@@ -56,12 +56,30 @@
 class Log(Protocol):
     """Append to and read from the platform's log."""
 
+    @property
+    def read_only(self) -> frozenset[StreamName]:
+        """
+        Return the streams that others write.
+
+        No daemon appends to them, and the log keeps their newest record for good.
+        """
+
     def append(
         self, stream: StreamName, data: str, timeout_s: float
     ) -> Result[Offset, AppendFailure]:
         """Append one record and return its offset."""
 
     def read(
-        self, stream: StreamName, from_offset: Offset, limit: int, timeout_s: float
+        self,
+        stream: StreamName,
+        from_offset: Offset,
+        limit: int,
+        timeout_s: float,
+        wait_s: float = 0.0,
     ) -> Result[LogPage, ReadFailure]:
-        """Return up to `limit` records, starting at `from_offset` or the oldest."""
+        """
+        Return up to `limit` records, starting at `from_offset` or the oldest.
+
+        A log may hold its answer up to `wait_s` until there is a record; `timeout_s`
+        is the time for the answer beyond that.
+        """
--- a/corianderhold/transport/store/client.py
+++ b/corianderhold/transport/store/client.py
@@ -55,10 +55,12 @@
     """
     Implement `Log` over the HTTP interface of the platform's log.
 
-    An append is sent once. A read that meets a silent connection is repeated on a
-    fresh one within its time-out.
+    An append is sent once, and so is a read that waits. Any other read that meets a
+    silent connection is repeated on a fresh one within its time-out.
     """
 
+    read_only: frozenset[StreamName] = frozenset()
+
     def __init__(self, base_url: str, clock: Clock) -> None:
         self._base_url = base_url
         self._clock = clock
@@ -82,12 +84,21 @@
         return judge_append(answer)
 
     def read(
-        self, stream: StreamName, from_offset: Offset, limit: int, timeout_s: float
+        self,
+        stream: StreamName,
+        from_offset: Offset,
+        limit: int,
+        timeout_s: float,
+        wait_s: float = 0.0,
     ) -> Result[LogPage, ReadFailure]:
-        """Return up to `limit` records, starting at `from_offset` or the oldest."""
+        """Return records; a read that waits for one is sent once."""
         path = f"/v1/streams/{stream.value}/records?from={from_offset}&limit={limit}"
         try:
-            answer = self._read_repeatedly(path, timeout_s)
+            if wait_s > 0:
+                path += f"&wait_ms={wait_s * 1000:.0f}"
+                answer = self._exchange("GET", path, None, wait_s + timeout_s)
+            else:
+                answer = self._read_repeatedly(path, timeout_s)
         except HTTPError as error:
             self._replace_connections(error)
             return Err(ReadFailure.UNAVAILABLE)
--- a/emulator/store.py
+++ b/emulator/store.py
@@ -19,7 +19,7 @@
 FAULTS_PATH = "/v1/faults"
 COUNTS_PATH = "/v1/counts"
 DEFAULT_LIMIT = 1000
-WORKER_THREADS = 32
+WORKER_THREADS = 128  # a read that waits holds one
 
 
 @dataclass
@@ -54,12 +54,19 @@
     """Answer the requests of the log service's interface (see store_api)."""
 
     def __init__(self) -> None:
-        self._lock = threading.Lock()
+        self._lock = threading.Condition()
+        self._stopped = False
         self._streams: dict[str, Stream] = {}
         self._faults = StoreFaults()
         self._appends = 0
         self._reads = 0
 
+    def stop(self) -> None:
+        """Answer the reads that wait."""
+        with self._lock:
+            self._stopped = True
+            self._lock.notify_all()
+
     def handle(self, request: Request) -> Answer:
         """Route one request."""
         if request.path == FAULTS_PATH:
@@ -84,6 +91,7 @@
             offset = stream.next_offset
             stream.records.append(body.decode())
             self._appends += 1
+            self._lock.notify_all()
         if faults.lose_answers:
             raise close_connection()
         return answer_json(201, {"offset": offset})
@@ -91,8 +99,12 @@
     def _read(self, name: str, request: Request) -> Answer:
         start = int(request.read_query("from", "0"))
         limit = int(request.read_query("limit", str(DEFAULT_LIMIT)))
+        wait_s = int(request.read_query("wait_ms", "0")) / 1000
         with self._lock:
             self._reads += 1
+            self._lock.wait_for(lambda: self._is_answer_due(name, start), wait_s)
+            if self._faults.down:
+                raise close_connection()
             stream = self._streams.get(name, Stream())
             start = max(start, stream.first)
             index = start - stream.first
@@ -103,6 +115,11 @@
             first, following = stream.first, stream.next_offset
         return answer_json(200, {"first": first, "next": following, "records": page})
 
+    def _is_answer_due(self, name: str, start: int) -> bool:
+        """Whether a read need not wait (any longer) for a record."""
+        stream = self._streams.get(name, Stream())
+        return start < stream.next_offset or self._faults.down or self._stopped
+
     def _set_faults(self, request: Request) -> Answer:
         wanted = json.loads(request.read_body() or b"{}")
         known = ("down", "delay_ms", "lose_answers")
@@ -111,6 +128,7 @@
             self._faults = replace(self._faults, **changes)
             for name, before in wanted.get("truncate_before", {}).items():
                 self._streams.setdefault(name, Stream()).truncate(before)
+            self._lock.notify_all()
         return Answer(204, (), 0)
 
 
@@ -122,8 +140,10 @@
     :param port: port to listen on; 0 lets the system choose
     """
     server = WebServer("store", host, port, WORKER_THREADS)
-    server.bind(Store())
+    handler = Store()
+    server.bind(handler)
     server.start()
     server.print_listening()
     wait_for_signal()
+    handler.stop()
     server.stop()
--- a/tests/common/faults.py
+++ b/tests/common/faults.py
@@ -30,6 +30,10 @@
         self._log = log
         self._clock = clock
 
+    @property
+    def read_only(self) -> frozenset[StreamName]:
+        return self._log.read_only
+
     def append(
         self, stream: StreamName, data: str, timeout_s: float
     ) -> Result[Offset, AppendFailure]:
@@ -51,13 +55,18 @@
         return outcome
 
     def read(
-        self, stream: StreamName, from_offset: Offset, limit: int, timeout_s: float
+        self,
+        stream: StreamName,
+        from_offset: Offset,
+        limit: int,
+        timeout_s: float,
+        wait_s: float = 0.0,
     ) -> Result[LogPage, ReadFailure]:
         """Read a page under the faults that are set."""
         self._clock.advance(min(self.delay_s, timeout_s))
         if self.cut or self.delay_s > timeout_s:
             return Err(ReadFailure.UNAVAILABLE)
-        page = self._log.read(stream, from_offset, limit, timeout_s)
+        page = self._log.read(stream, from_offset, limit, timeout_s, wait_s)
         self._clock.advance(self.answer_delay_s)
         return page
 
--- a/tests/common/log.py
+++ b/tests/common/log.py
@@ -19,6 +19,7 @@
 
     def __init__(self) -> None:
         self.down = False
+        self.read_only: frozenset[StreamName] = frozenset()
         self.lose_append_answers = False
         self._lock = threading.Lock()
         self._records: dict[StreamName, list[LogRecord]] = {}
@@ -40,9 +41,14 @@
             return Ok(offset)
 
     def read(
-        self, stream: StreamName, from_offset: Offset, limit: int, timeout_s: float
+        self,
+        stream: StreamName,
+        from_offset: Offset,
+        limit: int,
+        timeout_s: float,
+        wait_s: float = 0.0,
     ) -> Result[LogPage, ReadFailure]:
-        """Return a page unless the log is down."""
+        """Return a page at once unless the log is down."""
         with self._lock:
             self.reads += 1
             if self.down:
--- a/tests/common/membership_fleet.py
+++ b/tests/common/membership_fleet.py
@@ -58,6 +58,8 @@
 class EmptyLog:
     """Take every append and show none, so that only gossip connects the fleet."""
 
+    read_only: frozenset[StreamName] = frozenset()
+
     def append(
         self, stream: StreamName, data: str, timeout_s: float
     ) -> Result[Offset, AppendFailure]:
@@ -65,7 +67,12 @@
         return Ok(Offset(0))
 
     def read(
-        self, stream: StreamName, from_offset: Offset, limit: int, timeout_s: float
+        self,
+        stream: StreamName,
+        from_offset: Offset,
+        limit: int,
+        timeout_s: float,
+        wait_s: float = 0.0,
     ) -> Result[LogPage, ReadFailure]:
         """Return an empty page."""
         return Ok(LogPage(Offset(0), Offset(0), ()))
--- a/tests/common/rate_fleet.py
+++ b/tests/common/rate_fleet.py
@@ -126,6 +126,7 @@
     log: FakeLog
     network: Network
     domain: FailureDomainId
+    read_only: frozenset[StreamName] = frozenset()
 
     def append(
         self, stream: StreamName, data: str, timeout_s: float
@@ -137,12 +138,17 @@
         return Err(AppendFailure.UNKNOWN) if self.network.loses() else answer
 
     def read(
-        self, stream: StreamName, from_offset: Offset, limit: int, timeout_s: float
+        self,
+        stream: StreamName,
+        from_offset: Offset,
+        limit: int,
+        timeout_s: float,
+        wait_s: float = 0.0,
     ) -> Result[LogPage, ReadFailure]:
         """Read unless the domain is cut off."""
         if not self.network.connects(self.domain, STORE) or self.network.loses():
             return Err(ReadFailure.UNAVAILABLE)
-        return self.log.read(stream, from_offset, limit, timeout_s)
+        return self.log.read(stream, from_offset, limit, timeout_s, wait_s)
 
 
 class Node:
--- a/tests/coordination/configuration/test_spread.py
+++ b/tests/coordination/configuration/test_spread.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 from zlib import crc32
 
+from corianderhold.coordination.configuration.publisher import RefusalReason
 from corianderhold.ids import KeyId, Offset
 from corianderhold.protocol.peer.const import FRAME_BYTES_MAX
 from corianderhold.protocol.store.model import StreamName
@@ -154,6 +155,15 @@
         self.assertEqual(self.count_snapshots(), 1)
         self.settle()
 
+    def test_nothing_is_appended_to_a_read_only_stream(self) -> None:
+        self.log.read_only = frozenset({STREAM})
+        published = self.publish(self.get_daemon(0), "x", 1, 5)
+        self.assertEqual(published.reason, RefusalReason.READ_ONLY)
+        self.append_changes(1, 300)
+        self.fleet.run(120.0)
+        self.assertEqual(self.count_snapshots(), 0)
+        self.assertEqual(sum(way.appends for way in self.ways.values()), 0)
+
     def test_snapshot_is_renewed_well_before_retention_ends(self) -> None:
         self.fleet.run(RETENTION_S / 4 + 600.0)
         self.assertEqual(self.count_snapshots(), 1)
--- a/tests/emulator/test_store.py
+++ b/tests/emulator/test_store.py
@@ -1,6 +1,8 @@
 """Test the stand-in of the log service and its faults."""
 
 import json
+from queue import Empty, SimpleQueue
+from threading import Thread
 from unittest import TestCase
 
 import urllib3
@@ -49,12 +51,21 @@
         self.assertEqual(self._read(0), (2, 3, ["three"]))
         self.assertEqual(self._append("four"), 3)
 
+    def test_read_that_waits_is_answered_by_the_next_record(self) -> None:
+        answers: SimpleQueue[tuple[int, int, list[str]]] = SimpleQueue()
+        Thread(target=lambda: answers.put(self._read(0, 5_000)), daemon=True).start()
+        with self.assertRaises(Empty):
+            answers.get(timeout=0.2)
+        self._append("one")
+        self.assertEqual(answers.get(timeout=4), (0, 1, ["one"]))
+        self.assertEqual(self._read(1, 50), (0, 1, []))
+
     def _append(self, text: str) -> int:
         answer = self._pool.request("POST", self._base + RECORDS, body=text)
         return int(answer.json()["offset"])
 
-    def _read(self, start: int) -> tuple[int, int, list[str]]:
-        url = f"{self._base}{RECORDS}?from={start}"
+    def _read(self, start: int, wait_ms: int = 0) -> tuple[int, int, list[str]]:
+        url = f"{self._base}{RECORDS}?from={start}&wait_ms={wait_ms}"
         page = self._pool.request("GET", url).json()
         return page["first"], page["next"], [r["data"] for r in page["records"]]
 
--- a/tests/transport/store/test_client.py
+++ b/tests/transport/store/test_client.py
@@ -125,6 +125,13 @@
         self.assertTrue(log.read(STREAM, Offset(0), 1, TIMEOUT_S).is_ok())
         self.assertEqual(len(self.server.requests), 3)
 
+    def test_read_that_waits_asks_for_it_and_is_sent_once(self) -> None:
+        log = self.start(None)
+        outcome = log.read(STREAM, Offset(4), 10, TIMEOUT_S, wait_s=0.1)
+        self.assertEqual(outcome, Err(ReadFailure.UNAVAILABLE))
+        self.assertEqual(len(self.server.requests), 1)
+        self.assertIn(b"from=4&limit=10&wait_ms=100 ", self.server.requests[0])
+
     def test_malformed_pages_are_reported(self) -> None:
         bodies = [
             "[",
