--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -42,6 +42,7 @@
 )
 from corianderhold.coordination.rate.shards import list_shards as list_rate_shards
 from corianderhold.core import Application
+from corianderhold.deployment import Deployment
 from corianderhold.drain import GracefulStop, TargetDrain
 from corianderhold.ids import Incarnation
 from corianderhold.metrics import Metrics
@@ -53,18 +54,18 @@
 from corianderhold.transport.peer.handshake import Identity
 from corianderhold.transport.peer.pool import LinkPool
 from corianderhold.transport.peer.server import PeerServer
-from corianderhold.transport.store.client import HttpLog
 from corianderhold.transport.web.server import WebServer
 from corianderhold.transport.web.target import TargetClient
 
 ADMIN_THREADS = 4
+PAGE_THREADS = 2
 THREAD_STACK_BYTES = 512 * 1024
 
 
-def build_daemon(settings: Settings) -> Application:
+def build_daemon(settings: Settings, deployment: Deployment) -> Application:
     """Build a daemon from its settings; nothing listens before it starts."""
     threading.stack_size(THREAD_STACK_BYTES)
-    return DaemonBuilder(settings).build()
+    return DaemonBuilder(settings, deployment).build()
 
 
 def draw_incarnation() -> Incarnation:
@@ -75,8 +76,9 @@
 class DaemonBuilder:
     """Build the parts of one daemon in the order in which they need each other."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, deployment: Deployment) -> None:
         self._settings = settings
+        self._deployment = deployment
         self._clock = SystemClock()
         self._random = Random(os.urandom(16))
         self._metrics = Metrics()
@@ -87,7 +89,7 @@
         )
         self._pool = LinkPool(self._identity, self._clock)
         self._control = LinkControlClient(self._pool)
-        self._log = HttpLog(f"http://{settings.store}", self._clock)
+        self._log = deployment.open_log(settings, self._clock)
         self._membership = self._build_membership()
         self._follower = self._build_follower()
         self._sender = PeerSender(self._pool, self._clock)
@@ -173,13 +175,35 @@
     ) -> list[WebServer]:
         listeners = self._settings.listeners
         admin = self._build_admin_api().mount()
-        return [
-            WebServer(
-                "outgoing", listeners.outgoing, outgoing, listeners.outgoing_threads
-            ),
+        servers = [
             WebServer("caller", listeners.caller, callers, listeners.caller_threads),
             WebServer("admin", listeners.admin, admin, ADMIN_THREADS),
+            *self._build_deployment_servers(),
         ]
+        if listeners.outgoing is not None:
+            threads = listeners.outgoing_threads
+            server = WebServer("outgoing", listeners.outgoing, outgoing, threads)
+            servers.insert(0, server)
+        return servers
+
+    def _build_deployment_servers(self) -> list[WebServer]:
+        """Build the listeners that this deployment adds to the product's own."""
+        listeners, deployment = self._settings.listeners, self._deployment
+        servers = []
+        if listeners.announce is not None and deployment.build_announce is not None:
+            announce = deployment.build_announce(self._membership)
+            servers.append(
+                WebServer("announce", listeners.announce, announce, PAGE_THREADS)
+            )
+        if listeners.readiness is not None and deployment.build_readiness is not None:
+            readiness = deployment.build_readiness(self._is_ready)
+            servers.append(
+                WebServer("readiness", listeners.readiness, readiness, PAGE_THREADS)
+            )
+        return servers
+
+    def _is_ready(self) -> bool:
+        return bool(self._holder.current.version)
 
     def _build_admin_api(self) -> AdminApi:
         settings = self._settings
--- a/corianderhold/cli/serve.py
+++ b/corianderhold/cli/serve.py
@@ -7,6 +7,7 @@
 
 from corianderhold.bootstrap import build_daemon
 from corianderhold.cli.const import EXIT_FAILED, EXIT_OK, EXIT_USAGE
+from corianderhold.deployment import Deployment
 from corianderhold.log import configure_logging, log_warning
 from corianderhold.settings.errors import SettingsError
 from corianderhold.settings.loader import load_settings
@@ -20,13 +21,18 @@
 
     :param settings: path of the INI settings file
     """
+    return run_daemon(Path(settings), Deployment())
+
+
+def run_daemon(path: Path, deployment: Deployment) -> int:
+    """Run the daemon of one deployment until it is stopped; return the exit code."""
     try:
-        checked = load_settings(Path(settings))
+        checked = load_settings(path)
     except SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_USAGE
     log_output = configure_logging(checked.log_level, checked.instance)
-    daemon = build_daemon(checked)
+    daemon = build_daemon(checked, deployment)
 
     def request_stop(number: int, frame: FrameType | None) -> None:
         daemon.request_stop()
--- a/corianderhold/settings/loader.py
+++ b/corianderhold/settings/loader.py
@@ -12,9 +12,11 @@
     CONF_ADDRESS,
     CONF_ADMIN,
     CONF_ADMIN_TOKEN,
+    CONF_ANNOUNCE,
     CONF_CALLER,
     CONF_CALLER_THREADS,
     CONF_DOMAIN,
+    CONF_DOMAINS,
     CONF_ENTRY_SLOTS,
     CONF_FLEET_SECRET,
     CONF_GOSSIP,
@@ -28,6 +30,7 @@
     CONF_OUTGOING_THREADS,
     CONF_PEER,
     CONF_PEER_ADVERTISED,
+    CONF_READINESS,
     CONF_REGION,
     CONF_RETENTION_S,
     CONF_SECURITY,
@@ -63,6 +66,10 @@
             continue
         options = dict(parser.items(name)) if parser.has_section(name) else {}
         checked[name] = check_section(path, name, options, faults)
+    listeners = checked.get(CONF_LISTENERS)
+    if listeners and not listeners.keys() & {CONF_OUTGOING, CONF_ANNOUNCE}:
+        option = f"{path}: [{CONF_LISTENERS}] {CONF_OUTGOING}"
+        faults.append(f"{option}: option is missing")
     if faults:
         raise SettingsError("\n".join(faults))
     return build_settings(checked)
@@ -117,11 +124,13 @@
         region=RegionId(instance[CONF_REGION]),
         listeners=Listeners(
             caller=listeners[CONF_CALLER],
-            outgoing=listeners[CONF_OUTGOING],
+            outgoing=listeners.get(CONF_OUTGOING),
             peer=listeners[CONF_PEER],
             peer_advertised=listeners.get(CONF_PEER_ADVERTISED) or listeners[CONF_PEER],
             gossip=listeners[CONF_GOSSIP],
             admin=listeners[CONF_ADMIN],
+            announce=listeners.get(CONF_ANNOUNCE),
+            readiness=listeners.get(CONF_READINESS),
             caller_threads=listeners[CONF_CALLER_THREADS],
             outgoing_threads=listeners[CONF_OUTGOING_THREADS],
         ),
@@ -129,6 +138,7 @@
         store=checked[CONF_STORE][CONF_ADDRESS],
         retention_s=checked[CONF_STORE][CONF_RETENTION_S],
         seeds=checked[CONF_MEMBERSHIP][CONF_SEEDS],
+        domains=checked[CONF_MEMBERSHIP][CONF_DOMAINS],
         entry_slots=checked[CONF_MEMBERSHIP][CONF_ENTRY_SLOTS],
         fleet_secret=security[CONF_FLEET_SECRET].encode(),
         admin_token=security[CONF_ADMIN_TOKEN],
--- a/corianderhold/settings/model.py
+++ b/corianderhold/settings/model.py
@@ -11,15 +11,18 @@
     """
     The addresses that a daemon listens on, and its HTTP thread counts.
 
-    Other daemons reach the peer listener at `peer_advertised`.
+    Other daemons reach the peer listener at `peer_advertised`. `outgoing`, `announce`
+    and `readiness` are None where the deployment does without them.
     """
 
     caller: Address
-    outgoing: Address
+    outgoing: Address | None
     peer: Address
     peer_advertised: Address
     gossip: Address
     admin: Address
+    announce: Address | None
+    readiness: Address | None
     caller_threads: int
     outgoing_threads: int
 
@@ -31,7 +34,8 @@
 
     `retention_s` is how long the log keeps a record, in seconds; `entry_slots` the
     highest number of daemons that ever run at once in this failure domain, for fixed
-    slices of the rates, or 0 for loans.
+    slices of the rates, or 0 for loans. `domains` names all failure domains of the
+    fleet where the deployment's configuration does not divide the rates itself.
     """
 
     instance: InstanceId
@@ -43,6 +47,7 @@
     retention_s: float
     seeds: tuple[Address, ...]
     entry_slots: int
+    domains: tuple[FailureDomainId, ...]
     fleet_secret: bytes = field(repr=False)
     admin_token: str = field(repr=False)
     log_level: str = "info"
--- a/corianderhold/settings/schema.py
+++ b/corianderhold/settings/schema.py
@@ -15,14 +15,16 @@
     Schema,
 )
 
-from corianderhold.ids import ServiceName
+from corianderhold.ids import FailureDomainId, ServiceName
 from corianderhold.settings.const import (
     CONF_ADDRESS,
     CONF_ADMIN,
     CONF_ADMIN_TOKEN,
+    CONF_ANNOUNCE,
     CONF_CALLER,
     CONF_CALLER_THREADS,
     CONF_DOMAIN,
+    CONF_DOMAINS,
     CONF_ENTRY_SLOTS,
     CONF_FLEET_SECRET,
     CONF_GOSSIP,
@@ -36,6 +38,7 @@
     CONF_OUTGOING_THREADS,
     CONF_PEER,
     CONF_PEER_ADVERTISED,
+    CONF_READINESS,
     CONF_REGION,
     CONF_RETENTION_S,
     CONF_SECURITY,
@@ -106,6 +109,12 @@
     return text
 
 
+def parse_domains(text: str) -> tuple[FailureDomainId, ...]:
+    """Return the comma-separated failure domains in `text`."""
+    names = [part.strip() for part in text.split(",") if part.strip()]
+    return tuple(FailureDomainId(parse_name(name)) for name in names)
+
+
 def parse_service(text: str) -> ServiceName | None:
     """Return the service's name, or None for an empty text."""
     return ServiceName(parse_name(text)) if text else None
@@ -126,11 +135,13 @@
     CONF_LISTENERS: Schema(
         {
             Required(CONF_CALLER): parse_address,
-            Required(CONF_OUTGOING): parse_loopback,
+            Optional(CONF_OUTGOING): parse_loopback,
             Required(CONF_PEER): parse_address,
             Optional(CONF_PEER_ADVERTISED): parse_address,
             Required(CONF_GOSSIP): parse_address,
             Required(CONF_ADMIN): parse_address,
+            Optional(CONF_ANNOUNCE): parse_address,
+            Optional(CONF_READINESS): parse_address,
             Optional(CONF_CALLER_THREADS, default=DEFAULT_CALLER_THREADS): THREADS,
             Optional(CONF_OUTGOING_THREADS, default=DEFAULT_OUTGOING_THREADS): THREADS,
         }
@@ -148,6 +159,7 @@
     CONF_MEMBERSHIP: Schema(
         {
             Optional(CONF_SEEDS, default=""): parse_addresses,
+            Optional(CONF_DOMAINS, default=""): parse_domains,
             Optional(CONF_ENTRY_SLOTS, default=DEFAULT_ENTRY_SLOTS): All(
                 Coerce(int, msg=ENTRY_SLOTS_ACCEPTED),
                 Range(min=0, max=10_000, msg=ENTRY_SLOTS_ACCEPTED),
--- /dev/null
+++ b/corianderhold/transport/store/http.py
@@ -0,0 +1,119 @@
+"""Exchange requests with the platform's store over HTTP."""
+
+import threading
+from dataclasses import dataclass
+
+from urllib3 import HTTPConnectionPool, Timeout
+from urllib3.connectionpool import connection_from_url
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+    ReadTimeoutError,
+)
+
+from corianderhold.clock import Clock
+from corianderhold.log import log_warning
+from corianderhold.transport.store.const import (
+    CONNECT_TIMEOUT_S,
+    CONNECTION_IDLE_LIMIT_S,
+    CONNECTIONS_KEPT,
+    PAGE_LIMIT_BYTES,
+    READ_CHUNK_BYTES,
+    SILENT_CONNECTION_SHARE,
+)
+
+CONTENT_TYPE = "text/plain; charset=utf-8"
+
+
+class AnswerTooLongError(HTTPError):
+    """An answer exceeded the time or size allowed for it."""
+
+
+@dataclass(frozen=True)
+class HttpAnswer:
+    """Status and whole body of an answer."""
+
+    status: int
+    body: bytes
+
+
+class HttpStore:
+    """Send requests on kept connections, which are replaced once one goes silent."""
+
+    def __init__(self, base_url: str, clock: Clock) -> None:
+        self._base_url = base_url
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._pool = self._open_pool()
+        self._used_at = clock.read_monotonic()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        self._pool.close()
+
+    def read_repeatedly(self, path: str, timeout_s: float) -> HttpAnswer:
+        """Read, and once more on a fresh connection when the first is silent."""
+        started = self._clock.read_monotonic()
+        try:
+            return self.exchange("GET", path, None, timeout_s * SILENT_CONNECTION_SHARE)
+        except (NewConnectionError, ConnectTimeoutError):
+            raise
+        except HTTPError as error:
+            self.replace_connections(error)
+        left_s = started + timeout_s - self._clock.read_monotonic()
+        if left_s <= 0:
+            raise AnswerTooLongError("no time left for a second read")
+        return self.exchange("GET", path, None, left_s)
+
+    def exchange(
+        self, method: str, path: str, body: bytes | None, timeout_s: float
+    ) -> HttpAnswer:
+        """Send one request and return the whole answer; raise HTTPError."""
+        deadline = self._clock.read_monotonic() + timeout_s
+        response = self._pick_pool().urlopen(
+            method,
+            path,
+            body=body,
+            headers={"Content-Type": CONTENT_TYPE} if body else None,
+            retries=False,
+            redirect=False,
+            preload_content=False,
+            timeout=Timeout(connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s),
+        )
+        try:
+            chunks = []
+            length = 0
+            for chunk in response.stream(READ_CHUNK_BYTES):
+                chunks.append(chunk)
+                length += len(chunk)
+                late = self._clock.read_monotonic() > deadline
+                if late or length > PAGE_LIMIT_BYTES:
+                    raise AnswerTooLongError(f"answer of {length} bytes is too long")
+        except HTTPError:
+            response.close()
+            raise
+        response.release_conn()
+        return HttpAnswer(response.status, b"".join(chunks))
+
+    def _pick_pool(self) -> HTTPConnectionPool:
+        """Return the pool, a fresh one when its connections were idle for long."""
+        now = self._clock.read_monotonic()
+        with self._lock:
+            if now - self._used_at > CONNECTION_IDLE_LIMIT_S:
+                self._pool.close()
+                self._pool = self._open_pool()
+            self._used_at = now
+            return self._pool
+
+    def replace_connections(self, error: HTTPError) -> None:
+        """Drop all kept connections: others may be silent like the one that failed."""
+        if not isinstance(error, ReadTimeoutError | AnswerTooLongError):
+            return
+        log_warning("log_connections_replaced", error=type(error).__name__)
+        with self._lock:
+            self._pool.close()
+            self._pool = self._open_pool()
+
+    def _open_pool(self) -> HTTPConnectionPool:
+        return connection_from_url(self._base_url, maxsize=CONNECTIONS_KEPT)
