--- a/corianderhold/coordination/membership/stream.py
+++ b/corianderhold/coordination/membership/stream.py
@@ -41,7 +41,9 @@
     def append(self, member: Member) -> Result[Offset, AppendFailure]:
         """Append an announcement; a second copy of it does no harm."""
         data = base64.b64encode(encode_member(member)).decode("ascii")
-        return self._log.append(StreamName.MEMBERS, data, LOG_TIMEOUT_S)
+        return self._log.append(
+            StreamName.MEMBERS, data, LOG_TIMEOUT_S, key=member.instance
+        )
 
     def read(self) -> Result[None, ReadFailure]:
         """Take in what was appended since the last read, of that only the tail."""
--- a/corianderhold/protocol/store/model.py
+++ b/corianderhold/protocol/store/model.py
@@ -65,9 +65,13 @@
         """
 
     def append(
-        self, stream: StreamName, data: str, timeout_s: float
+        self, stream: StreamName, data: str, timeout_s: float, key: str = ""
     ) -> Result[Offset, AppendFailure]:
-        """Append one record and return its offset."""
+        """
+        Append one record and return its offset.
+
+        A log may forget a record once a later one has the same `key`.
+        """
 
     def read(
         self,
--- a/corianderhold/transport/store/client.py
+++ b/corianderhold/transport/store/client.py
@@ -36,7 +36,7 @@
         self._store = HttpStore(base_url, clock)
 
     def append(
-        self, stream: StreamName, data: str, timeout_s: float
+        self, stream: StreamName, data: str, timeout_s: float, key: str = ""
     ) -> Result[Offset, AppendFailure]:
         """Append one record; the outcome is unknown once the request was sent."""
         try:
--- a/tests/common/faults.py
+++ b/tests/common/faults.py
@@ -35,7 +35,7 @@
         return self._log.read_only
 
     def append(
-        self, stream: StreamName, data: str, timeout_s: float
+        self, stream: StreamName, data: str, timeout_s: float, key: str = ""
     ) -> Result[Offset, AppendFailure]:
         """Append one record under the faults that are set."""
         self.appends += 1
--- a/tests/common/log.py
+++ b/tests/common/log.py
@@ -27,7 +27,7 @@
         self.reads = 0
 
     def append(
-        self, stream: StreamName, data: str, timeout_s: float
+        self, stream: StreamName, data: str, timeout_s: float, key: str = ""
     ) -> Result[Offset, AppendFailure]:
         """Append one record unless the log is down."""
         with self._lock:
--- a/tests/common/membership_fleet.py
+++ b/tests/common/membership_fleet.py
@@ -61,7 +61,7 @@
     read_only: frozenset[StreamName] = frozenset()
 
     def append(
-        self, stream: StreamName, data: str, timeout_s: float
+        self, stream: StreamName, data: str, timeout_s: float, key: str = ""
     ) -> Result[Offset, AppendFailure]:
         """Pretend to append."""
         return Ok(Offset(0))
--- a/tests/common/rate_fleet.py
+++ b/tests/common/rate_fleet.py
@@ -129,7 +129,7 @@
     read_only: frozenset[StreamName] = frozenset()
 
     def append(
-        self, stream: StreamName, data: str, timeout_s: float
+        self, stream: StreamName, data: str, timeout_s: float, key: str = ""
     ) -> Result[Offset, AppendFailure]:
         """Append unless the domain is cut off; an answer may be lost."""
         if not self.network.connects(self.domain, STORE):
