Give a call up at its deadline, also while its owner is silent

An entry waited for an owner until 1.5 s after the call's deadline (the silence time-out), and up to 1.5 s more for a link to open. The wait for each frame now ends 0.15 s after the deadline, which leaves the owner's own refusal the time to arrive, and a link must be open by the deadline.

Ruled out: ending at the deadline itself, since the owner's refusal, which may say "not run", is sent at that moment.

--- a/corianderhold/coordination/entry/const.py
+++ b/corianderhold/coordination/entry/const.py
@@ -18,3 +18,4 @@
 CANDIDATES = 2
 CALLER_CHECK_INTERVAL_S = 0.1
 RESERVED_THREADS = 8
+REFUSAL_GRACE_S = 0.15  # for the refusal that an owner sends at the deadline
--- a/corianderhold/coordination/entry/sender.py
+++ b/corianderhold/coordination/entry/sender.py
@@ -13,6 +13,7 @@
     CallContext,
     RequestBody,
 )
+from corianderhold.coordination.entry.const import REFUSAL_GRACE_S
 from corianderhold.coordination.retry import RetryBudget
 from corianderhold.ids import CallId
 from corianderhold.log import log_event
@@ -86,7 +87,7 @@
         A part of the retry budget goes with the call; what the owner does not use
         comes back with its answer, and is lost with a lost answer.
         """
-        borrowed = self._pool.borrow(member.peer_address)
+        borrowed = self._pool.borrow(member.peer_address, context.deadline_at)
         if isinstance(borrowed, Err):
             detail = borrowed.err_value.detail
             return Err(refuse_not_run(Reason.PEER_UNREACHABLE, detail=detail))
@@ -133,7 +134,7 @@
         """Send the call and wait for the head of its answer."""
         part = self._retries.split()
         try:
-            self._pooled.link.send(self._build_head(body, part), SILENCE_TIMEOUT_S)
+            self._pooled.link.send(self._build_head(body, part), self._limit_wait())
             message = self._receive()
             if isinstance(message, Continue):
                 self._send_body(body)
@@ -185,22 +186,28 @@
         left_s = self._context.deadline_at - self._clock.read_monotonic()
         self._pooled.link.send(chunk, max(0.0, left_s))
 
+    def _limit_wait(self) -> float:
+        """Return how many seconds to wait for a frame; raise `LinkSilentError` late."""
+        give_up_at = self._context.deadline_at + REFUSAL_GRACE_S
+        left_s = give_up_at - self._clock.read_monotonic()
+        if left_s <= 0:
+            raise LinkSilentError("no answer came by the deadline")
+        return min(SILENCE_TIMEOUT_S, left_s)
+
     def _receive(self) -> Message:
         """
         Return the next message of this call; drop those of calls that are gone.
 
         Raise `LinkError` after the deadline or on silence.
         """
-        give_up_at = self._context.deadline_at + SILENCE_TIMEOUT_S
-        while self._clock.read_monotonic() < give_up_at:
-            message = self._pooled.link.receive(SILENCE_TIMEOUT_S)
+        while True:
+            message = self._pooled.link.receive(self._limit_wait())
             if isinstance(message, Progress):
                 continue
             call_id = getattr(message, "call_id", None)
             if call_id == self._context.call_id:
                 return message
             log_event("answer_dropped", call=call_id, awaited=self._context.call_id)
-        raise LinkSilentError("no answer came by the deadline")
 
     def _open(self, message: Message) -> Result[Answer, Refusal]:
         if isinstance(message, CallRefused):
--- a/corianderhold/transport/peer/handshake.py
+++ b/corianderhold/transport/peer/handshake.py
@@ -54,21 +54,23 @@
     clock: PeerClock
 
 
-def greet_server(link: Link, identity: Identity, clock: Clock) -> Peer:
+def greet_server(
+    link: Link, identity: Identity, clock: Clock, timeout_s: float
+) -> Peer:
     """
     Open a link as its client and return the server's identity.
 
     Raise `LinkError` or `FrameError` when the server can't prove the fleet secret.
     """
     nonce = os.urandom(NONCE_BYTES)
-    link.send(build_hello(identity, nonce, b"", clock), HANDSHAKE_TIMEOUT_S)
-    answer = receive_hello(link)
+    link.send(build_hello(identity, nonce, b"", clock), timeout_s)
+    answer = receive_hello(link, timeout_s)
     peer_clock = PeerClock(answer.clock_us, clock.read_monotonic())
     check_proof(identity, SERVER_LABEL, nonce, answer)
     proof = compute_proof(
         identity.secret, CLIENT_LABEL, answer.nonce, nonce, identity.instance
     )
-    link.send(build_hello(identity, nonce, proof, clock), HANDSHAKE_TIMEOUT_S)
+    link.send(build_hello(identity, nonce, proof, clock), timeout_s)
     return Peer(answer.instance, answer.incarnation, peer_clock)
 
 
@@ -78,13 +80,13 @@
 
     Raise `LinkError` or `FrameError` when the client can't prove the fleet secret.
     """
-    first = receive_hello(link)
+    first = receive_hello(link, HANDSHAKE_TIMEOUT_S)
     nonce = os.urandom(NONCE_BYTES)
     proof = compute_proof(
         identity.secret, SERVER_LABEL, first.nonce, nonce, identity.instance
     )
     link.send(build_hello(identity, nonce, proof, clock), HANDSHAKE_TIMEOUT_S)
-    second = receive_hello(link)
+    second = receive_hello(link, HANDSHAKE_TIMEOUT_S)
     peer_clock = PeerClock(second.clock_us, clock.read_monotonic())
     check_proof(identity, CLIENT_LABEL, nonce, second)
     return Peer(second.instance, second.incarnation, peer_clock)
@@ -96,9 +98,9 @@
     return Hello(identity.instance, identity.incarnation, nonce, proof, clock_us)
 
 
-def receive_hello(link: Link) -> Hello:
+def receive_hello(link: Link, timeout_s: float) -> Hello:
     """Receive a Hello; raise `LinkClosedError` for any other frame."""
-    message = link.receive(HANDSHAKE_TIMEOUT_S)
+    message = link.receive(timeout_s)
     if not isinstance(message, Hello):
         raise LinkClosedError("the link did not open with a Hello")
     return message
--- a/corianderhold/transport/peer/pool.py
+++ b/corianderhold/transport/peer/pool.py
@@ -1,5 +1,6 @@
 """Keep links to other daemons, with one call in flight on each."""
 
+import math
 import socket
 import threading
 from dataclasses import dataclass, field
@@ -13,6 +14,7 @@
 from corianderhold.state.membership.model import Address
 from corianderhold.transport.peer.const import (
     CONNECT_TIMEOUT_S,
+    HANDSHAKE_TIMEOUT_S,
     IDLE_LINKS_PER_PEER,
     LINK_UNUSED_S,
     PING_INTERVAL_S,
@@ -80,14 +82,20 @@
             for pooled in idle.links:
                 pooled.link.close()
 
-    def borrow(self, address: Address) -> Result[PooledLink, Unreachable]:
-        """Return an idle or new link to the daemon at a peer address."""
+    def borrow(
+        self, address: Address, give_up_at: float = math.inf
+    ) -> Result[PooledLink, Unreachable]:
+        """
+        Return an idle or new link to the daemon at a peer address.
+
+        A new one must be open by `give_up_at`, in monotonic seconds.
+        """
         while True:
             with self._lock:
                 idle = self._idle.get(address)
                 pooled = idle.links.pop() if idle and idle.links else None
             if pooled is None:
-                return self._open(address)
+                return self._open(address, give_up_at)
             if pooled.link.is_quiet():
                 return Ok(pooled)
             pooled.link.close()
@@ -111,16 +119,23 @@
         for other in idle.links:
             other.link.close()
 
-    def _open(self, address: Address) -> Result[PooledLink, Unreachable]:
+    def _open(
+        self, address: Address, give_up_at: float
+    ) -> Result[PooledLink, Unreachable]:
+        left_s = give_up_at - self._clock.read_monotonic()
+        if left_s <= 0:
+            return Err(Unreachable("no time is left to open a link"))
         try:
             connection = socket.create_connection(
-                (address.host, address.port), CONNECT_TIMEOUT_S
+                (address.host, address.port), min(CONNECT_TIMEOUT_S, left_s)
             )
         except OSError as error:
             return Err(Unreachable(str(error)))
         link = Link(connection)
+        left_s = give_up_at - self._clock.read_monotonic()
+        timeout_s = min(HANDSHAKE_TIMEOUT_S, max(0.0, left_s))
         try:
-            peer = greet_server(link, self._identity, self._clock)
+            peer = greet_server(link, self._identity, self._clock, timeout_s)
         except (LinkError, FrameError) as error:
             link.close()
             return Err(Unreachable(str(error)))
--- /dev/null
+++ b/tests/coordination/entry/test_sender.py
@@ -0,0 +1,81 @@
+"""Test that a call's refusal is there at its deadline, whatever its owner does."""
+
+import socket
+import threading
+import time
+from unittest import TestCase
+
+from corianderhold.clock import SystemClock
+from corianderhold.coordination.call import InlineBody
+from corianderhold.coordination.entry.sender import PeerSender
+from corianderhold.coordination.retry import RetryBudget
+from corianderhold.ids import Incarnation, InstanceId
+from corianderhold.protocol.peer.messages import CallHead, LoadReport
+from corianderhold.protocol.verdict import Reason, Refusal
+from corianderhold.transport.peer.const import HANDSHAKE_TIMEOUT_S, SILENCE_TIMEOUT_S
+from corianderhold.transport.peer.handshake import Identity
+from corianderhold.transport.peer.link import Link
+from corianderhold.transport.peer.pool import LinkPool
+from corianderhold.transport.peer.server import PeerServer
+from tests.common.calls import make_context, make_member
+from tests.common.ports import find_free_port
+
+CLOCK = SystemClock()
+SECRET = b"secret of the fleet"
+TIME_LEFT_S = 0.1
+
+
+class SilentCalls:
+    """Take calls and answer none of them until the end."""
+
+    def __init__(self) -> None:
+        self.ended = threading.Event()
+
+    def serve_call(self, link: Link, head: CallHead) -> None:
+        self.ended.wait()
+
+    def cancel_call(self, call_id: str) -> None:
+        """Go on."""
+
+    def report_load(self) -> LoadReport:
+        return LoadReport()
+
+
+class SenderDeadlineTests(TestCase):
+    """Send calls that have little time left."""
+
+    def setUp(self) -> None:
+        identity = Identity(InstanceId("entry"), Incarnation(1), SECRET)
+        self.pool = LinkPool(identity, CLOCK)
+        self.addCleanup(self.pool.stop)
+
+    def send(self, port: int) -> tuple[Refusal, float]:
+        """Return the refusal and the seconds from the call's deadline to it."""
+        deadline_at = CLOCK.read_monotonic() + TIME_LEFT_S
+        outcome = PeerSender(self.pool, CLOCK).send(
+            make_member("owner", port=port),
+            make_context(deadline_at=deadline_at),
+            InlineBody(b""),
+            RetryBudget(0),
+            lambda load: None,
+        )
+        return outcome.unwrap_err(), time.monotonic() - deadline_at
+
+    def test_silent_owner_is_given_up_at_the_deadline(self) -> None:
+        calls = SilentCalls()
+        member = make_member("owner", port=find_free_port())
+        identity = Identity(member.instance, Incarnation(1), SECRET)
+        server = PeerServer(member.peer_address, identity, CLOCK, calls, {})
+        server.start()
+        self.addCleanup(server.stop)
+        self.addCleanup(calls.ended.set)
+        refusal, late_s = self.send(member.peer_address.port)
+        self.assertEqual((refusal.reason, refusal.not_run), (Reason.PEER_SILENT, False))
+        self.assertLess(late_s, SILENCE_TIMEOUT_S)
+
+    def test_link_that_does_not_open_is_given_up_at_the_deadline(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            refusal, late_s = self.send(listener.getsockname()[1])
+        self.assertEqual(refusal.reason, Reason.PEER_UNREACHABLE)
+        self.assertTrue(refusal.not_run)
+        self.assertLess(late_s, HANDSHAKE_TIMEOUT_S / 2)
