Hold hosts, splits, opaque keys and callers' limits in the configuration

Cause: deployments select routes by host, share a route's requests between services by weight, rank organisations, bring keys that were issued elsewhere, and bound what callers may send. The configuration could hold none of it.

Ruled out: a new record format.

Change: Route gains host, splits, anonymous and target_latency_ms, and may have no methods, which stands for any; Organisation gains importance and a rate of 0 for no limit, which needs no shares; Service gains max_connections; Configuration gains limits. A path prefix may end with a slash. Codec, schema, delta, difference, digest and checks cover them.

--- a/corianderhold/state/configuration/checks.py
+++ b/corianderhold/state/configuration/checks.py
@@ -5,7 +5,11 @@
 from math import fsum
 
 from corianderhold.ids import KeyId, OrganisationId, RouteName
-from corianderhold.state.configuration.const import MAX_LISTED_NAMES, SHARE_TOLERANCE
+from corianderhold.state.configuration.const import (
+    ANY_METHOD,
+    MAX_LISTED_NAMES,
+    SHARE_TOLERANCE,
+)
 from corianderhold.state.configuration.model import (
     ApiKey,
     Configuration,
@@ -15,7 +19,8 @@
 from corianderhold.state.configuration.records import EntityKind, Fault
 
 RouteIndex = dict[RouteName, Route]
-PrefixIndex = dict[tuple[str, str], list[RouteName]]
+Pattern = tuple[str, str, str]
+PatternIndex = dict[Pattern, list[RouteName]]
 
 
 @dataclass(frozen=True)
@@ -61,6 +66,8 @@
 
 
 def _check_organisation(organisation: Organisation) -> Iterator[Fault]:
+    if not (organisation.rate or organisation.shares):
+        return
     total = fsum(organisation.shares.values())
     if abs(total - 1.0) > SHARE_TOLERANCE:
         yield Fault(
@@ -87,32 +94,51 @@
     configuration: Configuration, names: frozenset[RouteName]
 ) -> Iterator[Fault]:
     index: RouteIndex = {each.name: each for each in configuration.routes}
-    prefixes = _index_prefixes(configuration.routes)
+    patterns = _index_patterns(configuration.routes)
     for name in sorted(names):
         route = index[name]
-        yield from _check_service(configuration, route)
+        yield from _check_services(configuration, route)
         yield from _check_access(configuration, route)
-        yield from _check_prefix(route, prefixes)
+        yield from _check_pattern(route, patterns)
         yield from _check_calls(route, index)
 
 
-def _index_prefixes(routes: Iterable[Route]) -> PrefixIndex:
-    prefixes: PrefixIndex = {}
+def _index_patterns(routes: Iterable[Route]) -> PatternIndex:
+    patterns: PatternIndex = {}
     for route in routes:
-        for method in route.methods:
-            names = prefixes.setdefault((method, route.path_prefix), [])
-            names.append(route.name)
-    return prefixes
+        for pattern in _list_patterns(route):
+            patterns.setdefault(pattern, []).append(route.name)
+    return patterns
+
+
+def _list_patterns(route: Route) -> list[Pattern]:
+    """Return host, method and path prefix of each request that the route is for."""
+    prefix = route.path_prefix.rstrip("/")
+    methods = sorted(route.methods) or [ANY_METHOD]
+    return [(route.host, method, prefix) for method in methods]
 
 
 def _describe(route: Route, option: str, given: str, accepted: str) -> Fault:
     return Fault(EntityKind.ROUTE, route.name, option, given, accepted)
 
 
-def _check_service(configuration: Configuration, route: Route) -> Iterator[Fault]:
-    if route.service not in configuration.services:
-        accepted = f"one of: {list_names(configuration.services)}"
+def _check_services(configuration: Configuration, route: Route) -> Iterator[Fault]:
+    option = "splits" if route.splits else "service"
+    for name in route.list_services():
+        if name not in configuration.services:
+            accepted = f"one of: {list_names(configuration.services)}"
+            yield _describe(route, option, name, accepted)
+    if not route.splits:
+        return
+    if route.service:
+        accepted = "nothing for a route with splits"
         yield _describe(route, "service", route.service, accepted)
+    if len(set(route.list_services())) < len(route.splits):
+        given = list_names(route.list_services())
+        yield _describe(route, "splits", given, "each service once")
+    if not any(each.weight for each in route.splits):
+        accepted = "at least one weight above 0"
+        yield _describe(route, "splits", "weights of 0", accepted)
 
 
 def _check_access(configuration: Configuration, route: Route) -> Iterator[Fault]:
@@ -128,18 +154,18 @@
     if not route.open_to_all and not route.organisations:
         accepted = "at least one organisation, or open to all"
         yield _describe(route, "organisations", "nothing", accepted)
+    if route.anonymous and not route.open_to_all:
+        accepted = "no, for a route that is not open to all"
+        yield _describe(route, "anonymous", "yes", accepted)
 
 
-def _check_prefix(route: Route, prefixes: PrefixIndex) -> Iterator[Fault]:
-    if not route.methods:
-        yield _describe(route, "methods", "nothing", "at least one method")
-    for method in sorted(route.methods):
-        others = [
-            each for each in prefixes[method, route.path_prefix] if each != route.name
-        ]
+def _check_pattern(route: Route, patterns: PatternIndex) -> Iterator[Fault]:
+    for host, method, prefix in _list_patterns(route):
+        others = [each for each in patterns[host, method, prefix] if each != route.name]
         if others:
-            given = f"{method} {route.path_prefix}, as route {list_names(others)}"
-            accepted = "a method and path prefix that no other route has"
+            request = f"{method or 'any method'} {host}{route.path_prefix}"
+            given = f"{request}, as route {list_names(others)}"
+            accepted = "a host, method and path prefix that no other route has"
             yield _describe(route, "path_prefix", given, accepted)
 
 
--- a/corianderhold/state/configuration/delta.py
+++ b/corianderhold/state/configuration/delta.py
@@ -127,6 +127,7 @@
             {each.key_id: each for each in delta.keys},
             delta.removed_keys,
         ),
+        limits=configuration.limits if delta.limits is None else delta.limits,
     )
 
 
@@ -155,7 +156,7 @@
         each.name
         for each in changed.routes
         if each.name in given
-        or each.service in services
+        or not services.isdisjoint(each.list_services())
         or not touched.isdisjoint(each.calls)
         or not organisations.isdisjoint(each.organisations)
     )
--- a/corianderhold/state/configuration/difference.py
+++ b/corianderhold/state/configuration/difference.py
@@ -45,6 +45,8 @@
         EntityKind.ORGANISATION: {each.name for each in delta.organisations},
         EntityKind.KEY: {each.key_id for each in delta.keys},
     }
+    if delta.limits is not None:
+        names[EntityKind.LIMITS] = {EntityKind.LIMITS.value}
     names[EntityKind.SERVICE].update(delta.removed_services)
     names[EntityKind.ROUTE].update(delta.removed_routes)
     names[EntityKind.ORGANISATION].update(delta.removed_organisations)
@@ -82,6 +84,7 @@
         removed_organisations=removed_organisations,
         keys=_list_changed(current.keys, wanted.keys) if with_keys else (),
         removed_keys=removed_keys,
+        limits=wanted.limits if wanted.limits != current.limits else None,
     )
 
 
--- a/corianderhold/state/configuration/digest.py
+++ b/corianderhold/state/configuration/digest.py
@@ -7,11 +7,12 @@
     JsonObject,
     dump_json,
     key_to_json,
+    limits_to_json,
     organisation_to_json,
     route_to_json,
     service_to_json,
 )
-from corianderhold.state.configuration.model import Configuration
+from corianderhold.state.configuration.model import CallerLimits, Configuration
 from corianderhold.state.configuration.records import Delta, EntityKind
 
 SUM_MODULUS = 2**256
@@ -38,6 +39,8 @@
         yield hash_entity(EntityKind.ORGANISATION, value)
     for key in configuration.keys.values():
         yield hash_entity(EntityKind.KEY, key_to_json(key))
+    if configuration.limits != CallerLimits():
+        yield hash_entity(EntityKind.LIMITS, limits_to_json(configuration.limits))
 
 
 def update_sum(
@@ -69,6 +72,7 @@
             if name in old.organisations
         },
         keys={key_id: old.keys[key_id] for key_id in keys if key_id in old.keys},
+        limits=CallerLimits() if delta.limits is None else old.limits,
     )
 
 
--- a/corianderhold/state/configuration/entities.py
+++ b/corianderhold/state/configuration/entities.py
@@ -14,12 +14,14 @@
 )
 from corianderhold.state.configuration.model import (
     ApiKey,
+    CallerLimits,
     Configuration,
     Importance,
     IsolatedBehaviour,
     Organisation,
     Route,
     Service,
+    Split,
 )
 from corianderhold.state.configuration.records import Delta
 
@@ -31,20 +33,30 @@
     return json.dumps(value, sort_keys=True, separators=(",", ":"), allow_nan=False)
 
 
+def _add_given(value: JsonObject, later: JsonObject) -> JsonObject:
+    """
+    Return a value with those of its later fields that aren't empty.
+
+    So an entity without them keeps its text and digest of older releases.
+    """
+    return {**value, **{name: each for name, each in later.items() if each}}
+
+
 def service_to_json(service: Service) -> JsonObject:
     """Return the JSON object of a service."""
-    return {
+    value = {
         "name": service.name,
         "max_concurrency": service.max_concurrency,
         "queue_length": service.queue_length,
         "retry_ratio": float(service.retry_ratio),
         "adaptive_limit": service.adaptive_limit,
     }
+    return _add_given(value, {"max_connections": service.max_connections})
 
 
 def route_to_json(route: Route) -> JsonObject:
     """Return the JSON object of a route."""
-    return {
+    value = {
         "name": route.name,
         "service": route.service,
         "path_prefix": route.path_prefix,
@@ -59,17 +71,30 @@
         "isolated_after_s": float(route.isolated_after_s),
         "calls": sorted(route.calls),
     }
+    later = {
+        "host": route.host,
+        "splits": [
+            {"service": each.service, "weight": float(each.weight)}
+            for each in route.splits
+        ],
+        "anonymous": route.anonymous,
+        "target_latency_ms": route.target_latency_ms,
+    }
+    return _add_given(value, later)
 
 
 def organisation_to_json(organisation: Organisation) -> JsonObject:
     """Return the JSON object of an organisation."""
-    return {
+    value = {
         "name": organisation.name,
         "rate": float(organisation.rate),
         "burst": float(organisation.burst),
         "weight": float(organisation.weight),
         "shares": {name: float(each) for name, each in organisation.shares.items()},
     }
+    importance = organisation.importance
+    name = None if importance is None else importance.name.lower()
+    return _add_given(value, {"importance": name})
 
 
 def key_to_json(key: ApiKey) -> JsonObject:
@@ -83,6 +108,16 @@
     }
 
 
+def limits_to_json(limits: CallerLimits) -> JsonObject:
+    """Return the JSON object of the limits of callers."""
+    return {
+        "header_bytes_max": limits.header_bytes_max,
+        "body_bytes_max": limits.body_bytes_max,
+        "header_timeout_s": float(limits.header_timeout_s),
+        "idle_timeout_s": float(limits.idle_timeout_s),
+    }
+
+
 def _entities_to_json(
     services: Iterable[Service],
     routes: Iterable[Route],
@@ -105,7 +140,12 @@
         sorted(configuration.organisations.values(), key=lambda each: each.name),
         sorted(configuration.keys.values(), key=lambda each: each.key_id),
     )
-    return {"version": configuration.version, **entities}
+    limits = {}
+    if configuration.limits != CallerLimits():
+        limits = limits_to_json(configuration.limits)
+    return _add_given(
+        {"version": configuration.version, **entities}, {"limits": limits}
+    )
 
 
 def delta_to_json(delta: Delta) -> JsonObject:
@@ -119,6 +159,8 @@
         "organisations": list(delta.removed_organisations),
         "keys": list(delta.removed_keys),
     }
+    if delta.limits is not None:
+        entities["limits"] = limits_to_json(delta.limits)
     return {
         "set": {kind: each for kind, each in entities.items() if each},
         "removed": {kind: each for kind, each in removed.items() if each},
@@ -144,12 +186,23 @@
         isolated=IsolatedBehaviour(value["isolated"]),
         isolated_after_s=value["isolated_after_s"],
         calls=frozenset(map(RouteName, value["calls"])),
+        host=value.get("host", ""),
+        splits=tuple(Split(**each) for each in value.get("splits", ())),
+        anonymous=value.get("anonymous", False),
+        target_latency_ms=value.get("target_latency_ms"),
     )
 
 
 def _organisation_from_json(value: JsonObject) -> Organisation:
     shares = {FailureDomainId(name): each for name, each in value["shares"].items()}
-    return Organisation(**{**value, "shares": shares})
+    importance = None
+    if value.get("importance") is not None:
+        importance = Importance[value["importance"].upper()]
+    return Organisation(**{**value, "shares": shares, "importance": importance})
+
+
+def _limits_from_json(value: JsonObject) -> CallerLimits:
+    return CallerLimits(**value)
 
 
 def configuration_from_json(value: JsonObject) -> Configuration:
@@ -164,6 +217,7 @@
         routes=tuple(sorted(routes, key=lambda each: each.name)),
         organisations={each.name: each for each in organisations},
         keys={each.key_id: each for each in keys},
+        limits=_limits_from_json(value.get("limits", {})),
     )
 
 
@@ -183,4 +237,5 @@
             map(OrganisationId, removed.get("organisations", ()))
         ),
         removed_keys=tuple(map(KeyId, removed.get("keys", ()))),
+        limits=_limits_from_json(given["limits"]) if "limits" in given else None,
     )
--- a/corianderhold/state/configuration/model.py
+++ b/corianderhold/state/configuration/model.py
@@ -36,7 +36,8 @@
     A group of targets that serve the same calls.
 
     `max_concurrency` bounds the limit of a target's owner; with `adaptive_limit` the
-    owner learns a lower one.
+    owner learns a lower one. `max_connections` is how many connections one target
+    accepts from all daemons together, or None for no known bound.
     """
 
     name: ServiceName
@@ -44,14 +45,28 @@
     queue_length: int = 32
     retry_ratio: float = 0.1
     adaptive_limit: bool = True
+    max_connections: int | None = None
+
+
+@dataclass(frozen=True)
+class Split:
+    """One of the services that share a route's requests in proportion to `weight`."""
+
+    service: ServiceName
+    weight: float
 
 
 @dataclass(frozen=True)
 class Route:
     """
-    One kind of request to a service, told apart by method and path prefix.
-
-    `calls` names the routes that the service calls to answer this one.
+    One kind of request to a service, told apart by host, method and path prefix.
+
+    An empty `host` stands for any host, empty `methods` for any method. With `splits`
+    the requests are shared between their services and `service` is empty. An
+    `anonymous` route is also open to requests without a key, which run for the
+    organisation "". `deadline_ms` is the longest time a request may be kept waiting,
+    `target_latency_ms` the time within which an answer has its full value. `calls`
+    names the routes that the service calls to answer this one.
     """
 
     name: RouteName
@@ -67,6 +82,16 @@
     isolated: IsolatedBehaviour = IsolatedBehaviour.SERVE
     isolated_after_s: float = 60.0
     calls: frozenset[RouteName] = frozenset()
+    host: str = ""
+    splits: tuple[Split, ...] = ()
+    anonymous: bool = False
+    target_latency_ms: int | None = None
+
+    def list_services(self) -> tuple[ServiceName, ...]:
+        """Return the services that answer the route's requests."""
+        if self.splits:
+            return tuple(each.service for each in self.splits)
+        return (self.service,)
 
 
 @dataclass(frozen=True)
@@ -74,8 +99,9 @@
     """
     A customer with its rate and burst over the whole fleet.
 
-    `rate` is in root requests a second, `burst` in root requests; `shares` gives
-    each failure domain's part of both, with a sum of 1.
+    `rate` is in root requests a second, 0 for no limit, `burst` in root requests;
+    `shares` gives each failure domain's part of both, with a sum of 1. `importance`
+    goes before that of the route.
     """
 
     name: OrganisationId
@@ -83,6 +109,7 @@
     burst: float
     weight: float = 1.0
     shares: Mapping[FailureDomainId, float] = field(default_factory=dict)
+    importance: Importance | None = None
 
 
 @dataclass(frozen=True)
@@ -100,6 +127,21 @@
     expires_at: float | None = None
 
 
+@dataclass(frozen=True)
+class CallerLimits:
+    """
+    What a caller may send, and how long it may take or keep a connection idle.
+
+    Sizes are in bytes, times in seconds; the head of a request has its request line
+    and headers.
+    """
+
+    header_bytes_max: int = 32 * 1024
+    body_bytes_max: int = 2**30
+    header_timeout_s: float = 10.0
+    idle_timeout_s: float = 75.0
+
+
 @dataclass(frozen=True)
 class Configuration:
     """Everything that operators decide, at one version."""
@@ -109,6 +151,7 @@
     routes: tuple[Route, ...] = ()
     organisations: Mapping[OrganisationId, Organisation] = field(default_factory=dict)
     keys: Mapping[KeyId, ApiKey] = field(default_factory=dict)
+    limits: CallerLimits = CallerLimits()
 
 
 EMPTY_CONFIGURATION = Configuration(Version(0))
--- a/corianderhold/state/configuration/records.py
+++ b/corianderhold/state/configuration/records.py
@@ -14,6 +14,7 @@
 )
 from corianderhold.state.configuration.model import (
     ApiKey,
+    CallerLimits,
     Configuration,
     Organisation,
     Route,
@@ -28,6 +29,7 @@
     ROUTE = "route"
     ORGANISATION = "organisation"
     KEY = "key"
+    LIMITS = "limits"
 
 
 @dataclass(frozen=True)
@@ -43,7 +45,11 @@
 
 @dataclass(frozen=True)
 class Delta:
-    """Entities that a change sets whole, and names of those that it removes."""
+    """
+    Entities that a change sets whole, and names of those that it removes.
+
+    `limits` is None where the change leaves them as they are.
+    """
 
     services: tuple[Service, ...] = ()
     routes: tuple[Route, ...] = ()
@@ -53,6 +59,7 @@
     removed_routes: tuple[RouteName, ...] = ()
     removed_organisations: tuple[OrganisationId, ...] = ()
     removed_keys: tuple[KeyId, ...] = ()
+    limits: CallerLimits | None = None
 
 
 @dataclass(frozen=True)
--- a/corianderhold/state/configuration/schema.py
+++ b/corianderhold/state/configuration/schema.py
@@ -3,13 +3,18 @@
 import re
 from collections.abc import Callable
 
-from voluptuous import ALLOW_EXTRA, All, In, Invalid, Maybe, Schema
+from voluptuous import ALLOW_EXTRA, All, Any, In, Invalid, Maybe, Optional, Schema
 
 from corianderhold.state.configuration.const import (
     MAX_AUTHOR_LENGTH,
+    MAX_BODY_BYTES,
     MAX_BURST,
+    MAX_CALLER_TIMEOUT_S,
     MAX_CONCURRENCY,
+    MAX_CONNECTIONS,
     MAX_DEADLINE_MS,
+    MAX_HEADER_BYTES,
+    MAX_HOST_LENGTH,
     MAX_ISOLATED_AFTER_S,
     MAX_NAME_LENGTH,
     MAX_NOTE_LENGTH,
@@ -17,15 +22,19 @@
     MAX_QUEUE_LENGTH,
     MAX_RATE_PER_S,
     MAX_RETRY_BUDGET,
+    MAX_SPLIT_WEIGHT,
     MAX_UNIX_TIME_S,
     MAX_WEIGHT,
+    MIN_CALLER_TIMEOUT_S,
+    MIN_HEADER_BYTES,
 )
 from corianderhold.state.configuration.model import Importance, IsolatedBehaviour
 
 NAME_PATTERN = re.compile(rf"[A-Za-z0-9][A-Za-z0-9._-]{{0,{MAX_NAME_LENGTH - 1}}}")
 DIGEST_PATTERN = re.compile(r"[A-Za-z0-9$:_-]{1,256}")
 METHOD_PATTERN = re.compile(r"[A-Z]{1,16}")
-PATH_PATTERN = re.compile(r"/|(/(?!\.{1,2}(/|$))[A-Za-z0-9._~!$&'()*+,=:@-]+)+")
+PATH_PATTERN = re.compile(r"/|(/(?!\.{1,2}(/|$))[A-Za-z0-9._~!$&'()*+,=:@-]+)+/?")
+HOST_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]*|\[[0-9a-f:.]+\]|")
 
 Validator = Callable[[object], object]
 
@@ -95,6 +104,11 @@
     bound_text(MAX_PATH_LENGTH),
     match(PATH_PATTERN, "a path from / without empty or dot segments"),
 )
+HOST = All(
+    bound_text(MAX_HOST_LENGTH),
+    match(HOST_PATTERN, "a host in lower case without its port, or nothing"),
+)
+IMPORTANCE = In([each.name.lower() for each in Importance])
 VERSION = bound_integer(0, 2**63 - 1)
 
 SERVICE_FIELDS = {
@@ -103,13 +117,15 @@
     "queue_length": bound_integer(0, MAX_QUEUE_LENGTH),
     "retry_ratio": bound_number(0.0, 1.0),
     "adaptive_limit": require_boolean,
+    Optional("max_connections"): Maybe(bound_integer(1, MAX_CONNECTIONS)),
 }
+SPLIT = {"service": NAME, "weight": bound_number(0.0, MAX_SPLIT_WEIGHT)}
 ROUTE_FIELDS = {
     "name": NAME,
-    "service": NAME,
+    "service": Any("", NAME),
     "path_prefix": PATH,
     "methods": [match(METHOD_PATTERN, "a method in capitals")],
-    "importance": In([each.name.lower() for each in Importance]),
+    "importance": IMPORTANCE,
     "open_to_all": require_boolean,
     "organisations": [NAME],
     "idempotent": require_boolean,
@@ -118,6 +134,10 @@
     "isolated": In([each.value for each in IsolatedBehaviour]),
     "isolated_after_s": bound_number(0.0, MAX_ISOLATED_AFTER_S),
     "calls": [NAME],
+    Optional("host"): HOST,
+    Optional("splits"): [SPLIT],
+    Optional("anonymous"): require_boolean,
+    Optional("target_latency_ms"): Maybe(bound_integer(1, MAX_DEADLINE_MS)),
 }
 ORGANISATION_FIELDS = {
     "name": NAME,
@@ -125,6 +145,7 @@
     "burst": bound_number(0.0, MAX_BURST),
     "weight": bound_number(0.001, MAX_WEIGHT),
     "shares": Schema({NAME: bound_number(0.0, 1.0)}, required=False),
+    Optional("importance"): Maybe(IMPORTANCE),
 }
 KEY_FIELDS = {
     "key_id": NAME,
@@ -133,11 +154,19 @@
     "withdrawn": require_boolean,
     "expires_at": Maybe(bound_number(0.0, MAX_UNIX_TIME_S)),
 }
+CALLER_TIMEOUT_S = bound_number(MIN_CALLER_TIMEOUT_S, MAX_CALLER_TIMEOUT_S)
+LIMITS_FIELDS = {
+    "header_bytes_max": bound_integer(MIN_HEADER_BYTES, MAX_HEADER_BYTES),
+    "body_bytes_max": bound_integer(0, MAX_BODY_BYTES),
+    "header_timeout_s": CALLER_TIMEOUT_S,
+    "idle_timeout_s": CALLER_TIMEOUT_S,
+}
 ENTITIES = {
     "services": [Schema(SERVICE_FIELDS, required=True)],
     "routes": [Schema(ROUTE_FIELDS, required=True)],
     "organisations": [Schema(ORGANISATION_FIELDS, required=True)],
     "keys": [Schema(KEY_FIELDS, required=True)],
+    Optional("limits"): Schema(LIMITS_FIELDS, required=True),
 }
 REMOVED = {
     "services": [NAME],
--- a/corianderhold/state/keys/const.py
+++ b/corianderhold/state/keys/const.py
@@ -8,6 +8,9 @@
 SALT_BYTES = 16
 DIGEST_ALGORITHM = "sha256"
 DIGEST_MARK = "hmac-sha256"
+OPAQUE_MARK = "sha256"
+OPAQUE_ID_MARK = "opaque-"
+OPAQUE_ID_DIGITS = 32
 KEY_PATTERN = re.compile(
     rf"{KEY_MARK}_([A-Za-z0-9.-]{{1,64}})_([0-9a-f]{{{2 * SECRET_BYTES}}})"
 )
--- a/corianderhold/state/keys/issue.py
+++ b/corianderhold/state/keys/issue.py
@@ -15,7 +15,11 @@
     MAX_OVERLAP_S,
     SECRET_BYTES,
 )
-from corianderhold.state.keys.digest import digest_secret
+from corianderhold.state.keys.digest import (
+    digest_opaque,
+    digest_secret,
+    name_opaque_key,
+)
 
 
 class KeyRefusal(Enum):
@@ -94,6 +98,12 @@
     return Ok(Delta(keys=(replace(key, withdrawn=True),)))
 
 
+def build_opaque_key(text: str, organisation: OrganisationId) -> ApiKey:
+    """Return the key of a text issued elsewhere, equal on every daemon."""
+    digest = digest_opaque(text)
+    return ApiKey(name_opaque_key(digest), organisation, digest)
+
+
 def _make_key(
     organisation: OrganisationId, expires_at: float | None
 ) -> tuple[ApiKey, str]:
--- a/corianderhold/state/keys/ring.py
+++ b/corianderhold/state/keys/ring.py
@@ -1,6 +1,7 @@
 """Find the organisation that a caller's key belongs to."""
 
 from dataclasses import dataclass
+from hmac import compare_digest
 
 from result import Err, Ok, Result
 
@@ -8,7 +9,11 @@
 from corianderhold.protocol.verdict import Reason
 from corianderhold.state.configuration.model import ApiKey, Configuration
 from corianderhold.state.keys.const import KEY_PATTERN
-from corianderhold.state.keys.digest import fits_digest
+from corianderhold.state.keys.digest import (
+    digest_opaque,
+    fits_digest,
+    name_opaque_key,
+)
 
 
 @dataclass(frozen=True)
@@ -29,11 +34,8 @@
     """
     if not key_text:
         return Err(Reason.KEY_MISSING)
-    parts = KEY_PATTERN.fullmatch(key_text)
-    if parts is None:
-        return Err(Reason.KEY_UNKNOWN)
-    key = configuration.keys.get(KeyId(parts[1]))
-    if key is None or not fits_digest(parts[2], key.digest):
+    key = _find_key(configuration, key_text)
+    if key is None:
         return Err(Reason.KEY_UNKNOWN)
     reason = _find_end(key, now_s)
     if reason is not None:
@@ -41,6 +43,19 @@
     return Ok(Caller(key.key_id, key.organisation))
 
 
+def _find_key(configuration: Configuration, text: str) -> ApiKey | None:
+    parts = KEY_PATTERN.fullmatch(text)
+    if parts is not None:
+        key = configuration.keys.get(KeyId(parts[1]))
+        if key is not None and fits_digest(parts[2], key.digest):
+            return key
+    digest = digest_opaque(text)
+    key = configuration.keys.get(name_opaque_key(digest))
+    if key is None or not compare_digest(key.digest, digest):
+        return None
+    return key
+
+
 def recheck_caller(
     configuration: Configuration, caller: Caller, now_s: float
 ) -> Reason | None:
--- a/tests/state/keys/test_keys.py
+++ b/tests/state/keys/test_keys.py
@@ -13,6 +13,7 @@
 from corianderhold.state.keys.issue import (
     IssuedKey,
     KeyRefusal,
+    build_opaque_key,
     grant_key,
     rotate_key,
     withdraw_key,
@@ -85,6 +86,19 @@
         for missing in (None, ""):
             self.assertEqual(self.identify(missing), Reason.KEY_MISSING)
 
+    def test_opaque_keys_are_found_whatever_their_shape(self) -> None:
+        for text in ("6wsjnbanfqasnmgkcuyj", "a b", "é", f"ch_x_{'0' * 64}"):
+            key = build_opaque_key(text, RADIO)
+            self.assertEqual(key, build_opaque_key(text, RADIO))
+            self.assertNotIn(text, repr(key))
+            self.publish(Delta(keys=(key,)))
+            self.assertEqual(self.identify(text), Caller(key.key_id, RADIO))
+            mixed = f"ch_{key.key_id}_{key.digest.partition('$')[2]}"
+            for other in (text + "0", key.key_id, key.digest, mixed):
+                self.assertEqual(self.identify(other), Reason.KEY_UNKNOWN, other)
+            self.publish(Delta(keys=(replace(key, withdrawn=True),)))
+            self.assertEqual(self.identify(text), Reason.KEY_WITHDRAWN)
+
     def test_secret_of_another_key_is_unknown(self) -> None:
         other = grant_key(self.configuration, RADIO, NOW_S).unwrap()
         self.publish(other.delta)
