Take a caller's deadline and request id, and open routes to callers without a key

The users' platform has callers that say how long they wait, name each request, and send calls without a key. An entry knew only the route's deadline, its own call id and keyed routes.

A request's deadline is now the shorter of the route's and the caller's own; a value that can't be read counts as absent. Its id goes on unchanged, stands in the line of a refusal beside the call's id and comes back with the refusal. The entry names the service beside it to the target, and drops the headers that daemons set, whatever the deployment calls them, and those that the Connection header names. On an anonymous route no key is read and nobody is charged. The route is looked up before the key, and an organisation's importance goes before the route's. An expired key gives 401 (it gave 503).

Retry-After is written by a format handed in: whole seconds, as RFC 9110 has them, stay the default; milliseconds are for deployments whose callers read fractions. Ruled out: fractions for all, since a caller that follows the grammar may drop them.

--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -15,6 +15,7 @@
 from corianderhold.coordination.entry.choice import LocalityChooser, Place
 from corianderhold.coordination.entry.intake import Intake
 from corianderhold.coordination.entry.outgoing import OutgoingApplication
+from corianderhold.coordination.entry.request import RequestReader
 from corianderhold.coordination.entry.router import Router
 from corianderhold.coordination.entry.sender import PeerSender
 from corianderhold.coordination.entry.watch import CallerWatch
@@ -45,6 +46,7 @@
 from corianderhold.drain import GracefulStop, TargetDrain
 from corianderhold.ids import Incarnation
 from corianderhold.metrics import Metrics
+from corianderhold.protocol.headers import HeaderNames
 from corianderhold.protocol.peer.control import ControlHandler, ControlTopic
 from corianderhold.settings.model import Settings
 from corianderhold.state.configuration.holder import ConfigurationHolder
@@ -80,6 +82,7 @@
         self._clock = SystemClock()
         self._random = Random(os.urandom(16))
         self._metrics = Metrics()
+        self._header_names = HeaderNames()
         self._holder = ConfigurationHolder()
         self._incarnation = draw_incarnation()
         self._identity = Identity(
@@ -150,7 +153,8 @@
     def _build_intake(
         self, name: str, router: KeyedRouter, watch: CallerWatch, threads: int
     ) -> Intake:
-        return Intake(name, router, watch, self._clock, self._metrics, threads)
+        reader = RequestReader(self._header_names, self._settings.service or "")
+        return Intake(name, router, watch, self._clock, self._metrics, threads, reader)
 
     def _build_callers(
         self, router: KeyedRouter, watch: CallerWatch, rate: RateParts
--- a/corianderhold/coordination/call.py
+++ b/corianderhold/coordination/call.py
@@ -16,7 +16,8 @@
     What a call is and for whom it runs.
 
     `deadline_at` is in seconds on this daemon's monotonic clock. `depth` is 0 for a
-    root request and one more for each nested call.
+    root request and one more for each nested call. `request_id` is what the caller
+    named the request.
     """
 
     call_id: CallId
@@ -32,6 +33,7 @@
     path: str
     headers: tuple[Header, ...] = field(repr=False)
     idempotency_key: str | None = None
+    request_id: str = ""
 
 
 class RequestBody(Protocol):
--- a/corianderhold/coordination/entry/application.py
+++ b/corianderhold/coordination/entry/application.py
@@ -1,21 +1,29 @@
 """Take root requests in from callers, who show a key."""
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from result import Err, Ok, Result
 
 from corianderhold.clock import Clock
 from corianderhold.coordination.call import Answer
 from corianderhold.coordination.entry.const import OVERLOAD_RETRY_AFTER_MS
-from corianderhold.coordination.entry.intake import Intake, Origin, build_context
-from corianderhold.coordination.entry.request import WebRequest, read_request
+from corianderhold.coordination.entry.intake import (
+    Arrival,
+    Intake,
+    Origin,
+    build_context,
+    find_deadline,
+)
+from corianderhold.coordination.entry.request import WebRequest
 from corianderhold.coordination.rate.limiter import RateLimiter
 from corianderhold.coordination.retry import RetryBudget
-from corianderhold.ids import CallId, RootId
+from corianderhold.ids import OrganisationId, RootId
 from corianderhold.protocol.verdict import Reason, Refusal, refuse_not_run
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.configuration.model import (
     Configuration,
+    Importance,
     IsolatedBehaviour,
     Route,
 )
@@ -24,9 +32,20 @@
     build_route_index,
     may_use,
 )
-from corianderhold.state.keys.ring import Caller, identify_caller
+from corianderhold.state.keys.ring import identify_caller
 from corianderhold.transport.web.server import Environ, StartResponse
 
+NOBODY = OrganisationId("")
+
+
+@dataclass(frozen=True)
+class Admission:
+    """A request that may run: its route, and for whom and how urgently it runs."""
+
+    match: RouteMatch
+    organisation: OrganisationId
+    importance: Importance
+
 
 class CallerApplication:
     """Identify the caller, charge its organisation and route the request."""
@@ -62,60 +81,75 @@
     def _follow(self, configuration: Configuration) -> None:
         self._index = build_route_index(configuration)
 
-    def _handle(self, environ: Environ, call_id: CallId) -> Result[Answer, Refusal]:
-        request = read_request(environ)
-        admitted = self._admit(request)
+    def _handle(self, arrival: Arrival) -> Result[Answer, Refusal]:
+        admitted = self._admit(arrival.request)
         if isinstance(admitted, Err):
             return admitted
-        caller, match = admitted.ok_value
-        route = match.route
+        admission = admitted.ok_value
+        route = admission.match.route
         origin = Origin(
-            root_id=RootId(call_id),
-            organisation=caller.organisation,
-            importance=int(route.importance),
-            deadline_at=self._clock.read_monotonic() + route.deadline_ms / 1000,
+            root_id=RootId(arrival.call_id),
+            organisation=admission.organisation,
+            importance=int(admission.importance),
+            deadline_at=find_deadline(arrival, route),
             depth=0,
         )
-        context = build_context(request, match, origin, call_id)
-        return self._intake.route(environ, context, RetryBudget(route.retry_budget))
+        context = build_context(arrival, admission.match, origin)
+        retries = RetryBudget(route.retry_budget)
+        return self._intake.route(arrival.environ, context, retries)
 
-    def _admit(self, request: WebRequest) -> Result[tuple[Caller, RouteMatch], Refusal]:
-        """Return whose request this is and its route, once it is charged."""
+    def _admit(self, request: WebRequest) -> Result[Admission, Refusal]:
+        """Return on whose behalf a request runs and its route, once it is charged."""
         configuration = self._holder.current
         if not configuration.version:
             reason = Reason.CONFIGURATION_MISSING
             return Err(refuse_not_run(reason, OVERLOAD_RETRY_AFTER_MS))
+        found = self._index.find(request.method, request.path)
+        if isinstance(found, Err):
+            return Err(refuse_not_run(found.err_value))
+        match = found.ok_value
+        if match.route.anonymous:
+            refusal = self._check_access(request, NOBODY, match.route)
+            if refusal is not None:
+                return Err(refusal)
+            return Ok(Admission(match, NOBODY, match.route.importance))
         identified = identify_caller(
             configuration, request.key, self._clock.read_wall()
         )
         if isinstance(identified, Err):
             return Err(refuse_not_run(identified.err_value))
-        caller = identified.ok_value
-        found = self._index.find(request.method, request.path)
-        if isinstance(found, Err):
-            return Err(refuse_not_run(found.err_value))
-        match = found.ok_value
-        refusal = self._check_access(request, caller, match.route)
+        organisation = identified.ok_value.organisation
+        refusal = self._check_access(request, organisation, match.route)
         if refusal is not None:
             return Err(refusal)
-        now = self._clock.read_monotonic()
-        charged = self._limiter.charge(caller.organisation, now)
+        charged = self._limiter.charge(organisation, self._clock.read_monotonic())
         if isinstance(charged, Err):
             return charged
-        return Ok((caller, match))
+        importance = rank(configuration, organisation, match.route)
+        return Ok(Admission(match, organisation, importance))
 
     def _check_access(
-        self, request: WebRequest, caller: Caller, route: Route
+        self, request: WebRequest, organisation: OrganisationId, route: Route
     ) -> Refusal | None:
-        """Return why this caller may not use the route now, or None."""
+        """Return why a request may not use the route now, or None."""
         if request.key and request.key in request.path + request.query:
             return refuse_not_run(
                 Reason.REQUEST_MALFORMED, detail="a key must not stand in the address"
             )
-        if not may_use(route, caller.organisation):
+        if not route.anonymous and not may_use(route, organisation):
             return refuse_not_run(Reason.ROUTE_FORBIDDEN)
         age_s = self._clock.read_monotonic() - self._holder.verified_at
         refuses = route.isolated is IsolatedBehaviour.REFUSE
         if refuses and age_s > route.isolated_after_s:
             return refuse_not_run(Reason.VIEW_TOO_OLD, OVERLOAD_RETRY_AFTER_MS)
         return None
+
+
+def rank(
+    configuration: Configuration, organisation: OrganisationId, route: Route
+) -> Importance:
+    """Return a request's importance: the organisation's own before the route's."""
+    known = configuration.organisations.get(organisation)
+    if known is None or known.importance is None:
+        return route.importance
+    return known.importance
--- a/corianderhold/coordination/entry/intake.py
+++ b/corianderhold/coordination/entry/intake.py
@@ -13,8 +13,17 @@
     RESERVED_THREADS,
 )
 from corianderhold.coordination.entry.gate import Gate
-from corianderhold.coordination.entry.request import WebRequest, read_body
-from corianderhold.coordination.entry.response import respond_answer, respond_refusal
+from corianderhold.coordination.entry.request import (
+    RequestReader,
+    WebRequest,
+    read_body,
+)
+from corianderhold.coordination.entry.response import (
+    RetryAfterFormat,
+    format_whole_seconds,
+    respond_answer,
+    respond_refusal,
+)
 from corianderhold.coordination.entry.watch import CallerWatch
 from corianderhold.coordination.once.keeper import CallRouter
 from corianderhold.coordination.retry import RetryBudget
@@ -22,6 +31,7 @@
 from corianderhold.log import log_event
 from corianderhold.metrics import Metrics
 from corianderhold.protocol.verdict import Reason, Refusal, refuse_not_run
+from corianderhold.state.configuration.model import Route
 from corianderhold.state.configuration.routes import RouteMatch
 from corianderhold.transport.web.server import (
     ENVIRON_SOCKET,
@@ -29,7 +39,24 @@
     StartResponse,
 )
 
-Handle = Callable[[Environ, CallId], Result[Answer, Refusal]]
+MILLISECONDS = 1000
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """
+    A request as it came in.
+
+    `arrived_at` is in monotonic seconds.
+    """
+
+    environ: Environ
+    call_id: CallId
+    request: WebRequest
+    arrived_at: float
+
+
+Handle = Callable[[Arrival], Result[Answer, Refusal]]
 
 
 @dataclass(frozen=True)
@@ -62,12 +89,16 @@
         clock: Clock,
         metrics: Metrics,
         threads: int,
+        reader: RequestReader,
+        format_retry_after: RetryAfterFormat = format_whole_seconds,
     ) -> None:
         self._name = name
         self._router = router
         self._watch = watch
         self._clock = clock
         self._metrics = metrics
+        self._reader = reader
+        self._format_retry_after = format_retry_after
         self.gate = Gate(threads - RESERVED_THREADS)
 
     def serve(
@@ -78,10 +109,11 @@
         if not self.gate.enter():
             reason = Reason.DRAINING if self.gate.is_closed else Reason.SHED
             refusal = refuse_not_run(reason, OVERLOAD_RETRY_AFTER_MS)
-            return self._refuse(refusal, call_id, start_response)
+            return self._refuse(refusal, call_id, environ, start_response)
         started_at = self._clock.read_monotonic()
         try:
-            outcome = handle(environ, call_id)
+            request = self._reader.read(environ)
+            outcome = handle(Arrival(environ, call_id, request, started_at))
         except BaseException:
             self.gate.leave()
             raise
@@ -91,7 +123,7 @@
         self._metrics.record_duration(f"{self._name}_time", duration_s)
         if isinstance(outcome, Err):
             self.gate.leave()
-            return self._refuse(outcome.err_value, call_id, start_response)
+            return self._refuse(outcome.err_value, call_id, environ, start_response)
         self._metrics.increment(f"{self._name}_answered")
         answer = leave_at_close(outcome.ok_value, self.gate)
         return respond_answer(answer, call_id, start_response)
@@ -108,18 +140,29 @@
         return self._router.route(context, body, retries)
 
     def _refuse(
-        self, refusal: Refusal, call_id: CallId, start_response: StartResponse
+        self,
+        refusal: Refusal,
+        call_id: CallId,
+        environ: Environ,
+        start_response: StartResponse,
     ) -> Iterable[bytes]:
         self._metrics.increment(f"{self._name}_refused_{refusal.reason.value}")
         log_event(
             f"{self._name}_refused",
             call=call_id,
+            request=self._reader.read_request_id(environ),
             verdict=refusal.run_state,
             reason=refusal.reason,
             retry_after_ms=refusal.retry_after_ms,
             detail=refusal.detail,
         )
-        return respond_refusal(refusal, call_id, start_response)
+        return respond_refusal(
+            refusal,
+            call_id,
+            start_response,
+            self._format_retry_after,
+            self._reader.repeat_request_id(environ),
+        )
 
 
 def leave_at_close(answer: Answer, gate: Gate) -> Answer:
@@ -134,13 +177,11 @@
     return replace(answer, close=close)
 
 
-def build_context(
-    request: WebRequest, match: RouteMatch, origin: Origin, call_id: CallId
-) -> CallContext:
+def build_context(arrival: Arrival, match: RouteMatch, origin: Origin) -> CallContext:
     """Build the context of a request on its route."""
-    route = match.route
+    request, route = arrival.request, match.route
     return CallContext(
-        call_id=call_id,
+        call_id=arrival.call_id,
         root_id=origin.root_id,
         organisation=origin.organisation,
         importance=origin.importance,
@@ -153,4 +194,13 @@
         path=match.path + request.query,
         headers=request.headers,
         idempotency_key=request.idempotency_key,
+        request_id=request.request_id,
     )
+
+
+def find_deadline(arrival: Arrival, route: Route) -> float:
+    """Return when a request's time is over, for its route and for its caller."""
+    limit_ms = route.deadline_ms
+    if arrival.request.deadline_ms is not None:
+        limit_ms = min(limit_ms, arrival.request.deadline_ms)
+    return arrival.arrived_at + limit_ms / MILLISECONDS
--- a/corianderhold/coordination/entry/outgoing.py
+++ b/corianderhold/coordination/entry/outgoing.py
@@ -11,10 +11,16 @@
 from corianderhold.clock import Clock
 from corianderhold.coordination.call import Answer, CallContext
 from corianderhold.coordination.entry.const import DEPTH_MAX
-from corianderhold.coordination.entry.intake import Intake, Origin, build_context
-from corianderhold.coordination.entry.request import read_request
+from corianderhold.coordination.entry.intake import (
+    Arrival,
+    Intake,
+    Origin,
+    build_context,
+    find_deadline,
+)
 from corianderhold.coordination.entry.response import (
     describe_status,
+    format_whole_seconds,
     respond_refusal,
 )
 from corianderhold.coordination.owner.registry import InFlightCall, InFlightCalls
@@ -85,8 +91,8 @@
     def _follow(self, configuration: Configuration) -> None:
         self._index = build_route_index(configuration)
 
-    def _handle(self, environ: Environ, call_id: CallId) -> Result[Answer, Refusal]:
-        request = read_request(environ)
+    def _handle(self, arrival: Arrival) -> Result[Answer, Refusal]:
+        request = arrival.request
         parent = self._calls.find_by_token(request.context_token or "")
         if parent is None:
             return Err(refuse_not_run(Reason.CONTEXT_UNKNOWN))
@@ -98,13 +104,13 @@
         match = found.ok_value
         if not may_use(match.route, parent.context.organisation):
             return Err(refuse_not_run(Reason.ROUTE_FORBIDDEN))
-        origin = self._inherit_origin(parent.context, match.route)
-        context = build_context(request, match, origin, call_id)
-        return self._route(environ, context, parent, match.route)
+        own_deadline = find_deadline(arrival, match.route)
+        origin = self._inherit_origin(parent.context, own_deadline)
+        context = build_context(arrival, match, origin)
+        return self._route(arrival.environ, context, parent, match.route)
 
-    def _inherit_origin(self, parent: CallContext, route: Route) -> Origin:
+    def _inherit_origin(self, parent: CallContext, own_deadline: float) -> Origin:
         """Return a nested call's origin; all that matters comes from its parent."""
-        own_deadline = self._clock.read_monotonic() + route.deadline_ms / 1000
         return Origin(
             root_id=parent.root_id,
             organisation=parent.organisation,
@@ -139,7 +145,9 @@
         except (Invalid, ValueError) as error:
             detail = f"announcement: {error}"
             refusal = refuse_not_run(Reason.REQUEST_MALFORMED, detail=detail)
-            return respond_refusal(refusal, CallId(""), start_response)
+            return respond_refusal(
+                refusal, CallId(""), start_response, format_whole_seconds
+            )
         service = ServiceName(announcement["service"])
         self._registrar.announce_target(
             service, announcement["address"], announcement["restarted"]
--- a/corianderhold/coordination/entry/request.py
+++ b/corianderhold/coordination/entry/request.py
@@ -10,11 +10,17 @@
     RequestBody,
     StreamedBody,
 )
-from corianderhold.protocol.headers import BEARER_PREFIX, may_reach_target
+from corianderhold.protocol.headers import (
+    BEARER_PREFIX,
+    HeaderNames,
+    may_reach_target,
+)
 from corianderhold.protocol.peer.const import CHUNK_BYTES, INLINE_BODY_BYTES
 from corianderhold.protocol.peer.messages import Header
 from corianderhold.transport.web.server import Environ
 
+DIGITS_MAX = 12
+
 
 @dataclass(frozen=True)
 class WebRequest:
@@ -22,46 +28,110 @@
     One HTTP request.
 
     `path` is the raw path, `query` what follows it from the question mark on; `key`
-    and `context_token` are None when the caller sent none.
+    and `context_token` are None when the caller sent none, `deadline_ms` when it sent
+    no time that can be read.
     """
 
     method: str
+    host: str
     path: str
     query: str
     headers: tuple[Header, ...] = field(repr=False)
     key: str | None = field(repr=False)
     context_token: str | None = field(repr=False)
     idempotency_key: str | None
+    request_id: str = ""
+    deadline_ms: int | None = None
+
+
+class RequestReader:
+    """
+    Read requests that come to a daemon beside a target of `caller_service`.
 
+    The headers that daemons set themselves are left out of what goes on to a target,
+    whatever the caller sent; `caller_service` is put there, unless it is empty.
+    """
 
-def read_request(environ: Environ) -> WebRequest:
-    """Return the request's head; headers that must not reach a target are left out."""
-    authorization = environ.get("HTTP_AUTHORIZATION", "")
-    key = None
-    if authorization.startswith(BEARER_PREFIX):
-        key = authorization[len(BEARER_PREFIX) :].strip()
-    path, mark, query = environ["REQUEST_URI"].partition("?")
-    return WebRequest(
-        method=environ["REQUEST_METHOD"],
-        path=path,
-        query=mark + query,
-        headers=tuple(read_headers(environ, key)),
-        key=key,
-        context_token=environ.get("HTTP_X_CORIANDERHOLD_CONTEXT"),
-        idempotency_key=environ.get("HTTP_IDEMPOTENCY_KEY"),
-    )
-
-
-def read_headers(environ: Environ, key: str | None) -> Iterator[Header]:
-    """Yield the headers that may reach a target; none of them holds the key."""
-    if environ.get("CONTENT_TYPE"):
-        yield Header("Content-Type", environ["CONTENT_TYPE"])
-    for variable, value in environ.items():
-        if not variable.startswith("HTTP_"):
-            continue
-        name = variable[len("HTTP_") :].replace("_", "-").title()
-        if may_reach_target(name) and not (key and key in value):
-            yield Header(name, value)
+    def __init__(self, names: HeaderNames, caller_service: str) -> None:
+        self._request_id_header = names.request_id
+        self._request_id = name_variable(names.request_id)
+        self._deadline_ms = name_variable(names.deadline_ms)
+        self._context = name_variable(names.context)
+        self._own = frozenset(
+            name.lower()
+            for name in (
+                names.organisation,
+                names.importance,
+                names.deadline_ms,
+                names.context,
+                names.caller_service,
+                names.expected_target,
+            )
+        )
+        self._added: tuple[Header, ...] = ()
+        if caller_service:
+            self._added = (Header(names.caller_service, caller_service),)
+
+    def read_request_id(self, environ: Environ) -> str:
+        """Return the id that the caller gave its request, or an empty text."""
+        text: str = environ.get(self._request_id, "")
+        return text
+
+    def repeat_request_id(self, environ: Environ) -> list[tuple[str, str]]:
+        """Return the header that names the request in a response, if it has an id."""
+        request_id = self.read_request_id(environ)
+        return [(self._request_id_header, request_id)] if request_id else []
+
+    def read(self, environ: Environ) -> WebRequest:
+        """Return the request's head."""
+        authorization = environ.get("HTTP_AUTHORIZATION", "")
+        key = None
+        if authorization.startswith(BEARER_PREFIX):
+            key = authorization[len(BEARER_PREFIX) :].strip()
+        path, mark, query = environ["REQUEST_URI"].partition("?")
+        return WebRequest(
+            method=environ["REQUEST_METHOD"],
+            host=environ.get("HTTP_HOST", ""),
+            path=path,
+            query=mark + query,
+            headers=(*self._read_headers(environ, key), *self._added),
+            key=key,
+            context_token=environ.get(self._context),
+            idempotency_key=environ.get("HTTP_IDEMPOTENCY_KEY"),
+            request_id=self.read_request_id(environ),
+            deadline_ms=read_milliseconds(environ.get(self._deadline_ms, "")),
+        )
+
+    def _read_headers(self, environ: Environ, key: str | None) -> Iterator[Header]:
+        """Yield the headers that may reach a target; none of them holds the key."""
+        if environ.get("CONTENT_TYPE"):
+            yield Header("Content-Type", environ["CONTENT_TYPE"])
+        left_out = self._own | list_tokens(environ.get("HTTP_CONNECTION", ""))
+        for variable, value in environ.items():
+            if not variable.startswith("HTTP_"):
+                continue
+            name = variable[len("HTTP_") :].replace("_", "-").title()
+            if name.lower() in left_out or not may_reach_target(name):
+                continue
+            if not (key and key in value):
+                yield Header(name, value)
+
+
+def name_variable(header: str) -> str:
+    """Return the name of a header's variable in the WSGI environment."""
+    return "HTTP_" + header.upper().replace("-", "_")
+
+
+def list_tokens(value: str) -> frozenset[str]:
+    """Return the tokens of a comma-separated header in lower case."""
+    return frozenset(token.strip().lower() for token in value.split(","))
+
+
+def read_milliseconds(text: str) -> int | None:
+    """Return a number of milliseconds, or None when it can't be read."""
+    if not (text.isascii() and text.isdigit() and len(text) <= DIGITS_MAX):
+        return None
+    return int(text)
 
 
 def read_body(environ: Environ) -> RequestBody:
--- a/corianderhold/coordination/entry/response.py
+++ b/corianderhold/coordination/entry/response.py
@@ -3,11 +3,14 @@
 import json
 import math
 import zlib
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from http import HTTPStatus
 
 from corianderhold.coordination.call import Answer
-from corianderhold.coordination.entry.const import RETRY_AFTER_EXTRA_S
+from corianderhold.coordination.entry.const import (
+    RETRY_AFTER_EXTRA_S,
+    RETRY_AFTER_LEAST_MS,
+)
 from corianderhold.ids import CallId
 from corianderhold.protocol.headers import (
     HEADER_CALL_ID,
@@ -22,6 +25,7 @@
     Reason.KEY_MISSING: HTTPStatus.UNAUTHORIZED,
     Reason.KEY_UNKNOWN: HTTPStatus.UNAUTHORIZED,
     Reason.KEY_WITHDRAWN: HTTPStatus.UNAUTHORIZED,
+    Reason.KEY_EXPIRED: HTTPStatus.UNAUTHORIZED,
     Reason.ROUTE_UNKNOWN: HTTPStatus.NOT_FOUND,
     Reason.ROUTE_FORBIDDEN: HTTPStatus.FORBIDDEN,
     Reason.CONTEXT_UNKNOWN: HTTPStatus.FORBIDDEN,
@@ -33,8 +37,11 @@
 RETRY_LATER = frozenset(
     {HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.CONFLICT}
 )
+MILLISECONDS = 1000
 TIMEOUTS = frozenset({Reason.TARGET_SILENT, Reason.PEER_SILENT, Reason.DEADLINE_PASSED})
 
+RetryAfterFormat = Callable[[Refusal, CallId], str]
+
 
 def respond_answer(
     answer: Answer, call_id: CallId, start_response: StartResponse
@@ -70,7 +77,11 @@
 
 
 def respond_refusal(
-    refusal: Refusal, call_id: CallId, start_response: StartResponse
+    refusal: Refusal,
+    call_id: CallId,
+    start_response: StartResponse,
+    format_retry_after: RetryAfterFormat,
+    headers: Iterable[tuple[str, str]] = (),
 ) -> Iterable[bytes]:
     """Write a refusal with its verdict and the time to come back."""
     status = choose_status(refusal)
@@ -83,29 +94,47 @@
             "call_id": call_id,
         }
     ).encode()
-    headers = [
+    fields = [
         ("Content-Type", "application/json"),
         ("Content-Length", str(len(body))),
         (HEADER_VERDICT, refusal.run_state.value),
         (HEADER_REASON, refusal.reason.value),
         (HEADER_CALL_ID, call_id),
+        *headers,
     ]
     if status in RETRY_LATER:
-        seconds = choose_retry_after_s(refusal, call_id)
-        headers.append((HEADER_RETRY_AFTER, str(seconds)))
-    start_response(describe_status(status), headers)
+        retry_after = format_retry_after(refusal, call_id)
+        fields.append((HEADER_RETRY_AFTER, retry_after))
+    start_response(describe_status(status), fields)
     return [body]
 
 
-def choose_retry_after_s(refusal: Refusal, call_id: CallId) -> int:
+def format_whole_seconds(refusal: Refusal, call_id: CallId) -> str:
     """
     Return the whole seconds after which to come back, at least those of the refusal.
 
-    The header has no fractions, which would send all callers back in the same second.
+    RFC 9110 has no fractions, which would send all callers back in the same second.
     So each call gets up to RETRY_AFTER_EXTRA_S more, drawn from its id.
     """
-    drawn = zlib.crc32(call_id.encode()) % (RETRY_AFTER_EXTRA_S + 1)
-    return max(1, math.ceil(refusal.retry_after_ms / 1000)) + drawn
+    drawn = draw_number(call_id) % (RETRY_AFTER_EXTRA_S + 1)
+    return str(max(1, math.ceil(refusal.retry_after_ms / MILLISECONDS)) + drawn)
+
+
+def format_milliseconds(refusal: Refusal, call_id: CallId) -> str:
+    """
+    Return the seconds after which to come back, with three decimal places.
+
+    For callers that are known to read fractions. Each call gets up to half of the
+    refusal's time more, drawn from its id.
+    """
+    least_ms = max(RETRY_AFTER_LEAST_MS, refusal.retry_after_ms)
+    extra_ms = draw_number(call_id) % (least_ms // 2 + 1)
+    return f"{(least_ms + extra_ms) / MILLISECONDS:.3f}"
+
+
+def draw_number(call_id: CallId) -> int:
+    """Return a number that spreads calls evenly, always the same for one call."""
+    return zlib.crc32(call_id.encode())
 
 
 def choose_status(refusal: Refusal) -> HTTPStatus:
--- /dev/null
+++ b/tests/coordination/entry/test_application.py
@@ -0,0 +1,205 @@
+"""Test what a caller's request is admitted for and what goes on to the target."""
+
+import io
+import json
+from dataclasses import replace
+from unittest import TestCase
+
+from result import Ok, Result
+
+from corianderhold.coordination.call import Answer, CallContext, RequestBody
+from corianderhold.coordination.entry.application import CallerApplication
+from corianderhold.coordination.entry.intake import Intake
+from corianderhold.coordination.entry.request import RequestReader
+from corianderhold.coordination.entry.watch import CallerWatch
+from corianderhold.coordination.retry import RetryBudget
+from corianderhold.ids import OrganisationId, RouteName, ServiceName, Version
+from corianderhold.metrics import Metrics
+from corianderhold.protocol.headers import HeaderNames
+from corianderhold.protocol.verdict import Refusal
+from corianderhold.state.configuration.holder import ConfigurationHolder
+from corianderhold.state.configuration.model import (
+    Configuration,
+    Importance,
+    Organisation,
+    Route,
+)
+from corianderhold.state.keys.issue import build_opaque_key
+from corianderhold.transport.web.server import ENVIRON_SOCKET
+from tests.common.calls import RefusingRouter
+from tests.common.clock import FakeClock
+
+SCHOOLS = OrganisationId("schools")
+KEY = "key-of-the-schools"
+EXPIRED_KEY = "key-of-last-year"
+NAMES = HeaderNames(request_id="Request-Id", deadline_ms="Time-Left")
+KEYED = Route(
+    RouteName("search"),
+    ServiceName("catalogue"),
+    "/search",
+    frozenset({"GET"}),
+    Importance.BULK,
+    deadline_ms=2000,
+)
+OPEN = replace(KEYED, name=RouteName("lookup"), path_prefix="/lookup", anonymous=True)
+KEYS = (
+    build_opaque_key(KEY, SCHOOLS),
+    replace(build_opaque_key(EXPIRED_KEY, SCHOOLS), expires_at=1.0),
+)
+CONFIGURATION = Configuration(
+    Version(1),
+    routes=(KEYED, OPEN),
+    organisations={SCHOOLS: Organisation(SCHOOLS, 1.0, 1.0)},
+    keys={key.key_id: key for key in KEYS},
+)
+
+
+class RecordingRouter(RefusingRouter):
+    """Note the calls that are routed."""
+
+    def __init__(self) -> None:
+        self.contexts: list[CallContext] = []
+
+    def route(
+        self, context: CallContext, body: RequestBody, retries: RetryBudget
+    ) -> Result[Answer, Refusal]:
+        self.contexts.append(context)
+        return super().route(context, body, retries)
+
+
+class CountingLimiter:
+    """Admit everything and note who was charged."""
+
+    def __init__(self) -> None:
+        self.charged: list[OrganisationId] = []
+
+    def charge(self, organisation: OrganisationId, now: float) -> Result[None, Refusal]:
+        self.charged.append(organisation)
+        return Ok(None)
+
+
+class CallerApplicationTests(TestCase):
+    """Send requests to an entry beside a target of the playback service."""
+
+    def setUp(self) -> None:
+        self.router = RecordingRouter()
+        self.limiter = CountingLimiter()
+        self.holder = ConfigurationHolder()
+        self.clock = FakeClock()
+        intake = Intake(
+            "request",
+            self.router,
+            CallerWatch(lambda call_id: None),
+            self.clock,
+            Metrics(),
+            16,
+            RequestReader(NAMES, "playback"),
+        )
+        self.application = CallerApplication(
+            intake, self.holder, self.limiter, self.clock
+        )
+        self.response: tuple[str, dict[str, str]] = ("", {})
+
+    def send(self, path: str, key: str | None = None, **headers: str) -> str:
+        """Return the reason of the refusal, which is NO_TARGET once routed."""
+
+        def start_response(status: str, pairs: list[tuple[str, str]]) -> None:
+            self.response = (status, dict(pairs))
+
+        environ = {
+            "REQUEST_METHOD": "GET",
+            "REQUEST_URI": path,
+            "wsgi.input": io.BytesIO(),
+            ENVIRON_SOCKET: None,
+            **{f"HTTP_{name.upper()}": value for name, value in headers.items()},
+        }
+        if key is not None:
+            environ["HTTP_AUTHORIZATION"] = f"Bearer {key}"
+        body = b"".join(self.application(environ, start_response))
+        reason: str = json.loads(body)["reason"]
+        return reason
+
+    def configure(self, configuration: Configuration = CONFIGURATION) -> None:
+        self.holder.replace(configuration)
+
+    def read_headers(self) -> dict[str, str]:
+        headers = self.router.contexts[-1].headers
+        return {header.name: header.value for header in headers}
+
+    def test_deadline_is_the_shorter_of_the_routes_and_the_callers(self) -> None:
+        self.configure()
+        for text, expected_s in (
+            ("500", 0.5),
+            ("9000", 2.0),
+            ("", 2.0),
+            ("1e3", 2.0),
+            ("-5", 2.0),
+            ("\u0662", 2.0),
+            ("9" * 400, 2.0),
+        ):
+            self.send("/search", KEY, time_left=text)
+            left_s = self.router.contexts[-1].deadline_at - self.clock.read_monotonic()
+            self.assertAlmostEqual(left_s, expected_s, 6, text)
+
+    def test_own_headers_are_set_whatever_the_caller_sent(self) -> None:
+        self.configure()
+        forged = {
+            f"x_corianderhold_{name}": "forged"
+            for name in ("organisation", "importance", "context", "caller_service")
+        }
+        self.send(
+            "/search",
+            KEY,
+            request_id="r-1",
+            time_left="500",
+            x_corianderhold_expected_target="forged",
+            connection="close, X-Once",
+            x_once="1",
+            accept="text/plain",
+            x_key=f"my {KEY}",
+            **forged,
+        )
+        expected = {
+            "Request-Id": "r-1",
+            "Accept": "text/plain",
+            "X-Corianderhold-Caller-Service": "playback",
+        }
+        self.assertEqual(self.read_headers(), expected)
+        self.assertEqual(self.router.contexts[-1].request_id, "r-1")
+        self.assertEqual(self.response[1]["Request-Id"], "r-1")
+
+    def test_anonymous_route_needs_no_key_and_charges_nobody(self) -> None:
+        self.configure()
+        for key in (None, "unknown-key", EXPIRED_KEY, KEY):
+            self.assertEqual(self.send("/lookup", key), "no_target", key)
+            self.assertEqual(self.router.contexts[-1].organisation, "")
+            self.assertNotIn("Authorization", self.read_headers())
+        self.assertEqual(self.limiter.charged, [])
+
+    def test_organisations_importance_goes_before_the_routes(self) -> None:
+        self.configure()
+        self.send("/search", KEY)
+        ranked = Organisation(SCHOOLS, 1.0, 1.0, importance=Importance.CRITICAL)
+        organisations = {SCHOOLS: ranked}
+        self.configure(
+            replace(CONFIGURATION, version=Version(2), organisations=organisations)
+        )
+        self.send("/search", KEY)
+        importances = [context.importance for context in self.router.contexts]
+        self.assertEqual(importances, [Importance.BULK, Importance.CRITICAL])
+        self.assertEqual(self.limiter.charged, [SCHOOLS, SCHOOLS])
+
+    def test_refusals_in_their_order(self) -> None:
+        self.assertEqual(self.send("/none"), "configuration_missing")
+        self.assertTrue(self.response[0].startswith("503"))
+        self.assertIn("Retry-After", self.response[1])
+        self.configure()
+        for path, key, reason, status in (
+            ("/none", None, "route_unknown", "404"),
+            ("/search", None, "key_missing", "401"),
+            ("/search", "unknown-key", "key_unknown", "401"),
+            ("/search", EXPIRED_KEY, "key_expired", "401"),
+        ):
+            self.assertEqual(self.send(path, key), reason)
+            self.assertTrue(self.response[0].startswith(status), self.response)
+        self.assertEqual(self.router.contexts, [])
--- a/tests/coordination/entry/test_intake.py
+++ b/tests/coordination/entry/test_intake.py
@@ -7,14 +7,16 @@
 from corianderhold.clock import SystemClock
 from corianderhold.coordination.call import Answer
 from corianderhold.coordination.entry.const import RESERVED_THREADS
-from corianderhold.coordination.entry.intake import Intake
+from corianderhold.coordination.entry.intake import Arrival, Intake
+from corianderhold.coordination.entry.request import RequestReader
 from corianderhold.coordination.entry.watch import CallerWatch
-from corianderhold.ids import CallId
 from corianderhold.metrics import Metrics
+from corianderhold.protocol.headers import HeaderNames
 from corianderhold.protocol.verdict import Reason, Refusal, refuse_not_run
-from corianderhold.transport.web.server import Environ
 from tests.common.calls import RefusingRouter
 
+ENVIRON = {"REQUEST_METHOD": "GET", "REQUEST_URI": "/"}
+
 
 class IntakeTests(TestCase):
     """Serve requests whose answers the test makes."""
@@ -30,6 +32,7 @@
             SystemClock(),
             Metrics(),
             RESERVED_THREADS + 1,
+            RequestReader(HeaderNames(), ""),
         )
 
     def start_response(self, status: str, headers: list[tuple[str, str]]) -> None:
@@ -42,7 +45,7 @@
         return Answer(200, (), body, iter(chunks), close)
 
     def serve(self, outcome: Result[Answer, Refusal]) -> object:
-        return self.intake.serve({}, self.start_response, lambda e, c: outcome)
+        return self.intake.serve(ENVIRON, self.start_response, lambda arrival: outcome)
 
     def test_small_answer_ends_its_request(self) -> None:
         self.serve(Ok(self.make_answer(b"all")))
@@ -64,10 +67,10 @@
         self.assertEqual(self.intake.gate.count, 0)
 
     def test_refusal_and_failure_end_their_requests(self) -> None:
-        def fail(environ: Environ, call_id: CallId) -> Result[Answer, Refusal]:
+        def fail(arrival: Arrival) -> Result[Answer, Refusal]:
             raise RuntimeError
 
         self.serve(Err(refuse_not_run(Reason.NO_TARGET)))
         with self.assertRaises(RuntimeError):
-            self.intake.serve({}, self.start_response, fail)
+            self.intake.serve(ENVIRON, self.start_response, fail)
         self.assertEqual(self.intake.gate.count, 0)
--- a/tests/coordination/entry/test_outgoing.py
+++ b/tests/coordination/entry/test_outgoing.py
@@ -11,11 +11,13 @@
     DRAIN_PATH,
     OutgoingApplication,
 )
+from corianderhold.coordination.entry.request import RequestReader
 from corianderhold.coordination.entry.watch import CallerWatch
 from corianderhold.coordination.owner.registry import InFlightCall, InFlightCalls
 from corianderhold.coordination.retry import RetryBudget
 from corianderhold.ids import RouteName, ServiceName, Version
 from corianderhold.metrics import Metrics
+from corianderhold.protocol.headers import HeaderNames
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.configuration.model import Configuration, Route
 from corianderhold.state.membership.model import Address
@@ -54,8 +56,9 @@
     def setUp(self) -> None:
         clock = SystemClock()
         watch = CallerWatch(lambda call_id: None)
+        reader = RequestReader(HeaderNames(), "")
         intake = Intake(
-            "nested_call", RefusingRouter(), watch, clock, Metrics(), THREADS
+            "nested_call", RefusingRouter(), watch, clock, Metrics(), THREADS, reader
         )
         self.registrar = RecordingRegistrar()
         holder = ConfigurationHolder()
