Test the adapter against a stand-in of the platform's store

Change: a stand-in with keyed topics in memory; documents, streams, heartbeats; callers' Host and times to come back with fractions on this deployment.

--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -47,7 +47,6 @@
 from corianderhold.drain import GracefulStop, TargetDrain
 from corianderhold.ids import Incarnation
 from corianderhold.metrics import Metrics
-from corianderhold.protocol.headers import HeaderNames
 from corianderhold.protocol.peer.control import ControlHandler, ControlTopic
 from corianderhold.settings.model import Settings
 from corianderhold.state.configuration.holder import ConfigurationHolder
@@ -84,7 +83,7 @@
         self._clock = SystemClock()
         self._random = Random(os.urandom(16))
         self._metrics = Metrics()
-        self._header_names = HeaderNames()
+        self._header_names = deployment.headers
         self._holder = ConfigurationHolder()
         self._incarnation = draw_incarnation()
         self._identity = Identity(
@@ -156,7 +155,16 @@
         self, name: str, router: KeyedRouter, watch: CallerWatch, threads: int
     ) -> Intake:
         reader = RequestReader(self._header_names, self._settings.service or "")
-        return Intake(name, router, watch, self._clock, self._metrics, threads, reader)
+        return Intake(
+            name,
+            router,
+            watch,
+            self._clock,
+            self._metrics,
+            threads,
+            reader,
+            self._deployment.format_retry_after,
+        )
 
     def _build_callers(
         self, router: KeyedRouter, watch: CallerWatch, rate: RateParts
--- a/corianderhold/deployment.py
+++ b/corianderhold/deployment.py
@@ -5,6 +5,10 @@
 from typing import Protocol
 
 from corianderhold.clock import Clock
+from corianderhold.coordination.entry.response import (
+    RetryAfterFormat,
+    format_whole_seconds,
+)
 from corianderhold.protocol.headers import HeaderNames
 from corianderhold.protocol.store.model import Log
 from corianderhold.settings.model import Settings
@@ -39,6 +43,7 @@
     """
 
     headers: HeaderNames = HeaderNames()
+    format_retry_after: RetryAfterFormat = format_whole_seconds
     open_log: Callable[[Settings, Clock], Log] = open_http_log
     build_announce: Callable[[TargetRegistrar], WSGIApplication] | None = None
     build_readiness: Callable[[Callable[[], bool]], WSGIApplication] | None = None
--- a/corianderhold/protocol/headers.py
+++ b/corianderhold/protocol/headers.py
@@ -33,7 +33,7 @@
         "upgrade",
     }
 )
-NEVER_TO_TARGET = HOP_BY_HOP | {"authorization", "content-length", "expect", "host"}
+NEVER_TO_TARGET = HOP_BY_HOP | {"authorization", "content-length", "expect"}
 
 
 def may_reach_target(name: str) -> bool:
--- /dev/null
+++ b/tests/platform/store.py
@@ -0,0 +1,96 @@
+"""Stand in for the platform's store: keyed topics over HTTP, kept in memory."""
+
+import base64
+import json
+import struct
+import threading
+from collections.abc import Iterable
+from http import HTTPStatus
+from urllib.parse import parse_qs
+
+from corianderhold.state.membership.model import Address
+from corianderhold.transport.web.server import Environ, StartResponse, WebServer
+
+THREADS = 4
+
+
+class PlatformStore:
+    """Serve one partition a topic, in the format of the platform's pages."""
+
+    def __init__(self, address: Address) -> None:
+        self.topics: dict[str, list[tuple[str, bytes]]] = {}
+        self.first: dict[str, int] = {}
+        self.refuse = False
+        self._changed = threading.Condition()
+        self._server = WebServer("store", address, self, THREADS)
+
+    def start(self) -> None:
+        """Listen."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop listening."""
+        self._server.stop()
+
+    def put(self, topic: str, key: str, value: bytes) -> int:
+        """Append one record and return its offset."""
+        with self._changed:
+            records = self.topics.setdefault(topic, [])
+            records.append((key, value))
+            self._changed.notify_all()
+            return len(records) - 1
+
+    def forget(self, topic: str) -> None:
+        """Drop the whole history of a topic; the newest records stay."""
+        self.first[topic] = len(self.topics.get(topic, []))
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one call."""
+        query = {k: v[0] for k, v in parse_qs(environ["QUERY_STRING"]).items()}
+        status, body = HTTPStatus.SERVICE_UNAVAILABLE, b""
+        if not self.refuse:
+            verb = environ["PATH_INFO"].rpartition("-")[2]
+            content = environ["wsgi.input"].read()
+            status, body = getattr(self, f"_{verb}")(query, content)
+        text = f"{status.value} {status.phrase}"
+        start_response(text, [("Content-Length", str(len(body)))])
+        return [body]
+
+    def _append(
+        self, query: dict[str, str], content: bytes
+    ) -> tuple[HTTPStatus, bytes]:
+        length = content[4]
+        key, value = content[5 : 5 + length].decode(), content[5 + length :]
+        offset = self.put(query["topic"], key, value)
+        return HTTPStatus.OK, json.dumps({"offset": offset, "end": offset + 1}).encode()
+
+    def _read(self, query: dict[str, str], content: bytes) -> tuple[HTTPStatus, bytes]:
+        topic, start = query["topic"], int(query["from"])
+        first = self.first.get(topic, 0)
+        if start < first:
+            return HTTPStatus.GONE, json.dumps({"first": first}).encode()
+        wait_s = int(query.get("wait_ms", 0)) / 1000
+        with self._changed:
+            self._changed.wait_for(
+                lambda: len(self.topics.get(topic, [])) > start, wait_s
+            )
+            records = self.topics.get(topic, [])
+        body = struct.pack(">QQ", len(records), first)
+        for key, value in records[start:]:
+            framed = bytes([len(key)]) + key.encode() + value
+            body += struct.pack(">I", len(framed)) + framed
+        return HTTPStatus.OK, body
+
+    def _newest(
+        self, query: dict[str, str], content: bytes
+    ) -> tuple[HTTPStatus, bytes]:
+        records = self.topics.get(query["topic"], [])
+        newest = {key: (offset, value) for offset, (key, value) in enumerate(records)}
+        items = [
+            {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+            for key, (offset, value) in sorted(newest.items())
+        ]
+        page = {"items": items, "has_more": False, "end": len(records)}
+        return HTTPStatus.OK, json.dumps(page).encode()
--- /dev/null
+++ b/tests/platform/test_log.py
@@ -0,0 +1,65 @@
+"""Test the streams in the platform's store, against a stand-in."""
+
+from unittest import TestCase
+
+from corianderhold.clock import SystemClock
+from corianderhold.ids import FailureDomainId, Offset
+from corianderhold.protocol.store.model import ReadFailure, StreamName
+from corianderhold.state.configuration.codec import decode_record
+from corianderhold.state.configuration.records import SnapshotRecord
+from corianderhold.state.membership.model import Address
+from corianderhold_platform.log import PlatformLog
+from tests.common.ports import find_free_port
+from tests.platform.documents import write_document
+from tests.platform.store import PlatformStore
+
+TIMEOUT_S = 5.0
+
+
+class PlatformLogTest(TestCase):
+    """The streams are read and appended as the product expects."""
+
+    def setUp(self) -> None:
+        address = Address("127.0.0.1", find_free_port())
+        self.store = PlatformStore(address)
+        self.store.start()
+        self.addCleanup(self.store.stop)
+        self.log = PlatformLog(address, SystemClock(), (FailureDomainId("west-a"),))
+
+    def _append(self, key: str, data: str) -> Offset:
+        return self.log.append(StreamName.MEMBERS, data, TIMEOUT_S, key).unwrap()
+
+    def _read(self, start: int) -> list[tuple[int, str]]:
+        page = self.log.read(StreamName.MEMBERS, Offset(start), 100, TIMEOUT_S)
+        self._page = page.unwrap()
+        return [(record.offset, record.data) for record in self._page.records]
+
+    def test_append_and_read(self) -> None:
+        self.assertEqual([self._append("a", "one"), self._append("b", "two")], [0, 1])
+        self.assertEqual(self._read(0), [(0, "one"), (1, "two")])
+        self.assertEqual(self._read(2), [])
+        self.assertEqual(self._page.next_offset, 2)
+
+    def test_newest_in_place_of_a_lost_history(self) -> None:
+        for key, data in (("a", "old"), ("b", "two"), ("a", "new")):
+            self._append(key, data)
+        self.store.forget("keyed.members")
+        self._append("c", "three")
+        self.assertEqual(self._read(0), [(1, "two"), (2, "new"), (3, "three")])
+        self.assertEqual(self._page.first_offset, 1)
+        self.assertEqual(self._read(4), [])
+
+    def test_configuration(self) -> None:
+        self.store.put("keyed.op", "config", write_document(7))
+        self.store.put("keyed.op", "config", b"{")
+        page = self.log.read(StreamName.CONFIGURATION, Offset(0), 100, TIMEOUT_S)
+        first, second = page.unwrap().records
+        record = decode_record(first.data).unwrap()
+        assert isinstance(record, SnapshotRecord)
+        self.assertEqual(record.configuration.version, 7)
+        self.assertTrue(decode_record(second.data).is_err())
+
+    def test_refused_read(self) -> None:
+        self.store.refuse = True
+        page = self.log.read(StreamName.MEMBERS, Offset(0), 100, TIMEOUT_S)
+        self.assertEqual(page.unwrap_err(), ReadFailure.UNAVAILABLE)
--- /dev/null
+++ b/tests/platform/test_targets.py
@@ -0,0 +1,94 @@
+"""Test the translation of the server's heartbeats."""
+
+import io
+import json
+from typing import Any
+from unittest import TestCase
+
+from corianderhold.state.membership.model import Address
+from corianderhold.state.membership.target import TargetAnnouncement
+from corianderhold_platform.targets import TargetApplication
+
+HEARTBEAT = {
+    "address": "10.0.0.9:8080",
+    "info": {"service": "s1", "version": "v1", "zone": "west-a", "slots": 99},
+    "status": {"state": "ready", "seq": 4, "cold_remaining_s": 0.5},
+    "born": 1_700_000_000_000,
+}
+
+
+class Registrar:
+    """Note what is announced."""
+
+    def __init__(self) -> None:
+        self.announced: list[TargetAnnouncement] = []
+        self.withdrawn: list[tuple[str | None, int | None]] = []
+
+    def announce_target(self, announcement: TargetAnnouncement) -> None:
+        """Note one heartbeat."""
+        self.announced.append(announcement)
+
+    def withdraw_target(self, target_id: str | None, started: int | None) -> None:
+        """Note one withdrawal."""
+        self.withdrawn.append((target_id, started))
+
+
+class TargetApplicationTest(TestCase):
+    """Heartbeats are handed on or refused, and always answered."""
+
+    def setUp(self) -> None:
+        self.registrar = Registrar()
+        self.application = TargetApplication(self.registrar)
+
+    def _call(self, name: str, body: object, target_id: str = "i-1") -> str:
+        text = b"" if body is None else json.dumps(body).encode()
+        environ = {
+            "PATH_INFO": "/corianderhold/rpc",
+            "QUERY_STRING": f"call=instances.{name}&of={target_id}",
+            "wsgi.input": io.BytesIO(text),
+        }
+        statuses: list[str] = []
+
+        def start_response(status: str, headers: Any) -> None:  # noqa: ANN401
+            statuses.append(status)
+
+        b"".join(self.application(environ, start_response))
+        return statuses[0]
+
+    def test_heartbeat(self) -> None:
+        self.assertEqual(self._call("heartbeat", HEARTBEAT), "200 OK")
+        expected = TargetAnnouncement(
+            service="s1",  # type: ignore[arg-type]
+            address=Address("10.0.0.9", 8080),
+            target_id="i-1",
+            started=1_700_000_000_000,
+            sequence=4,
+            slots=99,
+            cold_s=0.5,
+        )
+        self.assertEqual(self.registrar.announced, [expected])
+
+    def test_drain_and_withdrawal(self) -> None:
+        draining = {**HEARTBEAT, "status": {"state": "draining", "seq": 5}}
+        self._call("heartbeat", draining)
+        self.assertTrue(self.registrar.announced[0].draining)
+        self._call("deregister", None)
+        self._call("deregister", {"born": 7})
+        self.assertEqual(self.registrar.withdrawn, [("i-1", None), ("i-1", 7)])
+
+    def test_unknown_shapes_name_no_server(self) -> None:
+        bad = [
+            None,
+            [],
+            {**HEARTBEAT, "address": 5},
+            {**HEARTBEAT, "address": "10.0.0.9"},
+            {**HEARTBEAT, "info": {"slots": 1}},
+            {**HEARTBEAT, "status": {"state": "resting"}},
+            {**HEARTBEAT, "born": "soon"},
+        ]
+        for body in bad:
+            with self.subTest(body=body):
+                self.assertEqual(self._call("heartbeat", body), "400 Bad Request")
+        self.assertEqual(self._call("heartbeat", HEARTBEAT, ""), "400 Bad Request")
+        self.assertEqual(self._call("restart", HEARTBEAT), "400 Bad Request")
+        self.assertEqual(self.registrar.announced, [])
