Find routes by host and for any method; send paths on as they came

Cause: deployments tell routes apart by host, have routes for any method and prefixes that end with a slash, and expect the target to get the caller's path byte for byte. The index knew method and whole segments only, and sent the canonical path on.

Ruled out: matching on the raw path. Escaped letters would get past the route that they name. Sending the canonical path: it changes what the caller wrote.

Change: the index holds the routes of each host apart, those of the request's host before those for any; a prefix is looked up once for each segment, then by method, then for any method. Matching stays on the canonical path, and all that was malformed stays so. What is sent on is the raw path. Prefixes have no escapes, so a target that decodes them reads the path that was matched, and to one that doesn't an escaped path names nothing that another route is for.

--- a/corianderhold/coordination/entry/application.py
+++ b/corianderhold/coordination/entry/application.py
@@ -91,7 +91,7 @@
         if isinstance(identified, Err):
             return Err(refuse_not_run(identified.err_value))
         caller = identified.ok_value
-        found = self._index.find(request.method, request.path)
+        found = self._index.find(request.host, request.method, request.path)
         if isinstance(found, Err):
             return Err(refuse_not_run(found.err_value))
         match = found.ok_value
--- a/corianderhold/coordination/entry/outgoing.py
+++ b/corianderhold/coordination/entry/outgoing.py
@@ -92,7 +92,7 @@
             return Err(refuse_not_run(Reason.CONTEXT_UNKNOWN))
         if parent.context.depth + 1 >= DEPTH_MAX:
             return Err(refuse_not_run(Reason.DEPTH_EXCEEDED))
-        found = self._index.find(request.method, request.path)
+        found = self._index.find(request.host, request.method, request.path)
         if isinstance(found, Err):
             return Err(refuse_not_run(found.err_value))
         match = found.ok_value
--- a/corianderhold/coordination/entry/request.py
+++ b/corianderhold/coordination/entry/request.py
@@ -26,6 +26,7 @@
     """
 
     method: str
+    host: str
     path: str
     query: str
     headers: tuple[Header, ...] = field(repr=False)
@@ -43,6 +44,7 @@
     path, mark, query = environ["REQUEST_URI"].partition("?")
     return WebRequest(
         method=environ["REQUEST_METHOD"],
+        host=environ.get("HTTP_HOST", ""),
         path=path,
         query=mark + query,
         headers=tuple(read_headers(environ, key)),
--- a/corianderhold/state/configuration/paths.py
+++ b/corianderhold/state/configuration/paths.py
@@ -1,4 +1,4 @@
-"""Bring request paths into the one form that is matched and sent on."""
+"""Bring the hosts and paths of requests into the one form that is matched."""
 
 import re
 from urllib.parse import quote, unquote_to_bytes
@@ -20,10 +20,11 @@
     """
     Return the canonical form of a request's path, given without its query.
 
-    Escapes of characters that need none are decoded and the others written in
-    capitals. A path that a target might read as another one is malformed: empty or
-    dot segments, path parameters, escaped separators, control characters, escapes
-    of escapes and bytes that are not UTF-8.
+    Routes are matched on it; the target gets the path that the caller wrote. Escapes
+    of characters that need none are decoded and the others written in capitals. A
+    path that a target might read as another one is malformed: empty or dot segments,
+    path parameters, escaped separators, control characters, escapes of escapes and
+    bytes that are not UTF-8.
     """
     if len(raw) > MAX_REQUEST_PATH_LENGTH:
         return Err(Reason.REQUEST_MALFORMED)
@@ -41,6 +42,14 @@
     return Ok("/".join(["", *(each or "" for each in canonical), *trailing]))
 
 
+def normalise_host(raw: str) -> str:
+    """Return the host of a Host header in lower case and without its port."""
+    host = raw.strip().lower()
+    if host.startswith("["):
+        return host[: host.find("]") + 1]
+    return host.partition(":")[0]
+
+
 def _normalise_segment(raw: str) -> str | None:
     if not SEGMENT.fullmatch(raw):
         return None
--- a/measurements/configuration_state.py
+++ b/measurements/configuration_state.py
@@ -45,6 +45,7 @@
 LOOKUPS = 20_000
 SECONDS_PER_DAY = 86_400
 NOW_S = 1.7e9
+HOST = "service.example:8080"
 TARGETS = [
     Target("fold_core_percent", highest=3.5),
     Target("change_bytes_s", highest=2048.0),
@@ -197,12 +198,12 @@
     index_s = perf_counter() - started
     path = "/service-7/route-7/items/1234"
     identify_caller(configuration, issued.text, NOW_S).unwrap()
-    index.find("GET", path).unwrap()
+    index.find(HOST, "GET", path).unwrap()
     return {
         **measure_lookup(
             "key_check", lambda: identify_caller(configuration, issued.text, NOW_S)
         ),
-        **measure_lookup("route", lambda: index.find("GET", path)),
+        **measure_lookup("route", lambda: index.find(HOST, "GET", path)),
         "route_index_ms": index_s * 1e3,
     }
 
