--- a/corianderhold/coordination/entry/outgoing.py
+++ b/corianderhold/coordination/entry/outgoing.py
@@ -1,8 +1,10 @@
 """Take in what the local target sends: nested calls, its announcement, its drain."""
 
 import json
+import os
 from collections.abc import Iterable
 from http import HTTPStatus
+from random import Random
 from typing import Protocol
 
 from result import Err, Result
@@ -23,6 +25,7 @@
     format_whole_seconds,
     respond_refusal,
 )
+from corianderhold.coordination.entry.split import SplitChooser
 from corianderhold.coordination.owner.registry import InFlightCall, InFlightCalls
 from corianderhold.coordination.retry import RetryBudget
 from corianderhold.ids import CallId, ServiceName
@@ -74,6 +77,7 @@
         self._registrar = registrar
         self._clock = clock
         self._index = build_route_index(holder.current)
+        self._splits = SplitChooser(Random(os.urandom(16)))
         holder.add_listener(self._follow)
 
     def __call__(
@@ -90,6 +94,7 @@
 
     def _follow(self, configuration: Configuration) -> None:
         self._index = build_route_index(configuration)
+        self._splits.follow(configuration)
 
     def _handle(self, arrival: Arrival) -> Result[Answer, Refusal]:
         request = arrival.request
@@ -98,7 +103,7 @@
             return Err(refuse_not_run(Reason.CONTEXT_UNKNOWN))
         if parent.context.depth + 1 >= DEPTH_MAX:
             return Err(refuse_not_run(Reason.DEPTH_EXCEEDED))
-        found = self._index.find(request.method, request.path)
+        found = self._index.find(request.host, request.method, request.path)
         if isinstance(found, Err):
             return Err(refuse_not_run(found.err_value))
         match = found.ok_value
@@ -106,7 +111,8 @@
             return Err(refuse_not_run(Reason.ROUTE_FORBIDDEN))
         own_deadline = find_deadline(arrival, match.route)
         origin = self._inherit_origin(parent.context, own_deadline)
-        context = build_context(arrival, match, origin)
+        service = self._splits.choose(match.route)
+        context = build_context(arrival, match, service, origin)
         return self._route(arrival.environ, context, parent, match.route)
 
     def _inherit_origin(self, parent: CallContext, own_deadline: float) -> Origin:
--- a/corianderhold/protocol/headers.py
+++ b/corianderhold/protocol/headers.py
@@ -63,8 +63,8 @@
     request_id: str = HEADER_REQUEST_ID
     deadline_ms: str = HEADER_DEADLINE_MS
     organisation: str = HEADER_ORGANISATION
-    importance: str = HEADER_IMPORTANCE
-    context: str = HEADER_CONTEXT
+    importance: str | None = HEADER_IMPORTANCE
+    context: str | None = HEADER_CONTEXT
     caller_service: str = HEADER_CALLER_SERVICE
     expected_target: str = HEADER_EXPECTED_TARGET
     not_run: str = HEADER_NOT_RUN
--- a/tests/platform/test_targets.py
+++ b/tests/platform/test_targets.py
@@ -77,7 +77,7 @@
         self.assertEqual(self.registrar.withdrawn, [("i-1", None), ("i-1", 7)])
 
     def test_unknown_shapes_name_no_server(self) -> None:
-        bad = [
+        bad: list[object] = [
             None,
             [],
             {**HEARTBEAT, "address": 5},
