Take a target's heartbeats by its starts, and refuse what waits when it leaves

Cause: a target may name itself, its starts and its heartbeats, and beats come late or twice. The holder knew one service and address only, so a late beat of an earlier start would have replaced the present one, and calls in the owner's queue waited for a target that drained.

Change: the holder takes a TargetAnnouncement. Listeners are told in the caller's thread, and the admission refuses its queue with "draining" before the drain returns. The time to live is a setting of membership; the default stays at the documented 3 s.

Ruled out: a time to live of 10 s for all (docs/design/membership.md promises 3 s); comparing starts with a lapsed announcement (a clock that was set back would shut a replaced target out for good).

--- a/corianderhold/coordination/entry/outgoing.py
+++ b/corianderhold/coordination/entry/outgoing.py
@@ -25,7 +25,7 @@
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.configuration.model import Configuration, Route
 from corianderhold.state.configuration.routes import build_route_index, may_use
-from corianderhold.state.membership.model import Address
+from corianderhold.state.membership.target import TargetAnnouncement
 from corianderhold.transport.web.server import Environ, StartResponse
 
 ANNOUNCE_PATH = "/_corianderhold/announce"
@@ -43,14 +43,15 @@
 class TargetRegistrar(Protocol):
     """Take the announcements of the local target."""
 
-    def announce_target(
-        self, service: ServiceName, address: Address, restarted: bool
-    ) -> None:
-        """Note that the target serves; repeated as its heartbeat."""
+    def announce_target(self, announcement: TargetAnnouncement) -> None:
+        """Take a heartbeat of the target."""
 
     def drain_target(self) -> None:
         """Note that the target takes no new work."""
 
+    def withdraw_target(self, target_id: str | None, started: int | None) -> None:
+        """Note that a start of the target is gone."""
+
 
 class OutgoingApplication:
     """Route nested calls on behalf of the call that the target is running."""
@@ -67,6 +68,7 @@
         self._calls = calls
         self._registrar = registrar
         self._clock = clock
+        self._target_starts = 0
         self._index = build_route_index(holder.current)
         holder.add_listener(self._follow)
 
@@ -140,9 +142,13 @@
             detail = f"announcement: {error}"
             refusal = refuse_not_run(Reason.REQUEST_MALFORMED, detail=detail)
             return respond_refusal(refusal, CallId(""), start_response)
-        service = ServiceName(announcement["service"])
+        self._target_starts += announcement["restarted"]
         self._registrar.announce_target(
-            service, announcement["address"], announcement["restarted"]
+            TargetAnnouncement(
+                ServiceName(announcement["service"]),
+                announcement["address"],
+                started=self._target_starts,
+            )
         )
         return respond_empty(HTTPStatus.NO_CONTENT, start_response)
 
--- a/corianderhold/coordination/membership/service.py
+++ b/corianderhold/coordination/membership/service.py
@@ -46,16 +46,22 @@
 from corianderhold.protocol.membership.seal import DatagramSeal
 from corianderhold.protocol.peer.control import ControlClient, ControlSender
 from corianderhold.protocol.store.model import Log
+from corianderhold.state.membership.const import TARGET_TTL_S
 from corianderhold.state.membership.model import (
     Address,
     Member,
     MemberState,
     TargetState,
 )
-from corianderhold.state.membership.target import TargetHolder, TargetStatus
+from corianderhold.state.membership.target import (
+    TargetAnnouncement,
+    TargetHolder,
+    TargetStatus,
+)
 from corianderhold.transport.datagram.endpoint import DatagramEndpoint
 
 MemberListener = Callable[[Member], None]
+TargetListener = Callable[[TargetStatus], None]
 
 
 @dataclass(frozen=True)
@@ -64,7 +70,8 @@
     What a daemon says of itself, and whom it asks first.
 
     `seeds` are gossip addresses; `secret` is shared by the fleet. Port 0 in
-    `gossip_address` lets the operating system choose.
+    `gossip_address` lets the operating system choose. `target_ttl_s` is how long a
+    heartbeat of the local target lasts.
     """
 
     instance: InstanceId
@@ -75,6 +82,7 @@
     gossip_address: Address
     seeds: tuple[Address, ...]
     secret: bytes
+    target_ttl_s: float = TARGET_TTL_S
 
 
 def build_own_member(settings: MembershipSettings, gossip_address: Address) -> Member:
@@ -121,7 +129,7 @@
         self._settings = settings
         self._clock = clock
         self._metrics = metrics
-        self._target = TargetHolder(clock)
+        self._target = TargetHolder(clock, settings.target_ttl_s)
         self._announced = self._target.read()
         self._endpoint = DatagramEndpoint(settings.gossip_address)
         self._own = build_own_member(settings, self._endpoint.address)
@@ -145,6 +153,7 @@
             metrics,
         )
         self._listeners: list[MemberListener] = []
+        self._target_listeners: list[TargetListener] = []
         self._messages: queue.SimpleQueue[TableMessage] = queue.SimpleQueue()
         self._thread = threading.Thread(
             target=self._run, name="membership", daemon=True
@@ -175,6 +184,7 @@
     def leave(self) -> None:
         """Drain the target for good and tell the fleet that this daemon leaves."""
         self._target.close()
+        self._notify_target_listeners()
         self._post(LeaveRequested())
         if self._thread.is_alive():
             self._left.wait(LEAVE_LINGER_S)
@@ -207,23 +217,38 @@
         """Return all known members, dead and left ones included."""
         return self._view.members
 
-    def announce_target(
-        self, service: ServiceName, address: Address, restarted: bool = False
-    ) -> None:
+    def add_target_listener(self, listener: TargetListener) -> None:
+        """
+        Call `listener` with the target's status, at least at each change.
+
+        It runs in the thread that brings the change about, before that goes on.
         """
-        Take a heartbeat of the local target, which lasts for TARGET_TTL_S.
+        self._target_listeners.append(listener)
+
+    def announce_target(self, announcement: TargetAnnouncement) -> None:
+        """
+        Take a heartbeat of the local target, which lasts for `target_ttl_s`.
 
-        `restarted` marks the first heartbeat of a target's process and ends a drain.
         Raises AnnouncementTooLargeError for a service whose name is too long.
         """
-        check_size(replace(self._own, service=service))
-        self._target.announce(service, address, restarted)
-        self._endpoint.wake()
+        check_size(replace(self._own, service=announcement.service))
+        self._target.announce(announcement)
+        self._notify_target_listeners()
 
     def drain_target(self) -> None:
         """Refuse new work for the local target from now on, and say so."""
         self._target.drain()
-        self._endpoint.wake()
+        self._notify_target_listeners()
+
+    def withdraw_target(self, target_id: str | None, started: int | None) -> None:
+        """Forget a start of the local target, whose late heartbeats are ignored."""
+        self._target.withdraw(target_id, started)
+        self._notify_target_listeners()
+
+    def suspend_target(self, status: TargetStatus) -> None:
+        """Hold the local target for absent until its next heartbeat."""
+        self._target.suspend(status)
+        self._notify_target_listeners()
 
     def read_target(self) -> TargetStatus:
         """
@@ -243,6 +268,14 @@
         self._metrics.increment("membership_sync_bytes_sent", len(encoded))
         return encoded
 
+    def _notify_target_listeners(self) -> None:
+        self._call_target_listeners(self._target.read())
+        self._endpoint.wake()
+
+    def _call_target_listeners(self, status: TargetStatus) -> None:
+        for listener in self._target_listeners:
+            listener(status)
+
     def _post(self, message: TableMessage) -> None:
         self._messages.put(message)
         self._endpoint.wake()
@@ -294,6 +327,7 @@
         if self._left.is_set() or status == self._announced:
             return
         self._announced = status
+        self._call_target_listeners(status)
         log_event(
             "target_announced",
             service=status.service,
--- a/corianderhold/coordination/owner/admission.py
+++ b/corianderhold/coordination/owner/admission.py
@@ -10,6 +10,7 @@
 from corianderhold.clock import Clock
 from corianderhold.coordination.call import CallContext
 from corianderhold.coordination.owner.const import (
+    DRAINING_RETRY_AFTER_MS,
     QUEUE_RETRY_AFTER_MS,
     RETRY_AFTER_SPREAD,
     WEIGHT_MIN,
@@ -90,12 +91,25 @@
             return Err(refusal)
         return self._wait(waiter)
 
+    def refuse_waiting(self) -> None:
+        """Refuse the calls that wait, so that their entries try other owners."""
+        with self._lock:
+            for waiter in self._queue.take_all():
+                waiter.decide(WaiterState.DRAINED)
+
     def release_unused(self) -> None:
         """Give back a permit whose call was not sent to the target."""
         with self._lock:
             self._in_flight -= 1
             self._admit_waiters()
 
+    def release_refused(self) -> None:
+        """Give back the permit of a call that the target had no room for."""
+        with self._lock:
+            self._limit.note_refusal()
+            self._in_flight -= 1
+            self._admit_waiters()
+
     def release(
         self,
         route: RouteName,
@@ -197,6 +211,8 @@
             if waiter.cancelled:
                 self._queue.remove(waiter)
                 return Err(refuse_not_run(Reason.CANCELLED))
+            if waiter.state is WaiterState.DRAINED:
+                return Err(refuse_not_run(Reason.DRAINING, DRAINING_RETRY_AFTER_MS))
             if waiter.state is WaiterState.EVICTED:
                 return Err(self._refuse(Reason.SHED, "gave way in the queue"))
             if waiter.state is WaiterState.LATE:
--- a/corianderhold/coordination/owner/const.py
+++ b/corianderhold/coordination/owner/const.py
@@ -2,6 +2,8 @@
 
 QUEUE_RETRY_AFTER_MS = 200
 DRAINING_RETRY_AFTER_MS = 500
+TARGET_RETRY_AFTER_MS = 200
+HOLD_S = 0.1  # how long an answer of unknown length is held before it is passed on
 RETRY_AFTER_SPREAD = 0.5  # clients come back between 0.5 and 1.5 of the hint
 SERVICE_TIME_WEIGHT = 0.1
 ESTIMATE_LIFETIME_S = 2.0  # an older service time says nothing about the next call
--- a/corianderhold/coordination/owner/limit.py
+++ b/corianderhold/coordination/owner/limit.py
@@ -26,6 +26,9 @@
     def note_completion(self, duration_s: float, failed: bool, in_flight: int) -> None:
         """Learn from a call that ended; `in_flight` is the count before its end."""
 
+    def note_refusal(self) -> None:
+        """Learn that the target had no room for a call."""
+
 
 class FixedLimit:
     """Keep the limit that the configuration names."""
@@ -40,6 +43,9 @@
     def note_completion(self, duration_s: float, failed: bool, in_flight: int) -> None:
         """Ignore the call."""
 
+    def note_refusal(self) -> None:
+        """Ignore the refusal."""
+
 
 class Round:
     """Collect calls that were both dispatched and ended under one limit."""
@@ -104,6 +110,11 @@
             self._end_round(self._round)
             self._round = Round(now)
 
+    def note_refusal(self) -> None:
+        """Take one call off the limit."""
+        self._is_starting = False
+        self._limit = max(1.0, self._limit - 1)
+
     def _end_round(self, ended: Round) -> None:
         shrunk_from, self._shrunk_from = self._shrunk_from, None
         if not ended.is_failing:
--- a/corianderhold/coordination/owner/policy.py
+++ b/corianderhold/coordination/owner/policy.py
@@ -15,7 +15,7 @@
 from corianderhold.ids import OrganisationId, ServiceName
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.configuration.model import Configuration, Service
-from corianderhold.state.membership.model import Member, TargetState
+from corianderhold.state.membership.model import TargetState
 from corianderhold.state.membership.target import TargetStatus
 
 DEFAULT_SERVICE = Service(ServiceName("default"))
@@ -27,12 +27,15 @@
     def read_target(self) -> TargetStatus:
         """Return the target's state, service and address."""
 
+    def suspend_target(self, status: TargetStatus) -> None:
+        """Hold the target for absent until its next heartbeat."""
+
 
 class ObservedTargetSource(TargetSource, Protocol):
-    """Give the local target, and tell when members change."""
+    """Give the local target, and tell when it changes."""
 
-    def add_listener(self, listener: Callable[[Member], None]) -> None:
-        """Call `listener` with each changed member, this daemon's own included."""
+    def add_target_listener(self, listener: Callable[[TargetStatus], None]) -> None:
+        """Call `listener` at each change, in the thread that brings it about."""
 
 
 @dataclass(frozen=True)
@@ -78,7 +81,7 @@
     def start(self) -> None:
         """Follow the configuration and the local target."""
         self._holder.add_listener(self._follow_configuration)
-        self._source.add_listener(self._follow_member)
+        self._source.add_target_listener(self._follow_target)
 
     def stop(self) -> None:
         """Hold nothing that needs releasing."""
@@ -107,9 +110,11 @@
     def _follow_configuration(self, configuration: Configuration) -> None:
         self.apply()
 
-    def _follow_member(self, member: Member) -> None:
+    def _follow_target(self, target: TargetStatus) -> None:
+        if target.state is not TargetState.SERVING:
+            self._admission.refuse_waiting()
         known = self._key
-        if known is None or known.target != self._source.read_target():
+        if known is None or known.target != target:
             self.apply()
 
 
--- a/corianderhold/coordination/owner/queue.py
+++ b/corianderhold/coordination/owner/queue.py
@@ -14,6 +14,7 @@
     ADMITTED = "admitted"
     EVICTED = "evicted"
     LATE = "late"
+    DRAINED = "drained"
 
 
 @dataclass(eq=False)
@@ -85,6 +86,12 @@
         self.remove(best)
         return best
 
+    def take_all(self) -> list[Waiter]:
+        """Take out all waiters."""
+        waiters, self._waiters = self._waiters, []
+        self._charges.clear()
+        return waiters
+
     def evict_last(self) -> Waiter | None:
         """Take out the waiter that would go last."""
         last = self.find_last()
--- a/corianderhold/state/membership/const.py
+++ b/corianderhold/state/membership/const.py
@@ -3,6 +3,7 @@
 from corianderhold.state.membership.model import MemberState
 
 TARGET_TTL_S = 3.0
+WITHDRAWN_STARTS = 16
 DEAD_RETENTION_S = 7200.0
 
 # Which of two claims about the same announcement holds.
--- a/tests/common/membership_fleet.py
+++ b/tests/common/membership_fleet.py
@@ -38,6 +38,7 @@
     StreamName,
 )
 from corianderhold.state.membership.model import Address, Member
+from corianderhold.state.membership.target import TargetAnnouncement
 from corianderhold.transport.peer.control import LinkControlClient
 from corianderhold.transport.peer.handshake import Identity
 from corianderhold.transport.peer.link import Link
@@ -129,7 +130,9 @@
     commands: dict[str, Callable[[], object]] = {
         "report": lambda: asdict(build_report(service, metrics)),
         "changes": lambda: changes,
-        "announce": lambda: service.announce_target(SERVICE, TARGET_ADDRESS),
+        "announce": lambda: service.announce_target(
+            TargetAnnouncement(SERVICE, TARGET_ADDRESS)
+        ),
         "drain": service.drain_target,
         "leave": service.leave,
     }
--- a/tests/coordination/entry/test_outgoing.py
+++ b/tests/coordination/entry/test_outgoing.py
@@ -19,6 +19,7 @@
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.configuration.model import Configuration, Route
 from corianderhold.state.membership.model import Address
+from corianderhold.state.membership.target import TargetAnnouncement
 from corianderhold.transport.web.server import ENVIRON_SOCKET
 from tests.common.calls import RefusingRouter, make_context
 
@@ -36,13 +37,14 @@
     """Note what the target announced."""
 
     def __init__(self) -> None:
-        self.announced: list[tuple[ServiceName, Address, bool]] = []
+        self.announced: list[TargetAnnouncement] = []
         self.drains = 0
 
-    def announce_target(
-        self, service: ServiceName, address: Address, restarted: bool
-    ) -> None:
-        self.announced.append((service, address, restarted))
+    def announce_target(self, announcement: TargetAnnouncement) -> None:
+        self.announced.append(announcement)
+
+    def withdraw_target(self, target_id: str | None, started: int | None) -> None:
+        raise NotImplementedError
 
     def drain_target(self) -> None:
         self.drains += 1
@@ -86,7 +88,7 @@
         )
         self.assertEqual(self.status, "204 No Content")
         target = (ServiceName("rights"), Address("127.0.0.1", 9000))
-        expected = [(*target, False), (*target, True)]
+        expected = [TargetAnnouncement(*target, started=start) for start in (0, 1)]
         self.assertEqual(self.registrar.announced, expected)
         self.post(DRAIN_PATH, b"")
         self.assertEqual(self.registrar.drains, 1)
--- a/tests/coordination/membership/test_service.py
+++ b/tests/coordination/membership/test_service.py
@@ -36,6 +36,7 @@
     MemberState,
     TargetState,
 )
+from corianderhold.state.membership.target import TargetAnnouncement
 from corianderhold.transport.datagram.endpoint import DatagramEndpoint
 from tests.common.log import FakeLog
 from tests.common.waiting import wait_until
@@ -115,7 +116,7 @@
         second = self.start((first.gossip_address,))
         changes: list[Member] = []
         second.add_listener(changes.append)
-        registrar.announce_target(RIGHTS, TARGET, False)
+        registrar.announce_target(TargetAnnouncement(RIGHTS, TARGET))
         self.wait_for_owners(second, 1)
         self.wait_for_owners(first, 1)
         self.assertEqual(len(members.list_members()), 2)
@@ -136,7 +137,7 @@
     def test_target_without_heartbeat_lapses_everywhere(self) -> None:
         first = self.start()
         second = self.start((first.gossip_address,))
-        first.announce_target(RIGHTS, TARGET)
+        first.announce_target(TargetAnnouncement(RIGHTS, TARGET))
         self.wait_for_owners(second, 1)
         self.wait_for_owners(second, 0)
         self.assertIs(first.read_target().state, TargetState.ABSENT)
@@ -178,4 +179,5 @@
 
     def test_too_long_service_name_is_refused(self) -> None:
         with self.assertRaises(AnnouncementTooLargeError):
-            self.start().announce_target(ServiceName("x" * 300), TARGET)
+            name = ServiceName("x" * 300)
+            self.start().announce_target(TargetAnnouncement(name, TARGET))
--- a/tests/coordination/owner/test_owner.py
+++ b/tests/coordination/owner/test_owner.py
@@ -32,6 +32,9 @@
     def read_target(self) -> TargetStatus:
         return self.script.pop(0) if len(self.script) > 1 else self.script[0]
 
+    def suspend_target(self, status: TargetStatus) -> None:
+        self.script = [ABSENT_TARGET]
+
 
 class RecordingLimit(FixedLimit):
     """Count the failures that the limit is told of."""
--- a/tests/coordination/owner/test_policy.py
+++ b/tests/coordination/owner/test_policy.py
@@ -1,6 +1,8 @@
 """Test that admission follows the configuration and the local target."""
 
+import threading
 from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 from unittest import TestCase
 
@@ -13,12 +15,14 @@
     build_default_policy,
 )
 from corianderhold.ids import Version
+from corianderhold.protocol.verdict import Reason
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.configuration.model import Configuration, Service
-from corianderhold.state.membership.model import Address, Member, TargetState
+from corianderhold.state.membership.model import Address, TargetState
 from corianderhold.state.membership.target import ABSENT_TARGET, TargetStatus
-from tests.common.calls import CATALOGUE, make_member
+from tests.common.calls import CATALOGUE, make_context
 from tests.common.clock import FakeClock
+from tests.common.waiting import wait_until
 
 ADDRESS = Address("127.0.0.1", 1)
 SERVING = TargetStatus(TargetState.SERVING, CATALOGUE, ADDRESS)
@@ -29,13 +33,17 @@
 
     def __init__(self) -> None:
         self.target = ABSENT_TARGET
-        self.listeners: list[Callable[[Member], None]] = []
+        self.listeners: list[Callable[[TargetStatus], None]] = []
 
     def read_target(self) -> TargetStatus:
         """Return the target."""
         return self.target
 
-    def add_listener(self, listener: Callable[[Member], None]) -> None:
+    def suspend_target(self, status: TargetStatus) -> None:
+        """Lose the target."""
+        self.announce(ABSENT_TARGET)
+
+    def add_target_listener(self, listener: Callable[[TargetStatus], None]) -> None:
         """Keep a listener."""
         self.listeners.append(listener)
 
@@ -43,7 +51,7 @@
         """Change the target and tell the listeners."""
         self.target = target
         for listener in self.listeners:
-            listener(make_member("own"))
+            listener(target)
 
 
 class AdmissionConfiguratorTests(TestCase):
@@ -53,6 +61,7 @@
         self.admission = Admission(
             build_default_limit(), build_default_policy(), FakeClock(), Random(1)
         )
+        self.refused: list[Reason] = []
         self.holder = ConfigurationHolder()
         self.source = FakeSource()
         AdmissionConfigurator(
@@ -93,3 +102,23 @@
         self.source.announce(ABSENT_TARGET)
         self.source.announce(SERVING)
         self.assertEqual(self.read_limit(), 5)
+
+    def test_calls_that_wait_are_refused_when_the_target_drains_or_goes(self) -> None:
+        for ending in (replace(SERVING, state=TargetState.DRAINING), ABSENT_TARGET):
+            self.configure(1 + len(self.refused), 1)
+            self.source.announce(SERVING)
+            context = make_context()
+            self.admission.acquire(context, lambda waiter: None)
+            waiting = threading.Thread(target=self.wait_in_queue)
+            waiting.start()
+            wait_until(
+                lambda: self.admission.report_load(False).queued == 1, "a waiter"
+            )
+            self.source.announce(ending)
+            waiting.join()
+            self.admission.release_unused()
+        self.assertEqual(self.refused, [Reason.DRAINING] * 2)
+
+    def wait_in_queue(self) -> None:
+        outcome = self.admission.acquire(make_context(), lambda waiter: None)
+        self.refused.append(outcome.unwrap_err().reason)
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -5,7 +5,11 @@
 from corianderhold.drain import TargetDrain
 from corianderhold.ids import ServiceName
 from corianderhold.state.membership.model import Address
-from corianderhold.state.membership.target import TargetHolder, TargetStatus
+from corianderhold.state.membership.target import (
+    TargetAnnouncement,
+    TargetHolder,
+    TargetStatus,
+)
 from tests.common.clock import FakeClock
 
 
@@ -30,7 +34,8 @@
 
     def test_drained_target_is_draining(self) -> None:
         holder = Holder()
-        holder.target.announce(ServiceName("rights"), Address("127.0.0.1", 1), False)
+        address = Address("127.0.0.1", 1)
+        holder.target.announce(TargetAnnouncement(ServiceName("rights"), address))
         drain = TargetDrain(holder)
         self.assertFalse(drain.is_draining())
         drain.drain()
