--- a/launcher/launcher.c
+++ b/launcher/launcher.c
@@ -290,7 +290,7 @@
     }
     if (runtime != NULL && *runtime == '/')
         bases[count++] = runtime;
-    bases[count++] = "/dev/shm";
+    bases[count++] = "/run";
     bases[count++] = "/tmp";
     return count;
 }
--- a/measurements/one_binary.py
+++ b/measurements/one_binary.py
@@ -26,7 +26,7 @@
 
 BINARY = ROOT / "dist" / "corianderhold"
 UNPACK_DIRECTORY_VARIABLE = "CORIANDERHOLD_UNPACK_DIR"
-TMPFS = Path("/dev/shm")
+TMPFS = Path("/run")
 IDLE_PLAN = DaemonPlan("idle-a", "ch-west-a")
 IDLE_S = 10.0
 MB_BYTES = 1 << 20
