--- a/corianderhold/coordination/lease/manager.py
+++ b/corianderhold/coordination/lease/manager.py
@@ -298,7 +298,10 @@
         """Append a record; without a clear answer it stays in doubt."""
         entry.sent_at = self._clock.read_monotonic()
         answer = self._log.append(
-            StreamName.LEASES, encode_record(record), LOG_TIMEOUT_S
+            StreamName.LEASES,
+            encode_record(record),
+            LOG_TIMEOUT_S,
+            key=str(record.shard),
         )
         first = entry.in_doubt != record
         entry.in_doubt = record
--- a/corianderhold/state/configuration/fold.py
+++ b/corianderhold/state/configuration/fold.py
@@ -187,9 +187,8 @@
         outcome = _report(state, offset, OutcomeKind.CORRUPT, detail=detail)
         return _advance(state, offset), outcome
     adopted, outcome = adopt_snapshot(state, snapshot)
-    if outcome.kind is not OutcomeKind.SNAPSHOT_ADOPTED:
-        adopted = _advance(state, offset)
-    return adopted, replace(outcome, offset=offset)
+    # The next record of a snapshot of all before it is the snapshot itself.
+    return _advance(adopted, offset), replace(outcome, offset=offset)
 
 
 def _fold_change(
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -57,6 +57,7 @@
         self.assertEqual(outcome.kind, OutcomeKind.SNAPSHOT_ADOPTED)
         state, outcome = fold(state, Offset(1), second)
         self.assertEqual((state.version, outcome.version), (9, 9))
+        self.assertEqual(state.next_offset, 2)
 
     def test_malformed_documents(self) -> None:
         columns = {"columns": ["name"], "rows": [["r-1"]]}
