Fill the owners of one ring before asking farther ones

Cause: an additive penalty sent calls to another region while the own domain had room for more, and drew a farther candidate for each call. Change: this daemon, its domain, its region, the rest; the next ring only above FILL_RATIO.

--- a/corianderhold/coordination/entry/choice.py
+++ b/corianderhold/coordination/entry/choice.py
@@ -13,18 +13,35 @@
     EJECTION_FAILURES,
     EJECTION_TIME_MAX_S,
     EJECTION_TIME_S,
+    FILL_RATIO,
+    LIMIT_UNKNOWN,
     LOAD_REPORT_LIFETIME_S,
-    OTHER_REGION_PENALTY,
     PUSH_BACK_LIFETIME_S,
     PUSH_BACK_PROBE_RATIO,
-    SAME_DOMAIN_PENALTY,
-    SAME_REGION_PENALTY,
 )
 from corianderhold.ids import FailureDomainId, InstanceId, RegionId
 from corianderhold.protocol.peer.messages import LoadReport
 from corianderhold.state.membership.model import Member
 
 
+class Distance(Enum):
+    """How far an owner is from an entry, the nearest first."""
+
+    SELF = "self"
+    DOMAIN = "domain"
+    REGION = "region"
+    ELSEWHERE = "elsewhere"
+
+
+# What distance costs among owners that are all full, in parts of a limit.
+DISTANCE_PENALTIES = {
+    Distance.SELF: 0.0,
+    Distance.DOMAIN: 0.0,
+    Distance.REGION: 0.3,
+    Distance.ELSEWHERE: 1.0,
+}
+
+
 class AttemptOutcome(Enum):
     """What an attempt says about its owner."""
 
@@ -117,10 +134,11 @@
 
 class LocalityChooser:
     """
-    Take the better of two random owners, nearest first.
+    Take the better of two random owners of the nearest ring that has room.
 
-    The score is the load that the last answer carried plus a penalty for the distance.
-    Owners that fail repeatedly are ejected for a while, but never all of them.
+    The rings are this daemon, its failure domain, its region and the rest. The load is
+    what the last answer carried. Owners that fail repeatedly are ejected for a while,
+    but never all of them.
     """
 
     def __init__(self, place: Place, clock: Clock, random: Random) -> None:
@@ -185,33 +203,41 @@
         return view.load.draining or sheds
 
     def _take_best(self, members: list[Member], now: float) -> Choice:
-        """Score the local owner and a few random near ones, and take the best."""
-        nearest = min(self._penalize_distance(member) for member in members)
-        near = [m for m in members if self._penalize_distance(m) == nearest]
-        drawn = self._random.sample(near, min(CANDIDATES, len(near)))
-        farther = [m for m in members if m not in near]
-        drawn += self._random.sample(farther, min(1, len(farther)))
-        own = [m for m in near if m.instance == self._place.instance and m not in drawn]
-        scored = [Candidate(m, self._score(m, now)) for m in drawn + own]
-        scored.sort(key=lambda candidate: candidate.score)
-        return Choice(scored[0].member, tuple(scored))
+        """Take the least busy of a few near owners, of farther ones if all are full."""
+        scored: list[Candidate] = []
+        for distance in Distance:
+            ring = [m for m in members if self._measure_distance(m) is distance]
+            drawn = [
+                Candidate(member, self._score(member, now))
+                for member in self._random.sample(ring, min(CANDIDATES, len(ring)))
+            ]
+            drawn.sort(key=lambda candidate: candidate.score)
+            if drawn and drawn[0].score < FILL_RATIO:
+                return Choice(drawn[0].member, (*scored, *drawn))
+            scored += drawn
+        best = min(scored, key=self._add_distance)
+        return Choice(best.member, tuple(scored))
 
     def _score(self, member: Member, now: float) -> float:
+        """Return what part of its limit an owner has in flight or queued."""
         view = self._view(member.instance)
         busy = float(view.outstanding)
-        limit = 16
-        fresh = now - view.reported_at <= LOAD_REPORT_LIFETIME_S
+        limit = LIMIT_UNKNOWN
         if view.load is not None and view.load.limit > 0:
             limit = view.load.limit
-            if fresh:
+            if now - view.reported_at <= LOAD_REPORT_LIFETIME_S:
                 busy = max(busy, view.load.in_flight + view.load.queued)
-        return busy / limit + self._penalize_distance(member)
+        return busy / limit
+
+    def _add_distance(self, candidate: Candidate) -> float:
+        distance = self._measure_distance(candidate.member)
+        return candidate.score + DISTANCE_PENALTIES[distance]
 
-    def _penalize_distance(self, member: Member) -> float:
+    def _measure_distance(self, member: Member) -> Distance:
         if member.instance == self._place.instance:
-            return SAME_DOMAIN_PENALTY - 0.1
+            return Distance.SELF
         if member.domain == self._place.domain:
-            return SAME_DOMAIN_PENALTY
+            return Distance.DOMAIN
         if member.region == self._place.region:
-            return SAME_REGION_PENALTY
-        return OTHER_REGION_PENALTY
+            return Distance.REGION
+        return Distance.ELSEWHERE
--- a/tests/coordination/entry/test_choice.py
+++ b/tests/coordination/entry/test_choice.py
@@ -50,6 +50,22 @@
         self.end("near", AttemptOutcome.ANSWERED, LoadReport(10, 10, 5))
         self.assertEqual(self.choose(NEAR, REGION), "region")
 
+    def test_each_ring_is_filled_before_the_next(self) -> None:
+        self.end("near", AttemptOutcome.ANSWERED, LoadReport(8, 10))
+        self.assertEqual(self.choose(NEAR, REGION, FAR), "near")
+        self.end("near", AttemptOutcome.ANSWERED, LoadReport(9, 10))
+        self.assertEqual(self.choose(NEAR, REGION, FAR), "region")
+        self.end("region", AttemptOutcome.ANSWERED, LoadReport(9, 10))
+        self.assertEqual(self.choose(NEAR, REGION, FAR), "far")
+        self.end("far", AttemptOutcome.ANSWERED, LoadReport(9, 10))
+        self.assertEqual(self.choose(NEAR, REGION, FAR), "near")
+
+    def test_own_target_before_others_of_the_domain(self) -> None:
+        own = make_member("entry")
+        self.end("entry", AttemptOutcome.ANSWERED, LoadReport(5, 10))
+        chosen = {self.choose(NEAR, own) for _ in range(20)}
+        self.assertEqual(chosen, {"entry"})
+
     def test_less_busy_of_two_is_taken(self) -> None:
         self.end("near", AttemptOutcome.ANSWERED, LoadReport(9, 10))
         self.end("near2", AttemptOutcome.ANSWERED, LoadReport(1, 10))
