Ask for hosts, shared services, anonymous routes and callers' limits

Cause: the configuration can hold them, and the questionnaire could not give them.

Ruled out: a question of its own for the services that share a route, which needs a rule that exactly one of two answers is given; the service's answer takes a name or several with weights. A word in open_to for requests without a key: it would open the routes of an organisation of that name.

Each fault is one line with what is accepted.

Tests: the test of all options counts the options of all kinds, since importance now is one of two kinds; it asked before for as many faults as distinct names.

--- a/corianderhold/answers/files.py
+++ b/corianderhold/answers/files.py
@@ -13,7 +13,7 @@
 
 from corianderhold.answers.errors import AnswersUnreadableError
 from corianderhold.answers.model import AnswerFault, Section
-from corianderhold.answers.options import OPTIONS
+from corianderhold.answers.options import LIMITS_NAME, OPTIONS, describe_header
 from corianderhold.answers.values import NAME_ACCEPTED
 from corianderhold.state.configuration.records import EntityKind
 from corianderhold.state.configuration.schema import NAME_PATTERN
@@ -22,7 +22,7 @@
 NO_DEFAULT_SECTION = "\n"  # no header can have it, so [DEFAULT] is not special
 HEADER_PATTERN = re.compile(r"\[(.+)\]")
 KIND_NAMES = {kind.value: kind for kind in OPTIONS}
-HEADER_ACCEPTED = " or ".join(f"[{kind} NAME]" for kind in KIND_NAMES)
+HEADER_ACCEPTED = " or ".join(map(describe_header, OPTIONS))
 
 
 @dataclass
@@ -149,6 +149,8 @@
         return AnswerFault(file, title, "", f"[{title}]", HEADER_ACCEPTED)
     if not NAME_PATTERN.fullmatch(name):
         return AnswerFault(file, title, "", name, f"as name {NAME_ACCEPTED}")
+    if kind is EntityKind.LIMITS and name != LIMITS_NAME:
+        return AnswerFault(file, title, "", name, f"as name {LIMITS_NAME}")
     return Section(file, kind, name, options)
 
 
--- a/corianderhold/answers/generation.py
+++ b/corianderhold/answers/generation.py
@@ -13,6 +13,7 @@
 from corianderhold.state.configuration.checks import find_faults
 from corianderhold.state.configuration.model import (
     EMPTY_CONFIGURATION,
+    CallerLimits,
     Configuration,
     Organisation,
     Route,
@@ -22,6 +23,7 @@
 
 OPTION_OF_FIELD = {
     "path_prefix": "path",
+    "splits": "service",
     "organisations": "open_to",
     "deadline_ms": "deadline",
 }
@@ -65,6 +67,7 @@
     services: dict[ServiceName, Service] = dict(base.services)
     organisations: dict[OrganisationId, Organisation] = dict(base.organisations)
     routes: dict[RouteName, Route] = {each.name: each for each in base.routes}
+    limits = base.limits
     for key, each in checked.items():
         answers: dict[str, Any] = dict(each.answers)
         if key.kind is EntityKind.SERVICE:
@@ -73,17 +76,34 @@
         elif key.kind is EntityKind.ORGANISATION:
             organisation = Organisation(OrganisationId(key.name), **answers)
             organisations[organisation.name] = organisation
+        elif key.kind is EntityKind.LIMITS:
+            limits = _build_limits(answers)
         else:
             route = _build_route(RouteName(key.name), answers)
             routes[route.name] = route
     ordered = tuple(routes[name] for name in sorted(routes))
-    return replace(base, services=services, routes=ordered, organisations=organisations)
+    return replace(
+        base,
+        services=services,
+        routes=ordered,
+        organisations=organisations,
+        limits=limits,
+    )
+
+
+def _build_limits(answers: dict[str, Any]) -> CallerLimits:
+    return CallerLimits(
+        header_bytes_max=answers["header_bytes"],
+        body_bytes_max=answers["body_bytes"],
+        header_timeout_s=answers["header_timeout"] / 1000.0,
+        idle_timeout_s=answers["idle_timeout"] / 1000.0,
+    )
 
 
 def _build_route(name: RouteName, answers: dict[str, Any]) -> Route:
     return Route(
         name=name,
-        service=ServiceName(answers["service"]),
+        service=answers["service"].service,
         path_prefix=answers["path"],
         methods=answers["methods"],
         importance=answers["importance"],
@@ -95,6 +115,10 @@
         isolated=answers["isolated"],
         isolated_after_s=answers["isolated_after"] / 1000.0,
         calls=frozenset(map(RouteName, answers["calls"])),
+        host=answers["host"],
+        splits=answers["service"].splits,
+        anonymous=answers["anonymous"],
+        target_latency_ms=answers["target_latency"],
     )
 
 
@@ -115,7 +139,7 @@
 def _hide_examples(route: Route, checked: Checked) -> Route:
     """Return a route without calls to invalid ones, nor a path that isn't its own."""
     own = checked.get(SectionKey(EntityKind.ROUTE, route.name))
-    if own is not None and not own.invalid.isdisjoint(("path", "methods")):
+    if own is not None and not own.invalid.isdisjoint(("host", "path", "methods")):
         route = replace(route, path_prefix=f"?{route.name}")
     usable = frozenset(name for name in route.calls if not _is_invalid(name, checked))
     return replace(route, calls=usable)
--- a/corianderhold/answers/options.py
+++ b/corianderhold/answers/options.py
@@ -7,10 +7,12 @@
     Parser,
     parse_access,
     parse_choice,
+    parse_destination,
+    parse_host,
     parse_methods,
-    parse_name,
     parse_names,
     parse_number,
+    parse_optional,
     parse_path,
     parse_shares,
     parse_time_ms,
@@ -18,19 +20,34 @@
     parse_yes_no,
 )
 from corianderhold.state.configuration.const import (
+    MAX_BODY_BYTES,
     MAX_BURST,
+    MAX_CALLER_TIMEOUT_S,
     MAX_CONCURRENCY,
+    MAX_CONNECTIONS,
     MAX_DEADLINE_MS,
+    MAX_HEADER_BYTES,
     MAX_ISOLATED_AFTER_S,
     MAX_QUEUE_LENGTH,
     MAX_RATE_PER_S,
     MAX_RETRY_BUDGET,
+    MAX_SPLIT_WEIGHT,
     MAX_WEIGHT,
+    MIN_CALLER_TIMEOUT_S,
+    MIN_HEADER_BYTES,
 )
 from corianderhold.state.configuration.model import Importance, IsolatedBehaviour
 from corianderhold.state.configuration.records import EntityKind
 
 MAX_ISOLATED_AFTER_MS = int(MAX_ISOLATED_AFTER_S * 1000)
+MIN_CALLER_TIMEOUT_MS = int(MIN_CALLER_TIMEOUT_S * 1000)
+MAX_CALLER_TIMEOUT_MS = int(MAX_CALLER_TIMEOUT_S * 1000)
+CALLER_TIMEOUT_ACCEPTED = (
+    f"a time such as 800 ms, 2 s or 5 min, from {MIN_CALLER_TIMEOUT_MS} ms to "
+    f"{MAX_CALLER_TIMEOUT_MS // 3_600_000} h"
+)
+IMPORTANCES = {each.name.lower(): each for each in Importance}
+LIMITS_NAME = "callers"
 
 
 @dataclass(frozen=True)
@@ -84,13 +101,22 @@
         "yes",
         "yes",
     ),
+    Option(
+        "max_connections",
+        "How many connections does one target accept from all daemons together?",
+        f"a whole number from 1 to {MAX_CONNECTIONS}, or nothing where no bound is "
+        "known",
+        parse_optional(parse_whole(1, MAX_CONNECTIONS)),
+        "600",
+        "",
+    ),
 )
 
 ORGANISATION_OPTIONS = (
     Option(
         "rate",
         "How many requests a second may the organisation send to the whole fleet?",
-        f"a number from 0 to {MAX_RATE_PER_S:.10g}",
+        f"a number from 0 to {MAX_RATE_PER_S:.10g}, 0 for no limit",
         parse_number(0.0, MAX_RATE_PER_S),
         "250",
     ),
@@ -117,28 +143,46 @@
         "2",
         "1",
     ),
+    Option(
+        "importance",
+        "How late are its requests shed under overload, whatever their route?",
+        "one of: bulk, normal, high, critical, or nothing for that of each route",
+        parse_optional(parse_choice(IMPORTANCES)),
+        "critical",
+        "",
+    ),
 )
 
 ROUTE_OPTIONS = (
     Option(
         "service",
-        "Which service answers it?",
-        "the name of a service in these answers",
-        parse_name,
-        "catalogue",
+        "Which service answers it, or which services share its requests?",
+        "the name of a service in these answers, or several with commas between them, "
+        f"each with its weight from 0 to {MAX_SPLIT_WEIGHT:.10g}",
+        parse_destination,
+        "catalogue 9, catalogue-next 1",
+    ),
+    Option(
+        "host",
+        "Which host do its requests name?",
+        "a host name in lower case without its port, or nothing for any host",
+        parse_host,
+        "archive.example",
+        "",
     ),
     Option(
         "path",
         "Which path do its requests start with, in whole segments?",
-        "a path that starts with /, without a / at its end, empty or dot segments, "
-        "escapes or semicolons; no other route may have it with the same method",
+        "a path that starts with /, without empty or dot segments, escapes or "
+        "semicolons; with a / at its end, what is below it only; no other route may "
+        "have it with the same host and method",
         parse_path,
         "/catalogue/search",
     ),
     Option(
         "methods",
         "Which HTTP methods does it serve?",
-        "methods in capitals with commas between them",
+        "methods in capitals with commas between them, or any",
         parse_methods,
         "GET, HEAD",
     ),
@@ -146,7 +190,7 @@
         "importance",
         "How late is it shed under overload? The lowest goes first.",
         "one of: bulk, normal, high, critical",
-        parse_choice({each.name.lower(): each for each in Importance}),
+        parse_choice(IMPORTANCES),
         "high",
     ),
     Option(
@@ -156,6 +200,15 @@
         parse_access,
         "all",
     ),
+    Option(
+        "anonymous",
+        "May requests without a key use it? They run for no organisation, without a "
+        "rate.",
+        "yes or no; yes only for a route that is open to all",
+        parse_yes_no,
+        "no",
+        "no",
+    ),
     Option(
         "idempotent",
         "May a request run twice without harm? A route that calls one that may not "
@@ -172,6 +225,15 @@
         parse_time_ms(1, MAX_DEADLINE_MS),
         "2 s",
     ),
+    Option(
+        "target_latency",
+        "Within which time has an answer its full value?",
+        f"a time such as 800 ms, 2 s or 5 min, from 1 ms to {MAX_DEADLINE_MS // 60_000}"
+        " min, or nothing for the whole deadline",
+        parse_optional(parse_time_ms(1, MAX_DEADLINE_MS)),
+        "300 ms",
+        "",
+    ),
     Option(
         "calls",
         "Which routes does the service call to answer it?",
@@ -208,8 +270,50 @@
     ),
 )
 
+LIMITS_OPTIONS = (
+    Option(
+        "header_bytes",
+        "How large may the head of a request be?",
+        f"a whole number of bytes from {MIN_HEADER_BYTES} to {MAX_HEADER_BYTES}",
+        parse_whole(MIN_HEADER_BYTES, MAX_HEADER_BYTES),
+        "8192",
+        "32768",
+    ),
+    Option(
+        "body_bytes",
+        "How large may the body of a request be?",
+        f"a whole number of bytes from 0 to {MAX_BODY_BYTES}",
+        parse_whole(0, MAX_BODY_BYTES),
+        "1000000",
+        str(2**30),
+    ),
+    Option(
+        "header_timeout",
+        "How long may a caller take to send the head of a request?",
+        CALLER_TIMEOUT_ACCEPTED,
+        parse_time_ms(MIN_CALLER_TIMEOUT_MS, MAX_CALLER_TIMEOUT_MS),
+        "5 s",
+        "10 s",
+    ),
+    Option(
+        "idle_timeout",
+        "How long may a connection stay open between two requests?",
+        CALLER_TIMEOUT_ACCEPTED,
+        parse_time_ms(MIN_CALLER_TIMEOUT_MS, MAX_CALLER_TIMEOUT_MS),
+        "30 s",
+        "75 s",
+    ),
+)
+
 OPTIONS: Mapping[EntityKind, tuple[Option, ...]] = {
     EntityKind.SERVICE: SERVICE_OPTIONS,
     EntityKind.ORGANISATION: ORGANISATION_OPTIONS,
     EntityKind.ROUTE: ROUTE_OPTIONS,
+    EntityKind.LIMITS: LIMITS_OPTIONS,
 }
+
+
+def describe_header(kind: EntityKind) -> str:
+    """Return the header of a section of this kind."""
+    name = LIMITS_NAME if kind is EntityKind.LIMITS else "NAME"
+    return f"[{kind.value} {name}]"
--- a/corianderhold/answers/template.py
+++ b/corianderhold/answers/template.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from corianderhold.answers.options import OPTIONS, Option
+from corianderhold.answers.options import OPTIONS, Option, describe_header
 from corianderhold.state.configuration.records import EntityKind
 
 INTRODUCTION = (
@@ -42,7 +42,7 @@
 
 def _write_table(kind: EntityKind) -> str:
     rows = [
-        f"### [{kind.value} NAME]",
+        f"### {describe_header(kind)}",
         "",
         "| option | question | accepted | default | example |",
         "| --- | --- | --- | --- | --- |",
--- a/corianderhold/answers/values.py
+++ b/corianderhold/answers/values.py
@@ -8,9 +8,11 @@
 
 from voluptuous import Invalid
 
-from corianderhold.ids import FailureDomainId, OrganisationId
-from corianderhold.state.configuration.const import MAX_NAME_LENGTH, MAX_PATH_LENGTH
+from corianderhold.ids import FailureDomainId, OrganisationId, ServiceName
+from corianderhold.state.configuration.const import MAX_NAME_LENGTH, MAX_SPLIT_WEIGHT
+from corianderhold.state.configuration.model import Split
 from corianderhold.state.configuration.schema import (
+    HOST_PATTERN,
     METHOD_PATTERN,
     NAME_PATTERN,
     PATH_PATTERN,
@@ -30,6 +32,7 @@
 UNIT_MS = {"ms": 1, "s": 1000, "min": 60_000, "h": 3_600_000}
 
 WORD_ALL = "all"
+WORD_ANY = "any"
 WORD_YES = "yes"
 WORD_NO = "no"
 NAME_ACCEPTED = (
@@ -46,6 +49,19 @@
     organisations: frozenset[OrganisationId]
 
 
+@dataclass(frozen=True)
+class Destination:
+    """The one service of a route, or the services that share its requests."""
+
+    service: ServiceName
+    splits: tuple[Split, ...] = ()
+
+
+def parse_optional(parse: Parser) -> Parser:
+    """Return a parser that gives None for an empty answer."""
+    return lambda text: parse(text) if text else None
+
+
 def parse_whole(lowest: int, highest: int) -> Parser:
     """Return a parser of whole numbers within bounds."""
 
@@ -100,13 +116,6 @@
     return parse
 
 
-def parse_name(text: str) -> str:
-    """Return a name of an entity."""
-    if not NAME_PATTERN.fullmatch(text):
-        raise Invalid(NOT_ACCEPTED)
-    return text
-
-
 def parse_names(text: str) -> frozenset[str]:
     """Return the names in a list that may be empty."""
     names = _split(text)
@@ -116,7 +125,9 @@
 
 
 def parse_methods(text: str) -> frozenset[str]:
-    """Return the HTTP methods in a list of at least one."""
+    """Return the HTTP methods in a list of at least one, or none for any."""
+    if text == WORD_ANY:
+        return frozenset()
     methods = _split(text)
     if not methods or not all(METHOD_PATTERN.fullmatch(each) for each in methods):
         raise Invalid(NOT_ACCEPTED)
@@ -125,11 +136,36 @@
 
 def parse_path(text: str) -> str:
     """Return a path prefix in canonical form."""
-    if len(text) > MAX_PATH_LENGTH or not PATH_PATTERN.fullmatch(text):
+    if not PATH_PATTERN.fullmatch(text):
+        raise Invalid(NOT_ACCEPTED)
+    return text
+
+
+def parse_host(text: str) -> str:
+    """Return a host as it is matched, or an empty text for any host."""
+    if text and not HOST_PATTERN.fullmatch(text):
         raise Invalid(NOT_ACCEPTED)
     return text
 
 
+def parse_destination(text: str) -> Destination:
+    """Return the service of a route, or its services with their weights."""
+    if NAME_PATTERN.fullmatch(text):
+        return Destination(ServiceName(text))
+    splits: dict[str, Split] = {}
+    for each in _split(text):
+        name, _, weight = each.partition(" ")
+        if not (NAME_PATTERN.fullmatch(name) and NUMBER_PATTERN.fullmatch(weight)):
+            raise Invalid(f"{each[:40]!r} is no service with its weight")
+        if name in splits:
+            raise Invalid(f"{name} stands twice")
+        splits[name] = Split(ServiceName(name), float(weight))
+    weights = [each.weight for each in splits.values()]
+    if not 0.0 < max(weights, default=0.0) <= MAX_SPLIT_WEIGHT:
+        raise Invalid(f"the greatest weight is {max(weights, default=0.0):g}")
+    return Destination(ServiceName(""), tuple(splits.values()))
+
+
 def parse_access(text: str) -> Access:
     """Return who a route is open to."""
     if text == WORD_ALL:
--- a/corianderhold/cli/answers.py
+++ b/corianderhold/cli/answers.py
@@ -9,6 +9,7 @@
 
 from corianderhold.answers.errors import AnswersUnreadableError
 from corianderhold.answers.generation import generate_configuration
+from corianderhold.answers.options import LIMITS_NAME
 from corianderhold.answers.template import write_questionnaire
 from corianderhold.state.configuration.codec import decode_configuration
 from corianderhold.state.configuration.difference import compute_delta
@@ -32,6 +33,7 @@
     service: Sequence[str] = (),
     organisation: Sequence[str] = (),
     route: Sequence[str] = (),
+    limits: bool = False,
 ) -> int:
     """
     Write a new answers file with the questions for each given name.
@@ -43,15 +45,18 @@
     :param service: names of services
     :param organisation: names of organisations
     :param route: names of routes
+    :param limits: whether to ask for the limits of callers
     """
     names = [
         *((EntityKind.SERVICE, each) for each in service),
         *((EntityKind.ORGANISATION, each) for each in organisation),
         *((EntityKind.ROUTE, each) for each in route),
     ]
-    if not names:
+    if not names and not limits:
         kinds = (EntityKind.SERVICE, EntityKind.ORGANISATION, EntityKind.ROUTE)
         names = [(kind, "NAME") for kind in kinds]
+    if limits:
+        names.append((EntityKind.LIMITS, LIMITS_NAME))
     for _, name in names:
         if not NAME_PATTERN.fullmatch(name):
             return _stop(f"{name!r} is no name of a section")
--- a/tests/answers/test_check.py
+++ b/tests/answers/test_check.py
@@ -1,6 +1,6 @@
 """Test that every fault of the answers is named, all at once."""
 
-from corianderhold.answers.options import OPTIONS
+from corianderhold.answers.options import LIMITS_NAME, OPTIONS
 from corianderhold.state.configuration.records import EntityKind
 from tests.common.answers import GOOD, AnswersTest
 
@@ -34,18 +34,28 @@
             "retry_budget": "17",
             "isolated": "maybe",
             "isolated_after": "8000 h",
+            "max_connections": "0",
+            "host": "Archive.example:80",
+            "anonymous": "sometimes",
+            "target_latency": "0 ms",
+            "header_bytes": "255",
+            "body_bytes": "-1",
+            "header_timeout": "99 ms",
+            "idle_timeout": "25 h",
         }
+        names = {kind: "x" for kind in OPTIONS} | {EntityKind.LIMITS: LIMITS_NAME}
         lines = []
         for kind, options in OPTIONS.items():
-            lines.append(f"[{kind.value} x]")
+            lines.append(f"[{kind.value} {names[kind]}]")
             lines.extend(f"{each.name} = {wrong[each.name]}" for each in options)
         self.write("\n".join(lines))
         code, faults = self.check()
         self.assertEqual(code, 1)
-        self.assertEqual(faults[-1], f"{len(wrong)} faults")
+        count = sum(map(len, OPTIONS.values()))
+        self.assertEqual(faults[-1], f"{count} faults")
         for kind, options in OPTIONS.items():
             for each in options:
-                start = f"a.ini: [{kind.value} x] {each.name}: "
+                start = f"a.ini: [{kind.value} {names[kind]}] {each.name}: "
                 given = f'given "{wrong[each.name]}"; accepted: {each.accepted}'
                 matching = [line for line in faults if line.startswith(start + given)]
                 self.assertEqual(len(matching), 1, each.name)
@@ -66,7 +76,7 @@
         text = (
             "rate = 1\n[organisation radio]\nrate = x\nrate = 2\n  3\nnonsense\n"
             "burst = 1\nshares = a 1\n[organisation radio]\nburst = 7\n[keys]\n"
-            "[DEFAULT]\n[route]\n[route a/b]\n"
+            "[DEFAULT]\n[limits x]\n[route]\n[route a/b]\n"
             "[service s]\nqueue_len = 1\nname = a\\nb\n"
         )
         self.write(text)
@@ -76,6 +86,7 @@
             'a.ini: given "rate = 1"; accepted: [service NAME]',
             'a.ini: [DEFAULT] given "[DEFAULT]"',
             'a.ini: [keys] given "[keys]"',
+            'a.ini: [limits x] given "x"; accepted: as name callers',
             'a.ini: [organisation radio] rate: given "rate = 2"; accepted: each option',
             'a.ini: [organisation radio] given "it again"; accepted: each section once',
             'a.ini: [organisation radio] given "nonsense"; accepted: option = answer',
@@ -116,6 +127,17 @@
                 "[organisation school]",
                 'open_to: given "radio"; accepted: some of: school',
             ),
+            (
+                "service = catalogue\npath = /search",
+                "service = catalogue 1, gone 9\npath = /search",
+                'service: given "gone"; accepted: one of: catalogue',
+            ),
+            (
+                "open_to = radio",
+                "open_to = radio\nanonymous = yes",
+                'anonymous: given "yes"; accepted: no, for a route that is not open to '
+                "all",
+            ),
             (
                 "calls = record",
                 "calls = gone",
@@ -135,6 +157,19 @@
             self.assertTrue(faults[0].startswith("a.ini: [organisation radio] shares:"))
             self.assertTrue(faults[0].endswith(found), faults[0])
 
+    def test_services_that_share_requests(self) -> None:
+        for given, found in (
+            ("old 1, new", "'new' is no service with its weight"),
+            ("old 1, old 2", "old stands twice"),
+            ("old 0, new 0", "the greatest weight is 0"),
+            ("old 1, new 10000000", "the greatest weight is 1e+07"),
+        ):
+            old, new = "catalogue\npath = /s", f"{given}\npath = /s"
+            faults = self.check_change(f"service = {old}", f"service = {new}")
+            self.assertEqual(len(faults), 1)
+            self.assertTrue(faults[0].startswith("a.ini: [route search] service:"))
+            self.assertTrue(faults[0].endswith(found), faults[0])
+
     def test_deadline_shorter_than_its_callee(self) -> None:
         faults = self.check_change("deadline = 2 s", "deadline = 799 ms")
         expected = (
--- a/tests/answers/test_generate.py
+++ b/tests/answers/test_generate.py
@@ -9,14 +9,19 @@
 from corianderhold.answers.options import OPTIONS
 from corianderhold.answers.template import write_reference
 from corianderhold.cli.answers import diff, generate, init
-from corianderhold.ids import OrganisationId, Version
+from corianderhold.ids import OrganisationId, ServiceName, Version
 from corianderhold.state.configuration.codec import decode_configuration, decode_draft
 from corianderhold.state.configuration.delta import apply_delta
 from corianderhold.state.configuration.entities import (
     configuration_to_json,
     dump_json,
 )
-from corianderhold.state.configuration.model import Configuration
+from corianderhold.state.configuration.model import (
+    CallerLimits,
+    Configuration,
+    Importance,
+    Split,
+)
 from corianderhold.state.keys.issue import grant_key
 from tests.common.answers import GOOD, AnswersTest
 
@@ -71,6 +76,33 @@
         self.assertEqual(after.services, wanted.services)
         self.assertEqual(after.organisations, wanted.organisations)
 
+    def test_every_answer_stands_in_the_configuration(self) -> None:
+        text = GOOD + "host = a.example\ntarget_latency = 300 ms\n"
+        text = text.replace("[service catalogue]", "[service catalogue]\n[service new]")
+        text = text.replace("open_to = radio", "open_to = all\nanonymous = yes")
+        text = text.replace("GET, POST", "any").replace("/search", "/search/")
+        text = text.replace("catalogue\npath = /s", "catalogue 9, new 1\npath = /s")
+        text = text.replace("rate = 100", "rate = 0\nimportance = bulk")
+        text += "[service other]\nmax_connections = 600\n"
+        text += "[limits callers]\nheader_bytes = 8192\nbody_bytes = 1000\n"
+        text += "header_timeout = 2500 ms\nidle_timeout = 30 s\n"
+        found = generate_configuration([self.write(text)]).unwrap()
+        splits = (Split(ServiceName("catalogue"), 9), Split(ServiceName("new"), 1))
+        route = found.routes[-1]
+        self.assertEqual((route.service, route.splits), ("", splits))
+        self.assertEqual((route.host, route.methods), ("a.example", frozenset()))
+        self.assertEqual((route.anonymous, route.target_latency_ms), (True, 300))
+        self.assertEqual(route.path_prefix, "/search/")
+        radio = found.organisations[OrganisationId("radio")]
+        self.assertEqual((radio.rate, radio.importance), (0, Importance.BULK))
+        connections = [each.max_connections for each in found.services.values()]
+        self.assertEqual(connections, [None, None, 600])
+        self.assertEqual(found.limits, CallerLimits(8192, 1000, 2.5, 30.0))
+        now = self.write_configuration(found)
+        _, text = self.run_command("diff", now, self.write(GOOD))
+        back = decode_draft(text).unwrap().delta
+        self.assertEqual(back.limits, CallerLimits())
+
     def test_partial_diff_of_a_new_team_removes_nothing(self) -> None:
         now = generate_configuration([EXAMPLES / "archive"]).unwrap()
         current = self.write_configuration(now)
@@ -111,7 +143,9 @@
     def test_init_asks_every_question_and_never_overwrites(self) -> None:
         path = self.path / "new.ini"
         with redirect_stdout(StringIO()), redirect_stderr(StringIO()):
-            self.assertEqual(init(path, service=["s"], route=["a", "b"]), 0)
+            self.assertEqual(
+                init(path, service=["s"], route=["a", "b"], limits=True), 0
+            )
             self.assertEqual(init(path), 2)
             self.assertEqual(init(self.path / "x.ini", route=["a/b"]), 2)
         faults = self.check(path)[1]
