Serve through other owners while callers leave, and end a stop within its limit

Cause: a stopping daemon refused new requests at once, though callers learn of a stop only by missed readiness checks; the end of its parts had no bound (a lease or membership thread that waited for the store took up to 5 s each), and a signal that another thread took was noticed up to 0.5 s late. Ruled out: closing the listener at once (requests that cross it get no answer); signal masks with sigwait (the same effect as the wake-up descriptor, but every thread must inherit the mask). Change: Readiness, which /health asks; [lifecycle] stop_limit_s and deregistration_delay_s; GracefulStop withdraws readiness, leaves the fleet, closes connections with their next answer, serves on through other owners for the delay, then refuses, and cancels what is left 0.9 s before the limit, which answers its callers. All other parts get 0.5 s together. Signals wake the main thread by a descriptor. The admin listener starts first and ends last. WebServer.begin_drain is the least that this needs.

--- a/corianderhold/admin/api.py
+++ b/corianderhold/admin/api.py
@@ -21,6 +21,7 @@
     ChangePublisher,
     Drain,
     Identity,
+    ReadinessSource,
     StreamView,
 )
 from corianderhold.admin.request import UNAUTHORISED, format_error_page
@@ -37,6 +38,7 @@
     """The parts of the daemon that the administration API works on."""
 
     identity: Identity
+    readiness: ReadinessSource
     holder: ConfigurationHolder
     publisher: ChangePublisher
     history: ChangeHistory
@@ -82,7 +84,7 @@
     def _build_root(self) -> Branch:
         parts = self._parts
         root: Any = Branch()
-        root.health = HealthResource(parts.holder, parts.drain)
+        root.health = HealthResource(parts.readiness, parts.holder, parts.drain)
         root.metrics = MetricsResource(parts.metrics, parts.holder, parts.clock)
         root.v1 = Branch()
         root.v1.configuration = ConfigurationResource(parts.holder)
--- a/corianderhold/admin/fleet.py
+++ b/corianderhold/admin/fleet.py
@@ -8,7 +8,12 @@
     heard_to_json,
     member_to_json,
 )
-from corianderhold.admin.model import Drain, Identity, StreamView
+from corianderhold.admin.model import (
+    Drain,
+    Identity,
+    ReadinessSource,
+    StreamView,
+)
 from corianderhold.admin.request import answer_errors, write_json, write_text
 from corianderhold.clock import Clock
 from corianderhold.log import log_event
@@ -83,7 +88,10 @@
 
     exposed = True
 
-    def __init__(self, holder: ConfigurationHolder, drain: Drain) -> None:
+    def __init__(
+        self, readiness: ReadinessSource, holder: ConfigurationHolder, drain: Drain
+    ) -> None:
+        self._readiness = readiness
         self._holder = holder
         self._drain = drain
 
@@ -92,7 +100,7 @@
         """Answer 200 where the daemon takes requests, else 503."""
         version = self._holder.current.version
         draining = self._drain.is_draining()
-        ready = version > 0 and not draining
+        ready = self._readiness.is_ready() and not draining
         answer = {"ready": ready, "version": version, "draining": draining}
         return write_json(200 if ready else 503, answer)
 
--- a/corianderhold/admin/model.py
+++ b/corianderhold/admin/model.py
@@ -50,6 +50,13 @@
         """Return the heads last heard of peers."""
 
 
+class ReadinessSource(Protocol):
+    """Tell whether callers may come to this daemon."""
+
+    def is_ready(self) -> bool:
+        """Return whether new requests may come."""
+
+
 class Drain(Protocol):
     """Take this daemon's target out of service."""
 
--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -42,10 +42,11 @@
 )
 from corianderhold.coordination.rate.shards import list_shards as list_rate_shards
 from corianderhold.core import Application
-from corianderhold.drain import GracefulStop, TargetDrain
+from corianderhold.drain import GracefulStop, StopParts, TargetDrain
 from corianderhold.ids import Incarnation
 from corianderhold.metrics import Metrics
 from corianderhold.protocol.peer.control import ControlHandler, ControlTopic
+from corianderhold.readiness import Readiness
 from corianderhold.settings.model import Settings
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.lease.model import Holder
@@ -81,6 +82,7 @@
         self._random = Random(os.urandom(16))
         self._metrics = Metrics()
         self._holder = ConfigurationHolder()
+        self._readiness = Readiness(self._holder)
         self._incarnation = draw_incarnation()
         self._identity = Identity(
             settings.instance, self._incarnation, settings.fleet_secret
@@ -109,8 +111,20 @@
         callers = self._build_callers(router, watch, rate)
         self._metrics.add_gauge("request_in_flight", callers.count_in_flight)
         outgoing = self._build_outgoing(router, watch, owner)
+        admin, outgoing_server, caller_server = self._build_web_servers(
+            callers, outgoing
+        )
+        stop_parts = StopParts(
+            readiness=self._readiness,
+            member=self._membership,
+            listener=caller_server,
+            intake=callers,
+            owner=owner,
+            calls=watch,
+        )
         return Application(
             [
+                admin,
                 self._pool,
                 AdmissionConfigurator(
                     admission, self._holder, self._membership, self._clock
@@ -122,8 +136,9 @@
                 keeper,
                 *rate.components,
                 watch,
-                *self._build_web_servers(callers, outgoing),
-                GracefulStop(self._membership, callers, owner, self._clock),
+                outgoing_server,
+                caller_server,
+                GracefulStop(stop_parts, self._settings.stop, self._clock),
             ]
         )
 
@@ -170,21 +185,23 @@
 
     def _build_web_servers(
         self, callers: CallerApplication, outgoing: OutgoingApplication
-    ) -> list[WebServer]:
+    ) -> tuple[WebServer, WebServer, WebServer]:
+        """Return the admin, outgoing and caller listeners."""
         listeners = self._settings.listeners
         admin = self._build_admin_api().mount()
-        return [
+        return (
+            WebServer("admin", listeners.admin, admin, ADMIN_THREADS),
             WebServer(
                 "outgoing", listeners.outgoing, outgoing, listeners.outgoing_threads
             ),
             WebServer("caller", listeners.caller, callers, listeners.caller_threads),
-            WebServer("admin", listeners.admin, admin, ADMIN_THREADS),
-        ]
+        )
 
     def _build_admin_api(self) -> AdminApi:
         settings = self._settings
         parts = AdminParts(
             identity=AdminIdentity(settings.instance, settings.domain),
+            readiness=self._readiness,
             holder=self._holder,
             publisher=Publisher(self._follower, self._log, self._clock),
             history=self._follower.replica.history,
--- a/corianderhold/cli/serve.py
+++ b/corianderhold/cli/serve.py
@@ -1,5 +1,6 @@
 """Run the daemon."""
 
+import os
 import signal
 import sys
 from pathlib import Path
@@ -31,13 +32,17 @@
     def request_stop(number: int, frame: FrameType | None) -> None:
         daemon.request_stop()
 
+    signal.set_wakeup_fd(daemon.wake_descriptor, warn_on_full_buffer=False)
     signal.signal(signal.SIGTERM, request_stop)
     signal.signal(signal.SIGINT, request_stop)
+    ended = True
     try:
-        daemon.run()
+        ended = daemon.run()
     except OSError as error:
         log_warning("start_failed", error=str(error))
         return EXIT_FAILED
     finally:
         log_output.close()
+    if not ended:
+        os._exit(EXIT_OK)  # some threads would hold up an orderly exit
     return EXIT_OK
--- a/corianderhold/coordination/entry/watch.py
+++ b/corianderhold/coordination/entry/watch.py
@@ -41,6 +41,13 @@
         with self._lock:
             self._sockets.pop(call_id, None)
 
+    def cancel_all(self) -> None:
+        """Cancel all calls that callers wait for, so that they get an answer."""
+        with self._lock:
+            calls = list(self._sockets)
+        for call_id in calls:
+            self._cancel(call_id)
+
     def _run(self) -> None:
         while not self._stopped.wait(CALLER_CHECK_INTERVAL_S):
             for call_id in self._find_gone():
--- a/corianderhold/coordination/membership/service.py
+++ b/corianderhold/coordination/membership/service.py
@@ -150,6 +150,7 @@
             target=self._run, name="membership", daemon=True
         )
         self._left = threading.Event()
+        self._left_at_s: float | None = None
         self._joined = False
         self._stopping = False
 
@@ -175,22 +176,31 @@
     def leave(self) -> None:
         """Drain the target for good and tell the fleet that this daemon leaves."""
         self._target.close()
+        if self._left_at_s is not None:
+            return
+        self._left_at_s = self._clock.read_monotonic()
         self._post(LeaveRequested())
         if self._thread.is_alive():
             self._left.wait(LEAVE_LINGER_S)
 
     def stop(self) -> None:
-        """Leave, keep spreading the news for LEAVE_LINGER_S, and end the threads."""
+        """Leave, spread the news for LEAVE_LINGER_S since then, and end the threads."""
         started = self._thread.ident is not None
         if started:
             self.leave()
-            if len(self._view.live) > 0:
-                time.sleep(LEAVE_LINGER_S)
+            self._spread_leave()
             self._post(StopRequested())
             self._thread.join(STOP_TIMEOUT_S)
             self._synchronizer.stop()
         self._endpoint.close()
 
+    def _spread_leave(self) -> None:
+        """Wait until the leave has been gossiped for LEAVE_LINGER_S."""
+        now_s = self._clock.read_monotonic()
+        left_at_s = now_s if self._left_at_s is None else self._left_at_s
+        if len(self._view.live) > 0:
+            time.sleep(max(0.0, left_at_s + LEAVE_LINGER_S - now_s))
+
     def add_listener(self, listener: MemberListener) -> None:
         """Call `listener` with each changed member, on the membership thread."""
         self._listeners.append(listener)
--- a/corianderhold/core.py
+++ b/corianderhold/core.py
@@ -1,11 +1,15 @@
 """Own the parts of a process and start and stop them in order."""
 
-from queue import Empty, SimpleQueue
+import contextlib
+import os
+import threading
+import time
 from typing import Protocol
 
 from corianderhold.log import log_event, log_warning
 
-SIGNAL_CHECK_INTERVAL_S = 0.5
+END_LIMIT_S = 0.5
+WAKE_BYTES = 64
 
 
 class Component(Protocol):
@@ -24,7 +28,14 @@
     def __init__(self, components: list[Component]) -> None:
         self._components = components
         self._started: list[Component] = []
-        self._stop_requests: SimpleQueue[None] = SimpleQueue()
+        self._stop_requested = False
+        self._wake_reader, self._wake_writer = os.pipe()
+        os.set_blocking(self._wake_writer, False)
+
+    @property
+    def wake_descriptor(self) -> int:
+        """Return where a write wakes `run`, for `signal.set_wakeup_fd`."""
+        return self._wake_writer
 
     def start(self) -> None:
         """Start all components; stop those already started when one fails."""
@@ -38,36 +49,45 @@
         log_event("application_started", components=len(self._components))
 
     def request_stop(self) -> None:
-        """Ask `run` to return; safe to call from a signal handler."""
-        self._stop_requests.put(None)  # an Event may deadlock in a handler
+        """Ask `run` to return; safe to call from a signal handler, and repeatedly."""
+        self._stop_requested = True
+        with contextlib.suppress(BlockingIOError):  # it is full, and so wakes anyway
+            os.write(self._wake_writer, b"\0")
 
-    def run(self) -> None:
-        """Start, wait for a stop request, and stop."""
+    def run(self) -> bool:
+        """Start, wait for a stop request, and stop; return whether all parts ended."""
         self.start()
-        while not self._is_stop_requested():
-            pass
-        self.stop()
+        while not self._stop_requested:
+            os.read(self._wake_reader, WAKE_BYTES)
+        return self.stop()
 
-    def _is_stop_requested(self) -> bool:
+    def stop(self) -> bool:
         """
-        Wait a while for a stop request.
+        Stop the started components in reverse order; return whether all have ended.
 
-        A signal that the system gives to another thread, as after a pause, does not
-        wake the main thread; its handler runs when the wait ends.
+        The first, which drains, takes the time that it needs, all others END_LIMIT_S
+        together: a store that does not answer must not hold up the end.
         """
-        try:
-            self._stop_requests.get(timeout=SIGNAL_CHECK_INTERVAL_S)
-        except Empty:
-            return False
-        return True
-
-    def stop(self) -> None:
-        """Stop the started components in reverse order."""
+        if self._started:
+            self._stop_last_started()
+        rest = threading.Thread(target=self._stop_rest, name="stop", daemon=True)
+        rest.start()
+        rest.join(END_LIMIT_S)
+        ended = not rest.is_alive()
+        log_event("application_stopped", complete=ended)
+        return ended
+
+    def _stop_rest(self) -> None:
         while self._started:
-            component = self._started.pop()
-            try:
-                component.stop()
-            except Exception as error:  # noqa: BLE001
-                name = type(component).__name__
-                log_warning("component_stop_failed", component=name, error=repr(error))
-        log_event("application_stopped")
+            self._stop_last_started()
+
+    def _stop_last_started(self) -> None:
+        component = self._started.pop()
+        name = type(component).__name__
+        began_at = time.monotonic()
+        try:
+            component.stop()
+        except Exception as error:  # noqa: BLE001
+            log_warning("component_stop_failed", component=name, error=repr(error))
+        seconds = time.monotonic() - began_at
+        log_event("component_stopped", component=name, seconds=seconds)
--- a/corianderhold/settings/loader.py
+++ b/corianderhold/settings/loader.py
@@ -14,6 +14,7 @@
     CONF_ADMIN_TOKEN,
     CONF_CALLER,
     CONF_CALLER_THREADS,
+    CONF_DEREGISTRATION_DELAY_S,
     CONF_DOMAIN,
     CONF_ENTRY_SLOTS,
     CONF_FLEET_SECRET,
@@ -21,6 +22,7 @@
     CONF_ID,
     CONF_INSTANCE,
     CONF_LEVEL,
+    CONF_LIFECYCLE,
     CONF_LISTENERS,
     CONF_LOGGING,
     CONF_MEMBERSHIP,
@@ -33,11 +35,13 @@
     CONF_SECURITY,
     CONF_SEEDS,
     CONF_SERVICE,
+    CONF_STOP_LIMIT_S,
     CONF_STORE,
     CONF_TARGET,
+    STOP_MARGIN_S,
 )
 from corianderhold.settings.errors import SettingsError
-from corianderhold.settings.model import Listeners, Settings
+from corianderhold.settings.model import Listeners, Settings, StopTimes
 from corianderhold.settings.schema import REQUIRED_SECTIONS, SECTIONS
 
 Checked = dict[str, dict[str, Any]]
@@ -63,6 +67,8 @@
             continue
         options = dict(parser.items(name)) if parser.has_section(name) else {}
         checked[name] = check_section(path, name, options, faults)
+    if not faults:
+        faults += find_contradictions(path, checked)
     if faults:
         raise SettingsError("\n".join(faults))
     return build_settings(checked)
@@ -95,6 +101,18 @@
     return {}
 
 
+def find_contradictions(path: Path, checked: Checked) -> list[str]:
+    """Return the faults of options that do not go together."""
+    lifecycle = checked[CONF_LIFECYCLE]
+    latest_s = lifecycle[CONF_STOP_LIMIT_S] - STOP_MARGIN_S
+    if lifecycle[CONF_DEREGISTRATION_DELAY_S] <= latest_s:
+        return []
+    return [
+        f"{path}: [{CONF_LIFECYCLE}] {CONF_DEREGISTRATION_DELAY_S}: accepted: at most"
+        f" {CONF_STOP_LIMIT_S} less {STOP_MARGIN_S:g} s, here {latest_s:g}"
+    ]
+
+
 def describe_fault(section: str, fault: Invalid) -> str:
     """Return the option and what is accepted as one text."""
     option = str(fault.path[0]) if fault.path else "?"
@@ -132,5 +150,9 @@
         entry_slots=checked[CONF_MEMBERSHIP][CONF_ENTRY_SLOTS],
         fleet_secret=security[CONF_FLEET_SECRET].encode(),
         admin_token=security[CONF_ADMIN_TOKEN],
+        stop=StopTimes(
+            limit_s=checked[CONF_LIFECYCLE][CONF_STOP_LIMIT_S],
+            deregistration_delay_s=checked[CONF_LIFECYCLE][CONF_DEREGISTRATION_DELAY_S],
+        ),
         log_level=checked[CONF_LOGGING][CONF_LEVEL],
     )
--- a/corianderhold/settings/model.py
+++ b/corianderhold/settings/model.py
@@ -24,6 +24,19 @@
     outgoing_threads: int
 
 
+@dataclass(frozen=True)
+class StopTimes:
+    """
+    Bound a planned stop.
+
+    `limit_s` is when the process has ended at the latest. For `deregistration_delay_s`
+    from its beginning callers may still come, since they learn of it by readiness.
+    """
+
+    limit_s: float
+    deregistration_delay_s: float
+
+
 @dataclass(frozen=True)
 class Settings:
     """
@@ -45,4 +58,5 @@
     entry_slots: int
     fleet_secret: bytes = field(repr=False)
     admin_token: str = field(repr=False)
+    stop: StopTimes
     log_level: str = "info"
--- a/corianderhold/settings/schema.py
+++ b/corianderhold/settings/schema.py
@@ -22,6 +22,7 @@
     CONF_ADMIN_TOKEN,
     CONF_CALLER,
     CONF_CALLER_THREADS,
+    CONF_DEREGISTRATION_DELAY_S,
     CONF_DOMAIN,
     CONF_ENTRY_SLOTS,
     CONF_FLEET_SECRET,
@@ -29,6 +30,7 @@
     CONF_ID,
     CONF_INSTANCE,
     CONF_LEVEL,
+    CONF_LIFECYCLE,
     CONF_LISTENERS,
     CONF_LOGGING,
     CONF_MEMBERSHIP,
@@ -41,13 +43,16 @@
     CONF_SECURITY,
     CONF_SEEDS,
     CONF_SERVICE,
+    CONF_STOP_LIMIT_S,
     CONF_STORE,
     CONF_TARGET,
     DEFAULT_CALLER_THREADS,
+    DEFAULT_DEREGISTRATION_DELAY_S,
     DEFAULT_ENTRY_SLOTS,
     DEFAULT_LEVEL,
     DEFAULT_OUTGOING_THREADS,
     DEFAULT_RETENTION_S,
+    DEFAULT_STOP_LIMIT_S,
     HIGHEST_PORT,
     LOG_LEVELS,
     SECRET_LENGTH_MIN,
@@ -56,6 +61,8 @@
 
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9_.-]{0,62}")
 RETENTION_ACCEPTED = "accepted: seconds, at least 60"
+STOP_LIMIT_ACCEPTED = "accepted: seconds from 3 to 600"
+DEREGISTRATION_DELAY_ACCEPTED = "accepted: seconds from 0 to 600"
 ENTRY_SLOTS_ACCEPTED = "accepted: a whole number from 0 to 10000"
 THREADS = All(
     Coerce(int, msg="accepted: a whole number from 4 to 1024"),
@@ -157,6 +164,20 @@
     CONF_SECURITY: Schema(
         {Required(CONF_FLEET_SECRET): SECRET, Required(CONF_ADMIN_TOKEN): SECRET}
     ),
+    CONF_LIFECYCLE: Schema(
+        {
+            Optional(CONF_STOP_LIMIT_S, default=DEFAULT_STOP_LIMIT_S): All(
+                Coerce(float, msg=STOP_LIMIT_ACCEPTED),
+                Range(min=3, max=600, msg=STOP_LIMIT_ACCEPTED),
+            ),
+            Optional(
+                CONF_DEREGISTRATION_DELAY_S, default=DEFAULT_DEREGISTRATION_DELAY_S
+            ): All(
+                Coerce(float, msg=DEREGISTRATION_DELAY_ACCEPTED),
+                Range(min=0, max=600, msg=DEREGISTRATION_DELAY_ACCEPTED),
+            ),
+        }
+    ),
     CONF_LOGGING: Schema(
         {
             Optional(CONF_LEVEL, default=DEFAULT_LEVEL): In(
--- a/corianderhold/transport/web/server.py
+++ b/corianderhold/transport/web/server.py
@@ -1,5 +1,6 @@
 """Serve WSGI applications with CherryPy's HTTP server."""
 
+import contextlib
 import socket
 import threading
 from collections.abc import Callable, Iterable
@@ -20,6 +21,8 @@
     PROGRESS_TIMEOUT_S,
     SHUTDOWN_TIMEOUT_S,
     UNACKNOWLEDGED_TIMEOUT_MS,
+    WAKE_DELAY_S,
+    WAKE_TIMEOUT_S,
 )
 from corianderhold.transport.web.pool import PollingPool
 
@@ -37,6 +40,8 @@
         """Return the WSGI environment of the request."""
         environ: Environ = super().get_environ()  # type: ignore[no-untyped-call]
         environ[ENVIRON_SOCKET] = self.req.conn.socket
+        if self.req.server.draining:
+            self.req.close_connection = True
         return environ
 
 
@@ -61,6 +66,7 @@
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
         self.requests = PollingPool(self, threads)
+        self.draining = False
 
     def process_conn(self, conn: Any) -> None:
         """Wait for the first request of a new connection."""
@@ -98,11 +104,23 @@
         self._thread.start()
         log_event("listening", listener=self._name, address=str(self._address))
 
+    def begin_drain(self) -> None:
+        """Serve on, and close each connection after its next answer."""
+        self._server.draining = True
+
     def stop(self) -> None:
         """Stop listening; wait a bounded time for the requests that are served."""
+        if self._thread.ident is not None:
+            wake = threading.Timer(WAKE_DELAY_S, self._wake_acceptor)
+            wake.daemon = True
+            wake.start()
         self._server.stop()
-        if self._thread.is_alive():
-            self._thread.join(SHUTDOWN_TIMEOUT_S)
+
+    def _wake_acceptor(self) -> None:
+        """Connect once: the library's accepting thread looks up only now and then."""
+        address = (self._address.host, self._address.port)
+        with contextlib.suppress(OSError):
+            socket.create_connection(address, WAKE_TIMEOUT_S).close()
 
 
 def set_keepalive(listener: socket.socket) -> None:
--- a/emulator/web.py
+++ b/emulator/web.py
@@ -15,10 +15,10 @@
 
 from cheroot.wsgi import Server
 
-from corianderhold.core import SIGNAL_CHECK_INTERVAL_S
 from corianderhold.log import LogValue, format_event
 
 READ_SIZE_BYTES = 65_536
+SIGNAL_CHECK_INTERVAL_S = 0.5
 BACKLOG_CONNECTIONS = 1024
 IDLE_TIMEOUT_S = 120
 IDLE_CONNECTIONS_MAX = 4096
--- a/tests/admin/case.py
+++ b/tests/admin/case.py
@@ -2,6 +2,7 @@
 
 from corianderhold.admin.api import AdminApi, AdminParts
 from corianderhold.admin.model import Identity
+from corianderhold.readiness import Readiness
 from corianderhold.state.membership.model import Address
 from corianderhold.transport.web.server import WebServer
 from tests.common.followers import Daemon
@@ -31,11 +32,14 @@
         self.daemon = self.get_daemon(0)
         self.way = self.ways["10.0.0.0"]
         self.drain = FakeDrain()
+        self.readiness = Readiness(self.daemon.holder)
+        self.readiness.open()
         self.address = self.serve(self.daemon)
 
     def serve(self, daemon: Daemon) -> Address:
         parts = AdminParts(
             identity=Identity(daemon.member.instance, daemon.member.domain),
+            readiness=self.readiness,
             holder=daemon.holder,
             publisher=self.make_publisher(daemon),
             history=daemon.follower.replica.history,
--- a/tests/admin/test_api.py
+++ b/tests/admin/test_api.py
@@ -202,6 +202,9 @@
 
     def test_drain_health_and_metrics(self) -> None:
         self.assertEqual(self.call("GET", "/health").body["version"], 1)
+        self.readiness.close()
+        self.assertEqual(self.call("GET", "/health").status, 503)
+        self.readiness.open()
         self.assertEqual(self.call("POST", "/v1/drain").status, 202)
         self.assertTrue(self.drain.draining)
         self.assertEqual(self.call("GET", "/health").status, 503)
--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -44,6 +44,7 @@
     relay_peer: bool = False
     relay_target: bool = False
     log_level: str = "info"
+    deregistration_delay_s: float = 0.2
 
 
 @dataclass
@@ -287,6 +288,11 @@
             "fleet_secret": FLEET_SECRET,
             "admin_token": ADMIN_TOKEN,
         }
+        delay_s = plan.deregistration_delay_s
+        settings["lifecycle"] = {
+            "stop_limit_s": "6",
+            "deregistration_delay_s": str(delay_s),
+        }
         settings["logging"] = {"level": plan.log_level}
         path = self._directory / f"{plan.instance}.ini"
         with path.open("w") as file:
--- a/tests/failures/test_stop.py
+++ b/tests/failures/test_stop.py
@@ -1,14 +1,20 @@
 """Test that a planned stop loses no call."""
 
+import re
+
 from tests.common.fleet import DaemonPlan, RequestPlan
 from tests.common.scenario import FleetTestCase, Sent, plan_ingest
 from tests.common.waiting import WAIT_LIMIT_S, wait_until
+from tests.common.web import send_request
 
 ENTRY = "entry"
 OWNER = "owner"
 OTHER = "other"
+LINGERING = "lingering"
 SLOW = "?work_ms=2500"
 STOP_LIMIT_S = 20.0
+SETTINGS_STOP_LIMIT_S = 6.0
+DRAIN_BEGUN = re.compile("event=drain_begun")
 CALLS = 4
 
 
@@ -19,6 +25,7 @@
         DaemonPlan(ENTRY, "ch-west-a"),
         DaemonPlan(OWNER, "ch-west-b", service="catalogue"),
         DaemonPlan(OTHER, "ch-west-b", service="catalogue"),
+        DaemonPlan(LINGERING, "ch-west-b", "catalogue", deregistration_delay_s=3.0),
     )
     probes = ("/catalogue/search",)
 
@@ -41,6 +48,37 @@
             self.assertEqual(daemon.wait_for_exit(STOP_LIMIT_S), 0)
             self._restart(instance)
 
+    def test_stopping_entry_serves_through_others_while_callers_come(self) -> None:
+        member = self.fleet.members[LINGERING]
+        daemon = member.daemon
+        assert daemon is not None
+        self.fleet.kill_target(LINGERING)
+        daemon.terminate()
+        daemon.wait_until_logged(DRAIN_BEGUN)
+        health = f"http://{member.get_address('admin')}/health"
+        self.assertEqual(send_request("GET", health).status, 503)
+        sent = [self.send(LINGERING, plan_ingest()) for _ in range(CALLS)]
+        for _, outcome in sent:
+            self.assertTrue(outcome.is_whole, outcome)
+            self.assertEqual(outcome.headers["Connection"], "close")
+        self.assertEqual(daemon.wait_for_exit(STOP_LIMIT_S), 0)
+        self.assertRegex(daemon.read_log(), "event=application_stopped complete=True")
+        self.fleet.start_daemon(LINGERING)
+        self.fleet.start_target(LINGERING)
+        self.check_verdicts(sent)
+
+    def test_silent_store_does_not_hold_up_a_stop(self) -> None:
+        store = self.fleet.store
+        daemon = self.fleet.members[OWNER].daemon
+        assert store is not None
+        assert daemon is not None
+        store.freeze()
+        self.addCleanup(store.thaw)
+        daemon.terminate()
+        self.assertEqual(daemon.wait_for_exit(SETTINGS_STOP_LIMIT_S), 0)
+        store.thaw()
+        self._restart(OWNER)
+
     def test_repeated_stop_requests_end_a_daemon(self) -> None:
         daemon = self.fleet.members[OWNER].daemon
         assert daemon is not None
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -6,7 +6,7 @@
 
 from corianderhold.settings.errors import SettingsError
 from corianderhold.settings.loader import load_settings
-from corianderhold.settings.model import Settings
+from corianderhold.settings.model import Settings, StopTimes
 from corianderhold.state.membership.model import Address
 
 GOOD = """
@@ -50,6 +50,12 @@
         self.assertIsNone(settings.service)
         self.assertNotIn("0123456789abcdef", repr(settings))
 
+    def test_delay_of_a_stop_must_leave_time_to_end(self) -> None:
+        settings = self.load(GOOD + "[lifecycle]\nstop_limit_s = 6\n")
+        self.assertEqual(settings.stop, StopTimes(6.0, 3.0))
+        fault = self.fail_with(GOOD + "[lifecycle]\nstop_limit_s = 4\n")
+        self.assertIn("[lifecycle] deregistration_delay_s: accepted: at most", fault)
+
     def test_all_faults_are_named_in_one_line_each(self) -> None:
         text = GOOD.replace("127.0.0.1:8080", "localhost:8080")
         text = text.replace("region = lowlands\n", "regoin = lowlands\n")
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -1,9 +1,12 @@
 """Test the drain of a target and the graceful stop of a daemon."""
 
+import threading
 from unittest import TestCase
 
-from corianderhold.drain import TargetDrain
+from corianderhold.clock import SystemClock
+from corianderhold.drain import GracefulStop, StopParts, TargetDrain
 from corianderhold.ids import ServiceName
+from corianderhold.settings.model import StopTimes
 from corianderhold.state.membership.model import Address
 from corianderhold.state.membership.target import TargetHolder, TargetStatus
 from tests.common.clock import FakeClock
@@ -36,3 +39,60 @@
         drain.drain()
         drain.drain()
         self.assertTrue(drain.is_draining())
+
+
+class FakeDaemon:
+    """Note the steps of a stop; one call is in flight until it is finished."""
+
+    def __init__(self) -> None:
+        self.steps: list[str] = []
+        self.in_flight = 1
+
+    def open(self) -> None:
+        self.steps.append("ready")
+
+    def close(self) -> None:
+        self.steps.append("not ready")
+
+    def leave(self) -> None:
+        self.steps.append("leave")
+
+    def begin_drain(self) -> None:
+        self.steps.append("drain")
+
+    def stop_admitting(self) -> None:
+        self.steps.append("refuse")
+
+    def count_in_flight(self) -> int:
+        return self.in_flight
+
+    def cancel_all(self) -> None:
+        self.steps.append("cancel")
+        self.in_flight = 0
+
+
+class GracefulStopTests(TestCase):
+    """Stop in steps, within the limit."""
+
+    def setUp(self) -> None:
+        self.daemon = FakeDaemon()
+
+    def stop(self, times: StopTimes) -> list[str]:
+        daemon = self.daemon
+        parts = StopParts(daemon, daemon, daemon, daemon, daemon, daemon)
+        graceful = GracefulStop(parts, times, SystemClock())
+        graceful.start()
+        graceful.stop()
+        return daemon.steps
+
+    def test_calls_that_last_are_cancelled_last(self) -> None:
+        steps = self.stop(StopTimes(1.0, 0.0))
+        expected = ["ready", "not ready", "leave", "drain", "refuse", "cancel"]
+        self.assertEqual(steps, expected)
+
+    def test_call_that_ends_is_waited_for(self) -> None:
+        timer = threading.Timer(0.1, self.daemon.cancel_all)
+        timer.start()
+        self.addCleanup(timer.join)
+        steps = self.stop(StopTimes(60.0, 0.0))
+        self.assertEqual(steps[-2:], ["refuse", "cancel"])
