--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -15,6 +15,7 @@
 from corianderhold.coordination.entry.choice import LocalityChooser, Place
 from corianderhold.coordination.entry.intake import Intake
 from corianderhold.coordination.entry.outgoing import OutgoingApplication
+from corianderhold.coordination.entry.request import RequestReader
 from corianderhold.coordination.entry.router import Router
 from corianderhold.coordination.entry.sender import PeerSender
 from corianderhold.coordination.entry.watch import CallerWatch
@@ -42,6 +43,7 @@
 )
 from corianderhold.coordination.rate.shards import list_shards as list_rate_shards
 from corianderhold.core import Application
+from corianderhold.deployment import Deployment
 from corianderhold.drain import GracefulStop, StopParts, TargetDrain
 from corianderhold.ids import Incarnation
 from corianderhold.metrics import Metrics
@@ -54,18 +56,18 @@
 from corianderhold.transport.peer.handshake import Identity
 from corianderhold.transport.peer.pool import LinkPool
 from corianderhold.transport.peer.server import PeerServer
-from corianderhold.transport.store.client import HttpLog
 from corianderhold.transport.web.server import WebServer
 from corianderhold.transport.web.target import TargetClient
 
 ADMIN_THREADS = 4
+PAGE_THREADS = 2
 THREAD_STACK_BYTES = 512 * 1024
 
 
-def build_daemon(settings: Settings) -> Application:
+def build_daemon(settings: Settings, deployment: Deployment) -> Application:
     """Build a daemon from its settings; nothing listens before it starts."""
     threading.stack_size(THREAD_STACK_BYTES)
-    return DaemonBuilder(settings).build()
+    return DaemonBuilder(settings, deployment).build()
 
 
 def draw_incarnation() -> Incarnation:
@@ -76,11 +78,13 @@
 class DaemonBuilder:
     """Build the parts of one daemon in the order in which they need each other."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, deployment: Deployment) -> None:
         self._settings = settings
+        self._deployment = deployment
         self._clock = SystemClock()
         self._random = Random(os.urandom(16))
         self._metrics = Metrics()
+        self._header_names = deployment.headers
         self._holder = ConfigurationHolder()
         self._readiness = Readiness(self._holder)
         self._incarnation = draw_incarnation()
@@ -89,7 +93,7 @@
         )
         self._pool = LinkPool(self._identity, self._clock)
         self._control = LinkControlClient(self._pool)
-        self._log = HttpLog(f"http://{settings.store}", self._clock)
+        self._log = deployment.open_log(settings, self._clock)
         self._membership = self._build_membership()
         self._follower = self._build_follower()
         self._sender = PeerSender(self._pool, self._clock)
@@ -111,9 +115,7 @@
         callers = self._build_callers(router, watch, rate)
         self._metrics.add_gauge("request_in_flight", callers.count_in_flight)
         outgoing = self._build_outgoing(router, watch, owner)
-        admin, outgoing_server, caller_server = self._build_web_servers(
-            callers, outgoing
-        )
+        caller_server = self._build_caller_server(callers)
         stop_parts = StopParts(
             readiness=self._readiness,
             member=self._membership,
@@ -124,7 +126,7 @@
         )
         return Application(
             [
-                admin,
+                *self._build_operator_servers(),
                 self._pool,
                 AdmissionConfigurator(
                     admission, self._holder, self._membership, self._clock
@@ -136,7 +138,7 @@
                 keeper,
                 *rate.components,
                 watch,
-                outgoing_server,
+                *self._build_target_servers(outgoing),
                 caller_server,
                 GracefulStop(stop_parts, self._settings.stop, self._clock),
             ]
@@ -165,7 +167,17 @@
     def _build_intake(
         self, name: str, router: KeyedRouter, watch: CallerWatch, threads: int
     ) -> Intake:
-        return Intake(name, router, watch, self._clock, self._metrics, threads)
+        reader = RequestReader(self._header_names, self._settings.service or "")
+        return Intake(
+            name,
+            router,
+            watch,
+            self._clock,
+            self._metrics,
+            threads,
+            reader,
+            self._deployment.format_retry_after,
+        )
 
     def _build_callers(
         self, router: KeyedRouter, watch: CallerWatch, rate: RateParts
@@ -183,19 +195,35 @@
             intake, self._holder, owner.calls, self._membership, self._clock
         )
 
-    def _build_web_servers(
-        self, callers: CallerApplication, outgoing: OutgoingApplication
-    ) -> tuple[WebServer, WebServer, WebServer]:
-        """Return the admin, outgoing and caller listeners."""
+    def _build_caller_server(self, callers: CallerApplication) -> WebServer:
         listeners = self._settings.listeners
+        return WebServer("caller", listeners.caller, callers, listeners.caller_threads)
+
+    def _build_target_servers(self, outgoing: OutgoingApplication) -> list[WebServer]:
+        """Build the listeners for the local target."""
+        listeners, deployment = self._settings.listeners, self._deployment
+        servers = []
+        if listeners.outgoing is not None:
+            threads = listeners.outgoing_threads
+            servers.append(WebServer("outgoing", listeners.outgoing, outgoing, threads))
+        if listeners.announce is not None and deployment.build_announce is not None:
+            announce = deployment.build_announce(self._membership)
+            servers.append(
+                WebServer("announce", listeners.announce, announce, PAGE_THREADS)
+            )
+        return servers
+
+    def _build_operator_servers(self) -> list[WebServer]:
+        """Build the listeners that answer as long as the process lives."""
+        listeners, deployment = self._settings.listeners, self._deployment
         admin = self._build_admin_api().mount()
-        return (
-            WebServer("admin", listeners.admin, admin, ADMIN_THREADS),
-            WebServer(
-                "outgoing", listeners.outgoing, outgoing, listeners.outgoing_threads
-            ),
-            WebServer("caller", listeners.caller, callers, listeners.caller_threads),
-        )
+        servers = [WebServer("admin", listeners.admin, admin, ADMIN_THREADS)]
+        if listeners.readiness is not None and deployment.build_readiness is not None:
+            readiness = deployment.build_readiness(self._readiness.is_ready)
+            servers.append(
+                WebServer("readiness", listeners.readiness, readiness, PAGE_THREADS)
+            )
+        return servers
 
     def _build_admin_api(self) -> AdminApi:
         settings = self._settings
--- a/corianderhold/coordination/entry/outgoing.py
+++ b/corianderhold/coordination/entry/outgoing.py
@@ -1,8 +1,10 @@
 """Take in what the local target sends: nested calls, its announcement, its drain."""
 
 import json
+import os
 from collections.abc import Iterable
 from http import HTTPStatus
+from random import Random
 from typing import Protocol
 
 from result import Err, Result
@@ -11,12 +13,19 @@
 from corianderhold.clock import Clock
 from corianderhold.coordination.call import Answer, CallContext
 from corianderhold.coordination.entry.const import DEPTH_MAX
-from corianderhold.coordination.entry.intake import Intake, Origin, build_context
-from corianderhold.coordination.entry.request import read_request
+from corianderhold.coordination.entry.intake import (
+    Arrival,
+    Intake,
+    Origin,
+    build_context,
+    find_deadline,
+)
 from corianderhold.coordination.entry.response import (
     describe_status,
+    format_whole_seconds,
     respond_refusal,
 )
+from corianderhold.coordination.entry.split import SplitChooser
 from corianderhold.coordination.owner.registry import InFlightCall, InFlightCalls
 from corianderhold.coordination.retry import RetryBudget
 from corianderhold.ids import CallId, ServiceName
@@ -25,7 +34,7 @@
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.configuration.model import Configuration, Route
 from corianderhold.state.configuration.routes import build_route_index, may_use
-from corianderhold.state.membership.model import Address
+from corianderhold.state.membership.target import TargetAnnouncement
 from corianderhold.transport.web.server import Environ, StartResponse
 
 ANNOUNCE_PATH = "/_corianderhold/announce"
@@ -43,14 +52,15 @@
 class TargetRegistrar(Protocol):
     """Take the announcements of the local target."""
 
-    def announce_target(
-        self, service: ServiceName, address: Address, restarted: bool
-    ) -> None:
-        """Note that the target serves; repeated as its heartbeat."""
+    def announce_target(self, announcement: TargetAnnouncement) -> None:
+        """Take a heartbeat of the target."""
 
     def drain_target(self) -> None:
         """Note that the target takes no new work."""
 
+    def withdraw_target(self, target_id: str | None, started: int | None) -> None:
+        """Note that a start of the target is gone."""
+
 
 class OutgoingApplication:
     """Route nested calls on behalf of the call that the target is running."""
@@ -67,7 +77,9 @@
         self._calls = calls
         self._registrar = registrar
         self._clock = clock
+        self._target_starts = 0
         self._index = build_route_index(holder.current)
+        self._splits = SplitChooser(Random(os.urandom(16)))
         holder.add_listener(self._follow)
 
     def __call__(
@@ -84,27 +96,29 @@
 
     def _follow(self, configuration: Configuration) -> None:
         self._index = build_route_index(configuration)
+        self._splits.follow(configuration)
 
-    def _handle(self, environ: Environ, call_id: CallId) -> Result[Answer, Refusal]:
-        request = read_request(environ)
+    def _handle(self, arrival: Arrival) -> Result[Answer, Refusal]:
+        request = arrival.request
         parent = self._calls.find_by_token(request.context_token or "")
         if parent is None:
             return Err(refuse_not_run(Reason.CONTEXT_UNKNOWN))
         if parent.context.depth + 1 >= DEPTH_MAX:
             return Err(refuse_not_run(Reason.DEPTH_EXCEEDED))
-        found = self._index.find(request.method, request.path)
+        found = self._index.find(request.host, request.method, request.path)
         if isinstance(found, Err):
             return Err(refuse_not_run(found.err_value))
         match = found.ok_value
         if not may_use(match.route, parent.context.organisation):
             return Err(refuse_not_run(Reason.ROUTE_FORBIDDEN))
-        origin = self._inherit_origin(parent.context, match.route)
-        context = build_context(request, match, origin, call_id)
-        return self._route(environ, context, parent, match.route)
+        own_deadline = find_deadline(arrival, match.route)
+        origin = self._inherit_origin(parent.context, own_deadline)
+        service = self._splits.choose(match.route)
+        context = build_context(arrival, match, service, origin)
+        return self._route(arrival.environ, context, parent, match.route)
 
-    def _inherit_origin(self, parent: CallContext, route: Route) -> Origin:
+    def _inherit_origin(self, parent: CallContext, own_deadline: float) -> Origin:
         """Return a nested call's origin; all that matters comes from its parent."""
-        own_deadline = self._clock.read_monotonic() + route.deadline_ms / 1000
         return Origin(
             root_id=parent.root_id,
             organisation=parent.organisation,
@@ -139,10 +153,16 @@
         except (Invalid, ValueError) as error:
             detail = f"announcement: {error}"
             refusal = refuse_not_run(Reason.REQUEST_MALFORMED, detail=detail)
-            return respond_refusal(refusal, CallId(""), start_response)
-        service = ServiceName(announcement["service"])
+            return respond_refusal(
+                refusal, CallId(""), start_response, format_whole_seconds
+            )
+        self._target_starts += announcement["restarted"]
         self._registrar.announce_target(
-            service, announcement["address"], announcement["restarted"]
+            TargetAnnouncement(
+                ServiceName(announcement["service"]),
+                announcement["address"],
+                started=self._target_starts,
+            )
         )
         return respond_empty(HTTPStatus.NO_CONTENT, start_response)
 
--- a/corianderhold/protocol/headers.py
+++ b/corianderhold/protocol/headers.py
@@ -33,7 +33,7 @@
         "upgrade",
     }
 )
-NEVER_TO_TARGET = HOP_BY_HOP | {"authorization", "content-length", "expect", "host"}
+NEVER_TO_TARGET = HOP_BY_HOP | {"authorization", "content-length", "expect"}
 
 
 def may_reach_target(name: str) -> bool:
@@ -63,8 +63,8 @@
     request_id: str = HEADER_REQUEST_ID
     deadline_ms: str = HEADER_DEADLINE_MS
     organisation: str = HEADER_ORGANISATION
-    importance: str = HEADER_IMPORTANCE
-    context: str = HEADER_CONTEXT
+    importance: str | None = HEADER_IMPORTANCE
+    context: str | None = HEADER_CONTEXT
     caller_service: str = HEADER_CALLER_SERVICE
     expected_target: str = HEADER_EXPECTED_TARGET
     not_run: str = HEADER_NOT_RUN
