Trust peers by their network where the settings say so

Cause: nothing in the users' platform's settings is a secret, and the program refused to start without one. Change: [security] peer_trust = secret | network. With network there is no fleet secret (the proofs on links and datagrams use an empty one, so that the protocol stays one), and without an admin token the admin API answers GET and HEAD only. A secret beside network, and a missing one beside secret, are faults of one line each.

--- a/corianderhold/admin/api.py
+++ b/corianderhold/admin/api.py
@@ -24,13 +24,15 @@
     ReadinessSource,
     StreamView,
 )
-from corianderhold.admin.request import UNAUTHORISED, format_error_page
+from corianderhold.admin.request import FORBIDDEN, UNAUTHORISED, format_error_page
 from corianderhold.clock import Clock
 from corianderhold.metrics import Metrics
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.membership.model import Members
 
 BEARER = "Bearer "
+OPEN_PATHS = frozenset({"/health"})
+READ_METHODS = frozenset({"GET", "HEAD"})
 
 
 @dataclass(frozen=True)
@@ -55,9 +57,10 @@
 
 class AdminApi:
     """
-    Serve operators that present the token; /health is open to all.
+    Serve operators that present the token; `OPEN_PATHS` are open to all.
 
-    The token is compared in a time that does not depend on where it differs.
+    The token is compared in a time that does not depend on where it differs. Without
+    a token in the settings, the API answers reads to all and refuses the rest.
     """
 
     def __init__(self, parts: AdminParts, token: str) -> None:
@@ -104,8 +107,14 @@
 
     def _authenticate(self) -> None:
         """Refuse requests without the token; raise HTTPError."""
-        if cherrypy.request.path_info == "/health":
+        is_read = cherrypy.request.method in READ_METHODS
+        if is_read and cherrypy.request.path_info in OPEN_PATHS:
             return
+        if not self._token:
+            if is_read:
+                return
+            message = "no admin_token is set: this API answers reads only"
+            raise cherrypy.HTTPError(FORBIDDEN, message)
         given = cherrypy.request.headers.get("Authorization", "")
         token = given.removeprefix(BEARER) if given.startswith(BEARER) else ""
         if compare_digest(token.encode(), self._token):
--- a/corianderhold/admin/errors.py
+++ b/corianderhold/admin/errors.py
@@ -13,6 +13,7 @@
     BODY_TOO_LONG = "body_too_long"
     BODY_MALFORMED = "body_malformed"
     PARAMETER_MALFORMED = "parameter_malformed"
+    READ_ONLY = "read_only"
     TOKEN_MISSING_OR_WRONG = "token_missing_or_wrong"
     CHANGE_UNKNOWN = "change_unknown"
     KEY_REFUSED = "key_refused"
--- a/corianderhold/admin/request.py
+++ b/corianderhold/admin/request.py
@@ -16,12 +16,14 @@
 JSON_TYPE = "application/json"
 TEXT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 UNAUTHORISED = 401
+FORBIDDEN = 403
 NOT_FOUND = 404
 METHOD_NOT_ALLOWED = 405
 SERVER_ERROR = 500
 
 STATUS_CODES = {
     UNAUTHORISED: ErrorCode.TOKEN_MISSING_OR_WRONG,
+    FORBIDDEN: ErrorCode.READ_ONLY,
     NOT_FOUND: ErrorCode.NOT_FOUND,
     METHOD_NOT_ALLOWED: ErrorCode.METHOD_NOT_ALLOWED,
 }
--- a/corianderhold/settings/const.py
+++ b/corianderhold/settings/const.py
@@ -30,6 +30,7 @@
 CONF_DOMAINS = "domains"
 
 CONF_SECURITY = "security"
+CONF_PEER_TRUST = "peer_trust"
 CONF_FLEET_SECRET = "fleet_secret"
 CONF_ADMIN_TOKEN = "admin_token"
 
@@ -40,6 +41,10 @@
 CONF_LOGGING = "logging"
 CONF_LEVEL = "level"
 
+TRUST_SECRET = "secret"
+TRUST_NETWORK = "network"
+PEER_TRUSTS = (TRUST_SECRET, TRUST_NETWORK)
+
 LOG_LEVELS = ("debug", "info", "warning", "error")
 DEFAULT_LEVEL = "info"
 DEFAULT_CALLER_THREADS = 96
--- a/corianderhold/settings/loader.py
+++ b/corianderhold/settings/loader.py
@@ -32,6 +32,7 @@
     CONF_OUTGOING_THREADS,
     CONF_PEER,
     CONF_PEER_ADVERTISED,
+    CONF_PEER_TRUST,
     CONF_READINESS,
     CONF_REGION,
     CONF_RETENTION_S,
@@ -42,6 +43,7 @@
     CONF_STORE,
     CONF_TARGET,
     STOP_MARGIN_S,
+    TRUST_NETWORK,
 )
 from corianderhold.settings.errors import SettingsError
 from corianderhold.settings.model import Listeners, Settings, StopTimes
@@ -74,8 +76,10 @@
     if listeners and not listeners.keys() & {CONF_OUTGOING, CONF_ANNOUNCE}:
         option = f"{path}: [{CONF_LISTENERS}] {CONF_OUTGOING}"
         faults.append(f"{option}: option is missing")
-    if not faults:
-        faults += find_contradictions(path, checked)
+    if checked.get(CONF_SECURITY):
+        faults += check_trust(path, checked[CONF_SECURITY])
+    if checked.get(CONF_LIFECYCLE):
+        faults += check_stop_times(path, checked[CONF_LIFECYCLE])
     if faults:
         raise SettingsError("\n".join(faults))
     return build_settings(checked)
@@ -108,9 +112,25 @@
     return {}
 
 
-def find_contradictions(path: Path, checked: Checked) -> list[str]:
-    """Return the faults of options that do not go together."""
-    lifecycle = checked[CONF_LIFECYCLE]
+def check_trust(path: Path, security: dict[str, Any]) -> list[str]:
+    """Return the faults of secrets that are missing or contradict `peer_trust`."""
+    section = f"{path}: [{CONF_SECURITY}]"
+    if security[CONF_PEER_TRUST] == TRUST_NETWORK:
+        if CONF_FLEET_SECRET not in security:
+            return []
+        return [
+            f"{section} {CONF_FLEET_SECRET}: accepted: none where {CONF_PEER_TRUST}"
+            f" is {TRUST_NETWORK}"
+        ]
+    return [
+        f"{section} {option}: option is missing"
+        for option in (CONF_FLEET_SECRET, CONF_ADMIN_TOKEN)
+        if option not in security
+    ]
+
+
+def check_stop_times(path: Path, lifecycle: dict[str, Any]) -> list[str]:
+    """Return the fault of a delay that leaves a stop no time to end."""
     latest_s = lifecycle[CONF_STOP_LIMIT_S] - STOP_MARGIN_S
     if lifecycle[CONF_DEREGISTRATION_DELAY_S] <= latest_s:
         return []
@@ -158,8 +178,8 @@
         seeds=checked[CONF_MEMBERSHIP][CONF_SEEDS],
         domains=checked[CONF_MEMBERSHIP][CONF_DOMAINS],
         entry_slots=checked[CONF_MEMBERSHIP][CONF_ENTRY_SLOTS],
-        fleet_secret=security[CONF_FLEET_SECRET].encode(),
-        admin_token=security[CONF_ADMIN_TOKEN],
+        fleet_secret=security.get(CONF_FLEET_SECRET, "").encode(),
+        admin_token=security.get(CONF_ADMIN_TOKEN, ""),
         stop=StopTimes(
             limit_s=checked[CONF_LIFECYCLE][CONF_STOP_LIMIT_S],
             deregistration_delay_s=checked[CONF_LIFECYCLE][CONF_DEREGISTRATION_DELAY_S],
--- a/corianderhold/settings/model.py
+++ b/corianderhold/settings/model.py
@@ -49,6 +49,8 @@
     highest number of daemons that ever run at once in this failure domain, for fixed
     slices of the rates, or 0 for loans. `domains` names all failure domains of the
     fleet where the deployment's configuration does not divide the rates itself.
+    `fleet_secret` is empty where peers are trusted by their network, and `admin_token`
+    where the administration API answers reads only.
     """
 
     instance: InstanceId
--- a/corianderhold/settings/schema.py
+++ b/corianderhold/settings/schema.py
@@ -40,6 +40,7 @@
     CONF_OUTGOING_THREADS,
     CONF_PEER,
     CONF_PEER_ADVERTISED,
+    CONF_PEER_TRUST,
     CONF_READINESS,
     CONF_REGION,
     CONF_RETENTION_S,
@@ -58,7 +59,9 @@
     DEFAULT_STOP_LIMIT_S,
     HIGHEST_PORT,
     LOG_LEVELS,
+    PEER_TRUSTS,
     SECRET_LENGTH_MIN,
+    TRUST_SECRET,
 )
 from corianderhold.state.membership.model import Address
 
@@ -174,7 +177,13 @@
         }
     ),
     CONF_SECURITY: Schema(
-        {Required(CONF_FLEET_SECRET): SECRET, Required(CONF_ADMIN_TOKEN): SECRET}
+        {
+            Optional(CONF_PEER_TRUST, default=TRUST_SECRET): In(
+                PEER_TRUSTS, msg=f"accepted: one of {', '.join(PEER_TRUSTS)}"
+            ),
+            Optional(CONF_FLEET_SECRET): SECRET,
+            Optional(CONF_ADMIN_TOKEN): SECRET,
+        }
     ),
     CONF_LIFECYCLE: Schema(
         {
--- a/tests/admin/test_api.py
+++ b/tests/admin/test_api.py
@@ -69,6 +69,17 @@
                 self.assertEqual(code, "token_missing_or_wrong")
         self.assertEqual(self.call("GET", "/health", token=None).status, 200)
 
+    def test_without_a_token_in_the_settings_only_reads_are_answered(self) -> None:
+        self.address = self.serve(self.daemon, token="")
+        pool = HTTPConnectionPool(self.address.host, self.address.port, timeout=10.0)
+        self.addCleanup(pool.close)
+        read = pool.request("GET", "/v1/status", retries=False)
+        self.assertEqual(read.status, 200)
+        for headers in ({}, {"Authorization": "Bearer "}):
+            write = pool.request("POST", "/v1/drain", headers=headers, retries=False)
+            self.assertEqual(write.status, 403)
+        self.assertFalse(self.drain.draining)
+
     def test_change_is_published_shown_and_in_the_audit_trail(self) -> None:
         answer = self.call("POST", "/v1/changes", self.publish_body(1, 5, "x"))
         self.assertEqual((answer.status, answer.body["version"]), (201, 2))
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -50,6 +50,17 @@
         self.assertIsNone(settings.service)
         self.assertNotIn("0123456789abcdef", repr(settings))
 
+    def test_peers_are_trusted_by_secret_or_by_network(self) -> None:
+        security = GOOD[GOOD.index("[security]") :]
+        bare = GOOD.replace(security, "[security]\npeer_trust = network\n")
+        settings = self.load(bare)
+        self.assertEqual((settings.fleet_secret, settings.admin_token), (b"", ""))
+        missing = self.fail_with(bare.replace("network", "secret")).splitlines()
+        self.assertEqual(len(missing), 2)
+        self.assertIn("[security] fleet_secret: option is missing", missing[0])
+        contradiction = self.fail_with(GOOD + "peer_trust = network\n")
+        self.assertIn("fleet_secret: accepted: none where peer_trust", contradiction)
+
     def test_delay_of_a_stop_must_leave_time_to_end(self) -> None:
         settings = self.load(GOOD + "[lifecycle]\nstop_limit_s = 6\n")
         self.assertEqual(settings.stop, StopTimes(6.0, 3.0))
