--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -44,10 +44,11 @@
 from corianderhold.coordination.rate.shards import list_shards as list_rate_shards
 from corianderhold.core import Application
 from corianderhold.deployment import Deployment
-from corianderhold.drain import GracefulStop, TargetDrain
+from corianderhold.drain import GracefulStop, StopParts, TargetDrain
 from corianderhold.ids import Incarnation
 from corianderhold.metrics import Metrics
 from corianderhold.protocol.peer.control import ControlHandler, ControlTopic
+from corianderhold.readiness import Readiness
 from corianderhold.settings.model import Settings
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.lease.model import Holder
@@ -85,6 +86,7 @@
         self._metrics = Metrics()
         self._header_names = deployment.headers
         self._holder = ConfigurationHolder()
+        self._readiness = Readiness(self._holder)
         self._incarnation = draw_incarnation()
         self._identity = Identity(
             settings.instance, self._incarnation, settings.fleet_secret
@@ -113,8 +115,18 @@
         callers = self._build_callers(router, watch, rate)
         self._metrics.add_gauge("request_in_flight", callers.count_in_flight)
         outgoing = self._build_outgoing(router, watch, owner)
+        caller_server = self._build_caller_server(callers)
+        stop_parts = StopParts(
+            readiness=self._readiness,
+            member=self._membership,
+            listener=caller_server,
+            intake=callers,
+            owner=owner,
+            calls=watch,
+        )
         return Application(
             [
+                *self._build_operator_servers(),
                 self._pool,
                 AdmissionConfigurator(
                     admission, self._holder, self._membership, self._clock
@@ -126,8 +138,9 @@
                 keeper,
                 *rate.components,
                 watch,
-                *self._build_web_servers(callers, outgoing),
-                GracefulStop(self._membership, callers, owner, self._clock),
+                *self._build_target_servers(outgoing),
+                caller_server,
+                GracefulStop(stop_parts, self._settings.stop, self._clock),
             ]
         )
 
@@ -182,45 +195,41 @@
             intake, self._holder, owner.calls, self._membership, self._clock
         )
 
-    def _build_web_servers(
-        self, callers: CallerApplication, outgoing: OutgoingApplication
-    ) -> list[WebServer]:
+    def _build_caller_server(self, callers: CallerApplication) -> WebServer:
         listeners = self._settings.listeners
-        admin = self._build_admin_api().mount()
-        servers = [
-            WebServer("caller", listeners.caller, callers, listeners.caller_threads),
-            WebServer("admin", listeners.admin, admin, ADMIN_THREADS),
-            *self._build_deployment_servers(),
-        ]
-        if listeners.outgoing is not None:
-            threads = listeners.outgoing_threads
-            server = WebServer("outgoing", listeners.outgoing, outgoing, threads)
-            servers.insert(0, server)
-        return servers
+        return WebServer("caller", listeners.caller, callers, listeners.caller_threads)
 
-    def _build_deployment_servers(self) -> list[WebServer]:
-        """Build the listeners that this deployment adds to the product's own."""
+    def _build_target_servers(self, outgoing: OutgoingApplication) -> list[WebServer]:
+        """Build the listeners for the local target."""
         listeners, deployment = self._settings.listeners, self._deployment
         servers = []
+        if listeners.outgoing is not None:
+            threads = listeners.outgoing_threads
+            servers.append(WebServer("outgoing", listeners.outgoing, outgoing, threads))
         if listeners.announce is not None and deployment.build_announce is not None:
             announce = deployment.build_announce(self._membership)
             servers.append(
                 WebServer("announce", listeners.announce, announce, PAGE_THREADS)
             )
+        return servers
+
+    def _build_operator_servers(self) -> list[WebServer]:
+        """Build the listeners that answer as long as the process lives."""
+        listeners, deployment = self._settings.listeners, self._deployment
+        admin = self._build_admin_api().mount()
+        servers = [WebServer("admin", listeners.admin, admin, ADMIN_THREADS)]
         if listeners.readiness is not None and deployment.build_readiness is not None:
-            readiness = deployment.build_readiness(self._is_ready)
+            readiness = deployment.build_readiness(self._readiness.is_ready)
             servers.append(
                 WebServer("readiness", listeners.readiness, readiness, PAGE_THREADS)
             )
         return servers
 
-    def _is_ready(self) -> bool:
-        return bool(self._holder.current.version)
-
     def _build_admin_api(self) -> AdminApi:
         settings = self._settings
         parts = AdminParts(
             identity=AdminIdentity(settings.instance, settings.domain),
+            readiness=self._readiness,
             holder=self._holder,
             publisher=Publisher(self._follower, self._log, self._clock),
             history=self._follower.replica.history,
--- a/corianderhold/settings/model.py
+++ b/corianderhold/settings/model.py
@@ -27,6 +27,19 @@
     outgoing_threads: int
 
 
+@dataclass(frozen=True)
+class StopTimes:
+    """
+    Bound a planned stop.
+
+    `limit_s` is when the process has ended at the latest. For `deregistration_delay_s`
+    from its beginning callers may still come, since they learn of it by readiness.
+    """
+
+    limit_s: float
+    deregistration_delay_s: float
+
+
 @dataclass(frozen=True)
 class Settings:
     """
@@ -36,6 +49,8 @@
     highest number of daemons that ever run at once in this failure domain, for fixed
     slices of the rates, or 0 for loans. `domains` names all failure domains of the
     fleet where the deployment's configuration does not divide the rates itself.
+    `fleet_secret` is empty where peers are trusted by their network, and `admin_token`
+    where the administration API answers reads only.
     """
 
     instance: InstanceId
@@ -50,4 +65,5 @@
     domains: tuple[FailureDomainId, ...]
     fleet_secret: bytes = field(repr=False)
     admin_token: str = field(repr=False)
+    stop: StopTimes
     log_level: str = "info"
