Read targets' answers strictly, and take "not run" from those that say so

Cause: the client lost what came behind an answer in its buffer, took a head with two lengths, passed on answers without an end as refused, and gave the target's own refusals to the caller.

Change: transport/web/answer.py parses heads and bodies itself on the socket of a urllib3 connection. An answer that bears another request's id is dropped and the right one read; bytes after an answer, an answer before the end of the body, `Connection: close` or the last quarter of `Keep-Alive: timeout` end the connection; interim answers are skipped; an answer without a length is whole at a clean end only, and never after a cancellation. Status 421 or the `not_run` header is a refusal that an entry may try elsewhere; 421 and an address that nobody listens at suspend the target until its next heartbeat. The owner's headers go out under the names handed in and replace the caller's under the same names. The target that a call goes to is looked up after the wait, and again before the first byte.

Ruled out: http.client's response (its buffer is lost with it, so that bytes after an answer stay unseen, and it accepts two lengths); reading a late answer before a request is sent, which can't be told from a broken connection by then.

--- a/corianderhold/coordination/owner/owner.py
+++ b/corianderhold/coordination/owner/owner.py
@@ -3,11 +3,11 @@
 from typing import Protocol
 
 from result import Err, Ok, Result
-from urllib3.connection import HTTPConnection
 
 from corianderhold.clock import Clock
 from corianderhold.coordination.call import (
     Answer,
+    AnswerTruncatedError,
     BodyError,
     CallContext,
     RequestBody,
@@ -15,24 +15,24 @@
 from corianderhold.coordination.owner.admission import Admission
 from corianderhold.coordination.owner.chunks import (
     GuardedChunks,
+    discard,
     do_nothing,
-    find_length,
+    hold_small,
 )
 from corianderhold.coordination.owner.const import DRAINING_RETRY_AFTER_MS
+from corianderhold.coordination.owner.headers import (
+    TargetHeaders,
+    find_header,
+    judge_answer,
+    select_headers,
+)
 from corianderhold.coordination.owner.policy import TargetSource
 from corianderhold.coordination.owner.registry import InFlightCall, InFlightCalls
 from corianderhold.coordination.retry import RetryBudget
 from corianderhold.ids import CallId
 from corianderhold.log import log_event
 from corianderhold.metrics import Metrics
-from corianderhold.protocol.headers import (
-    HEADER_CALL_ID,
-    HEADER_CONTEXT,
-    HEADER_DEADLINE_MS,
-    HEADER_IMPORTANCE,
-    HEADER_ORGANISATION,
-)
-from corianderhold.protocol.peer.const import INLINE_BODY_BYTES
+from corianderhold.protocol.headers import HeaderNames
 from corianderhold.protocol.peer.messages import Header, LoadReport
 from corianderhold.protocol.verdict import (
     Reason,
@@ -40,13 +40,10 @@
     refuse_may_have_run,
     refuse_not_run,
 )
-from corianderhold.state.membership.model import Address, TargetState
-from corianderhold.transport.web.errors import TargetError
-from corianderhold.transport.web.target import (
-    TargetAnswer,
-    TargetClient,
-    TargetRequest,
-)
+from corianderhold.state.membership.model import TargetState
+from corianderhold.state.membership.target import TargetStatus
+from corianderhold.transport.web.connection import TargetConnection, TargetRequest
+from corianderhold.transport.web.target import TargetAnswer, TargetClient
 
 
 class CallOwner(Protocol):
@@ -77,12 +74,15 @@
         client: TargetClient,
         clock: Clock,
         metrics: Metrics,
+        names: HeaderNames | None = None,
     ) -> None:
         self._source = source
         self._admission = admission
         self._client = client
         self._clock = clock
         self._metrics = metrics
+        self._names = names or HeaderNames()
+        self._headers = TargetHeaders(self._names)
         self.calls = InFlightCalls()
 
     def serve(
@@ -107,7 +107,7 @@
             return self._refuse(context, admitted.err_value)
         started_at = self._clock.read_monotonic()
         try:
-            outcome = self._dispatch(call, found.ok_value, body)
+            outcome = self._dispatch(call, body)
         except BaseException:
             self._end(call, started_at, failed=True)
             raise
@@ -130,25 +130,27 @@
         draining = self._source.read_target().state is not TargetState.SERVING
         return self._admission.report_load(draining)
 
-    def _find_target(self, context: CallContext) -> Result[Address, Refusal]:
+    def _find_target(self, context: CallContext) -> Result[TargetStatus, Refusal]:
         target = self._source.read_target()
         if target.address is None or target.service != context.service:
             return Err(refuse_not_run(Reason.NO_TARGET))
         if target.state is TargetState.DRAINING:
             return Err(refuse_not_run(Reason.DRAINING, DRAINING_RETRY_AFTER_MS))
-        return Ok(target.address)
+        return Ok(target)
 
     def _dispatch(
-        self,
-        call: InFlightCall,
-        target: Address,
-        body: RequestBody,
+        self, call: InFlightCall, body: RequestBody
     ) -> Result[TargetAnswer, Refusal]:
-        connected = self._client.connect(target)
+        """Send a call that was admitted to the target that is there now."""
+        found = self._find_target(call.context)
+        if isinstance(found, Err):
+            return found
+        target = found.ok_value
+        connected = self._connect(target)
         if isinstance(connected, Err):
             return connected
         connection = connected.ok_value
-        refusal = self._check_still_wanted(call)
+        refusal = self._check_still_wanted(call, target)
         if refusal is not None:
             connection.close()
             return Err(refusal)
@@ -159,11 +161,24 @@
             organisation=call.context.organisation,
             importance=call.context.importance,
             route=call.context.route,
-            target=str(target),
+            target=str(target.address),
         )
         return self._exchange(call, target, connection, body)
 
-    def _check_still_wanted(self, call: InFlightCall) -> Refusal | None:
+    def _connect(self, target: TargetStatus) -> Result[TargetConnection, Refusal]:
+        """Return a connection; a target whose address nobody listens at is gone."""
+        assert target.address is not None
+        connected = self._client.connect(target.address)
+        if isinstance(connected, Ok):
+            return connected
+        failure = connected.err_value
+        if failure.refused:
+            self._source.suspend_target(target)
+        return Err(refuse_not_run(Reason.TARGET_UNREACHABLE, detail=failure.detail))
+
+    def _check_still_wanted(
+        self, call: InFlightCall, target: TargetStatus
+    ) -> Refusal | None:
         """Return a refusal when the call must not be sent any more."""
         now = self._clock.read_monotonic()
         if call.cancelled.is_set():
@@ -171,68 +186,92 @@
         if now >= call.context.deadline_at:
             return refuse_not_run(Reason.DEADLINE_PASSED)
         found = self._find_target(call.context)
-        return found.err_value if isinstance(found, Err) else None
+        if isinstance(found, Err):
+            return found.err_value
+        if found.ok_value != target:
+            return refuse_not_run(Reason.NO_TARGET, detail="another target is here")
+        return None
 
     def _exchange(
         self,
         call: InFlightCall,
-        target: Address,
-        connection: HTTPConnection,
+        target: TargetStatus,
+        connection: TargetConnection,
         body: RequestBody,
     ) -> Result[TargetAnswer, Refusal]:
-        request = self._build_request(call, body)
+        request = self._build_request(call, target, body)
         try:
-            outcome = self._client.exchange(target, connection, request, call.attach)
+            outcome = self._client.exchange(connection, request, call.attach)
         except BodyError as error:
             reason = Reason.REQUEST_MALFORMED
             return Err(refuse_may_have_run(reason, detail=str(error)))
         if isinstance(outcome, Err) and call.cancelled.is_set():
             return Err(refuse_may_have_run(Reason.CANCELLED))
-        return outcome
+        return self._check_run(target, outcome) if isinstance(outcome, Ok) else outcome
 
-    def _build_request(self, call: InFlightCall, body: RequestBody) -> TargetRequest:
+    def _check_run(
+        self, target: TargetStatus, outcome: Ok[TargetAnswer]
+    ) -> Result[TargetAnswer, Refusal]:
+        """Turn an answer that says "not run" into a refusal."""
+        answer = outcome.ok_value
+        refusal = judge_answer(answer.status, answer.headers, self._names)
+        if refusal is None:
+            return outcome
+        if refusal.reason is Reason.TARGET_MISMATCH:
+            self._source.suspend_target(target)
+        discard(answer, self._clock)
+        return Err(refusal)
+
+    def _build_request(
+        self, call: InFlightCall, target: TargetStatus, body: RequestBody
+    ) -> TargetRequest:
         context = call.context
         left_s = context.deadline_at - self._clock.read_monotonic()
-        own = (
-            Header(HEADER_CONTEXT, call.token),
-            Header(HEADER_CALL_ID, context.call_id),
-            Header(HEADER_ORGANISATION, context.organisation),
-            Header(HEADER_IMPORTANCE, str(context.importance)),
-            Header(HEADER_DEADLINE_MS, str(max(0, int(left_s * 1000)))),
-        )
         inline = body.inline
         return TargetRequest(
             method=context.method,
             path=context.path,
-            headers=context.headers + own,
+            headers=self._headers.build(context, target.target_id, call.token, left_s),
             body=body.read_chunks() if inline is None else inline,
             length=body.length,
             deadline_at=context.deadline_at,
+            request_id=find_header(context.headers, self._names.request_id),
         )
 
     def _open_answer(
         self, call: InFlightCall, answer: TargetAnswer, started_at: float
     ) -> Result[Answer, Refusal]:
         """Hold a small answer whole; begin to pass on a large one."""
-        length = find_length(answer.headers)
-        if length is None or length > INLINE_BODY_BYTES:
-            chunks = GuardedChunks(
-                answer.chunks, lambda failed: self._end(call, started_at, failed=failed)
-            )
-            return Ok(Answer(answer.status, answer.headers, None, chunks, chunks.close))
+
+        def end(failed: bool) -> None:
+            self._end(call, started_at, failed=failed)
+
+        def is_whole() -> bool:
+            # A cancellation ends the connection as a target does.
+            return answer.has_known_end or not call.cancelled.is_set()
+
+        guarded = GuardedChunks(answer.chunks, end, is_whole)
+        headers = select_headers(answer.headers)
         try:
-            body = b"".join(answer.chunks)
-        except TargetError as error:
-            self._end(call, started_at, failed=True)
+            first, complete = hold_small(guarded, answer.length, self._clock)
+        except AnswerTruncatedError as error:
             return self._refuse(call.context, error.refusal)
-        self._end(call, started_at, failed=False)
-        return Ok(Answer(answer.status, answer.headers, body, iter(()), do_nothing))
+        if not complete:
+            guarded.put_back(first)
+            return Ok(Answer(answer.status, headers, None, guarded, guarded.close))
+        if answer.length is None:
+            headers += (Header("Content-Length", str(len(first))),)
+        return Ok(Answer(answer.status, headers, first, iter(()), do_nothing))
 
     def _end(self, call: InFlightCall, started_at: float, *, failed: bool) -> None:
+        """End a call; the limit learns nothing from one that was cancelled."""
         self.calls.remove(call)
-        self._admission.release(
-            call.context.route, started_at, failed, nested_s=call.nested_s
-        )
+        if failed and call.cancelled.is_set():
+            self._admission.release_unused()
+        else:
+            self._admission.release(
+                call.context.route, started_at, failed, nested_s=call.nested_s
+            )
         duration_s = self._clock.read_monotonic() - started_at
         self._metrics.record_duration("owner_service_time", duration_s)
 
@@ -240,7 +279,10 @@
         self, call: InFlightCall, started_at: float, refusal: Refusal
     ) -> None:
         """End a call; the limit learns nothing from one that was not sent."""
-        if refusal.not_run and refusal.reason is not Reason.TARGET_UNREACHABLE:
+        if refusal.reason is Reason.TARGET_FULL:
+            self.calls.remove(call)
+            self._admission.release_refused()
+        elif refusal.not_run and refusal.reason is not Reason.TARGET_UNREACHABLE:
             self.calls.remove(call)
             self._admission.release_unused()
         else:
--- a/corianderhold/protocol/headers.py
+++ b/corianderhold/protocol/headers.py
@@ -57,14 +57,15 @@
     with its answer. `deadline_ms` comes from the caller and goes to the target with
     the milliseconds that are left. `caller_service` is the service beside the entry.
     A target that is not the one named in `expected_target` refuses with 421; one that
-    has not run a request says so with `not_run`.
+    has not run a request says so with `not_run`. Targets that know nothing of
+    `importance` or `context` are not sent them; both are then None.
     """
 
     request_id: str = HEADER_REQUEST_ID
     deadline_ms: str = HEADER_DEADLINE_MS
     organisation: str = HEADER_ORGANISATION
-    importance: str = HEADER_IMPORTANCE
-    context: str = HEADER_CONTEXT
+    importance: str | None = HEADER_IMPORTANCE
+    context: str | None = HEADER_CONTEXT
     caller_service: str = HEADER_CALLER_SERVICE
     expected_target: str = HEADER_EXPECTED_TARGET
     not_run: str = HEADER_NOT_RUN
--- /dev/null
+++ b/corianderhold/transport/web/connection.py
@@ -0,0 +1,150 @@
+"""Hold one connection to a target."""
+
+import re
+import select
+import socket
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from urllib3.connection import HTTPConnection
+
+from corianderhold.clock import Clock
+from corianderhold.protocol.peer.messages import Header
+from corianderhold.state.membership.model import Address
+from corianderhold.transport.web.answer import AnswerReader
+from corianderhold.transport.web.const import READ_BYTES, TARGET_CONNECT_TIMEOUT_S
+
+BROKEN = (BrokenPipeError, ConnectionResetError)
+UNSENDABLE = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+METHODS_WITH_BODY = frozenset({"PATCH", "POST", "PUT"})
+
+
+@dataclass(frozen=True)
+class TargetRequest:
+    """
+    One request to the target; `deadline_at` is on the monotonic clock.
+
+    `request_id` is what the answer must bear if it bears one, None for any.
+    """
+
+    method: str
+    path: str
+    headers: tuple[Header, ...]
+    body: bytes | Iterator[bytes]
+    length: int | None
+    deadline_at: float
+    request_id: str | None = None
+
+
+class TargetConnection:
+    """
+    Send requests and receive bytes; one thread uses a connection at a time.
+
+    The socket never blocks, so that each wait is one call and ends by its deadline.
+    """
+
+    def __init__(self, address: Address, clock: Clock) -> None:
+        self.address = address
+        self.usable_until = float("inf")
+        self.socket: socket.socket
+        self.reader = AnswerReader(self.receive)
+        self._clock = clock
+        self._http = HTTPConnection(
+            address.host, address.port, timeout=TARGET_CONNECT_TIMEOUT_S
+        )
+        self._readable = select.poll()
+
+    def open(self) -> None:
+        """Connect; raise an error of urllib3 or OSError."""
+        self._http.connect()
+        self.socket = self._http.sock
+        self.socket.setblocking(False)
+        self._readable.register(self.socket, select.POLLIN)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._http.close()
+
+    def is_readable(self) -> bool:
+        """Return whether bytes or the connection's end have come."""
+        return bool(self._readable.poll(0))
+
+    def send_request(self, request: TargetRequest) -> bool:
+        """
+        Send a request; return False if it was not sent whole.
+
+        The target has then ended the connection or answers before the end of the body.
+        """
+        head = build_head(request, self.address)
+        try:
+            if isinstance(request.body, bytes):
+                return self._send(head + request.body, request.deadline_at)
+            return self._send(head, request.deadline_at) and self._send_parts(request)
+        except BROKEN:
+            return False
+
+    def receive(self, deadline_at: float) -> bytes:
+        """Return the next bytes, none at the clean end of the connection."""
+        while True:
+            self._wait(self._readable, deadline_at)
+            try:
+                return self.socket.recv(READ_BYTES)
+            except BlockingIOError:
+                continue
+
+    def _send_parts(self, request: TargetRequest) -> bool:
+        chunked = request.length is None
+        for part in request.body:
+            assert isinstance(part, bytes)
+            if not part:
+                continue
+            data = b"%x\r\n%b\r\n" % (len(part), part) if chunked else part
+            if self.is_readable() and self.reader.has_begun(request.deadline_at):
+                return False
+            if not self._send(data, request.deadline_at):
+                return False
+        return not chunked or self._send(b"0\r\n\r\n", request.deadline_at)
+
+    def _send(self, data: bytes, deadline_at: float) -> bool:
+        """Send bytes; return False if an answer comes while the target takes none."""
+        view = memoryview(data)
+        while view:
+            try:
+                view = view[self.socket.send(view) :]
+            except BlockingIOError:
+                if not self._wait_to_send(deadline_at):
+                    return False
+        return True
+
+    def _wait_to_send(self, deadline_at: float) -> bool:
+        poll = select.poll()
+        poll.register(self.socket, select.POLLIN | select.POLLOUT)
+        return bool(self._wait(poll, deadline_at) & select.POLLOUT)
+
+    def _wait(self, poll: select.poll, deadline_at: float) -> int:
+        """Return what the socket is ready for; raise TimeoutError at the deadline."""
+        left_s = deadline_at - self._clock.read_monotonic()
+        ready = poll.poll(left_s * 1000) if left_s > 0 else []
+        if not ready:
+            raise TimeoutError("the deadline has passed")
+        return ready[0][1]
+
+
+def build_head(request: TargetRequest, address: Address) -> bytes:
+    """Return the request's head; raise ValueError for bytes that would break it."""
+    lines = [f"{request.method} {request.path} HTTP/1.1"]
+    names = set()
+    for header in request.headers:
+        names.add(header.name.lower())
+        lines.append(f"{header.name}: {header.value}")
+    if "host" not in names:
+        lines.append(f"Host: {address}")
+    if "accept-encoding" not in names:
+        lines.append("Accept-Encoding: identity")
+    if request.length is None:
+        lines.append("Transfer-Encoding: chunked")
+    elif request.length or request.method in METHODS_WITH_BODY:
+        lines.append(f"Content-Length: {request.length}")
+    if UNSENDABLE.search("".join(lines)):
+        raise ValueError("the request has a control character")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
--- a/corianderhold/transport/web/const.py
+++ b/corianderhold/transport/web/const.py
@@ -1,7 +1,13 @@
 """Bound the waits and sizes of HTTP."""
 
 TARGET_CONNECT_TIMEOUT_S = 0.5
-TARGET_IDLE_CONNECTIONS = 64
+TARGET_IDLE_CONNECTIONS = 256
+TARGET_IDLE_S = 30.0  # where the target does not say how long it keeps a connection
+KEPT_PART = 0.75  # of the time that the target keeps a connection
+INTERIM_ANSWERS_MAX = 8
+FOREIGN_ANSWERS_MAX = 4
+FOREIGN_BYTES_MAX = 1024 * 1024
+CHUNK_LINE_BYTES_MAX = 1024
 READ_BYTES = 64 * 1024
 PROGRESS_TIMEOUT_S = 10  # a caller that neither sends nor takes anything
 IDLE_TIMEOUT_S = 75
--- a/corianderhold/transport/web/errors.py
+++ b/corianderhold/transport/web/errors.py
@@ -10,3 +10,7 @@
     def __init__(self, refusal: Refusal) -> None:
         super().__init__(refusal.reason.value)
         self.refusal = refusal
+
+
+class AnswerError(CorianderholdError):
+    """The target's bytes are no whole answer."""
--- a/corianderhold/transport/web/target.py
+++ b/corianderhold/transport/web/target.py
@@ -1,18 +1,15 @@
-"""Send requests to the local target over HTTP."""
+"""Exchange requests and answers with the local target over HTTP."""
 
-import http.client
 import socket
 import threading
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
-from urllib3.response import BaseHTTPResponse
 
 from corianderhold.clock import Clock
-from corianderhold.protocol.headers import may_reach_caller
+from corianderhold.protocol.headers import HEADER_REQUEST_ID
 from corianderhold.protocol.peer.messages import Header
 from corianderhold.protocol.verdict import (
     Reason,
@@ -21,149 +18,162 @@
     refuse_not_run,
 )
 from corianderhold.state.membership.model import Address
+from corianderhold.transport.web.answer import AnswerHead
+from corianderhold.transport.web.connection import TargetConnection, TargetRequest
 from corianderhold.transport.web.const import (
-    READ_BYTES,
-    TARGET_CONNECT_TIMEOUT_S,
+    FOREIGN_ANSWERS_MAX,
+    FOREIGN_BYTES_MAX,
+    KEPT_PART,
     TARGET_IDLE_CONNECTIONS,
+    TARGET_IDLE_S,
 )
-from corianderhold.transport.web.errors import TargetError
+from corianderhold.transport.web.errors import AnswerError, TargetError
 
 Attach = Callable[[socket.socket | None], None]
-BODYLESS_STATUS = frozenset({204, 304})
-TARGET_ERRORS = (HTTPError, http.client.HTTPException, OSError)
+TARGET_ERRORS = (AnswerError, OSError)
 
 
 @dataclass(frozen=True)
-class TargetRequest:
-    """One request to the target; `deadline_at` is on the monotonic clock."""
+class ConnectFailure:
+    """No connection came about; with `refused` nobody listens at the address."""
 
-    method: str
-    path: str
-    headers: tuple[Header, ...]
-    body: bytes | Iterator[bytes]
-    length: int | None
-    deadline_at: float
+    refused: bool
+    detail: str
 
 
 @dataclass
 class TargetAnswer:
     """
-    An answer that the target has begun.
+    An answer that the target has begun, with all its headers.
 
-    `chunks` raises `TargetError` when the answer breaks off or is late.
+    `chunks` raises `TargetError` when the answer breaks off or is late. `length` is the
+    body's length in bytes, None if unknown; `has_known_end` says whether the body ends
+    before the connection does.
     """
 
     status: int
     headers: tuple[Header, ...]
-    chunks: Iterator[bytes]
+    chunks: "AnswerChunks"
+    length: int | None
+    has_known_end: bool
 
 
 class TargetClient:
-    """Exchange requests and answers with targets on kept connections."""
+    """
+    Exchange requests and answers with targets on kept connections.
 
-    def __init__(self, clock: Clock) -> None:
+    `request_id_name` is the header that an answer may repeat from its request.
+    """
+
+    def __init__(self, clock: Clock, request_id_name: str = HEADER_REQUEST_ID) -> None:
         self._clock = clock
+        self._request_id_name = request_id_name.lower()
         self._lock = threading.Lock()
-        self._idle: list[tuple[Address, HTTPConnection]] = []
+        self._idle: list[TargetConnection] = []
 
-    def connect(self, address: Address) -> Result[HTTPConnection, Refusal]:
+    def connect(self, address: Address) -> Result[TargetConnection, ConnectFailure]:
         """Return a kept or new connection; nothing has been sent on an error."""
-        while True:
-            connection = self._take_idle(address)
-            if connection is None:
-                break
-            if connection.is_connected:
+        while (connection := self._take_idle(address)) is not None:
+            if not connection.is_readable():
                 return Ok(connection)
             connection.close()
-        connection = HTTPConnection(
-            address.host, address.port, timeout=TARGET_CONNECT_TIMEOUT_S
-        )
+        connection = TargetConnection(address, self._clock)
         try:
-            connection.connect()
-        except TARGET_ERRORS as error:
+            connection.open()
+        except (HTTPError, OSError) as error:
             connection.close()
-            return Err(refuse_not_run(Reason.TARGET_UNREACHABLE, detail=str(error)))
+            refused = isinstance(error.__cause__ or error, ConnectionRefusedError)
+            return Err(ConnectFailure(refused, str(error)))
         return Ok(connection)
 
     def exchange(
-        self,
-        address: Address,
-        connection: HTTPConnection,
-        request: TargetRequest,
-        attach: Attach,
+        self, connection: TargetConnection, request: TargetRequest, attach: Attach
     ) -> Result[TargetAnswer, Refusal]:
         """
         Send a request and wait for the head of its answer.
 
         `attach` is called with the socket, so that the call can be cancelled, and with
-        None at its end. Every refusal is "may have run".
+        None at its end. A refusal is "may have run" once a byte has been sent.
         """
+        attach(connection.socket)
         try:
-            attach(connection.sock)
-            self.limit_wait(connection, request.deadline_at)
-            send_request(connection, request)
-            self.limit_wait(connection, request.deadline_at)
-            response = connection.getresponse()
+            sent_whole = connection.send_request(request)
+            head, foreign = self._read_head(connection, request)
+        except ValueError as error:
+            self._drop(connection, attach)
+            return Err(refuse_not_run(Reason.REQUEST_MALFORMED, detail=str(error)))
         except TARGET_ERRORS as error:
             self._drop(connection, attach)
             return Err(describe_failure(error))
         except BaseException:
             self._drop(connection, attach)
             raise
-        if not has_known_end(request.method, response):
-            self._drop(connection, attach)
-            text = "the answer has neither a length nor chunks"
-            return Err(refuse_may_have_run(Reason.ANSWER_TRUNCATED, text))
-        headers = tuple(
-            Header(name, value)
-            for name, value in response.headers.iteritems()
-            if may_reach_caller(name)
+        reusable = sent_whole and not foreign and head.keep
+        chunks = AnswerChunks(self, connection, head, request, attach, reusable)
+        return Ok(
+            TargetAnswer(
+                head.status, head.headers, chunks, head.length, head.has_known_end
+            )
         )
-        chunks = AnswerChunks(self, address, connection, response, request, attach)
-        return Ok(TargetAnswer(response.status, headers, chunks))
 
     def close(self) -> None:
         """Close the idle connections."""
         with self._lock:
             idle, self._idle = self._idle, []
-        for _, connection in idle:
+        for connection in idle:
             connection.close()
 
-    def finish(
-        self, address: Address, connection: HTTPConnection, *, reusable: bool
-    ) -> None:
-        """Keep a connection whose answer came whole, or close it."""
-        if reusable and connection.sock is not None:
-            self._put_idle(address, connection)
-        else:
-            connection.close()
-
-    def limit_wait(self, connection: HTTPConnection, deadline_at: float) -> None:
-        """Let the connection wait no longer than the deadline."""
-        left_s = deadline_at - self._clock.read_monotonic()
-        if left_s <= 0:
-            raise TimeoutError("the deadline has passed")
-        connection.timeout = left_s  # `getresponse` sets the socket to it
-        if connection.sock is not None:
-            connection.sock.settimeout(left_s)
+    def keep(self, connection: TargetConnection, head: AnswerHead) -> None:
+        """Keep a connection whose answer came whole for as long as its target does."""
+        kept_s = TARGET_IDLE_S if head.keep_s is None else head.keep_s * KEPT_PART
+        now = self._clock.read_monotonic()
+        connection.usable_until = now + kept_s
+        with self._lock:
+            self._idle.append(connection)
+            oldest = self._idle[0]
+            if len(self._idle) > TARGET_IDLE_CONNECTIONS or oldest.usable_until < now:
+                del self._idle[0]
+                oldest.close()
+
+    def _read_head(
+        self, connection: TargetConnection, request: TargetRequest
+    ) -> tuple[AnswerHead, bool]:
+        """Return the answer's head, and whether answers to others came before it."""
+        reader, deadline_at = connection.reader, request.deadline_at
+        for skipped in range(FOREIGN_ANSWERS_MAX):
+            head = reader.read_head(request.method, deadline_at)
+            if not self._is_foreign(head, request):
+                return head, skipped > 0
+            if not head.has_known_end or request.method == "HEAD":
+                break
+            size = 0
+            for part in reader.read_body(head, deadline_at):
+                size += len(part)
+                if size > FOREIGN_BYTES_MAX:
+                    break
+        raise AnswerError("only answers to other requests came")
+
+    def _is_foreign(self, head: AnswerHead, request: TargetRequest) -> bool:
+        if request.request_id is None:
+            return False
+        name = self._request_id_name
+        return any(
+            header.value != request.request_id
+            for header in head.headers
+            if header.name.lower() == name
+        )
 
-    def _take_idle(self, address: Address) -> HTTPConnection | None:
+    def _take_idle(self, address: Address) -> TargetConnection | None:
+        now = self._clock.read_monotonic()
         with self._lock:
             while self._idle:
-                idle_address, connection = self._idle.pop()
-                if idle_address == address:
+                connection = self._idle.pop()
+                if connection.address == address and connection.usable_until > now:
                     return connection
                 connection.close()
         return None
 
-    def _put_idle(self, address: Address, connection: HTTPConnection) -> None:
-        with self._lock:
-            if len(self._idle) < TARGET_IDLE_CONNECTIONS:
-                self._idle.append((address, connection))
-                return
-        connection.close()
-
-    def _drop(self, connection: HTTPConnection, attach: Attach) -> None:
+    def _drop(self, connection: TargetConnection, attach: Attach) -> None:
         attach(None)
         connection.close()
 
@@ -174,35 +184,34 @@
     def __init__(
         self,
         client: TargetClient,
-        address: Address,
-        connection: HTTPConnection,
-        response: BaseHTTPResponse,
+        connection: TargetConnection,
+        head: AnswerHead,
         request: TargetRequest,
         attach: Attach,
+        reusable: bool,
     ) -> None:
         self._client = client
-        self._address = address
         self._connection = connection
-        self._stream = response.stream(READ_BYTES, decode_content=False)
-        self._deadline_at = request.deadline_at
+        self._head = head
+        self._parts = connection.reader.read_body(head, request.deadline_at)
         self._attach = attach
+        self._reusable = reusable and head.has_known_end
         self._settled = False
 
-    def __iter__(self) -> "AnswerChunks":
+    def __iter__(self) -> Iterator[bytes]:
         return self
 
     def __next__(self) -> bytes:
         """Return the next part; raise `TargetError` when the answer breaks off."""
         try:
-            self._client.limit_wait(self._connection, self._deadline_at)
-            chunk = next(self._stream)
+            part = next(self._parts)
         except StopIteration:
-            self._settle(reusable=True)
+            self._settle(reusable=self._reusable)
             raise
         except TARGET_ERRORS as error:
             self._settle(reusable=False)
             raise TargetError(describe_failure(error)) from error
-        return chunk
+        return part
 
     def close(self) -> None:
         """Give the answer up; its connection is closed unless it came whole."""
@@ -213,35 +222,14 @@
             return
         self._settled = True
         self._attach(None)
-        self._client.finish(self._address, self._connection, reusable=reusable)
-
-
-def send_request(connection: HTTPConnection, request: TargetRequest) -> None:
-    """Send the request's head and body."""
-    headers = {header.name: header.value for header in request.headers}
-    if request.length is not None and (request.length or request.body):
-        headers["Content-Length"] = str(request.length)
-    connection.request(
-        request.method,
-        request.path,
-        body=request.body or None,
-        headers=headers,
-        chunked=request.length is None,
-        preload_content=False,
-        decode_content=False,
-    )
-
-
-def has_known_end(method: str, response: BaseHTTPResponse) -> bool:
-    """Return whether the whole answer can be told from a truncated one."""
-    if method == "HEAD" or response.status in BODYLESS_STATUS:
-        return True
-    chunked = response.headers.get("Transfer-Encoding", "").lower() == "chunked"
-    return chunked or "Content-Length" in response.headers
+        if reusable and not self._connection.reader.has_rest:
+            self._client.keep(self._connection, self._head)
+        else:
+            self._connection.close()
 
 
 def describe_failure(error: Exception) -> Refusal:
     """Return the refusal of a request that was sent in part or whole."""
-    if isinstance(error, TimeoutError) or "timed out" in str(error):
+    if isinstance(error, TimeoutError):
         return refuse_may_have_run(Reason.TARGET_SILENT, "no answer by the deadline")
     return refuse_may_have_run(Reason.ANSWER_TRUNCATED, str(error))
--- /dev/null
+++ b/tests/common/scripted_target.py
@@ -0,0 +1,69 @@
+"""Answer on loopback with bytes that a test writes itself."""
+
+import contextlib
+import socket
+import struct
+import threading
+from collections.abc import Callable
+
+from corianderhold.state.membership.model import Address
+
+ACCEPT_TIMEOUT_S = 20.0
+Script = Callable[[socket.socket], None]
+
+
+class ScriptedTarget:
+    """
+    Accept connections one after another and play one script on each.
+
+    `requests` holds what was received by `take_request`.
+    """
+
+    def __init__(self, *scripts: Script) -> None:
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._listener.settimeout(ACCEPT_TIMEOUT_S)
+        host, port = self._listener.getsockname()
+        self.address = Address(host, port)
+        self._thread = threading.Thread(target=self._run, args=scripts, daemon=True)
+        self._thread.start()
+
+    def close(self) -> None:
+        """Accept no more connections, and wait for the scripts to end."""
+        self._listener.close()
+        self._thread.join(ACCEPT_TIMEOUT_S)
+
+    def _run(self, *scripts: Script) -> None:
+        for script in scripts:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            with connection, contextlib.suppress(ConnectionError):
+                script(connection)
+
+
+def take_request(connection: socket.socket) -> bytes:
+    """Return the head of the next request; those of these tests have no body."""
+    data = b""
+    while not data.endswith(b"\r\n\r\n"):
+        data += connection.recv(1)
+    return data
+
+
+def reset(connection: socket.socket) -> None:
+    """End a connection with a reset."""
+    linger = struct.pack("ii", 1, 0)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    connection.close()
+
+
+def answer_with(*answers: bytes) -> Script:
+    """Return a script that answers requests in turn, then waits for the other end."""
+
+    def play(connection: socket.socket) -> None:
+        for answer in answers:
+            take_request(connection)
+            connection.sendall(answer)
+        connection.recv(1)
+
+    return play
--- a/tests/coordination/owner/test_owner.py
+++ b/tests/coordination/owner/test_owner.py
@@ -4,8 +4,10 @@
 from random import Random
 from unittest import TestCase
 
+from result import Result
+
 from corianderhold.clock import SystemClock
-from corianderhold.coordination.call import InlineBody
+from corianderhold.coordination.call import Answer, AnswerTruncatedError, InlineBody
 from corianderhold.coordination.owner.admission import Admission
 from corianderhold.coordination.owner.limit import FixedLimit
 from corianderhold.coordination.owner.owner import Owner
@@ -13,12 +15,16 @@
     build_default_policy,
 )
 from corianderhold.coordination.retry import RetryBudget
+from corianderhold.ids import CallId
 from corianderhold.metrics import Metrics
-from corianderhold.protocol.verdict import Reason
+from corianderhold.protocol.peer.const import INLINE_BODY_BYTES
+from corianderhold.protocol.peer.messages import Header
+from corianderhold.protocol.verdict import Reason, Refusal
 from corianderhold.state.membership.model import Address, TargetState
 from corianderhold.state.membership.target import ABSENT_TARGET, TargetStatus
 from corianderhold.transport.web.target import TargetClient
 from tests.common.calls import CATALOGUE, make_context
+from tests.common.scripted_target import Script, ScriptedTarget, answer_with
 
 CLOCK = SystemClock()
 
@@ -87,3 +93,56 @@
         self.listener.close()
         self.assertEqual(self.refuse(self.serving), Reason.TARGET_UNREACHABLE)
         self.assertEqual(self.limit.failures, 1)
+
+
+class AnswersTests(TestCase):
+    """Serve calls beside a target that answers what a test says."""
+
+    def serve(self, *scripts: Script) -> Owner:
+        target = ScriptedTarget(*scripts)
+        self.addCleanup(target.close)
+        status = TargetStatus(TargetState.SERVING, CATALOGUE, target.address)
+        self.source = ScriptedSource(status)
+        self.admission = Admission(
+            FixedLimit(8), build_default_policy(), CLOCK, Random(1)
+        )
+        client = TargetClient(CLOCK)
+        self.addCleanup(client.close)
+        return Owner(self.source, self.admission, client, CLOCK, Metrics())
+
+    def call(self, owner: Owner, call_id: str = "c1") -> Result[Answer, Refusal]:
+        context = make_context(call_id, deadline_at=CLOCK.read_monotonic() + 5)
+        return owner.serve(context, InlineBody(b""), RetryBudget(0))
+
+    def test_target_that_is_another_is_held_for_gone(self) -> None:
+        mismatch = b"HTTP/1.1 421 Misdirected\r\nContent-Length: 2\r\n\r\nno"
+        owner = self.serve(answer_with(mismatch))
+        refusal = self.call(owner).unwrap_err()
+        self.assertTrue(refusal.not_run)
+        self.assertEqual(refusal.reason, Reason.TARGET_MISMATCH)
+        self.assertEqual(self.call(owner).unwrap_err().reason, Reason.NO_TARGET)
+        self.assertEqual(self.admission.report_load(False).in_flight, 0)
+
+    def test_answers_are_passed_on_unchanged(self) -> None:
+        failed = b"HTTP/1.1 504 Late\r\nSeal: s\r\nContent-Length: 2\r\n\r\nno"
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        owner = self.serve(answer_with(failed, chunked + b"2\r\nok\r\n0\r\n\r\n"))
+        answer = self.call(owner).unwrap()
+        self.assertEqual((answer.status, answer.body), (504, b"no"))
+        expected = (Header("Seal", "s"), Header("Content-Length", "2"))
+        self.assertEqual(answer.headers, expected)
+        answer = self.call(owner).unwrap()
+        self.assertEqual(answer.body, b"ok")
+        self.assertEqual(answer.headers, (Header("Content-Length", "2"),))
+
+    def test_cancelled_answer_without_a_length_is_not_whole(self) -> None:
+        size = 2 * INLINE_BODY_BYTES
+        owner = self.serve(answer_with(b"HTTP/1.1 200 OK\r\n\r\n" + b"a" * size))
+        answer = self.call(owner).unwrap()
+        self.assertIsNone(answer.body)
+        self.assertGreater(len(next(answer.chunks)), 0)
+        owner.cancel(CallId("c1"))
+        with self.assertRaises(AnswerTruncatedError):
+            list(answer.chunks)
+        self.assertEqual(owner.count_in_flight(), 0)
+        self.assertEqual(self.admission.report_load(False).in_flight, 0)
--- /dev/null
+++ b/tests/transport/web/test_target.py
@@ -0,0 +1,201 @@
+"""Test the exchange with targets that answer well, badly or not at all."""
+
+import socket
+import threading
+from collections.abc import Callable, Iterator
+from unittest import TestCase
+
+from result import Result
+
+from corianderhold.clock import Clock, SystemClock
+from corianderhold.protocol.peer.messages import Header
+from corianderhold.protocol.verdict import Reason, Refusal
+from corianderhold.state.membership.model import Address
+from corianderhold.transport.web.connection import TargetRequest
+from corianderhold.transport.web.const import HEADER_BYTES_MAX
+from corianderhold.transport.web.errors import TargetError
+from corianderhold.transport.web.target import TargetAnswer, TargetClient
+from tests.common.clock import FakeClock
+from tests.common.scripted_target import (
+    Script,
+    ScriptedTarget,
+    answer_with,
+    reset,
+    take_request,
+)
+
+WAIT_S = 10.0
+OK = b"HTTP/1.1 200 OK\r\n"
+WHOLE = OK + b"Content-Length: 5\r\n\r\nhello"
+UNKNOWN_END = OK + b"\r\nhello"
+FAULTY = {
+    "closed": b"",
+    "truncated": OK + b"Content-Length: 9\r\n\r\nhello",
+    "no answer": b"\x00\x16\x03 bytes\r\n\r\n",
+    "no line": b"HTTP/1.1 2000\r\n\r\n",
+    "second head": WHOLE[:-5] + WHOLE,
+    "two lengths": OK + b"Content-Length: 5\r\nContent-Length: 5\r\n\r\nhello",
+    "ambiguous": OK + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\nhello",
+    "large head": OK + b"A: " + b"a" * HEADER_BYTES_MAX + b"\r\n\r\n",
+    "split header": OK + b"A: b\rC: d\r\nContent-Length: 0\r\n\r\n",
+    "no chunk": OK + b"Transfer-Encoding: chunked\r\n\r\nhello\r\n",
+    "long chunk": OK + b"Transfer-Encoding: chunked\r\n\r\n2\r\nhello\r\n0\r\n\r\n",
+    "no last chunk": OK + b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+    "another protocol": b"HTTP/1.1 101 Switching Protocols\r\n\r\n" + WHOLE,
+}
+
+
+def close_after(data: bytes, end: Callable[[socket.socket], None]) -> Script:
+    """Return a script that answers one request and ends the connection."""
+
+    def play(connection: socket.socket) -> None:
+        take_request(connection)
+        connection.sendall(data)
+        end(connection)
+
+    return play
+
+
+class TargetClientTests(TestCase):
+    """Play scripts beside a client."""
+
+    def start(self, *scripts: Script, clock: Clock | None = None) -> None:
+        self.clock = clock or SystemClock()
+        self.client = TargetClient(self.clock)
+        self.target = ScriptedTarget(*scripts)
+        self.addCleanup(self.target.close)
+        self.addCleanup(self.client.close)
+
+    def begin(
+        self,
+        request_id: str | None = None,
+        wait_s: float = WAIT_S,
+        headers: tuple[Header, ...] = (),
+        body: bytes | Iterator[bytes] = b"",
+        length: int = 0,
+    ) -> Result[TargetAnswer, Refusal]:
+        """Send a request on a kept or new connection."""
+        connection = self.client.connect(self.target.address).unwrap()
+        deadline_at = self.clock.read_monotonic() + wait_s
+        request = TargetRequest(
+            "GET", "/", headers, body, length, deadline_at, request_id
+        )
+        return self.client.exchange(connection, request, lambda attached: None)
+
+    def get(self, request_id: str | None = None) -> bytes:
+        """Return the body of a whole answer."""
+        return b"".join(self.begin(request_id).unwrap().chunks)
+
+    def break_off(
+        self, request_id: str | None = None, wait_s: float = WAIT_S
+    ) -> Reason:
+        """Return why no whole answer came; it must be "may have run"."""
+        outcome = self.begin(request_id, wait_s)
+        if outcome.is_ok():
+            with self.assertRaises(TargetError) as caught:
+                list(outcome.unwrap().chunks)
+            refusal = caught.exception.refusal
+        else:
+            refusal = outcome.unwrap_err()
+        self.assertFalse(refusal.not_run)
+        return refusal.reason
+
+    def test_connection_is_used_again(self) -> None:
+        chunked = OK + b"Transfer-Encoding: chunked\r\n\r\n2;a=b\r\nhe\r\n3\r\nllo\r\n"
+        interim = b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+        self.start(answer_with(WHOLE, chunked + b"0\r\nA: b\r\n\r\n", interim + WHOLE))
+        for _ in range(3):
+            self.assertEqual(self.get(), b"hello")
+
+    def test_faulty_answers_are_never_whole(self) -> None:
+        self.start(
+            *(close_after(data, socket.socket.close) for data in FAULTY.values())
+        )
+        for name in FAULTY:
+            with self.subTest(name):
+                self.assertEqual(self.break_off(), Reason.ANSWER_TRUNCATED)
+
+    def test_answer_without_a_length_is_whole_at_a_clean_end_only(self) -> None:
+        self.start(
+            close_after(UNKNOWN_END, socket.socket.close),
+            close_after(UNKNOWN_END, reset),
+        )
+        answer = self.begin().unwrap()
+        self.assertFalse(answer.has_known_end)
+        self.assertEqual(b"".join(answer.chunks), b"hello")
+        self.assertEqual(self.break_off(), Reason.ANSWER_TRUNCATED)
+
+    def test_answer_to_another_request_is_dropped(self) -> None:
+        late = OK + b"X-Request-Id: r1\r\nContent-Length: 4\r\n\r\nlate"
+        right = OK + b"x-request-id: r2\r\nContent-Length: 5\r\n\r\nright"
+        self.start(answer_with(late + right), answer_with(late * 9))
+        self.assertEqual(self.get("r2"), b"right")
+        self.assertEqual(self.break_off(request_id="r2"), Reason.ANSWER_TRUNCATED)
+
+    def test_connection_with_further_bytes_is_not_used_again(self) -> None:
+        read, sent = threading.Event(), threading.Event()
+
+        def answer_late(connection: socket.socket) -> None:
+            take_request(connection)
+            connection.sendall(WHOLE)
+            read.wait(WAIT_S)
+            connection.sendall(WHOLE)
+            sent.set()
+            connection.recv(1)
+
+        self.start(answer_with(WHOLE + b"x"), answer_late, answer_with(WHOLE))
+        self.assertEqual(self.get(), b"hello")
+        self.assertEqual(self.get(), b"hello")
+        read.set()
+        sent.wait(WAIT_S)
+        self.assertEqual(self.get(), b"hello")
+
+    def test_answer_before_the_end_of_the_body_counts(self) -> None:
+        def produce() -> Iterator[bytes]:
+            while True:
+                yield b"a" * 65536
+
+        def answer_early(connection: socket.socket) -> None:
+            take_request(connection)
+            connection.sendall(b"HTTP/1.1 100 Continue\r\n\r\n" + WHOLE)
+            connection.recv(1)
+            connection.settimeout(WAIT_S)
+            while connection.recv(65536):
+                pass
+
+        self.start(answer_early, answer_with(WHOLE))
+        answer = self.begin(body=produce(), length=1 << 40).unwrap()
+        self.assertEqual(b"".join(answer.chunks), b"hello")
+        self.assertEqual(self.get(), b"hello")
+
+    def test_kept_connection_is_left_before_the_target_closes_it(self) -> None:
+        clock = FakeClock()
+        kept = OK + b"Keep-Alive: timeout=4\r\nContent-Length: 0\r\n\r\n"
+        closing = OK + b"Connection: Close\r\nContent-Length: 0\r\n\r\n"
+        self.start(
+            answer_with(kept, kept),
+            answer_with(closing),
+            answer_with(kept),
+            clock=clock,
+        )
+        for pause_s in (2.0, 3.5, 0.0, 0.0):
+            self.get()
+            clock.advance(pause_s)
+
+    def test_silence_ends_with_the_deadline(self) -> None:
+        self.start(answer_with(b""), answer_with(WHOLE[:-1]))
+        for _ in range(2):
+            self.assertEqual(self.break_off(wait_s=0.05), Reason.TARGET_SILENT)
+
+    def test_request_that_would_smuggle_another_is_not_sent(self) -> None:
+        self.start(answer_with(WHOLE))
+        headers = (Header("A", "b\r\nC: d"),)
+        refusal = self.begin(headers=headers).unwrap_err()
+        self.assertTrue(refusal.not_run)
+
+    def test_address_that_nobody_listens_at_is_told(self) -> None:
+        listener = socket.create_server(("127.0.0.1", 0))
+        host, port = listener.getsockname()
+        listener.close()
+        failure = TargetClient(SystemClock()).connect(Address(host, port)).unwrap_err()
+        self.assertTrue(failure.refused)
