--- a/corianderhold/settings/model.py
+++ b/corianderhold/settings/model.py
@@ -11,19 +11,35 @@
     """
     The addresses that a daemon listens on, and its HTTP thread counts.
 
-    Other daemons reach the peer listener at `peer_advertised`.
+    Other daemons reach the peer listener at `peer_advertised`. `outgoing`, `announce`
+    and `readiness` are None where the deployment does without them.
     """
 
     caller: Address
-    outgoing: Address
+    outgoing: Address | None
     peer: Address
     peer_advertised: Address
     gossip: Address
     admin: Address
+    announce: Address | None
+    readiness: Address | None
     caller_threads: int
     outgoing_threads: int
 
 
+@dataclass(frozen=True)
+class StopTimes:
+    """
+    Bound a planned stop.
+
+    `limit_s` is when the process has ended at the latest. For `deregistration_delay_s`
+    from its beginning callers may still come, since they learn of it by readiness.
+    """
+
+    limit_s: float
+    deregistration_delay_s: float
+
+
 @dataclass(frozen=True)
 class Settings:
     """
@@ -31,7 +47,10 @@
 
     `retention_s` is how long the log keeps a record, in seconds; `entry_slots` the
     highest number of daemons that ever run at once in this failure domain, for fixed
-    slices of the rates, or 0 for loans.
+    slices of the rates, or 0 for loans. `domains` names all failure domains of the
+    fleet where the deployment's configuration does not divide the rates itself.
+    `fleet_secret` is empty where peers are trusted by their network, and `admin_token`
+    where the administration API answers reads only.
     """
 
     instance: InstanceId
@@ -43,6 +62,8 @@
     retention_s: float
     seeds: tuple[Address, ...]
     entry_slots: int
+    domains: tuple[FailureDomainId, ...]
     fleet_secret: bytes = field(repr=False)
     admin_token: str = field(repr=False)
+    stop: StopTimes
     log_level: str = "info"
--- a/corianderhold/state/configuration/schema.py
+++ b/corianderhold/state/configuration/schema.py
@@ -1,15 +1,20 @@
 """Check the JSON objects of the configuration stream."""
 
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
-from voluptuous import ALLOW_EXTRA, All, In, Invalid, Maybe, Schema
+from voluptuous import ALLOW_EXTRA, In, Invalid, Maybe, Optional, Schema
 
 from corianderhold.state.configuration.const import (
     MAX_AUTHOR_LENGTH,
+    MAX_BODY_BYTES,
     MAX_BURST,
+    MAX_CALLER_TIMEOUT_S,
     MAX_CONCURRENCY,
+    MAX_CONNECTIONS,
     MAX_DEADLINE_MS,
+    MAX_HEADER_BYTES,
+    MAX_HOST_LENGTH,
     MAX_ISOLATED_AFTER_S,
     MAX_NAME_LENGTH,
     MAX_NOTE_LENGTH,
@@ -17,17 +22,27 @@
     MAX_QUEUE_LENGTH,
     MAX_RATE_PER_S,
     MAX_RETRY_BUDGET,
+    MAX_SPLIT_WEIGHT,
     MAX_UNIX_TIME_S,
     MAX_WEIGHT,
+    MIN_CALLER_TIMEOUT_S,
+    MIN_HEADER_BYTES,
 )
 from corianderhold.state.configuration.model import Importance, IsolatedBehaviour
 
 NAME_PATTERN = re.compile(rf"[A-Za-z0-9][A-Za-z0-9._-]{{0,{MAX_NAME_LENGTH - 1}}}")
 DIGEST_PATTERN = re.compile(r"[A-Za-z0-9$:_-]{1,256}")
 METHOD_PATTERN = re.compile(r"[A-Z]{1,16}")
-PATH_PATTERN = re.compile(r"/|(/(?!\.{1,2}(/|$))[A-Za-z0-9._~!$&'()*+,=:@-]+)+")
+PATH_PATTERN = re.compile(
+    rf"(?=.{{1,{MAX_PATH_LENGTH}}}\Z)"
+    r"(/|(/(?!\.{1,2}(/|$))[A-Za-z0-9._~!$&'()*+,=:@-]+)+/?)"
+)
+HOST_PATTERN = re.compile(
+    rf"[a-z0-9][a-z0-9._-]{{0,{MAX_HOST_LENGTH - 1}}}|\[[0-9a-f:.]{{2,45}}\]"
+)
 
 Validator = Callable[[object], object]
+Fields = Mapping[str, Validator]
 
 
 def match(pattern: re.Pattern[str], wanted: str) -> Validator:
@@ -80,6 +95,51 @@
     return check
 
 
+def check_all(check: Validator) -> Validator:
+    """Return a check of a list by the check of its items."""
+
+    def run(value: object) -> list[object]:
+        if not isinstance(value, list):
+            raise Invalid("expected a list")
+        checked = []
+        for index, given in enumerate(value):
+            try:
+                checked.append(check(given))
+            except Invalid as error:
+                error.prepend([index])
+                raise
+        return checked
+
+    return run
+
+
+def check_entity(fields: Fields, later: Fields | None = None) -> Validator:
+    """
+    Return a check of an object that has all `fields` and any of the `later` ones.
+
+    It costs a third of a Schema, which counts for hundreds of entities.
+    """
+    known = {**fields, **(later or {})}
+
+    def run(value: object) -> dict[str, object]:
+        if not isinstance(value, dict):
+            raise Invalid("expected an object")
+        for name in fields.keys() - value.keys():
+            raise Invalid("required key not provided", [name])
+        checked = {}
+        for name, given in value.items():
+            if name not in known:
+                raise Invalid("extra keys not allowed", [name])
+            try:
+                checked[name] = known[name](given)
+            except Invalid as error:
+                error.prepend([name])
+                raise
+        return checked
+
+    return run
+
+
 def require_boolean(value: object) -> bool:
     """Return a Boolean value as it is; raise Invalid for anything else."""
     if not isinstance(value, bool):
@@ -91,53 +151,79 @@
     NAME_PATTERN,
     f"1 to {MAX_NAME_LENGTH} letters, digits, dots, dashes or underscores",
 )
-PATH = All(
-    bound_text(MAX_PATH_LENGTH),
-    match(PATH_PATTERN, "a path from / without empty or dot segments"),
+SERVICE_NAME = match(
+    re.compile(rf"({NAME_PATTERN.pattern})?"), "the name of a service, or nothing"
+)
+PATH = match(
+    PATH_PATTERN,
+    f"a path from / of at most {MAX_PATH_LENGTH} characters without empty or dot "
+    "segments",
 )
+HOST = match(HOST_PATTERN, "a host in lower case without its port")
+IMPORTANCE = In([each.name.lower() for each in Importance])
 VERSION = bound_integer(0, 2**63 - 1)
 
-SERVICE_FIELDS = {
+SERVICE_FIELDS: Fields = {
     "name": NAME,
     "max_concurrency": bound_integer(1, MAX_CONCURRENCY),
     "queue_length": bound_integer(0, MAX_QUEUE_LENGTH),
     "retry_ratio": bound_number(0.0, 1.0),
     "adaptive_limit": require_boolean,
 }
-ROUTE_FIELDS = {
-    "name": NAME,
+SERVICE_LATER = {"max_connections": bound_integer(1, MAX_CONNECTIONS)}
+SPLIT_FIELDS = {
     "service": NAME,
+    "weight": bound_number(0.0, MAX_SPLIT_WEIGHT),
+}
+ROUTE_FIELDS: Fields = {
+    "name": NAME,
+    "service": SERVICE_NAME,
     "path_prefix": PATH,
-    "methods": [match(METHOD_PATTERN, "a method in capitals")],
-    "importance": In([each.name.lower() for each in Importance]),
+    "methods": check_all(match(METHOD_PATTERN, "a method in capitals")),
+    "importance": IMPORTANCE,
     "open_to_all": require_boolean,
-    "organisations": [NAME],
+    "organisations": check_all(NAME),
     "idempotent": require_boolean,
     "deadline_ms": bound_integer(1, MAX_DEADLINE_MS),
     "retry_budget": bound_integer(0, MAX_RETRY_BUDGET),
     "isolated": In([each.value for each in IsolatedBehaviour]),
     "isolated_after_s": bound_number(0.0, MAX_ISOLATED_AFTER_S),
-    "calls": [NAME],
+    "calls": check_all(NAME),
 }
-ORGANISATION_FIELDS = {
+ROUTE_LATER = {
+    "host": HOST,
+    "splits": check_all(check_entity(SPLIT_FIELDS)),
+    "anonymous": require_boolean,
+    "target_latency_ms": bound_integer(1, MAX_DEADLINE_MS),
+}
+ORGANISATION_FIELDS: Fields = {
     "name": NAME,
     "rate": bound_number(0.0, MAX_RATE_PER_S),
     "burst": bound_number(0.0, MAX_BURST),
     "weight": bound_number(0.001, MAX_WEIGHT),
     "shares": Schema({NAME: bound_number(0.0, 1.0)}, required=False),
 }
-KEY_FIELDS = {
+ORGANISATION_LATER = {"importance": IMPORTANCE}
+KEY_FIELDS: Fields = {
     "key_id": NAME,
     "organisation": NAME,
     "digest": match(DIGEST_PATTERN, "a digest"),
     "withdrawn": require_boolean,
     "expires_at": Maybe(bound_number(0.0, MAX_UNIX_TIME_S)),
 }
+CALLER_TIMEOUT_S = bound_number(MIN_CALLER_TIMEOUT_S, MAX_CALLER_TIMEOUT_S)
+LIMITS_FIELDS = {
+    "header_bytes_max": bound_integer(MIN_HEADER_BYTES, MAX_HEADER_BYTES),
+    "body_bytes_max": bound_integer(0, MAX_BODY_BYTES),
+    "header_timeout_s": CALLER_TIMEOUT_S,
+    "idle_timeout_s": CALLER_TIMEOUT_S,
+}
 ENTITIES = {
-    "services": [Schema(SERVICE_FIELDS, required=True)],
-    "routes": [Schema(ROUTE_FIELDS, required=True)],
-    "organisations": [Schema(ORGANISATION_FIELDS, required=True)],
-    "keys": [Schema(KEY_FIELDS, required=True)],
+    "services": check_all(check_entity(SERVICE_FIELDS, SERVICE_LATER)),
+    "routes": check_all(check_entity(ROUTE_FIELDS, ROUTE_LATER)),
+    "organisations": check_all(check_entity(ORGANISATION_FIELDS, ORGANISATION_LATER)),
+    "keys": check_all(check_entity(KEY_FIELDS)),
+    Optional("limits"): check_entity(LIMITS_FIELDS),
 }
 REMOVED = {
     "services": [NAME],
