Bound a target's calls by the slots and connections that it has

Cause: the adaptive limit starts at 4 calls and learns from service times.

Change: a target that announces slots gets a SlotLimit: all of them, half of them rising over the last 5 s of its cold time, one less for each answer that says it had no room. The bound is the least of max_concurrency, the slots and nine tenths of max_connections. A new start begins with a new limit. The names of a deployment's headers reach the owner, and `heartbeat_ttl_s` is a setting.

--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -145,8 +145,15 @@
         )
 
     def _build_owner(self, admission: Admission) -> Owner:
-        client = TargetClient(self._clock)
-        owner = Owner(self._membership, admission, client, self._clock, self._metrics)
+        names = self._header_names
+        owner = Owner(
+            self._membership,
+            admission,
+            TargetClient(self._clock, names.request_id),
+            self._clock,
+            self._metrics,
+            names,
+        )
         self._metrics.add_gauge(
             "owner_in_flight", lambda: owner.report_load().in_flight
         )
@@ -253,6 +260,7 @@
                 gossip_address=settings.listeners.gossip,
                 seeds=settings.seeds,
                 secret=settings.fleet_secret,
+                target_ttl_s=settings.target_ttl_s,
             ),
             self._clock,
             Random(os.urandom(16)),
--- a/corianderhold/coordination/owner/limit.py
+++ b/corianderhold/coordination/owner/limit.py
@@ -4,11 +4,14 @@
 
 from corianderhold.clock import Clock
 from corianderhold.coordination.owner.const import (
+    COLD_LOWEST_PART,
+    COLD_SPAN_S,
     FAILED_RATIO_MAX,
     INITIAL_LIMIT,
     LIMIT_DECREASE,
     LIMIT_GROWTH,
     ROUND_CALLS,
+    SLOTS_LOWEST_PART,
     SLOWER_GROWS_BELOW,
     SLOWER_SHRINKS_ABOVE,
     SLOWER_SLACK_S,
@@ -47,6 +50,43 @@
         """Ignore the refusal."""
 
 
+class SlotLimit:
+    """
+    Give a target as many calls as it has slots for, fewer while it is cold.
+
+    Each refusal for want of room takes one off, down to a part of the slots; as many
+    answered calls as the limit add one. Service times teach nothing: calls never wait
+    in the target, so that a longer time is its own or that of what it calls.
+    """
+
+    def __init__(self, slots: int, cold_until: float, clock: Clock) -> None:
+        self._slots = max(1, slots)
+        self._lowest = max(1.0, self._slots * SLOTS_LOWEST_PART)
+        self._limit = float(self._slots)
+        self._cold_until: float | None = cold_until
+        self._clock = clock
+
+    def read_limit(self) -> int:
+        """Return the present limit, at least 1."""
+        if self._cold_until is None:
+            return int(self._limit)
+        left_s = self._cold_until - self._clock.read_monotonic()
+        if left_s <= 0:
+            self._cold_until = None
+            return int(self._limit)
+        missing = (1 - COLD_LOWEST_PART) * min(1.0, left_s / COLD_SPAN_S)
+        return max(1, int(self._limit * (1 - missing)))
+
+    def note_completion(self, duration_s: float, failed: bool, in_flight: int) -> None:
+        """Let the limit grow back by answered calls."""
+        if not failed and self._limit < self._slots:
+            self._limit = min(self._limit + 1 / self._limit, self._slots)
+
+    def note_refusal(self) -> None:
+        """Take one call off the limit."""
+        self._limit = max(self._lowest, self._limit - 1)
+
+
 class Round:
     """Collect calls that were both dispatched and ended under one limit."""
 
--- a/corianderhold/coordination/owner/policy.py
+++ b/corianderhold/coordination/owner/policy.py
@@ -7,10 +7,12 @@
 
 from corianderhold.clock import Clock
 from corianderhold.coordination.owner.admission import Admission, AdmissionPolicy
+from corianderhold.coordination.owner.const import CONNECTIONS_PART
 from corianderhold.coordination.owner.limit import (
     AdaptiveLimit,
     ConcurrencyLimit,
     FixedLimit,
+    SlotLimit,
 )
 from corianderhold.ids import OrganisationId, ServiceName
 from corianderhold.state.configuration.holder import ConfigurationHolder
@@ -43,7 +45,7 @@
     """What a limit was built for; a change of it calls for a new limit."""
 
     target: TargetStatus
-    max_concurrency: int
+    bound: int
     adaptive: bool
 
 
@@ -97,15 +99,18 @@
             )
             if target.state is TargetState.DRAINING:
                 return
-            key = LimitKey(target, service.max_concurrency, service.adaptive_limit)
+            bound = bound_concurrency(service, target)
+            key = LimitKey(target, bound, service.adaptive_limit)
             if key != self._key:
                 self._key = key
-                self._admission.replace_limit(self._build_limit(service))
+                self._admission.replace_limit(self._build_limit(key))
 
-    def _build_limit(self, service: Service) -> ConcurrencyLimit:
-        if service.adaptive_limit:
-            return AdaptiveLimit(service.max_concurrency, self._clock)
-        return FixedLimit(service.max_concurrency)
+    def _build_limit(self, key: LimitKey) -> ConcurrencyLimit:
+        if not key.adaptive:
+            return FixedLimit(key.bound)
+        if key.target.slots:
+            return SlotLimit(key.bound, key.target.cold_until, self._clock)
+        return AdaptiveLimit(key.bound, self._clock)
 
     def _follow_configuration(self, configuration: Configuration) -> None:
         self.apply()
@@ -125,6 +130,16 @@
     return configuration.services.get(target.service, DEFAULT_SERVICE)
 
 
+def bound_concurrency(service: Service, target: TargetStatus) -> int:
+    """Return how many calls the target may get at most; each takes a connection."""
+    bounds = [service.max_concurrency]
+    if target.slots:
+        bounds.append(target.slots)
+    if service.max_connections is not None:
+        bounds.append(max(1, int(service.max_connections * CONNECTIONS_PART)))
+    return min(bounds)
+
+
 def weigh_by(configuration: Configuration) -> Callable[[OrganisationId], float]:
     """Return the function that gives an organisation's weight."""
 
--- a/corianderhold/settings/const.py
+++ b/corianderhold/settings/const.py
@@ -19,6 +19,7 @@
 
 CONF_TARGET = "target"
 CONF_SERVICE = "service"
+CONF_HEARTBEAT_TTL_S = "heartbeat_ttl_s"
 
 CONF_STORE = "store"
 CONF_ADDRESS = "address"
--- a/corianderhold/settings/model.py
+++ b/corianderhold/settings/model.py
@@ -45,6 +45,7 @@
     """
     Everything that one daemon is told at its start.
 
+    `target_ttl_s` is how long a heartbeat of the local target lasts, in seconds.
     `retention_s` is how long the log keeps a record, in seconds; `entry_slots` the
     highest number of daemons that ever run at once in this failure domain, for fixed
     slices of the rates, or 0 for loans. `domains` names all failure domains of the
@@ -58,6 +59,7 @@
     region: RegionId
     listeners: Listeners
     service: ServiceName | None
+    target_ttl_s: float
     store: Address
     retention_s: float
     seeds: tuple[Address, ...]
--- a/corianderhold/settings/schema.py
+++ b/corianderhold/settings/schema.py
@@ -29,6 +29,7 @@
     CONF_ENTRY_SLOTS,
     CONF_FLEET_SECRET,
     CONF_GOSSIP,
+    CONF_HEARTBEAT_TTL_S,
     CONF_ID,
     CONF_INSTANCE,
     CONF_LEVEL,
@@ -63,10 +64,12 @@
     SECRET_LENGTH_MIN,
     TRUST_SECRET,
 )
+from corianderhold.state.membership.const import TARGET_TTL_S
 from corianderhold.state.membership.model import Address
 
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9_.-]{0,62}")
 RETENTION_ACCEPTED = "accepted: seconds, at least 60"
+HEARTBEAT_TTL_ACCEPTED = "accepted: seconds from 1 to 60"
 STOP_LIMIT_ACCEPTED = "accepted: seconds from 3 to 600"
 DEREGISTRATION_DELAY_ACCEPTED = "accepted: seconds from 0 to 600"
 ENTRY_SLOTS_ACCEPTED = "accepted: a whole number from 0 to 10000"
@@ -156,7 +159,15 @@
             Optional(CONF_OUTGOING_THREADS, default=DEFAULT_OUTGOING_THREADS): THREADS,
         }
     ),
-    CONF_TARGET: Schema({Optional(CONF_SERVICE, default=""): parse_service}),
+    CONF_TARGET: Schema(
+        {
+            Optional(CONF_SERVICE, default=""): parse_service,
+            Optional(CONF_HEARTBEAT_TTL_S, default=TARGET_TTL_S): All(
+                Coerce(float, msg=HEARTBEAT_TTL_ACCEPTED),
+                Range(min=1, max=60, msg=HEARTBEAT_TTL_ACCEPTED),
+            ),
+        }
+    ),
     CONF_STORE: Schema(
         {
             Required(CONF_ADDRESS): parse_address,
--- a/corianderhold/state/membership/target.py
+++ b/corianderhold/state/membership/target.py
@@ -23,6 +23,7 @@
     service: ServiceName | None = None
     address: Address | None = None
     target_id: str | None = None
+    started: int | None = None
     slots: int | None = None
     cold_until: float = field(default=0.0, compare=False)
 
@@ -157,6 +158,7 @@
             known.service,
             known.address,
             known.target_id,
+            known.started,
             known.slots,
             now_s + known.cold_s,
         )
--- a/tests/coordination/owner/test_limit.py
+++ b/tests/coordination/owner/test_limit.py
@@ -4,8 +4,16 @@
 from unittest import TestCase
 
 from corianderhold.coordination.owner.admission import Admission
-from corianderhold.coordination.owner.const import INITIAL_LIMIT
-from corianderhold.coordination.owner.limit import AdaptiveLimit, FixedLimit
+from corianderhold.coordination.owner.const import (
+    COLD_SPAN_S,
+    INITIAL_LIMIT,
+    SLOTS_LOWEST_PART,
+)
+from corianderhold.coordination.owner.limit import (
+    AdaptiveLimit,
+    FixedLimit,
+    SlotLimit,
+)
 from corianderhold.coordination.owner.policy import build_default_policy
 from corianderhold.coordination.owner.registry import InFlightCall
 from corianderhold.coordination.retry import RetryBudget
@@ -96,6 +104,36 @@
         self.assertEqual(self.limit.read_limit(), before)
 
 
+class SlotLimitTests(TestCase):
+    """Drive the limit of a target that announces its slots."""
+
+    def test_limit_is_the_slots_whatever_the_calls_take(self) -> None:
+        limit = SlotLimit(SLOTS, 0.0, FakeClock())
+        for number in range(500):
+            limit.note_completion(SERVICE_S * number, number % 2 == 0, SLOTS)
+        self.assertEqual(limit.read_limit(), SLOTS)
+
+    def test_refusals_lower_the_limit_and_answers_restore_it(self) -> None:
+        limit = SlotLimit(SLOTS, 0.0, FakeClock())
+        limit.note_refusal()
+        self.assertEqual(limit.read_limit(), SLOTS - 1)
+        for _ in range(10 * SLOTS):
+            limit.note_refusal()
+        self.assertEqual(limit.read_limit(), int(SLOTS * SLOTS_LOWEST_PART))
+        for _ in range(SLOTS * SLOTS):
+            limit.note_completion(SERVICE_S, False, SLOTS)
+        self.assertEqual(limit.read_limit(), SLOTS)
+
+    def test_cold_target_gets_more_calls_from_second_to_second(self) -> None:
+        clock = FakeClock()
+        limit = SlotLimit(SLOTS, clock.read_monotonic() + 2 * COLD_SPAN_S, clock)
+        limits = []
+        for _ in range(6):
+            limits.append(limit.read_limit())
+            clock.advance(COLD_SPAN_S / 2)
+        self.assertEqual(limits, [5, 5, 5, 7, 10, 10])
+
+
 class RecordingLimit(FixedLimit):
     """Remember the durations that it is told."""
 
--- a/tests/coordination/owner/test_policy.py
+++ b/tests/coordination/owner/test_policy.py
@@ -93,6 +93,14 @@
         self.source.announce(SERVING)
         self.assertEqual(self.read_limit(), INITIAL_LIMIT)
 
+    def test_slots_and_connections_bound_the_limit(self) -> None:
+        cases = ((20, None, 20), (20, 10, 9), (90, 90, 50))
+        for version, (slots, connections, expected) in enumerate(cases, 1):
+            service = Service(CATALOGUE, 50, max_connections=connections)
+            self.holder.replace(Configuration(Version(version), {CATALOGUE: service}))
+            self.source.announce(replace(SERVING, slots=slots))
+            self.assertEqual(self.read_limit(), expected)
+
     def test_target_that_comes_back_is_cold(self) -> None:
         self.configure(1, 5)
         self.source.announce(SERVING)
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -7,6 +7,7 @@
 from corianderhold.settings.errors import SettingsError
 from corianderhold.settings.loader import load_settings
 from corianderhold.settings.model import Settings, StopTimes
+from corianderhold.state.membership.const import TARGET_TTL_S
 from corianderhold.state.membership.model import Address
 
 GOOD = """
@@ -48,6 +49,9 @@
         settings = self.load(GOOD)
         self.assertEqual(settings.seeds[1], Address("127.0.0.1", 2))
         self.assertIsNone(settings.service)
+        self.assertEqual(settings.target_ttl_s, TARGET_TTL_S)
+        settings = self.load(GOOD + "[target]\nheartbeat_ttl_s = 10\n")
+        self.assertEqual(settings.target_ttl_s, 10.0)
         self.assertNotIn("0123456789abcdef", repr(settings))
 
     def test_peers_are_trusted_by_secret_or_by_network(self) -> None:
