Draw a token and make events only for the calls that need them

Cause: each pass through the owner drew 16 random bytes for a context token, also where the target gets none, and made two events that only a call in the queue waits on.

Change: no token where the deployment has no context header, a plain flag for a cancellation, an event for a waiting call only.

--- a/corianderhold/coordination/owner/admission.py
+++ b/corianderhold/coordination/owner/admission.py
@@ -181,6 +181,7 @@
         if self._is_late(waiter, self._estimate_wait(waiter.importance)):
             return self._refuse(Reason.SHED, DEADLINE_UNMEETABLE)
         weight = self._policy.weigh(waiter.organisation)
+        waiter.begin_wait()
         self._queue.push(waiter, max(weight, WEIGHT_MIN))
         if len(self._queue) <= self._policy.queue_length:
             return None
@@ -204,7 +205,7 @@
 
     def _wait(self, waiter: Waiter) -> Result[Waiter, Refusal]:
         left_s = waiter.deadline_at - self._clock.read_monotonic()
-        waiter.decided.wait(max(0.0, left_s))
+        waiter.wait(max(0.0, left_s))
         with self._lock:
             if waiter.state is WaiterState.ADMITTED:
                 return Ok(waiter)
--- a/corianderhold/coordination/owner/owner.py
+++ b/corianderhold/coordination/owner/owner.py
@@ -27,7 +27,11 @@
     select_headers,
 )
 from corianderhold.coordination.owner.policy import TargetSource
-from corianderhold.coordination.owner.registry import InFlightCall, InFlightCalls
+from corianderhold.coordination.owner.registry import (
+    InFlightCall,
+    InFlightCalls,
+    draw_token,
+)
 from corianderhold.coordination.retry import RetryBudget
 from corianderhold.ids import CallId
 from corianderhold.log import log_event
@@ -99,7 +103,8 @@
         found = self._find_target(context)
         if isinstance(found, Err):
             return self._refuse(context, found.err_value)
-        call = InFlightCall(context, retries)
+        token = draw_token() if self._names.context else ""
+        call = InFlightCall(context, retries, token)
         self.calls.add(call)
         admitted = self._admission.acquire(context, call.hold_waiter)
         if isinstance(admitted, Err):
@@ -181,7 +186,7 @@
     ) -> Refusal | None:
         """Return a refusal when the call must not be sent any more."""
         now = self._clock.read_monotonic()
-        if call.cancelled.is_set():
+        if call.cancelled:
             return refuse_not_run(Reason.CANCELLED)
         if now >= call.context.deadline_at:
             return refuse_not_run(Reason.DEADLINE_PASSED)
@@ -205,7 +210,7 @@
         except BodyError as error:
             reason = Reason.REQUEST_MALFORMED
             return Err(refuse_may_have_run(reason, detail=str(error)))
-        if isinstance(outcome, Err) and call.cancelled.is_set():
+        if isinstance(outcome, Err) and call.cancelled:
             return Err(refuse_may_have_run(Reason.CANCELLED))
         return self._check_run(target, outcome) if isinstance(outcome, Ok) else outcome
 
@@ -248,7 +253,7 @@
 
         def is_whole() -> bool:
             # A cancellation ends the connection as a target does.
-            return answer.has_known_end or not call.cancelled.is_set()
+            return answer.has_known_end or not call.cancelled
 
         guarded = GuardedChunks(answer.chunks, end, is_whole)
         headers = select_headers(answer.headers)
@@ -266,7 +271,7 @@
     def _end(self, call: InFlightCall, started_at: float, *, failed: bool) -> None:
         """End a call; the limit learns nothing from one that was cancelled."""
         self.calls.remove(call)
-        if failed and call.cancelled.is_set():
+        if failed and call.cancelled:
             self._admission.release_unused()
         else:
             self._admission.release(
--- a/corianderhold/coordination/owner/queue.py
+++ b/corianderhold/coordination/owner/queue.py
@@ -1,7 +1,7 @@
 """Order the calls that wait for their target."""
 
 import threading
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 
 from corianderhold.ids import OrganisationId, RouteName
@@ -19,7 +19,7 @@
 
 @dataclass(eq=False)
 class Waiter:
-    """One call that waits; its thread sleeps on `decided`."""
+    """One call; its thread sleeps on `decided`, which it has only while it waits."""
 
     importance: int
     organisation: OrganisationId
@@ -29,17 +29,32 @@
     sequence: int = 0
     state: WaiterState = WaiterState.WAITING
     cancelled: bool = False
-    decided: threading.Event = field(default_factory=threading.Event)
+    decided: threading.Event | None = None
 
     def decide(self, state: WaiterState) -> None:
         """Set the outcome and wake the call's thread."""
         self.state = state
-        self.decided.set()
+        self._wake()
 
     def cancel(self) -> None:
         """Wake the call's thread because nobody waits for the call any more."""
         self.cancelled = True
-        self.decided.set()
+        self._wake()
+
+    def begin_wait(self) -> None:
+        """Let others wake the call's thread from now on."""
+        self.decided = threading.Event()
+        if self.cancelled:
+            self.decided.set()
+
+    def wait(self, limit_s: float) -> None:
+        """Sleep until the call is decided or cancelled, or the time is over."""
+        if self.decided is not None:
+            self.decided.wait(limit_s)
+
+    def _wake(self) -> None:
+        if self.decided is not None:
+            self.decided.set()
 
 
 class FairQueue:
--- a/corianderhold/coordination/owner/registry.py
+++ b/corianderhold/coordination/owner/registry.py
@@ -12,21 +12,24 @@
 from corianderhold.ids import CallId
 
 
+def draw_token() -> str:
+    """Return a token that can't be guessed."""
+    return secrets.token_hex(CONTEXT_TOKEN_BYTES)
+
+
 @dataclass(eq=False)
 class InFlightCall:
     """
     A call that this owner queues or runs.
 
-    `token` is what the target passes on with nested calls. It can't be forged, says
-    nothing, and ends with the call.
+    `token` is what the target passes on with nested calls, empty for a target that
+    passes on none. It can't be forged, says nothing, and ends with the call.
     """
 
     context: CallContext
     retries: RetryBudget
-    token: str = field(
-        repr=False, default_factory=lambda: secrets.token_hex(CONTEXT_TOKEN_BYTES)
-    )
-    cancelled: threading.Event = field(default_factory=threading.Event)
+    token: str = field(repr=False, default_factory=draw_token)
+    cancelled: bool = False
     _lock: threading.Lock = field(default_factory=threading.Lock, repr=False)
     _connection: socket.socket | None = None
     _waiter: Waiter | None = None
@@ -46,20 +49,20 @@
         """Name the call's place in the queue, which a cancellation gives up."""
         with self._lock:
             self._waiter = waiter
-            if self.cancelled.is_set():
+            if self.cancelled:
                 waiter.cancel()
 
     def attach(self, connection: socket.socket | None) -> None:
         """Name the connection to the target, which a cancellation shuts down."""
         with self._lock:
             self._connection = connection
-            if connection is not None and self.cancelled.is_set():
+            if connection is not None and self.cancelled:
                 shut_down(connection)
 
     def cancel(self) -> None:
         """Cancel the call: it is not dispatched any more, or its target is told."""
         with self._lock:
-            self.cancelled.set()
+            self.cancelled = True
             if self._waiter is not None:
                 self._waiter.cancel()
             if self._connection is not None:
@@ -89,7 +92,8 @@
         """Add a call; the latest with the same id is found by it."""
         with self._lock:
             self._by_id[call.context.call_id] = call
-            self._by_token[call.token] = call
+            if call.token:
+                self._by_token[call.token] = call
 
     def remove(self, call: InFlightCall) -> None:
         """Remove a call; its token stops working."""
