--- a/corianderhold/protocol/headers.py
+++ b/corianderhold/protocol/headers.py
@@ -57,7 +57,8 @@
     with its answer. `deadline_ms` comes from the caller and goes to the target with
     the milliseconds that are left. `caller_service` is the service beside the entry.
     A target that is not the one named in `expected_target` refuses with 421; one that
-    has not run a request says so with `not_run`.
+    has not run a request says so with `not_run`. Targets that know nothing of
+    `importance` or `context` are not sent them; both are then None.
     """
 
     request_id: str = HEADER_REQUEST_ID
