Wait a moment for the answer that a target gives at the deadline

Cause: target and owner end a call at the same moment, so the target's own 504 was lost and its connection with it. One refused connection took a target out until its next heartbeat, also where the target only was at its bound of connections.

Three refused connections in a row suspend a target, one does not. A connection has 0.3 s to come about.

--- a/corianderhold/coordination/owner/const.py
+++ b/corianderhold/coordination/owner/const.py
@@ -3,6 +3,8 @@
 QUEUE_RETRY_AFTER_MS = 200
 DRAINING_RETRY_AFTER_MS = 500
 TARGET_RETRY_AFTER_MS = 200
+REFUSED_CONNECTIONS_MAX = 3  # one after the other; a target at its bound refuses some
+ANSWER_GRACE_S = 0.08  # for the answer that a target gives at the deadline
 HOLD_S = 0.1  # how long an answer of unknown length is held before it is passed on
 RETRY_AFTER_SPREAD = 0.5  # clients come back between 0.5 and 1.5 of the hint
 SERVICE_TIME_WEIGHT = 0.1
--- a/corianderhold/coordination/owner/owner.py
+++ b/corianderhold/coordination/owner/owner.py
@@ -19,7 +19,11 @@
     do_nothing,
     hold_small,
 )
-from corianderhold.coordination.owner.const import DRAINING_RETRY_AFTER_MS
+from corianderhold.coordination.owner.const import (
+    ANSWER_GRACE_S,
+    DRAINING_RETRY_AFTER_MS,
+    REFUSED_CONNECTIONS_MAX,
+)
 from corianderhold.coordination.owner.headers import (
     TargetHeaders,
     find_header,
@@ -87,6 +91,7 @@
         self._metrics = metrics
         self._names = names or HeaderNames()
         self._headers = TargetHeaders(self._names)
+        self._refused_connections = 0
         self.calls = InFlightCalls()
 
     def serve(
@@ -171,13 +176,16 @@
         return self._exchange(call, target, connection, body)
 
     def _connect(self, target: TargetStatus) -> Result[TargetConnection, Refusal]:
-        """Return a connection; a target whose address nobody listens at is gone."""
+        """Return a connection; a target that refuses several in a row is gone."""
         assert target.address is not None
         connected = self._client.connect(target.address)
         if isinstance(connected, Ok):
+            self._refused_connections = 0
             return connected
         failure = connected.err_value
-        if failure.refused:
+        self._refused_connections += failure.refused
+        if self._refused_connections >= REFUSED_CONNECTIONS_MAX:
+            self._refused_connections = 0
             self._source.suspend_target(target)
         return Err(refuse_not_run(Reason.TARGET_UNREACHABLE, detail=failure.detail))
 
@@ -239,7 +247,7 @@
             headers=self._headers.build(context, target.target_id, call.token, left_s),
             body=body.read_chunks() if inline is None else inline,
             length=body.length,
-            deadline_at=context.deadline_at,
+            deadline_at=context.deadline_at + ANSWER_GRACE_S,
             request_id=find_header(context.headers, self._names.request_id),
         )
 
--- a/corianderhold/transport/web/const.py
+++ b/corianderhold/transport/web/const.py
@@ -1,6 +1,6 @@
 """Bound the waits and sizes of HTTP."""
 
-TARGET_CONNECT_TIMEOUT_S = 0.5
+TARGET_CONNECT_TIMEOUT_S = 0.3
 TARGET_IDLE_CONNECTIONS = 256
 TARGET_IDLE_S = 30.0  # where the target does not say how long it keeps a connection
 KEPT_PART = 0.75  # of the time that the target keeps a connection
--- a/tests/common/scripted_target.py
+++ b/tests/common/scripted_target.py
@@ -29,6 +29,7 @@
 
     def close(self) -> None:
         """Accept no more connections, and wait for the scripts to end."""
+        self._listener.shutdown(socket.SHUT_RDWR)  # wakes the accept
         self._listener.close()
         self._thread.join(ACCEPT_TIMEOUT_S)
 
@@ -46,7 +47,10 @@
     """Return the head of the next request; those of these tests have no body."""
     data = b""
     while not data.endswith(b"\r\n\r\n"):
-        data += connection.recv(1)
+        byte = connection.recv(1)
+        if not byte:
+            raise ConnectionError("the client has closed the connection")
+        data += byte
     return data
 
 
--- a/tests/coordination/owner/test_owner.py
+++ b/tests/coordination/owner/test_owner.py
@@ -1,14 +1,25 @@
 """Test that an owner sends nothing to a target that is leaving."""
 
 import socket
+import threading
+from collections.abc import Iterator
 from random import Random
 from unittest import TestCase
 
 from result import Result
 
-from corianderhold.clock import SystemClock
-from corianderhold.coordination.call import Answer, AnswerTruncatedError, InlineBody
+from corianderhold.clock import Clock, SystemClock
+from corianderhold.coordination.call import (
+    Answer,
+    AnswerTruncatedError,
+    InlineBody,
+    StreamedBody,
+)
 from corianderhold.coordination.owner.admission import Admission
+from corianderhold.coordination.owner.const import (
+    ANSWER_GRACE_S,
+    REFUSED_CONNECTIONS_MAX,
+)
 from corianderhold.coordination.owner.limit import FixedLimit
 from corianderhold.coordination.owner.owner import Owner
 from corianderhold.coordination.owner.policy import (
@@ -24,7 +35,13 @@
 from corianderhold.state.membership.target import ABSENT_TARGET, TargetStatus
 from corianderhold.transport.web.target import TargetClient
 from tests.common.calls import CATALOGUE, make_context
-from tests.common.scripted_target import Script, ScriptedTarget, answer_with
+from tests.common.clock import FakeClock
+from tests.common.scripted_target import (
+    Script,
+    ScriptedTarget,
+    answer_with,
+    take_request,
+)
 
 CLOCK = SystemClock()
 
@@ -48,6 +65,10 @@
     def __init__(self) -> None:
         super().__init__(8)
         self.failures = 0
+        self.refusals = 0
+
+    def note_refusal(self) -> None:
+        self.refusals += 1
 
     def note_completion(self, duration_s: float, failed: bool, in_flight: int) -> None:
         self.failures += failed
@@ -94,24 +115,37 @@
         self.assertEqual(self.refuse(self.serving), Reason.TARGET_UNREACHABLE)
         self.assertEqual(self.limit.failures, 1)
 
+    def test_target_that_refuses_connections_in_a_row_is_held_for_gone(self) -> None:
+        self.listener.close()
+        admission = Admission(self.limit, build_default_policy(), CLOCK, Random(1))
+        source = ScriptedSource(self.serving)
+        owner = Owner(source, admission, TargetClient(CLOCK), CLOCK, Metrics())
+        reasons = []
+        for _ in range(REFUSED_CONNECTIONS_MAX + 1):
+            context = make_context(deadline_at=CLOCK.read_monotonic() + 5)
+            outcome = owner.serve(context, InlineBody(b""), RetryBudget(0))
+            reasons.append(outcome.unwrap_err().reason)
+        unreachable = [Reason.TARGET_UNREACHABLE] * REFUSED_CONNECTIONS_MAX
+        self.assertEqual(reasons, [*unreachable, Reason.NO_TARGET])
+
 
 class AnswersTests(TestCase):
     """Serve calls beside a target that answers what a test says."""
 
-    def serve(self, *scripts: Script) -> Owner:
+    def serve(self, *scripts: Script, clock: Clock = CLOCK) -> Owner:
         target = ScriptedTarget(*scripts)
         self.addCleanup(target.close)
         status = TargetStatus(TargetState.SERVING, CATALOGUE, target.address)
         self.source = ScriptedSource(status)
-        self.admission = Admission(
-            FixedLimit(8), build_default_policy(), CLOCK, Random(1)
-        )
-        client = TargetClient(CLOCK)
+        self.limit = RecordingLimit()
+        policy = build_default_policy()
+        self.admission = Admission(self.limit, policy, clock, Random(1))
+        client = TargetClient(clock)
         self.addCleanup(client.close)
-        return Owner(self.source, self.admission, client, CLOCK, Metrics())
+        return Owner(self.source, self.admission, client, clock, Metrics())
 
-    def call(self, owner: Owner, call_id: str = "c1") -> Result[Answer, Refusal]:
-        context = make_context(call_id, deadline_at=CLOCK.read_monotonic() + 5)
+    def call(self, owner: Owner) -> Result[Answer, Refusal]:
+        context = make_context(deadline_at=CLOCK.read_monotonic() + 5)
         return owner.serve(context, InlineBody(b""), RetryBudget(0))
 
     def test_target_that_is_another_is_held_for_gone(self) -> None:
@@ -123,6 +157,14 @@
         self.assertEqual(self.call(owner).unwrap_err().reason, Reason.NO_TARGET)
         self.assertEqual(self.admission.report_load(False).in_flight, 0)
 
+    def test_target_without_room_teaches_the_limit(self) -> None:
+        refused = b"HTTP/1.1 503 Full\r\nX-Corianderhold-Not-Run: 1\r\n"
+        owner = self.serve(answer_with(*2 * [refused + b"Content-Length: 0\r\n\r\n"]))
+        for _ in range(2):
+            self.assertIs(self.call(owner).unwrap_err().reason, Reason.TARGET_FULL)
+        self.assertEqual((self.limit.refusals, self.limit.failures), (2, 0))
+        self.assertEqual(self.admission.report_load(False).in_flight, 0)
+
     def test_answers_are_passed_on_unchanged(self) -> None:
         failed = b"HTTP/1.1 504 Late\r\nSeal: s\r\nContent-Length: 2\r\n\r\nno"
         chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -135,6 +177,25 @@
         self.assertEqual(answer.body, b"ok")
         self.assertEqual(answer.headers, (Header("Content-Length", "2"),))
 
+    def test_answer_that_a_target_gives_at_the_deadline_counts(self) -> None:
+        clock, answered = FakeClock(), threading.Event()
+
+        def answer_at_once(connection: socket.socket) -> None:
+            take_request(connection)
+            connection.sendall(b"HTTP/1.1 504 Late\r\nContent-Length: 0\r\n\r\n")
+            answered.set()
+            connection.recv(1)
+
+        def produce() -> Iterator[bytes]:
+            answered.wait()
+            clock.advance(5 + ANSWER_GRACE_S / 2)
+            yield b"a"
+
+        owner = self.serve(answer_at_once, clock=clock)
+        context = make_context(deadline_at=clock.read_monotonic() + 5)
+        outcome = owner.serve(context, StreamedBody(produce(), None), RetryBudget(0))
+        self.assertEqual(outcome.unwrap().status, 504)
+
     def test_cancelled_answer_without_a_length_is_not_whole(self) -> None:
         size = 2 * INLINE_BODY_BYTES
         owner = self.serve(answer_with(b"HTTP/1.1 200 OK\r\n\r\n" + b"a" * size))
@@ -144,5 +205,6 @@
         owner.cancel(CallId("c1"))
         with self.assertRaises(AnswerTruncatedError):
             list(answer.chunks)
+        self.assertEqual(self.limit.failures, 0)
         self.assertEqual(owner.count_in_flight(), 0)
         self.assertEqual(self.admission.report_load(False).in_flight, 0)
--- a/tests/transport/web/test_target.py
+++ b/tests/transport/web/test_target.py
@@ -27,6 +27,7 @@
 WAIT_S = 10.0
 OK = b"HTTP/1.1 200 OK\r\n"
 WHOLE = OK + b"Content-Length: 5\r\n\r\nhello"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 UNKNOWN_END = OK + b"\r\nhello"
 FAULTY = {
     "closed": b"",
@@ -35,12 +36,12 @@
     "no line": b"HTTP/1.1 2000\r\n\r\n",
     "second head": WHOLE[:-5] + WHOLE,
     "two lengths": OK + b"Content-Length: 5\r\nContent-Length: 5\r\n\r\nhello",
-    "ambiguous": OK + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\nhello",
+    "ambiguous": OK + b"Content-Length: 15\r\n" + CHUNKED + b"5\r\nhello\r\n0\r\n\r\n",
     "large head": OK + b"A: " + b"a" * HEADER_BYTES_MAX + b"\r\n\r\n",
     "split header": OK + b"A: b\rC: d\r\nContent-Length: 0\r\n\r\n",
-    "no chunk": OK + b"Transfer-Encoding: chunked\r\n\r\nhello\r\n",
-    "long chunk": OK + b"Transfer-Encoding: chunked\r\n\r\n2\r\nhello\r\n0\r\n\r\n",
-    "no last chunk": OK + b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+    "no chunk": OK + CHUNKED + b"hello\r\n",
+    "long chunk": OK + CHUNKED + b"2\r\nhello\r\n0\r\n\r\n",
+    "no last chunk": OK + CHUNKED + b"5\r\nhello\r\n",
     "another protocol": b"HTTP/1.1 101 Switching Protocols\r\n\r\n" + WHOLE,
 }
 
@@ -101,7 +102,7 @@
         return refusal.reason
 
     def test_connection_is_used_again(self) -> None:
-        chunked = OK + b"Transfer-Encoding: chunked\r\n\r\n2;a=b\r\nhe\r\n3\r\nllo\r\n"
+        chunked = OK + CHUNKED + b"2;a=b\r\nhe\r\n3\r\nllo\r\n"
         interim = b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
         self.start(answer_with(WHOLE, chunked + b"0\r\nA: b\r\n\r\n", interim + WHOLE))
         for _ in range(3):
@@ -139,7 +140,7 @@
             take_request(connection)
             connection.sendall(WHOLE)
             read.wait(WAIT_S)
-            connection.sendall(WHOLE)
+            connection.sendall(OK + b"Content-Length: 4\r\n\r\nlate")
             sent.set()
             connection.recv(1)
 
@@ -151,14 +152,19 @@
         self.assertEqual(self.get(), b"hello")
 
     def test_answer_before_the_end_of_the_body_counts(self) -> None:
+        interim = threading.Event()
+
         def produce() -> Iterator[bytes]:
+            interim.wait(WAIT_S)
             while True:
                 yield b"a" * 65536
 
         def answer_early(connection: socket.socket) -> None:
             take_request(connection)
-            connection.sendall(b"HTTP/1.1 100 Continue\r\n\r\n" + WHOLE)
-            connection.recv(1)
+            connection.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+            interim.set()
+            connection.recv(65536, socket.MSG_WAITALL)
+            connection.sendall(WHOLE)
             connection.settimeout(WAIT_S)
             while connection.recv(65536):
                 pass
