Say "not run" of a request only where no byte of it was sent

Cause: a ValueError anywhere in the exchange counted as "not run", also one that a body raises after its first part. And a kept connection that had ended by the first send was "may have run", though nothing had left.

Change: the head is built before anything is sent, so that its faults alone are malformed requests. A connection knows whether it has taken a byte; if not, the call has not run.

Ruled out: reading an answer on a connection that took no byte (it can't be to this request). Test: a connection that is shut down before the first send; failed before with "may have run".

--- a/corianderhold/transport/web/connection.py
+++ b/corianderhold/transport/web/connection.py
@@ -46,6 +46,7 @@
     def __init__(self, address: Address, clock: Clock) -> None:
         self.address = address
         self.usable_until = float("inf")
+        self.has_sent = False
         self.socket: socket.socket
         self.reader = AnswerReader(self.receive)
         self._clock = clock
@@ -69,13 +70,14 @@
         """Return whether bytes or the connection's end have come."""
         return bool(self._readable.poll(0))
 
-    def send_request(self, request: TargetRequest) -> bool:
+    def send_request(self, head: bytes, request: TargetRequest) -> bool:
         """
         Send a request; return False if it was not sent whole.
 
         The target has then ended the connection or answers before the end of the body.
+        `has_sent` tells whether any byte was sent.
         """
-        head = build_head(request, self.address)
+        self.has_sent = False
         try:
             if isinstance(request.body, bytes):
                 return self._send(head + request.body, request.deadline_at)
@@ -111,6 +113,7 @@
         while view:
             try:
                 view = view[self.socket.send(view) :]
+                self.has_sent = True
             except BlockingIOError:
                 if not self._wait_to_send(deadline_at):
                     return False
--- a/corianderhold/transport/web/target.py
+++ b/corianderhold/transport/web/target.py
@@ -19,7 +19,11 @@
 )
 from corianderhold.state.membership.model import Address
 from corianderhold.transport.web.answer import AnswerHead
-from corianderhold.transport.web.connection import TargetConnection, TargetRequest
+from corianderhold.transport.web.connection import (
+    TargetConnection,
+    TargetRequest,
+    build_head,
+)
 from corianderhold.transport.web.const import (
     FOREIGN_ANSWERS_MAX,
     FOREIGN_BYTES_MAX,
@@ -95,15 +99,21 @@
         `attach` is called with the socket, so that the call can be cancelled, and with
         None at its end. A refusal is "may have run" once a byte has been sent.
         """
-        attach(connection.socket)
         try:
-            sent_whole = connection.send_request(request)
-            head, foreign = self._read_head(connection, request)
+            request_head = build_head(request, connection.address)
         except ValueError as error:
-            self._drop(connection, attach)
+            connection.close()
             return Err(refuse_not_run(Reason.REQUEST_MALFORMED, detail=str(error)))
+        attach(connection.socket)
+        try:
+            sent_whole = connection.send_request(request_head, request)
+            if not connection.has_sent:
+                raise AnswerError("the connection had ended before the request")
+            head, foreign = self._read_head(connection, request)
         except TARGET_ERRORS as error:
             self._drop(connection, attach)
+            if not connection.has_sent:
+                return Err(refuse_not_run(Reason.TARGET_UNREACHABLE, detail=str(error)))
             return Err(describe_failure(error))
         except BaseException:
             self._drop(connection, attach)
--- a/tests/transport/web/test_target.py
+++ b/tests/transport/web/test_target.py
@@ -199,6 +199,19 @@
         refusal = self.begin(headers=headers).unwrap_err()
         self.assertTrue(refusal.not_run)
 
+    def test_request_of_which_no_byte_was_sent_has_not_run(self) -> None:
+        def end(attached: socket.socket | None) -> None:
+            if attached is not None:
+                attached.shutdown(socket.SHUT_RDWR)
+
+        self.start(answer_with(WHOLE))
+        connection = self.client.connect(self.target.address).unwrap()
+        deadline_at = self.clock.read_monotonic() + WAIT_S
+        request = TargetRequest("GET", "/", (), b"", 0, deadline_at)
+        refusal = self.client.exchange(connection, request, end).unwrap_err()
+        self.assertTrue(refusal.not_run)
+        self.assertEqual(refusal.reason, Reason.TARGET_UNREACHABLE)
+
     def test_address_that_nobody_listens_at_is_told(self) -> None:
         listener = socket.create_server(("127.0.0.1", 0))
         host, port = listener.getsockname()
