Keep a target below its last slots where it ends more calls that way

Cause: some targets slow down when they are nearly full, so that filling every slot ends fewer calls a second than leaving one free.

Change: SlotLimit compares the mean time of calls that ended while all slots were taken with that of calls that ended while more than half were, and fills only 94 of 100 slots where that gives 8 % more. The means lapse after 2 s, and all slots are tried again. A moving mean can wait for a count of values; its first values weigh alike.

A nested service that slows by ten lowers the limit of 10 by one for a while and no more.

--- a/corianderhold/coordination/owner/estimate.py
+++ b/corianderhold/coordination/owner/estimate.py
@@ -9,22 +9,32 @@
 
 
 class MovingMean:
-    """Keep an exponentially weighted mean that lapses without new values."""
+    """
+    Keep an exponentially weighted mean that lapses without new values.
+
+    There is none before `count_min` values; the first ones weigh alike.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, weight: float = SERVICE_TIME_WEIGHT, count_min: int = 1) -> None:
+        self._weight = weight
+        self._count_min = count_min
+        self._count = 0
         self._mean_s = 0.0
         self._noted_at = float("-inf")
 
     def note(self, duration_s: float, now: float) -> None:
         """Take in one value."""
-        if self.read(now) == 0.0:
-            self._mean_s = duration_s
-        self._mean_s += (duration_s - self._mean_s) * SERVICE_TIME_WEIGHT
+        if now - self._noted_at > ESTIMATE_LIFETIME_S:
+            self._count = 0
+        self._count += 1
+        weight = max(self._weight, 1 / self._count)
+        self._mean_s += (duration_s - self._mean_s) * weight
         self._noted_at = now
 
     def read(self, now: float) -> float:
         """Return the mean in seconds, or 0 when it is too old to say anything."""
-        return self._mean_s if now - self._noted_at <= ESTIMATE_LIFETIME_S else 0.0
+        lapsed = now - self._noted_at > ESTIMATE_LIFETIME_S
+        return 0.0 if lapsed or self._count < self._count_min else self._mean_s
 
 
 class ServiceTimes:
--- a/corianderhold/coordination/owner/limit.py
+++ b/corianderhold/coordination/owner/limit.py
@@ -4,9 +4,13 @@
 
 from corianderhold.clock import Clock
 from corianderhold.coordination.owner.const import (
+    BAND_CALLS_MIN,
+    BAND_MEAN_WEIGHT,
+    BUSY_PART,
     COLD_LOWEST_PART,
     COLD_SPAN_S,
     FAILED_RATIO_MAX,
+    FULL_PART,
     INITIAL_LIMIT,
     LIMIT_DECREASE,
     LIMIT_GROWTH,
@@ -17,7 +21,9 @@
     SLOWER_SLACK_S,
     STEADY_INCREASE,
     USEFUL_DECREASE,
+    USEFUL_GAIN,
 )
+from corianderhold.coordination.owner.estimate import MovingMean
 
 
 class ConcurrencyLimit(Protocol):
@@ -55,8 +61,12 @@
     Give a target as many calls as it has slots for, fewer while it is cold.
 
     Each refusal for want of room takes one off, down to a part of the slots; as many
-    answered calls as the limit add one. Service times teach nothing: calls never wait
-    in the target, so that a longer time is its own or that of what it calls.
+    answered calls as the limit add one. Long service times alone teach nothing: calls
+    never wait in the target, so that the time is its own or that of what it calls.
+
+    A target that is slower when it is full than when it is busy gets a few less, where
+    it then ends more calls a second. That is tried again when the mean of the full
+    target lapses.
     """
 
     def __init__(self, slots: int, cold_until: float, clock: Clock) -> None:
@@ -65,27 +75,47 @@
         self._limit = float(self._slots)
         self._cold_until: float | None = cold_until
         self._clock = clock
+        self._nearly_full = max(1, int(self._slots * FULL_PART))
+        self._is_slower_full = False
+        self._full = MovingMean(BAND_MEAN_WEIGHT, BAND_CALLS_MIN)
+        self._busy = MovingMean(BAND_MEAN_WEIGHT, BAND_CALLS_MIN)
 
     def read_limit(self) -> int:
         """Return the present limit, at least 1."""
-        if self._cold_until is None:
-            return int(self._limit)
-        left_s = self._cold_until - self._clock.read_monotonic()
-        if left_s <= 0:
-            self._cold_until = None
-            return int(self._limit)
-        missing = (1 - COLD_LOWEST_PART) * min(1.0, left_s / COLD_SPAN_S)
-        return max(1, int(self._limit * (1 - missing)))
+        limit = self._limit
+        if self._is_slower_full:
+            limit = min(limit, self._nearly_full)
+        if self._cold_until is not None:
+            limit *= self._read_warm_part(self._cold_until)
+        return max(1, int(limit))
 
     def note_completion(self, duration_s: float, failed: bool, in_flight: int) -> None:
-        """Let the limit grow back by answered calls."""
-        if not failed and self._limit < self._slots:
+        """Let the limit grow back, and compare the full target with the busy one."""
+        if failed:
+            return
+        if self._limit < self._slots:
             self._limit = min(self._limit + 1 / self._limit, self._slots)
+        now = self._clock.read_monotonic()
+        if in_flight > self._nearly_full:
+            self._full.note(duration_s, now)
+        elif in_flight > self._slots * BUSY_PART:
+            self._busy.note(duration_s, now)
+        # Rates are calls by mean time; both sides are multiplied with both means.
+        kept_below = self._nearly_full * self._full.read(now)
+        filled = self._slots * self._busy.read(now)
+        self._is_slower_full = kept_below > USEFUL_GAIN * filled > 0
 
     def note_refusal(self) -> None:
         """Take one call off the limit."""
         self._limit = max(self._lowest, self._limit - 1)
 
+    def _read_warm_part(self, cold_until: float) -> float:
+        left_s = cold_until - self._clock.read_monotonic()
+        if left_s <= 0:
+            self._cold_until = None
+            return 1.0
+        return 1.0 - (1.0 - COLD_LOWEST_PART) * min(1.0, left_s / COLD_SPAN_S)
+
 
 class Round:
     """Collect calls that were both dispatched and ended under one limit."""
--- a/tests/coordination/owner/test_limit.py
+++ b/tests/coordination/owner/test_limit.py
@@ -124,6 +124,40 @@
             limit.note_completion(SERVICE_S, False, SLOTS)
         self.assertEqual(limit.read_limit(), SLOTS)
 
+    def test_target_that_is_slower_when_full_is_kept_below(self) -> None:
+        clock = FakeClock()
+        limit = SlotLimit(13, 0.0, clock)
+
+        def run(calls: int, slower: float = 1.0) -> None:
+            for _ in range(300):
+                in_flight = min(calls, limit.read_limit())
+                duration_s = SERVICE_S * (slower if in_flight == 13 else 1.0)
+                clock.advance(duration_s / in_flight)
+                limit.note_completion(duration_s, False, in_flight)
+
+        run(9)
+        run(13, slower=1.1)
+        self.assertEqual(limit.read_limit(), 13)
+        run(13, slower=1.4)
+        self.assertEqual(limit.read_limit(), 12)
+        for _ in range(5):
+            run(13)
+        self.assertEqual(limit.read_limit(), 13)
+
+    def test_slower_nested_service_does_not_lower_the_limit_for_long(self) -> None:
+        clock = FakeClock()
+        limit = SlotLimit(SLOTS, 0.0, clock)
+        lowest = SLOTS
+        for number in range(2000):
+            slow = number > 500
+            in_flight = min(limit.read_limit(), SLOTS if slow else SLOTS - 2)
+            duration_s = SERVICE_S * (10 if slow else 1)
+            clock.advance(duration_s / in_flight)
+            limit.note_completion(duration_s, False, in_flight)
+            lowest = min(lowest, limit.read_limit())
+        self.assertEqual(lowest, SLOTS - 1)
+        self.assertEqual(limit.read_limit(), SLOTS)
+
     def test_cold_target_gets_more_calls_from_second_to_second(self) -> None:
         clock = FakeClock()
         limit = SlotLimit(SLOTS, clock.read_monotonic() + 2 * COLD_SPAN_S, clock)
