--- a/corianderhold/coordination/entry/application.py
+++ b/corianderhold/coordination/entry/application.py
@@ -1,7 +1,9 @@
 """Take root requests in from callers, who show a key."""
 
+import os
 from collections.abc import Iterable
 from dataclasses import dataclass
+from random import Random
 
 from result import Err, Ok, Result
 
@@ -16,6 +18,7 @@
     find_deadline,
 )
 from corianderhold.coordination.entry.request import WebRequest
+from corianderhold.coordination.entry.split import SplitChooser
 from corianderhold.coordination.rate.limiter import RateLimiter
 from corianderhold.coordination.retry import RetryBudget
 from corianderhold.ids import OrganisationId, RootId
@@ -62,6 +65,7 @@
         self._limiter = limiter
         self._clock = clock
         self._index = build_route_index(holder.current)
+        self._splits = SplitChooser(Random(os.urandom(16)))
         holder.add_listener(self._follow)
 
     def __call__(
@@ -80,6 +84,7 @@
 
     def _follow(self, configuration: Configuration) -> None:
         self._index = build_route_index(configuration)
+        self._splits.follow(configuration)
 
     def _handle(self, arrival: Arrival) -> Result[Answer, Refusal]:
         admitted = self._admit(arrival.request)
@@ -94,7 +99,8 @@
             deadline_at=find_deadline(arrival, route),
             depth=0,
         )
-        context = build_context(arrival, admission.match, origin)
+        service = self._splits.choose(route)
+        context = build_context(arrival, admission.match, service, origin)
         retries = RetryBudget(route.retry_budget)
         return self._intake.route(arrival.environ, context, retries)
 
@@ -104,7 +110,7 @@
         if not configuration.version:
             reason = Reason.CONFIGURATION_MISSING
             return Err(refuse_not_run(reason, OVERLOAD_RETRY_AFTER_MS))
-        found = self._index.find(request.method, request.path)
+        found = self._index.find(request.host, request.method, request.path)
         if isinstance(found, Err):
             return Err(refuse_not_run(found.err_value))
         match = found.ok_value
--- a/corianderhold/coordination/entry/intake.py
+++ b/corianderhold/coordination/entry/intake.py
@@ -27,7 +27,7 @@
 from corianderhold.coordination.entry.watch import CallerWatch
 from corianderhold.coordination.once.keeper import CallRouter
 from corianderhold.coordination.retry import RetryBudget
-from corianderhold.ids import CallId, OrganisationId, RootId
+from corianderhold.ids import CallId, OrganisationId, RootId, ServiceName
 from corianderhold.log import log_event
 from corianderhold.metrics import Metrics
 from corianderhold.protocol.verdict import Reason, Refusal, refuse_not_run
@@ -177,8 +177,10 @@
     return replace(answer, close=close)
 
 
-def build_context(arrival: Arrival, match: RouteMatch, origin: Origin) -> CallContext:
-    """Build the context of a request on its route."""
+def build_context(
+    arrival: Arrival, match: RouteMatch, service: ServiceName, origin: Origin
+) -> CallContext:
+    """Build the context of a request that a service of its route is to answer."""
     request, route = arrival.request, match.route
     return CallContext(
         call_id=arrival.call_id,
@@ -187,7 +189,7 @@
         importance=origin.importance,
         deadline_at=origin.deadline_at,
         depth=origin.depth,
-        service=route.service,
+        service=service,
         route=route.name,
         idempotent=route.idempotent,
         method=request.method,
--- a/tests/coordination/entry/test_application.py
+++ b/tests/coordination/entry/test_application.py
@@ -7,12 +7,10 @@
 
 from result import Ok, Result
 
-from corianderhold.coordination.call import Answer, CallContext, RequestBody
 from corianderhold.coordination.entry.application import CallerApplication
 from corianderhold.coordination.entry.intake import Intake
 from corianderhold.coordination.entry.request import RequestReader
 from corianderhold.coordination.entry.watch import CallerWatch
-from corianderhold.coordination.retry import RetryBudget
 from corianderhold.ids import OrganisationId, RouteName, ServiceName, Version
 from corianderhold.metrics import Metrics
 from corianderhold.protocol.headers import HeaderNames
@@ -54,19 +52,6 @@
 )
 
 
-class RecordingRouter(RefusingRouter):
-    """Note the calls that are routed."""
-
-    def __init__(self) -> None:
-        self.contexts: list[CallContext] = []
-
-    def route(
-        self, context: CallContext, body: RequestBody, retries: RetryBudget
-    ) -> Result[Answer, Refusal]:
-        self.contexts.append(context)
-        return super().route(context, body, retries)
-
-
 class CountingLimiter:
     """Admit everything and note who was charged."""
 
@@ -82,7 +67,7 @@
     """Send requests to an entry beside a target of the playback service."""
 
     def setUp(self) -> None:
-        self.router = RecordingRouter()
+        self.router = RefusingRouter()
         self.limiter = CountingLimiter()
         self.holder = ConfigurationHolder()
         self.clock = FakeClock()
@@ -123,7 +108,7 @@
         self.holder.replace(configuration)
 
     def read_headers(self) -> dict[str, str]:
-        headers = self.router.contexts[-1].headers
+        headers = self.router.routed[-1].headers
         return {header.name: header.value for header in headers}
 
     def test_deadline_is_the_shorter_of_the_routes_and_the_callers(self) -> None:
@@ -138,7 +123,7 @@
             ("9" * 400, 2.0),
         ):
             self.send("/search", KEY, time_left=text)
-            left_s = self.router.contexts[-1].deadline_at - self.clock.read_monotonic()
+            left_s = self.router.routed[-1].deadline_at - self.clock.read_monotonic()
             self.assertAlmostEqual(left_s, expected_s, 6, text)
 
     def test_own_headers_are_set_whatever_the_caller_sent(self) -> None:
@@ -165,14 +150,14 @@
             "X-Corianderhold-Caller-Service": "playback",
         }
         self.assertEqual(self.read_headers(), expected)
-        self.assertEqual(self.router.contexts[-1].request_id, "r-1")
+        self.assertEqual(self.router.routed[-1].request_id, "r-1")
         self.assertEqual(self.response[1]["Request-Id"], "r-1")
 
     def test_anonymous_route_needs_no_key_and_charges_nobody(self) -> None:
         self.configure()
         for key in (None, "unknown-key", EXPIRED_KEY, KEY):
             self.assertEqual(self.send("/lookup", key), "no_target", key)
-            self.assertEqual(self.router.contexts[-1].organisation, "")
+            self.assertEqual(self.router.routed[-1].organisation, "")
             self.assertNotIn("Authorization", self.read_headers())
         self.assertEqual(self.limiter.charged, [])
 
@@ -185,7 +170,7 @@
             replace(CONFIGURATION, version=Version(2), organisations=organisations)
         )
         self.send("/search", KEY)
-        importances = [context.importance for context in self.router.contexts]
+        importances = [context.importance for context in self.router.routed]
         self.assertEqual(importances, [Importance.BULK, Importance.CRITICAL])
         self.assertEqual(self.limiter.charged, [SCHOOLS, SCHOOLS])
 
@@ -202,4 +187,4 @@
         ):
             self.assertEqual(self.send(path, key), reason)
             self.assertTrue(self.response[0].startswith(status), self.response)
-        self.assertEqual(self.router.contexts, [])
+        self.assertEqual(self.router.routed, [])
