Read callers' requests strictly and let no slow caller hold a thread

The library's reader took requests that two servers may read differently: folded header lines, a space before the colon, "+5" as a length, Content-Length beside Transfer-Encoding, chunk sizes such as 0x1. It never read the trailer of a chunked body, so that its bytes began the next request, kept a connection whose chunked body nobody had read, wrote bodies to HEAD and beside 204, and counted no response against its Content-Length. A caller that sent a head byte by byte held a thread.

A connection now gathers the head without a thread, in the set that the threads wait on, and one strict reader takes it. What breaks HTTP gets 400, a long head 431, a long body 413, a late head 408 with Retry-After, and the connection ends; its caller still has the time to read the response. A body that nobody read is skipped if it is small, or ends its connection. 100 Continue goes out when the body is wanted. A response that breaks off never looks complete, not even to HTTP/1.0. Limits come from CallerLimits and can change while serving. begin_drain has each response end its connection, close_idle closes those without a part of a request.

cheroot still listens, accepts, runs the threads and the gateway. Ruled out: its header reader with checks around it, which keeps its lines in Python's own buffered reader, the largest cost of a request.

Head and small body leave in one send, and no wait comes before a receive or send that succeeds at once.

--- /dev/null
+++ b/corianderhold/transport/web/exchange.py
@@ -0,0 +1,220 @@
+"""Serve one request of a connection through WSGI and write its response."""
+
+import re
+import time
+from collections.abc import Callable, Iterable
+from email.utils import formatdate
+from typing import Any
+from urllib.parse import unquote_to_bytes
+
+from cheroot.server import HTTPRequest
+from cheroot.wsgi import Gateway_10
+
+from corianderhold.transport.web.body import BodyStream, ChunkedBody, SizedBody
+from corianderhold.transport.web.const import SKIP_BYTES_MAX
+from corianderhold.transport.web.head import HTTP_1_0, RequestHead
+
+ENVIRON_SOCKET = "corianderhold.socket"
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+CONTENT_LENGTH = "content-length"
+LAST_CHUNK = b"0\r\n\r\n"
+BODILESS_STATUS = frozenset({"204", "304"})
+NO_LENGTH_STATUS = frozenset({"204"})
+FOLD = re.compile(r"[\r\n]+[ \t]*")
+
+Environ = dict[str, Any]
+StartResponse = Callable[[str, list[tuple[str, str]]], object]
+WSGIApplication = Callable[[Environ, StartResponse], Iterable[bytes]]
+
+
+class Exchange(HTTPRequest):
+    """
+    One request and its response.
+
+    The response's head waits for the first part of its body and goes out with it.
+    """
+
+    def __init__(self, server: Any, connection: Any, head: RequestHead) -> None:
+        super().__init__(server, connection)
+        self.head = head
+        self.close_connection = head.closes
+        self.body = self._open_body()
+        self._continued = not head.expects_continue
+        self._head_out = b""
+        self._bodiless = False
+        self._left: int | None = None
+
+    def respond(self) -> None:
+        """Call the application and write what it gives, whole."""
+        self.server.gateway(self).respond()
+
+    def begin(
+        self, status: str, headers: list[tuple[str, str]], length: int | None
+    ) -> None:
+        """
+        Prepare the head of the response.
+
+        `length` is that of the whole body, where it is known though no header has it.
+        """
+        code = status[:3]
+        self._bodiless = self.head.method == "HEAD" or code in BODILESS_STATUS
+        names = {name.lower() for name, _ in headers}
+        if code in NO_LENGTH_STATUS:
+            headers = [pair for pair in headers if pair[0].lower() != CONTENT_LENGTH]
+        elif not self._bodiless:
+            headers = [*headers, *self._frame(headers, names, length)]
+        self.close_connection = self.close_connection or self._must_close()
+        lines = [f"HTTP/1.1 {status}"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        if "date" not in names:
+            lines.append(f"Date: {self.server.format_date()}")
+        if self.close_connection:
+            lines.append("Connection: close")
+        elif self.head.version == HTTP_1_0:
+            idle_s = int(self.server.limits.idle_timeout_s)
+            lines += ["Connection: Keep-Alive", f"Keep-Alive: timeout={idle_s}"]
+        text = "\r\n".join(lines)
+        if text.count("\n") >= len(lines):
+            text = "\r\n".join(FOLD.sub(" ", line) for line in lines)
+        self._head_out = (text + "\r\n\r\n").encode("latin-1")
+
+    def write(self, chunk: bytes) -> None:
+        """Write a part of the response's body; raise `ValueError` for one too much."""
+        if self._bodiless or not chunk:
+            return
+        if self._left is not None:
+            if len(chunk) > self._left:
+                raise ValueError("the body is longer than its Content-Length")
+            self._left -= len(chunk)
+        if self.chunked_write:
+            chunk = b"%x\r\n%b\r\n" % (len(chunk), chunk)
+        self._send(chunk)
+
+    def finish(self) -> None:
+        """End the response; raise `ValueError` if it is not whole."""
+        if self._left:
+            raise ValueError("the body is shorter than its Content-Length")
+        end = LAST_CHUNK if self.chunked_write and not self._bodiless else b""
+        if end or self._head_out:
+            self._send(end)
+
+    def _send(self, data: bytes) -> None:
+        head, self._head_out = self._head_out, b""
+        self.sent_headers = True
+        self.conn.send(head + data if head else data)
+
+    def _frame(
+        self, headers: list[tuple[str, str]], names: set[str], length: int | None
+    ) -> list[tuple[str, str]]:
+        """Return the header that tells where the body ends."""
+        if CONTENT_LENGTH in names:
+            self._left = next(
+                int(value) for name, value in headers if name.lower() == CONTENT_LENGTH
+            )
+            return []
+        if length is not None:
+            self._left = length
+            return [("Content-Length", str(length))]
+        if self.head.version == HTTP_1_0:
+            self.close_connection = True
+            return []
+        self.chunked_write = True
+        return [("Transfer-Encoding", "chunked")]
+
+    def _must_close(self) -> bool:
+        """Return whether the connection can't or should not serve another request."""
+        left = self.body.left
+        if left is None or left > SKIP_BYTES_MAX or (left and not self._continued):
+            return True
+        return bool(self.server.is_draining or not self.server.ready)
+
+    def _open_body(self) -> BodyStream:
+        source = self.conn.input
+        if self.head.chunked:
+            limit = self.server.limits.body_bytes_max
+            return ChunkedBody(source, limit, self._announce)
+        return SizedBody(source, self.head.content_length, self._announce)
+
+    def _announce(self) -> None:
+        """Ask for the body of a caller that waits to be asked."""
+        if not self._continued:
+            self._continued = True
+            self.conn.send(CONTINUE)
+
+
+class SocketGateway(Gateway_10):
+    """
+    Call the WSGI application.
+
+    The environment has the caller's socket, to notice when the caller leaves.
+    """
+
+    req: Exchange
+
+    def get_environ(self) -> Environ:  # type: ignore[override]
+        """Return the WSGI environment of the request."""
+        exchange = self.req
+        head, connection = exchange.head, exchange.conn
+        path, _, query = head.target.partition("?")
+        if "%" in path:
+            path = unquote_to_bytes(path).decode("latin-1")
+        environ: Environ = {
+            **exchange.server.environ,
+            **head.variables,
+            "REQUEST_METHOD": head.method,
+            "REQUEST_URI": head.target,
+            "PATH_INFO": path,
+            "QUERY_STRING": query,
+            "SERVER_PROTOCOL": head.version,
+            "REMOTE_ADDR": connection.remote_addr or "",
+            "REMOTE_PORT": str(connection.remote_port or ""),
+            "wsgi.input": exchange.body,
+            "wsgi.input_terminated": head.chunked,
+            ENVIRON_SOCKET: connection.socket,
+        }
+        for name in ("CONTENT_LENGTH", "CONTENT_TYPE"):
+            value = environ.pop(f"HTTP_{name}", None)
+            if value is not None:
+                environ[name] = value
+        return environ
+
+    def respond(self) -> None:
+        """Write the application's response; its `close` is called in every case."""
+        response = self.req.server.wsgi_app(self.env, self.start_response)
+        try:
+            self._begin(response)
+            for chunk in response:
+                self.req.write(chunk)
+        finally:
+            close = getattr(response, "close", None)
+            if close is not None:
+                close()
+        self.req.finish()
+
+    def start_response(
+        self, status: str, headers: list[tuple[str, str]], exc_info: Any = None
+    ) -> Callable[[bytes], None]:
+        """Take the status and headers of the response."""
+        self._status, self._headers = status, headers
+        return self.req.write
+
+    def _begin(self, response: Iterable[bytes]) -> None:
+        length = None
+        if isinstance(response, list):
+            length = sum(map(len, response))
+        self.req.begin(self._status, self._headers, length)
+
+
+class DateText:
+    """Format the present time for the Date header, once a second."""
+
+    def __init__(self) -> None:
+        self._formatted: tuple[int, str] = (0, "")
+
+    def format(self) -> str:
+        """Return the present time as RFC 9110 writes it."""
+        now = int(time.time())
+        formatted = self._formatted
+        if formatted[0] != now:
+            formatted = self._formatted = (now, formatdate(now, usegmt=True))
+        return formatted[1]
--- a/corianderhold/transport/web/pool.py
+++ b/corianderhold/transport/web/pool.py
@@ -5,55 +5,50 @@
 import threading
 import time
 from collections import deque
-from dataclasses import dataclass
+from collections.abc import Callable
 from typing import Any
 
 from cheroot.workers.threadpool import ThreadPool
 
-from corianderhold.transport.web.const import (
-    IDLE_CONNECTIONS_MAX,
-    IDLE_TIMEOUT_S,
-    SWEEP_INTERVAL_S,
-)
+from corianderhold.state.configuration.model import CallerLimits
+from corianderhold.transport.web.connection import CallerConnection
+from corianderhold.transport.web.const import IDLE_CONNECTIONS_MAX, SWEEP_INTERVAL_S
 
 ONE_REQUEST = select.EPOLLIN | select.EPOLLRDHUP | select.EPOLLONESHOT
 
 
-@dataclass(frozen=True)
-class WaitingConnection:
-    """A connection without a request, and since when (monotonic seconds)."""
-
-    connection: Any
-    since: float
-
-
 class ConnectionQueue:
     """
     Give each connection that has something to read to one waiting thread.
 
     The system wakes one thread for each connection, so that a request passes from no
-    thread to another. Whoever takes a connection out of `_waiting` owns it.
+    thread to another. Whoever takes a connection out of `_waiting` owns it. A thread
+    of its own closes the connections that wait for too long.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, find_limits: Callable[[], CallerLimits]) -> None:
+        self._find_limits = find_limits
         self._epoll = select.epoll()
-        self._waiting: dict[int, WaitingConnection] = {}
+        self._waiting: dict[int, CallerConnection] = {}
         self._items: deque[object] = deque()
         self._item_count = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_SEMAPHORE)
         self._epoll.register(self._item_count, select.EPOLLIN)
-        self._sweeping = threading.Lock()
-        self._swept_at = time.monotonic()
+        self._stopped = threading.Event()
+        self._sweeper = threading.Thread(
+            target=self._sweep_often, name="web-sweeper", daemon=True
+        )
 
-    def watch(self, connection: Any) -> None:
-        """Wait for the next request on a connection, or close one too many."""
-        if connection.rfile.has_data():
-            self.put(connection)
-            return
+    def start(self) -> None:
+        """Begin to close connections that wait for too long."""
+        self._sweeper.start()
+
+    def watch(self, connection: CallerConnection) -> None:
+        """Wait for the next bytes of a connection, or close one too many."""
         if len(self._waiting) >= IDLE_CONNECTIONS_MAX:
             connection.close()
             return
         number = connection.socket.fileno()
-        self._waiting[number] = WaitingConnection(connection, time.monotonic())
+        self._waiting[number] = connection
         try:
             self._arm(number)
         except (OSError, ValueError):  # closed meanwhile
@@ -66,29 +61,33 @@
         os.eventfd_write(self._item_count, 1)
 
     def get(self) -> object:
-        """Return the next connection with a request, or the next item."""
+        """Return the next connection that has something to read, or the next item."""
         while True:
-            events = self._epoll.poll(SWEEP_INTERVAL_S, 1)
-            if time.monotonic() - self._swept_at > SWEEP_INTERVAL_S:
-                self._sweep()
-            for number, _ in events:
+            for number, _ in self._epoll.poll(None, 1):
                 if number == self._item_count:
                     if self._take_item():
                         return self._items.popleft()
                     continue
-                waiting = self._waiting.pop(number, None)
-                if waiting is not None:
-                    return waiting.connection
+                connection = self._waiting.pop(number, None)
+                if connection is not None:
+                    return connection
 
     def qsize(self) -> int:
         """Return the number of items that no thread has taken."""
         return len(self._items)
 
+    def close_idle(self) -> None:
+        """Close the connections on which no part of a request has come."""
+        for number, connection in list(self._waiting.items()):
+            if connection.is_idle and self._waiting.pop(number, None) is not None:
+                connection.close()
+
     def close(self) -> None:
         """Close the connections that wait."""
+        self._stopped.set()
         while self._waiting:
-            _, waiting = self._waiting.popitem()
-            waiting.connection.close()
+            _, connection = self._waiting.popitem()
+            connection.close()
 
     def _arm(self, number: int) -> None:
         try:
@@ -104,30 +103,36 @@
             return False
         return True
 
-    def _sweep(self) -> None:
-        """Close the connections that were idle for too long."""
-        if not self._sweeping.acquire(blocking=False):
-            return
-        try:
-            self._swept_at = now = time.monotonic()
-            for number, waiting in list(self._waiting.items()):
-                if now - waiting.since < IDLE_TIMEOUT_S:
-                    continue
-                if self._waiting.pop(number, None) is not None:
-                    waiting.connection.close()
-        finally:
-            self._sweeping.release()
+    def _sweep_often(self) -> None:
+        while not self._stopped.wait(SWEEP_INTERVAL_S):
+            self._sweep(time.monotonic())
+
+    def _sweep(self, now: float) -> None:
+        """Close the connections that wait for too long at monotonic time `now`."""
+        limits = self._find_limits()
+        for number, connection in list(self._waiting.items()):
+            if now < connection.find_timeout(limits):
+                continue
+            if self._waiting.pop(number, None) is not None:
+                connection.give_up_waiting()
 
 
 class PollingPool(ThreadPool):
     """Run a fixed number of threads on a `ConnectionQueue`."""
 
-    def __init__(self, server: Any, threads: int) -> None:
+    def __init__(
+        self, server: Any, threads: int, find_limits: Callable[[], CallerLimits]
+    ) -> None:
         super().__init__(server, min=threads, max=threads)
-        self.connections = ConnectionQueue()
+        self.connections = ConnectionQueue(find_limits)
         self._queue = self.connections
         self.get = self.connections.get
 
+    def start(self) -> None:
+        """Start the threads."""
+        self.connections.start()
+        super().start()
+
     def stop(self, timeout: int = 5) -> None:
         """End the threads within `timeout` seconds and close idle connections."""
         super().stop(timeout)
--- a/corianderhold/transport/web/server.py
+++ b/corianderhold/transport/web/server.py
@@ -1,43 +1,41 @@
 """Serve WSGI applications with CherryPy's HTTP server."""
 
 import socket
+import sys
 import threading
-from collections.abc import Callable, Iterable
 from typing import Any
 
-from cheroot.wsgi import Gateway_10
 from cheroot.wsgi import Server as WSGIServer
 
 from corianderhold.log import log_event
+from corianderhold.state.configuration.model import CallerLimits
 from corianderhold.state.membership.model import Address
+from corianderhold.transport.web.connection import CallerConnection
 from corianderhold.transport.web.const import (
-    HEADER_BYTES_MAX,
-    IDLE_CONNECTIONS_MAX,
     KEEPALIVE_IDLE_S,
     KEEPALIVE_INTERVAL_S,
     KEEPALIVE_PROBES,
     LISTEN_BACKLOG,
-    PROGRESS_TIMEOUT_S,
     SHUTDOWN_TIMEOUT_S,
     UNACKNOWLEDGED_TIMEOUT_MS,
 )
+from corianderhold.transport.web.exchange import (
+    ENVIRON_SOCKET,
+    DateText,
+    Environ,
+    SocketGateway,
+    StartResponse,
+    WSGIApplication,
+)
 from corianderhold.transport.web.pool import PollingPool
 
-ENVIRON_SOCKET = "corianderhold.socket"
-
-Environ = dict[str, Any]
-StartResponse = Callable[[str, list[tuple[str, str]]], object]
-WSGIApplication = Callable[[Environ, StartResponse], Iterable[bytes]]
-
-
-class SocketGateway(Gateway_10):
-    """Add the caller's socket to the environment, to notice when the caller leaves."""
-
-    def get_environ(self) -> Environ:  # type: ignore[override]
-        """Return the WSGI environment of the request."""
-        environ: Environ = super().get_environ()  # type: ignore[no-untyped-call]
-        environ[ENVIRON_SOCKET] = self.req.conn.socket
-        return environ
+__all__ = [
+    "ENVIRON_SOCKET",
+    "Environ",
+    "StartResponse",
+    "WSGIApplication",
+    "WebServer",
+]
 
 
 class PollingServer(WSGIServer):
@@ -45,11 +43,18 @@
     Let the threads wait on all connections themselves.
 
     The library's own server passes each request from a thread that selects to one
-    that serves, and lets a new connection hold a thread before it has sent anything.
+    that serves, lets a new connection hold a thread before it has sent anything, and
+    takes what RFC 9112 has refused.
     """
 
+    ConnectionClass = CallerConnection
+
     def __init__(
-        self, address: Address, application: WSGIApplication, threads: int
+        self,
+        address: Address,
+        application: WSGIApplication,
+        threads: int,
+        limits: CallerLimits,
     ) -> None:
         super().__init__(
             (address.host, address.port),
@@ -57,10 +62,27 @@
             numthreads=threads,
             max=threads,
             request_queue_size=LISTEN_BACKLOG,
-            timeout=PROGRESS_TIMEOUT_S,
+            timeout=0,  # no accepted socket blocks
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
-        self.requests = PollingPool(self, threads)
+        self.limits = limits
+        self.is_draining = False
+        self.gateway = SocketGateway
+        self.requests = PollingPool(self, threads, lambda: self.limits)
+        self.format_date = DateText().format
+        self.environ: Environ = {
+            "ACTUAL_SERVER_PROTOCOL": "HTTP/1.1",
+            "SCRIPT_NAME": "",
+            "SERVER_NAME": address.host,
+            "SERVER_PORT": str(address.port),
+            "SERVER_SOFTWARE": self.version,
+            "wsgi.errors": sys.stderr,
+            "wsgi.multiprocess": False,
+            "wsgi.multithread": True,
+            "wsgi.run_once": False,
+            "wsgi.url_scheme": "http",
+            "wsgi.version": (1, 0),
+        }
 
     def process_conn(self, conn: Any) -> None:
         """Wait for the first request of a new connection."""
@@ -78,14 +100,16 @@
     """Run one listener with a fixed number of threads."""
 
     def __init__(
-        self, name: str, address: Address, application: WSGIApplication, threads: int
+        self,
+        name: str,
+        address: Address,
+        application: WSGIApplication,
+        threads: int,
+        limits: CallerLimits = CallerLimits(),  # noqa: B008
     ) -> None:
         self._name = name
         self._address = address
-        self._server = PollingServer(address, application, threads)
-        self._server.gateway = SocketGateway
-        self._server.keep_alive_conn_limit = IDLE_CONNECTIONS_MAX
-        self._server.max_request_header_size = HEADER_BYTES_MAX
+        self._server = PollingServer(address, application, threads, limits)
         self._server.error_log = log_server_error  # type: ignore[method-assign]
         self._thread = threading.Thread(
             target=self._server.serve, name=f"web-{name}", daemon=True
@@ -98,6 +122,18 @@
         self._thread.start()
         log_event("listening", listener=self._name, address=str(self._address))
 
+    def set_limits(self, limits: CallerLimits) -> None:
+        """Hold callers to other limits from now on."""
+        self._server.limits = limits
+
+    def begin_drain(self) -> None:
+        """Have each response from now on end its connection."""
+        self._server.is_draining = True
+
+    def close_idle(self) -> None:
+        """Close the connections on which no part of a request has come."""
+        self._server.requests.connections.close_idle()
+
     def stop(self) -> None:
         """Stop listening; wait a bounded time for the requests that are served."""
         self._server.stop()
--- /dev/null
+++ b/tests/transport/web/test_connection.py
@@ -0,0 +1,240 @@
+"""Test requests and responses on callers' connections, byte by byte."""
+
+import socket
+from collections.abc import Iterable, Iterator
+from contextlib import ExitStack
+from unittest import TestCase
+from unittest.mock import patch
+
+from corianderhold.state.configuration.model import CallerLimits
+from corianderhold.state.membership.model import Address
+from corianderhold.transport.web import connection as connection_module
+from corianderhold.transport.web.server import Environ, StartResponse, WebServer
+from tests.common.ports import HOST, find_free_port
+from tests.common.waiting import wait_until
+
+TIMEOUT_S = 8.0
+LIMITS = CallerLimits(header_bytes_max=2000, body_bytes_max=100_000)
+SMUGGLED = b"GET /smuggled HTTP/1.1\r\nHost: x\r\n\r\n"
+LARGE = b"x" * 10_000_000
+
+
+class BrokenOffError(Exception):
+    """The application's answer broke off."""
+
+
+class Application:
+    """Answer as the path says, and note the requests."""
+
+    def __init__(self) -> None:
+        self.requests: list[tuple[str, bytes]] = []
+        self.closed = 0
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        path = environ["PATH_INFO"]
+        body = b"" if path == "/unread" else environ["wsgi.input"].read()
+        self.requests.append((path, body))
+        status = path[1:] if path in ("/204", "/304") else "200"
+        headers = [("Content-Length", "9")] if path == "/sized" else []
+        start_response(f"{status} Text", headers)
+        if path in ("/stream", "/broken", "/sized", "/large"):
+            self._path = path
+            return self
+        return [path.encode() + b":" + body]
+
+    def __iter__(self) -> Iterator[bytes]:
+        if self._path == "/large":
+            yield LARGE
+        yield b"part1"
+        if self._path == "/broken":
+            raise BrokenOffError
+
+    def close(self) -> None:
+        self.closed += 1
+
+
+class ConnectionTests(TestCase):
+    """Speak to a server with a single thread."""
+
+    def setUp(self) -> None:
+        self.application = Application()
+        self._address = Address(HOST, find_free_port())
+        self.server = WebServer("test", self._address, self.application, 1, LIMITS)
+        self.server.start()
+        self._stack = ExitStack()
+        self.addCleanup(self.server.stop)
+        self.addCleanup(self._stack.close)
+
+    def connect(self) -> socket.socket:
+        address = (self._address.host, self._address.port)
+        connection = socket.create_connection(address, TIMEOUT_S)
+        return self._stack.enter_context(connection)
+
+    def exchange(self, data: bytes) -> bytes:
+        """Return all bytes up to the end of a connection on which `data` was sent."""
+        connection = self.connect()
+        connection.sendall(data)
+        return read_to_end(connection)
+
+    def ask(self, target: str, lines: str = "", method: str = "GET") -> bytes:
+        """Return the response to the last request of a connection."""
+        head = f"{method} {target} HTTP/1.1\r\nHost: x\r\n{lines}Connection: close\r\n"
+        return self.exchange(head.encode() + b"\r\n")
+
+    def test_requests_sent_together_are_answered_in_order(self) -> None:
+        response = self.exchange(
+            b"POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc"
+            b"POST /2 HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: Chunked\r\n\r\n"
+            b"2;ext=1\r\nde\r\n01\r\nf\r\n0\r\nTrailer: 1\r\n\r\n"
+            b"\r\nGET /3 HTTP/1.1\r\nHost: x\r\nConnection: x, Close\r\n\r\n" + SMUGGLED
+        )
+        expected = [("/1", b"abc"), ("/2", b"def"), ("/3", b"")]
+        self.assertEqual(self.application.requests, expected)
+        positions = [response.index(each) for each in (b"/1:abc", b"/2:def", b"/3:")]
+        self.assertEqual(positions, sorted(positions))
+        self.assertEqual(response.count(b"HTTP/1.1 200"), 3)
+
+    def test_what_breaks_http_is_refused_and_nothing_behind_it_is_served(self) -> None:
+        line = b"POST / HTTP/1.1\r\nHost: x\r\n"
+        chunked = line + b"Transfer-Encoding: chunked\r\n"
+        for head in (
+            line + b"Content-Length: 5\r\nTransfer-Encoding: chunked",
+            line + b"Content-Length: 5\r\nContent-Length: 5",
+            line + b"Content-Length: +5",
+            line + b"Content-Length: 5, 5",
+            line + b"Transfer-Encoding: gzip, chunked",
+            line + b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+            line + b"Transfer-Encoding : chunked",
+            line + b"X: 1\r\n Content-Length: 5",
+            line + b"X: \x0b",
+            line + b"X: 1\nY: 2",
+            line + b"No colon",
+            line + b"Host: y",
+            b"POST / HTTP/1.1\r\nX: no host",
+            b"POST / HTTP/1.0\r\nTransfer-Encoding: chunked",
+            b"POST http://x/ HTTP/1.1\r\nHost: x",
+            b"POST  / HTTP/1.1\r\nHost: x",
+            b"get / HTTP/1.1\r\nHost: x",
+            b"POST / HTTP/1.1 \r\nHost: x",
+            b"POST / HTTP/1.1\nHost: x\n",
+        ):
+            response = self.exchange(head + b"\r\n\r\n" + SMUGGLED)
+            self.assertTrue(response.startswith(b"HTTP/1.1 400"), (head, response))
+            self.assertIn(b"Connection: close", response)
+        self.assertEqual(self.application.requests, [])
+        for body in (b"+1\r\na", b"0x1\r\na", b"-1\r\n", b"\r\n", b"1\r\nab", b"1\na"):
+            response = self.exchange(
+                chunked + b"\r\n" + body + b"\r\n0\r\n\r\n" + SMUGGLED
+            )
+            self.assertEqual(response.count(b"HTTP/1.1"), 1, body)
+            self.assertIn(b"Connection: close", response)
+        self.assertEqual(self.application.requests, [])
+
+    def test_limits_hold_and_change_while_serving(self) -> None:
+        field = "X: " + "a" * 3000 + "\r\n"
+        length = "Content-Length: 200000\r\n"
+        self.assertIn(b"HTTP/1.1 431 ", self.ask("/", field))
+        self.assertIn(b"HTTP/1.1 413 ", self.ask("/unread", length, "POST"))
+        chunked = (
+            b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"2\r\nab\r\n186A0\r\n"
+        )
+        self.assertIn(b"HTTP/1.1 413 ", self.exchange(chunked))
+        self.server.set_limits(CallerLimits())
+        self.assertIn(b"HTTP/1.1 200 ", self.ask("/", field))
+        self.assertIn(b"HTTP/1.1 200 ", self.ask("/unread", length, "POST"))
+
+    def test_slow_callers_hold_no_thread_and_are_closed(self) -> None:
+        limits = CallerLimits(header_timeout_s=1.5, idle_timeout_s=0.5)
+        slow, idle = self.connect(), self.connect()
+        slow.sendall(b"GET /slow HTTP/1.1\r\n")
+        self.assertIn(b"/quick", self.ask("/quick"))
+        slow.sendall(b"Host: x\r\n")
+        self.server.set_limits(limits)
+        self.assertEqual(read_to_end(idle), b"")
+        response = read_to_end(slow)
+        self.assertTrue(response.startswith(b"HTTP/1.1 408"), response)
+        for field in (b"Retry-After: ", b"Connection: close", b"Verdict: not_run"):
+            self.assertIn(field, response)
+
+    def test_responses_without_a_body(self) -> None:
+        for status in ("204", "304"):
+            response = self.ask(f"/{status}")
+            self.assertTrue(response.endswith(b"\r\n\r\n"), response)
+            self.assertNotIn(b"Transfer-Encoding", response)
+        response = self.exchange(
+            b"HEAD /head HTTP/1.1\r\nHost: x\r\n\r\n"
+            b"HEAD /sized HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+        )
+        self.assertEqual(response.count(b"HTTP/1.1 200"), 2)
+        self.assertIn(b"Content-Length: 9", response)
+        self.assertNotIn(b"part1", response)
+        self.assertNotIn(b":", response.rpartition(b"\r\n\r\n")[2])
+
+    def test_response_that_breaks_off_never_looks_complete(self) -> None:
+        self.assertTrue(self.ask("/stream").endswith(b"part1\r\n0\r\n\r\n"))
+        for path in ("/broken", "/sized"):
+            response = self.ask(path)
+            self.assertTrue(response.rstrip().endswith(b"part1"), response)
+        with self.assertRaises(ConnectionResetError):
+            self.exchange(b"GET /broken HTTP/1.0\r\n\r\n")
+        response = self.exchange(b"GET /stream HTTP/1.0\r\n\r\n")
+        self.assertTrue(response.endswith(b"\r\n\r\npart1"), response)
+
+    def test_body_that_nobody_read_is_not_the_next_request(self) -> None:
+        post = b"POST /unread HTTP/1.1\r\nHost: x\r\n"
+        small = post + b"Content-Length: %d\r\n\r\n" % len(SMUGGLED) + SMUGGLED
+        last = b"GET /last HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+        self.assertTrue(self.exchange(small + last).endswith(b"/last:"))
+        chunk = b"%x\r\n%b\r\n0\r\n\r\n" % (len(SMUGGLED), SMUGGLED)
+        for rest in (
+            b"Transfer-Encoding: chunked\r\n\r\n" + chunk,
+            b"Content-Length: 90000\r\n\r\n" + b"a" * 90_000,
+            b"Content-Length: 5\r\nExpect: 100-continue\r\n\r\n",
+        ):
+            response = self.exchange(post + rest)
+            self.assertTrue(response.startswith(b"HTTP/1.1 200"), response)
+            self.assertTrue(response.endswith(b"/unread:"), response)
+        self.assertNotIn(("/smuggled", b""), self.application.requests)
+
+    def test_caller_that_waits_to_be_asked_is_asked_for_its_body(self) -> None:
+        connection = self.connect()
+        connection.sendall(
+            b"POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
+            b"Expect: 100-continue\r\nConnection: close\r\n\r\n"
+        )
+        self.assertTrue(connection.recv(100).startswith(b"HTTP/1.1 100 "))
+        connection.sendall(b"abc")
+        self.assertTrue(read_to_end(connection).endswith(b"/1:abc"))
+
+    def test_caller_that_takes_nothing_is_given_up(self) -> None:
+        with patch.object(connection_module, "PROGRESS_TIMEOUT_S", 0.1):
+            connection = self.connect()
+            connection.sendall(b"GET /large HTTP/1.1\r\nHost: x\r\n\r\n")
+            wait_until(lambda: self.application.closed == 1, "the answer is given up")
+        self.assertFalse(read_to_end(connection).endswith(b"0\r\n\r\n"))
+
+    def test_draining_server_ends_connections(self) -> None:
+        idle, kept = self.connect(), self.connect()
+        begun = self.connect()
+        begun.sendall(b"GET /begun HTTP/1.1\r\n")
+        request = b"GET /1 HTTP/1.1\r\nHost: x\r\n\r\n"
+        kept.sendall(request)
+        self.assertNotIn(b"close", kept.recv(1000))
+        self.server.begin_drain()
+        kept.sendall(request)
+        self.assertIn(b"Connection: close", read_to_end(kept))
+        self.server.close_idle()
+        self.assertEqual(read_to_end(idle), b"")
+        begun.sendall(b"Host: x\r\n\r\n")
+        self.assertTrue(read_to_end(begun).endswith(b"/begun:"))
+
+
+def read_to_end(connection: socket.socket) -> bytes:
+    """Return the bytes up to the end of a connection."""
+    data = b""
+    while received := connection.recv(65_536):
+        data += received
+    return data
