Watch callers until the end of their answers, and bound the wait for bodies

A caller that left while its answer was streamed was noticed only when a write failed: the watch ended with the answer's head, and the router forgot the call. A target that stalls within an answer so worked on until the deadline. A call that its router did not know yet when its caller left was never cancelled. A body that did not come was waited for 10 s past any deadline, and a body that broke HTTP was reported as one that broke off.

The watch and the router now keep a call until its answer is closed, a call whose caller left is cancelled a second time 0.1 s later, and a Cancel frame waits at most 0.2 s for a link, so that an owner that is out of reach does not hold up the others. A body has to come by the call's deadline: after it the refusal is 503 and not run. One that is too large is refused with 413. An answer that breaks off before its first part is refused with its reason in place of a success that is cut off.

Ruled out for the watch: epoll for EPOLLRDHUP. Each connection that ends would wake the thread, which costs most when callers retry on new connections; and a file number that is used again can be taken for the one that ended. One poll of the calls in flight costs the same however many connections come and go.

--- a/corianderhold/coordination/call.py
+++ b/corianderhold/coordination/call.py
@@ -7,7 +7,7 @@
 from corianderhold.errors import CorianderholdError
 from corianderhold.ids import CallId, OrganisationId, RootId, RouteName, ServiceName
 from corianderhold.protocol.peer.messages import Header
-from corianderhold.protocol.verdict import Refusal
+from corianderhold.protocol.verdict import Reason, Refusal
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,7 +60,11 @@
 
 
 class BodyError(CorianderholdError):
-    """The sender of a request's body broke off."""
+    """The sender of a request's body broke off, or sent what is not accepted."""
+
+    def __init__(self, detail: str, reason: Reason = Reason.REQUEST_MALFORMED) -> None:
+        super().__init__(detail)
+        self.reason = reason
 
 
 class AnswerTruncatedError(CorianderholdError):
--- a/corianderhold/coordination/entry/const.py
+++ b/corianderhold/coordination/entry/const.py
@@ -18,5 +18,6 @@
 OTHER_REGION_PENALTY = 1.0
 CANDIDATES = 2
 CALLER_CHECK_INTERVAL_S = 0.1
+CANCEL_TIMEOUT_S = 0.2  # other callers that left wait meanwhile
 RESERVED_THREADS = 8
 REFUSAL_GRACE_S = 0.15  # for the refusal that an owner sends at the deadline
--- a/corianderhold/coordination/entry/intake.py
+++ b/corianderhold/coordination/entry/intake.py
@@ -3,11 +3,17 @@
 import os
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
+from itertools import chain
 
-from result import Err, Result
+from result import Err, Ok, Result
 
 from corianderhold.clock import Clock
-from corianderhold.coordination.call import Answer, BodyError, CallContext
+from corianderhold.coordination.call import (
+    Answer,
+    AnswerTruncatedError,
+    BodyError,
+    CallContext,
+)
 from corianderhold.coordination.entry.const import (
     OVERLOAD_RETRY_AFTER_MS,
     RESERVED_THREADS,
@@ -110,22 +116,22 @@
             reason = Reason.DRAINING if self.gate.is_closed else Reason.SHED
             refusal = refuse_not_run(reason, OVERLOAD_RETRY_AFTER_MS)
             return self._refuse(refusal, call_id, environ, start_response)
-        started_at = self._clock.read_monotonic()
+        arrived_at = self._clock.read_monotonic()
         try:
             request = self._reader.read(environ)
-            outcome = handle(Arrival(environ, call_id, request, started_at))
+            outcome = handle(Arrival(environ, call_id, request, arrived_at))
+            if isinstance(outcome, Ok):
+                outcome = open_answer(outcome.ok_value)
         except BaseException:
-            self.gate.leave()
+            self._leave(call_id)
             raise
-        finally:
-            self._watch.remove(call_id)
-        duration_s = self._clock.read_monotonic() - started_at
+        duration_s = self._clock.read_monotonic() - arrived_at
         self._metrics.record_duration(f"{self._name}_time", duration_s)
         if isinstance(outcome, Err):
-            self.gate.leave()
+            self._leave(call_id)
             return self._refuse(outcome.err_value, call_id, environ, start_response)
         self._metrics.increment(f"{self._name}_answered")
-        answer = leave_at_close(outcome.ok_value, self.gate)
+        answer = self._leave_at_close(outcome.ok_value, call_id)
         return respond_answer(answer, call_id, start_response)
 
     def route(
@@ -133,12 +139,27 @@
     ) -> Result[Answer, Refusal]:
         """Read the request's body and route the call until its caller leaves."""
         try:
-            body = read_body(environ)
-        except (BodyError, ValueError) as error:
-            return Err(refuse_not_run(Reason.REQUEST_MALFORMED, detail=str(error)))
+            body = read_body(environ, context.deadline_at)
+        except BodyError as error:
+            return Err(refuse_not_run(error.reason, detail=str(error)))
         self._watch.add(context.call_id, environ[ENVIRON_SOCKET])
         return self._router.route(context, body, retries)
 
+    def _leave_at_close(self, answer: Answer, call_id: CallId) -> Answer:
+        """Return the answer with its request inside until the answer's end."""
+
+        def close() -> None:
+            try:
+                answer.close()
+            finally:
+                self._leave(call_id)
+
+        return replace(answer, close=close)
+
+    def _leave(self, call_id: CallId) -> None:
+        self._watch.remove(call_id)
+        self.gate.leave()
+
     def _refuse(
         self,
         refusal: Refusal,
@@ -165,16 +186,23 @@
         )
 
 
-def leave_at_close(answer: Answer, gate: Gate) -> Answer:
-    """Return the answer with its request inside the gate until the answer's end."""
-
-    def close() -> None:
-        try:
-            answer.close()
-        finally:
-            gate.leave()
+def open_answer(answer: Answer) -> Result[Answer, Refusal]:
+    """
+    Wait for the first part of an answer that is passed on as it comes.
 
-    return replace(answer, close=close)
+    One that breaks off before can still be refused.
+    """
+    if answer.body is not None:
+        return Ok(answer)
+    try:
+        first = next(answer.chunks, b"")
+    except AnswerTruncatedError as error:
+        answer.close()
+        return Err(error.refusal)
+    except BaseException:
+        answer.close()
+        raise
+    return Ok(replace(answer, chunks=chain((first,), answer.chunks)))
 
 
 def build_context(
--- a/corianderhold/coordination/entry/request.py
+++ b/corianderhold/coordination/entry/request.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass, field
-from typing import BinaryIO
+from http import HTTPStatus
+from itertools import chain
 
 from corianderhold.coordination.call import (
     BodyError,
@@ -17,6 +18,9 @@
 )
 from corianderhold.protocol.peer.const import CHUNK_BYTES, INLINE_BODY_BYTES
 from corianderhold.protocol.peer.messages import Header
+from corianderhold.protocol.verdict import Reason
+from corianderhold.transport.web.body import BodyStream
+from corianderhold.transport.web.errors import RequestError
 from corianderhold.transport.web.server import Environ
 
 DIGITS_MAX = 12
@@ -134,59 +138,50 @@
     return int(text)
 
 
-def read_body(environ: Environ) -> RequestBody:
+def read_body(environ: Environ, give_up_at: float) -> RequestBody:
     """
     Return the request's body, held in memory when it is small.
 
-    Raise `BodyError` when the caller breaks off within a small body.
+    All of it has to come by `give_up_at`, in monotonic seconds. Raise `BodyError` when
+    the caller breaks off within a small body.
     """
     length = read_length(environ)
-    stream: BinaryIO = environ["wsgi.input"]
+    stream: BodyStream = environ["wsgi.input"]
+    stream.give_up_at = give_up_at
+    if length == 0:
+        return InlineBody(b"")
     if length is not None and length <= INLINE_BODY_BYTES:
-        return InlineBody(read_exactly(stream, length))
+        return InlineBody(read_part(stream, length))
     if length is not None:
-        return StreamedBody(stream_exactly(stream, length), length)
-    first = stream.read(INLINE_BODY_BYTES + 1)
+        return StreamedBody(stream_to_end(stream), length)
+    first = read_part(stream, INLINE_BODY_BYTES + 1)
     if len(first) <= INLINE_BODY_BYTES:
         return InlineBody(first)
-    return StreamedBody(stream_to_end(stream, first), None)
+    return StreamedBody(chain((first,), stream_to_end(stream)), None)
 
 
 def read_length(environ: Environ) -> int | None:
     """Return the body's length in bytes, or None for a chunked body."""
-    if environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked":
+    if "HTTP_TRANSFER_ENCODING" in environ:
         return None
-    text = environ.get("CONTENT_LENGTH") or "0"
-    return int(text)
-
-
-def read_exactly(stream: BinaryIO, length: int) -> bytes:
-    """Return `length` bytes or raise `BodyError`."""
-    return b"".join(stream_exactly(stream, length))
-
-
-def stream_exactly(stream: BinaryIO, length: int) -> Iterator[bytes]:
-    """Yield `length` bytes in parts; raise `BodyError` when fewer come."""
-    left = length
-    while left:
-        try:
-            data = stream.read(min(left, CHUNK_BYTES))
-        except (OSError, ValueError) as error:
-            raise BodyError(f"the caller broke off: {error}") from error
-        if not data:
-            raise BodyError("the caller broke off within the body")
-        left -= len(data)
-        yield data
-
-
-def stream_to_end(stream: BinaryIO, first: bytes) -> Iterator[bytes]:
-    """Yield a chunked body in parts; raise `BodyError` when it breaks off."""
-    yield first
-    while True:
-        try:
-            data = stream.read(CHUNK_BYTES)
-        except (OSError, ValueError) as error:
-            raise BodyError(f"the caller broke off: {error}") from error
-        if not data:
-            return
+    return int(environ.get("CONTENT_LENGTH") or "0")
+
+
+def read_part(stream: BodyStream, size: int) -> bytes:
+    """Return `size` bytes or, at the end, fewer; raise `BodyError`."""
+    try:
+        return stream.read(size)
+    except RequestError as error:
+        too_large = error.status is HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+        reason = Reason.BODY_TOO_LARGE if too_large else Reason.REQUEST_MALFORMED
+        raise BodyError(error.detail, reason) from error
+    except TimeoutError as error:
+        raise BodyError("the body did not come", Reason.DEADLINE_PASSED) from error
+    except OSError as error:
+        raise BodyError(f"the caller broke off: {error}") from error
+
+
+def stream_to_end(stream: BodyStream) -> Iterator[bytes]:
+    """Yield the rest of a body in parts; raise `BodyError` when it breaks off."""
+    while data := read_part(stream, CHUNK_BYTES):
         yield data
--- a/corianderhold/coordination/entry/response.py
+++ b/corianderhold/coordination/entry/response.py
@@ -139,6 +139,8 @@
 
 def choose_status(refusal: Refusal) -> HTTPStatus:
     """Return the HTTP status of a refusal."""
+    if refusal.reason is Reason.BODY_TOO_LARGE:
+        return HTTPStatus.REQUEST_ENTITY_TOO_LARGE
     if refusal.not_run:
         return STATUS_OF_REASON.get(refusal.reason, HTTPStatus.SERVICE_UNAVAILABLE)
     if refusal.reason in REPEATS:
--- a/corianderhold/coordination/entry/router.py
+++ b/corianderhold/coordination/entry/router.py
@@ -94,29 +94,21 @@
     def route(
         self, context: CallContext, body: RequestBody, retries: RetryBudget
     ) -> Result[Answer, Refusal]:
-        """Return the answer's beginning, or the final refusal."""
-        throttle = self._find_throttle(context.service)
-        throttle.note_attempt()
-        attempt = Attempt()
-        may_have_run = False
+        """
+        Return the answer's beginning, or the final refusal.
+
+        The call can be cancelled until its refusal or the end of its answer.
+        """
         self._in_flight.begin(context.call_id)
         try:
-            while True:
-                choice = self._choose(context, attempt)
-                if choice.chosen is None:
-                    refusal = attempt.refusal or explain_no_choice(choice)
-                    return Err(widen_refusal(refusal, may_have_run))
-                outcome = self._try_owner(context, body, retries, choice.chosen)
-                if isinstance(outcome, Ok):
-                    return outcome
-                refusal = outcome.err_value
-                may_have_run = may_have_run or not refusal.not_run
-                if not self._may_retry(context, body, refusal, retries, throttle):
-                    return Err(widen_refusal(refusal, may_have_run))
-                tried = attempt.tried | {choice.chosen.instance}
-                attempt = Attempt(attempt.number + 1, tried, refusal)
-        finally:
+            outcome = self._try_owners(context, body, retries)
+        except BaseException:
             self._in_flight.forget(context.call_id)
+            raise
+        if isinstance(outcome, Ok) and outcome.ok_value.body is None:
+            return Ok(self._forget_at_close(outcome.ok_value, context.call_id))
+        self._in_flight.forget(context.call_id)
+        return outcome
 
     def cancel(self, call_id: CallId) -> None:
         """Cancel a call at the owner that has it now, and make no more attempts."""
@@ -129,6 +121,40 @@
         else:
             self._sender.cancel(member.peer_address, call_id)
 
+    def _try_owners(
+        self, context: CallContext, body: RequestBody, retries: RetryBudget
+    ) -> Result[Answer, Refusal]:
+        """Try one owner after the other until one answers or none may be tried."""
+        throttle = self._find_throttle(context.service)
+        throttle.note_attempt()
+        attempt = Attempt()
+        may_have_run = False
+        while True:
+            choice = self._choose(context, attempt)
+            if choice.chosen is None:
+                refusal = attempt.refusal or explain_no_choice(choice)
+                return Err(widen_refusal(refusal, may_have_run))
+            outcome = self._try_owner(context, body, retries, choice.chosen)
+            if isinstance(outcome, Ok):
+                return outcome
+            refusal = outcome.err_value
+            may_have_run = may_have_run or not refusal.not_run
+            if not self._may_retry(context, body, refusal, retries, throttle):
+                return Err(widen_refusal(refusal, may_have_run))
+            tried = attempt.tried | {choice.chosen.instance}
+            attempt = Attempt(attempt.number + 1, tried, refusal)
+
+    def _forget_at_close(self, answer: Answer, call_id: CallId) -> Answer:
+        """Return an answer whose call is in flight until it is closed."""
+
+        def close() -> None:
+            try:
+                answer.close()
+            finally:
+                self._in_flight.forget(call_id)
+
+        return replace(answer, close=close)
+
     def _choose(self, context: CallContext, attempt: Attempt) -> Choice:
         owners = self._members.list_owners(context.service)
         choice = self._chooser.choose(owners, context.importance, attempt.tried)
--- a/corianderhold/coordination/entry/sender.py
+++ b/corianderhold/coordination/entry/sender.py
@@ -13,7 +13,7 @@
     CallContext,
     RequestBody,
 )
-from corianderhold.coordination.entry.const import REFUSAL_GRACE_S
+from corianderhold.coordination.entry.const import CANCEL_TIMEOUT_S, REFUSAL_GRACE_S
 from corianderhold.coordination.retry import RetryBudget
 from corianderhold.ids import CallId
 from corianderhold.log import log_event
@@ -98,12 +98,13 @@
 
     def cancel(self, address: Address, call_id: CallId) -> None:
         """Tell an owner that nobody waits for a call any more."""
-        borrowed = self._pool.borrow(address)
+        give_up_at = self._clock.read_monotonic() + CANCEL_TIMEOUT_S
+        borrowed = self._pool.borrow(address, give_up_at)
         if isinstance(borrowed, Err):
             return  # the owner ends the call at its deadline
         pooled = borrowed.ok_value
         try:
-            pooled.link.send(Cancel(call_id), SILENCE_TIMEOUT_S)
+            pooled.link.send(Cancel(call_id), CANCEL_TIMEOUT_S)
         except LinkError:
             self._pool.discard(pooled)
             return
@@ -142,7 +143,7 @@
             return self._open(message)
         except BodyError as error:
             self._pool.discard(self._pooled)
-            return Err(refuse_may_have_run(Reason.REQUEST_MALFORMED, str(error)))
+            return Err(refuse_may_have_run(error.reason, str(error)))
         except (LinkError, FrameError) as error:
             self._pool.discard(self._pooled)
             return Err(refuse_may_have_run(Reason.PEER_SILENT, str(error)))
--- a/corianderhold/coordination/entry/watch.py
+++ b/corianderhold/coordination/entry/watch.py
@@ -12,12 +12,17 @@
 
 
 class CallerWatch:
-    """Poll the sockets of callers that wait, and cancel the calls of those gone."""
+    """
+    Poll the sockets of callers that wait, and cancel the calls of those gone.
+
+    One poll for all of them costs the same however many connections come and go.
+    """
 
     def __init__(self, cancel: Cancel) -> None:
         self._cancel = cancel
         self._lock = threading.Lock()
         self._sockets: dict[CallId, socket.socket] = {}
+        self._cancelled: set[CallId] = set()
         self._stopped = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name="caller-watch", daemon=True
@@ -44,13 +49,24 @@
     def _run(self) -> None:
         while not self._stopped.wait(CALLER_CHECK_INTERVAL_S):
             for call_id in self._find_gone():
-                self.remove(call_id)
                 self._cancel(call_id)
+                if call_id in self._cancelled:
+                    self.remove(call_id)
+                else:  # its router may not know it yet: cancel it once more
+                    self._cancelled.add(call_id)
+            self._forget_ended()
+
+    def _forget_ended(self) -> None:
+        if self._cancelled:
+            with self._lock:
+                self._cancelled.intersection_update(self._sockets)
 
     def _find_gone(self) -> list[CallId]:
         """Return the calls whose caller closed its connection."""
         with self._lock:
             sockets = dict(self._sockets)
+        if not sockets:
+            return []
         poll = select.poll()
         calls: dict[int, CallId] = {}
         for call_id, connection in sockets.items():
--- a/corianderhold/protocol/verdict.py
+++ b/corianderhold/protocol/verdict.py
@@ -22,6 +22,7 @@
     ROUTE_UNKNOWN = "route_unknown"
     ROUTE_FORBIDDEN = "route_forbidden"
     REQUEST_MALFORMED = "request_malformed"
+    BODY_TOO_LARGE = "body_too_large"
     CONTEXT_UNKNOWN = "context_unknown"
     CONFIGURATION_MISSING = "configuration_missing"
     VIEW_TOO_OLD = "view_too_old"
--- a/tests/coordination/entry/test_intake.py
+++ b/tests/coordination/entry/test_intake.py
@@ -1,19 +1,36 @@
 """Test that a request counts until the last byte of its answer."""
 
+import io
+import socket
+import time
+from collections.abc import Iterator
+from dataclasses import replace
+from http import HTTPStatus
 from unittest import TestCase
+from unittest.mock import Mock
 
 from result import Err, Ok, Result
 
 from corianderhold.clock import SystemClock
-from corianderhold.coordination.call import Answer
+from corianderhold.coordination.call import Answer, AnswerTruncatedError
 from corianderhold.coordination.entry.const import RESERVED_THREADS
 from corianderhold.coordination.entry.intake import Arrival, Intake
 from corianderhold.coordination.entry.request import RequestReader
 from corianderhold.coordination.entry.watch import CallerWatch
+from corianderhold.coordination.retry import RetryBudget
+from corianderhold.ids import CallId
 from corianderhold.metrics import Metrics
 from corianderhold.protocol.headers import HeaderNames
-from corianderhold.protocol.verdict import Reason, Refusal, refuse_not_run
-from tests.common.calls import RefusingRouter
+from corianderhold.protocol.verdict import (
+    Reason,
+    Refusal,
+    refuse_may_have_run,
+    refuse_not_run,
+)
+from corianderhold.transport.web.errors import RequestError, malformed
+from corianderhold.transport.web.server import ENVIRON_SOCKET
+from tests.common.calls import RefusingRouter, make_context
+from tests.common.waiting import wait_until
 
 ENVIRON = {"REQUEST_METHOD": "GET", "REQUEST_URI": "/"}
 
@@ -22,13 +39,14 @@
     """Serve requests whose answers the test makes."""
 
     def setUp(self) -> None:
-        watch = CallerWatch(lambda call_id: None)
+        self.cancelled: list[CallId] = []
+        self.watch = CallerWatch(self.cancelled.append)
         self.closed = 0
         self.statuses: list[str] = []
         self.intake = Intake(
             "request",
             RefusingRouter(),
-            watch,
+            self.watch,
             SystemClock(),
             Metrics(),
             RESERVED_THREADS + 1,
@@ -60,6 +78,57 @@
         parts.close()  # type: ignore[attr-defined]
         self.assertEqual((self.intake.gate.count, self.closed), (0, 1))
 
+    def test_answer_that_breaks_off_before_its_first_part_is_refused(self) -> None:
+        def break_off() -> Iterator[bytes]:
+            raise AnswerTruncatedError(refuse_may_have_run(Reason.TARGET_SILENT))
+            yield b""
+
+        answer = replace(self.make_answer(None), chunks=break_off())
+        self.serve(Ok(answer))
+        self.assertTrue(self.statuses[-1].startswith("504"))
+        self.assertEqual((self.intake.gate.count, self.closed), (0, 1))
+
+    def test_body_that_is_not_taken_is_refused_as_not_run(self) -> None:
+        context = make_context(deadline_at=12.0)
+        limit = RequestError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "too large")
+        for error, status in (
+            (limit, "413"),
+            (malformed("chunk"), "400"),
+            (TimeoutError("late"), "503"),
+            (ConnectionError("broke off"), "400"),
+        ):
+            stream = Mock(read=Mock(side_effect=error))
+            environ = {**ENVIRON, "CONTENT_LENGTH": "5", "wsgi.input": stream}
+            body = self.intake.serve(
+                environ,
+                self.start_response,
+                lambda arrival: self.intake.route(
+                    arrival.environ, context, RetryBudget(0)
+                ),
+            )
+            self.assertEqual(stream.give_up_at, 12.0)
+            self.assertIn(b'"not_run"', b"".join(body))
+            self.assertTrue(self.statuses[-1].startswith(status), self.statuses)
+
+    def test_caller_is_watched_until_the_end_of_its_answer(self) -> None:
+        ours, theirs = socket.socketpair()
+        self.addCleanup(ours.close)
+        environ = {**ENVIRON, "wsgi.input": io.BytesIO(), ENVIRON_SOCKET: ours}
+        context = make_context(deadline_at=time.monotonic() + 60)
+
+        def handle(arrival: Arrival) -> Result[Answer, Refusal]:
+            self.intake.route(arrival.environ, context, RetryBudget(0))
+            return Ok(self.make_answer(None, b"a", b"b"))
+
+        parts = self.intake.serve(environ, self.start_response, handle)
+        self.watch.start()
+        self.addCleanup(self.watch.stop)
+        theirs.sendall(b"GET /next HTTP/1.1")
+        theirs.close()
+        wait_until(lambda: len(self.cancelled) == 2, "the call is cancelled twice")
+        self.assertEqual(set(self.cancelled), {context.call_id})
+        parts.close()  # type: ignore[attr-defined]
+
     def test_listener_that_ends_refuses_as_draining(self) -> None:
         self.intake.gate.close()
         body = self.serve(Ok(self.make_answer(b"all")))
--- a/tests/failures/test_callers.py
+++ b/tests/failures/test_callers.py
@@ -1,5 +1,6 @@
 """Test what callers, targets and idle connections do wrong."""
 
+import re
 import socket
 from contextlib import ExitStack
 
@@ -15,6 +16,7 @@
 IDLE_CONNECTIONS = 600
 OVERSIZED_HEADER_BYTES = 200_000
 TIMEOUT_S = 20.0
+DISPATCHED = re.compile(r"event=call_dispatched call=(\w+)")
 
 
 class CallerTests(FleetTestCase):
@@ -98,6 +100,40 @@
         organisations = {execution["organisation"] for execution in executions}
         self.assertEqual(organisations, {"broadcaster"})
 
+    def test_call_ends_with_the_connection_of_its_caller(self) -> None:
+        for entry in (ENTRY, OWNER):
+            for query in ("work_ms=60000", "size=3000000&stall_ms=60000"):
+                self._leave_during_a_call(entry, query)
+
+    def _leave_during_a_call(self, entry: str, query: str) -> None:
+        """Close a connection on which a call is in flight and another one waits."""
+        request = (
+            f"GET {SEARCH}?{query} HTTP/1.1\r\nHost: x\r\n"
+            f"Authorization: Bearer {BROADCASTER_KEY}\r\n\r\n"
+        )
+        known = set(self._list_dispatched())
+        with self._connect(entry) as connection:
+            connection.sendall(request.encode() * 2)
+            wait_until(
+                lambda: not known.issuperset(self._list_dispatched()),
+                "the call is dispatched",
+            )
+            if "size" in query:
+                self.assertIn(b"200", connection.recv(65_536)[:20])
+        (call,) = set(self._list_dispatched()) - known
+        wait_until(
+            lambda: f"event=call_cancelled call={call}" in self._read_owner_log(),
+            f"the call at {entry} with {query} is cancelled",
+        )
+
+    def _list_dispatched(self) -> list[str]:
+        return DISPATCHED.findall(self._read_owner_log())
+
+    def _read_owner_log(self) -> str:
+        owner = self.fleet.members[OWNER].daemon
+        assert owner is not None
+        return owner.read_log()
+
     def test_drained_target_gets_no_new_work(self) -> None:
         target = self.fleet.members[OWNER].target
         assert target is not None
