--- a/corianderhold/coordination/entry/request.py
+++ b/corianderhold/coordination/entry/request.py
@@ -60,7 +60,7 @@
         self._request_id_header = names.request_id
         self._request_id = name_variable(names.request_id)
         self._deadline_ms = name_variable(names.deadline_ms)
-        self._context = name_variable(names.context)
+        self._context = name_variable(names.context or "")
         self._own = frozenset(
             name.lower()
             for name in (
@@ -71,6 +71,7 @@
                 names.caller_service,
                 names.expected_target,
             )
+            if name
         )
         self._added: tuple[Header, ...] = ()
         if caller_service:
--- a/corianderhold/settings/loader.py
+++ b/corianderhold/settings/loader.py
@@ -12,15 +12,20 @@
     CONF_ADDRESS,
     CONF_ADMIN,
     CONF_ADMIN_TOKEN,
+    CONF_ANNOUNCE,
     CONF_CALLER,
     CONF_CALLER_THREADS,
+    CONF_DEREGISTRATION_DELAY_S,
     CONF_DOMAIN,
+    CONF_DOMAINS,
     CONF_ENTRY_SLOTS,
     CONF_FLEET_SECRET,
     CONF_GOSSIP,
+    CONF_HEARTBEAT_TTL_S,
     CONF_ID,
     CONF_INSTANCE,
     CONF_LEVEL,
+    CONF_LIFECYCLE,
     CONF_LISTENERS,
     CONF_LOGGING,
     CONF_MEMBERSHIP,
@@ -28,16 +33,21 @@
     CONF_OUTGOING_THREADS,
     CONF_PEER,
     CONF_PEER_ADVERTISED,
+    CONF_PEER_TRUST,
+    CONF_READINESS,
     CONF_REGION,
     CONF_RETENTION_S,
     CONF_SECURITY,
     CONF_SEEDS,
     CONF_SERVICE,
+    CONF_STOP_LIMIT_S,
     CONF_STORE,
     CONF_TARGET,
+    STOP_MARGIN_S,
+    TRUST_NETWORK,
 )
 from corianderhold.settings.errors import SettingsError
-from corianderhold.settings.model import Listeners, Settings
+from corianderhold.settings.model import Listeners, Settings, StopTimes
 from corianderhold.settings.schema import REQUIRED_SECTIONS, SECTIONS
 
 Checked = dict[str, dict[str, Any]]
@@ -63,6 +73,14 @@
             continue
         options = dict(parser.items(name)) if parser.has_section(name) else {}
         checked[name] = check_section(path, name, options, faults)
+    listeners = checked.get(CONF_LISTENERS)
+    if listeners and not listeners.keys() & {CONF_OUTGOING, CONF_ANNOUNCE}:
+        option = f"{path}: [{CONF_LISTENERS}] {CONF_OUTGOING}"
+        faults.append(f"{option}: option is missing")
+    if checked.get(CONF_SECURITY):
+        faults += check_trust(path, checked[CONF_SECURITY])
+    if checked.get(CONF_LIFECYCLE):
+        faults += check_stop_times(path, checked[CONF_LIFECYCLE])
     if faults:
         raise SettingsError("\n".join(faults))
     return build_settings(checked)
@@ -95,6 +113,34 @@
     return {}
 
 
+def check_trust(path: Path, security: dict[str, Any]) -> list[str]:
+    """Return the faults of secrets that are missing or contradict `peer_trust`."""
+    section = f"{path}: [{CONF_SECURITY}]"
+    if security[CONF_PEER_TRUST] == TRUST_NETWORK:
+        if CONF_FLEET_SECRET not in security:
+            return []
+        return [
+            f"{section} {CONF_FLEET_SECRET}: accepted: none where {CONF_PEER_TRUST}"
+            f" is {TRUST_NETWORK}"
+        ]
+    return [
+        f"{section} {option}: option is missing"
+        for option in (CONF_FLEET_SECRET, CONF_ADMIN_TOKEN)
+        if option not in security
+    ]
+
+
+def check_stop_times(path: Path, lifecycle: dict[str, Any]) -> list[str]:
+    """Return the fault of a delay that leaves a stop no time to end."""
+    latest_s = lifecycle[CONF_STOP_LIMIT_S] - STOP_MARGIN_S
+    if lifecycle[CONF_DEREGISTRATION_DELAY_S] <= latest_s:
+        return []
+    return [
+        f"{path}: [{CONF_LIFECYCLE}] {CONF_DEREGISTRATION_DELAY_S}: accepted: at most"
+        f" {CONF_STOP_LIMIT_S} less {STOP_MARGIN_S:g} s, here {latest_s:g}"
+    ]
+
+
 def describe_fault(section: str, fault: Invalid) -> str:
     """Return the option and what is accepted as one text."""
     option = str(fault.path[0]) if fault.path else "?"
@@ -117,20 +163,28 @@
         region=RegionId(instance[CONF_REGION]),
         listeners=Listeners(
             caller=listeners[CONF_CALLER],
-            outgoing=listeners[CONF_OUTGOING],
+            outgoing=listeners.get(CONF_OUTGOING),
             peer=listeners[CONF_PEER],
             peer_advertised=listeners.get(CONF_PEER_ADVERTISED) or listeners[CONF_PEER],
             gossip=listeners[CONF_GOSSIP],
             admin=listeners[CONF_ADMIN],
+            announce=listeners.get(CONF_ANNOUNCE),
+            readiness=listeners.get(CONF_READINESS),
             caller_threads=listeners[CONF_CALLER_THREADS],
             outgoing_threads=listeners[CONF_OUTGOING_THREADS],
         ),
         service=checked[CONF_TARGET][CONF_SERVICE],
+        target_ttl_s=checked[CONF_TARGET][CONF_HEARTBEAT_TTL_S],
         store=checked[CONF_STORE][CONF_ADDRESS],
         retention_s=checked[CONF_STORE][CONF_RETENTION_S],
         seeds=checked[CONF_MEMBERSHIP][CONF_SEEDS],
+        domains=checked[CONF_MEMBERSHIP][CONF_DOMAINS],
         entry_slots=checked[CONF_MEMBERSHIP][CONF_ENTRY_SLOTS],
-        fleet_secret=security[CONF_FLEET_SECRET].encode(),
-        admin_token=security[CONF_ADMIN_TOKEN],
+        fleet_secret=security.get(CONF_FLEET_SECRET, "").encode(),
+        admin_token=security.get(CONF_ADMIN_TOKEN, ""),
+        stop=StopTimes(
+            limit_s=checked[CONF_LIFECYCLE][CONF_STOP_LIMIT_S],
+            deregistration_delay_s=checked[CONF_LIFECYCLE][CONF_DEREGISTRATION_DELAY_S],
+        ),
         log_level=checked[CONF_LOGGING][CONF_LEVEL],
     )
--- a/corianderhold/settings/schema.py
+++ b/corianderhold/settings/schema.py
@@ -15,20 +15,25 @@
     Schema,
 )
 
-from corianderhold.ids import ServiceName
+from corianderhold.ids import FailureDomainId, ServiceName
 from corianderhold.settings.const import (
     CONF_ADDRESS,
     CONF_ADMIN,
     CONF_ADMIN_TOKEN,
+    CONF_ANNOUNCE,
     CONF_CALLER,
     CONF_CALLER_THREADS,
+    CONF_DEREGISTRATION_DELAY_S,
     CONF_DOMAIN,
+    CONF_DOMAINS,
     CONF_ENTRY_SLOTS,
     CONF_FLEET_SECRET,
     CONF_GOSSIP,
+    CONF_HEARTBEAT_TTL_S,
     CONF_ID,
     CONF_INSTANCE,
     CONF_LEVEL,
+    CONF_LIFECYCLE,
     CONF_LISTENERS,
     CONF_LOGGING,
     CONF_MEMBERSHIP,
@@ -36,26 +41,37 @@
     CONF_OUTGOING_THREADS,
     CONF_PEER,
     CONF_PEER_ADVERTISED,
+    CONF_PEER_TRUST,
+    CONF_READINESS,
     CONF_REGION,
     CONF_RETENTION_S,
     CONF_SECURITY,
     CONF_SEEDS,
     CONF_SERVICE,
+    CONF_STOP_LIMIT_S,
     CONF_STORE,
     CONF_TARGET,
     DEFAULT_CALLER_THREADS,
+    DEFAULT_DEREGISTRATION_DELAY_S,
     DEFAULT_ENTRY_SLOTS,
     DEFAULT_LEVEL,
     DEFAULT_OUTGOING_THREADS,
     DEFAULT_RETENTION_S,
+    DEFAULT_STOP_LIMIT_S,
     HIGHEST_PORT,
     LOG_LEVELS,
+    PEER_TRUSTS,
     SECRET_LENGTH_MIN,
+    TRUST_SECRET,
 )
+from corianderhold.state.membership.const import TARGET_TTL_S
 from corianderhold.state.membership.model import Address
 
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9_.-]{0,62}")
 RETENTION_ACCEPTED = "accepted: seconds, at least 60"
+HEARTBEAT_TTL_ACCEPTED = "accepted: seconds from 1 to 60"
+STOP_LIMIT_ACCEPTED = "accepted: seconds from 3 to 600"
+DEREGISTRATION_DELAY_ACCEPTED = "accepted: seconds from 0 to 600"
 ENTRY_SLOTS_ACCEPTED = "accepted: a whole number from 0 to 10000"
 THREADS = All(
     Coerce(int, msg="accepted: a whole number from 4 to 1024"),
@@ -106,6 +122,12 @@
     return text
 
 
+def parse_domains(text: str) -> tuple[FailureDomainId, ...]:
+    """Return the comma-separated failure domains in `text`."""
+    names = [part.strip() for part in text.split(",") if part.strip()]
+    return tuple(FailureDomainId(parse_name(name)) for name in names)
+
+
 def parse_service(text: str) -> ServiceName | None:
     """Return the service's name, or None for an empty text."""
     return ServiceName(parse_name(text)) if text else None
@@ -126,16 +148,26 @@
     CONF_LISTENERS: Schema(
         {
             Required(CONF_CALLER): parse_address,
-            Required(CONF_OUTGOING): parse_loopback,
+            Optional(CONF_OUTGOING): parse_loopback,
             Required(CONF_PEER): parse_address,
             Optional(CONF_PEER_ADVERTISED): parse_address,
             Required(CONF_GOSSIP): parse_address,
             Required(CONF_ADMIN): parse_address,
+            Optional(CONF_ANNOUNCE): parse_address,
+            Optional(CONF_READINESS): parse_address,
             Optional(CONF_CALLER_THREADS, default=DEFAULT_CALLER_THREADS): THREADS,
             Optional(CONF_OUTGOING_THREADS, default=DEFAULT_OUTGOING_THREADS): THREADS,
         }
     ),
-    CONF_TARGET: Schema({Optional(CONF_SERVICE, default=""): parse_service}),
+    CONF_TARGET: Schema(
+        {
+            Optional(CONF_SERVICE, default=""): parse_service,
+            Optional(CONF_HEARTBEAT_TTL_S, default=TARGET_TTL_S): All(
+                Coerce(float, msg=HEARTBEAT_TTL_ACCEPTED),
+                Range(min=1, max=60, msg=HEARTBEAT_TTL_ACCEPTED),
+            ),
+        }
+    ),
     CONF_STORE: Schema(
         {
             Required(CONF_ADDRESS): parse_address,
@@ -148,6 +180,7 @@
     CONF_MEMBERSHIP: Schema(
         {
             Optional(CONF_SEEDS, default=""): parse_addresses,
+            Optional(CONF_DOMAINS, default=""): parse_domains,
             Optional(CONF_ENTRY_SLOTS, default=DEFAULT_ENTRY_SLOTS): All(
                 Coerce(int, msg=ENTRY_SLOTS_ACCEPTED),
                 Range(min=0, max=10_000, msg=ENTRY_SLOTS_ACCEPTED),
@@ -155,7 +188,27 @@
         }
     ),
     CONF_SECURITY: Schema(
-        {Required(CONF_FLEET_SECRET): SECRET, Required(CONF_ADMIN_TOKEN): SECRET}
+        {
+            Optional(CONF_PEER_TRUST, default=TRUST_SECRET): In(
+                PEER_TRUSTS, msg=f"accepted: one of {', '.join(PEER_TRUSTS)}"
+            ),
+            Optional(CONF_FLEET_SECRET): SECRET,
+            Optional(CONF_ADMIN_TOKEN): SECRET,
+        }
+    ),
+    CONF_LIFECYCLE: Schema(
+        {
+            Optional(CONF_STOP_LIMIT_S, default=DEFAULT_STOP_LIMIT_S): All(
+                Coerce(float, msg=STOP_LIMIT_ACCEPTED),
+                Range(min=3, max=600, msg=STOP_LIMIT_ACCEPTED),
+            ),
+            Optional(
+                CONF_DEREGISTRATION_DELAY_S, default=DEFAULT_DEREGISTRATION_DELAY_S
+            ): All(
+                Coerce(float, msg=DEREGISTRATION_DELAY_ACCEPTED),
+                Range(min=0, max=600, msg=DEREGISTRATION_DELAY_ACCEPTED),
+            ),
+        }
     ),
     CONF_LOGGING: Schema(
         {
--- a/corianderhold/transport/web/errors.py
+++ b/corianderhold/transport/web/errors.py
@@ -14,6 +14,10 @@
         self.refusal = refusal
 
 
+class AnswerError(CorianderholdError):
+    """The target's bytes are no whole answer."""
+
+
 class RequestError(CorianderholdError):
     """A request that can't be served and after which the connection is closed."""
 
--- a/corianderhold/transport/web/pool.py
+++ b/corianderhold/transport/web/pool.py
@@ -11,7 +11,7 @@
 from cheroot.workers.threadpool import ThreadPool
 
 from corianderhold.state.configuration.model import CallerLimits
-from corianderhold.transport.web.connection import CallerConnection
+from corianderhold.transport.web.caller import CallerConnection
 from corianderhold.transport.web.const import IDLE_CONNECTIONS_MAX, SWEEP_INTERVAL_S
 
 ONE_REQUEST = select.EPOLLIN | select.EPOLLRDHUP | select.EPOLLONESHOT
--- a/corianderhold/transport/web/server.py
+++ b/corianderhold/transport/web/server.py
@@ -1,5 +1,6 @@
 """Serve WSGI applications with CherryPy's HTTP server."""
 
+import contextlib
 import socket
 import sys
 import threading
@@ -10,7 +11,7 @@
 from corianderhold.log import log_event
 from corianderhold.state.configuration.model import CallerLimits
 from corianderhold.state.membership.model import Address
-from corianderhold.transport.web.connection import CallerConnection
+from corianderhold.transport.web.caller import CallerConnection
 from corianderhold.transport.web.const import (
     KEEPALIVE_IDLE_S,
     KEEPALIVE_INTERVAL_S,
@@ -18,6 +19,8 @@
     LISTEN_BACKLOG,
     SHUTDOWN_TIMEOUT_S,
     UNACKNOWLEDGED_TIMEOUT_MS,
+    WAKE_DELAY_S,
+    WAKE_TIMEOUT_S,
 )
 from corianderhold.transport.web.exchange import (
     ENVIRON_SOCKET,
@@ -136,9 +139,17 @@
 
     def stop(self) -> None:
         """Stop listening; wait a bounded time for the requests that are served."""
+        if self._thread.ident is not None:
+            wake = threading.Timer(WAKE_DELAY_S, self._wake_acceptor)
+            wake.daemon = True
+            wake.start()
         self._server.stop()
-        if self._thread.is_alive():
-            self._thread.join(SHUTDOWN_TIMEOUT_S)
+
+    def _wake_acceptor(self) -> None:
+        """Connect once: the library's accepting thread looks up only now and then."""
+        address = (self._address.host, self._address.port)
+        with contextlib.suppress(OSError):
+            socket.create_connection(address, WAKE_TIMEOUT_S).close()
 
 
 def set_keepalive(listener: socket.socket) -> None:
--- a/tests/common/membership_fleet.py
+++ b/tests/common/membership_fleet.py
@@ -38,6 +38,7 @@
     StreamName,
 )
 from corianderhold.state.membership.model import Address, Member
+from corianderhold.state.membership.target import TargetAnnouncement
 from corianderhold.transport.peer.control import LinkControlClient
 from corianderhold.transport.peer.handshake import Identity
 from corianderhold.transport.peer.link import Link
@@ -58,14 +59,21 @@
 class EmptyLog:
     """Take every append and show none, so that only gossip connects the fleet."""
 
+    read_only: frozenset[StreamName] = frozenset()
+
     def append(
-        self, stream: StreamName, data: str, timeout_s: float
+        self, stream: StreamName, data: str, timeout_s: float, key: str = ""
     ) -> Result[Offset, AppendFailure]:
         """Pretend to append."""
         return Ok(Offset(0))
 
     def read(
-        self, stream: StreamName, from_offset: Offset, limit: int, timeout_s: float
+        self,
+        stream: StreamName,
+        from_offset: Offset,
+        limit: int,
+        timeout_s: float,
+        wait_s: float = 0.0,
     ) -> Result[LogPage, ReadFailure]:
         """Return an empty page."""
         return Ok(LogPage(Offset(0), Offset(0), ()))
@@ -129,7 +137,9 @@
     commands: dict[str, Callable[[], object]] = {
         "report": lambda: asdict(build_report(service, metrics)),
         "changes": lambda: changes,
-        "announce": lambda: service.announce_target(SERVICE, TARGET_ADDRESS),
+        "announce": lambda: service.announce_target(
+            TargetAnnouncement(SERVICE, TARGET_ADDRESS)
+        ),
         "drain": service.drain_target,
         "leave": service.leave,
     }
--- a/tests/transport/web/test_connection.py
+++ b/tests/transport/web/test_caller.py
@@ -8,7 +8,7 @@
 
 from corianderhold.state.configuration.model import CallerLimits
 from corianderhold.state.membership.model import Address
-from corianderhold.transport.web import connection as connection_module
+from corianderhold.transport.web import caller
 from corianderhold.transport.web.server import Environ, StartResponse, WebServer
 from tests.common.ports import HOST, find_free_port
 from tests.common.waiting import wait_until
@@ -210,7 +210,7 @@
         self.assertTrue(read_to_end(connection).endswith(b"/1:abc"))
 
     def test_caller_that_takes_nothing_is_given_up(self) -> None:
-        with patch.object(connection_module, "PROGRESS_TIMEOUT_S", 0.1):
+        with patch.object(caller, "PROGRESS_TIMEOUT_S", 0.1):
             connection = self.connect()
             connection.sendall(b"GET /large HTTP/1.1\r\nHost: x\r\n\r\n")
             wait_until(lambda: self.application.closed == 1, "the answer is given up")
