Hold callers to the limits of the configuration in force

CallerLimits were in the configuration, but nothing read them. The caller listener now takes them with each version, without a restart; the other listeners keep the defaults. The line of a routing decision names the caller's request id beside the call's.

tests/failures/test_callers.py publishes a limit of 10 bytes and takes it back on running daemons; it fails without the listener.

--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -204,7 +204,11 @@
 
     def _build_caller_server(self, callers: CallerApplication) -> WebServer:
         listeners = self._settings.listeners
-        return WebServer("caller", listeners.caller, callers, listeners.caller_threads)
+        server = WebServer(
+            "caller", listeners.caller, callers, listeners.caller_threads
+        )
+        self._holder.add_listener(lambda each: server.set_limits(each.limits))
+        return server
 
     def _build_target_servers(self, outgoing: OutgoingApplication) -> list[WebServer]:
         """Build the listeners for the local target."""
--- a/corianderhold/coordination/entry/router.py
+++ b/corianderhold/coordination/entry/router.py
@@ -161,6 +161,7 @@
         log_event(
             "call_routed",
             call=context.call_id,
+            request=context.request_id,
             root=context.root_id,
             organisation=context.organisation,
             importance=context.importance,
--- a/tests/failures/test_callers.py
+++ b/tests/failures/test_callers.py
@@ -4,7 +4,9 @@
 import socket
 from contextlib import ExitStack
 
-from emulator.sample import BROADCASTER_KEY, UNKNOWN_KEY
+from corianderhold.state.configuration.model import CallerLimits
+from corianderhold.state.configuration.records import Delta
+from emulator.sample import BROADCASTER_KEY, UNKNOWN_KEY, build_change
 from tests.common.fleet import DaemonPlan, RequestPlan
 from tests.common.scenario import FleetTestCase, plan_ingest
 from tests.common.waiting import wait_until
@@ -50,6 +52,19 @@
             self.assertEqual(self.fleet.count_runs()[plan.request_id], 0)
             self.check_verdicts(self.send_until_whole(entry, plan_ingest))
 
+    def test_limits_of_the_configuration_hold_without_a_restart(self) -> None:
+        limits = CallerLimits(body_bytes_max=10)
+        for version, limit, status in ((1, limits, 413), (2, CallerLimits(), 200)):
+            self.fleet.publish(build_change(version, Delta(limits=limit)))
+            for entry in (ENTRY, OWNER):
+                plan = RequestPlan(INGEST, BROADCASTER_KEY, "POST", body=b"a" * 11)
+                wait_until(
+                    lambda at=entry, sent=plan, expected=status: (  # type: ignore[misc]
+                        self.fleet.send(at, sent).status == expected
+                    ),
+                    f"{entry} answers {status}",
+                )
+
     def test_body_that_breaks_off_does_not_run(self) -> None:
         plan = plan_ingest()
         for entry in (ENTRY, OWNER):
