Stop a listener though a caller holds up its answer

The library's pool reads the buffered file of a connection before it shuts one down at the end of the stop's time; the connections of callers have none since the strict reader, so that stop raised AttributeError while a caller took nothing. The pool now shuts the connection down, both ways, which also ends a wait to write.

The new test failed with that error before.

--- a/corianderhold/transport/web/caller.py
+++ b/corianderhold/transport/web/caller.py
@@ -133,6 +133,11 @@
                 self.socket.shutdown(socket.SHUT_RDWR)
         self.socket.close()
 
+    def shut_down(self) -> None:
+        """Wake the thread that serves the connection; its exchange breaks off."""
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
+
     def _take_head(self) -> bytes | None:
         """Return the next head, None before it is whole; raise `RequestError`."""
         buffer = self.input.buffer
--- a/corianderhold/transport/web/pool.py
+++ b/corianderhold/transport/web/pool.py
@@ -137,3 +137,9 @@
         """End the threads within `timeout` seconds and close idle connections."""
         super().stop(timeout)
         self.connections.close()
+
+    @staticmethod
+    def _force_close(conn: CallerConnection | None) -> None:
+        """End the exchange of a thread that did not end in time."""
+        if conn is not None:
+            conn.shut_down()
--- a/tests/transport/web/test_caller.py
+++ b/tests/transport/web/test_caller.py
@@ -216,6 +216,14 @@
             wait_until(lambda: self.application.closed == 1, "the answer is given up")
         self.assertFalse(read_to_end(connection).endswith(b"0\r\n\r\n"))
 
+    def test_stop_ends_what_a_caller_holds_up(self) -> None:
+        connection = self.connect()
+        connection.sendall(b"GET /large HTTP/1.1\r\nHost: x\r\n\r\n")
+        wait_until(lambda: bool(self.application.requests), "the answer is begun")
+        self.server._server.shutdown_timeout = 0.1
+        self.server.stop()
+        self.assertEqual(self.application.closed, 1)
+
     def test_draining_server_ends_connections(self) -> None:
         idle, kept = self.connect(), self.connect()
         begun = self.connect()
