Order starts without a clock, and find each other in a second through the log

Cause: incarnations were wall-clock microseconds, so a daemon that restarted with its clock set back stayed hidden behind its earlier start; with empty seeds, daemons that started at once read the log before others had appended, and tried again after 10 s; a healed cut took up to a minute. Ruled out: a second identity field in the announcement (more bytes in each datagram, and a change of the wire); members taken from the log into the table (its records may be old). Change: an incarnation is a generation above a random start number; links, frames and leases compare the start number, SWIM orders by the whole. A start takes a higher generation when the log or a peer knows one that outranks it; a peer answers an announcement that it knows to be outranked. A start reads the log, appends, reads again (3 calls), pings six addresses, and tries again each second while the log is down. Synchronisation goes on while it brings news; a member that comes back has up to 32 lost ones pinged. Probes each 0.7 s, death after 0.9 s x log10(n); the byte rate stays at 1,024 B/s, its burst is 16 KiB with reserves, as probes and their answers were lost over budget after a cut. Not run: measure membership_scale (100 to 1,700 members).

--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -2,7 +2,6 @@
 
 import os
 import threading
-import time
 from collections.abc import Mapping
 from random import Random
 
@@ -45,13 +44,13 @@
 from corianderhold.core import Application
 from corianderhold.deployment import Deployment
 from corianderhold.drain import GracefulStop, StopParts, TargetDrain
-from corianderhold.ids import Incarnation
 from corianderhold.metrics import Metrics
 from corianderhold.protocol.peer.control import ControlHandler, ControlTopic
 from corianderhold.readiness import Readiness
 from corianderhold.settings.model import Settings
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.lease.model import Holder
+from corianderhold.state.membership.incarnation import draw_start
 from corianderhold.transport.peer.control import LinkControlClient
 from corianderhold.transport.peer.handshake import Identity
 from corianderhold.transport.peer.pool import LinkPool
@@ -70,11 +69,6 @@
     return DaemonBuilder(settings, deployment).build()
 
 
-def draw_incarnation() -> Incarnation:
-    """Return a number that is higher for every later start of a daemon."""
-    return Incarnation(time.time_ns() // 1000)
-
-
 class DaemonBuilder:
     """Build the parts of one daemon in the order in which they need each other."""
 
@@ -87,7 +81,7 @@
         self._header_names = deployment.headers
         self._holder = ConfigurationHolder()
         self._readiness = Readiness(self._holder)
-        self._incarnation = draw_incarnation()
+        self._incarnation = draw_start()
         self._identity = Identity(
             settings.instance, self._incarnation, settings.fleet_secret
         )
--- a/corianderhold/coordination/lease/manager.py
+++ b/corianderhold/coordination/lease/manager.py
@@ -37,6 +37,7 @@
 from corianderhold.protocol.store.model import AppendFailure, Log, StreamName
 from corianderhold.state.lease.model import Holder, LeaseRecord, LeaseRecordId, ShardId
 from corianderhold.state.lease.texts import encode_record
+from corianderhold.state.membership.incarnation import read_start
 from corianderhold.state.membership.model import Members, MemberState
 
 NEVER = float("-inf")
@@ -170,7 +171,7 @@
         """Return the best live successor."""
         for member in rank_members(self._members, self._filters[shard], shard):
             if member.instance in successors:
-                return Holder(member.instance, member.incarnation)
+                return Holder(member.instance, read_start(member.incarnation))
         return None
 
     def _read_if_due(self) -> None:
--- a/corianderhold/coordination/membership/const.py
+++ b/corianderhold/coordination/membership/const.py
@@ -1,21 +1,29 @@
 """Hold the constants of gossip and synchronisation."""
 
 # Probes
-PROBE_INTERVAL_S = 1.0
-PROBE_TIMEOUT_S = 0.4
-LONGEST_PROBE_TIMEOUT_S = 0.7
+PROBE_INTERVAL_S = 0.7
+PROBE_TIMEOUT_S = 0.25
+LONGEST_PROBE_TIMEOUT_S = 0.4
+PROBE_FAILS_S = 0.7  # at most PROBE_INTERVAL_S: one probe at a time
 INDIRECT_PROBES = 3
-DEAD_PROBE_INTERVAL_S = 5.0
+DEAD_PROBE_INTERVAL_S = 2.0
+REVIVAL_PINGS_LIMIT = 32  # to dead members, once one of them has come back
+REVIVAL_PINGS_AT_ONCE = 3
 JOIN_INTERVAL_S = 1.0
+JOIN_FANOUT = 6
 RELAY_TIMEOUT_S = 2.0
 RELAY_LIMIT = 64
 HEARD_WINDOW_S = 10.0
 
 # Suspicion
-SUSPICION_MULTIPLIER = 4.0
+SUSPICION_MULTIPLIER = 0.9  # seconds with 10 members
 HEALTH_LIMIT = 2
 MAX_STEP_S = 0.5  # longer gaps between two looks at the clock count as a pause
 
+# Starts
+FREE_RAISES = 3
+RAISE_INTERVAL_S = 5.0  # between two starts of one instance that both run
+
 # Updates
 GOSSIP_INTERVAL_S = 0.2
 GOSSIP_FANOUT = 2
@@ -28,8 +36,9 @@
 HEADER_BYTES = 28
 DATAGRAM_LIMIT_BYTES = 540
 BUDGET_BYTES_PER_S = 1024
-BUDGET_BURST_BYTES = 1024
-PROBE_RESERVE_BYTES = 384  # kept free of gossip for probes and their answers
+BUDGET_BURST_BYTES = 16384
+PROBE_RESERVE_BYTES = 2048  # kept for probes and their answers
+GOSSIP_RESERVE_BYTES = 8192  # kept for these and for pings to strangers
 
 # Synchronisation
 BUCKETS = 64
@@ -38,12 +47,18 @@
 SYNC_INTERVAL_S = 60.0
 SYNC_REVIVAL_S = 15.0
 SYNC_SPACING_S = 20.0
-SYNC_RETRY_S = 2.0
+SYNC_RETRY_S = 1.0
+SYNC_LARGE_FLEET = 400  # members
+SYNC_REVIVAL_LOWEST_S = 0.5
+SYNC_SPACING_LOWEST_S = 0.5
+SYNC_FAST_INTERVAL_S = 0.4
+SYNC_FAST_ROUNDS = 5
 SYNC_TIMEOUT_S = 2.0
 
 # Log
 LOG_INTERVAL_S = 600.0
 LOG_RETRY_S = 10.0
+LOG_JOIN_RETRY_S = 1.0  # until the log was read once
 LOG_TAIL_RECORDS = 256
 LOG_TIMEOUT_S = 2.0
 CONTACT_LIMIT = 32
--- a/corianderhold/coordination/membership/contacts.py
+++ b/corianderhold/coordination/membership/contacts.py
@@ -2,9 +2,18 @@
 
 from random import Random
 
-from corianderhold.coordination.membership.const import CONTACT_LIMIT
+from corianderhold.coordination.membership.const import (
+    CONTACT_LIMIT,
+    REVIVAL_PINGS_AT_ONCE,
+    REVIVAL_PINGS_LIMIT,
+)
 from corianderhold.state.membership.model import Address, MemberState
-from corianderhold.state.membership.table import MemberView
+from corianderhold.state.membership.table import MemberView, is_claim
+
+
+def list_live_addresses(view: MemberView, own: Address) -> set[Address]:
+    """Return the gossip addresses of this daemon and of those known to be alive."""
+    return {own, *(member.gossip_address for member in view.live)}
 
 
 class ContactBook:
@@ -13,16 +22,42 @@
     def __init__(self, seeds: tuple[Address, ...], random: Random) -> None:
         self._seeds = list(seeds)
         self._logged: list[Address] = []
+        self._revival_pings: list[Address] = []
         self._random = random
 
     def replace_logged(self, addresses: tuple[Address, ...]) -> None:
         """Keep the newest addresses of the log in place of the earlier ones."""
         self._logged = list(addresses[-CONTACT_LIMIT:])
 
+    def sample_logged(
+        self, count: int, view: MemberView, own: Address
+    ) -> list[Address]:
+        """Return random logged addresses at which nobody is known to be alive."""
+        live = list_live_addresses(view, own)
+        unknown = [address for address in self._logged if address not in live]
+        return self._random.sample(unknown, min(count, len(unknown)))
+
+    def draw_revival_pings(self, view: MemberView) -> None:
+        """Queue lost members: where one has come back, others may have as well."""
+        lost = [member for member in view.members if is_claim(member)]
+        count = min(REVIVAL_PINGS_LIMIT, len(lost))
+        queued = self._random.sample(lost, count)
+        self._revival_pings = [member.gossip_address for member in queued]
+
+    def list_revival_pings(self, view: MemberView, own: Address) -> list[Address]:
+        """Return queued addresses at which nobody is known to be alive and well."""
+        if self._revival_pings:
+            well = {m.gossip_address for m in view.live if not is_claim(m)} | {own}
+            self._revival_pings = [a for a in self._revival_pings if a not in well]
+        return self._revival_pings[:REVIVAL_PINGS_AT_ONCE]
+
+    def drop_revival_ping(self, address: Address) -> None:
+        """Take a queued address out, as it was pinged."""
+        self._revival_pings.remove(address)
+
     def pick(self, view: MemberView, own: Address) -> Address | None:
         """Return one address at which nobody is known to be alive, or None."""
-        live = {member.gossip_address for member in view.live}
-        live.add(own)
+        live = list_live_addresses(view, own)
         dead = [
             member.gossip_address
             for member in view.members
--- a/corianderhold/coordination/membership/messages.py
+++ b/corianderhold/coordination/membership/messages.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from corianderhold.ids import Incarnation
 from corianderhold.protocol.membership.model import SyncRecord
 from corianderhold.state.membership.model import Address, Member
 
@@ -15,9 +16,15 @@
 
 @dataclass(frozen=True)
 class ContactsFound:
-    """Gossip addresses found in the log, for the thread that owns the table."""
+    """
+    What the log says, for the thread that owns the table.
+
+    `addresses` are gossip addresses; `outranking` is the highest incarnation that an
+    earlier start of this instance has in the log, None without one.
+    """
 
     addresses: tuple[Address, ...]
+    outranking: Incarnation | None = None
 
 
 @dataclass(frozen=True)
--- a/corianderhold/coordination/membership/roster.py
+++ b/corianderhold/coordination/membership/roster.py
@@ -3,14 +3,16 @@
 from dataclasses import replace
 
 from corianderhold.coordination.membership.broadcasts import BroadcastQueue
+from corianderhold.coordination.membership.const import FREE_RAISES, RAISE_INTERVAL_S
 from corianderhold.coordination.membership.health import ActiveTime, LocalHealth
 from corianderhold.coordination.membership.suspicion import (
     SuspicionTimers,
     compute_suspicion_timeout,
 )
-from corianderhold.ids import InstanceId, ServiceName
+from corianderhold.ids import Incarnation, InstanceId, ServiceName
 from corianderhold.log import log_event, log_warning
 from corianderhold.protocol.membership.model import MemberClaim
+from corianderhold.state.membership.incarnation import outrank
 from corianderhold.state.membership.model import Member, MemberState, TargetState
 from corianderhold.state.membership.table import (
     MemberTable,
@@ -26,7 +28,8 @@
     Own the table, the queue of updates and the suspicions of one daemon.
 
     `own` is this daemon's announcement. A claim that it is suspected or dead is
-    refuted by announcing it under a higher sequence.
+    refuted by announcing it under a higher sequence, the announcement of another start
+    that outranks it by a higher incarnation.
 
     Death is each daemon's own conclusion from a suspicion that was not refuted in time.
     A claim of death by others, who may be on the far side of a cut, only makes this
@@ -38,6 +41,8 @@
     ) -> None:
         self.own = own
         self.refutations = 0
+        self._raises = 0
+        self._raised_at_s = float("-inf")
         self.broadcasts = BroadcastQueue()
         self._health = health
         self._time = time
@@ -45,6 +50,7 @@
         self._suspicions = SuspicionTimers()
         self._changes: list[Member] = []
         self._revivals = 0
+        self.revivals = 0
         self._doubted: list[InstanceId] = []
         self._record(own, now_s)
         self.broadcasts.add(own)
@@ -68,6 +74,7 @@
             self._defend(member, now_s)
         elif not self._doubt(member) and self._record(member, now_s):
             self.broadcasts.add(member)
+            self._defend_address(member, now_s)
 
     def resolve(self, claim: MemberClaim) -> Member | None:
         """Return the record that a claim amounts to, or None for lack of content."""
@@ -94,12 +101,37 @@
                 refuting.append(known)
         return tuple(refuting)
 
+    def find_outranking(self, announcement: Member) -> Member | None:
+        """Return the record of another start that hides an announcement, or None."""
+        return self._table.find_outranking(announcement)
+
     def apply_synced(self, member: Member, now_s: float, dead_for_s: float) -> None:
         """Take in a record of another daemon's table without passing it on."""
         if member.instance == self.own.instance:
             self._defend(member, now_s)
         elif not self._doubt(member):
             self._record(member, now_s, dead_for_s)
+            self._defend_address(member, now_s)
+
+    def outrank(self, incarnation: Incarnation, now_s: float) -> None:
+        """Announce this start under a higher incarnation than another one's."""
+        if incarnation <= self.own.incarnation:
+            return
+        if self._raises >= FREE_RAISES:
+            log_warning(
+                "instance_conflict",
+                instance=self.own.instance,
+                incarnation=incarnation,
+                own_incarnation=self.own.incarnation,
+            )
+            if self._time.seconds < self._raised_at_s + RAISE_INTERVAL_S:
+                return
+        self._raises += 1
+        self._raised_at_s = self._time.seconds
+        self.refutations += 1
+        raised = outrank(self.own.incarnation, incarnation)
+        log_event("incarnation_raised", incarnation=raised, over=incarnation)
+        self._announce(replace(self.own, incarnation=raised), now_s)
 
     def announce(
         self, service: ServiceName | None, state: TargetState, now_s: float
@@ -142,7 +174,7 @@
         return revivals
 
     def take_doubted(self) -> list[InstanceId]:
-        """Return the members to be probed first, as somebody claims they are dead."""
+        """Return the members to be probed first: the suspected and doubted."""
         doubted, self._doubted = self._doubted, []
         return doubted
 
@@ -161,12 +193,7 @@
 
     def _defend(self, claim: Member, now_s: float) -> None:
         if claim.incarnation > self.own.incarnation:
-            log_warning(
-                "instance_conflict",
-                instance=claim.instance,
-                incarnation=claim.incarnation,
-                own_incarnation=self.own.incarnation,
-            )
+            self.outrank(claim.incarnation, now_s)
             return
         if compute_order(claim) <= compute_order(self.own):
             return
@@ -175,6 +202,11 @@
         self.refutations += 1
         self._announce(replace(self.own, sequence=claim.sequence), now_s)
 
+    def _defend_address(self, other: Member, now_s: float) -> None:
+        """Outrank an instance that was at this daemon's address before."""
+        if other.peer_address == self.own.peer_address:
+            self.outrank(other.incarnation, now_s)
+
     def _record(self, member: Member, now_s: float, dead_for_s: float = 0.0) -> bool:
         known = self._table.get_member(member.instance)
         changes = self._table.merge(member, now_s, dead_for_s)
@@ -182,11 +214,14 @@
             return False
         if known is not None and is_live(member) and not is_live(known):
             self._revivals += 1
+            self.revivals += 1
         timeout_s = compute_suspicion_timeout(
             self.count_live(), self._health.multiplier
         )
         for change in changes:
             self._suspicions.update(change, self._time.seconds, timeout_s)
+            if change.state is MemberState.SUSPECT:
+                self._doubted.append(change.instance)
             log_event(
                 "member_changed",
                 instance=change.instance,
--- a/corianderhold/coordination/membership/schedule.py
+++ b/corianderhold/coordination/membership/schedule.py
@@ -4,9 +4,14 @@
 
 from corianderhold.coordination.membership.const import (
     JOIN_SYNC_DELAY_S,
+    SYNC_FAST_INTERVAL_S,
+    SYNC_FAST_ROUNDS,
     SYNC_INTERVAL_S,
+    SYNC_LARGE_FLEET,
     SYNC_RETRY_S,
+    SYNC_REVIVAL_LOWEST_S,
     SYNC_REVIVAL_S,
+    SYNC_SPACING_LOWEST_S,
     SYNC_SPACING_S,
 )
 
@@ -17,29 +22,43 @@
     """
     Synchronise at the join, then rarely, and sooner once dead members come back.
 
+    After a join or a revival it goes on for a few rounds while they bring news. What
+    one exchange costs grows with the fleet, and so do the pauses before them.
     Times are monotonic seconds; `due_at_s` is infinite until the first join.
     """
 
     def __init__(self, random: Random) -> None:
         self._random = random
         self._finished_at_s = float("-inf")
+        self._fast_rounds = 0
         self.due_at_s = float("inf")
 
     def note_join(self, now_s: float) -> None:
         """Synchronise at once: the first other member has been found."""
+        self._fast_rounds = SYNC_FAST_ROUNDS
         self._hasten(now_s + self._random.uniform(0.0, JOIN_SYNC_DELAY_S))
 
-    def note_revival(self, now_s: float) -> None:
+    def note_revival(self, now_s: float, members: int) -> None:
         """Synchronise soon: a cut has healed and others know of more revivals."""
-        wanted_s = now_s + self._random.uniform(0.3, 1.0) * SYNC_REVIVAL_S
-        self._hasten(max(wanted_s, self._finished_at_s + SYNC_SPACING_S))
+        share = min(1.0, members / SYNC_LARGE_FLEET)
+        delay_s = max(SYNC_REVIVAL_LOWEST_S, SYNC_REVIVAL_S * share)
+        spacing_s = max(SYNC_SPACING_LOWEST_S, SYNC_SPACING_S * share)
+        if share < 1.0:
+            self._fast_rounds = SYNC_FAST_ROUNDS
+        wanted_s = now_s + self._random.uniform(0.3, 1.0) * delay_s
+        self._hasten(max(wanted_s, self._finished_at_s + spacing_s))
 
-    def note_outcome(self, succeeded: bool, now_s: float) -> None:
+    def note_outcome(
+        self, succeeded: bool, now_s: float, brought_news: bool = False
+    ) -> None:
         """Set the next time after an exchange."""
         interval_s = SYNC_INTERVAL_S if succeeded else SYNC_RETRY_S
-        self.due_at_s = now_s + interval_s * self._random.uniform(*JITTER)
         if succeeded:
             self._finished_at_s = now_s
+            self._fast_rounds -= 1
+            if brought_news and self._fast_rounds > 0:
+                interval_s = SYNC_FAST_INTERVAL_S
+        self.due_at_s = now_s + interval_s * self._random.uniform(*JITTER)
 
     def _hasten(self, due_at_s: float) -> None:
         self.due_at_s = min(self.due_at_s, due_at_s)
--- a/corianderhold/coordination/membership/sender.py
+++ b/corianderhold/coordination/membership/sender.py
@@ -12,6 +12,7 @@
     BUDGET_BURST_BYTES,
     BUDGET_BYTES_PER_S,
     DATAGRAM_LIMIT_BYTES,
+    GOSSIP_RESERVE_BYTES,
     HEADER_BYTES,
     PROBE_RESERVE_BYTES,
 )
@@ -36,8 +37,9 @@
     """
     Build datagrams; none is larger than DATAGRAM_LIMIT_BYTES, headers included.
 
-    Probes and their answers may spend the whole budget; updates that ride on them and
-    gossip leave PROBE_RESERVE_BYTES of it.
+    Probes and their answers may spend the whole budget, pings to strangers leave
+    PROBE_RESERVE_BYTES of it, and gossip, with the updates that ride on the others,
+    GOSSIP_RESERVE_BYTES.
     """
 
     def __init__(
@@ -73,11 +75,18 @@
         size_bytes = len(encode_datagram(bare)) + OVERHEAD_BYTES + HEADER_BYTES
         available = self._budget.read_available(now_s)
         gossips = datagram.kind is DatagramKind.GOSSIP and not members
-        allowed = available - (PROBE_RESERVE_BYTES if gossips else 0)
+        introduces = datagram.kind is DatagramKind.PING and datagram.subject is None
+        allowed = available
+        if gossips:
+            allowed -= GOSSIP_RESERVE_BYTES
+        elif introduces:
+            allowed -= PROBE_RESERVE_BYTES
         if size_bytes > min(allowed, DATAGRAM_LIMIT_BYTES):
             self._metrics.increment("membership_datagrams_over_budget")
             return False
-        room = min(DATAGRAM_LIMIT_BYTES, int(available) - PROBE_RESERVE_BYTES)
+        room = 0
+        if not introduces:
+            room = min(DATAGRAM_LIMIT_BYTES, int(available) - GOSSIP_RESERVE_BYTES)
         limit = compute_transmission_limit(self._count_live())
         queued = self._broadcasts.take(room - size_bytes - LISTS_BYTES, limit)
         if gossips and not queued:
--- a/corianderhold/coordination/membership/service.py
+++ b/corianderhold/coordination/membership/service.py
@@ -317,8 +317,10 @@
         match message:
             case RecordsReceived(records):
                 self._swim.merge_records(records, now_s)
-            case ContactsFound(addresses):
-                self._swim.replace_contacts(addresses)
+            case ContactsFound(addresses, outranking):
+                if outranking is not None:
+                    self._swim.outrank(outranking, now_s)
+                self._swim.replace_contacts(addresses, now_s)
             case LeaveRequested():
                 self._leave(now_s)
             case StopRequested():
--- a/corianderhold/coordination/membership/stream.py
+++ b/corianderhold/coordination/membership/stream.py
@@ -9,7 +9,7 @@
     LOG_TAIL_RECORDS,
     LOG_TIMEOUT_S,
 )
-from corianderhold.ids import InstanceId, Offset
+from corianderhold.ids import Incarnation, InstanceId, Offset
 from corianderhold.log import log_warning
 from corianderhold.protocol.membership.codec import decode_member, encode_member
 from corianderhold.protocol.membership.model import MalformedMessageError
@@ -69,6 +69,11 @@
             if member.state is not MemberState.LEFT
         )
 
+    def find_incarnation(self, instance: InstanceId) -> Incarnation | None:
+        """Return the highest incarnation of an instance in the stream, or None."""
+        entry = self._logged.get(instance)
+        return None if entry is None else entry[1].incarnation
+
     def count_live(self, view: MemberView) -> int:
         """Return how many live members can be found through the stream."""
         return sum(1 for member in view.live if member.instance in self._logged)
--- a/corianderhold/coordination/membership/suspicion.py
+++ b/corianderhold/coordination/membership/suspicion.py
@@ -3,10 +3,7 @@
 import math
 from dataclasses import dataclass, replace
 
-from corianderhold.coordination.membership.const import (
-    PROBE_INTERVAL_S,
-    SUSPICION_MULTIPLIER,
-)
+from corianderhold.coordination.membership.const import SUSPICION_MULTIPLIER
 from corianderhold.ids import InstanceId
 from corianderhold.state.membership.model import Member, MemberState
 
@@ -22,7 +19,7 @@
 def compute_suspicion_timeout(members: int, health_multiplier: int) -> float:
     """Return the seconds that a member has to refute a suspicion."""
     growth = max(1.0, math.log10(max(1, members)))
-    return SUSPICION_MULTIPLIER * growth * PROBE_INTERVAL_S * health_multiplier
+    return SUSPICION_MULTIPLIER * growth * health_multiplier
 
 
 class SuspicionTimers:
--- a/corianderhold/coordination/membership/swim.py
+++ b/corianderhold/coordination/membership/swim.py
@@ -9,8 +9,10 @@
     GOSSIP_FANOUT,
     GOSSIP_INTERVAL_S,
     INDIRECT_PROBES,
+    JOIN_FANOUT,
     JOIN_INTERVAL_S,
     LONGEST_PROBE_TIMEOUT_S,
+    PROBE_FAILS_S,
     PROBE_INTERVAL_S,
     PROBE_TIMEOUT_S,
     REFUTATIONS_LIMIT,
@@ -31,7 +33,7 @@
     DatagramSender,
     OutgoingDatagram,
 )
-from corianderhold.ids import InstanceId, ServiceName
+from corianderhold.ids import Incarnation, InstanceId, ServiceName
 from corianderhold.log import log_event
 from corianderhold.metrics import Metrics
 from corianderhold.protocol.membership.codec import (
@@ -49,7 +51,6 @@
 from corianderhold.state.membership.model import (
     Address,
     Member,
-    MemberState,
     TargetState,
 )
 from corianderhold.state.membership.table import MemberView, is_claim
@@ -99,6 +100,7 @@
         self._probe_log = ProbeLog()
         self._recipients = RecipientChooser(self._roster, self._probe_log, random)
         self._schedule = Schedule()
+        self._revivals_seen = 0
 
     @property
     def own(self) -> Member:
@@ -126,14 +128,26 @@
         """Return how many dead members came back since the last call."""
         return self._roster.take_revivals()
 
-    def replace_contacts(self, addresses: tuple[Address, ...]) -> None:
-        """Try these gossip addresses besides the seeds."""
+    def replace_contacts(self, addresses: tuple[Address, ...], now_s: float) -> None:
+        """Try these gossip addresses besides the seeds, a few of them at once."""
         self._contacts.replace_logged(addresses)
+        for address in self._contacts.sample_logged(
+            JOIN_FANOUT, self.view, self.own.gossip_address
+        ):
+            self._ping(address, None, (self.own,), now_s)
 
     def merge_records(self, records: tuple[SyncRecord, ...], now_s: float) -> None:
         """Take in the records of a full synchronisation."""
+        refutations = self._roster.refutations
         for record in records:
             self._roster.apply_synced(record.member, now_s, float(record.dead_for_s))
+        self._spread_refutations(refutations, now_s)
+
+    def outrank(self, incarnation: Incarnation, now_s: float) -> None:
+        """Announce this start under a higher incarnation than an earlier one's."""
+        refutations = self._roster.refutations
+        self._roster.outrank(incarnation, now_s)
+        self._spread_refutations(refutations, now_s)
 
     def announce_target(
         self, service: ServiceName | None, state: TargetState, now_s: float
@@ -175,12 +189,8 @@
         for member in updates:
             self._roster.apply(member, now_s)
         self._dispatch(datagram, source, now_s)
-        refuting = self._roster.list_refutations(updates)
-        if refuting:
-            gossip = Datagram(DatagramKind.GOSSIP, 0, self.own.instance)
-            self._sender.send(source, gossip, now_s, refuting[:REFUTATIONS_LIMIT])
-        if self._roster.refutations > refutations:
-            self._send_gossip(URGENT_FANOUT, now_s)
+        self._correct_sender(datagram.sender, updates, source, now_s)
+        self._spread_refutations(refutations, now_s)
 
     def tick(self, now_s: float) -> None:
         """Do whatever is due by now."""
@@ -197,6 +207,7 @@
             jitter = self._random.uniform(0.8, 1.2)
             self._schedule.contact_at_s = active_s + interval_s * jitter
             self._ping_contact(now_s)
+        self._ping_revived(now_s)
         if active_s >= self._schedule.gossip_at_s:
             self._schedule.gossip_at_s = active_s + GOSSIP_INTERVAL_S
             self._send_gossip(GOSSIP_FANOUT, now_s)
@@ -211,6 +222,27 @@
             self._health.worsen()
             self._probe = None  # its answer may have been lost in the pause
 
+    def _correct_sender(
+        self,
+        sender: InstanceId,
+        updates: list[Member],
+        source: Address,
+        now_s: float,
+    ) -> None:
+        """Tell a sender what refutes its claims, or what outranks its own start."""
+        corrections = self._roster.list_refutations(updates)
+        for update in updates:
+            if update.instance == sender:
+                outranking = self._roster.find_outranking(update)
+                corrections += (outranking,) if outranking else ()
+        if corrections:
+            gossip = Datagram(DatagramKind.GOSSIP, 0, self.own.instance)
+            self._sender.send(source, gossip, now_s, corrections[-REFUTATIONS_LIMIT:])
+
+    def _spread_refutations(self, refutations_before: int, now_s: float) -> None:
+        if self._roster.refutations > refutations_before:
+            self._send_gossip(URGENT_FANOUT, now_s)
+
     def _reject(self, rejection: Rejection) -> None:
         self._metrics.increment(f"membership_rejected_{rejection.value}")
 
@@ -272,7 +304,7 @@
             member.instance,
             active_s,
             active_s + min(timeout_s, LONGEST_PROBE_TIMEOUT_S),
-            active_s + PROBE_INTERVAL_S,
+            active_s + PROBE_FAILS_S,
         )
 
     def _check_probe(self, now_s: float) -> None:
@@ -316,16 +348,35 @@
         ping = Datagram(DatagramKind.PING, number, self.own.instance, subject)
         return number if self._sender.send(address, ping, now_s, members) else None
 
+    def _ping_revived(self, now_s: float) -> None:
+        """Ping some dead members soon after one of them has come back."""
+        own = self.own.gossip_address
+        if self._roster.revivals > self._revivals_seen:
+            self._revivals_seen = self._roster.revivals
+            if not self._contacts.list_revival_pings(self.view, own):
+                self._contacts.draw_revival_pings(self.view)
+        for address in self._contacts.list_revival_pings(self.view, own):
+            if self._ping_address(address, now_s):
+                self._contacts.drop_revival_ping(address)
+
     def _ping_contact(self, now_s: float) -> None:
         address = self._contacts.pick(self.view, self.own.gossip_address)
-        if address is None:
-            return
-        dead = tuple(
+        if address is not None:
+            self._ping_address(address, now_s)
+
+    def _ping_address(self, address: Address, now_s: float) -> bool:
+        """
+        Introduce this daemon; tell a member that is taken for lost of that.
+
+        Return False over budget.
+        """
+        lost = tuple(
             member
             for member in self.view.members
-            if member.gossip_address == address and member.state is MemberState.DEAD
+            if member.gossip_address == address and is_claim(member)
         )
-        self._ping(address, None, (self.own, *dead[-1:]), now_s)
+        sent = self._ping(address, None, (self.own, *lost[-1:]), now_s)
+        return sent is not None
 
     def _list_claims(self, instance: InstanceId) -> tuple[Member, ...]:
         """Return what the member itself must hear to refute it."""
--- a/corianderhold/coordination/membership/synchronizer.py
+++ b/corianderhold/coordination/membership/synchronizer.py
@@ -3,11 +3,13 @@
 import queue
 import threading
 from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 
 from corianderhold.clock import Clock
 from corianderhold.coordination.membership.const import (
     LOG_INTERVAL_S,
+    LOG_JOIN_RETRY_S,
     LOG_MEMBERS_LOWEST,
     LOG_RETRY_S,
     STOP_TIMEOUT_S,
@@ -42,6 +44,7 @@
 )
 from corianderhold.protocol.peer.control import ControlClient, ControlTopic
 from corianderhold.protocol.store.model import Log
+from corianderhold.state.membership.incarnation import outrank, read_start
 from corianderhold.state.membership.model import Address, Member
 from corianderhold.state.membership.table import MemberView
 
@@ -80,6 +83,8 @@
         )
         self._schedule = SyncSchedule(random)
         self._log_at_s = clock.read_monotonic()
+        self._start = read_start(own.incarnation)
+        self._has_read = False
         self._stopping = False
 
     def start(self) -> None:
@@ -127,7 +132,8 @@
             case MemberFound():
                 self._schedule.note_join(self._clock.read_monotonic())
             case MembersRevived():
-                self._schedule.note_revival(self._clock.read_monotonic())
+                members = len(self._read_view().live)
+                self._schedule.note_revival(self._clock.read_monotonic(), members)
             case AnnouncementChanged(member):
                 self._own = member
                 self._announcement = member
@@ -135,15 +141,17 @@
 
     def _synchronize(self) -> None:
         peer = self._choose_peer()
-        succeeded = peer is not None and self._exchange(peer.peer_address)
-        self._schedule.note_outcome(succeeded, self._clock.read_monotonic())
+        news = None if peer is None else self._exchange(peer.peer_address)
+        now_s = self._clock.read_monotonic()
+        self._schedule.note_outcome(news is not None, now_s, bool(news))
 
     def _choose_peer(self) -> Member | None:
         view = self._read_view()
         others = [m for m in view.live if m.instance != self._own.instance]
         return self._random.choice(others) if others else None
 
-    def _exchange(self, address: Address) -> bool:
+    def _exchange(self, address: Address) -> int | None:
+        """Return how many records either side lacked, None after a failure."""
         digests = compute_digests(self._read_view())
         received: list[SyncRecord] = []
         buckets: tuple[int, ...] = ()
@@ -151,7 +159,7 @@
             after = received[-1].member.instance if received else ""
             reply = self._request(address, SyncRequest(digests, after))
             if reply is None:
-                return False
+                return None
             buckets = reply.buckets
             received.extend(reply.records)
             self._post(RecordsReceived(reply.records))
@@ -169,7 +177,7 @@
             received=len(received),
             pushed=len(newer),
         )
-        return pushed
+        return len(received) + len(newer) if pushed else None
 
     def _request(self, address: Address, request: SyncRequest) -> SyncReply | None:
         body = encode_request(request)
@@ -188,17 +196,39 @@
             return None
 
     def _follow_log(self) -> None:
-        self._append_announcement()
-        read = self._stream.read()
-        if read.is_ok():
-            self._post(ContactsFound(self._stream.list_contacts()))
+        """
+        Read the log, then append what is due, then read what came meanwhile.
+
+        Of two daemons that start at once, the one that appends later so reads the
+        record of the other.
+        """
+        done = self._read_stream()
+        if done:
             self._renew_announcement()
-        live = len(self._read_view().live)
-        settled = read.is_ok() and self._announcement is None and live > 1
+            if self._announcement is not None:
+                self._append_announcement()
+                done = self._announcement is None and self._read_stream()
+        self._has_read = self._has_read or done
+        settled = done and len(self._read_view().live) > 1
         interval_s = LOG_INTERVAL_S if settled else LOG_RETRY_S
+        if not self._has_read:
+            interval_s = LOG_JOIN_RETRY_S
         interval_s *= self._random.uniform(0.8, 1.2)
         self._log_at_s = self._clock.read_monotonic() + interval_s
 
+    def _read_stream(self) -> bool:
+        """Take in the stream; return whether it could be read."""
+        if self._stream.read().is_err():
+            return False
+        logged = self._stream.find_incarnation(self._own.instance)
+        is_other = logged is not None and read_start(logged) != self._start
+        outranking = logged if is_other else None
+        if outranking is not None and self._announcement is not None:
+            raised = outrank(self._announcement.incarnation, outranking)
+            self._announcement = replace(self._announcement, incarnation=raised)
+        self._post(ContactsFound(self._stream.list_contacts(), outranking))
+        return True
+
     def _renew_announcement(self) -> None:
         """Have a few daemons announce themselves again once retention took most."""
         view = self._read_view()
@@ -207,8 +237,9 @@
         if self._stream.count_live(view) >= LOG_MEMBERS_LOWEST:
             return
         if self._random.random() * len(view.live) < LOG_MEMBERS_LOWEST:
-            self._announcement = self._own
-            self._append_announcement()
+            self._announcement = self._read_view().by_instance.get(
+                self._own.instance, self._own
+            )
 
     def _append_announcement(self) -> None:
         if self._announcement is None:
--- a/corianderhold/state/membership/table.py
+++ b/corianderhold/state/membership/table.py
@@ -117,6 +117,18 @@
         """Return a member as shown in the view, or None."""
         return self._members.get(instance)
 
+    def find_outranking(self, announcement: Member) -> Member | None:
+        """Return the record of another start that hides an announcement, or None."""
+        known = self._records.get(announcement.instance)
+        if known is not None and known.incarnation > announcement.incarnation:
+            return known
+        rank = (announcement.incarnation, announcement.instance)
+        for instance in self._by_address.get(announcement.peer_address, ()):
+            record = self._records[instance]
+            if (record.incarnation, instance) > rank and instance != rank[1]:
+                return record
+        return None
+
     def forget(self, now_s: float) -> tuple[Member, ...]:
         """Drop and return the members that were dead longer than the retention."""
         dropped = []
--- a/tests/common/membership.py
+++ b/tests/common/membership.py
@@ -135,10 +135,11 @@
         if changes and node.schedule.due_at_s == float("inf"):
             node.schedule.note_join(self.now_s)
         if node.swim.take_revivals():
-            node.schedule.note_revival(self.now_s)
+            node.schedule.note_revival(self.now_s, len(node.swim.view.live))
         self.flush(node)
         if self.now_s >= node.schedule.due_at_s:
-            node.schedule.note_outcome(self._synchronize(node), self.now_s)
+            news = self._synchronize(node)
+            node.schedule.note_outcome(news is not None, self.now_s, bool(news))
 
     def flush(self, node: Node) -> None:
         """Send what a node has to send."""
@@ -146,16 +147,16 @@
             node.sent.append((self.now_s, len(outgoing.data)))
             self.send(node.swim.own.gossip_address, outgoing.address, outgoing.data)
 
-    def _synchronize(self, node: Node) -> bool:
+    def _synchronize(self, node: Node) -> int | None:
         """Exchange tables with a random peer, as the service does over links."""
         others = [m for m in node.swim.view.live if m != node.swim.own]
         if not others:
-            return False
+            return None
         address = self.random.choice(others).gossip_address
         peer = self.nodes.get(address)
         own = node.swim.own.gossip_address
         if peer is None or not peer.running or self._is_cut(own, address):
-            return False
+            return None
         request = SyncRequest(compute_digests(node.swim.view))
         reply = answer_request(peer.swim.view, request, self.now_s)
         newer = list_newer(node.swim.view, reply.buckets, reply.records, self.now_s)
@@ -164,7 +165,7 @@
         node.sync_bytes += len(encode_request(request))
         node.sync_bytes += len(encode_request(SyncRequest((), "", tuple(newer))))
         peer.sync_bytes += len(encode_reply(reply))
-        return True
+        return len(reply.records) + len(newer)
 
     def _is_cut(self, address: Address, other: Address) -> bool:
         if frozenset({address, other}) in self.blocked:
@@ -189,6 +190,14 @@
                 node.inbox.append((source, data))
 
 
+def introduce(network: FakeNetwork, nodes: list[Node]) -> None:
+    """Tell each node the addresses of all, as their records in the log do."""
+    addresses = tuple(node.swim.own.gossip_address for node in nodes)
+    for node in nodes:
+        node.swim.replace_contacts(addresses, network.now_s)
+        network.flush(node)
+
+
 def build_fleet(network: FakeNetwork, size: int) -> list[Node]:
     """Start `size` daemons that know the first as their seed."""
     seeds = (build_member(0).gossip_address,)
--- a/tests/coordination/membership/test_service.py
+++ b/tests/coordination/membership/test_service.py
@@ -1,5 +1,6 @@
 """Test the service over real sockets on loopback."""
 
+from dataclasses import replace
 from random import Random
 from unittest import TestCase
 
@@ -12,6 +13,7 @@
     MembershipService,
     MembershipSettings,
 )
+from corianderhold.coordination.membership.stream import MemberStream
 from corianderhold.coordination.owner.policy import TargetSource
 from corianderhold.core import Component
 from corianderhold.ids import (
@@ -39,6 +41,7 @@
 from corianderhold.state.membership.target import TargetAnnouncement
 from corianderhold.transport.datagram.endpoint import DatagramEndpoint
 from tests.common.log import FakeLog
+from tests.common.membership import build_member
 from tests.common.waiting import wait_until
 
 RIGHTS = ServiceName("rights")
@@ -149,6 +152,31 @@
         records = self.log.read(StreamName.MEMBERS, 0, 10, 1.0)  # type: ignore[arg-type]
         self.assertEqual(len(records.unwrap().records), 2)
 
+    def test_members_join_once_the_log_is_back(self) -> None:
+        self.log.down = True
+        first, second = self.start(), self.start()
+        wait_until(lambda: self.log.reads >= 2, "both have asked")
+        self.log.down = False
+        wait_until(lambda: len(first.list_members()) == 2, "both members")
+        wait_until(lambda: len(second.list_members()) == 2, "both members")
+
+    def test_new_start_outranks_the_one_in_the_log(self) -> None:
+        earlier = build_member(0, incarnation=2**50)
+        earlier = replace(earlier, instance=InstanceId("daemon-0"))
+        MemberStream(self.log).append(earlier)
+        service = self.start()
+
+        def find_records() -> list[Member]:
+            stream = MemberStream(self.log)
+            stream.read()
+            logged = stream.find_incarnation(InstanceId("daemon-0"))
+            own = service.find_member(InstanceId("daemon-0"))
+            assert own is not None
+            return [own] if logged == own.incarnation else []
+
+        wait_until(lambda: bool(find_records()), "the new start is in the log")
+        self.assertGreater(find_records()[0].incarnation, 2**50)
+
     def test_outage_of_the_log_does_not_keep_members_apart(self) -> None:
         self.log.down = True
         first = self.start()
--- a/tests/coordination/membership/test_swim.py
+++ b/tests/coordination/membership/test_swim.py
@@ -18,7 +18,8 @@
 )
 from corianderhold.protocol.membership.model import Datagram, DatagramKind
 from corianderhold.protocol.membership.seal import DatagramSeal
-from corianderhold.state.membership.model import MemberState, TargetState
+from corianderhold.state.membership.incarnation import START_BITS
+from corianderhold.state.membership.model import Address, MemberState, TargetState
 from tests.common.membership import (
     SECRET,
     START_S,
@@ -27,6 +28,7 @@
     build_fleet,
     build_member,
     count_states,
+    introduce,
 )
 from tests.common.swim_case import LIMIT_S, STRANGER, SwimTestCase, with_seeds
 
@@ -116,7 +118,6 @@
         before = victim.swim.own
         claim = encode_member(replace(before, state=MemberState.SUSPECT))
         self.inject(network, nodes[0], claim)
-        network.run(0.1)
         self.assertIn(MemberState.SUSPECT, self.show_state(nodes, victim))
         network.run(SUSPICION_MULTIPLIER * 2)
         self.assertGreater(victim.swim.own.sequence, before.sequence)
@@ -148,6 +149,74 @@
             20.0,
         )
 
+    @with_seeds
+    def test_restarts_replace_starts_with_higher_incarnations(self, seed: int) -> None:
+        network = FakeNetwork(seed)
+        for incarnation in (2**30, 2**20, 2**10):
+            nodes = self.start_all(network, incarnation)
+        victim, survivors = nodes[5], nodes[:5] + nodes[6:]
+        network.kill(victim)
+        dead = {MemberState.DEAD}
+        self.run_until(
+            network, lambda: self.show_state(survivors, victim) == dead, 10.0
+        )
+        for wait_s in (0.0, 10.0):
+            network.run(wait_s)
+            self.restart(network, survivors)
+
+    def start_all(self, network: FakeNetwork, incarnation: int) -> list[Node]:
+        """Start all daemons at once in place of those that ran before."""
+        network.nodes.clear()
+        members = [build_member(n, incarnation=incarnation) for n in range(24)]
+        nodes = [network.add(member, ()) for member in members]
+        introduce(network, nodes)
+        self.run_until(network, lambda: self.agree(nodes, 24), 3.0)
+        return nodes
+
+    def restart(self, network: FakeNetwork, nodes: list[Node]) -> None:
+        """Start the sixth daemon and kill it once the nodes see this start alive."""
+        fresh = network.add(build_member(5, incarnation=1), ())
+        contact = nodes[0].swim.own.gossip_address
+        fresh.swim.replace_contacts((contact,), network.now_s)
+        network.flush(fresh)
+
+        def is_seen() -> bool:
+            own = fresh.swim.own
+            return all(node.swim.get_member(own.instance) == own for node in nodes)
+
+        self.run_until(network, is_seen, 2.0)
+        network.kill(fresh)
+
+    @with_seeds
+    def test_lone_daemon_finds_all_within_two_seconds_of_a_cut(self, seed: int) -> None:
+        network, nodes = self.start_fleet(seed, 24)
+        network.cut(nodes[:1])
+        network.run(20.0)
+        network.heal()
+        self.run_until(network, lambda: self.agree(nodes, 24), 2.0)
+
+    @with_seeds
+    def test_member_without_processor_for_half_a_second_lives(self, seed: int) -> None:
+        network, nodes = self.start_fleet(seed, 24)
+        network.run(5.0)
+        for node in nodes:
+            node.running = False
+            network.run(0.5)
+            node.running = True
+            for _ in range(5):
+                network.run(0.1)
+                self.assertTrue(self.see_alive(nodes, nodes))
+
+    def test_two_running_starts_of_an_instance_do_not_outbid_each_other(self) -> None:
+        network, nodes = self.start_fleet(16, 4)
+        double = replace(build_member(3), gossip_address=Address("127.0.0.1", 39999))
+        other = network.add(replace(double, incarnation=Incarnation(7)), ())
+        introduce(network, nodes)
+        other.swim.replace_contacts((nodes[0].swim.own.gossip_address,), 0.0)
+        network.run(20.0)
+        for node in (nodes[3], other):
+            self.assertLess(node.swim.own.incarnation >> START_BITS, 20)
+
     def list_incarnations(self, nodes: list[Node]) -> set[int]:
         """Return the incarnations in which the nodes see the sixth daemon."""
         instance = build_member(5).instance
