--- a/corianderhold/cli/serve.py
+++ b/corianderhold/cli/serve.py
@@ -12,6 +12,7 @@
 from corianderhold.log import configure_logging, log_warning
 from corianderhold.settings.errors import SettingsError
 from corianderhold.settings.loader import load_settings
+from corianderhold.settings.reload import SettingsReloader
 
 
 def serve(*, settings: str) -> int:
@@ -41,14 +42,15 @@
     signal.set_wakeup_fd(daemon.wake_descriptor, warn_on_full_buffer=False)
     signal.signal(signal.SIGTERM, request_stop)
     signal.signal(signal.SIGINT, request_stop)
-    ended = True
+    signal.signal(signal.SIGHUP, lambda *_: daemon.request_reload())
+    ended = flushed = True
     try:
-        ended = daemon.run()
+        ended = daemon.run(SettingsReloader(path, checked).reload)
     except OSError as error:
         log_warning("start_failed", error=str(error))
         return EXIT_FAILED
     finally:
-        log_output.close()
-    if not ended:
+        flushed = log_output.close()
+    if not (ended and flushed):
         os._exit(EXIT_OK)  # some threads would hold up an orderly exit
     return EXIT_OK
--- a/corianderhold/core.py
+++ b/corianderhold/core.py
@@ -4,6 +4,7 @@
 import os
 import threading
 import time
+from collections.abc import Callable
 from typing import Protocol
 
 from corianderhold.log import log_event, log_warning
@@ -29,6 +30,7 @@
         self._components = components
         self._started: list[Component] = []
         self._stop_requested = False
+        self._reload_requested = False
         self._wake_reader, self._wake_writer = os.pipe()
         os.set_blocking(self._wake_writer, False)
 
@@ -51,16 +53,31 @@
     def request_stop(self) -> None:
         """Ask `run` to return; safe to call from a signal handler, and repeatedly."""
         self._stop_requested = True
-        with contextlib.suppress(BlockingIOError):  # it is full, and so wakes anyway
-            os.write(self._wake_writer, b"\0")
+        self._wake()
+
+    def request_reload(self) -> None:
+        """Ask `run` to reload the settings; safe to call from a signal handler."""
+        self._reload_requested = True
+        self._wake()
+
+    def run(self, reload: Callable[[], None]) -> bool:
+        """
+        Start, serve until a stop request, and stop; return whether all parts ended.
 
-    def run(self) -> bool:
-        """Start, wait for a stop request, and stop; return whether all parts ended."""
+        `reload` is called after each request to reload.
+        """
         self.start()
         while not self._stop_requested:
+            if self._reload_requested:
+                self._reload_requested = False
+                reload()
             os.read(self._wake_reader, WAKE_BYTES)
         return self.stop()
 
+    def _wake(self) -> None:
+        with contextlib.suppress(BlockingIOError):  # it is full, and so wakes anyway
+            os.write(self._wake_writer, b"\0")
+
     def stop(self) -> bool:
         """
         Stop the started components in reverse order; return whether all have ended.
--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -264,6 +264,10 @@
             member.peer_relay = Relay(member.get_address("peer"), framed=True)
         return member
 
+    def get_settings_path(self, instance: str) -> Path:
+        """Return where the settings of a daemon are written."""
+        return self._directory / f"{instance}.ini"
+
     def _write_settings(self, member: FleetMember) -> Path:
         plan = member.plan
         seeds = [each.get_address("gossip") for each in self.members.values()]
@@ -294,7 +298,7 @@
             "deregistration_delay_s": str(delay_s),
         }
         settings["logging"] = {"level": plan.log_level}
-        path = self._directory / f"{plan.instance}.ini"
+        path = self.get_settings_path(plan.instance)
         with path.open("w") as file:
             settings.write(file)
         return path
--- a/tests/common/processes.py
+++ b/tests/common/processes.py
@@ -123,6 +123,10 @@
         if self._process.poll() is None:
             self._process.send_signal(signal.SIGTERM)
 
+    def reload(self) -> None:
+        """Tell the process with SIGHUP that its settings have changed."""
+        self._process.send_signal(signal.SIGHUP)
+
     def wait_for_exit(self, limit_s: float = STOP_LIMIT_S) -> int:
         """Return the exit code once the process has ended."""
         wait_until(
--- a/tests/failures/test_stop.py
+++ b/tests/failures/test_stop.py
@@ -79,6 +79,20 @@
         store.thaw()
         self._restart(OWNER)
 
+    def test_settings_are_reloaded_or_the_old_ones_kept(self) -> None:
+        daemon = self.fleet.members[ENTRY].daemon
+        assert daemon is not None
+        path = self.fleet.get_settings_path(ENTRY)
+        text = path.read_text()
+        self.addCleanup(path.write_text, text)
+        for level, line in (
+            ("loud", "event=settings_rejected faults=1 .*level: accepted"),
+            ("debug", "event=settings_changed option=log_level value=debug"),
+        ):
+            path.write_text(text.replace("level = info", f"level = {level}"))
+            daemon.reload()
+            daemon.wait_until_logged(re.compile(line))
+
     def test_repeated_stop_requests_end_a_daemon(self) -> None:
         daemon = self.fleet.members[OWNER].daemon
         assert daemon is not None
