Log each request's admission and outcome, and lead from its id to the cause

Cause: the caller's id stood on refusals only, and nothing said under which configuration, organisation and route a request was admitted or charged. Open: the age of the loads behind a choice of an owner is not on call_routed.

--- a/corianderhold/coordination/entry/application.py
+++ b/corianderhold/coordination/entry/application.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from corianderhold.clock import Clock
-from corianderhold.coordination.call import Answer
+from corianderhold.coordination.call import Answer, CallContext
 from corianderhold.coordination.entry.const import OVERLOAD_RETRY_AFTER_MS
 from corianderhold.coordination.entry.intake import (
     Arrival,
@@ -22,6 +22,7 @@
 from corianderhold.coordination.rate.limiter import RateLimiter
 from corianderhold.coordination.retry import RetryBudget
 from corianderhold.ids import OrganisationId, RootId
+from corianderhold.log import log_event
 from corianderhold.protocol.verdict import Reason, Refusal, refuse_not_run
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.configuration.model import (
@@ -87,7 +88,7 @@
         self._splits.follow(configuration)
 
     def _handle(self, arrival: Arrival) -> Result[Answer, Refusal]:
-        admitted = self._admit(arrival.request)
+        admitted = self._admit(arrival)
         if isinstance(admitted, Err):
             return admitted
         admission = admitted.ok_value
@@ -101,11 +102,39 @@
         )
         service = self._splits.choose(route)
         context = build_context(arrival, admission.match, service, origin)
+        self._log_admission(context)
         retries = RetryBudget(route.retry_budget)
         return self._intake.route(arrival.environ, context, retries)
 
-    def _admit(self, request: WebRequest) -> Result[Admission, Refusal]:
+    def _log_admission(self, context: CallContext) -> None:
+        configuration_age_s = self._clock.read_monotonic() - self._holder.verified_at
+        log_event(
+            "request_admitted",
+            call=context.call_id,
+            request=context.request_id,
+            organisation=context.organisation,
+            importance=context.importance,
+            route=context.route,
+            service=context.service,
+            configuration=self._holder.current.version,
+            configuration_age_s=configuration_age_s,
+        )
+
+    def _log_rate_refusal(
+        self, arrival: Arrival, organisation: OrganisationId, route: Route
+    ) -> None:
+        log_event(
+            "rate_refused",
+            call=arrival.call_id,
+            request=arrival.request.request_id,
+            organisation=organisation,
+            route=route.name,
+            configuration=self._holder.current.version,
+        )
+
+    def _admit(self, arrival: Arrival) -> Result[Admission, Refusal]:
         """Return on whose behalf a request runs and its route, once it is charged."""
+        request = arrival.request
         configuration = self._holder.current
         if not configuration.version:
             reason = Reason.CONFIGURATION_MISSING
@@ -130,6 +159,7 @@
             return Err(refusal)
         charged = self._limiter.charge(organisation, self._clock.read_monotonic())
         if isinstance(charged, Err):
+            self._log_rate_refusal(arrival, organisation, match.route)
             return charged
         importance = rank(configuration, organisation, match.route)
         return Ok(Admission(match, organisation, importance))
--- a/corianderhold/coordination/entry/intake.py
+++ b/corianderhold/coordination/entry/intake.py
@@ -125,6 +125,12 @@
             self.gate.leave()
             return self._refuse(outcome.err_value, call_id, environ, start_response)
         self._metrics.increment(f"{self._name}_answered")
+        log_event(
+            f"{self._name}_answered",
+            call=call_id,
+            status=outcome.ok_value.status,
+            seconds=duration_s,
+        )
         answer = leave_at_close(outcome.ok_value, self.gate)
         return respond_answer(answer, call_id, start_response)
 
