Say on a member's line for how long it was not heard

Cause: a line of a suspicion or death did not tell how old the belief was. Change: heard_age_s on member_changed, None beyond 10 s. Tests: membership, 44 pass.

--- a/corianderhold/coordination/membership/prober.py
+++ b/corianderhold/coordination/membership/prober.py
@@ -109,6 +109,11 @@
         """Return whether any datagram has arrived since then."""
         return self._last_heard_at_s >= active_s
 
+    def read_age_s(self, instance: InstanceId, active_s: float) -> float | None:
+        """Return for how long a member was not heard, None beyond HEARD_WINDOW_S."""
+        heard_at_s = self._heard_at_s.get(instance)
+        return None if heard_at_s is None else active_s - heard_at_s
+
     def list_heard(self) -> list[InstanceId]:
         """Return the members heard within HEARD_WINDOW_S of the last probe's end."""
         return list(self._heard_at_s)
--- a/corianderhold/coordination/membership/roster.py
+++ b/corianderhold/coordination/membership/roster.py
@@ -5,6 +5,7 @@
 from corianderhold.coordination.membership.broadcasts import BroadcastQueue
 from corianderhold.coordination.membership.const import FREE_RAISES, RAISE_INTERVAL_S
 from corianderhold.coordination.membership.health import ActiveTime, LocalHealth
+from corianderhold.coordination.membership.prober import ProbeLog
 from corianderhold.coordination.membership.suspicion import (
     SuspicionTimers,
     compute_suspicion_timeout,
@@ -37,7 +38,12 @@
     """
 
     def __init__(
-        self, own: Member, health: LocalHealth, time: ActiveTime, now_s: float
+        self,
+        own: Member,
+        health: LocalHealth,
+        time: ActiveTime,
+        probe_log: ProbeLog,
+        now_s: float,
     ) -> None:
         self.own = own
         self.refutations = 0
@@ -46,6 +52,7 @@
         self.broadcasts = BroadcastQueue()
         self._health = health
         self._time = time
+        self._probe_log = probe_log
         self._table = MemberTable()
         self._suspicions = SuspicionTimers()
         self._changes: list[Member] = []
@@ -230,6 +237,9 @@
                 state=change.state,
                 service=change.service,
                 target_state=change.target_state,
+                heard_age_s=self._probe_log.read_age_s(
+                    change.instance, self._time.seconds
+                ),
             )
         self._changes.extend(changes)
         return True
--- a/corianderhold/coordination/membership/swim.py
+++ b/corianderhold/coordination/membership/swim.py
@@ -89,7 +89,8 @@
         self._metrics = metrics
         self._health = LocalHealth()
         self._time = ActiveTime(now_s)
-        self._roster = Roster(own, self._health, self._time, now_s)
+        self._probe_log = ProbeLog()
+        self._roster = Roster(own, self._health, self._time, self._probe_log, now_s)
         self._sender = DatagramSender(
             seal, self._roster.broadcasts, self._roster.count_live, metrics, now_s
         )
@@ -97,7 +98,6 @@
         self._contacts = ContactBook(seeds, random)
         self._relays = RelayBook()
         self._probe: Probe | None = None
-        self._probe_log = ProbeLog()
         self._recipients = RecipientChooser(self._roster, self._probe_log, random)
         self._schedule = Schedule()
         self._revivals_seen = 0
--- a/tests/coordination/membership/test_swim.py
+++ b/tests/coordination/membership/test_swim.py
@@ -1,6 +1,7 @@
 """Test failure detection and dissemination on a fake network with faults."""
 
 from dataclasses import replace
+from unittest import mock
 
 from corianderhold.coordination.membership.const import (
     BUDGET_BURST_BYTES,
@@ -60,6 +61,21 @@
         )
         self.assertTrue(self.agree(nodes, 11))
 
+    def test_line_of_a_death_says_for_how_long_nothing_was_heard(self) -> None:
+        network, nodes = self.start_fleet(17, 3)
+        victim = nodes.pop()
+        network.kill(victim)
+        with mock.patch(
+            "corianderhold.coordination.membership.roster.log_event"
+        ) as log:
+            self.run_until(
+                network,
+                lambda: self.show_state(nodes, victim) == {MemberState.DEAD},
+                30.0,
+            )
+        ages = [call.kwargs["heard_age_s"] for call in log.call_args_list]
+        self.assertGreater(max(ages), 0.5)
+
     def test_broken_way_between_two_members_raises_no_suspicion(self) -> None:
         network, nodes = self.start_fleet(15, 6)
         pair = nodes[1].swim.own.gossip_address, nodes[2].swim.own.gossip_address
