--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -132,12 +132,8 @@
 
     def start_daemon(self, instance: str) -> ManagedProcess:
         """Start a daemon, also again after its end, and wait for its listeners."""
+        daemon = self.launch_daemon(instance)
         member = self.members[instance]
-        path = self._write_settings(member)
-        arguments = ["serve", "--settings", str(path)]
-        program = self._daemon_program
-        daemon = self._start(f"daemon-{instance}", arguments, program)
-        member.daemon = daemon
         url = f"http://{member.get_address('admin')}/health"
 
         def is_healthy() -> bool:
@@ -147,6 +143,15 @@
         wait_until(is_healthy, f"daemon {instance} is healthy", READY_LIMIT_S)
         return daemon
 
+    def launch_daemon(self, instance: str) -> ManagedProcess:
+        """Start the process of a daemon without waiting for anything."""
+        member = self.members[instance]
+        path = self._write_settings(member)
+        arguments = ["serve", "--settings", str(path)]
+        program = self._daemon_program
+        member.daemon = self._start(f"daemon-{instance}", arguments, program)
+        return member.daemon
+
     def start_target(self, instance: str) -> ManagedProcess:
         """Start the target beside a daemon, also again after its end."""
         member = self.members[instance]
--- a/tests/failures/test_stop.py
+++ b/tests/failures/test_stop.py
@@ -12,6 +12,7 @@
 OTHER = "other"
 LINGERING = "lingering"
 SLOW = "?work_ms=2500"
+FIRST_LISTENER = "event=listening listener=admin"
 STOP_LIMIT_S = 20.0
 SETTINGS_STOP_LIMIT_S = 6.0
 DRAIN_BEGUN = re.compile("event=drain_begun")
@@ -79,6 +80,19 @@
         store.thaw()
         self._restart(OWNER)
 
+    def test_stop_request_during_the_start_ends_a_daemon(self) -> None:
+        daemon = self.fleet.members[OWNER].daemon
+        assert daemon is not None
+        daemon.kill()
+        before = daemon.read_log().count(FIRST_LISTENER)
+        daemon = self.fleet.launch_daemon(OWNER)
+        wait_until(
+            lambda: daemon.read_log().count(FIRST_LISTENER) > before, "it starts"
+        )
+        daemon.terminate()
+        self.assertEqual(daemon.wait_for_exit(STOP_LIMIT_S), 0)
+        self._restart(OWNER)
+
     def test_settings_are_reloaded_or_the_old_ones_kept(self) -> None:
         daemon = self.fleet.members[ENTRY].daemon
         assert daemon is not None
