--- a/corianderhold/coordination/entry/intake.py
+++ b/corianderhold/coordination/entry/intake.py
@@ -146,8 +146,14 @@
         if isinstance(outcome, Err):
             self._leave(call_id)
             return self._refuse(outcome.err_value, call_id, environ, start_response)
-        self._metrics.increment(self._answered_name)
         answer = outcome.ok_value
+        self._metrics.increment(self._answered_name)
+        log_event(
+            self._answered_name,
+            call=call_id,
+            status=answer.status,
+            seconds=duration_s,
+        )
         if answer.body is None:
             answer = self._leave_at_close(answer, call_id)
         else:
