Read the configuration by reads that the log holds, in small fleets everywhere

Cause: readers asked once a second (12 reads a second for 24 daemons, each priced on a platform's store), a change took up to a second to be read, and a domain that lost its readers waited 10 to 20 s. A log whose offsets began anew left a daemon stuck (log_shorter_than_state).

Ruled out: a fixed long wait (after a change all reads end together, and after an outage that leaves every connection silent nobody would ask anew for that long; the waits are drawn instead); more readers a domain in place of all (the same calls, without the independence); a younger proof of the view from a held read (a log may answer at once and the answer be held up).

Change: readers let the log hold the read for 2 to 20 s; up to 32 live members all read. Those beyond the first two of a domain wait up to 30 s after failures. A daemon that hears of no peer reads after 1.5 to 3 s. A stop does not wait for a held read.

--- a/corianderhold/coordination/configuration/exchanger.py
+++ b/corianderhold/coordination/configuration/exchanger.py
@@ -114,13 +114,13 @@
                 return False
             advanced = self._take_reply(member, reply)
             mine = self._replica.head
-            if mine.next_offset < reply.head.next_offset:
+            if reply.head.is_ahead_of(mine):
                 if not advanced:
                     return True
                 records = ()
                 continue
             self._adopt_proof(member, sent_at, reply)
-            if mine.next_offset == reply.head.next_offset:
+            if not mine.is_ahead_of(reply.head):
                 return True
             records = self._replica.slice_tail(
                 reply.head.next_offset, RECORDS_BYTES_MAX
@@ -141,14 +141,14 @@
         age_ms = self._read_verified_age_ms()
         mine = self._replica.head
         records: tuple[LogRecord, ...] = ()
-        if theirs.next_offset < mine.next_offset:
+        if mine.is_ahead_of(theirs):
             records = self._replica.slice_tail(theirs.next_offset, RECORDS_BYTES_MAX)
         return ExchangeReply(
             mine,
             age_ms,
             records,
             mark=self._keeper.read_mark(),
-            snapshot_needed=theirs.next_offset < mine.next_offset and not records,
+            snapshot_needed=mine.version > theirs.version and not records,
         )
 
     def _note_heard(self, instance: InstanceId, head: Head) -> None:
--- a/corianderhold/coordination/configuration/follower.py
+++ b/corianderhold/coordination/configuration/follower.py
@@ -7,12 +7,19 @@
 
 from corianderhold.clock import Clock
 from corianderhold.coordination.configuration.const import (
+    ALONE_AFTER_S,
     ANTI_ENTROPY_ANY_MEMBER_SHARE,
     ANTI_ENTROPY_INTERVAL_S,
     ANTI_ENTROPY_JITTER,
     ANTI_ENTROPY_PARENT_SHARE,
+    EXTRA_POLL_BACKOFF_LIMIT_S,
     POLL_BACKOFF_LIMIT_S,
+    POLL_HELD_S,
     POLL_INTERVAL_S,
+    POLL_JOIN_TIMEOUT_S,
+    POLL_WAIT_MAX_S,
+    POLL_WAIT_MIN_S,
+    POLL_WAIT_SHARE,
     PUSH_THREADS,
     SELF_POLL_AFTER_S,
     SELF_POLL_BACKOFF_LIMIT_S,
@@ -29,6 +36,7 @@
 from corianderhold.protocol.peer.control import ControlClient, ControlSender
 from corianderhold.protocol.store.model import Log
 from corianderhold.state.configuration.holder import ConfigurationHolder
+from corianderhold.state.configuration.model import IsolatedBehaviour
 from corianderhold.state.membership.model import Member, Members
 
 STOP = None
@@ -39,8 +47,9 @@
     """
     Follow the configuration stream; the handler of the topic CONFIGURATION.
 
-    Few daemons of a domain read the log; all compare heads with a peer once a second
-    and push what is new to a few neighbours at once. `retention_s` is how long the
+    Few daemons of a domain, or all of a small fleet, read the log, which holds the
+    answer until there is a record. All compare heads with a peer once a second and push
+    what is new to a few neighbours at once. `retention_s` is how long the
     log keeps a record.
     """
 
@@ -71,18 +80,24 @@
         self._reader = LogReader(self.replica, self.keeper, log, holder, clock, metrics)
         self._reader_lock = threading.Lock()
         self._poll_backoff_s = POLL_INTERVAL_S
-        self._self_poll_after_s = self._draw_self_poll_s(SELF_POLL_AFTER_S)
+        self._self_poll_wait_s = self._draw_self_poll_s(ALONE_AFTER_S)
         self._self_polled_at = clock.read_monotonic()
+        self._answered_at = clock.read_monotonic()
         self._pushes: SimpleQueue[Member | None] = SimpleQueue()
         self._queued_lock = threading.Lock()
         self._queued: set[InstanceId] = set()
         self._stopped = threading.Event()
         self._threads: list[threading.Thread] = []
+        self._poll_thread = threading.Thread(
+            target=lambda: self._repeat(self.poll_once),
+            name="configuration-poll",
+            daemon=True,
+        )
         self.replica.add_news_listener(self._queue_pushes)
 
     def start(self) -> None:
         """Start to read the log, to compare heads and to push."""
-        self._spawn("poll", lambda: self._repeat(self.poll_once))
+        self._poll_thread.start()
         self._spawn("spread", lambda: self._repeat(self.spread_once))
         for _ in range(PUSH_THREADS):
             self._spawn("push", self._push_until_stopped)
@@ -92,6 +107,7 @@
         self._stopped.set()
         for _ in range(PUSH_THREADS):
             self._pushes.put(STOP)
+        self._poll_thread.join(POLL_JOIN_TIMEOUT_S)
         for thread in self._threads:
             thread.join(JOIN_TIMEOUT_S)
 
@@ -114,12 +130,20 @@
 
     def poll_once(self) -> float:
         """Read the log when it is this daemon's part; return seconds to wait."""
+        began_at = self._clock.read_monotonic()
+        before = self.replica.state.version
+        outcome = None
         if self._peers.is_poller():
-            outcome = self.read_log()
+            outcome = self._await_news()
             self._note_poll(outcome)
         elif self._hears_nothing():
             self._poll_for_itself()
         self.keeper.keep()
+        held = self._clock.read_monotonic() - began_at >= POLL_HELD_S
+        if outcome is ReadOutcome.COMPLETE and (
+            held or self.replica.state.version > before
+        ):
+            return 0.0
         jitter = 1 + ANTI_ENTROPY_JITTER * (self._random.random() - 0.5)
         return self._poll_backoff_s * jitter
 
@@ -127,7 +151,7 @@
         """Compare heads with one peer; return seconds to wait."""
         peer = self._pick_peer()
         if peer is not None:
-            self.exchanger.exchange(peer)
+            self._exchange(peer)
         jitter = 1 + ANTI_ENTROPY_JITTER * (self._random.random() - 0.5)
         return ANTI_ENTROPY_INTERVAL_S * jitter
 
@@ -149,31 +173,58 @@
             return self._peers.pick_parent() or self._peers.pick_neighbour()
         return self._peers.pick_neighbour() or self._peers.pick_any()
 
+    def _await_news(self) -> ReadOutcome:
+        """Read the log once it has news; others may read it meanwhile."""
+        asked = self._reader.await_page(self._draw_poll_wait_s())
+        if asked is None:
+            return ReadOutcome.UNAVAILABLE
+        with self._reader_lock:
+            return self._reader.catch_up(asked)
+
+    def _draw_poll_wait_s(self) -> float:
+        """
+        Draw how long a read may be held.
+
+        At random, so that one daemon after another meets a connection that is silent;
+        shorter where a route refuses once the view is old.
+        """
+        longest_s = min(
+            [POLL_WAIT_MAX_S]
+            + [
+                route.isolated_after_s * POLL_WAIT_SHARE
+                for route in self._holder.current.routes
+                if route.isolated is IsolatedBehaviour.REFUSE
+            ]
+        )
+        return self._random.uniform(min(POLL_WAIT_MIN_S, longest_s), longest_s)
+
     def _note_poll(self, outcome: ReadOutcome) -> None:
         if outcome in (ReadOutcome.COMPLETE, ReadOutcome.PARTIAL):
             self._poll_backoff_s = POLL_INTERVAL_S
             return
         log_warning("configuration_poll_failed", outcome=outcome)
-        self._poll_backoff_s = min(POLL_BACKOFF_LIMIT_S, 2 * self._poll_backoff_s)
+        limit_s = EXTRA_POLL_BACKOFF_LIMIT_S
+        if self._peers.is_first_poller():
+            limit_s = POLL_BACKOFF_LIMIT_S
+        self._poll_backoff_s = min(limit_s, 2 * self._poll_backoff_s)
 
     def _hears_nothing(self) -> bool:
-        """Return whether no proof of a complete view came for long."""
-        heard_at = max(self._holder.verified_at, self._self_polled_at)
-        if heard_at > self._self_polled_at:
-            self._self_poll_after_s = min(
-                self._self_poll_after_s, 2 * SELF_POLL_AFTER_S
-            )
-        return self._clock.read_monotonic() - heard_at > self._self_poll_after_s
+        """Return whether no peer, or no proof of a complete view, came for long."""
+        now = self._clock.read_monotonic()
+        if now - self._self_polled_at < self._self_poll_wait_s:
+            return False
+        alone = now - self._answered_at > ALONE_AFTER_S
+        return alone or now - self._holder.verified_at > SELF_POLL_AFTER_S
 
     def _poll_for_itself(self) -> None:
         """Read the log; wait ever longer, at random, while it can't be read."""
         outcome = self.read_log()
         log_event("configuration_self_poll", outcome=outcome)
         self._self_polled_at = self._clock.read_monotonic()
-        wait_s = SELF_POLL_AFTER_S
+        wait_s = ALONE_AFTER_S
         if outcome is not ReadOutcome.COMPLETE:
-            wait_s = min(SELF_POLL_BACKOFF_LIMIT_S, 2 * self._self_poll_after_s)
-        self._self_poll_after_s = self._draw_self_poll_s(wait_s)
+            wait_s = min(SELF_POLL_BACKOFF_LIMIT_S, 2 * self._self_poll_wait_s)
+        self._self_poll_wait_s = self._draw_self_poll_s(wait_s)
 
     def _draw_self_poll_s(self, wait_s: float) -> float:
         return wait_s * (1 + self._random.random())
@@ -190,7 +241,12 @@
     def _push(self, member: Member) -> None:
         with self._queued_lock:
             self._queued.discard(member.instance)
-        self.exchanger.exchange(member, push=True)
+        self._exchange(member, push=True)
+
+    def _exchange(self, member: Member, push: bool = False) -> None:
+        """Exchange with a peer and note when one answered."""
+        if self.exchanger.exchange(member, push):
+            self._answered_at = self._clock.read_monotonic()
 
     def _repeat(self, step: Callable[[], float]) -> None:
         wait_s = 0.0
--- a/corianderhold/coordination/configuration/peers.py
+++ b/corianderhold/coordination/configuration/peers.py
@@ -8,6 +8,7 @@
 
 from corianderhold.clock import Clock
 from corianderhold.coordination.configuration.const import (
+    ALL_POLL_MEMBERS,
     FAR_NEIGHBOURS,
     FAR_PUSHES,
     NEAR_NEIGHBOURS,
@@ -37,11 +38,13 @@
     """
     The peers that follow from one view of the members.
 
-    `rank` is the own place among the live members of the own domain; `parent` is the
-    peer there that hears of the log sooner, None for a reader of the log.
+    `rank` is the own place among the live members of the own domain, `live` the number
+    of all live members; `parent` is the peer of the own domain that hears of the log
+    sooner, None for one of the first readers.
     """
 
     rank: int = 0
+    live: int = 1
     parent: Member | None = None
     near: tuple[Member, ...] = ()
     far: tuple[Member, ...] = ()
@@ -68,6 +71,10 @@
         self._refresh_at = float("-inf")
 
     def is_poller(self) -> bool:
+        """Return whether this daemon reads the log all the time."""
+        return self._read_choice().live <= ALL_POLL_MEMBERS or self.is_first_poller()
+
+    def is_first_poller(self) -> bool:
         """Return whether this daemon reads the log for its domain."""
         return self._read_choice().rank < POLLERS_PER_DOMAIN
 
@@ -138,6 +145,7 @@
         ranked_far = rank_instances(key, set(live) - near)[:FAR_NEIGHBOURS]
         return PeerChoice(
             rank,
+            len(live) + 1,
             parent,
             tuple(live[name] for name in ranked_near),
             tuple(live[name] for name in ranked_far),
--- a/corianderhold/coordination/configuration/replica.py
+++ b/corianderhold/coordination/configuration/replica.py
@@ -124,6 +124,23 @@
         self._notify_news()
         return True
 
+    def renumber(self, snapshot: SnapshotRecord) -> bool:
+        """
+        Go on from a snapshot of the state in force; return whether it is one.
+
+        For a log whose offsets began anew.
+        """
+        with self._lock:
+            state = self._state
+            if (snapshot.configuration.version, snapshot.digest) != (
+                state.version,
+                state.digest,
+            ):
+                return False
+            self._state = replace(state, next_offset=Offset(snapshot.folded_to + 1))
+            self._tail.clear()
+        return True
+
     def _fold_record(self, record: LogRecord) -> bool:
         """
         Fold one record; return whether the next one may follow.
--- a/corianderhold/protocol/configuration/messages.py
+++ b/corianderhold/protocol/configuration/messages.py
@@ -14,6 +14,11 @@
     version: Version
     digest: bytes
 
+    def is_ahead_of(self, other: "Head") -> bool:
+        """Return whether a daemon at `other` has something to learn from this one."""
+        mine = (self.version, self.next_offset)
+        return mine > (other.version, other.next_offset)
+
 
 @dataclass(frozen=True)
 class SnapshotQuery:
@@ -60,7 +65,8 @@
     Answer an exchange with the own head and what the asker lacks.
 
     `verified_age_ms` is the age of the last proof that the view was complete, None
-    without one. `snapshot_needed` says that the missing records are no longer kept.
+    without one. `snapshot_needed` says that the records of a newer version are no
+    longer kept.
     """
 
     head: Head
--- a/measurements/spread/threads.py
+++ b/measurements/spread/threads.py
@@ -173,7 +173,7 @@
 def measure_threaded(daemons: int, domains: int, seed: int) -> dict[str, float]:
     """Return the figures of one fleet with real threads."""
     store = Store()
-    server = WebServer("store", "127.0.0.1", 0, 64)
+    server = WebServer("store", "127.0.0.1", 0, 256)
     server.bind(store)
     server.start()
     log_url = f"http://{server.address}"
--- a/tests/common/log.py
+++ b/tests/common/log.py
@@ -59,6 +59,17 @@
             page = [record for record in records if record.offset >= from_offset]
             return Ok(LogPage(first, next_offset, tuple(page[:limit])))
 
+    def find_end(self, stream: StreamName) -> Offset:
+        """Return the offset that the next record gets, also while the log is down."""
+        with self._lock:
+            return Offset(self._next.get(stream, 0))
+
+    def restart_offsets(self, stream: StreamName, data: str) -> None:
+        """Begin a stream anew with one record."""
+        with self._lock:
+            self._records[stream] = [LogRecord(Offset(0), data)]
+            self._next[stream] = 1
+
     def truncate(self, stream: StreamName, before: int) -> None:
         """Drop records with an offset below `before`, as retention does."""
         with self._lock:
--- a/tests/coordination/configuration/case.py
+++ b/tests/coordination/configuration/case.py
@@ -2,10 +2,8 @@
 
 from unittest import TestCase
 
-from result import Ok
-
 from corianderhold.coordination.configuration.publisher import Published, Publisher
-from corianderhold.ids import Offset, ServiceName
+from corianderhold.ids import ServiceName
 from corianderhold.protocol.store.model import StreamName
 from corianderhold.state.configuration.model import Service
 from corianderhold.state.configuration.records import Delta
@@ -31,7 +29,6 @@
 
     def setUp(self) -> None:
         self.log = FakeLog()
-        self.end = Offset(0)
         self.fleet = Fleet(0, 0, self.log, self.seed, RETENTION_S)
         self.ways: dict[str, FaultyLog] = {}
         for number in range(9):
@@ -81,13 +78,11 @@
     def settle(self) -> None:
         """Check that all come to one state and none ever went back."""
         fleet = self.fleet
-        page = self.log.read(StreamName.CONFIGURATION, Offset(0), 1, 1.0)
-        if isinstance(page, Ok):
-            self.end = page.ok_value.next_offset
         settled = fleet.run_until(
             lambda: (
                 fleet.is_agreed()
-                and self.get_any().follower.replica.head.next_offset == self.end
+                and self.get_any().follower.replica.head.next_offset
+                == self.log.find_end(StreamName.CONFIGURATION)
             ),
             SETTLE_LIMIT_S,
         )
--- a/tests/coordination/configuration/test_exchange.py
+++ b/tests/coordination/configuration/test_exchange.py
@@ -1,6 +1,8 @@
 """Test the exchange of one daemon with another, and its messages."""
 
 import threading
+from functools import partial
+from operator import eq
 from unittest import TestCase
 from unittest.mock import patch
 
@@ -26,7 +28,13 @@
     SnapshotQuery,
 )
 from corianderhold.protocol.peer.control import ControlFailure, ControlSender
-from corianderhold.protocol.store.model import LogRecord, StreamName
+from corianderhold.protocol.store.model import (
+    AppendFailure,
+    LogPage,
+    LogRecord,
+    ReadFailure,
+    StreamName,
+)
 from corianderhold.state.configuration.model import Configuration
 from corianderhold.state.membership.model import Address
 from tests.common.changes import BASE, make_text
@@ -133,6 +141,36 @@
         self.assertEqual(daemon.versions, sorted(set(daemon.versions)))
 
 
+class HoldingLog(FakeLog):
+    """Hold reads until there is a record; `held` counts those that wait."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.held = 0
+        self._appended = threading.Condition()
+
+    def append(
+        self, stream: StreamName, data: str, timeout_s: float, key: str = ""
+    ) -> Result[Offset, AppendFailure]:
+        with self._appended:
+            self._appended.notify_all()
+            return super().append(stream, data, timeout_s, key)
+
+    def read(
+        self,
+        stream: StreamName,
+        from_offset: Offset,
+        limit: int,
+        timeout_s: float,
+        wait_s: float = 0.0,
+    ) -> Result[LogPage, ReadFailure]:
+        with self._appended:
+            self.held += 1
+            self._appended.wait_for(lambda: self.find_end(stream) > from_offset, wait_s)
+            self.held -= 1
+        return super().read(stream, from_offset, limit, timeout_s)
+
+
 class ThreadTests(TestCase):
     """Check a follower with its own threads, and readers of the holder."""
 
@@ -167,6 +205,21 @@
         self.assertEqual(daemon.holder.current.version, 199)
         self.assertEqual(torn, [])
 
+    def test_read_that_the_log_holds_brings_the_next_change(self) -> None:
+        log = HoldingLog()
+        daemon = next(iter(Fleet(1, 1, log).daemons.values()))
+        daemon.follower.start()
+        for version in range(1, 4):
+            wait_until(lambda: log.held == 1, "a read is held")
+            text = make_text(f"c{version}", version - 1, BASE)
+            log.append(StreamName.CONFIGURATION, text, 1.0)
+            expected = list(range(1, version + 1))
+            wait_until(partial(eq, daemon.versions, expected), f"version {version}")
+        wait_until(lambda: log.held == 1, "a read is held")
+        daemon.follower.read_log()
+        self.assertLessEqual(log.reads, 5)
+        daemon.follower.stop()
+
     def test_started_follower_reads_the_log_and_stops(self) -> None:
         log = FakeLog()
         fleet = Fleet(1, 1, log)
--- a/tests/coordination/configuration/test_spread.py
+++ b/tests/coordination/configuration/test_spread.py
@@ -8,7 +8,7 @@
 from corianderhold.protocol.peer.const import FRAME_BYTES_MAX
 from corianderhold.protocol.store.model import StreamName
 from corianderhold.state.configuration.codec import encode_snapshot
-from corianderhold.state.configuration.fold import build_snapshot
+from corianderhold.state.configuration.fold import build_snapshot, fold
 from corianderhold.state.configuration.records import Delta
 from tests.common.changes import RADIO_KEY, make_text
 from tests.coordination.configuration.case import (
@@ -186,7 +186,41 @@
         self.settle()
         self.assertEqual(self.read_version(), 601)
 
+    def restart_log(self, changes: int) -> None:
+        """Begin the stream anew with a snapshot of the state, with more changes."""
+        state = self.get_daemon(0).follower.replica.state
+        for base in range(state.version, state.version + changes):
+            text = make_text(f"c{base + 1}", base, limit_concurrency(base + 1))
+            state, _ = fold(state, state.next_offset, text)
+        snapshot = replace(build_snapshot(state), folded_to=Offset(-1))
+        self.log.restart_offsets(STREAM, encode_snapshot(snapshot))
+
+    def test_offsets_that_begin_anew_are_followed(self) -> None:
+        self.append_changes(1, 5)
+        self.settle()
+        for way in list(self.ways.values())[4:]:
+            way.cut = True
+        self.restart_log(0)
+        self.fleet.run(10.0)
+        self.assertEqual(self.fleet.in_force(6), 9)
+        self.append_changes(6, 1)
+        self.assertTrue(self.fleet.run_until(lambda: self.fleet.in_force(7) == 9, 10.0))
+        self.restart_log(3)
+        self.assertTrue(
+            self.fleet.run_until(lambda: self.fleet.in_force(10) == 9, 10.0)
+        )
+
+    def test_older_snapshot_of_a_log_that_began_anew_is_not_taken(self) -> None:
+        older = build_snapshot(self.get_daemon(0).follower.replica.state)
+        self.append_changes(1, 5)
+        self.settle()
+        text = encode_snapshot(replace(older, folded_to=Offset(-1)))
+        self.log.restart_offsets(STREAM, text)
+        self.fleet.run(30.0)
+        self.assertEqual(self.fleet.in_force(6), 9)
+
     def test_gap_without_a_snapshot_leaves_the_version_unverified(self) -> None:
+        self.log.read_only = frozenset({STREAM})  # nobody appends a snapshot
         self.isolate("d0")
         self.append_changes(1, 5)
         self.fleet.run(10.0)
