--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -15,6 +15,7 @@
 from corianderhold.coordination.entry.choice import LocalityChooser, Place
 from corianderhold.coordination.entry.intake import Intake
 from corianderhold.coordination.entry.outgoing import OutgoingApplication
+from corianderhold.coordination.entry.request import RequestReader
 from corianderhold.coordination.entry.router import Router
 from corianderhold.coordination.entry.sender import PeerSender
 from corianderhold.coordination.entry.watch import CallerWatch
@@ -43,10 +44,11 @@
 from corianderhold.coordination.rate.shards import list_shards as list_rate_shards
 from corianderhold.core import Application
 from corianderhold.deployment import Deployment
-from corianderhold.drain import GracefulStop, TargetDrain
+from corianderhold.drain import GracefulStop, StopParts, TargetDrain
 from corianderhold.ids import Incarnation
 from corianderhold.metrics import Metrics
 from corianderhold.protocol.peer.control import ControlHandler, ControlTopic
+from corianderhold.readiness import Readiness
 from corianderhold.settings.model import Settings
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.lease.model import Holder
@@ -82,7 +84,9 @@
         self._clock = SystemClock()
         self._random = Random(os.urandom(16))
         self._metrics = Metrics()
+        self._header_names = deployment.headers
         self._holder = ConfigurationHolder()
+        self._readiness = Readiness(self._holder)
         self._incarnation = draw_incarnation()
         self._identity = Identity(
             settings.instance, self._incarnation, settings.fleet_secret
@@ -111,8 +115,18 @@
         callers = self._build_callers(router, watch, rate)
         self._metrics.add_gauge("request_in_flight", callers.count_in_flight)
         outgoing = self._build_outgoing(router, watch, owner)
+        caller_server = self._build_caller_server(callers)
+        stop_parts = StopParts(
+            readiness=self._readiness,
+            member=self._membership,
+            listener=caller_server,
+            intake=callers,
+            owner=owner,
+            calls=watch,
+        )
         return Application(
             [
+                *self._build_operator_servers(),
                 self._pool,
                 AdmissionConfigurator(
                     admission, self._holder, self._membership, self._clock
@@ -124,14 +138,22 @@
                 keeper,
                 *rate.components,
                 watch,
-                *self._build_web_servers(callers, outgoing),
-                GracefulStop(self._membership, callers, owner, self._clock),
+                *self._build_target_servers(outgoing),
+                caller_server,
+                GracefulStop(stop_parts, self._settings.stop, self._clock),
             ]
         )
 
     def _build_owner(self, admission: Admission) -> Owner:
-        client = TargetClient(self._clock)
-        owner = Owner(self._membership, admission, client, self._clock, self._metrics)
+        names = self._header_names
+        owner = Owner(
+            self._membership,
+            admission,
+            TargetClient(self._clock, names.request_id),
+            self._clock,
+            self._metrics,
+            names,
+        )
         self._metrics.add_gauge(
             "owner_in_flight", lambda: owner.report_load().in_flight
         )
@@ -152,7 +174,17 @@
     def _build_intake(
         self, name: str, router: KeyedRouter, watch: CallerWatch, threads: int
     ) -> Intake:
-        return Intake(name, router, watch, self._clock, self._metrics, threads)
+        reader = RequestReader(self._header_names, self._settings.service or "")
+        return Intake(
+            name,
+            router,
+            watch,
+            self._clock,
+            self._metrics,
+            threads,
+            reader,
+            self._deployment.format_retry_after,
+        )
 
     def _build_callers(
         self, router: KeyedRouter, watch: CallerWatch, rate: RateParts
@@ -170,45 +202,41 @@
             intake, self._holder, owner.calls, self._membership, self._clock
         )
 
-    def _build_web_servers(
-        self, callers: CallerApplication, outgoing: OutgoingApplication
-    ) -> list[WebServer]:
+    def _build_caller_server(self, callers: CallerApplication) -> WebServer:
         listeners = self._settings.listeners
-        admin = self._build_admin_api().mount()
-        servers = [
-            WebServer("caller", listeners.caller, callers, listeners.caller_threads),
-            WebServer("admin", listeners.admin, admin, ADMIN_THREADS),
-            *self._build_deployment_servers(),
-        ]
-        if listeners.outgoing is not None:
-            threads = listeners.outgoing_threads
-            server = WebServer("outgoing", listeners.outgoing, outgoing, threads)
-            servers.insert(0, server)
-        return servers
+        return WebServer("caller", listeners.caller, callers, listeners.caller_threads)
 
-    def _build_deployment_servers(self) -> list[WebServer]:
-        """Build the listeners that this deployment adds to the product's own."""
+    def _build_target_servers(self, outgoing: OutgoingApplication) -> list[WebServer]:
+        """Build the listeners for the local target."""
         listeners, deployment = self._settings.listeners, self._deployment
         servers = []
+        if listeners.outgoing is not None:
+            threads = listeners.outgoing_threads
+            servers.append(WebServer("outgoing", listeners.outgoing, outgoing, threads))
         if listeners.announce is not None and deployment.build_announce is not None:
             announce = deployment.build_announce(self._membership)
             servers.append(
                 WebServer("announce", listeners.announce, announce, PAGE_THREADS)
             )
+        return servers
+
+    def _build_operator_servers(self) -> list[WebServer]:
+        """Build the listeners that answer as long as the process lives."""
+        listeners, deployment = self._settings.listeners, self._deployment
+        admin = self._build_admin_api().mount()
+        servers = [WebServer("admin", listeners.admin, admin, ADMIN_THREADS)]
         if listeners.readiness is not None and deployment.build_readiness is not None:
-            readiness = deployment.build_readiness(self._is_ready)
+            readiness = deployment.build_readiness(self._readiness.is_ready)
             servers.append(
                 WebServer("readiness", listeners.readiness, readiness, PAGE_THREADS)
             )
         return servers
 
-    def _is_ready(self) -> bool:
-        return bool(self._holder.current.version)
-
     def _build_admin_api(self) -> AdminApi:
         settings = self._settings
         parts = AdminParts(
             identity=AdminIdentity(settings.instance, settings.domain),
+            readiness=self._readiness,
             holder=self._holder,
             publisher=Publisher(self._follower, self._log, self._clock),
             history=self._follower.replica.history,
@@ -232,6 +260,7 @@
                 gossip_address=settings.listeners.gossip,
                 seeds=settings.seeds,
                 secret=settings.fleet_secret,
+                target_ttl_s=settings.target_ttl_s,
             ),
             self._clock,
             Random(os.urandom(16)),
--- a/corianderhold/coordination/owner/policy.py
+++ b/corianderhold/coordination/owner/policy.py
@@ -7,15 +7,17 @@
 
 from corianderhold.clock import Clock
 from corianderhold.coordination.owner.admission import Admission, AdmissionPolicy
+from corianderhold.coordination.owner.const import CONNECTIONS_PART
 from corianderhold.coordination.owner.limit import (
     AdaptiveLimit,
     ConcurrencyLimit,
     FixedLimit,
+    SlotLimit,
 )
 from corianderhold.ids import OrganisationId, ServiceName
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.configuration.model import Configuration, Service
-from corianderhold.state.membership.model import Member, TargetState
+from corianderhold.state.membership.model import TargetState
 from corianderhold.state.membership.target import TargetStatus
 
 DEFAULT_SERVICE = Service(ServiceName("default"))
@@ -27,12 +29,15 @@
     def read_target(self) -> TargetStatus:
         """Return the target's state, service and address."""
 
+    def suspend_target(self, status: TargetStatus) -> None:
+        """Hold the target for absent until its next heartbeat."""
+
 
 class ObservedTargetSource(TargetSource, Protocol):
-    """Give the local target, and tell when members change."""
+    """Give the local target, and tell when it changes."""
 
-    def add_listener(self, listener: Callable[[Member], None]) -> None:
-        """Call `listener` with each changed member, this daemon's own included."""
+    def add_target_listener(self, listener: Callable[[TargetStatus], None]) -> None:
+        """Call `listener` at each change, in the thread that brings it about."""
 
 
 @dataclass(frozen=True)
@@ -40,7 +45,7 @@
     """What a limit was built for; a change of it calls for a new limit."""
 
     target: TargetStatus
-    max_concurrency: int
+    bound: int
     adaptive: bool
 
 
@@ -78,7 +83,7 @@
     def start(self) -> None:
         """Follow the configuration and the local target."""
         self._holder.add_listener(self._follow_configuration)
-        self._source.add_listener(self._follow_member)
+        self._source.add_target_listener(self._follow_target)
 
     def stop(self) -> None:
         """Hold nothing that needs releasing."""
@@ -94,22 +99,27 @@
             )
             if target.state is TargetState.DRAINING:
                 return
-            key = LimitKey(target, service.max_concurrency, service.adaptive_limit)
+            bound = bound_concurrency(service, target)
+            key = LimitKey(target, bound, service.adaptive_limit)
             if key != self._key:
                 self._key = key
-                self._admission.replace_limit(self._build_limit(service))
+                self._admission.replace_limit(self._build_limit(key))
 
-    def _build_limit(self, service: Service) -> ConcurrencyLimit:
-        if service.adaptive_limit:
-            return AdaptiveLimit(service.max_concurrency, self._clock)
-        return FixedLimit(service.max_concurrency)
+    def _build_limit(self, key: LimitKey) -> ConcurrencyLimit:
+        if not key.adaptive:
+            return FixedLimit(key.bound)
+        if key.target.slots:
+            return SlotLimit(key.bound, key.target.cold_until, self._clock)
+        return AdaptiveLimit(key.bound, self._clock)
 
     def _follow_configuration(self, configuration: Configuration) -> None:
         self.apply()
 
-    def _follow_member(self, member: Member) -> None:
+    def _follow_target(self, target: TargetStatus) -> None:
+        if target.state is not TargetState.SERVING:
+            self._admission.refuse_waiting()
         known = self._key
-        if known is None or known.target != self._source.read_target():
+        if known is None or known.target != target:
             self.apply()
 
 
@@ -120,6 +130,16 @@
     return configuration.services.get(target.service, DEFAULT_SERVICE)
 
 
+def bound_concurrency(service: Service, target: TargetStatus) -> int:
+    """Return how many calls the target may get at most; each takes a connection."""
+    bounds = [service.max_concurrency]
+    if target.slots:
+        bounds.append(target.slots)
+    if service.max_connections is not None:
+        bounds.append(max(1, int(service.max_connections * CONNECTIONS_PART)))
+    return min(bounds)
+
+
 def weigh_by(configuration: Configuration) -> Callable[[OrganisationId], float]:
     """Return the function that gives an organisation's weight."""
 
--- a/corianderhold/settings/model.py
+++ b/corianderhold/settings/model.py
@@ -27,15 +27,31 @@
     outgoing_threads: int
 
 
+@dataclass(frozen=True)
+class StopTimes:
+    """
+    Bound a planned stop.
+
+    `limit_s` is when the process has ended at the latest. For `deregistration_delay_s`
+    from its beginning callers may still come, since they learn of it by readiness.
+    """
+
+    limit_s: float
+    deregistration_delay_s: float
+
+
 @dataclass(frozen=True)
 class Settings:
     """
     Everything that one daemon is told at its start.
 
+    `target_ttl_s` is how long a heartbeat of the local target lasts, in seconds.
     `retention_s` is how long the log keeps a record, in seconds; `entry_slots` the
     highest number of daemons that ever run at once in this failure domain, for fixed
     slices of the rates, or 0 for loans. `domains` names all failure domains of the
     fleet where the deployment's configuration does not divide the rates itself.
+    `fleet_secret` is empty where peers are trusted by their network, and `admin_token`
+    where the administration API answers reads only.
     """
 
     instance: InstanceId
@@ -43,6 +59,7 @@
     region: RegionId
     listeners: Listeners
     service: ServiceName | None
+    target_ttl_s: float
     store: Address
     retention_s: float
     seeds: tuple[Address, ...]
@@ -50,4 +67,5 @@
     domains: tuple[FailureDomainId, ...]
     fleet_secret: bytes = field(repr=False)
     admin_token: str = field(repr=False)
+    stop: StopTimes
     log_level: str = "info"
--- a/corianderhold/settings/schema.py
+++ b/corianderhold/settings/schema.py
@@ -23,14 +23,17 @@
     CONF_ANNOUNCE,
     CONF_CALLER,
     CONF_CALLER_THREADS,
+    CONF_DEREGISTRATION_DELAY_S,
     CONF_DOMAIN,
     CONF_DOMAINS,
     CONF_ENTRY_SLOTS,
     CONF_FLEET_SECRET,
     CONF_GOSSIP,
+    CONF_HEARTBEAT_TTL_S,
     CONF_ID,
     CONF_INSTANCE,
     CONF_LEVEL,
+    CONF_LIFECYCLE,
     CONF_LISTENERS,
     CONF_LOGGING,
     CONF_MEMBERSHIP,
@@ -38,27 +41,37 @@
     CONF_OUTGOING_THREADS,
     CONF_PEER,
     CONF_PEER_ADVERTISED,
+    CONF_PEER_TRUST,
     CONF_READINESS,
     CONF_REGION,
     CONF_RETENTION_S,
     CONF_SECURITY,
     CONF_SEEDS,
     CONF_SERVICE,
+    CONF_STOP_LIMIT_S,
     CONF_STORE,
     CONF_TARGET,
     DEFAULT_CALLER_THREADS,
+    DEFAULT_DEREGISTRATION_DELAY_S,
     DEFAULT_ENTRY_SLOTS,
     DEFAULT_LEVEL,
     DEFAULT_OUTGOING_THREADS,
     DEFAULT_RETENTION_S,
+    DEFAULT_STOP_LIMIT_S,
     HIGHEST_PORT,
     LOG_LEVELS,
+    PEER_TRUSTS,
     SECRET_LENGTH_MIN,
+    TRUST_SECRET,
 )
+from corianderhold.state.membership.const import TARGET_TTL_S
 from corianderhold.state.membership.model import Address
 
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9_.-]{0,62}")
 RETENTION_ACCEPTED = "accepted: seconds, at least 60"
+HEARTBEAT_TTL_ACCEPTED = "accepted: seconds from 1 to 60"
+STOP_LIMIT_ACCEPTED = "accepted: seconds from 3 to 600"
+DEREGISTRATION_DELAY_ACCEPTED = "accepted: seconds from 0 to 600"
 ENTRY_SLOTS_ACCEPTED = "accepted: a whole number from 0 to 10000"
 THREADS = All(
     Coerce(int, msg="accepted: a whole number from 4 to 1024"),
@@ -146,7 +159,15 @@
             Optional(CONF_OUTGOING_THREADS, default=DEFAULT_OUTGOING_THREADS): THREADS,
         }
     ),
-    CONF_TARGET: Schema({Optional(CONF_SERVICE, default=""): parse_service}),
+    CONF_TARGET: Schema(
+        {
+            Optional(CONF_SERVICE, default=""): parse_service,
+            Optional(CONF_HEARTBEAT_TTL_S, default=TARGET_TTL_S): All(
+                Coerce(float, msg=HEARTBEAT_TTL_ACCEPTED),
+                Range(min=1, max=60, msg=HEARTBEAT_TTL_ACCEPTED),
+            ),
+        }
+    ),
     CONF_STORE: Schema(
         {
             Required(CONF_ADDRESS): parse_address,
@@ -167,7 +188,27 @@
         }
     ),
     CONF_SECURITY: Schema(
-        {Required(CONF_FLEET_SECRET): SECRET, Required(CONF_ADMIN_TOKEN): SECRET}
+        {
+            Optional(CONF_PEER_TRUST, default=TRUST_SECRET): In(
+                PEER_TRUSTS, msg=f"accepted: one of {', '.join(PEER_TRUSTS)}"
+            ),
+            Optional(CONF_FLEET_SECRET): SECRET,
+            Optional(CONF_ADMIN_TOKEN): SECRET,
+        }
+    ),
+    CONF_LIFECYCLE: Schema(
+        {
+            Optional(CONF_STOP_LIMIT_S, default=DEFAULT_STOP_LIMIT_S): All(
+                Coerce(float, msg=STOP_LIMIT_ACCEPTED),
+                Range(min=3, max=600, msg=STOP_LIMIT_ACCEPTED),
+            ),
+            Optional(
+                CONF_DEREGISTRATION_DELAY_S, default=DEFAULT_DEREGISTRATION_DELAY_S
+            ): All(
+                Coerce(float, msg=DEREGISTRATION_DELAY_ACCEPTED),
+                Range(min=0, max=600, msg=DEREGISTRATION_DELAY_ACCEPTED),
+            ),
+        }
     ),
     CONF_LOGGING: Schema(
         {
