Divide rates into slices whose tokens move between entries; count members

Ruled out: shorter loans and one shard a domain (a new steward still waits for the lease and for the loans of the one before it); an allowance that outlives its loan (it needs a divisor to be safe, and with one the steward is not needed); slices without tokens of peers (an organisation with less than a token at each entry is never admitted).

Change: fixed slices (entry_slots > 0) now ask a few peers for tokens where none is left; the lender's capacity is lowered while they may be used, so rate and burst still hold. entry_slots = members divides by the number of known members, dead ones for 60 s included, with a tolerance while views differ; rate_slack adds to the burst. No lease, no steward, no message at rest. Loans stay the default, for large fleets. A rate of 0 is no limit.

--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -36,12 +36,18 @@
     build_default_policy,
 )
 from corianderhold.coordination.owner.remote import RemoteCallServer
+from corianderhold.coordination.rate.division import (
+    CountedMembers,
+    Division,
+    FixedSlots,
+)
 from corianderhold.coordination.rate.parts import (
     RateParts,
-    build_fixed_slices,
     build_loans,
+    build_slices,
 )
 from corianderhold.coordination.rate.shards import list_shards as list_rate_shards
+from corianderhold.coordination.rate.transfer import EntryPlace
 from corianderhold.core import Application
 from corianderhold.deployment import Deployment
 from corianderhold.drain import GracefulStop, StopParts, TargetDrain
@@ -302,18 +308,24 @@
         """Take part in the leases of idempotency keys and, with loans, of rates."""
         settings = self._settings
         shards = list_once_shards()
-        if not settings.entry_slots:
+        if settings.entry_slots == 0:
             shards |= list_rate_shards(settings.domain)
         return LeaseManager(
             self._node, shards, self._clock, self._log, self._control, self._membership
         )
 
     def _build_rate(self) -> RateParts:
-        """Build loans, or fixed slices where the settings name the entry slots."""
+        """Build loans or slices, as the settings say."""
         settings = self._settings
-        if settings.entry_slots:
-            return build_fixed_slices(
-                self._holder, settings.domain, settings.entry_slots, self._clock
+        if settings.entry_slots != 0:
+            return build_slices(
+                EntryPlace(self._node, settings.domain, settings.region),
+                self._holder,
+                self._build_division(),
+                self._membership,
+                self._control,
+                self._clock,
+                settings.rate_slack,
             )
         return build_loans(
             self._node,
@@ -325,6 +337,13 @@
             self._clock,
         )
 
+    def _build_division(self) -> Division:
+        """Divide by entry slots where the settings name their number."""
+        settings = self._settings
+        if settings.entry_slots is not None:
+            return FixedSlots(settings.domain, settings.entry_slots)
+        return CountedMembers(settings.instance, self._membership, self._clock)
+
     def _build_peer_server(
         self,
         owner: Owner,
--- a/corianderhold/coordination/rate/parts.py
+++ b/corianderhold/coordination/rate/parts.py
@@ -9,11 +9,13 @@
 from corianderhold.coordination.lease.guard import LeaseGuard
 from corianderhold.coordination.lease.locator import HolderLocator
 from corianderhold.coordination.rate.charger import StewardCharger
+from corianderhold.coordination.rate.division import Division
 from corianderhold.coordination.rate.entry import EntryLoans
 from corianderhold.coordination.rate.limiter import AllowanceLimiter, RateLimiter
 from corianderhold.coordination.rate.messenger import LoanMessenger
-from corianderhold.coordination.rate.static import StaticAllocator
+from corianderhold.coordination.rate.slices import SliceAllocator, SliceTable
 from corianderhold.coordination.rate.steward import RateSteward
+from corianderhold.coordination.rate.transfer import EntryPlace, TransferLimiter
 from corianderhold.core import Component
 from corianderhold.ids import FailureDomainId
 from corianderhold.protocol.peer.control import (
@@ -23,6 +25,7 @@
 )
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.lease.model import Holder
+from corianderhold.state.membership.model import Members
 
 
 @dataclass(frozen=True)
@@ -34,16 +37,22 @@
     handlers: Mapping[ControlTopic, ControlHandler] = field(default_factory=dict)
 
 
-def build_fixed_slices(
+def build_slices(
+    place: EntryPlace,
     configuration: ConfigurationHolder,
-    domain: FailureDomainId,
-    entry_slots: int,
+    division: Division,
+    members: Members,
+    control: ControlClient,
     clock: Clock,
+    slack: float,
 ) -> RateParts:
-    """Give this entry 1/`entry_slots` of its domain's share, without any messages."""
-    limiter = AllowanceLimiter()
-    allocator = StaticAllocator(limiter, configuration, domain, entry_slots, clock)
-    return RateParts(limiter, (allocator,))
+    """Give this entry a slice of every organisation, with tokens of its peers."""
+    table = SliceTable()
+    limiter = TransferLimiter(
+        table, place, configuration, members, control, clock, Random(os.urandom(16))
+    )
+    allocator = SliceAllocator(table, configuration, division, clock, slack)
+    return RateParts(limiter, (allocator,), {ControlTopic.RATE: limiter})
 
 
 def build_loans(
--- /dev/null
+++ b/corianderhold/coordination/rate/slices.py
@@ -0,0 +1,203 @@
+"""Keep this entry's slice of every organisation's rate and burst."""
+
+import threading
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from corianderhold.clock import Clock
+from corianderhold.coordination.rate.bucket import TokenBucket
+from corianderhold.coordination.rate.const import (
+    LENT_RESERVE,
+    SLICE_REFRESH_INTERVAL_S,
+    TRANSFER_KEPT_S,
+)
+from corianderhold.coordination.rate.division import Division
+from corianderhold.ids import OrganisationId
+from corianderhold.log import log_warning
+from corianderhold.state.configuration.holder import ConfigurationHolder
+from corianderhold.state.configuration.model import Configuration
+
+
+@dataclass(frozen=True)
+class _Parcel:
+    """Tokens that went to or came from a peer, and when they end."""
+
+    tokens: float
+    ends_at: float
+
+
+@dataclass
+class _Slice:
+    """
+    The bucket of one organisation, and the tokens lent and borrowed.
+
+    What is lent lowers the capacity until the borrower can't use it any more, so that
+    every token lives in one bucket at a time.
+    """
+
+    bucket: TokenBucket
+    rate: float = 0.0
+    capacity: float = 0.0
+    lent: list[_Parcel] = field(default_factory=list)
+    borrowed: list[_Parcel] = field(default_factory=list)
+
+    def settle(self, now: float) -> float:
+        """Drop what has ended and return the tokens at hand."""
+        if self.lent:
+            self.lent = [parcel for parcel in self.lent if parcel.ends_at > now]
+        if self.borrowed:
+            self.borrowed = [each for each in self.borrowed if each.ends_at > now]
+        out = sum(parcel.tokens for parcel in self.lent)
+        self.bucket.resize(now, self.rate, max(0.0, self.capacity - out))
+        return self.bucket.tokens + sum(parcel.tokens for parcel in self.borrowed)
+
+    def take(self, now: float) -> None:
+        """Remove one token, the borrowed ones first; `settle` found enough."""
+        missing = 1.0
+        while missing > 0 and self.borrowed:
+            parcel = self.borrowed.pop(0)
+            if parcel.tokens > missing:
+                left = parcel.tokens - missing
+                self.borrowed.insert(0, _Parcel(left, parcel.ends_at))
+            missing -= min(missing, parcel.tokens)
+        self.bucket.take_up_to(now, missing)
+
+
+class SliceTable:
+    """Hold the slices of all organisations; thread-safe."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._slices: dict[OrganisationId, _Slice] = {}
+
+    def set_slice(
+        self,
+        organisation: OrganisationId,
+        rate: float,
+        capacity: float,
+        now: float,
+        tokens: float = 0.0,
+    ) -> None:
+        """Replace rate and capacity and add `tokens`; a new slice begins empty."""
+        with self._lock:
+            held = self._slices.get(organisation)
+            if held is None:
+                held = _Slice(TokenBucket(0.0, 0.0, now))
+                self._slices[organisation] = held
+            held.settle(now)
+            held.rate, held.capacity = rate, capacity
+            held.settle(now)
+            held.bucket.add(now, tokens)
+
+    def remove_except(self, kept: Mapping[OrganisationId, object]) -> None:
+        """Forget organisations that are not among `kept`."""
+        with self._lock:
+            for organisation in self._slices.keys() - kept.keys():
+                del self._slices[organisation]
+
+    def take(self, organisation: OrganisationId, now: float) -> float:
+        """Remove one token; return 0, or how much of a token is missing."""
+        with self._lock:
+            held = self._slices.get(organisation)
+            if held is None:
+                return 1.0
+            at_hand = held.settle(now)
+            if at_hand < 1.0:
+                return 1.0 - at_hand
+            held.take(now)
+            return 0.0
+
+    def estimate_wait_s(self, organisation: OrganisationId) -> float:
+        """Return seconds until the own slice has a token, infinite if it never has."""
+        with self._lock:
+            held = self._slices.get(organisation)
+            return held.bucket.estimate_wait_s() if held else float("inf")
+
+    def lend(self, organisation: OrganisationId, wanted: float, now: float) -> float:
+        """Remove up to `wanted` tokens for a peer; a large slice keeps a part."""
+        with self._lock:
+            held = self._slices.get(organisation)
+            if held is None:
+                return 0.0
+            held.settle(now)
+            spare = held.bucket.tokens
+            if held.capacity * LENT_RESERVE >= 1.0:
+                spare -= held.capacity * LENT_RESERVE
+            tokens = held.bucket.take_up_to(now, max(0.0, min(wanted, spare)))
+            if tokens > 0:
+                held.lent.append(_Parcel(tokens, now + TRANSFER_KEPT_S))
+            return tokens
+
+    def add_borrowed(
+        self, organisation: OrganisationId, tokens: float, ends_at: float
+    ) -> None:
+        """Keep tokens that a peer lent until their end."""
+        with self._lock:
+            held = self._slices.get(organisation)
+            if held is not None and tokens > 0:
+                held.borrowed.append(_Parcel(tokens, ends_at))
+
+
+class SliceAllocator:
+    """
+    Set this entry's slices from the configuration and the division.
+
+    `slack` is added to the burst of every organisation, in requests. A slice accrues
+    from the start of the process, when its predecessor had ended; organisations of
+    later versions begin empty.
+    """
+
+    def __init__(
+        self,
+        table: SliceTable,
+        configuration: ConfigurationHolder,
+        division: Division,
+        clock: Clock,
+        slack: float = 0.0,
+    ) -> None:
+        self._table = table
+        self._configuration = configuration
+        self._division = division
+        self._clock = clock
+        self._slack = slack
+        self._started_at = clock.read_monotonic()
+        self._lock = threading.Lock()
+        self._begun = False
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="slices", daemon=True)
+
+    def start(self) -> None:
+        """Follow the configuration, the one in force first."""
+        self._configuration.add_listener(self._apply)
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop the thread."""
+        self._stopping.set()
+
+    def refresh(self) -> None:
+        """Divide again."""
+        self._apply(self._configuration.current)
+
+    def _run(self) -> None:
+        """Divide again at an interval."""
+        while not self._stopping.wait(SLICE_REFRESH_INTERVAL_S):
+            try:
+                self.refresh()
+            except Exception as error:  # noqa: BLE001
+                log_warning("slice_refresh_failed", error=repr(error))
+
+    def _apply(self, configuration: Configuration) -> None:
+        """Set the slice of every organisation."""
+        with self._lock:
+            self._division.refresh()
+            now = self._clock.read_monotonic()
+            self._table.remove_except(configuration.organisations)
+            accrued_s = 0.0 if self._begun else now - self._started_at
+            for name, organisation in configuration.organisations.items():
+                part = self._division.find_part(organisation)
+                self._begun = self._begun or part > 0
+                rate = organisation.rate * part
+                capacity = (organisation.burst + self._slack) * part
+                tokens = rate * accrued_s
+                self._table.set_slice(name, rate, capacity, now, tokens)
--- /dev/null
+++ b/corianderhold/coordination/rate/transfer.py
@@ -0,0 +1,218 @@
+"""Charge requests to this entry's slices, and move tokens between entries."""
+
+import threading
+from dataclasses import dataclass
+from random import Random
+
+from result import Err, Ok, Result
+
+from corianderhold.clock import Clock
+from corianderhold.coordination.rate.const import (
+    FAR_LENDERS,
+    LONGEST_RETRY_AFTER_MS,
+    NEAR_LENDERS,
+    SINGLE_CHARGES,
+    SINGLE_RETRY_MAX_S,
+    SINGLE_RETRY_S,
+    TRANSFER_LIMIT_S,
+    TRANSFER_TIMEOUT_S,
+    TRANSFER_USE_S,
+)
+from corianderhold.coordination.rate.slices import SliceTable
+from corianderhold.ids import FailureDomainId, OrganisationId, RegionId
+from corianderhold.log import log_warning
+from corianderhold.protocol.peer.control import (
+    ControlClient,
+    ControlSender,
+    ControlTopic,
+)
+from corianderhold.protocol.rate.codec import (
+    LoanMessageError,
+    decode_reply,
+    decode_request,
+    encode_reply,
+    encode_request,
+)
+from corianderhold.protocol.rate.model import (
+    LoanAsk,
+    LoanGrant,
+    LoanReply,
+    LoanRequest,
+)
+from corianderhold.protocol.verdict import Reason, Refusal, refuse_not_run
+from corianderhold.state.configuration.holder import ConfigurationHolder
+from corianderhold.state.lease.model import Holder
+from corianderhold.state.membership.model import Member, Members, MemberState
+
+
+@dataclass(frozen=True)
+class EntryPlace:
+    """Who an entry is and where."""
+
+    node: Holder
+    domain: FailureDomainId
+    region: RegionId
+
+
+@dataclass
+class _Shortage:
+    """
+    What an organisation lacked here lately.
+
+    No peer is asked before `pause_until`; the pause grows while peers have nothing.
+    """
+
+    pause_until: float = float("-inf")
+    pause_s: float = 0.0
+    began_at: float = float("-inf")
+    count: int = 0
+
+    def note(self, now: float) -> float:
+        """Count a charge without a token; return how many come in TRANSFER_USE_S."""
+        if now - self.began_at >= TRANSFER_USE_S:
+            self.began_at, self.count = now, 0
+        self.count += 1
+        return float(self.count)
+
+
+class TransferLimiter:
+    """
+    Charge to the own slice, and to tokens of peers where it has none left.
+
+    Also the control handler of topic RATE: it lends tokens to peers. Few requests are
+    made at once, and none for a time after peers had nothing.
+    """
+
+    def __init__(
+        self,
+        table: SliceTable,
+        place: EntryPlace,
+        configuration: ConfigurationHolder,
+        members: Members,
+        control: ControlClient,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self._table = table
+        self._place = place
+        self._configuration = configuration
+        self._members = members
+        self._control = control
+        self._clock = clock
+        self._random = random
+        self._slots = threading.BoundedSemaphore(SINGLE_CHARGES)
+        self._shortages: dict[OrganisationId, _Shortage] = {}
+
+    def charge(self, organisation: OrganisationId, now: float) -> Result[None, Refusal]:
+        """Charge one request; waits for peers only where that saves a refusal."""
+        if self._is_unlimited(organisation):
+            return Ok(None)
+        missing = self._table.take(organisation, now)
+        if missing <= 0:
+            return Ok(None)
+        shortage = self._shortages.setdefault(organisation, _Shortage())
+        wanted = missing + shortage.note(now) - 1.0
+        if now < shortage.pause_until:
+            return self._refuse(organisation, shortage.pause_until - now)
+        if not self._slots.acquire(blocking=False):
+            return self._refuse(organisation, SINGLE_RETRY_S)
+        try:
+            charged = self._borrow(organisation, wanted)
+        finally:
+            self._slots.release()
+        if charged:
+            shortage.pause_s = 0.0
+            return Ok(None)
+        shortage.pause_s = min(
+            SINGLE_RETRY_MAX_S, max(SINGLE_RETRY_S, 2 * shortage.pause_s)
+        )
+        shortage.pause_until = self._clock.read_monotonic() + shortage.pause_s
+        return self._refuse(organisation, shortage.pause_s)
+
+    def handle_control(self, sender: ControlSender, body: bytes) -> bytes:
+        """Lend what a peer asks for, as far as it is there."""
+        try:
+            request = decode_request(body)
+        except LoanMessageError as error:
+            log_warning("loan_request_malformed", error=repr(error))
+            return encode_reply(LoanReply(False))
+        if request.borrower != sender.instance:
+            log_warning("loan_request_forged", sender=sender.instance)
+            return encode_reply(LoanReply(False))
+        now = self._clock.read_monotonic()
+        grants = []
+        for ask in request.asks:
+            tokens = self._table.lend(ask.organisation, ask.wanted, now)
+            grants.append(LoanGrant(ask.organisation, 0, 0.0, tokens, tokens))
+        return encode_reply(LoanReply(True, tuple(grants)))
+
+    def _is_unlimited(self, organisation: OrganisationId) -> bool:
+        """Whether the configuration sets no rate for an organisation."""
+        known = self._configuration.current.organisations.get(organisation)
+        return known is not None and known.rate <= 0
+
+    def _borrow(self, organisation: OrganisationId, wanted: float) -> bool:
+        """Ask one peer after the other until a token can be charged."""
+        began_at = self._clock.read_monotonic()
+        for member in self._list_lenders():
+            wanted -= self._ask(member, organisation, wanted)
+            now = self._clock.read_monotonic()
+            if self._table.take(organisation, now) <= 0:
+                return True
+            if now - began_at >= TRANSFER_LIMIT_S:
+                return False
+        return False
+
+    def _list_lenders(self) -> list[Member]:
+        """Return some peers in random order, those of the own domain first."""
+        place = self._place
+        near, middle, far = [], [], []
+        for member in self._members.list_members():
+            if member.state is not MemberState.ALIVE:
+                continue
+            if member.instance == place.node.instance:
+                continue
+            if member.domain == place.domain:
+                near.append(member)
+            elif member.region == place.region:
+                middle.append(member)
+            else:
+                far.append(member)
+        for members in (near, middle, far):
+            self._random.shuffle(members)
+        return near[:NEAR_LENDERS] + middle[:NEAR_LENDERS] + far[:FAR_LENDERS]
+
+    def _ask(
+        self, member: Member, organisation: OrganisationId, wanted: float
+    ) -> float:
+        """Ask one peer for tokens and return how many came."""
+        ask = LoanAsk(organisation, 0, 0.0, 0.0, 0.0, wanted, single=True)
+        node = self._place.node
+        request = LoanRequest(
+            node.instance, node.incarnation, 0, self._place.domain, False, (ask,)
+        )
+        sent_at = self._clock.read_monotonic()
+        answer = self._control.request(
+            member.peer_address,
+            ControlTopic.RATE,
+            encode_request(request),
+            TRANSFER_TIMEOUT_S,
+        )
+        if isinstance(answer, Err):
+            return 0.0
+        try:
+            reply = decode_reply(answer.ok_value)
+        except LoanMessageError as error:
+            log_warning("loan_reply_malformed", error=repr(error))
+            return 0.0
+        tokens = sum(grant.tokens for grant in reply.grants)
+        self._table.add_borrowed(organisation, tokens, sent_at + TRANSFER_USE_S)
+        return tokens
+
+    def _refuse(
+        self, organisation: OrganisationId, wait_s: float
+    ) -> Result[None, Refusal]:
+        """Refuse with the time until peers may be asked, or the own next token."""
+        wait_s = min(wait_s, self._table.estimate_wait_s(organisation))
+        retry_after_ms = min(LONGEST_RETRY_AFTER_MS, int(wait_s * 1000) + 1)
+        return Err(refuse_not_run(Reason.RATE_EXCEEDED, retry_after_ms))
--- a/corianderhold/settings/model.py
+++ b/corianderhold/settings/model.py
@@ -48,7 +48,9 @@
     `target_ttl_s` is how long a heartbeat of the local target lasts, in seconds.
     `retention_s` is how long the log keeps a record, in seconds; `entry_slots` the
     highest number of daemons that ever run at once in this failure domain, for fixed
-    slices of the rates, or 0 for loans. `domains` names all failure domains of the
+    slices of the rates, None for slices by the number of known members, or 0 for
+    loans. With slices, the fleet may admit `rate_slack` requests of an organisation
+    beyond its burst. `domains` names all failure domains of the
     fleet where the deployment's configuration does not divide the rates itself.
     `fleet_secret` is empty where peers are trusted by their network, and `admin_token`
     where the administration API answers reads only.
@@ -63,7 +65,8 @@
     store: Address
     retention_s: float
     seeds: tuple[Address, ...]
-    entry_slots: int
+    entry_slots: int | None
+    rate_slack: int
     domains: tuple[FailureDomainId, ...]
     fleet_secret: bytes = field(repr=False)
     admin_token: str = field(repr=False)
--- a/corianderhold/settings/schema.py
+++ b/corianderhold/settings/schema.py
@@ -42,6 +42,7 @@
     CONF_PEER,
     CONF_PEER_ADVERTISED,
     CONF_PEER_TRUST,
+    CONF_RATE_SLACK,
     CONF_READINESS,
     CONF_REGION,
     CONF_RETENTION_S,
@@ -56,9 +57,13 @@
     DEFAULT_ENTRY_SLOTS,
     DEFAULT_LEVEL,
     DEFAULT_OUTGOING_THREADS,
+    DEFAULT_RATE_SLACK,
     DEFAULT_RETENTION_S,
     DEFAULT_STOP_LIMIT_S,
+    ENTRY_SLOTS_MEMBERS,
+    HIGHEST_ENTRY_SLOTS,
     HIGHEST_PORT,
+    HIGHEST_RATE_SLACK,
     LOG_LEVELS,
     PEER_TRUSTS,
     SECRET_LENGTH_MIN,
@@ -72,7 +77,8 @@
 HEARTBEAT_TTL_ACCEPTED = "accepted: seconds from 1 to 60"
 STOP_LIMIT_ACCEPTED = "accepted: seconds from 3 to 600"
 DEREGISTRATION_DELAY_ACCEPTED = "accepted: seconds from 0 to 600"
-ENTRY_SLOTS_ACCEPTED = "accepted: a whole number from 0 to 10000"
+ENTRY_SLOTS_ACCEPTED = "accepted: a whole number from 0 to 10000, or members"
+RATE_SLACK_ACCEPTED = "accepted: a whole number from 0 to 1000"
 THREADS = All(
     Coerce(int, msg="accepted: a whole number from 4 to 1024"),
     Range(min=4, max=1024, msg="accepted: a whole number from 4 to 1024"),
@@ -128,6 +134,19 @@
     return tuple(FailureDomainId(parse_name(name)) for name in names)
 
 
+def parse_entry_slots(text: str) -> int | None:
+    """Return the number of entry slots, None for as many as there are members."""
+    if text == ENTRY_SLOTS_MEMBERS:
+        return None
+    try:
+        slots = int(text)
+    except ValueError:
+        raise Invalid(ENTRY_SLOTS_ACCEPTED) from None
+    if not 0 <= slots <= HIGHEST_ENTRY_SLOTS:
+        raise Invalid(ENTRY_SLOTS_ACCEPTED)
+    return slots
+
+
 def parse_service(text: str) -> ServiceName | None:
     """Return the service's name, or None for an empty text."""
     return ServiceName(parse_name(text)) if text else None
@@ -181,9 +200,10 @@
         {
             Optional(CONF_SEEDS, default=""): parse_addresses,
             Optional(CONF_DOMAINS, default=""): parse_domains,
-            Optional(CONF_ENTRY_SLOTS, default=DEFAULT_ENTRY_SLOTS): All(
-                Coerce(int, msg=ENTRY_SLOTS_ACCEPTED),
-                Range(min=0, max=10_000, msg=ENTRY_SLOTS_ACCEPTED),
+            Optional(CONF_ENTRY_SLOTS, default=DEFAULT_ENTRY_SLOTS): parse_entry_slots,
+            Optional(CONF_RATE_SLACK, default=DEFAULT_RATE_SLACK): All(
+                Coerce(int, msg=RATE_SLACK_ACCEPTED),
+                Range(min=0, max=HIGHEST_RATE_SLACK, msg=RATE_SLACK_ACCEPTED),
             ),
         }
     ),
--- /dev/null
+++ b/measurements/slices.py
@@ -0,0 +1,300 @@
+"""
+Measure slices with tokens of peers beside loans, on the scale of 24 daemons.
+
+Time is fake. Eight organisations send 537 requests a second in all to 24 entries in
+6 failure domains; each has 1.6 times its usual demand as its rate, and a burst of one
+second. A request is refused inside the rate when one bucket for the whole fleet that
+is always in reach would have admitted it. Where more is asked than the rate,
+other requests may be admitted in its place; `short_of_rate_worst` compares only the
+numbers. `worst_window` is the highest part of (rate x 5 s + burst) x 1.1 + 20 that an
+organisation was admitted in any 5 s.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Protocol
+
+from loguru import logger
+
+from corianderhold.coordination.rate.bucket import TokenBucket
+from corianderhold.ids import FailureDomainId, OrganisationId
+from corianderhold.state.configuration.model import Organisation
+from measurements.report import Target, judge_figures, print_figures
+from tests.common.rate_fleet import RateFleet
+from tests.common.slice_fleet import SliceFleet
+
+DEMANDS = (180.0, 140.0, 100.0, 60.0, 30.0, 15.0, 8.0, 4.0)
+RATE_PART = 1.6
+DOMAINS = [FailureDomainId(f"domain-{number}") for number in range(6)]
+ENTRIES = 4
+WARM_UP_S = 10.0
+RUN_S = 40.0
+FAULT_AT_S = 10.0
+WINDOW_S = 5.0
+OVERAGE = 1.1
+SLACK = 20.0
+SLACK_USED = 10.0  # of it, as the slices' setting
+HOT = 2
+HOT_FACTOR = 7.5
+RESTART_AFTER_S = 2.0
+CUT_S = 9.0
+
+
+class Way(Protocol):
+    """A fleet that holds organisations to their rates in one way."""
+
+    def advance(self) -> float:
+        """Let one step of time pass and return the time."""
+
+    def charge(self, draw: float, organisation: Organisation) -> bool | None:
+        """Charge at the entry that `draw` picks; None when that one is down."""
+
+    def kill(self, part: float) -> None:
+        """Kill a part of the entries."""
+
+    def restart(self) -> None:
+        """Start the killed ones."""
+
+    def cut(self, domain: FailureDomainId) -> None:
+        """Cut a domain off from the others."""
+
+    def mend(self) -> None:
+        """Mend the cut."""
+
+    def count_messages(self) -> int:
+        """Return how many requests were made between daemons."""
+
+
+class SliceWay:
+    """Slices by the number of known members."""
+
+    def __init__(self, organisations: list[Organisation], seed: int) -> None:
+        self._fleet = SliceFleet(organisations, len(DOMAINS), ENTRIES, seed, SLACK_USED)
+        self._entries = list(self._fleet.entries.values())
+
+    def advance(self) -> float:
+        """Let a tick pass."""
+        return self._fleet.tick()
+
+    def charge(self, draw: float, organisation: Organisation) -> bool | None:
+        """Charge at one entry."""
+        entry = self._entries[int(draw * len(self._entries))]
+        return entry.charge(organisation) if entry.up else None
+
+    def kill(self, part: float) -> None:
+        """Kill the first entries of the list, which lie in all domains."""
+        for entry in self._entries[: round(part * len(self._entries))]:
+            entry.up = False
+
+    def restart(self) -> None:
+        """Start what is down."""
+        for entry in self._entries:
+            if not entry.up:
+                entry.restart()
+
+    def cut(self, domain: FailureDomainId) -> None:
+        """Cut a domain off."""
+        self._fleet.cut.add(domain)
+
+    def mend(self) -> None:
+        """Mend the cut."""
+        self._fleet.cut.clear()
+
+    def count_messages(self) -> int:
+        """Return the requests for tokens."""
+        return self._fleet.messages
+
+
+class LoanWay:
+    """Loans from the stewards of the domains; killed daemons stay down."""
+
+    def __init__(self, organisations: list[Organisation], seed: int) -> None:
+        self._fleet = RateFleet(organisations, DOMAINS, ENTRIES, seed)
+
+    def advance(self) -> float:
+        """Let a tick pass."""
+        return self._fleet.tick()
+
+    def charge(self, draw: float, organisation: Organisation) -> bool | None:
+        """Charge at one entry."""
+        node = self._fleet.nodes[int(draw * len(self._fleet.nodes))]
+        if node.name in self._fleet.network.dead:
+            return None
+        now = self._fleet.clock.read_monotonic()
+        return node.charger.charge(organisation.name, now).is_ok()
+
+    def kill(self, part: float) -> None:
+        """Kill the stewards of the first domain, whatever the part."""
+        for organisation in self._fleet.configuration.current.organisations:
+            steward = self._fleet.find_steward(DOMAINS[0], organisation)
+            if steward is not None:
+                self._fleet.kill(steward)
+
+    def restart(self) -> None:
+        """Leave them down."""
+
+    def cut(self, domain: FailureDomainId) -> None:
+        """Cut a domain off."""
+        self._fleet.network.cut.add(domain)
+
+    def mend(self) -> None:
+        """Mend the cut."""
+        self._fleet.network.cut.clear()
+
+    def count_messages(self) -> int:
+        """Return all requests: for loans and for promises."""
+        return self._fleet.network.messages
+
+
+@dataclass
+class Account:
+    """What happened to one organisation's requests."""
+
+    organisation: Organisation
+    usual: float
+    ideal: TokenBucket
+    inside: int = 0
+    refused: int = 0
+    served: int = 0
+    worst: float = 0.0
+    admitted: deque[tuple[float, int]] = field(default_factory=deque)
+    in_window: int = 0
+
+    def note_admitted(self, now: float, count: int) -> None:
+        """Count what was admitted now, and the window that ends now."""
+        self.admitted.append((now, count))
+        self.in_window += count
+        while self.admitted[0][0] <= now - WINDOW_S:
+            self.in_window -= self.admitted.popleft()[1]
+        organisation = self.organisation
+        allowed = organisation.rate * WINDOW_S + organisation.burst
+        self.worst = max(self.worst, self.in_window / (allowed * OVERAGE + SLACK))
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """A fault; `kill` is the part of the entries that is killed."""
+
+    name: str
+    kill: float = 0.0
+    cut: bool = False
+    hot: bool = False
+    warm_up_s: float = WARM_UP_S
+
+
+SCENARIOS = (
+    Scenario("calm"),
+    Scenario("first_seconds", warm_up_s=1.0),
+    Scenario("hot_organisation", hot=True),
+    Scenario("killed", kill=0.25),
+    Scenario("half_killed", kill=0.5),
+    Scenario("all_killed", kill=1.0),
+    Scenario("all_killed_while_hot", kill=1.0, hot=True),
+    Scenario("domain_cut", cut=True),
+    Scenario("domain_cut_while_hot", cut=True, hot=True),
+)
+BuildWay = Callable[[list[Organisation], int], Way]
+
+
+class Run:
+    """Put requests to one way through one scenario."""
+
+    def __init__(self, build: BuildWay, scenario: Scenario, seed: int) -> None:
+        shares = dict.fromkeys(DOMAINS, 1 / len(DOMAINS))
+        organisations = [
+            Organisation(
+                OrganisationId(f"organisation-{number}"),
+                usual * RATE_PART,
+                usual * RATE_PART,
+                shares=shares,
+            )
+            for number, usual in enumerate(DEMANDS)
+        ]
+        self._random = Random(seed)
+        self._way = build(organisations, seed)
+        self._scenario = scenario
+        now = self._way.advance()
+        self.accounts = [
+            Account(each, usual, TokenBucket(each.rate, each.burst, now))
+            for each, usual in zip(organisations, DEMANDS, strict=True)
+        ]
+        for account in self.accounts:
+            account.ideal.add(now, account.organisation.burst)
+
+    def run(self) -> dict[str, float]:
+        """Run the scenario and return its figures."""
+        began_at = now = self._way.advance()
+        while now - began_at < self._scenario.warm_up_s:
+            now = self._way.advance()
+        start, messages = now, self._way.count_messages()
+        steps = self._list_steps()
+        while now - start < RUN_S:
+            before, now = now, self._way.advance()
+            while steps and now - start >= steps[0][0]:
+                steps.pop(0)[1]()
+            for number, account in enumerate(self.accounts):
+                hot = self._scenario.hot and number == HOT
+                factor = HOT_FACTOR if hot and now - start >= FAULT_AT_S / 2 else 1.0
+                self._put(account, account.usual * factor * (now - before), now)
+        sent = self._way.count_messages() - messages
+        return self._summarize(sent / RUN_S / len(DOMAINS) / ENTRIES)
+
+    def _list_steps(self) -> list[tuple[float, Callable[[], None]]]:
+        """Return what happens when, in seconds from the start."""
+        scenario, way = self._scenario, self._way
+        if scenario.kill:
+            return [
+                (FAULT_AT_S, lambda: way.kill(scenario.kill)),
+                (FAULT_AT_S + RESTART_AFTER_S, way.restart),
+            ]
+        if scenario.cut:
+            return [
+                (FAULT_AT_S, lambda: way.cut(DOMAINS[0])),
+                (FAULT_AT_S + CUT_S, way.mend),
+            ]
+        return []
+
+    def _put(self, account: Account, mean: float, now: float) -> None:
+        """Put a random number of requests to random entries."""
+        admitted = 0
+        passed = self._random.expovariate(1.0)
+        while passed < mean:
+            passed += self._random.expovariate(1.0)
+            charged = self._way.charge(self._random.random(), account.organisation)
+            if charged is None:
+                continue
+            inside = account.ideal.take(now)
+            account.inside += inside
+            account.refused += inside and not charged
+            admitted += charged
+        account.served += admitted
+        account.note_admitted(now, admitted)
+
+    def _summarize(self, messages_per_s: float) -> dict[str, float]:
+        """Return the parts refused, of all, of the smallest and of the worst."""
+        parts = [account.refused / account.inside for account in self.accounts]
+        inside = sum(account.inside for account in self.accounts)
+        return {
+            "refused_inside": sum(a.refused for a in self.accounts) / inside,
+            "refused_inside_smallest": parts[-1],
+            "refused_inside_worst": max(parts),
+            "short_of_rate_worst": max(1 - a.served / a.inside for a in self.accounts),
+            "worst_window": max(account.worst for account in self.accounts),
+            "messages_per_s": messages_per_s,
+        }
+
+
+def main(seed: int) -> int:
+    """Run every scenario with both ways and judge the bound for the slices."""
+    logger.remove()
+    met = True
+    for scenario in SCENARIOS:
+        figures = Run(SliceWay, scenario, seed).run()
+        print_figures(f"slices/{scenario.name}", seed, dict(figures))
+        met = judge_figures(figures, [Target("worst_window", highest=1.0)]) and met
+        if scenario.kill < 1:
+            figures = Run(LoanWay, scenario, seed).run()
+            print_figures(f"loans/{scenario.name}", seed, dict(figures))
+    return 0 if met else 1
--- a/tests/common/followers.py
+++ b/tests/common/followers.py
@@ -25,19 +25,22 @@
 )
 from tests.common.clock import FakeClock
 
+REGION = RegionId("r")
 FRAME_BYTES = 32
 NEAR_DELAY_S = 0.001
 FAR_DELAY_S = 0.030
 
 
-def build_member(domain: FailureDomainId, host: str) -> Member:
+def build_member(
+    domain: FailureDomainId, host: str, region: RegionId = REGION
+) -> Member:
     """Return a live member whose host is also its id."""
     return Member(
         instance=InstanceId(host),
         incarnation=Incarnation(1),
         sequence=1,
         domain=domain,
-        region=RegionId("r"),
+        region=region,
         peer_address=Address(host, 7000),
         gossip_address=Address(host, 7001),
         service=None,
--- /dev/null
+++ b/tests/coordination/rate/test_slices.py
@@ -0,0 +1,257 @@
+"""Test slices of the rates and tokens that move between entries."""
+
+from collections.abc import Callable
+from unittest import TestCase
+from unittest.mock import patch
+
+from loguru import logger
+
+from corianderhold.coordination.rate.const import TRANSFER_USE_S
+from corianderhold.coordination.rate.division import (
+    CountedMembers,
+    Division,
+    FixedSlots,
+)
+from corianderhold.coordination.rate.slices import SliceAllocator, SliceTable
+from corianderhold.ids import (
+    FailureDomainId,
+    Incarnation,
+    InstanceId,
+    OrganisationId,
+    Version,
+)
+from corianderhold.protocol.peer.control import ControlSender
+from corianderhold.protocol.rate.codec import decode_reply, encode_request
+from corianderhold.protocol.rate.model import LoanAsk, LoanRequest
+from corianderhold.state.configuration.holder import ConfigurationHolder
+from corianderhold.state.configuration.model import Configuration, Organisation
+from corianderhold.state.membership.model import MemberState
+from tests.common.clock import FakeClock
+from tests.common.followers import StaticMembers, build_member
+from tests.common.rate_fleet import WindowCheck
+from tests.common.slice_fleet import Entry, SliceFleet
+
+DOMAINS = 3
+ENTRIES = 4
+SHARES = {FailureDomainId(f"domain-{n}"): 1 / DOMAINS for n in range(DOMAINS)}
+ARCHIVE = Organisation(OrganisationId("archive"), 60.0, 30.0, shares=SHARES)
+SMALL = Organisation(OrganisationId("small"), 6.0, 6.0, shares=SHARES)
+FREE = Organisation(OrganisationId("free"), 0.0, 0.0, shares=SHARES)
+ORGANISATIONS = [ARCHIVE, SMALL, FREE]
+ROUNDING = 1e-6
+SEEDS = (1, 2, 3)
+
+
+class FixedFleet(SliceFleet):
+    """Divide by entry slots."""
+
+    def divide(self, entry: Entry) -> Division:
+        return FixedSlots(entry.member.domain, ENTRIES)
+
+
+class SliceTestCase(TestCase):
+    """Put requests to fleets."""
+
+    def setUp(self) -> None:
+        logger.disable("corianderhold")
+        self.addCleanup(logger.enable, "corianderhold")
+
+    def put(
+        self,
+        fleet: SliceFleet,
+        seconds: float,
+        rate: float,
+        organisation: Organisation = ARCHIVE,
+        observe: Callable[[float, int], None] = lambda now, admitted: None,
+    ) -> int:
+        """Send requests to random entries and return how many were admitted."""
+        total, due = 0, 0.0
+        end = fleet.clock.read_monotonic() + seconds
+        while (now := fleet.tick()) < end:
+            due += rate * 0.05
+            admitted = 0
+            while due >= 1.0:
+                due -= 1.0
+                entry = fleet.random.choice(list(fleet.entries.values()))
+                admitted += entry.up and entry.charge(organisation)
+            observe(now, admitted)
+            total += admitted
+        return total
+
+    def put_under_faults(self, fleet: SliceFleet) -> WindowCheck:
+        """Ask for three times the rate while entries fail and domains are cut off."""
+        window = WindowCheck(ARCHIVE.rate)
+        entries = list(fleet.entries.values())
+        for step in range(12):
+            entries[step].up = step % 3 != 0
+            fleet.cut = {entries[step].member.domain} if step % 4 == 1 else set()
+            self.put(fleet, 2.0, 3 * ARCHIVE.rate, observe=window.note)
+            self.put(fleet, 2.0, 0.1 * ARCHIVE.rate, observe=window.note)
+            if not entries[step].up:
+                entries[step].restart()
+        return window
+
+
+class FixedSlotsTests(SliceTestCase):
+    """Check that fixed slices never add up to more than the whole."""
+
+    def test_rate_and_burst_hold_under_faults(self) -> None:
+        for seed in SEEDS:
+            fleet = FixedFleet(ORGANISATIONS, DOMAINS, ENTRIES, seed)
+            window = self.put_under_faults(fleet)
+            self.assertLessEqual(window.worst, ARCHIVE.burst + ROUNDING)
+            self.assertGreater(window.worst, 0.5 * ARCHIVE.burst)
+
+    def find_highest_sum(self) -> float:
+        """Lend all of a slice and return the most that it and the borrower hold."""
+        table = SliceTable()
+        table.set_slice(SMALL.name, 10.0, 3.0, 0.0, tokens=3.0)
+        lent = table.lend(SMALL.name, 3.0, 0.0)
+        left = 0.0
+        while table.take(SMALL.name, TRANSFER_USE_S) <= 0:
+            left += 1.0
+        return lent + left
+
+    def test_what_is_lent_lowers_the_capacity_while_it_may_be_used(self) -> None:
+        self.assertLessEqual(self.find_highest_sum(), 3.0)
+        with patch("corianderhold.coordination.rate.slices.TRANSFER_KEPT_S", 0.0):
+            self.assertGreater(self.find_highest_sum(), 3.0)
+
+    def test_revised_rate_is_applied_and_later_organisations_begin_empty(self) -> None:
+        clock = FakeClock()
+        holder, table = ConfigurationHolder(), SliceTable()
+        division = FixedSlots(FailureDomainId("domain-0"), 1)
+        allocator = SliceAllocator(table, holder, division, clock)
+        clock.advance(0.5)
+        holder.add_listener(allocator._apply)
+        self.put_in_force(holder, 1, Organisation(ARCHIVE.name, 12, 12, shares=SHARES))
+        now = clock.read_monotonic()
+        taken = [table.take(ARCHIVE.name, now) <= 0 for _ in range(3)]
+        self.assertEqual(taken, [True, True, False])
+        slow = Organisation(ARCHIVE.name, 3, 3, shares=SHARES)
+        self.put_in_force(holder, 2, slow, SMALL)
+        self.assertGreater(table.take(SMALL.name, now), 0)
+        now += 100.0
+        taken = [table.take(ARCHIVE.name, now) <= 0 for _ in range(2)]
+        self.assertEqual(taken, [True, False])
+
+    def put_in_force(
+        self, holder: ConfigurationHolder, version: int, *organisations: Organisation
+    ) -> None:
+        named = {each.name: each for each in organisations}
+        holder.replace(Configuration(Version(version), organisations=named))
+
+
+class TransferTests(SliceTestCase):
+    """Check that tokens go where the demand is."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet = FixedFleet(ORGANISATIONS, DOMAINS, ENTRIES, 1)
+        self.fleet.run(10)
+        self.entry = next(iter(self.fleet.entries.values()))
+
+    def test_small_organisation_is_served_by_entries_without_a_whole_token(
+        self,
+    ) -> None:
+        admitted = self.put(self.fleet, 40.0, SMALL.rate / 2, SMALL)
+        self.assertGreater(admitted, 0.9 * 40.0 * SMALL.rate / 2)
+
+    def test_hot_entry_uses_tokens_of_its_peers(self) -> None:
+        admitted = 0
+        for _ in range(200):
+            self.fleet.tick()
+            admitted += self.entry.charge(ARCHIVE)
+        own = 10.0 * ARCHIVE.rate / DOMAINS / ENTRIES + ARCHIVE.burst
+        self.assertGreater(admitted, 2 * own)
+
+    def test_own_tokens_cost_no_message_and_lasting_refusal_few(self) -> None:
+        before = self.fleet.messages
+        self.assertTrue(self.entry.charge(ARCHIVE))
+        self.assertEqual(self.fleet.messages, before)
+        for entry in self.fleet.entries.values():
+            entry.limiter._table.remove_except({})
+        for _ in range(200):
+            self.fleet.clock.advance(0.05)
+            self.assertFalse(self.entry.charge(ARCHIVE))
+        self.assertLess(self.fleet.messages - before, 15 * 10)
+
+    def test_refusal_is_true_and_names_a_time(self) -> None:
+        self.fleet.cut.update(SHARES)
+        now = self.fleet.clock.read_monotonic()
+        while (charged := self.entry.limiter.charge(SMALL.name, now)).is_ok():
+            pass
+        refusal = charged.unwrap_err()
+        self.assertTrue(refusal.not_run)
+        self.assertLess(refusal.retry_after_ms, 2000)
+
+    def test_organisation_without_a_rate_is_not_limited(self) -> None:
+        self.assertTrue(all(self.entry.charge(FREE) for _ in range(1000)))
+        now = self.fleet.clock.read_monotonic()
+        unknown = self.entry.limiter.charge(OrganisationId("unknown"), now)
+        self.assertTrue(unknown.is_err())
+
+    def test_tokens_that_come_late_are_not_used(self) -> None:
+        limiter = self.entry.limiter
+        limiter._table.remove_except({})
+        limiter._table.set_slice(ARCHIVE.name, 0.0, 0.0, 0.0)
+        with patch("corianderhold.coordination.rate.transfer.TRANSFER_USE_S", 0.0):
+            self.assertFalse(self.entry.charge(ARCHIVE))
+
+    def test_requests_in_another_name_get_nothing(self) -> None:
+        ask = LoanAsk(ARCHIVE.name, 0, 0.0, 0.0, 0.0, 1.0, single=True)
+        request = LoanRequest(
+            InstanceId("x"), Incarnation(1), 0, FailureDomainId("d"), False, (ask,)
+        )
+        for sender, body in (("y", encode_request(request)), ("x", b"\x0b")):
+            asked = ControlSender(InstanceId(sender))
+            reply = decode_reply(self.entry.limiter.handle_control(asked, body))
+            self.assertFalse(reply.accepted)
+            self.assertEqual(reply.grants, ())
+
+
+class CountedMembersTests(SliceTestCase):
+    """Check slices by the number of known members."""
+
+    def test_fleet_is_served_soon_after_all_were_restarted(self) -> None:
+        fleet = SliceFleet(ORGANISATIONS, DOMAINS, ENTRIES, 1)
+        self.put(fleet, 10.0, ARCHIVE.rate / 2)
+        for entry in fleet.entries.values():
+            entry.restart()
+        self.put(fleet, 1.0, ARCHIVE.rate / 2)
+        admitted = self.put(fleet, 2.0, ARCHIVE.rate / 2)
+        self.assertGreater(admitted, 0.95 * ARCHIVE.rate)
+
+    def test_windows_stay_within_a_tenth_and_the_slack(self) -> None:
+        for seed in SEEDS:
+            fleet = SliceFleet(ORGANISATIONS, DOMAINS, ENTRIES, seed, slack=10.0)
+            counts: list[tuple[float, int]] = []
+            observe = lambda now, count, to=counts: to.append((now, count))  # noqa: E731
+            self.put(fleet, 10.0, 3 * ARCHIVE.rate, observe=observe)
+            fleet.cut.add(FailureDomainId("domain-0"))
+            self.put(fleet, 9.0, 3 * ARCHIVE.rate, observe=observe)
+            fleet.cut.clear()
+            for entry in fleet.entries.values():
+                entry.restart()
+            self.put(fleet, 10.0, 3 * ARCHIVE.rate, observe=observe)
+            for end, _ in counts:
+                admitted = sum(c for now, c in counts if end - 5.0 < now <= end)
+                allowed = (5.0 * ARCHIVE.rate + ARCHIVE.burst) * 1.1 + 20.0
+                self.assertLessEqual(admitted, allowed)
+
+    def test_dead_members_count_for_a_time_and_left_ones_do_not(self) -> None:
+        clock, members = FakeClock(), StaticMembers()
+        states = (MemberState.ALIVE, MemberState.SUSPECT, MemberState.DEAD)
+        for number, state in enumerate((*states, MemberState.LEFT)):
+            member = build_member(FailureDomainId("d"), f"10.0.0.{number}")
+            object.__setattr__(member, "state", state)
+            members.members[member.instance] = member
+        division = CountedMembers(InstanceId("10.0.0.0"), members, clock)
+        division.refresh()
+        self.assertEqual(division.find_part(ARCHIVE), 0.0)
+        clock.advance(1.0)
+        division.refresh()
+        self.assertEqual(division.find_part(ARCHIVE), 1 / 3)
+        clock.advance(60.0)
+        division.refresh()
+        self.assertEqual(division.find_part(ARCHIVE), 1 / 2)
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -54,6 +54,17 @@
         self.assertEqual(settings.target_ttl_s, 10.0)
         self.assertNotIn("0123456789abcdef", repr(settings))
 
+    def test_division_of_the_rates_is_read(self) -> None:
+        self.assertEqual(self.load(GOOD).entry_slots, 0)
+        for text, slots in (("3", 3), ("members", None)):
+            option = f"entry_slots = {text}\nrate_slack = 10\nseeds ="
+            settings = self.load(GOOD.replace("seeds =", option))
+            self.assertEqual((settings.entry_slots, settings.rate_slack), (slots, 10))
+        for text in ("-1", "many", "10001"):
+            option = f"entry_slots = {text}\nseeds ="
+            fault = self.fail_with(GOOD.replace("seeds =", option))
+            self.assertIn("[membership] entry_slots: accepted: a whole", fault)
+
     def test_peers_are_trusted_by_secret_or_by_network(self) -> None:
         security = GOOD[GOOD.index("[security]") :]
         bare = GOOD.replace(security, "[security]\npeer_trust = network\n")
