Hold no leases where no key is sent; try slices of members with processes

Cause: every daemon took part in the leases of the key shards, read the leases stream and asked for promises, also in a deployment in which no caller sends an idempotency key and rates come as slices.

Ruled out: leases that are taken with the first key (a new holder refuses keys that may be older than its tenure, so the first ones would be refused).

Change: a deployment that names no header for the key reads none, holds no shard, and its lease manager and key records start no threads. Fleets of the tests name their entry_slots in place of a flag for loans.

Runs: RateTests again with entry_slots = members, with processes, and all daemons killed at once: 5 passed, within rate x window + burst. Lease manager, application, layers: 17 passed.

--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -21,6 +21,7 @@
 from corianderhold.coordination.entry.watch import CallerWatch
 from corianderhold.coordination.lease.locator import HolderLocator
 from corianderhold.coordination.lease.manager import LeaseManager
+from corianderhold.coordination.lease.ranking import MemberFilter
 from corianderhold.coordination.membership.service import (
     MembershipService,
     MembershipSettings,
@@ -57,7 +58,7 @@
 from corianderhold.readiness import Readiness
 from corianderhold.settings.model import Settings
 from corianderhold.state.configuration.holder import ConfigurationHolder
-from corianderhold.state.lease.model import Holder
+from corianderhold.state.lease.model import Holder, ShardId
 from corianderhold.transport.peer.control import LinkControlClient
 from corianderhold.transport.peer.handshake import Identity
 from corianderhold.transport.peer.pool import LinkPool
@@ -141,7 +142,7 @@
                 self._membership,
                 self._follower,
                 self._leases,
-                keeper,
+                *([keeper] if self._header_names.idempotency_key else []),
                 *rate.components,
                 watch,
                 *self._build_target_servers(outgoing),
@@ -307,7 +308,9 @@
     def _build_leases(self) -> LeaseManager:
         """Take part in the leases of idempotency keys and, with loans, of rates."""
         settings = self._settings
-        shards = list_once_shards()
+        shards: dict[ShardId, MemberFilter] = {}
+        if self._header_names.idempotency_key:
+            shards |= list_once_shards()
         if settings.entry_slots == 0:
             shards |= list_rate_shards(settings.domain)
         return LeaseManager(
--- a/corianderhold/coordination/entry/request.py
+++ b/corianderhold/coordination/entry/request.py
@@ -56,6 +56,7 @@
         self._request_id_header = names.request_id
         self._request_id = name_variable(names.request_id)
         self._deadline_ms = name_variable(names.deadline_ms)
+        self._idempotency_key = name_variable(names.idempotency_key or "")
         self._context = name_variable(names.context or "")
         self._own = frozenset(
             name.lower()
@@ -98,7 +99,7 @@
             headers=(*self._read_headers(environ, key), *self._added),
             key=key,
             context_token=environ.get(self._context),
-            idempotency_key=environ.get("HTTP_IDEMPOTENCY_KEY"),
+            idempotency_key=environ.get(self._idempotency_key),
             request_id=self.read_request_id(environ),
             deadline_ms=read_milliseconds(environ.get(self._deadline_ms, "")),
         )
--- a/corianderhold/coordination/lease/manager.py
+++ b/corianderhold/coordination/lease/manager.py
@@ -93,8 +93,9 @@
         self._thread = threading.Thread(target=self._run, name="leases", daemon=True)
 
     def start(self) -> None:
-        """Start the thread."""
-        self._thread.start()
+        """Start the thread, where there is any shard to hold."""
+        if self._entries:
+            self._thread.start()
 
     def stop(self) -> None:
         """Hand over what this daemon holds."""
--- a/corianderhold/protocol/headers.py
+++ b/corianderhold/protocol/headers.py
@@ -58,7 +58,8 @@
     the milliseconds that are left. `caller_service` is the service beside the entry.
     A target that is not the one named in `expected_target` refuses with 421; one that
     has not run a request says so with `not_run`. Targets that know nothing of
-    `importance` or `context` are not sent them; both are then None.
+    `importance` or `context` are not sent them; both are then None. So is
+    `idempotency_key` where callers send none: no leases are held for keys then.
     """
 
     request_id: str = HEADER_REQUEST_ID
@@ -69,3 +70,4 @@
     caller_service: str = HEADER_CALLER_SERVICE
     expected_target: str = HEADER_EXPECTED_TARGET
     not_run: str = HEADER_NOT_RUN
+    idempotency_key: str | None = HEADER_IDEMPOTENCY_KEY
--- a/measurements/daemon_cost.py
+++ b/measurements/daemon_cost.py
@@ -62,7 +62,7 @@
         for number in range(size)
     ]
     with TemporaryDirectory() as directory:
-        fleet = Fleet(plans, Path(directory), loans=True)
+        fleet = Fleet(plans, Path(directory), entry_slots="0")
         try:
             fleet.start(build_records())
             probe = RequestPlan("/catalogue/search", BROADCASTER_KEY)
--- a/script/run_demo.py
+++ b/script/run_demo.py
@@ -202,7 +202,7 @@
 def main() -> int:
     """Run the demo and return 0 only if all went as expected."""
     with TemporaryDirectory(prefix="corianderhold-") as name:
-        fleet = Fleet(PLANS, Path(name), loans=True)
+        fleet = Fleet(PLANS, Path(name), entry_slots="0")
         try:
             fleet.start(build_records())
             as_expected = run_demo(fleet, Path(name))
--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -80,18 +80,18 @@
     """
     Start and stop all processes; count the runs at the targets.
 
-    Rates come as fixed slices, which are there at once, or as `loans`. The daemons
-    run `daemon_program`.
+    Rates come as fixed slices, which are there at once, unless `entry_slots` says
+    otherwise. The daemons run `daemon_program`.
     """
 
     def __init__(
         self,
         plans: Sequence[DaemonPlan],
         directory: Path,
-        loans: bool = False,
+        entry_slots: str = "",
         daemon_program: Program = DAEMON_MODULE,
     ) -> None:
-        self._loans = loans
+        self._entry_slots = entry_slots
         self._daemon_program = daemon_program
         self._directory = directory
         self._group = ProcessGroup(directory)
@@ -282,7 +282,7 @@
         slots = sum(e.plan.domain == plan.domain for e in self.members.values())
         settings["membership"] = {
             "seeds": ",".join(seeds),
-            "entry_slots": "0" if self._loans else str(slots),
+            "entry_slots": self._entry_slots or str(slots),
         }
         settings["security"] = {
             "fleet_secret": FLEET_SECRET,
--- a/tests/common/scenario.py
+++ b/tests/common/scenario.py
@@ -23,7 +23,7 @@
 
     plans: ClassVar[Sequence[DaemonPlan]] = ()
     probes: ClassVar[Sequence[str]] = ()
-    loans: ClassVar[bool] = False
+    entry_slots: ClassVar[str] = ""
     daemon_program: ClassVar[Program] = DAEMON_MODULE
     fleet: ClassVar[Fleet]
 
@@ -33,7 +33,7 @@
         directory = TemporaryDirectory(prefix="corianderhold-")
         cls.addClassCleanup(directory.cleanup)
         cls.fleet = Fleet(
-            cls.plans, Path(directory.name), cls.loans, cls.daemon_program
+            cls.plans, Path(directory.name), cls.entry_slots, cls.daemon_program
         )
         cls.addClassCleanup(cls.fleet.stop)
         cls.fleet.start(build_records())
--- a/tests/coordination/entry/test_application.py
+++ b/tests/coordination/entry/test_application.py
@@ -153,6 +153,18 @@
         self.assertEqual(self.router.routed[-1].request_id, "r-1")
         self.assertEqual(self.response[1]["Request-Id"], "r-1")
 
+    def test_idempotency_key_is_read_under_the_deployments_name(self) -> None:
+        environ = {
+            "REQUEST_METHOD": "POST",
+            "REQUEST_URI": "/refund",
+            "HTTP_IDEMPOTENCY_KEY": "k-1",
+            "HTTP_ONCE": "k-2",
+        }
+        cases = {"Idempotency-Key": "k-1", "Once": "k-2", None: None}
+        for name, expected in cases.items():
+            reader = RequestReader(replace(NAMES, idempotency_key=name), "")
+            self.assertEqual(reader.read(environ).idempotency_key, expected)
+
     def test_anonymous_route_needs_no_key_and_charges_nobody(self) -> None:
         self.configure()
         for key in (None, "unknown-key", EXPIRED_KEY, KEY):
--- a/tests/coordination/lease/test_manager.py
+++ b/tests/coordination/lease/test_manager.py
@@ -9,8 +9,14 @@
     RESEND_INTERVAL_S,
     UNREAD_LIMIT_S,
 )
+from corianderhold.coordination.lease.manager import LeaseManager
 from corianderhold.coordination.rate.shards import name_shard
-from corianderhold.ids import FailureDomainId, InstanceId, OrganisationId
+from corianderhold.ids import (
+    FailureDomainId,
+    Incarnation,
+    InstanceId,
+    OrganisationId,
+)
 from corianderhold.protocol.lease.codec import (
     PromiseMessageError,
     decode_reply,
@@ -19,7 +25,8 @@
 from corianderhold.protocol.lease.model import PromiseAsk, PromiseRequest
 from corianderhold.protocol.peer.control import ControlSender
 from corianderhold.protocol.store.model import StreamName
-from tests.common.rate_fleet import Node, RateFleet
+from corianderhold.state.lease.model import Holder
+from tests.common.rate_fleet import Node, NodeControl, RateFleet
 
 ARCHIVE = OrganisationId("archive")
 DOMAIN = FailureDomainId("domain")
@@ -48,6 +55,19 @@
         page = self.fleet.log.read(StreamName.LEASES, 0, 1000, 1.0)  # type: ignore[arg-type]
         return len(page.unwrap().records)
 
+    def test_daemon_without_shards_reads_nothing(self) -> None:
+        node = self.fleet.nodes[0]
+        clock, log = self.fleet.clock, self.fleet.log
+        control = NodeControl(self.fleet.network, node.name, DOMAIN)
+        holder = Holder(node.name, Incarnation(1))
+        manager = LeaseManager(holder, {}, clock, log, control, self.fleet.members)
+        manager.start()
+        self.assertFalse(manager._thread.is_alive())
+        manager.step()
+        manager.stop()
+        self.assertEqual(log.reads, 0)
+        self.assertIsNone(manager.find_tenure(SHARD))
+
     def test_one_of_all_holds_and_stays(self) -> None:
         self.fleet.run(5)
         holder = self.find_holder()
--- a/tests/failures/test_rates.py
+++ b/tests/failures/test_rates.py
@@ -42,7 +42,7 @@
         DaemonPlan("b2", DOMAIN_B, CATALOGUE, slots=32),
     )
     probes = (SEARCH,)
-    loans: ClassVar[bool] = True
+    entry_slots: ClassVar[str] = "0"
 
     @classmethod
     def setUpClass(cls) -> None:
@@ -106,3 +106,18 @@
         self.addCleanup(self.wait_until_admitted)
         self.addCleanup(self.fleet.start_daemon, "a1")
         self.check_surge(["a2", "b1", "b2"])
+
+
+class MemberSlicesTests(RateTests):
+    """Do the same with slices by the number of known members."""
+
+    entry_slots: ClassVar[str] = "members"
+
+    def test_all_daemons_killed_at_once_serve_again(self) -> None:
+        for entry in self.fleet.members.values():
+            assert entry.daemon is not None
+            entry.daemon.kill()
+        for name in self.fleet.members:
+            self.fleet.start_daemon(name)
+        self.wait_until_served()
+        self.wait_until_admitted()
