--- a/corianderhold/coordination/entry/router.py
+++ b/corianderhold/coordination/entry/router.py
@@ -37,6 +37,8 @@
         Reason.DRAINING,
         Reason.NO_TARGET,
         Reason.QUEUE_FULL,
+        Reason.TARGET_FULL,
+        Reason.TARGET_MISMATCH,
     }
 )
 RETRYABLE_MAY_HAVE_RUN = frozenset({Reason.PEER_SILENT, Reason.ANSWER_TRUNCATED})
