Begin no request of a caller that has left

Requests that waited on a connection behind the one in flight were still served after their caller had closed it: the cancelled call's refusal was written without an error, and the next request went to a target. The connection now looks for its caller's end before it goes on to bytes that wait; nothing is asked where none do.

--- a/corianderhold/transport/web/caller.py
+++ b/corianderhold/transport/web/caller.py
@@ -80,6 +80,8 @@
                 if head is None:
                     break
                 keeps = self._serve(head)
+                if self.input.buffer and self._has_left():
+                    return False
         except RequestError as error:
             self.refuse(error)
         if self._lingers_until is not None:
@@ -138,6 +140,12 @@
         with contextlib.suppress(OSError):
             self.socket.shutdown(socket.SHUT_RDWR)
 
+    def _has_left(self) -> bool:
+        """Return whether the caller closed the connection, behind what it sent."""
+        poll = select.poll()
+        poll.register(self.socket, select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def _take_head(self) -> bytes | None:
         """Return the next head, None before it is whole; raise `RequestError`."""
         buffer = self.input.buffer
--- a/tests/transport/web/test_caller.py
+++ b/tests/transport/web/test_caller.py
@@ -1,6 +1,7 @@
 """Test requests and responses on callers' connections, byte by byte."""
 
 import socket
+import threading
 from collections.abc import Iterable, Iterator
 from contextlib import ExitStack
 from unittest import TestCase
@@ -29,6 +30,7 @@
     def __init__(self) -> None:
         self.requests: list[tuple[str, bytes]] = []
         self.closed = 0
+        self.released = threading.Event()
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
@@ -36,6 +38,8 @@
         path = environ["PATH_INFO"]
         body = b"" if path == "/unread" else environ["wsgi.input"].read()
         self.requests.append((path, body))
+        if path == "/wait":
+            self.released.wait(TIMEOUT_S)
         status = path[1:] if path in ("/204", "/304") else "200"
         headers = [("Content-Length", "9")] if path == "/sized" else []
         start_response(f"{status} Text", headers)
@@ -96,6 +100,15 @@
         self.assertEqual(positions, sorted(positions))
         self.assertEqual(response.count(b"HTTP/1.1 200"), 3)
 
+    def test_requests_of_a_caller_that_left_are_not_begun(self) -> None:
+        with self.connect() as connection:
+            connection.sendall(b"GET /wait HTTP/1.1\r\nHost: x\r\n\r\n" + SMUGGLED)
+            wait_until(lambda: bool(self.application.requests), "the first is begun")
+        self.application.released.set()
+        self.ask("/next")
+        paths = [path for path, _ in self.application.requests]
+        self.assertEqual(paths, ["/wait", "/next"])
+
     def test_what_breaks_http_is_refused_and_nothing_behind_it_is_served(self) -> None:
         line = b"POST / HTTP/1.1\r\nHost: x\r\n"
         chunked = line + b"Transfer-Encoding: chunked\r\n"
