Tell the owner of an answer that is given up

When writing to a caller failed, the entry closed the link to the owner, which noticed only with the answer's next part: a target that stalled worked on until the deadline. The entry now sends a Cancel as well, and no longer closes the idle links to that owner, which did not fail.

--- a/corianderhold/coordination/entry/sender.py
+++ b/corianderhold/coordination/entry/sender.py
@@ -91,8 +91,15 @@
         if isinstance(borrowed, Err):
             detail = borrowed.err_value.detail
             return Err(refuse_not_run(Reason.PEER_UNREACHABLE, detail=detail))
+        pooled = borrowed.ok_value
         exchange = Exchange(
-            self._pool, borrowed.ok_value, context, retries, note_load, self._clock
+            self._pool,
+            pooled,
+            context,
+            retries,
+            note_load,
+            self._clock,
+            lambda: self.cancel(pooled.address, context.call_id),
         )
         return exchange.run(body)
 
@@ -122,7 +129,9 @@
         retries: RetryBudget,
         note_load: NoteLoad,
         clock: Clock,
+        cancel: Callable[[], None],
     ) -> None:
+        self._cancel = cancel
         self._pool = pool
         self._pooled = pooled
         self._context = context
@@ -250,9 +259,15 @@
         self._pool.give_back(self._pooled)
 
     def _abandon(self) -> None:
-        """Close the link of an answer that was not read to its end."""
+        """
+        Give up an answer that was not read to its end, and tell its owner.
+
+        The owner would notice the end of the link only with the answer's next part.
+        """
         if not self._ended:
-            self._pool.discard(self._pooled)
+            self._ended = True
+            self._pooled.link.close()
+            self._cancel()
 
 
 def ignore() -> None:
