--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -2,7 +2,6 @@
 
 import os
 import threading
-import time
 from collections.abc import Mapping
 from random import Random
 
@@ -21,6 +20,7 @@
 from corianderhold.coordination.entry.watch import CallerWatch
 from corianderhold.coordination.lease.locator import HolderLocator
 from corianderhold.coordination.lease.manager import LeaseManager
+from corianderhold.coordination.lease.ranking import MemberFilter
 from corianderhold.coordination.membership.service import (
     MembershipService,
     MembershipSettings,
@@ -36,26 +36,33 @@
     build_default_policy,
 )
 from corianderhold.coordination.owner.remote import RemoteCallServer
+from corianderhold.coordination.rate.division import (
+    CountedMembers,
+    Division,
+    FixedSlots,
+)
 from corianderhold.coordination.rate.parts import (
     RateParts,
-    build_fixed_slices,
     build_loans,
+    build_slices,
 )
 from corianderhold.coordination.rate.shards import list_shards as list_rate_shards
+from corianderhold.coordination.rate.transfer import EntryPlace
 from corianderhold.core import Application
 from corianderhold.deployment import Deployment
 from corianderhold.drain import GracefulStop, StopParts, TargetDrain
-from corianderhold.ids import Incarnation
 from corianderhold.metrics import Metrics
 from corianderhold.protocol.peer.control import ControlHandler, ControlTopic
 from corianderhold.readiness import Readiness
 from corianderhold.settings.model import Settings
 from corianderhold.state.configuration.holder import ConfigurationHolder
-from corianderhold.state.lease.model import Holder
+from corianderhold.state.lease.model import Holder, ShardId
+from corianderhold.state.membership.incarnation import draw_start
 from corianderhold.transport.peer.control import LinkControlClient
 from corianderhold.transport.peer.handshake import Identity
 from corianderhold.transport.peer.pool import LinkPool
 from corianderhold.transport.peer.server import PeerServer
+from corianderhold.transport.store.watched import WatchedLog
 from corianderhold.transport.web.server import WebServer
 from corianderhold.transport.web.target import TargetClient
 
@@ -70,11 +77,6 @@
     return DaemonBuilder(settings, deployment).build()
 
 
-def draw_incarnation() -> Incarnation:
-    """Return a number that is higher for every later start of a daemon."""
-    return Incarnation(time.time_ns() // 1000)
-
-
 class DaemonBuilder:
     """Build the parts of one daemon in the order in which they need each other."""
 
@@ -87,13 +89,17 @@
         self._header_names = deployment.headers
         self._holder = ConfigurationHolder()
         self._readiness = Readiness(self._holder)
-        self._incarnation = draw_incarnation()
+        self._incarnation = draw_start()
         self._identity = Identity(
             settings.instance, self._incarnation, settings.fleet_secret
         )
         self._pool = LinkPool(self._identity, self._clock)
         self._control = LinkControlClient(self._pool)
-        self._log = deployment.open_log(settings, self._clock)
+        self._log = WatchedLog(
+            deployment.open_log(settings, self._clock),
+            self._clock,
+            lambda: self._clock.read_monotonic() - self._holder.verified_at,
+        )
         self._membership = self._build_membership()
         self._follower = self._build_follower()
         self._sender = PeerSender(self._pool, self._clock)
@@ -135,7 +141,7 @@
                 self._membership,
                 self._follower,
                 self._leases,
-                keeper,
+                *([keeper] if self._header_names.idempotency_key else []),
                 *rate.components,
                 watch,
                 *self._build_target_servers(outgoing),
@@ -305,19 +311,27 @@
     def _build_leases(self) -> LeaseManager:
         """Take part in the leases of idempotency keys and, with loans, of rates."""
         settings = self._settings
-        shards = list_once_shards()
-        if not settings.entry_slots:
+        shards: dict[ShardId, MemberFilter] = {}
+        if self._header_names.idempotency_key:
+            shards |= list_once_shards()
+        if settings.entry_slots == 0:
             shards |= list_rate_shards(settings.domain)
         return LeaseManager(
             self._node, shards, self._clock, self._log, self._control, self._membership
         )
 
     def _build_rate(self) -> RateParts:
-        """Build loans, or fixed slices where the settings name the entry slots."""
+        """Build loans or slices, as the settings say."""
         settings = self._settings
-        if settings.entry_slots:
-            return build_fixed_slices(
-                self._holder, settings.domain, settings.entry_slots, self._clock
+        if settings.entry_slots != 0:
+            return build_slices(
+                EntryPlace(self._node, settings.domain, settings.region),
+                self._holder,
+                self._build_division(),
+                self._membership,
+                self._control,
+                self._clock,
+                settings.rate_slack,
             )
         return build_loans(
             self._node,
@@ -329,6 +343,13 @@
             self._clock,
         )
 
+    def _build_division(self) -> Division:
+        """Divide by entry slots where the settings name their number."""
+        settings = self._settings
+        if settings.entry_slots is not None:
+            return FixedSlots(settings.domain, settings.entry_slots)
+        return CountedMembers(settings.instance, self._membership, self._clock)
+
     def _build_peer_server(
         self,
         owner: Owner,
--- a/corianderhold/coordination/lease/manager.py
+++ b/corianderhold/coordination/lease/manager.py
@@ -37,6 +37,7 @@
 from corianderhold.protocol.store.model import AppendFailure, Log, StreamName
 from corianderhold.state.lease.model import Holder, LeaseRecord, LeaseRecordId, ShardId
 from corianderhold.state.lease.texts import encode_record
+from corianderhold.state.membership.incarnation import read_start
 from corianderhold.state.membership.model import Members, MemberState
 
 NEVER = float("-inf")
@@ -93,8 +94,9 @@
         self._thread = threading.Thread(target=self._run, name="leases", daemon=True)
 
     def start(self) -> None:
-        """Start the thread."""
-        self._thread.start()
+        """Start the thread, where there is any shard to hold."""
+        if self._entries:
+            self._thread.start()
 
     def stop(self) -> None:
         """Hand over what this daemon holds."""
@@ -170,7 +172,7 @@
         """Return the best live successor."""
         for member in rank_members(self._members, self._filters[shard], shard):
             if member.instance in successors:
-                return Holder(member.instance, member.incarnation)
+                return Holder(member.instance, read_start(member.incarnation))
         return None
 
     def _read_if_due(self) -> None:
--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -80,18 +80,18 @@
     """
     Start and stop all processes; count the runs at the targets.
 
-    Rates come as fixed slices, which are there at once, or as `loans`. The daemons
-    run `daemon_program`.
+    Rates come as fixed slices, which are there at once, unless `entry_slots` says
+    otherwise. The daemons run `daemon_program`.
     """
 
     def __init__(
         self,
         plans: Sequence[DaemonPlan],
         directory: Path,
-        loans: bool = False,
+        entry_slots: str = "",
         daemon_program: Program = DAEMON_MODULE,
     ) -> None:
-        self._loans = loans
+        self._entry_slots = entry_slots
         self._daemon_program = daemon_program
         self._directory = directory
         self._group = ProcessGroup(directory)
@@ -132,12 +132,8 @@
 
     def start_daemon(self, instance: str) -> ManagedProcess:
         """Start a daemon, also again after its end, and wait for its listeners."""
+        daemon = self.launch_daemon(instance)
         member = self.members[instance]
-        path = self._write_settings(member)
-        arguments = ["serve", "--settings", str(path)]
-        program = self._daemon_program
-        daemon = self._start(f"daemon-{instance}", arguments, program)
-        member.daemon = daemon
         url = f"http://{member.get_address('admin')}/health"
 
         def is_healthy() -> bool:
@@ -147,6 +143,15 @@
         wait_until(is_healthy, f"daemon {instance} is healthy", READY_LIMIT_S)
         return daemon
 
+    def launch_daemon(self, instance: str) -> ManagedProcess:
+        """Start the process of a daemon without waiting for anything."""
+        member = self.members[instance]
+        path = self._write_settings(member)
+        arguments = ["serve", "--settings", str(path)]
+        program = self._daemon_program
+        member.daemon = self._start(f"daemon-{instance}", arguments, program)
+        return member.daemon
+
     def start_target(self, instance: str) -> ManagedProcess:
         """Start the target beside a daemon, also again after its end."""
         member = self.members[instance]
@@ -264,6 +269,10 @@
             member.peer_relay = Relay(member.get_address("peer"), framed=True)
         return member
 
+    def get_settings_path(self, instance: str) -> Path:
+        """Return where the settings of a daemon are written."""
+        return self._directory / f"{instance}.ini"
+
     def _write_settings(self, member: FleetMember) -> Path:
         plan = member.plan
         seeds = [each.get_address("gossip") for each in self.members.values()]
@@ -282,7 +291,7 @@
         slots = sum(e.plan.domain == plan.domain for e in self.members.values())
         settings["membership"] = {
             "seeds": ",".join(seeds),
-            "entry_slots": "0" if self._loans else str(slots),
+            "entry_slots": self._entry_slots or str(slots),
         }
         settings["security"] = {
             "fleet_secret": FLEET_SECRET,
@@ -294,7 +303,7 @@
             "deregistration_delay_s": str(delay_s),
         }
         settings["logging"] = {"level": plan.log_level}
-        path = self._directory / f"{plan.instance}.ini"
+        path = self.get_settings_path(plan.instance)
         with path.open("w") as file:
             settings.write(file)
         return path
