Find the calls of a test by the caller's request id

The log writes in batches since 'rates' and 'lifecycle' came in, so that lines of earlier calls came after the count that the test began from: "too many values to unpack". The test now takes the call from the routing line of its own request.

--- a/tests/failures/test_callers.py
+++ b/tests/failures/test_callers.py
@@ -18,7 +18,6 @@
 IDLE_CONNECTIONS = 600
 OVERSIZED_HEADER_BYTES = 200_000
 TIMEOUT_S = 20.0
-DISPATCHED = re.compile(r"event=call_dispatched call=(\w+)")
 
 
 class CallerTests(FleetTestCase):
@@ -122,32 +121,37 @@
 
     def _leave_during_a_call(self, entry: str, query: str) -> None:
         """Close a connection on which a call is in flight and another one waits."""
+        plan = RequestPlan(f"{SEARCH}?{query}", BROADCASTER_KEY)
         request = (
-            f"GET {SEARCH}?{query} HTTP/1.1\r\nHost: x\r\n"
-            f"Authorization: Bearer {BROADCASTER_KEY}\r\n\r\n"
+            f"GET {plan.path} HTTP/1.1\r\nHost: x\r\nX-Request-Id: %s\r\n"
+            f"Authorization: Bearer {plan.key}\r\n\r\n"
         )
-        known = set(self._list_dispatched())
         with self._connect(entry) as connection:
-            connection.sendall(request.encode() * 2)
+            sent = request % plan.request_id + request % "the-next"
+            connection.sendall(sent.encode())
+            dispatched = "event=call_dispatched call=%s"
             wait_until(
-                lambda: not known.issuperset(self._list_dispatched()),
+                lambda: dispatched % self._find_call(entry, plan) in self._read(OWNER),
                 "the call is dispatched",
             )
             if "size" in query:
                 self.assertIn(b"200", connection.recv(65_536)[:20])
-        (call,) = set(self._list_dispatched()) - known
+        cancelled = f"event=call_cancelled call={self._find_call(entry, plan)}"
         wait_until(
-            lambda: f"event=call_cancelled call={call}" in self._read_owner_log(),
+            lambda: cancelled in self._read(OWNER),
             f"the call at {entry} with {query} is cancelled",
         )
 
-    def _list_dispatched(self) -> list[str]:
-        return DISPATCHED.findall(self._read_owner_log())
+    def _find_call(self, entry: str, plan: RequestPlan) -> str:
+        """Return the id of a request's call, or a text that is none."""
+        routed = rf"event=call_routed call=(\w+) request={plan.request_id}"
+        found = re.search(routed, self._read(entry))
+        return found[1] if found else "none"
 
-    def _read_owner_log(self) -> str:
-        owner = self.fleet.members[OWNER].daemon
-        assert owner is not None
-        return owner.read_log()
+    def _read(self, instance: str) -> str:
+        daemon = self.fleet.members[instance].daemon
+        assert daemon is not None
+        return daemon.read_log()
 
     def test_drained_target_gets_no_new_work(self) -> None:
         target = self.fleet.members[OWNER].target
