Divide slices again only after a change, and let them refill after lending

Cause: the slices of all organisations were set ten times a second, changed or not.

Ruled out: a longer interval (a fleet that has just started must be divided soon).

Change: a division says whether it changed. Lent tokens come back at their own ends, in order, with the refill between.

--- a/corianderhold/coordination/rate/division.py
+++ b/corianderhold/coordination/rate/division.py
@@ -18,8 +18,8 @@
 class Division(Protocol):
     """Say which part of an organisation's rate and burst one entry holds."""
 
-    def refresh(self) -> None:
-        """Look again at what the division depends on."""
+    def refresh(self) -> bool:
+        """Look again at what the division depends on; return whether it changed."""
 
     def find_part(self, organisation: Organisation) -> float:
         """Return the part from 0 to 1 that this entry holds now."""
@@ -37,8 +37,9 @@
         self._domain = domain
         self._entry_slots = entry_slots
 
-    def refresh(self) -> None:
+    def refresh(self) -> bool:
         """Depend on nothing that changes."""
+        return False
 
     def find_part(self, organisation: Organisation) -> float:
         """Return 1/`entry_slots` of the domain's share."""
@@ -63,10 +64,10 @@
         self._seen_at: dict[InstanceId, float] = {}
         self._settled = False
 
-    def refresh(self) -> None:
-        """Count the members that may admit requests."""
+    def refresh(self) -> bool:
+        """Count the members that may admit requests; return whether it changed."""
         now = self._clock.read_monotonic()
-        before = len(self._seen_at)
+        before, was_settled = len(self._seen_at), self._settled
         for member in self._members.list_members():
             if member.state in LIVE_STATES:
                 self._seen_at[member.instance] = now
@@ -81,6 +82,7 @@
         if len(self._seen_at) > before:
             self._grew_at = now
         self._settled = self._settled or self._is_settled(now)
+        return len(self._seen_at) != before or self._settled != was_settled
 
     def find_part(self, organisation: Organisation) -> float:
         """Return an equal part for each member, 0 before the count has settled."""
--- a/corianderhold/coordination/rate/slices.py
+++ b/corianderhold/coordination/rate/slices.py
@@ -43,14 +43,18 @@
 
     def settle(self, now: float) -> float:
         """Drop what has ended and return the tokens at hand."""
-        if self.lent:
-            self.lent = [parcel for parcel in self.lent if parcel.ends_at > now]
+        while self.lent and self.lent[0].ends_at <= now:
+            self._resize(self.lent.pop(0).ends_at)
         if self.borrowed:
             self.borrowed = [each for each in self.borrowed if each.ends_at > now]
-        out = sum(parcel.tokens for parcel in self.lent)
-        self.bucket.resize(now, self.rate, max(0.0, self.capacity - out))
+        self._resize(now)
         return self.bucket.tokens + sum(parcel.tokens for parcel in self.borrowed)
 
+    def _resize(self, at: float) -> None:
+        """Bring the bucket to a time, without what is lent since then."""
+        out = sum(parcel.tokens for parcel in self.lent)
+        self.bucket.resize(at, self.rate, max(0.0, self.capacity - out))
+
     def take(self, now: float) -> None:
         """Remove one token, the borrowed ones first; `settle` found enough."""
         missing = 1.0
@@ -168,7 +172,7 @@
 
     def start(self) -> None:
         """Follow the configuration, the one in force first."""
-        self._configuration.add_listener(self._apply)
+        self._configuration.add_listener(self.apply)
         self._thread.start()
 
     def stop(self) -> None:
@@ -176,8 +180,10 @@
         self._stopping.set()
 
     def refresh(self) -> None:
-        """Divide again."""
-        self._apply(self._configuration.current)
+        """Divide again, where anything changed."""
+        with self._lock:
+            if self._division.refresh():
+                self._divide(self._configuration.current)
 
     def _run(self) -> None:
         """Divide again at an interval."""
@@ -187,17 +193,20 @@
             except Exception as error:  # noqa: BLE001
                 log_warning("slice_refresh_failed", error=repr(error))
 
-    def _apply(self, configuration: Configuration) -> None:
-        """Set the slice of every organisation."""
+    def apply(self, configuration: Configuration) -> None:
+        """Divide a configuration that has come into force."""
         with self._lock:
             self._division.refresh()
-            now = self._clock.read_monotonic()
-            self._table.remove_except(configuration.organisations)
-            accrued_s = 0.0 if self._begun else now - self._started_at
-            for name, organisation in configuration.organisations.items():
-                part = self._division.find_part(organisation)
-                self._begun = self._begun or part > 0
-                rate = organisation.rate * part
-                capacity = (organisation.burst + self._slack) * part
-                tokens = rate * accrued_s
-                self._table.set_slice(name, rate, capacity, now, tokens)
+            self._divide(configuration)
+
+    def _divide(self, configuration: Configuration) -> None:
+        """Set the slice of every organisation."""
+        now = self._clock.read_monotonic()
+        self._table.remove_except(configuration.organisations)
+        accrued_s = 0.0 if self._begun else now - self._started_at
+        for name, organisation in configuration.organisations.items():
+            part = self._division.find_part(organisation)
+            self._begun = self._begun or part > 0
+            rate = organisation.rate * part
+            capacity = (organisation.burst + self._slack) * part
+            self._table.set_slice(name, rate, capacity, now, rate * accrued_s)
--- a/tests/common/slice_fleet.py
+++ b/tests/common/slice_fleet.py
@@ -63,6 +63,7 @@
         self.allocator = SliceAllocator(
             table, fleet.configuration, division, fleet.clock, fleet.slack
         )
+        fleet.configuration.add_listener(self.allocator.apply)
 
     def request(
         self, address: Address, topic: ControlTopic, body: bytes, timeout_s: float
--- a/tests/coordination/rate/test_slices.py
+++ b/tests/coordination/rate/test_slices.py
@@ -117,13 +117,20 @@
         with patch("corianderhold.coordination.rate.slices.TRANSFER_KEPT_S", 0.0):
             self.assertGreater(self.find_highest_sum(), 3.0)
 
+    def test_slice_refills_to_the_top_after_what_was_lent_has_ended(self) -> None:
+        table = SliceTable()
+        table.set_slice(SMALL.name, 10.0, 3.0, 0.0, tokens=3.0)
+        table.lend(SMALL.name, 3.0, 0.0)
+        taken = [table.take(SMALL.name, 5.0) <= 0 for _ in range(4)]
+        self.assertEqual(taken, [True, True, True, False])
+
     def test_revised_rate_is_applied_and_later_organisations_begin_empty(self) -> None:
         clock = FakeClock()
         holder, table = ConfigurationHolder(), SliceTable()
         division = FixedSlots(FailureDomainId("domain-0"), 1)
         allocator = SliceAllocator(table, holder, division, clock)
         clock.advance(0.5)
-        holder.add_listener(allocator._apply)
+        holder.add_listener(allocator.apply)
         self.put_in_force(holder, 1, Organisation(ARCHIVE.name, 12, 12, shares=SHARES))
         now = clock.read_monotonic()
         taken = [table.take(ARCHIVE.name, now) <= 0 for _ in range(3)]
