--- a/corianderhold/coordination/entry/const.py
+++ b/corianderhold/coordination/entry/const.py
@@ -17,5 +17,6 @@
 LIMIT_UNKNOWN = 16  # assumed of an owner that has reported none
 CANDIDATES = 2
 CALLER_CHECK_INTERVAL_S = 0.1
+CANCEL_TIMEOUT_S = 0.2  # other callers that left wait meanwhile
 RESERVED_THREADS = 8
 REFUSAL_GRACE_S = 0.15  # for the refusal that an owner sends at the deadline
