Leave silent peers out when borrowing; look for a first configuration sooner

Cause: an entry without a token asked peers that had just not answered, 0.1 s each, up to the 0.2 s that one call may take. A daemon that starts while the store is away compared heads once a second, also before it knew any peer.

Ruled out: waiting for the membership to take such a peer for dead (seconds).

Change: a peer that did not answer is not asked for tokens for 1 s. A daemon without any configuration looks for a peer every 0.2 s.

--- a/corianderhold/coordination/configuration/const.py
+++ b/corianderhold/coordination/configuration/const.py
@@ -1,6 +1,7 @@
 """Bound the spread of the configuration."""
 
 ANTI_ENTROPY_INTERVAL_S = 1.0
+FIRST_EXCHANGE_INTERVAL_S = 0.2  # while nothing is known of the configuration
 ANTI_ENTROPY_JITTER = 0.2
 ANTI_ENTROPY_PARENT_SHARE = 0.5
 ANTI_ENTROPY_ANY_MEMBER_SHARE = 0.1
--- a/corianderhold/coordination/configuration/follower.py
+++ b/corianderhold/coordination/configuration/follower.py
@@ -13,6 +13,7 @@
     ANTI_ENTROPY_JITTER,
     ANTI_ENTROPY_PARENT_SHARE,
     EXTRA_POLL_BACKOFF_LIMIT_S,
+    FIRST_EXCHANGE_INTERVAL_S,
     POLL_BACKOFF_LIMIT_S,
     POLL_HELD_S,
     POLL_INTERVAL_S,
@@ -152,6 +153,8 @@
         peer = self._pick_peer()
         if peer is not None:
             self._exchange(peer)
+        if self.replica.state.next_offset == 0:
+            return FIRST_EXCHANGE_INTERVAL_S
         jitter = 1 + ANTI_ENTROPY_JITTER * (self._random.random() - 0.5)
         return ANTI_ENTROPY_INTERVAL_S * jitter
 
--- a/corianderhold/coordination/rate/const.py
+++ b/corianderhold/coordination/rate/const.py
@@ -17,6 +17,7 @@
 TRANSFER_KEPT_S = 0.55  # the peer's capacity is lowered this long after the grant
 TRANSFER_TIMEOUT_S = 0.1
 TRANSFER_LIMIT_S = 0.2  # for all requests that one call makes
+SILENT_LENDER_S = 1.0  # a peer that did not answer is not asked for this long
 NEAR_LENDERS = 4  # peers asked in the own domain, and in the rest of the region
 FAR_LENDERS = 2
 LENT_RESERVE = 0.25  # part of a slice that is not lent, where it makes a token
--- a/corianderhold/coordination/rate/transfer.py
+++ b/corianderhold/coordination/rate/transfer.py
@@ -11,6 +11,7 @@
     FAR_LENDERS,
     LONGEST_RETRY_AFTER_MS,
     NEAR_LENDERS,
+    SILENT_LENDER_S,
     SINGLE_CHARGES,
     SINGLE_RETRY_MAX_S,
     SINGLE_RETRY_S,
@@ -19,7 +20,12 @@
     TRANSFER_USE_S,
 )
 from corianderhold.coordination.rate.slices import SliceTable
-from corianderhold.ids import FailureDomainId, OrganisationId, RegionId
+from corianderhold.ids import (
+    FailureDomainId,
+    InstanceId,
+    OrganisationId,
+    RegionId,
+)
 from corianderhold.log import log_warning
 from corianderhold.protocol.peer.control import (
     ControlClient,
@@ -102,6 +108,7 @@
         self._random = random
         self._slots = threading.BoundedSemaphore(SINGLE_CHARGES)
         self._shortages: dict[OrganisationId, _Shortage] = {}
+        self._silent_until: dict[InstanceId, float] = {}
 
     def charge(self, organisation: OrganisationId, now: float) -> Result[None, Refusal]:
         """Charge one request; waits for peers only where that saves a refusal."""
@@ -166,12 +173,15 @@
     def _list_lenders(self) -> list[Member]:
         """Return some peers in random order, those of the own domain first."""
         place = self._place
+        now = self._clock.read_monotonic()
         near, middle, far = [], [], []
         for member in self._members.list_members():
             if member.state is not MemberState.ALIVE:
                 continue
             if member.instance == place.node.instance:
                 continue
+            if now < self._silent_until.get(member.instance, now):
+                continue
             if member.domain == place.domain:
                 near.append(member)
             elif member.region == place.region:
@@ -199,6 +209,8 @@
             TRANSFER_TIMEOUT_S,
         )
         if isinstance(answer, Err):
+            until = self._clock.read_monotonic() + SILENT_LENDER_S
+            self._silent_until[member.instance] = until
             return 0.0
         try:
             reply = decode_reply(answer.ok_value)
--- a/tests/coordination/configuration/test_exchange.py
+++ b/tests/coordination/configuration/test_exchange.py
@@ -129,6 +129,11 @@
         self.assertEqual(asker.holder.current.version, 1)
         self.assertEqual(asker.holder.verified_at, before)
 
+    def test_daemon_without_a_configuration_looks_for_peers_more_often(self) -> None:
+        known = self.get_daemon(0).follower.spread_once()
+        fresh = next(iter(Fleet(1, 1, FakeLog()).daemons.values()))
+        self.assertLess(2 * fresh.follower.spread_once(), known)
+
     def test_lower_version_is_never_put_in_force(self) -> None:
         self.append_changes(1, 5)
         self.settle()
--- a/tests/coordination/rate/test_slices.py
+++ b/tests/coordination/rate/test_slices.py
@@ -183,6 +183,19 @@
             self.assertFalse(self.entry.charge(ARCHIVE))
         self.assertLess(self.fleet.messages - before, 15 * 10)
 
+    def test_peer_that_does_not_answer_is_left_out_for_a_time(self) -> None:
+        for entry in self.fleet.entries.values():
+            entry.up = entry is self.entry
+        self.entry.limiter._table.remove_except({})
+        asked = []
+        for pause_s in (0.0, 0.5, 1.0):
+            before = self.fleet.messages
+            self.fleet.clock.advance(pause_s)
+            self.assertFalse(self.entry.charge(ARCHIVE))
+            asked.append(self.fleet.messages - before)
+        self.assertGreater(asked[0], asked[1])
+        self.assertGreater(asked[2], 0)
+
     def test_refusal_is_true_and_names_a_time(self) -> None:
         self.fleet.cut.update(SHARES)
         now = self.fleet.clock.read_monotonic()
