Let small fleets push only heads, once most daemons have read the log

Ruled out: no pushes at all (daemons that the store turns away learn by them). Change: where all daemons read the log, a push waits 0.3 s and sends the head first; a peer that is behind gets the records.

--- a/corianderhold/coordination/configuration/const.py
+++ b/corianderhold/coordination/configuration/const.py
@@ -22,6 +22,7 @@
 PEERS_REFRESH_INTERVAL_S = 5.0
 PARENT_ARITY = 6
 PUSH_THREADS = 2
+PUSH_DELAY_S = 0.3  # where every daemon reads the log itself
 
 POLLERS_PER_DOMAIN = 2
 ALL_POLL_MEMBERS = 32  # up to so many live members, every daemon reads the log
--- a/corianderhold/coordination/configuration/follower.py
+++ b/corianderhold/coordination/configuration/follower.py
@@ -21,6 +21,7 @@
     POLL_WAIT_MAX_S,
     POLL_WAIT_MIN_S,
     POLL_WAIT_SHARE,
+    PUSH_DELAY_S,
     PUSH_THREADS,
     SELF_POLL_AFTER_S,
     SELF_POLL_BACKOFF_LIMIT_S,
@@ -244,7 +245,7 @@
     def _push(self, member: Member) -> None:
         with self._queued_lock:
             self._queued.discard(member.instance)
-        self._exchange(member, push=True)
+        self._exchange(member, push=not self._peers.all_poll())
 
     def _exchange(self, member: Member, push: bool = False) -> None:
         """Exchange with a peer and note when one answered."""
@@ -264,6 +265,9 @@
     def _push_until_stopped(self) -> None:
         while True:
             member = self._pushes.get()
+            if member is not STOP and self._peers.all_poll():
+                # Most peers have read the log by then, and get no second copy.
+                self._stopped.wait(PUSH_DELAY_S)
             if member is STOP or self._stopped.is_set():
                 return
             try:
--- a/corianderhold/coordination/configuration/peers.py
+++ b/corianderhold/coordination/configuration/peers.py
@@ -72,7 +72,11 @@
 
     def is_poller(self) -> bool:
         """Return whether this daemon reads the log all the time."""
-        return self._read_choice().live <= ALL_POLL_MEMBERS or self.is_first_poller()
+        return self.all_poll() or self.is_first_poller()
+
+    def all_poll(self) -> bool:
+        """Return whether the fleet is so small that every daemon reads the log."""
+        return self._read_choice().live <= ALL_POLL_MEMBERS
 
     def is_first_poller(self) -> bool:
         """Return whether this daemon reads the log for its domain."""
