--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -20,6 +20,7 @@
 from corianderhold.coordination.entry.watch import CallerWatch
 from corianderhold.coordination.lease.locator import HolderLocator
 from corianderhold.coordination.lease.manager import LeaseManager
+from corianderhold.coordination.lease.ranking import MemberFilter
 from corianderhold.coordination.membership.service import (
     MembershipService,
     MembershipSettings,
@@ -35,12 +36,18 @@
     build_default_policy,
 )
 from corianderhold.coordination.owner.remote import RemoteCallServer
+from corianderhold.coordination.rate.division import (
+    CountedMembers,
+    Division,
+    FixedSlots,
+)
 from corianderhold.coordination.rate.parts import (
     RateParts,
-    build_fixed_slices,
     build_loans,
+    build_slices,
 )
 from corianderhold.coordination.rate.shards import list_shards as list_rate_shards
+from corianderhold.coordination.rate.transfer import EntryPlace
 from corianderhold.core import Application
 from corianderhold.deployment import Deployment
 from corianderhold.drain import GracefulStop, StopParts, TargetDrain
@@ -49,7 +56,7 @@
 from corianderhold.readiness import Readiness
 from corianderhold.settings.model import Settings
 from corianderhold.state.configuration.holder import ConfigurationHolder
-from corianderhold.state.lease.model import Holder
+from corianderhold.state.lease.model import Holder, ShardId
 from corianderhold.state.membership.incarnation import draw_start
 from corianderhold.transport.peer.control import LinkControlClient
 from corianderhold.transport.peer.handshake import Identity
@@ -134,7 +141,7 @@
                 self._membership,
                 self._follower,
                 self._leases,
-                keeper,
+                *([keeper] if self._header_names.idempotency_key else []),
                 *rate.components,
                 watch,
                 *self._build_target_servers(outgoing),
@@ -203,7 +210,11 @@
 
     def _build_caller_server(self, callers: CallerApplication) -> WebServer:
         listeners = self._settings.listeners
-        return WebServer("caller", listeners.caller, callers, listeners.caller_threads)
+        server = WebServer(
+            "caller", listeners.caller, callers, listeners.caller_threads
+        )
+        self._holder.add_listener(lambda each: server.set_limits(each.limits))
+        return server
 
     def _build_target_servers(self, outgoing: OutgoingApplication) -> list[WebServer]:
         """Build the listeners for the local target."""
@@ -300,19 +311,27 @@
     def _build_leases(self) -> LeaseManager:
         """Take part in the leases of idempotency keys and, with loans, of rates."""
         settings = self._settings
-        shards = list_once_shards()
-        if not settings.entry_slots:
+        shards: dict[ShardId, MemberFilter] = {}
+        if self._header_names.idempotency_key:
+            shards |= list_once_shards()
+        if settings.entry_slots == 0:
             shards |= list_rate_shards(settings.domain)
         return LeaseManager(
             self._node, shards, self._clock, self._log, self._control, self._membership
         )
 
     def _build_rate(self) -> RateParts:
-        """Build loans, or fixed slices where the settings name the entry slots."""
+        """Build loans or slices, as the settings say."""
         settings = self._settings
-        if settings.entry_slots:
-            return build_fixed_slices(
-                self._holder, settings.domain, settings.entry_slots, self._clock
+        if settings.entry_slots != 0:
+            return build_slices(
+                EntryPlace(self._node, settings.domain, settings.region),
+                self._holder,
+                self._build_division(),
+                self._membership,
+                self._control,
+                self._clock,
+                settings.rate_slack,
             )
         return build_loans(
             self._node,
@@ -324,6 +343,13 @@
             self._clock,
         )
 
+    def _build_division(self) -> Division:
+        """Divide by entry slots where the settings name their number."""
+        settings = self._settings
+        if settings.entry_slots is not None:
+            return FixedSlots(settings.domain, settings.entry_slots)
+        return CountedMembers(settings.instance, self._membership, self._clock)
+
     def _build_peer_server(
         self,
         owner: Owner,
--- a/corianderhold/coordination/configuration/const.py
+++ b/corianderhold/coordination/configuration/const.py
@@ -1,6 +1,7 @@
 """Bound the spread of the configuration."""
 
 ANTI_ENTROPY_INTERVAL_S = 1.0
+FIRST_EXCHANGE_INTERVAL_S = 0.2  # while nothing is known of the configuration
 ANTI_ENTROPY_JITTER = 0.2
 ANTI_ENTROPY_PARENT_SHARE = 0.5
 ANTI_ENTROPY_ANY_MEMBER_SHARE = 0.1
@@ -23,9 +24,17 @@
 PUSH_THREADS = 2
 
 POLLERS_PER_DOMAIN = 2
-POLL_INTERVAL_S = 1.0
+ALL_POLL_MEMBERS = 32  # up to so many live members, every daemon reads the log
+POLL_WAIT_MIN_S = 2.0  # how long the log may hold a read, drawn for each read
+POLL_WAIT_MAX_S = 20.0
+POLL_WAIT_SHARE = 0.25  # of the age at which a route refuses for an old view
+POLL_HELD_S = 0.5  # a read that took less was not held
+POLL_INTERVAL_S = 1.0  # between reads of a log that does not hold them
 POLL_BACKOFF_LIMIT_S = 4.0
-SELF_POLL_AFTER_S = 10.0
+EXTRA_POLL_BACKOFF_LIMIT_S = 30.0  # of those beyond POLLERS_PER_DOMAIN
+POLL_JOIN_TIMEOUT_S = 0.2  # a read that is held is left behind
+ALONE_AFTER_S = 1.5  # without an answer of any peer
+SELF_POLL_AFTER_S = 25.0  # without a proof of a complete view
 SELF_POLL_BACKOFF_LIMIT_S = 120.0
 LOG_READ_TIMEOUT_S = 2.0
 LOG_PAGE_RECORDS = 256
@@ -39,7 +48,7 @@
 SNAPSHOT_EVERY_RECORDS = 256
 SNAPSHOT_AGE_SHARE = 0.25
 SNAPSHOT_TURN_S = 30.0
-SNAPSHOT_VIEW_AGE_LIMIT_S = 15.0
+SNAPSHOT_VIEW_AGE_LIMIT_S = 30.0
 SNAPSHOT_RETRY_S = 120.0
 LOG_APPEND_TIMEOUT_S = 5.0
 
--- a/corianderhold/coordination/entry/intake.py
+++ b/corianderhold/coordination/entry/intake.py
@@ -2,12 +2,18 @@
 
 import os
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
+from itertools import chain, count
 
-from result import Err, Result
+from result import Err, Ok, Result
 
 from corianderhold.clock import Clock
-from corianderhold.coordination.call import Answer, BodyError, CallContext
+from corianderhold.coordination.call import (
+    Answer,
+    AnswerTruncatedError,
+    BodyError,
+    CallContext,
+)
 from corianderhold.coordination.entry.const import (
     OVERLOAD_RETRY_AFTER_MS,
     RESERVED_THREADS,
@@ -40,6 +46,7 @@
 )
 
 MILLISECONDS = 1000
+PREFIX_BYTES = 12
 
 
 @dataclass(frozen=True)
@@ -56,6 +63,18 @@
     arrived_at: float
 
 
+class CallIds:
+    """Draw ids that no other call of any daemon has."""
+
+    def __init__(self) -> None:
+        self._prefix = os.urandom(PREFIX_BYTES).hex()
+        self._numbers = count()
+
+    def draw(self) -> CallId:
+        """Return the next id; it says nothing and proves nothing."""
+        return CallId(f"{self._prefix}{next(self._numbers):08x}")
+
+
 Handle = Callable[[Arrival], Result[Answer, Refusal]]
 
 
@@ -99,39 +118,46 @@
         self._metrics = metrics
         self._reader = reader
         self._format_retry_after = format_retry_after
+        self._ids = CallIds()
+        self._duration_name = f"{name}_time"
+        self._answered_name = f"{name}_answered"
         self.gate = Gate(threads - RESERVED_THREADS)
 
     def serve(
         self, environ: Environ, start_response: StartResponse, handle: Handle
     ) -> Iterable[bytes]:
         """Handle one request and write its answer or refusal."""
-        call_id = CallId(os.urandom(16).hex())
+        call_id = self._ids.draw()
         if not self.gate.enter():
             reason = Reason.DRAINING if self.gate.is_closed else Reason.SHED
             refusal = refuse_not_run(reason, OVERLOAD_RETRY_AFTER_MS)
             return self._refuse(refusal, call_id, environ, start_response)
-        started_at = self._clock.read_monotonic()
+        arrived_at = self._clock.read_monotonic()
         try:
             request = self._reader.read(environ)
-            outcome = handle(Arrival(environ, call_id, request, started_at))
+            outcome = handle(Arrival(environ, call_id, request, arrived_at))
+            if isinstance(outcome, Ok):
+                outcome = open_answer(outcome.ok_value)
         except BaseException:
-            self.gate.leave()
+            self._leave(call_id)
             raise
-        finally:
-            self._watch.remove(call_id)
-        duration_s = self._clock.read_monotonic() - started_at
-        self._metrics.record_duration(f"{self._name}_time", duration_s)
+        duration_s = self._clock.read_monotonic() - arrived_at
+        self._metrics.record_duration(self._duration_name, duration_s)
         if isinstance(outcome, Err):
-            self.gate.leave()
+            self._leave(call_id)
             return self._refuse(outcome.err_value, call_id, environ, start_response)
-        self._metrics.increment(f"{self._name}_answered")
+        answer = outcome.ok_value
+        self._metrics.increment(self._answered_name)
         log_event(
-            f"{self._name}_answered",
+            self._answered_name,
             call=call_id,
-            status=outcome.ok_value.status,
+            status=answer.status,
             seconds=duration_s,
         )
-        answer = leave_at_close(outcome.ok_value, self.gate)
+        if answer.body is None:
+            answer = self._leave_at_close(answer, call_id)
+        else:
+            self._leave(call_id)
         return respond_answer(answer, call_id, start_response)
 
     def route(
@@ -139,12 +165,27 @@
     ) -> Result[Answer, Refusal]:
         """Read the request's body and route the call until its caller leaves."""
         try:
-            body = read_body(environ)
-        except (BodyError, ValueError) as error:
-            return Err(refuse_not_run(Reason.REQUEST_MALFORMED, detail=str(error)))
+            body = read_body(environ, context.deadline_at)
+        except BodyError as error:
+            return Err(refuse_not_run(error.reason, detail=str(error)))
         self._watch.add(context.call_id, environ[ENVIRON_SOCKET])
         return self._router.route(context, body, retries)
 
+    def _leave_at_close(self, answer: Answer, call_id: CallId) -> Answer:
+        """Return a streamed answer with its request inside until the answer's end."""
+
+        def close() -> None:
+            try:
+                answer.close()
+            finally:
+                self._leave(call_id)
+
+        return Answer(answer.status, answer.headers, None, answer.chunks, close)
+
+    def _leave(self, call_id: CallId) -> None:
+        self._watch.remove(call_id)
+        self.gate.leave()
+
     def _refuse(
         self,
         refusal: Refusal,
@@ -171,16 +212,24 @@
         )
 
 
-def leave_at_close(answer: Answer, gate: Gate) -> Answer:
-    """Return the answer with its request inside the gate until the answer's end."""
-
-    def close() -> None:
-        try:
-            answer.close()
-        finally:
-            gate.leave()
+def open_answer(answer: Answer) -> Result[Answer, Refusal]:
+    """
+    Wait for the first part of an answer that is passed on as it comes.
 
-    return replace(answer, close=close)
+    One that breaks off before can still be refused.
+    """
+    if answer.body is not None:
+        return Ok(answer)
+    try:
+        first = next(answer.chunks, b"")
+    except AnswerTruncatedError as error:
+        answer.close()
+        return Err(error.refusal)
+    except BaseException:
+        answer.close()
+        raise
+    chunks = chain((first,), answer.chunks)
+    return Ok(Answer(answer.status, answer.headers, None, chunks, answer.close))
 
 
 def build_context(
--- a/corianderhold/coordination/entry/request.py
+++ b/corianderhold/coordination/entry/request.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass, field
-from typing import BinaryIO
+from functools import lru_cache
+from http import HTTPStatus
+from itertools import chain
 
 from corianderhold.coordination.call import (
     BodyError,
@@ -17,6 +19,11 @@
 )
 from corianderhold.protocol.peer.const import CHUNK_BYTES, INLINE_BODY_BYTES
 from corianderhold.protocol.peer.messages import Header
+from corianderhold.protocol.verdict import Reason
+from corianderhold.transport.web.body import BodyStream
+from corianderhold.transport.web.const import NAMES_CACHED
+from corianderhold.transport.web.errors import RequestError
+from corianderhold.transport.web.head import list_tokens
 from corianderhold.transport.web.server import Environ
 
 DIGITS_MAX = 12
@@ -56,6 +63,7 @@
         self._request_id_header = names.request_id
         self._request_id = name_variable(names.request_id)
         self._deadline_ms = name_variable(names.deadline_ms)
+        self._idempotency_key = name_variable(names.idempotency_key or "")
         self._context = name_variable(names.context or "")
         self._own = frozenset(
             name.lower()
@@ -69,6 +77,7 @@
             )
             if name
         )
+        self._find_name = lru_cache(NAMES_CACHED)(self._choose_name)
         self._added: tuple[Header, ...] = ()
         if caller_service:
             self._added = (Header(names.caller_service, caller_service),)
@@ -98,24 +107,34 @@
             headers=(*self._read_headers(environ, key), *self._added),
             key=key,
             context_token=environ.get(self._context),
-            idempotency_key=environ.get("HTTP_IDEMPOTENCY_KEY"),
+            idempotency_key=environ.get(self._idempotency_key),
             request_id=self.read_request_id(environ),
             deadline_ms=read_milliseconds(environ.get(self._deadline_ms, "")),
         )
 
-    def _read_headers(self, environ: Environ, key: str | None) -> Iterator[Header]:
-        """Yield the headers that may reach a target; none of them holds the key."""
-        if environ.get("CONTENT_TYPE"):
-            yield Header("Content-Type", environ["CONTENT_TYPE"])
-        left_out = self._own | list_tokens(environ.get("HTTP_CONNECTION", ""))
+    def _read_headers(self, environ: Environ, key: str | None) -> list[Header]:
+        """Return the headers that may reach a target; none of them holds the key."""
+        headers = []
+        named = environ.get("HTTP_CONNECTION")
+        left_out = list_tokens(named) if named else frozenset()
         for variable, value in environ.items():
-            if not variable.startswith("HTTP_"):
+            name = self._find_name(variable)
+            if name is None or (key and key in value):
                 continue
-            name = variable[len("HTTP_") :].replace("_", "-").title()
-            if name.lower() in left_out or not may_reach_target(name):
-                continue
-            if not (key and key in value):
-                yield Header(name, value)
+            if not left_out or name.lower() not in left_out:
+                headers.append(Header(name, value))
+        return headers
+
+    def _choose_name(self, variable: str) -> str | None:
+        """Return the header of a variable, or None if it must not reach a target."""
+        if variable == "CONTENT_TYPE":
+            return "Content-Type"
+        if not variable.startswith("HTTP_"):
+            return None
+        name = variable[len("HTTP_") :].replace("_", "-").title()
+        if name.lower() in self._own or not may_reach_target(name):
+            return None
+        return name
 
 
 def name_variable(header: str) -> str:
@@ -123,11 +142,6 @@
     return "HTTP_" + header.upper().replace("-", "_")
 
 
-def list_tokens(value: str) -> frozenset[str]:
-    """Return the tokens of a comma-separated header in lower case."""
-    return frozenset(token.strip().lower() for token in value.split(","))
-
-
 def read_milliseconds(text: str) -> int | None:
     """Return a number of milliseconds, or None when it can't be read."""
     if not (text.isascii() and text.isdigit() and len(text) <= DIGITS_MAX):
@@ -135,59 +149,50 @@
     return int(text)
 
 
-def read_body(environ: Environ) -> RequestBody:
+def read_body(environ: Environ, give_up_at: float) -> RequestBody:
     """
     Return the request's body, held in memory when it is small.
 
-    Raise `BodyError` when the caller breaks off within a small body.
+    All of it has to come by `give_up_at`, in monotonic seconds. Raise `BodyError` when
+    the caller breaks off within a small body.
     """
     length = read_length(environ)
-    stream: BinaryIO = environ["wsgi.input"]
+    stream: BodyStream = environ["wsgi.input"]
+    stream.give_up_at = give_up_at
+    if length == 0:
+        return InlineBody(b"")
     if length is not None and length <= INLINE_BODY_BYTES:
-        return InlineBody(read_exactly(stream, length))
+        return InlineBody(read_part(stream, length))
     if length is not None:
-        return StreamedBody(stream_exactly(stream, length), length)
-    first = stream.read(INLINE_BODY_BYTES + 1)
+        return StreamedBody(stream_to_end(stream), length)
+    first = read_part(stream, INLINE_BODY_BYTES + 1)
     if len(first) <= INLINE_BODY_BYTES:
         return InlineBody(first)
-    return StreamedBody(stream_to_end(stream, first), None)
+    return StreamedBody(chain((first,), stream_to_end(stream)), None)
 
 
 def read_length(environ: Environ) -> int | None:
     """Return the body's length in bytes, or None for a chunked body."""
-    if environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked":
+    if "HTTP_TRANSFER_ENCODING" in environ:
         return None
-    text = environ.get("CONTENT_LENGTH") or "0"
-    return int(text)
-
-
-def read_exactly(stream: BinaryIO, length: int) -> bytes:
-    """Return `length` bytes or raise `BodyError`."""
-    return b"".join(stream_exactly(stream, length))
-
-
-def stream_exactly(stream: BinaryIO, length: int) -> Iterator[bytes]:
-    """Yield `length` bytes in parts; raise `BodyError` when fewer come."""
-    left = length
-    while left:
-        try:
-            data = stream.read(min(left, CHUNK_BYTES))
-        except (OSError, ValueError) as error:
-            raise BodyError(f"the caller broke off: {error}") from error
-        if not data:
-            raise BodyError("the caller broke off within the body")
-        left -= len(data)
-        yield data
-
-
-def stream_to_end(stream: BinaryIO, first: bytes) -> Iterator[bytes]:
-    """Yield a chunked body in parts; raise `BodyError` when it breaks off."""
-    yield first
-    while True:
-        try:
-            data = stream.read(CHUNK_BYTES)
-        except (OSError, ValueError) as error:
-            raise BodyError(f"the caller broke off: {error}") from error
-        if not data:
-            return
+    return int(environ.get("CONTENT_LENGTH") or "0")
+
+
+def read_part(stream: BodyStream, size: int) -> bytes:
+    """Return `size` bytes or, at the end, fewer; raise `BodyError`."""
+    try:
+        return stream.read(size)
+    except RequestError as error:
+        too_large = error.status is HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+        reason = Reason.BODY_TOO_LARGE if too_large else Reason.REQUEST_MALFORMED
+        raise BodyError(error.detail, reason) from error
+    except TimeoutError as error:
+        raise BodyError("the body did not come", Reason.DEADLINE_PASSED) from error
+    except OSError as error:
+        raise BodyError(f"the caller broke off: {error}") from error
+
+
+def stream_to_end(stream: BodyStream) -> Iterator[bytes]:
+    """Yield the rest of a body in parts; raise `BodyError` when it breaks off."""
+    while data := read_part(stream, CHUNK_BYTES):
         yield data
--- a/corianderhold/coordination/entry/sender.py
+++ b/corianderhold/coordination/entry/sender.py
@@ -13,7 +13,7 @@
     CallContext,
     RequestBody,
 )
-from corianderhold.coordination.entry.const import REFUSAL_GRACE_S
+from corianderhold.coordination.entry.const import CANCEL_TIMEOUT_S, REFUSAL_GRACE_S
 from corianderhold.coordination.retry import RetryBudget
 from corianderhold.ids import CallId
 from corianderhold.log import log_event
@@ -91,19 +91,27 @@
         if isinstance(borrowed, Err):
             detail = borrowed.err_value.detail
             return Err(refuse_not_run(Reason.PEER_UNREACHABLE, detail=detail))
+        pooled = borrowed.ok_value
         exchange = Exchange(
-            self._pool, borrowed.ok_value, context, retries, note_load, self._clock
+            self._pool,
+            pooled,
+            context,
+            retries,
+            note_load,
+            self._clock,
+            lambda: self.cancel(pooled.address, context.call_id),
         )
         return exchange.run(body)
 
     def cancel(self, address: Address, call_id: CallId) -> None:
         """Tell an owner that nobody waits for a call any more."""
-        borrowed = self._pool.borrow(address)
+        give_up_at = self._clock.read_monotonic() + CANCEL_TIMEOUT_S
+        borrowed = self._pool.borrow(address, give_up_at)
         if isinstance(borrowed, Err):
             return  # the owner ends the call at its deadline
         pooled = borrowed.ok_value
         try:
-            pooled.link.send(Cancel(call_id), SILENCE_TIMEOUT_S)
+            pooled.link.send(Cancel(call_id), CANCEL_TIMEOUT_S)
         except LinkError:
             self._pool.discard(pooled)
             return
@@ -121,7 +129,9 @@
         retries: RetryBudget,
         note_load: NoteLoad,
         clock: Clock,
+        cancel: Callable[[], None],
     ) -> None:
+        self._cancel = cancel
         self._pool = pool
         self._pooled = pooled
         self._context = context
@@ -142,7 +152,7 @@
             return self._open(message)
         except BodyError as error:
             self._pool.discard(self._pooled)
-            return Err(refuse_may_have_run(Reason.REQUEST_MALFORMED, str(error)))
+            return Err(refuse_may_have_run(error.reason, str(error)))
         except (LinkError, FrameError) as error:
             self._pool.discard(self._pooled)
             return Err(refuse_may_have_run(Reason.PEER_SILENT, str(error)))
@@ -249,9 +259,15 @@
         self._pool.give_back(self._pooled)
 
     def _abandon(self) -> None:
-        """Close the link of an answer that was not read to its end."""
+        """
+        Give up an answer that was not read to its end, and tell its owner.
+
+        The owner would notice the end of the link only with the answer's next part.
+        """
         if not self._ended:
-            self._pool.discard(self._pooled)
+            self._ended = True
+            self._pooled.link.close()
+            self._cancel()
 
 
 def ignore() -> None:
--- a/tests/failures/test_callers.py
+++ b/tests/failures/test_callers.py
@@ -1,9 +1,12 @@
 """Test what callers, targets and idle connections do wrong."""
 
+import re
 import socket
 from contextlib import ExitStack
 
-from emulator.sample import BROADCASTER_KEY, UNKNOWN_KEY
+from corianderhold.state.configuration.model import CallerLimits
+from corianderhold.state.configuration.records import Delta
+from emulator.sample import BROADCASTER_KEY, UNKNOWN_KEY, build_change
 from tests.common.fleet import DaemonPlan, RequestPlan
 from tests.common.scenario import FleetTestCase, plan_ingest
 from tests.common.waiting import wait_until
@@ -48,6 +51,19 @@
             self.assertEqual(self.fleet.count_runs()[plan.request_id], 0)
             self.check_verdicts(self.send_until_whole(entry, plan_ingest))
 
+    def test_limits_of_the_configuration_hold_without_a_restart(self) -> None:
+        limits = CallerLimits(body_bytes_max=10)
+        for version, limit, status in ((1, limits, 413), (2, CallerLimits(), 200)):
+            self.fleet.publish(build_change(version, Delta(limits=limit)))
+            for entry in (ENTRY, OWNER):
+                plan = RequestPlan(INGEST, BROADCASTER_KEY, "POST", body=b"a" * 11)
+                wait_until(
+                    lambda at=entry, sent=plan, expected=status: (  # type: ignore[misc]
+                        self.fleet.send(at, sent).status == expected
+                    ),
+                    f"{entry} answers {status}",
+                )
+
     def test_body_that_breaks_off_does_not_run(self) -> None:
         plan = plan_ingest()
         for entry in (ENTRY, OWNER):
@@ -98,6 +114,45 @@
         organisations = {execution["organisation"] for execution in executions}
         self.assertEqual(organisations, {"broadcaster"})
 
+    def test_call_ends_with_the_connection_of_its_caller(self) -> None:
+        for entry in (ENTRY, OWNER):
+            for query in ("work_ms=60000", "size=200000&stall_ms=60000"):
+                self._leave_during_a_call(entry, query)
+
+    def _leave_during_a_call(self, entry: str, query: str) -> None:
+        """Close a connection on which a call is in flight and another one waits."""
+        plan = RequestPlan(f"{SEARCH}?{query}", BROADCASTER_KEY)
+        request = (
+            f"GET {plan.path} HTTP/1.1\r\nHost: x\r\nX-Request-Id: %s\r\n"
+            f"Authorization: Bearer {plan.key}\r\n\r\n"
+        )
+        with self._connect(entry) as connection:
+            sent = request % plan.request_id + request % "the-next"
+            connection.sendall(sent.encode())
+            dispatched = "event=call_dispatched call=%s"
+            wait_until(
+                lambda: dispatched % self._find_call(entry, plan) in self._read(OWNER),
+                "the call is dispatched",
+            )
+            if "size" in query:
+                self.assertIn(b"200", connection.recv(65_536)[:20])
+        cancelled = f"event=call_cancelled call={self._find_call(entry, plan)}"
+        wait_until(
+            lambda: cancelled in self._read(OWNER),
+            f"the call at {entry} with {query} is cancelled",
+        )
+
+    def _find_call(self, entry: str, plan: RequestPlan) -> str:
+        """Return the id of a request's call, or a text that is none."""
+        routed = rf"event=call_routed call=(\w+) request={plan.request_id}"
+        found = re.search(routed, self._read(entry))
+        return found[1] if found else "none"
+
+    def _read(self, instance: str) -> str:
+        daemon = self.fleet.members[instance].daemon
+        assert daemon is not None
+        return daemon.read_log()
+
     def test_drained_target_gets_no_new_work(self) -> None:
         target = self.fleet.members[OWNER].target
         assert target is not None
