Close idle connections once callers had their time to leave

Change: a planned stop closes the connections without a request when it begins to refuse, so that kept ones are not cut later with a request on its way. Tests: stop and drain, 13 pass.

--- a/corianderhold/drain.py
+++ b/corianderhold/drain.py
@@ -67,6 +67,9 @@
     def begin_drain(self) -> None:
         """Serve on, and close each connection after its next answer."""
 
+    def close_idle(self) -> None:
+        """Close the connections on which no part of a request has come."""
+
 
 class ReadinessSwitch(Protocol):
     """Answer readiness checks."""
@@ -124,6 +127,7 @@
         log_event("drain_begun", in_flight=self._count())
         self._wait_until(began_at + self._times.deregistration_delay_s)
         parts.intake.stop_admitting()
+        parts.listener.close_idle()
         self._wait_while_busy(began_at + self._times.limit_s - END_RESERVE_S)
         if self._count():
             log_event("drain_incomplete", in_flight=self._count())
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -65,6 +65,9 @@
     def begin_drain(self) -> None:
         self.steps.append("drain")
 
+    def close_idle(self) -> None:
+        self.steps.append("close idle")
+
     def stop_admitting(self) -> None:
         self.steps.append("refuse")
 
@@ -92,12 +95,12 @@
 
     def test_calls_that_last_are_cancelled_last(self) -> None:
         steps = self.stop(StopTimes(1.0, 0.0))
-        expected = ["ready", "not ready", "leave", "drain", "refuse", "cancel"]
-        self.assertEqual(steps, expected)
+        expected = ["ready", "not ready", "leave", "drain", "refuse", "close idle"]
+        self.assertEqual(steps, [*expected, "cancel"])
 
     def test_call_that_ends_is_waited_for(self) -> None:
         timer = threading.Timer(0.1, self.daemon.cancel_all)
         timer.start()
         self.addCleanup(timer.join)
         steps = self.stop(StopTimes(60.0, 0.0))
-        self.assertEqual(steps[-2:], ["refuse", "cancel"])
+        self.assertEqual(steps[-2:], ["close idle", "cancel"])
