Lend whole tokens for a short time, so that a pressed small rate is used up

Parts of tokens moved between pressed slices, ended after 0.5 s unused, and kept the lender's room for 0.55 s although used.

--- a/corianderhold/coordination/rate/slices.py
+++ b/corianderhold/coordination/rate/slices.py
@@ -1,5 +1,6 @@
 """Keep this entry's slice of every organisation's rate and burst."""
 
+import math
 import threading
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -117,6 +118,12 @@
             held = self._slices.get(organisation)
             return held.bucket.estimate_wait_s() if held else float("inf")
 
+    def find_interval_s(self, organisation: OrganisationId) -> float:
+        """Return the seconds in which the own slice makes a token, 0 if it never does."""
+        with self._lock:
+            held = self._slices.get(organisation)
+            return 1.0 / held.rate if held and held.rate > 0 else 0.0
+
     def lend(self, organisation: OrganisationId, wanted: float, now: float) -> float:
         """Remove up to `wanted` tokens for a peer; a large slice keeps a part."""
         with self._lock:
@@ -127,6 +134,9 @@
             spare = held.bucket.tokens
             if held.capacity * LENT_RESERVE >= 1.0:
                 spare -= held.capacity * LENT_RESERVE
+            if held.capacity >= 1.0:
+                # Parts of a token that don't add up in time would be lost.
+                wanted, spare = math.ceil(wanted), math.floor(spare)
             tokens = held.bucket.take_up_to(now, max(0.0, min(wanted, spare)))
             if tokens > 0:
                 held.lent.append(_Parcel(tokens, now + TRANSFER_KEPT_S))
--- a/corianderhold/coordination/rate/transfer.py
+++ b/corianderhold/coordination/rate/transfer.py
@@ -128,10 +128,11 @@
         finally:
             self._slots.release()
         if charged:
-            shortage.pause_s = 0.0
+            shortage.pause_s /= 2
             return Ok(None)
         shortage.pause_s = min(
-            SINGLE_RETRY_MAX_S, max(SINGLE_RETRY_S, 2 * shortage.pause_s)
+            max(SINGLE_RETRY_MAX_S, self._table.find_interval_s(organisation)),
+            max(SINGLE_RETRY_S, 2 * shortage.pause_s),
         )
         shortage.pause_until = self._clock.read_monotonic() + shortage.pause_s
         return self._refuse(organisation, shortage.pause_s)
