--- a/corianderhold/coordination/rate/slices.py
+++ b/corianderhold/coordination/rate/slices.py
@@ -119,7 +119,7 @@
             return held.bucket.estimate_wait_s() if held else float("inf")
 
     def find_interval_s(self, organisation: OrganisationId) -> float:
-        """Return the seconds in which the own slice makes a token, 0 if it never does."""
+        """Return seconds in which the own slice makes a token, 0 if it never does."""
         with self._lock:
             held = self._slices.get(organisation)
             return 1.0 / held.rate if held and held.rate > 0 else 0.0
