--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -1,5 +1,6 @@
 """Test the translation of the operator's documents."""
 
+import json
 from unittest import TestCase
 
 from corianderhold.ids import FailureDomainId, Offset, OrganisationId
@@ -39,6 +40,12 @@
             self.assertEqual(caller.organisation, "t1")
         self.assertTrue(identify_caller(configuration, "key-three", 0.0).is_err())
 
+    def test_no_keys_where_there_are_no_organisations(self) -> None:
+        document = json.loads(write_document(7))
+        del document["tenants"]
+        routes = translate_document(json.dumps(document).encode(), DOMAINS).routes
+        self.assertEqual([route.anonymous for route in routes], [True, True])
+
     def test_services_and_limits(self) -> None:
         configuration = translate_document(write_document(7), DOMAINS)
         services = configuration.services.values()
