Divide the retries that a fleet saves up among its daemons

Cause: each entry could save up 10 retries to a service, so 24 entries had 240 at once and 78 had 780, while operators state one number for the whole fleet (47 and 104 to 109 on the users' deployments, beside a fifth of the requests). 65 calls at each of 24 entries that all fail gave 384 retries against a bound of 359.

Ruled out: a lower constant (too few for a fleet of three, too many for hundreds); a count that daemons share (a message for each retry).

Change: [membership] retry_burst names the fleet's number; each daemon saves up its part by the members that it knows, the dead included, one at least. Without the option each daemon keeps its 10.

--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -48,6 +48,7 @@
 )
 from corianderhold.coordination.rate.shards import list_shards as list_rate_shards
 from corianderhold.coordination.rate.transfer import EntryPlace
+from corianderhold.coordination.retry import FleetBurst
 from corianderhold.core import Application
 from corianderhold.deployment import Deployment
 from corianderhold.drain import GracefulStop, StopParts, TargetDrain
@@ -306,6 +307,7 @@
             self._sender,
             self._clock,
             self._metrics,
+            FleetBurst(settings.retry_burst, self._membership),
         )
 
     def _build_leases(self) -> LeaseManager:
--- a/corianderhold/coordination/entry/const.py
+++ b/corianderhold/coordination/entry/const.py
@@ -5,7 +5,6 @@
 OVERLOAD_RETRY_AFTER_MS = 300
 RETRY_AFTER_EXTRA_S = 2
 RETRY_AFTER_LEAST_MS = 50
-RETRY_BURST = 10.0
 LOAD_REPORT_LIFETIME_S = 1.0  # an older report says nothing about the load now
 PUSH_BACK_LIFETIME_S = 0.1  # a full queue may have emptied after this
 PUSH_BACK_PROBE_RATIO = 0.05  # calls let through to learn whether an owner recovered
--- a/corianderhold/coordination/entry/router.py
+++ b/corianderhold/coordination/entry/router.py
@@ -14,12 +14,11 @@
 from corianderhold.coordination.entry.const import (
     NO_TARGET_RETRY_AFTER_MS,
     OVERLOAD_RETRY_AFTER_MS,
-    RETRY_BURST,
 )
 from corianderhold.coordination.entry.sender import CallSender
 from corianderhold.coordination.entry.sent import SentCalls
 from corianderhold.coordination.owner.owner import CallOwner
-from corianderhold.coordination.retry import RetryBudget, RetryThrottle
+from corianderhold.coordination.retry import FleetBurst, RetryBudget, RetryThrottle
 from corianderhold.ids import CallId, InstanceId, ServiceName
 from corianderhold.log import log_event
 from corianderhold.metrics import Metrics
@@ -81,6 +80,7 @@
         sender: CallSender,
         clock: Clock,
         metrics: Metrics,
+        burst: FleetBurst,
     ) -> None:
         self._instance = instance
         self._members = members
@@ -90,6 +90,7 @@
         self._sender = sender
         self._clock = clock
         self._metrics = metrics
+        self._burst = burst
         self._in_flight = SentCalls()
         self._throttles: dict[ServiceName, RetryThrottle] = {}
 
@@ -228,7 +229,7 @@
             useful = context.idempotent and refusal.reason in RETRYABLE_MAY_HAVE_RUN
         if not useful or self._clock.read_monotonic() >= context.deadline_at:
             return False
-        if not throttle.allow_retry():
+        if not throttle.allow_retry(self._burst.find_part()):
             self._metrics.increment("retries_throttled")
             return False
         if not retries.take_one():
@@ -242,7 +243,7 @@
         if throttle is None:
             configured = self._holder.current.services.get(service)
             ratio = configured.retry_ratio if configured else 0.0
-            throttle = RetryThrottle(ratio, RETRY_BURST)
+            throttle = RetryThrottle(ratio, self._burst.find_part())
             throttle = self._throttles.setdefault(service, throttle)
         return throttle
 
--- a/corianderhold/coordination/retry.py
+++ b/corianderhold/coordination/retry.py
@@ -2,6 +2,10 @@
 
 import threading
 
+from corianderhold.state.membership.model import Members, MemberState
+
+DAEMON_BURST = 10.0
+
 
 class RetryBudget:
     """Count the retries that one call and its callees may still make."""
@@ -45,7 +49,8 @@
     """
     Hold the retries to one service at a ratio of its first attempts.
 
-    `ratio` is retries per first attempt; up to `burst` retries may be saved up.
+    `ratio` is retries per first attempt; up to `burst` retries may be saved up, or as
+    many as `allow_retry` is told if that is fewer.
     """
 
     def __init__(self, ratio: float, burst: float) -> None:
@@ -59,10 +64,34 @@
         with self._lock:
             self._tokens = min(self._burst, self._tokens + self._ratio)
 
-    def allow_retry(self) -> bool:
+    def allow_retry(self, burst: float = float("inf")) -> bool:
         """Spend one retry; return False when there are too many."""
         with self._lock:
+            self._tokens = min(self._tokens, burst)
             if self._tokens < 1:
                 return False
             self._tokens -= 1
             return True
+
+
+class FleetBurst:
+    """
+    Divide the retries that the fleet may save up among its daemons.
+
+    `total` is the number for one service; 0 lets each daemon save up DAEMON_BURST.
+    Members that are taken for dead count too, since they may be cut off and retry.
+    """
+
+    def __init__(self, total: int, members: Members) -> None:
+        self._total = total
+        self._members = members
+
+    def find_part(self) -> float:
+        """Return the part of this daemon: one retry at least."""
+        if self._total == 0:
+            return DAEMON_BURST
+        counted = sum(
+            member.state is not MemberState.LEFT
+            for member in self._members.list_members()
+        )
+        return max(1.0, self._total / max(1, counted))
--- a/corianderhold/settings/model.py
+++ b/corianderhold/settings/model.py
@@ -50,8 +50,10 @@
     highest number of daemons that ever run at once in this failure domain, for fixed
     slices of the rates, None for slices by the number of known members, or 0 for
     loans. With slices, the fleet may admit `rate_slack` requests of an organisation
-    beyond its burst. `domains` names all failure domains of the
-    fleet where the deployment's configuration does not divide the rates itself.
+    beyond its burst. `retry_burst` is how many retries to a service the fleet may save
+    up, 0 for a number that each daemon has for itself. `domains` names all failure
+    domains of the fleet where the deployment's configuration does not divide the rates
+    itself.
     `fleet_secret` is empty where peers are trusted by their network, and `admin_token`
     where the administration API answers reads only.
     """
@@ -67,6 +69,7 @@
     seeds: tuple[Address, ...]
     entry_slots: int | None
     rate_slack: int
+    retry_burst: int
     domains: tuple[FailureDomainId, ...]
     fleet_secret: bytes = field(repr=False)
     admin_token: str = field(repr=False)
--- a/corianderhold/settings/schema.py
+++ b/corianderhold/settings/schema.py
@@ -46,6 +46,7 @@
     CONF_READINESS,
     CONF_REGION,
     CONF_RETENTION_S,
+    CONF_RETRY_BURST,
     CONF_SECURITY,
     CONF_SEEDS,
     CONF_SERVICE,
@@ -59,11 +60,13 @@
     DEFAULT_OUTGOING_THREADS,
     DEFAULT_RATE_SLACK,
     DEFAULT_RETENTION_S,
+    DEFAULT_RETRY_BURST,
     DEFAULT_STOP_LIMIT_S,
     ENTRY_SLOTS_MEMBERS,
     HIGHEST_ENTRY_SLOTS,
     HIGHEST_PORT,
     HIGHEST_RATE_SLACK,
+    HIGHEST_RETRY_BURST,
     LOG_LEVELS,
     PEER_TRUSTS,
     SECRET_LENGTH_MIN,
@@ -79,6 +82,7 @@
 DEREGISTRATION_DELAY_ACCEPTED = "accepted: seconds from 0 to 600"
 ENTRY_SLOTS_ACCEPTED = "accepted: a whole number from 0 to 10000, or members"
 RATE_SLACK_ACCEPTED = "accepted: a whole number from 0 to 1000"
+RETRY_BURST_ACCEPTED = "accepted: a whole number from 0 to 10000"
 THREADS = All(
     Coerce(int, msg="accepted: a whole number from 4 to 1024"),
     Range(min=4, max=1024, msg="accepted: a whole number from 4 to 1024"),
@@ -205,6 +209,10 @@
                 Coerce(int, msg=RATE_SLACK_ACCEPTED),
                 Range(min=0, max=HIGHEST_RATE_SLACK, msg=RATE_SLACK_ACCEPTED),
             ),
+            Optional(CONF_RETRY_BURST, default=DEFAULT_RETRY_BURST): All(
+                Coerce(int, msg=RETRY_BURST_ACCEPTED),
+                Range(min=0, max=HIGHEST_RETRY_BURST, msg=RETRY_BURST_ACCEPTED),
+            ),
         }
     ),
     CONF_SECURITY: Schema(
--- a/tests/common/calls.py
+++ b/tests/common/calls.py
@@ -78,3 +78,19 @@
         service=CATALOGUE,
         target_state=TargetState.SERVING,
     )
+
+
+class FixedMembers:
+    """Know a fixed set of owners."""
+
+    def __init__(self, owners: tuple[Member, ...]) -> None:
+        self.owners = owners
+
+    def list_owners(self, service: ServiceName) -> tuple[Member, ...]:
+        return self.owners
+
+    def find_member(self, instance: InstanceId) -> Member | None:
+        raise AssertionError(instance)
+
+    def list_members(self) -> tuple[Member, ...]:
+        return self.owners
--- a/tests/coordination/entry/test_router.py
+++ b/tests/coordination/entry/test_router.py
@@ -14,13 +14,12 @@
 from corianderhold.coordination.entry.choice import LocalityChooser, Place
 from corianderhold.coordination.entry.router import Router
 from corianderhold.coordination.entry.sender import NoteLoad
-from corianderhold.coordination.retry import RetryBudget
+from corianderhold.coordination.retry import FleetBurst, RetryBudget
 from corianderhold.ids import (
     CallId,
     FailureDomainId,
     InstanceId,
     RegionId,
-    ServiceName,
     Version,
 )
 from corianderhold.metrics import Metrics
@@ -35,7 +34,7 @@
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.configuration.model import Configuration, Service
 from corianderhold.state.membership.model import Address, Member
-from tests.common.calls import CATALOGUE, make_context, make_member
+from tests.common.calls import CATALOGUE, FixedMembers, make_context, make_member
 from tests.common.clock import FakeClock
 
 ENTRY = InstanceId("entry")
@@ -45,22 +44,6 @@
 FULL = refuse_not_run(Reason.QUEUE_FULL, 100)
 
 
-class FixedMembers:
-    """Know a fixed set of owners."""
-
-    def __init__(self, owners: tuple[Member, ...]) -> None:
-        self.owners = owners
-
-    def list_owners(self, service: ServiceName) -> tuple[Member, ...]:
-        return self.owners
-
-    def find_member(self, instance: InstanceId) -> Member | None:
-        raise AssertionError(instance)
-
-    def list_members(self) -> tuple[Member, ...]:
-        return self.owners
-
-
 class NoOwner:
     """Own no target."""
 
@@ -112,15 +95,17 @@
         clock = FakeClock()
         place = Place(ENTRY, FailureDomainId("west-a"), RegionId("west"))
         owners = tuple(make_member(f"o{number}") for number in range(3))
+        members = FixedMembers(owners)
         router = Router(
             ENTRY,
-            FixedMembers(owners),
+            members,
             holder,
             LocalityChooser(place, clock, Random(1)),
             NoOwner(),
             sender,
             clock,
             Metrics(),
+            FleetBurst(0, members),
         )
         context = make_context(idempotent=idempotent)
         return router.route(context, InlineBody(b""), RetryBudget(budget))
--- a/tests/coordination/test_retry.py
+++ b/tests/coordination/test_retry.py
@@ -2,7 +2,8 @@
 
 from unittest import TestCase
 
-from corianderhold.coordination.retry import RetryBudget, RetryThrottle
+from corianderhold.coordination.retry import FleetBurst, RetryBudget, RetryThrottle
+from tests.common.calls import FixedMembers, make_member
 
 
 class RetryBudgetTests(TestCase):
@@ -45,3 +46,16 @@
             allowed += throttle.allow_retry()
         self.assertLessEqual(allowed, 105)
         self.assertGreaterEqual(allowed, 95)
+
+    def test_fleet_saves_up_no_more_than_its_burst(self) -> None:
+        members = FixedMembers(tuple(make_member(f"d{n}") for n in range(24)))
+        burst = FleetBurst(47, members)
+        throttles = [RetryThrottle(0.1, burst.find_part()) for _ in range(24)]
+        attempts, retries = 0, 0
+        for throttle in throttles:
+            for _ in range(65):
+                throttle.note_attempt()
+                attempts += 1
+                retries += throttle.allow_retry(burst.find_part())
+        self.assertLessEqual(retries, 0.2 * attempts + 47)
+        self.assertGreaterEqual(retries, 0.1 * attempts)
