End a stop by one deadline that counts from the signal, whatever blocks

Cause: found by reading. The limit was counted from the start of GracefulStop, so a SIGTERM during the start had the rest of the start on top; a start or a drain that blocks was never given up; the log's flush (0.5 s) came on top of the reserve; and the HTTP servers' threads, no daemon threads, held up the interpreter after a start that failed while a part was still stopping (a store that does not answer: several seconds, in which a SIGTERM does nothing). Change: StopDeadline begins in the signal handler. A thread "life" starts and stops the parts; the main thread waits for it until the deadline less 0.35 s, then the log gets what is left. application_stopped names the part that was busy (busy_with).

--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -49,6 +49,7 @@
 from corianderhold.coordination.rate.shards import list_shards as list_rate_shards
 from corianderhold.coordination.rate.transfer import EntryPlace
 from corianderhold.core import Application
+from corianderhold.deadline import StopDeadline
 from corianderhold.deployment import Deployment
 from corianderhold.drain import GracefulStop, StopParts, TargetDrain
 from corianderhold.metrics import Metrics
@@ -122,6 +123,8 @@
         self._metrics.add_gauge("request_in_flight", callers.count_in_flight)
         outgoing = self._build_outgoing(router, watch, owner)
         caller_server = self._build_caller_server(callers)
+        times = self._settings.stop
+        deadline = StopDeadline(times.limit_s, self._clock)
         stop_parts = StopParts(
             readiness=self._readiness,
             member=self._membership,
@@ -146,8 +149,9 @@
                 watch,
                 *self._build_target_servers(outgoing),
                 caller_server,
-                GracefulStop(stop_parts, self._settings.stop, self._clock),
-            ]
+                GracefulStop(stop_parts, times, deadline, self._clock),
+            ],
+            deadline,
         )
 
     def _build_owner(self, admission: Admission) -> Owner:
--- a/corianderhold/core.py
+++ b/corianderhold/core.py
@@ -7,9 +7,12 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from corianderhold.deadline import StopDeadline
 from corianderhold.log import log_event, log_warning
 
 END_LIMIT_S = 0.5
+FLUSH_RESERVE_S = 0.35  # of the limit, to write the log and to exit
+EXIT_RESERVE_S = 0.1
 WAKE_BYTES = 64
 
 
@@ -24,13 +27,23 @@
 
 
 class Application:
-    """Start components in the order given and stop them in reverse."""
+    """
+    Start components in the order given and stop them in reverse.
 
-    def __init__(self, components: list[Component]) -> None:
+    A thread of its own does that, so that none which blocks holds up the end.
+    """
+
+    def __init__(self, components: list[Component], deadline: StopDeadline) -> None:
         self._components = components
+        self._deadline = deadline
         self._started: list[Component] = []
         self._stop_requested = False
         self._reload_requested = False
+        self._may_stop = threading.Event()
+        self._life = threading.Thread(target=self._live, name="life", daemon=True)
+        self._failure: BaseException | None = None
+        self._complete = False
+        self._busy_with = ""
         self._wake_reader, self._wake_writer = os.pipe()
         os.set_blocking(self._wake_writer, False)
 
@@ -39,19 +52,9 @@
         """Return where a write wakes `run`, for `signal.set_wakeup_fd`."""
         return self._wake_writer
 
-    def start(self) -> None:
-        """Start all components; stop those already started when one fails."""
-        for component in self._components:
-            self._started.append(component)
-            try:
-                component.start()
-            except BaseException:
-                self.stop()
-                raise
-        log_event("application_started", components=len(self._components))
-
     def request_stop(self) -> None:
         """Ask `run` to return; safe to call from a signal handler, and repeatedly."""
+        self._deadline.begin()
         self._stop_requested = True
         self._wake()
 
@@ -64,23 +67,52 @@
         """
         Start, serve until a stop request, and stop; return whether all parts ended.
 
-        `reload` is called after each request to reload.
+        Returns before the deadline of the stop whatever blocks. `reload` is called
+        after each request to reload. Raises what the start of a component raised.
         """
-        self.start()
+        self._life.start()
         while not self._stop_requested:
             if self._reload_requested:
                 self._reload_requested = False
                 reload()
             os.read(self._wake_reader, WAKE_BYTES)
-        return self.stop()
+        self._may_stop.set()
+        self._life.join(self._deadline.find_left_s(FLUSH_RESERVE_S))
+        if self._failure is not None:
+            raise self._failure
+        ended = self._complete and not self._life.is_alive()
+        busy_with = "" if ended else self._busy_with
+        log_event("application_stopped", complete=ended, busy_with=busy_with)
+        return ended
+
+    def find_left_s(self) -> float:
+        """Return the seconds that are left after `run` to write the log."""
+        return self._deadline.find_left_s(EXIT_RESERVE_S)
 
     def _wake(self) -> None:
         with contextlib.suppress(BlockingIOError):  # it is full, and so wakes anyway
             os.write(self._wake_writer, b"\0")
 
-    def stop(self) -> bool:
+    def _live(self) -> None:
+        """Start all components and stop them on request, or those of a failed start."""
+        try:
+            self._start()
+        except BaseException as error:  # noqa: BLE001
+            self._failure = error
+            self.request_stop()
+        self._may_stop.wait()
+        self._stop()
+
+    def _start(self) -> None:
+        for component in self._components:
+            self._busy_with = type(component).__name__
+            self._started.append(component)
+            component.start()
+        log_event("application_started", components=len(self._components))
+
+    def _stop(self) -> None:
         """
-        Stop the started components in reverse order; return whether all have ended.
+        Stop the started components in reverse order.
 
         The first, which drains, takes the time that it needs, all others END_LIMIT_S
         together: a store that does not answer must not hold up the end.
@@ -90,9 +122,7 @@
         rest = threading.Thread(target=self._stop_rest, name="stop", daemon=True)
         rest.start()
         rest.join(END_LIMIT_S)
-        ended = not rest.is_alive()
-        log_event("application_stopped", complete=ended)
-        return ended
+        self._complete = not rest.is_alive()
 
     def _stop_rest(self) -> None:
         while self._started:
@@ -100,7 +130,7 @@
 
     def _stop_last_started(self) -> None:
         component = self._started.pop()
-        name = type(component).__name__
+        name = self._busy_with = type(component).__name__
         began_at = time.monotonic()
         try:
             component.stop()
--- a/corianderhold/drain.py
+++ b/corianderhold/drain.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from corianderhold.clock import Clock
+from corianderhold.deadline import StopDeadline
 from corianderhold.log import log_event
 from corianderhold.settings.model import StopTimes
 from corianderhold.state.membership.model import TargetState
@@ -103,9 +104,16 @@
 class GracefulStop:
     """Drain before the listeners close: the last component to start, first to stop."""
 
-    def __init__(self, parts: StopParts, times: StopTimes, clock: Clock) -> None:
+    def __init__(
+        self,
+        parts: StopParts,
+        times: StopTimes,
+        deadline: StopDeadline,
+        clock: Clock,
+    ) -> None:
         self._parts = parts
         self._times = times
+        self._deadline = deadline
         self._clock = clock
 
     def start(self) -> None:
@@ -119,7 +127,7 @@
         What is in flight then gets a bounded time; calls that last longer are
         cancelled, which answers their callers.
         """
-        began_at = self._clock.read_monotonic()
+        began_at = self._deadline.begin()
         parts = self._parts
         parts.readiness.close()
         parts.member.leave()
--- a/corianderhold/log.py
+++ b/corianderhold/log.py
@@ -52,11 +52,15 @@
         else:
             self._dropped += 1
 
-    def close(self) -> bool:
-        """Write what is queued and end; return False while the output blocks."""
+    def close(self, timeout_s: float = FLUSH_TIMEOUT_S) -> bool:
+        """
+        Write what is queued and end; return False while the output blocks.
+
+        It may take `timeout_s` seconds, and FLUSH_TIMEOUT_S at most.
+        """
         self._closing.set()
         self._events.put(None)
-        self._thread.join(FLUSH_TIMEOUT_S)
+        self._thread.join(min(timeout_s, FLUSH_TIMEOUT_S))
         return not self._thread.is_alive()
 
     def _run(self) -> None:
--- a/tests/failures/test_stop.py
+++ b/tests/failures/test_stop.py
@@ -1,7 +1,10 @@
 """Test that a planned stop loses no call."""
 
 import re
+import socket
+import time
 
+from emulator.sample import BROADCASTER_KEY
 from tests.common.fleet import DaemonPlan, RequestPlan
 from tests.common.scenario import FleetTestCase, Sent, plan_ingest
 from tests.common.waiting import WAIT_LIMIT_S, wait_until
@@ -12,6 +15,14 @@
 OTHER = "other"
 LINGERING = "lingering"
 SLOW = "?work_ms=2500"
+STALLED = "/catalogue/search?work_ms=9000"
+UNREAD_REQUEST = (
+    "GET /catalogue/search?size=60000000 HTTP/1.1\r\nHost: broadcast.example\r\n"
+    f"Authorization: Bearer {BROADCASTER_KEY}\r\nX-Request-Id: unread\r\n\r\n"
+).encode()
+UNREAD_ADMITTED = re.compile("event=request_admitted .*request=unread")
+START_FAILED = re.compile("event=start_failed")
+EXIT_LIMIT_S = 1.0
 FIRST_LISTENER = re.compile("event=listening listener=admin")
 STOP_LIMIT_S = 20.0
 SETTINGS_STOP_LIMIT_S = 6.0
@@ -80,6 +91,48 @@
         store.thaw()
         self._restart(OWNER)
 
+    def test_limit_holds_while_everything_blocks(self) -> None:
+        store, member = self.fleet.store, self.fleet.members[OWNER]
+        daemon = member.daemon
+        assert store is not None
+        assert daemon is not None
+        plans = [RequestPlan(STALLED, BROADCASTER_KEY) for _ in range(CALLS)]
+        futures = [self.send_in_background(OWNER, plan) for plan in plans[:2]]
+        futures += [self.send_in_background(ENTRY, plan) for plan in plans[2:]]
+        wait_until(lambda: self._all_run(plans), "all calls run")
+        host, port = member.get_address("caller").split(":")
+        with socket.create_connection((host, int(port))) as unread:
+            unread.sendall(UNREAD_REQUEST)
+            daemon.wait_until_logged(UNREAD_ADMITTED)
+            store.freeze()
+            self.addCleanup(store.thaw)
+            began_at = time.monotonic()
+            daemon.terminate()
+            self.assertEqual(daemon.wait_for_exit(STOP_LIMIT_S), 0)
+            took_s = time.monotonic() - began_at
+        self.assertLess(took_s, SETTINGS_STOP_LIMIT_S)
+        self.assertRegex(daemon.read_log(), "event=drain_incomplete")
+        for future in futures:
+            _, outcome = future.result(WAIT_LIMIT_S)
+            self.assertGreater(outcome.status, 0, outcome)
+        store.thaw()
+        self._restart(OWNER)
+
+    def test_failed_start_ends_a_daemon_while_the_store_is_silent(self) -> None:
+        store, member = self.fleet.store, self.fleet.members[OWNER]
+        assert store is not None
+        assert member.daemon is not None
+        member.daemon.kill()
+        store.freeze()
+        self.addCleanup(store.thaw)
+        host, port = member.get_address("caller").split(":")
+        with socket.create_server((host, int(port))):
+            daemon = self.fleet.launch_daemon(OWNER)
+            daemon.wait_until_logged(START_FAILED)
+            self.assertEqual(daemon.wait_for_exit(EXIT_LIMIT_S), 1)
+        store.thaw()
+        self._restart(OWNER)
+
     def test_stop_request_during_the_start_ends_a_daemon(self) -> None:
         daemon = self.fleet.members[OWNER].daemon
         assert daemon is not None
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -4,6 +4,7 @@
 from unittest import TestCase
 
 from corianderhold.clock import SystemClock
+from corianderhold.deadline import StopDeadline
 from corianderhold.drain import GracefulStop, StopParts, TargetDrain
 from corianderhold.ids import ServiceName
 from corianderhold.settings.model import StopTimes
@@ -88,7 +89,9 @@
     def stop(self, times: StopTimes) -> list[str]:
         daemon = self.daemon
         parts = StopParts(daemon, daemon, daemon, daemon, daemon, daemon)
-        graceful = GracefulStop(parts, times, SystemClock())
+        clock = SystemClock()
+        deadline = StopDeadline(times.limit_s, clock)
+        graceful = GracefulStop(parts, times, deadline, clock)
         graceful.start()
         graceful.stop()
         return daemon.steps
