Be ready once the slices have settled, and refuse with 503 until then

Cause: with slices by the number of members a daemon holds no slice until its count has settled (after a restart of all about 0.8 s), but said at once that it was ready, and refused organisations with a rate by 429 rate_exceeded, which was not known and not their fault. Ruled out: to admit without a slice (breaks the rate of a small organisation over all entries); to hold such requests (a refusal is given at once); a 429 with a short time (it would still tell the caller that its organisation is over its rate, which the verdict's reason must not say unless it is so; 429 and 503 alike promise "not run"). Change: the division says whether it is settled, the slice table keeps that. Readiness waits for it, 3.5 s from the end of the start at most (a count settles 3 s after the start at the latest, so a daemon alone is ready then), and not at all where no organisation has a rate, for fixed slots and for loans. A charge for which neither the own slice nor peers had a token is refused as rate_unsettled: 503, not run, Retry-After 0.3 s. Tokens of peers that have slices are still asked for, so a daemon that joins a running fleet goes on to serve. rate_refused is logged only for organisations that are over their rate.

--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -2,7 +2,6 @@
 
 import os
 import threading
-from collections.abc import Mapping
 from random import Random
 
 from corianderhold.admin.api import AdminApi, AdminParts
@@ -53,7 +52,7 @@
 from corianderhold.deployment import Deployment
 from corianderhold.drain import GracefulStop, StopParts, TargetDrain
 from corianderhold.metrics import Metrics
-from corianderhold.protocol.peer.control import ControlHandler, ControlTopic
+from corianderhold.protocol.peer.control import ControlTopic
 from corianderhold.readiness import Readiness
 from corianderhold.settings.model import Settings
 from corianderhold.state.configuration.holder import ConfigurationHolder
@@ -89,7 +88,6 @@
         self._metrics = Metrics()
         self._header_names = deployment.headers
         self._holder = ConfigurationHolder()
-        self._readiness = Readiness(self._holder)
         self._incarnation = draw_start()
         self._identity = Identity(
             settings.instance, self._incarnation, settings.fleet_secret
@@ -107,6 +105,8 @@
         self._locator = HolderLocator(self._membership)
         self._node = Holder(settings.instance, self._incarnation)
         self._leases = self._build_leases()
+        self._rate = self._build_rate()
+        self._readiness = Readiness(self._holder, self._clock, self._rate.is_settled)
 
     def build(self) -> Application:
         """Return the application with all parts."""
@@ -118,8 +118,7 @@
         keeper = OnceKeeper(self._leases, direct, self._clock)
         router = self._build_keyed_router(keeper, direct)
         watch = CallerWatch(router.cancel)
-        rate = self._build_rate()
-        callers = self._build_callers(router, watch, rate)
+        callers = self._build_callers(router, watch)
         self._metrics.add_gauge("request_in_flight", callers.count_in_flight)
         outgoing = self._build_outgoing(router, watch, owner)
         caller_server = self._build_caller_server(callers)
@@ -140,12 +139,12 @@
                 AdmissionConfigurator(
                     admission, self._holder, self._membership, self._clock
                 ),
-                self._build_peer_server(owner, keeper, rate.handlers),
+                self._build_peer_server(owner, keeper),
                 self._membership,
                 self._follower,
                 self._leases,
                 *([keeper] if self._header_names.idempotency_key else []),
-                *rate.components,
+                *self._rate.components,
                 watch,
                 *self._build_target_servers(outgoing),
                 caller_server,
@@ -197,11 +196,12 @@
         )
 
     def _build_callers(
-        self, router: KeyedRouter, watch: CallerWatch, rate: RateParts
+        self, router: KeyedRouter, watch: CallerWatch
     ) -> CallerApplication:
         threads = self._settings.listeners.caller_threads
         intake = self._build_intake("request", router, watch, threads)
-        return CallerApplication(intake, self._holder, rate.limiter, self._clock)
+        limiter = self._rate.limiter
+        return CallerApplication(intake, self._holder, limiter, self._clock)
 
     def _build_outgoing(
         self, router: KeyedRouter, watch: CallerWatch, owner: Owner
@@ -354,12 +354,7 @@
             return FixedSlots(settings.domain, settings.entry_slots)
         return CountedMembers(settings.instance, self._membership, self._clock)
 
-    def _build_peer_server(
-        self,
-        owner: Owner,
-        keeper: OnceKeeper,
-        handlers: Mapping[ControlTopic, ControlHandler],
-    ) -> PeerServer:
+    def _build_peer_server(self, owner: Owner, keeper: OnceKeeper) -> PeerServer:
         return PeerServer(
             self._settings.listeners.peer,
             self._identity,
@@ -369,6 +364,6 @@
                 ControlTopic.MEMBERSHIP: self._membership,
                 ControlTopic.CONFIGURATION: self._follower,
                 ControlTopic.LEASE: self._leases,
-                **handlers,
+                **self._rate.handlers,
             },
         )
--- a/corianderhold/coordination/entry/application.py
+++ b/corianderhold/coordination/entry/application.py
@@ -159,7 +159,8 @@
             return Err(refusal)
         charged = self._limiter.charge(organisation, self._clock.read_monotonic())
         if isinstance(charged, Err):
-            self._log_rate_refusal(arrival, organisation, match.route)
+            if charged.err_value.reason is Reason.RATE_EXCEEDED:
+                self._log_rate_refusal(arrival, organisation, match.route)
             return charged
         importance = rank(configuration, organisation, match.route)
         return Ok(Admission(match, organisation, importance))
--- a/corianderhold/coordination/rate/division.py
+++ b/corianderhold/coordination/rate/division.py
@@ -21,6 +21,9 @@
     def refresh(self) -> bool:
         """Look again at what the division depends on; return whether it changed."""
 
+    def is_settled(self) -> bool:
+        """Return whether the parts are known, as of the last refresh."""
+
     def find_part(self, organisation: Organisation) -> float:
         """Return the part from 0 to 1 that this entry holds now."""
 
@@ -41,6 +44,10 @@
         """Depend on nothing that changes."""
         return False
 
+    def is_settled(self) -> bool:
+        """Know the parts from the start."""
+        return True
+
     def find_part(self, organisation: Organisation) -> float:
         """Return 1/`entry_slots` of the domain's share."""
         return organisation.shares.get(self._domain, 0.0) / self._entry_slots
@@ -81,14 +88,18 @@
                 del self._seen_at[instance]
         if len(self._seen_at) > before:
             self._grew_at = now
-        self._settled = self._settled or self._is_settled(now)
+        self._settled = self._settled or self._counts_all(now)
         return len(self._seen_at) != before or self._settled != was_settled
 
+    def is_settled(self) -> bool:
+        """Return whether the count has settled once, COUNT_SETTLE_LIMIT_S at most."""
+        return self._settled
+
     def find_part(self, organisation: Organisation) -> float:
         """Return an equal part for each member, 0 before the count has settled."""
         return 1 / len(self._seen_at) if self._settled else 0.0
 
-    def _is_settled(self, now: float) -> bool:
+    def _counts_all(self, now: float) -> bool:
         """Whether others are known and no more were found for a time."""
         if len(self._seen_at) > 1 and now - self._grew_at >= COUNT_SETTLE_S:
             return True
--- a/corianderhold/coordination/rate/parts.py
+++ b/corianderhold/coordination/rate/parts.py
@@ -1,7 +1,7 @@
 """Build the parts that hold organisations to their rates."""
 
 import os
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from random import Random
 
@@ -30,11 +30,16 @@
 
 @dataclass(frozen=True)
 class RateParts:
-    """The limiter of an entry, and the components and handlers behind it."""
+    """
+    The limiter of an entry, and the components and handlers behind it.
+
+    `is_settled` says whether requests that come now are charged as all later ones.
+    """
 
     limiter: RateLimiter
     components: tuple[Component, ...]
     handlers: Mapping[ControlTopic, ControlHandler] = field(default_factory=dict)
+    is_settled: Callable[[], bool] = lambda: True
 
 
 def build_slices(
@@ -52,7 +57,8 @@
         table, place, configuration, members, control, clock, Random(os.urandom(16))
     )
     allocator = SliceAllocator(table, configuration, division, clock, slack)
-    return RateParts(limiter, (allocator,), {ControlTopic.RATE: limiter})
+    handlers = {ControlTopic.RATE: limiter}
+    return RateParts(limiter, (allocator,), handlers, lambda: table.settled)
 
 
 def build_loans(
--- a/corianderhold/coordination/rate/slices.py
+++ b/corianderhold/coordination/rate/slices.py
@@ -69,9 +69,14 @@
 
 
 class SliceTable:
-    """Hold the slices of all organisations; thread-safe."""
+    """
+    Hold the slices of all organisations; thread-safe.
+
+    `settled` says whether the slices are more than a first, empty division.
+    """
 
     def __init__(self) -> None:
+        self.settled = False
         self._lock = threading.Lock()
         self._slices: dict[OrganisationId, _Slice] = {}
 
@@ -220,3 +225,4 @@
             rate = organisation.rate * part
             capacity = (organisation.burst + self._slack) * part
             self._table.set_slice(name, rate, capacity, now, rate * accrued_s)
+        self._table.settled = self._division.is_settled()
--- a/corianderhold/coordination/rate/transfer.py
+++ b/corianderhold/coordination/rate/transfer.py
@@ -18,6 +18,7 @@
     TRANSFER_LIMIT_S,
     TRANSFER_TIMEOUT_S,
     TRANSFER_USE_S,
+    UNSETTLED_RETRY_AFTER_MS,
 )
 from corianderhold.coordination.rate.slices import SliceTable
 from corianderhold.ids import (
@@ -226,6 +227,8 @@
         self, organisation: OrganisationId, wait_s: float
     ) -> Result[None, Refusal]:
         """Refuse with the time until peers may be asked, or the own next token."""
+        if not self._table.settled:  # that no token is here is not the caller's fault
+            return Err(refuse_not_run(Reason.RATE_UNSETTLED, UNSETTLED_RETRY_AFTER_MS))
         wait_s = min(wait_s, self._table.estimate_wait_s(organisation))
         retry_after_ms = min(LONGEST_RETRY_AFTER_MS, int(wait_s * 1000) + 1)
         return Err(refuse_not_run(Reason.RATE_EXCEEDED, retry_after_ms))
--- a/corianderhold/protocol/verdict.py
+++ b/corianderhold/protocol/verdict.py
@@ -27,6 +27,7 @@
     CONFIGURATION_MISSING = "configuration_missing"
     VIEW_TOO_OLD = "view_too_old"
     RATE_EXCEEDED = "rate_exceeded"
+    RATE_UNSETTLED = "rate_unsettled"
     NO_TARGET = "no_target"
     SHED = "shed"
     QUEUE_FULL = "queue_full"
--- a/tests/admin/case.py
+++ b/tests/admin/case.py
@@ -32,7 +32,7 @@
         self.daemon = self.get_daemon(0)
         self.way = self.ways["10.0.0.0"]
         self.drain = FakeDrain()
-        self.readiness = Readiness(self.daemon.holder)
+        self.readiness = Readiness(self.daemon.holder, self.fleet.clock, lambda: True)
         self.readiness.open()
         self.address = self.serve(self.daemon)
 
--- a/tests/common/slice_fleet.py
+++ b/tests/common/slice_fleet.py
@@ -48,7 +48,7 @@
         self.up = True
         self.members = StaticMembers()
         self.members.members[self.member.instance] = self.member
-        table = SliceTable()
+        self.table = table = SliceTable()
         holder = Holder(self.member.instance, Incarnation(1))
         self.limiter = TransferLimiter(
             table,
--- a/tests/coordination/rate/test_slices.py
+++ b/tests/coordination/rate/test_slices.py
@@ -6,7 +6,11 @@
 
 from loguru import logger
 
-from corianderhold.coordination.rate.const import TRANSFER_USE_S
+from corianderhold.coordination.rate.const import (
+    COUNT_SETTLE_LIMIT_S,
+    TRANSFER_USE_S,
+    UNSETTLED_RETRY_AFTER_MS,
+)
 from corianderhold.coordination.rate.division import (
     CountedMembers,
     Division,
@@ -23,13 +27,14 @@
 from corianderhold.protocol.peer.control import ControlSender
 from corianderhold.protocol.rate.codec import decode_reply, encode_request
 from corianderhold.protocol.rate.model import LoanAsk, LoanRequest
+from corianderhold.protocol.verdict import Reason
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.configuration.model import Configuration, Organisation
 from corianderhold.state.membership.model import MemberState
 from tests.common.clock import FakeClock
 from tests.common.followers import StaticMembers, build_member
 from tests.common.rate_fleet import WindowCheck
-from tests.common.slice_fleet import Entry, SliceFleet
+from tests.common.slice_fleet import TICK_S, Entry, SliceFleet
 
 DOMAINS = 3
 ENTRIES = 4
@@ -242,6 +247,22 @@
         admitted = self.put(fleet, 2.0, ARCHIVE.rate / 2)
         self.assertGreater(admitted, 0.95 * ARCHIVE.rate)
 
+    def test_entry_without_a_slice_says_so_until_the_count_has_settled(self) -> None:
+        entry = next(iter(SliceFleet(ORGANISATIONS, 1, 1, 1).entries.values()))
+        clock = entry.fleet.clock
+        for reason, settled in ((Reason.RATE_UNSETTLED, False), (None, True)):
+            charged = entry.limiter.charge(ARCHIVE.name, clock.read_monotonic())
+            refused = charged.err()
+            self.assertEqual(refused.reason if refused else None, reason)
+            self.assertEqual(entry.table.settled, settled)
+            if refused is not None:
+                self.assertTrue(refused.not_run)
+                self.assertEqual(refused.retry_after_ms, UNSETTLED_RETRY_AFTER_MS)
+            entry.fleet.run(COUNT_SETTLE_LIMIT_S + TICK_S)
+        while (charged := entry.limiter.charge(ARCHIVE.name, 0.0)).is_ok():
+            pass
+        self.assertEqual(charged.unwrap_err().reason, Reason.RATE_EXCEEDED)
+
     def test_small_rate_is_used_up_when_far_more_is_asked(self) -> None:
         fleet = SliceFleet(ORGANISATIONS, DOMAINS, ENTRIES, 1, slack=10.0)
         self.put(fleet, 10.0, 0.0)
