Name the request on the owner's lines, and the ages of the loads a choice used

Cause: call_dispatched and call_cancelled could be found by the caller's id only over call=, and call_routed did not tell how old the loads behind its scores were. Ruled out: the request's id in the peer's frame (the header travels already). Change: the owner looks the header up once a call, as before for its target, and keeps it with the call in flight. A candidate carries the age of its load, which its score needed anyway; load_ages_s stands beside candidates, whose form stays. Tests, seen failing first: in failures.test_callers and failures.test_operations, made stricter; one new in entry.test_choice.

--- a/corianderhold/coordination/entry/choice.py
+++ b/corianderhold/coordination/entry/choice.py
@@ -92,10 +92,15 @@
 
 @dataclass(frozen=True)
 class Candidate:
-    """An owner with its score; the lowest score is best."""
+    """
+    An owner with its score; the lowest score is best.
+
+    `load_age_s` is how old the load was that the score was made of, infinite without.
+    """
 
     member: Member
     score: float
+    load_age_s: float
 
 
 @dataclass(frozen=True)
@@ -208,7 +213,7 @@
         for distance in Distance:
             ring = [m for m in members if self._measure_distance(m) is distance]
             drawn = [
-                Candidate(member, self._score(member, now))
+                self._assess(member, now)
                 for member in self._random.sample(ring, min(CANDIDATES, len(ring)))
             ]
             drawn.sort(key=lambda candidate: candidate.score)
@@ -218,16 +223,17 @@
         best = min(scored, key=self._add_distance)
         return Choice(best.member, tuple(scored))
 
-    def _score(self, member: Member, now: float) -> float:
-        """Return what part of its limit an owner has in flight or queued."""
+    def _assess(self, member: Member, now: float) -> Candidate:
+        """Score an owner by what part of its limit it has in flight or queued."""
         view = self._view(member.instance)
         busy = float(view.outstanding)
         limit = LIMIT_UNKNOWN
+        load_age_s = now - view.reported_at
         if view.load is not None and view.load.limit > 0:
             limit = view.load.limit
-            if now - view.reported_at <= LOAD_REPORT_LIFETIME_S:
+            if load_age_s <= LOAD_REPORT_LIFETIME_S:
                 busy = max(busy, view.load.in_flight + view.load.queued)
-        return busy / limit
+        return Candidate(member, busy / limit, load_age_s)
 
     def _add_distance(self, candidate: Candidate) -> float:
         distance = self._measure_distance(candidate.member)
--- a/corianderhold/coordination/entry/router.py
+++ b/corianderhold/coordination/entry/router.py
@@ -173,6 +173,7 @@
             candidates=",".join(
                 f"{c.member.instance}:{c.score:.2f}" for c in choice.candidates
             ),
+            load_ages_s=",".join([f"{c.load_age_s:.3f}" for c in choice.candidates]),
             owners=len(owners),
             pushed_back=choice.pushed_back,
         )
--- a/corianderhold/coordination/owner/owner.py
+++ b/corianderhold/coordination/owner/owner.py
@@ -109,7 +109,8 @@
         if isinstance(found, Err):
             return self._refuse(context, found.err_value)
         token = draw_token() if self._names.context else ""
-        call = InFlightCall(context, retries, token)
+        request_id = find_header(context.headers, self._names.request_id)
+        call = InFlightCall(context, retries, token, request_id)
         self.calls.add(call)
         admitted = self._admission.acquire(context, call.hold_waiter)
         if isinstance(admitted, Err):
@@ -128,8 +129,9 @@
 
     def cancel(self, call_id: CallId) -> None:
         """Cancel a call, whether it waits or runs."""
-        if self.calls.cancel(call_id):
-            log_event("call_cancelled", call=call_id)
+        call = self.calls.cancel(call_id)
+        if call is not None:
+            log_event("call_cancelled", call=call_id, request=call.request_id or "")
 
     def count_in_flight(self) -> int:
         """Return the number of calls that wait or run."""
@@ -167,6 +169,7 @@
         log_event(
             "call_dispatched",
             call=call.context.call_id,
+            request=call.request_id or "",
             root=call.context.root_id,
             organisation=call.context.organisation,
             importance=call.context.importance,
@@ -248,7 +251,7 @@
             body=body.read_chunks() if inline is None else inline,
             length=body.length,
             deadline_at=context.deadline_at + ANSWER_GRACE_S,
-            request_id=find_header(context.headers, self._names.request_id),
+            request_id=call.request_id,
         )
 
     def _open_answer(
--- a/corianderhold/coordination/owner/registry.py
+++ b/corianderhold/coordination/owner/registry.py
@@ -24,11 +24,13 @@
 
     `token` is what the target passes on with nested calls, empty for a target that
     passes on none. It can't be forged, says nothing, and ends with the call.
+    `request_id` is what the caller named the request, if it did.
     """
 
     context: CallContext
     retries: RetryBudget
     token: str = field(repr=False, default_factory=draw_token)
+    request_id: str | None = None
     cancelled: bool = False
     _lock: threading.Lock = field(default_factory=threading.Lock, repr=False)
     _connection: socket.socket | None = None
@@ -106,11 +108,10 @@
         """Return the call that the target was given this token for."""
         return self._by_token.get(token)
 
-    def cancel(self, call_id: CallId) -> bool:
-        """Cancel a call; return False when it is not in flight here."""
+    def cancel(self, call_id: CallId) -> InFlightCall | None:
+        """Cancel a call and return it, None when it is not in flight here."""
         with self._lock:
             call = self._by_id.get(call_id)
-        if call is None:
-            return False
-        call.cancel()
-        return True
+        if call is not None:
+            call.cancel()
+        return call
--- a/tests/coordination/entry/test_choice.py
+++ b/tests/coordination/entry/test_choice.py
@@ -71,6 +71,13 @@
         self.end("near2", AttemptOutcome.ANSWERED, LoadReport(1, 10))
         self.assertEqual(self.choose(NEAR, NEAR2), "near2")
 
+    def test_candidates_tell_how_old_their_loads_are(self) -> None:
+        self.end("near", AttemptOutcome.ANSWERED, LoadReport(1, 10))
+        self.clock.advance(0.25)
+        choice = self.chooser.choose((NEAR, NEAR2), 1, NOBODY)
+        ages = {c.member.instance: c.load_age_s for c in choice.candidates}
+        self.assertEqual(ages, {"near": 0.25, "near2": float("inf")})
+
     def test_tried_owner_is_not_taken_again(self) -> None:
         tried = frozenset({NEAR.instance})
         choice = self.chooser.choose((NEAR, FAR), 1, tried)
--- a/tests/failures/test_callers.py
+++ b/tests/failures/test_callers.py
@@ -136,11 +136,12 @@
             )
             if "size" in query:
                 self.assertIn(b"200", connection.recv(65_536)[:20])
-        cancelled = f"event=call_cancelled call={self._find_call(entry, plan)}"
-        wait_until(
-            lambda: cancelled in self._read(OWNER),
-            f"the call at {entry} with {query} is cancelled",
-        )
+        call = self._find_call(entry, plan)
+        for event in ("call_dispatched", "call_cancelled"):
+            self._wait_for_line(f"event={event} call={call} request={plan.request_id}")
+
+    def _wait_for_line(self, text: str) -> None:
+        wait_until(lambda: text in self._read(OWNER), text)
 
     def _find_call(self, entry: str, plan: RequestPlan) -> str:
         """Return the id of a request's call, or a text that is none."""
--- a/tests/failures/test_operations.py
+++ b/tests/failures/test_operations.py
@@ -131,8 +131,8 @@
         self.find(
             "Lost with its owner",
             plan.request_id,
-            "event=call_routed .*owner=owner",
-            "event=call_dispatched .*target=",
+            "event=call_routed .*owner=owner .*load_ages_s=([0-9.]+|inf) ",
+            f"event=call_dispatched .*request={plan.request_id} .*target=",
             "event=request_refused .*verdict=may_have_run",
             "event=member_changed instance=owner .*state=(suspect|dead)",
         )
