Keep places for nested calls that come among root requests

Cause: where targets pass no context token, their nested calls come on the caller listener and share its gate (threads - 8) with root requests. Roots that wait for slow targets take all places; nested calls of calls that already hold a target's slots are refused as shed, and these calls fail. Ruled out: a second listener (the targets send to one address); telling nested calls apart by their address (callers send from the same machine); more threads without a reserve (roots fill them too). Change: a fifth of the gate's places is for requests on open routes while the local target has calls; others are refused before. It is asked only when the other places are taken. Deployments with context tokens have no reserve. A caller on an open route gains a place, no importance. The store of the tests answers waiting readers when it stops (its stop took 15 s). Open: nested calls are still refused once the daemon has closed its gate for its own end.

--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -12,6 +12,7 @@
 from corianderhold.coordination.configuration.publisher import Publisher
 from corianderhold.coordination.entry.application import CallerApplication
 from corianderhold.coordination.entry.choice import LocalityChooser, Place
+from corianderhold.coordination.entry.const import NESTED_PART
 from corianderhold.coordination.entry.intake import Intake
 from corianderhold.coordination.entry.outgoing import OutgoingApplication
 from corianderhold.coordination.entry.request import RequestReader
@@ -118,7 +119,7 @@
         router = self._build_keyed_router(keeper, direct)
         watch = CallerWatch(router.cancel)
         rate = self._build_rate()
-        callers = self._build_callers(router, watch, rate)
+        callers = self._build_callers(router, watch, rate, owner)
         self._metrics.add_gauge("request_in_flight", callers.count_in_flight)
         outgoing = self._build_outgoing(router, watch, owner)
         caller_server = self._build_caller_server(callers)
@@ -178,7 +179,12 @@
         )
 
     def _build_intake(
-        self, name: str, router: KeyedRouter, watch: CallerWatch, threads: int
+        self,
+        name: str,
+        router: KeyedRouter,
+        watch: CallerWatch,
+        threads: int,
+        reserve: float = 0.0,
     ) -> Intake:
         reader = RequestReader(self._header_names, self._settings.service or "")
         return Intake(
@@ -190,14 +196,24 @@
             threads,
             reader,
             self._deployment.format_retry_after,
+            reserve,
         )
 
     def _build_callers(
-        self, router: KeyedRouter, watch: CallerWatch, rate: RateParts
+        self, router: KeyedRouter, watch: CallerWatch, rate: RateParts, owner: Owner
     ) -> CallerApplication:
         threads = self._settings.listeners.caller_threads
-        intake = self._build_intake("request", router, watch, threads)
-        return CallerApplication(intake, self._holder, rate.limiter, self._clock)
+        takes_nested = self._header_names.context is None
+        intake = self._build_intake(
+            "request", router, watch, threads, NESTED_PART if takes_nested else 0.0
+        )
+        return CallerApplication(
+            intake,
+            self._holder,
+            rate.limiter,
+            self._clock,
+            owner.calls if takes_nested else None,
+        )
 
     def _build_outgoing(
         self, router: KeyedRouter, watch: CallerWatch, owner: Owner
--- a/corianderhold/coordination/entry/application.py
+++ b/corianderhold/coordination/entry/application.py
@@ -19,6 +19,7 @@
 )
 from corianderhold.coordination.entry.request import WebRequest
 from corianderhold.coordination.entry.split import SplitChooser
+from corianderhold.coordination.owner.registry import InFlightCalls
 from corianderhold.coordination.rate.limiter import RateLimiter
 from corianderhold.coordination.retry import RetryBudget
 from corianderhold.ids import OrganisationId, RootId
@@ -52,7 +53,12 @@
 
 
 class CallerApplication:
-    """Identify the caller, charge its organisation and route the request."""
+    """
+    Identify the caller, charge its organisation and route the request.
+
+    `running` are the calls of the local target where its nested calls come here,
+    without a context token; None where they don't.
+    """
 
     def __init__(
         self,
@@ -60,8 +66,10 @@
         holder: ConfigurationHolder,
         limiter: RateLimiter,
         clock: Clock,
+        running: InFlightCalls | None = None,
     ) -> None:
         self._intake = intake
+        self._running = running
         self._holder = holder
         self._limiter = limiter
         self._clock = clock
@@ -73,7 +81,9 @@
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
         """Serve one request as a WSGI application."""
-        return self._intake.serve(environ, start_response, self._handle)
+        return self._intake.serve(
+            environ, start_response, self._handle, self._may_be_nested
+        )
 
     def stop_admitting(self) -> None:
         """Refuse new requests, because this daemon is about to end."""
@@ -87,6 +97,20 @@
         self._index = build_route_index(configuration)
         self._splits.follow(configuration)
 
+    def _may_be_nested(self, environ: Environ) -> bool:
+        """
+        Whether a call of the local target may have caused a request.
+
+        A caller that uses an open route looks the same; it gains a place at the gate,
+        no importance.
+        """
+        if not self._running:
+            return False
+        host, method = environ.get("HTTP_HOST", ""), environ["REQUEST_METHOD"]
+        path = environ["REQUEST_URI"].partition("?")[0]
+        found = self._index.find(host, method, path)
+        return isinstance(found, Ok) and found.ok_value.route.anonymous
+
     def _handle(self, arrival: Arrival) -> Result[Answer, Refusal]:
         admitted = self._admit(arrival)
         if isinstance(admitted, Err):
--- a/corianderhold/coordination/entry/const.py
+++ b/corianderhold/coordination/entry/const.py
@@ -19,4 +19,5 @@
 CALLER_CHECK_INTERVAL_S = 0.1
 CANCEL_TIMEOUT_S = 0.2  # other callers that left wait meanwhile
 RESERVED_THREADS = 8
+NESTED_PART = 0.2  # of a listener's places, for nested calls that come among roots
 REFUSAL_GRACE_S = 0.15  # for the refusal that an owner sends at the deadline
--- a/corianderhold/coordination/entry/intake.py
+++ b/corianderhold/coordination/entry/intake.py
@@ -97,7 +97,8 @@
     """
     Take requests in on one listener, within its threads, and write their answers.
 
-    `name` begins the names of the listener's events and metrics.
+    `name` begins the names of the listener's events and metrics. `reserve` is the part
+    of the places that only some requests may use.
     """
 
     def __init__(
@@ -110,6 +111,7 @@
         threads: int,
         reader: RequestReader,
         format_retry_after: RetryAfterFormat = format_whole_seconds,
+        reserve: float = 0.0,
     ) -> None:
         self._name = name
         self._router = router
@@ -121,14 +123,23 @@
         self._ids = CallIds()
         self._duration_name = f"{name}_time"
         self._answered_name = f"{name}_answered"
-        self.gate = Gate(threads - RESERVED_THREADS)
+        places = threads - RESERVED_THREADS
+        self.gate = Gate(places, int(places * reserve))
 
     def serve(
-        self, environ: Environ, start_response: StartResponse, handle: Handle
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+        handle: Handle,
+        may_use_reserve: Callable[[Environ], bool] | None = None,
     ) -> Iterable[bytes]:
-        """Handle one request and write its answer or refusal."""
+        """
+        Handle one request and write its answer or refusal.
+
+        `may_use_reserve` is asked only when the other places are taken.
+        """
         call_id = self._ids.draw()
-        if not self.gate.enter():
+        if not self._enter(environ, may_use_reserve):
             reason = Reason.DRAINING if self.gate.is_closed else Reason.SHED
             refusal = refuse_not_run(reason, OVERLOAD_RETRY_AFTER_MS)
             return self._refuse(refusal, call_id, environ, start_response)
@@ -171,6 +182,15 @@
         self._watch.add(context.call_id, environ[ENVIRON_SOCKET])
         return self._router.route(context, body, retries)
 
+    def _enter(
+        self, environ: Environ, may_use_reserve: Callable[[Environ], bool] | None
+    ) -> bool:
+        if self.gate.enter():
+            return True
+        if may_use_reserve is None or not may_use_reserve(environ):
+            return False
+        return self.gate.enter(reserve=True)
+
     def _leave_at_close(self, answer: Answer, call_id: CallId) -> Answer:
         """Return a streamed answer with its request inside until the answer's end."""
 
--- a/tests/coordination/entry/test_application.py
+++ b/tests/coordination/entry/test_application.py
@@ -8,9 +8,12 @@
 from result import Ok, Result
 
 from corianderhold.coordination.entry.application import CallerApplication
+from corianderhold.coordination.entry.const import NESTED_PART, RESERVED_THREADS
 from corianderhold.coordination.entry.intake import Intake
 from corianderhold.coordination.entry.request import RequestReader
 from corianderhold.coordination.entry.watch import CallerWatch
+from corianderhold.coordination.owner.registry import InFlightCall, InFlightCalls
+from corianderhold.coordination.retry import RetryBudget
 from corianderhold.ids import OrganisationId, RouteName, ServiceName, Version
 from corianderhold.metrics import Metrics
 from corianderhold.protocol.headers import HeaderNames
@@ -24,10 +27,11 @@
 )
 from corianderhold.state.keys.issue import build_opaque_key
 from corianderhold.transport.web.server import ENVIRON_SOCKET
-from tests.common.calls import RefusingRouter
+from tests.common.calls import RefusingRouter, make_context
 from tests.common.clock import FakeClock
 
 SCHOOLS = OrganisationId("schools")
+PLACES = 10
 KEY = "key-of-the-schools"
 EXPIRED_KEY = "key-of-last-year"
 NAMES = HeaderNames(request_id="Request-Id", deadline_ms="Time-Left")
@@ -71,17 +75,19 @@
         self.limiter = CountingLimiter()
         self.holder = ConfigurationHolder()
         self.clock = FakeClock()
-        intake = Intake(
+        self.intake = Intake(
             "request",
             self.router,
             CallerWatch(lambda call_id: None),
             self.clock,
             Metrics(),
-            16,
+            RESERVED_THREADS + PLACES,
             RequestReader(NAMES, "playback"),
+            reserve=NESTED_PART,
         )
+        self.running = InFlightCalls()
         self.application = CallerApplication(
-            intake, self.holder, self.limiter, self.clock
+            self.intake, self.holder, self.limiter, self.clock, self.running
         )
         self.response: tuple[str, dict[str, str]] = ("", {})
 
@@ -186,6 +192,30 @@
         self.assertEqual(importances, [Importance.BULK, Importance.CRITICAL])
         self.assertEqual(self.limiter.charged, [SCHOOLS, SCHOOLS])
 
+    def test_roots_are_refused_before_the_nested_calls_of_running_calls(self) -> None:
+        self.configure()
+        gate = self.intake.gate
+        while gate.enter():
+            pass
+        self.assertEqual(gate.count, PLACES - PLACES * NESTED_PART)
+        self.assertEqual(self.send("/search", KEY), "shed")
+        self.assertIn("Retry-After", self.response[1])
+        self.assertEqual(self.send("/lookup"), "shed", "nothing runs that could call")
+        self.running.add(InFlightCall(make_context(), RetryBudget(0)))
+        for path, key, reason in (
+            ("/search", KEY, "shed"),
+            ("/search", None, "shed"),
+            ("/none", None, "shed"),
+            ("/lookup?page=2", None, "no_target"),
+        ):
+            self.assertEqual(self.send(path, key), reason, path)
+        while gate.enter(reserve=True):
+            pass
+        self.assertEqual(gate.count, PLACES)
+        self.assertEqual(self.send("/lookup"), "shed")
+        gate.close()
+        self.assertFalse(gate.enter(reserve=True))
+
     def test_refusals_in_their_order(self) -> None:
         self.assertEqual(self.send("/none"), "configuration_missing")
         self.assertTrue(self.response[0].startswith("503"))
--- a/tests/platform/store.py
+++ b/tests/platform/store.py
@@ -21,6 +21,7 @@
         self.topics: dict[str, list[tuple[str, bytes]]] = {}
         self.first: dict[str, int] = {}
         self.refuse = False
+        self._stopped = False
         self._changed = threading.Condition()
         self._server = WebServer("store", address, self, THREADS)
 
@@ -29,7 +30,10 @@
         self._server.start()
 
     def stop(self) -> None:
-        """Stop listening."""
+        """Answer the readers that wait, and stop listening."""
+        with self._changed:
+            self._stopped = True
+            self._changed.notify_all()
         self._server.stop()
 
     def put(self, topic: str, key: str, value: bytes) -> int:
@@ -74,7 +78,8 @@
         wait_s = int(query.get("wait_ms", 0)) / 1000
         with self._changed:
             self._changed.wait_for(
-                lambda: len(self.topics.get(topic, [])) > start, wait_s
+                lambda: self._stopped or len(self.topics.get(topic, [])) > start,
+                wait_s,
             )
             records = self.topics.get(topic, [])
         body = struct.pack(">QQ", len(records), first)
