Take a held read as a proof of the view until shortly before its answer

Cause: a daemon's proof of a complete view dates from when its read was asked for. Where the log holds reads it is 2 to 20 s old when news comes, so nothing tells how lately a version was accepted; a lowered rate needs that. Ruled out: the time of learning (a daemon may learn late) and clocks in records (they differ). Change: a read that waits and takes 2 s or more, of its wait at most, shows that there was nothing new until 1 s before that; the proof is taken before its records are folded. It takes for granted that a log's answer comes within 1 s. Test: the proof after a read of 4, 1.9 and 14 s (of a wait of 10) fails without the change.

--- a/corianderhold/coordination/configuration/const.py
+++ b/corianderhold/coordination/configuration/const.py
@@ -38,6 +38,8 @@
 SELF_POLL_AFTER_S = 25.0  # without a proof of a complete view
 SELF_POLL_BACKOFF_LIMIT_S = 120.0
 LOG_READ_TIMEOUT_S = 2.0
+LOG_ANSWER_DELAY_S = 1.0  # the log's answer to a held read comes within this
+HELD_READ_S = 2.0  # a read that waits and takes this long was held
 LOG_PAGE_RECORDS = 256
 LOG_PAGES_MAX = 64
 
--- a/corianderhold/coordination/configuration/reader.py
+++ b/corianderhold/coordination/configuration/reader.py
@@ -8,6 +8,8 @@
 
 from corianderhold.clock import Clock
 from corianderhold.coordination.configuration.const import (
+    HELD_READ_S,
+    LOG_ANSWER_DELAY_S,
     LOG_PAGE_RECORDS,
     LOG_PAGES_MAX,
     LOG_READ_TIMEOUT_S,
@@ -35,11 +37,17 @@
 
 @dataclass(frozen=True)
 class AskedPage:
-    """A page, with the time and the offset that it was asked for at and from."""
+    """
+    A page, with the time and the offset that it was asked for at and from.
+
+    `nothing_until` is the monotonic time in seconds up to which the log is known to
+    have had nothing more for the asker, or None: only a read that was held shows it.
+    """
 
     asked_at: float
     next_offset: Offset
     page: LogPage
+    nothing_until: float | None = None
 
 
 class LogReader:
@@ -70,7 +78,14 @@
         asked_at = self._clock.read_monotonic()
         next_offset = self._replica.head.next_offset
         page = self._read_page(next_offset, wait_s)
-        return None if page is None else AskedPage(asked_at, next_offset, page)
+        if page is None:
+            return None
+        answered_at = self._clock.read_monotonic()
+        held_s = min(answered_at - asked_at, wait_s)
+        nothing_until = None
+        if held_s >= HELD_READ_S:
+            nothing_until = asked_at + held_s - LOG_ANSWER_DELAY_S
+        return AskedPage(asked_at, next_offset, page, nothing_until)
 
     def catch_up(self, asked: AskedPage | None = None) -> ReadOutcome:
         """Fold what the log has, `asked` first, and note when the view was complete."""
@@ -80,7 +95,7 @@
             if asked is None:
                 return ReadOutcome.UNAVAILABLE
             asked_at, next_offset, page = asked.asked_at, asked.next_offset, asked.page
-            asked = None
+            nothing_until, asked = asked.nothing_until, None
             self._keeper.note_first_offset(page.first_offset)
             if next_offset > page.next_offset:
                 log_warning("log_shorter_than_state", next_offset=page.next_offset)
@@ -95,6 +110,8 @@
             if page.first_offset > next_offset:
                 log_warning("configuration_gap", first_offset=page.first_offset)
                 return ReadOutcome.UNRECOVERABLE
+            if nothing_until is not None:
+                self._holder.mark_verified(nothing_until)
             self._replica.take_records(page.records)
             if self._replica.head.next_offset >= page.next_offset:
                 self._holder.mark_verified(asked_at)
--- a/tests/coordination/configuration/test_exchange.py
+++ b/tests/coordination/configuration/test_exchange.py
@@ -3,6 +3,7 @@
 import threading
 from functools import partial
 from operator import eq
+from typing import Any
 from unittest import TestCase
 from unittest.mock import patch
 
@@ -110,6 +111,30 @@
         daemon.follower.read_log()
         self.assertEqual(daemon.holder.verified_at, asked_at)
 
+    def test_read_that_was_held_proves_the_view_until_shortly_before_its_answer(
+        self,
+    ) -> None:
+        daemon, clock = self.get_daemon(0), self.fleet.clock
+        reader, way = daemon.follower._reader, self.ways["10.0.0.0"]
+        seen: list[float] = []
+        daemon.holder.add_listener(lambda _: seen.append(daemon.holder.verified_at))
+        read = way.read
+        for base, (held_s, proved_s) in enumerate(
+            ((4.0, 3.0), (1.9, None), (14.0, 9.0))
+        ):
+            before, asked_at = daemon.holder.verified_at, clock.read_monotonic()
+
+            def hold(*args: Any, held_s: float = held_s, base: int = base) -> Any:
+                clock.advance(held_s)
+                self.append_changes(base + 1, 1)
+                return read(*args)
+
+            with patch.object(way, "read", hold):
+                reader.catch_up(reader.await_page(10.0))
+            proved = before if proved_s is None else asked_at + proved_s
+            self.assertEqual(seen[-1], proved)
+        self.assertEqual(len(seen), 4)
+
     def test_proof_without_the_records_is_not_taken(self) -> None:
         asker, peer = self.get_daemon(0), self.get_daemon(3)
         before = asker.holder.verified_at
