Keep an old rate until a lowered one must be in force everywhere

Cause: an entry that learnt of a lowered rate or burst cut its slice at once, seconds before the last one may learn it, and refused requests that were still allowed. A debt after the delay: it only moves the refusals. Change: rate_lowering_delay_s (0: at once). The old limit is used until then after the last time at which the version is known not to have been accepted, less 0.2 s for tokens of peers. The table cuts a slice at that time itself. Raises, removals and new processes act at once; a later version does not put a lowering off. Also: the refresh uses the organisations that were followed, not a configuration whose listeners have not been called yet.

--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -332,6 +332,7 @@
                 self._control,
                 self._clock,
                 settings.rate_slack,
+                settings.rate_lowering_delay_s,
             )
         return build_loans(
             self._node,
--- a/corianderhold/coordination/rate/parts.py
+++ b/corianderhold/coordination/rate/parts.py
@@ -45,13 +45,16 @@
     control: ControlClient,
     clock: Clock,
     slack: float,
+    lowering_delay_s: float,
 ) -> RateParts:
     """Give this entry a slice of every organisation, with tokens of its peers."""
     table = SliceTable()
     limiter = TransferLimiter(
         table, place, configuration, members, control, clock, Random(os.urandom(16))
     )
-    allocator = SliceAllocator(table, configuration, division, clock, slack)
+    allocator = SliceAllocator(
+        table, configuration, division, clock, slack, lowering_delay_s
+    )
     return RateParts(limiter, (allocator,), {ControlTopic.RATE: limiter})
 
 
--- a/corianderhold/coordination/rate/slices.py
+++ b/corianderhold/coordination/rate/slices.py
@@ -11,12 +11,14 @@
     LENT_RESERVE,
     SLICE_REFRESH_INTERVAL_S,
     TRANSFER_KEPT_S,
+    TRANSFER_USE_S,
 )
 from corianderhold.coordination.rate.division import Division
+from corianderhold.coordination.rate.limits import Limit, TimedLimit, start_limit
 from corianderhold.ids import OrganisationId
 from corianderhold.log import log_warning
 from corianderhold.state.configuration.holder import ConfigurationHolder
-from corianderhold.state.configuration.model import Configuration
+from corianderhold.state.configuration.model import Configuration, Organisation
 
 
 @dataclass(frozen=True)
@@ -37,24 +39,42 @@
     """
 
     bucket: TokenBucket
-    rate: float = 0.0
-    capacity: float = 0.0
+    limit: TimedLimit
+    settled_at: float
     lent: list[_Parcel] = field(default_factory=list)
     borrowed: list[_Parcel] = field(default_factory=list)
 
+    @property
+    def rate(self) -> float:
+        """Return the rate in force when the slice was settled."""
+        return self.bucket.rate
+
+    def read_capacity(self, now: float) -> float:
+        """Return the capacity in force, with what is lent."""
+        return self.limit.read(now).capacity
+
     def settle(self, now: float) -> float:
         """Drop what has ended and return the tokens at hand."""
+        lowered_at = self.limit.lowered_at
+        if self.settled_at < lowered_at <= now:
+            self._settle(lowered_at)
+        self._settle(now)
+        self.settled_at = max(self.settled_at, now)
+        return self.bucket.tokens + sum(parcel.tokens for parcel in self.borrowed)
+
+    def _settle(self, now: float) -> None:
+        """Bring the bucket to a time, with lent tokens back at their ends."""
         while self.lent and self.lent[0].ends_at <= now:
             self._resize(self.lent.pop(0).ends_at)
         if self.borrowed:
             self.borrowed = [each for each in self.borrowed if each.ends_at > now]
         self._resize(now)
-        return self.bucket.tokens + sum(parcel.tokens for parcel in self.borrowed)
 
     def _resize(self, at: float) -> None:
-        """Bring the bucket to a time, without what is lent since then."""
+        """Refill up to a time, then hold what is in force, without what is lent."""
         out = sum(parcel.tokens for parcel in self.lent)
-        self.bucket.resize(at, self.rate, max(0.0, self.capacity - out))
+        limit = self.limit.read(at)
+        self.bucket.resize(at, limit.rate, max(0.0, limit.capacity - out))
 
     def take(self, now: float) -> None:
         """Remove one token, the borrowed ones first; `settle` found enough."""
@@ -78,19 +98,18 @@
     def set_slice(
         self,
         organisation: OrganisationId,
-        rate: float,
-        capacity: float,
+        limit: TimedLimit,
         now: float,
         tokens: float = 0.0,
     ) -> None:
-        """Replace rate and capacity and add `tokens`; a new slice begins empty."""
+        """Replace the limit and add `tokens`; a new slice begins empty."""
         with self._lock:
             held = self._slices.get(organisation)
             if held is None:
-                held = _Slice(TokenBucket(0.0, 0.0, now))
+                held = _Slice(TokenBucket(0.0, 0.0, now), limit, now)
                 self._slices[organisation] = held
             held.settle(now)
-            held.rate, held.capacity = rate, capacity
+            held.limit = limit
             held.settle(now)
             held.bucket.add(now, tokens)
 
@@ -131,10 +150,10 @@
             if held is None:
                 return 0.0
             held.settle(now)
-            spare = held.bucket.tokens
-            if held.capacity * LENT_RESERVE >= 1.0:
-                spare -= held.capacity * LENT_RESERVE
-            if held.capacity >= 1.0:
+            spare, capacity = held.bucket.tokens, held.read_capacity(now)
+            if capacity * LENT_RESERVE >= 1.0:
+                spare -= capacity * LENT_RESERVE
+            if capacity >= 1.0:
                 # Parts of a token that don't add up in time would be lost.
                 wanted, spare = math.ceil(wanted), math.floor(spare)
             tokens = held.bucket.take_up_to(now, max(0.0, min(wanted, spare)))
@@ -158,7 +177,9 @@
 
     `slack` is added to the burst of every organisation, in requests. A slice accrues
     from the start of the process, when its predecessor had ended; organisations of
-    later versions begin empty.
+    later versions begin empty. A lowered rate or burst is in force, at the latest,
+    `lowering_delay_s` after the last time at which its version is known not to have
+    been accepted; where that has passed it is in force at once.
     """
 
     def __init__(
@@ -168,12 +189,16 @@
         division: Division,
         clock: Clock,
         slack: float = 0.0,
+        lowering_delay_s: float = 0.0,
     ) -> None:
         self._table = table
         self._configuration = configuration
         self._division = division
         self._clock = clock
         self._slack = slack
+        self._lowering_delay_s = lowering_delay_s
+        self._organisations: Mapping[OrganisationId, Organisation] = {}
+        self._limits: dict[OrganisationId, TimedLimit] = {}
         self._started_at = clock.read_monotonic()
         self._lock = threading.Lock()
         self._begun = False
@@ -193,7 +218,7 @@
         """Divide again, where anything changed."""
         with self._lock:
             if self._division.refresh():
-                self._divide(self._configuration.current)
+                self._divide()
 
     def _run(self) -> None:
         """Divide again at an interval."""
@@ -207,16 +232,31 @@
         """Divide a configuration that has come into force."""
         with self._lock:
             self._division.refresh()
-            self._divide(configuration)
+            self._follow(configuration)
+            self._divide()
 
-    def _divide(self, configuration: Configuration) -> None:
+    def _follow(self, configuration: Configuration) -> None:
+        """Set each organisation's limit over the whole fleet."""
+        now = self._clock.read_monotonic()
+        # What peers lent before is used a little later.
+        delay_s = self._lowering_delay_s - TRANSFER_USE_S
+        lowered_at = self._configuration.verified_at + delay_s
+        limits = {}
+        for name, organisation in configuration.organisations.items():
+            target = Limit(organisation.rate, organisation.burst + self._slack)
+            held = self._limits.get(name, start_limit(target))
+            limits[name] = held.follow(target, now, lowered_at)
+        self._limits = limits
+        self._organisations = configuration.organisations
+
+    def _divide(self) -> None:
         """Set the slice of every organisation."""
         now = self._clock.read_monotonic()
-        self._table.remove_except(configuration.organisations)
+        self._table.remove_except(self._organisations)
         accrued_s = 0.0 if self._begun else now - self._started_at
-        for name, organisation in configuration.organisations.items():
+        for name, organisation in self._organisations.items():
             part = self._division.find_part(organisation)
             self._begun = self._begun or part > 0
-            rate = organisation.rate * part
-            capacity = (organisation.burst + self._slack) * part
-            self._table.set_slice(name, rate, capacity, now, rate * accrued_s)
+            limit = self._limits[name].scale(part)
+            accrued = limit.read(now).rate * accrued_s
+            self._table.set_slice(name, limit, now, accrued)
--- a/corianderhold/settings/model.py
+++ b/corianderhold/settings/model.py
@@ -50,10 +50,11 @@
     highest number of daemons that ever run at once in this failure domain, for fixed
     slices of the rates, None for slices by the number of known members, or 0 for
     loans. With slices, the fleet may admit `rate_slack` requests of an organisation
-    beyond its burst. `domains` names all failure domains of the
-    fleet where the deployment's configuration does not divide the rates itself.
-    `fleet_secret` is empty where peers are trusted by their network, and `admin_token`
-    where the administration API answers reads only.
+    beyond its burst, and use an old rate or burst for up to `rate_lowering_delay_s`
+    seconds after a version that lowers it was accepted. `domains` names all failure
+    domains of the fleet where the deployment's configuration does not divide the rates
+    itself. `fleet_secret` is empty where peers are trusted by their network, and
+    `admin_token` where the administration API answers reads only.
     """
 
     instance: InstanceId
@@ -67,6 +68,7 @@
     seeds: tuple[Address, ...]
     entry_slots: int | None
     rate_slack: int
+    rate_lowering_delay_s: float
     domains: tuple[FailureDomainId, ...]
     fleet_secret: bytes = field(repr=False)
     admin_token: str = field(repr=False)
--- a/corianderhold/settings/schema.py
+++ b/corianderhold/settings/schema.py
@@ -42,6 +42,7 @@
     CONF_PEER,
     CONF_PEER_ADVERTISED,
     CONF_PEER_TRUST,
+    CONF_RATE_LOWERING_DELAY_S,
     CONF_RATE_SLACK,
     CONF_READINESS,
     CONF_REGION,
@@ -57,6 +58,7 @@
     DEFAULT_ENTRY_SLOTS,
     DEFAULT_LEVEL,
     DEFAULT_OUTGOING_THREADS,
+    DEFAULT_RATE_LOWERING_DELAY_S,
     DEFAULT_RATE_SLACK,
     DEFAULT_RETENTION_S,
     DEFAULT_STOP_LIMIT_S,
@@ -78,6 +80,7 @@
 STOP_LIMIT_ACCEPTED = "accepted: seconds from 3 to 600"
 DEREGISTRATION_DELAY_ACCEPTED = "accepted: seconds from 0 to 600"
 ENTRY_SLOTS_ACCEPTED = "accepted: a whole number from 0 to 10000, or members"
+RATE_LOWERING_DELAY_ACCEPTED = "accepted: seconds from 0 to 60"
 RATE_SLACK_ACCEPTED = "accepted: a whole number from 0 to 1000"
 THREADS = All(
     Coerce(int, msg="accepted: a whole number from 4 to 1024"),
@@ -205,6 +208,12 @@
                 Coerce(int, msg=RATE_SLACK_ACCEPTED),
                 Range(min=0, max=HIGHEST_RATE_SLACK, msg=RATE_SLACK_ACCEPTED),
             ),
+            Optional(
+                CONF_RATE_LOWERING_DELAY_S, default=DEFAULT_RATE_LOWERING_DELAY_S
+            ): All(
+                Coerce(float, msg=RATE_LOWERING_DELAY_ACCEPTED),
+                Range(min=0, max=60, msg=RATE_LOWERING_DELAY_ACCEPTED),
+            ),
         }
     ),
     CONF_SECURITY: Schema(
--- a/tests/common/slice_fleet.py
+++ b/tests/common/slice_fleet.py
@@ -48,12 +48,14 @@
         self.up = True
         self.members = StaticMembers()
         self.members.members[self.member.instance] = self.member
+        self.configuration = ConfigurationHolder()
+        self.configuration.replace(fleet.configuration)
         table = SliceTable()
         holder = Holder(self.member.instance, Incarnation(1))
         self.limiter = TransferLimiter(
             table,
             EntryPlace(holder, self.member.domain, self.member.region),
-            fleet.configuration,
+            self.configuration,
             self.members,
             self,
             fleet.clock,
@@ -61,9 +63,14 @@
         )
         division = fleet.divide(self)
         self.allocator = SliceAllocator(
-            table, fleet.configuration, division, fleet.clock, fleet.slack
+            table,
+            self.configuration,
+            division,
+            fleet.clock,
+            fleet.slack,
+            fleet.lowering_delay_s,
         )
-        fleet.configuration.add_listener(self.allocator.apply)
+        self.configuration.add_listener(self.allocator.apply)
 
     def request(
         self, address: Address, topic: ControlTopic, body: bytes, timeout_s: float
@@ -82,6 +89,12 @@
         return self.limiter.charge(organisation.name, now).is_ok()
 
 
+def build_configuration(version: int, *organisations: Organisation) -> Configuration:
+    """Return a version with these organisations."""
+    named = {organisation.name: organisation for organisation in organisations}
+    return Configuration(Version(version), organisations=named)
+
+
 class SliceFleet:
     """Build all entries and let time pass; members are learnt one in each tick."""
 
@@ -92,13 +105,13 @@
         entries: int,
         seed: int,
         slack: float = 0.0,
+        lowering_delay_s: float = 0.0,
     ) -> None:
+        self.lowering_delay_s = lowering_delay_s
         self.slack = slack
         self.random = Random(seed)
         self.clock = FakeClock()
-        self.configuration = ConfigurationHolder()
-        named = {organisation.name: organisation for organisation in organisations}
-        self.configuration.replace(Configuration(Version(1), organisations=named))
+        self.configuration = build_configuration(1, *organisations)
         self.messages = 0
         self.cut: set[FailureDomainId] = set()
         self.entries: dict[str, Entry] = {}
--- a/tests/coordination/rate/test_slices.py
+++ b/tests/coordination/rate/test_slices.py
@@ -12,24 +12,24 @@
     Division,
     FixedSlots,
 )
+from corianderhold.coordination.rate.limits import Limit, start_limit
 from corianderhold.coordination.rate.slices import SliceAllocator, SliceTable
 from corianderhold.ids import (
     FailureDomainId,
     Incarnation,
     InstanceId,
     OrganisationId,
-    Version,
 )
 from corianderhold.protocol.peer.control import ControlSender
 from corianderhold.protocol.rate.codec import decode_reply, encode_request
 from corianderhold.protocol.rate.model import LoanAsk, LoanRequest
 from corianderhold.state.configuration.holder import ConfigurationHolder
-from corianderhold.state.configuration.model import Configuration, Organisation
+from corianderhold.state.configuration.model import Organisation
 from corianderhold.state.membership.model import MemberState
 from tests.common.clock import FakeClock
 from tests.common.followers import StaticMembers, build_member
 from tests.common.rate_fleet import WindowCheck
-from tests.common.slice_fleet import Entry, SliceFleet
+from tests.common.slice_fleet import Entry, SliceFleet, build_configuration
 
 DOMAINS = 3
 ENTRIES = 4
@@ -105,7 +105,7 @@
     def find_highest_sum(self) -> float:
         """Lend all of a slice and return the most that it and the borrower hold."""
         table = SliceTable()
-        table.set_slice(SMALL.name, 10.0, 3.0, 0.0, tokens=3.0)
+        table.set_slice(SMALL.name, start_limit(Limit(10.0, 3.0)), 0.0, tokens=3.0)
         lent = table.lend(SMALL.name, 3.0, 0.0)
         left = 0.0
         while table.take(SMALL.name, TRANSFER_USE_S) <= 0:
@@ -119,7 +119,7 @@
 
     def test_slice_refills_to_the_top_after_what_was_lent_has_ended(self) -> None:
         table = SliceTable()
-        table.set_slice(SMALL.name, 10.0, 3.0, 0.0, tokens=3.0)
+        table.set_slice(SMALL.name, start_limit(Limit(10.0, 3.0)), 0.0, tokens=3.0)
         table.lend(SMALL.name, 3.0, 0.0)
         taken = [table.take(SMALL.name, 5.0) <= 0 for _ in range(4)]
         self.assertEqual(taken, [True, True, True, False])
@@ -131,23 +131,18 @@
         allocator = SliceAllocator(table, holder, division, clock)
         clock.advance(0.5)
         holder.add_listener(allocator.apply)
-        self.put_in_force(holder, 1, Organisation(ARCHIVE.name, 12, 12, shares=SHARES))
+        first = Organisation(ARCHIVE.name, 12, 12, shares=SHARES)
+        holder.replace(build_configuration(1, first))
         now = clock.read_monotonic()
         taken = [table.take(ARCHIVE.name, now) <= 0 for _ in range(3)]
         self.assertEqual(taken, [True, True, False])
         slow = Organisation(ARCHIVE.name, 3, 3, shares=SHARES)
-        self.put_in_force(holder, 2, slow, SMALL)
+        holder.replace(build_configuration(2, slow, SMALL))
         self.assertGreater(table.take(SMALL.name, now), 0)
         now += 100.0
         taken = [table.take(ARCHIVE.name, now) <= 0 for _ in range(2)]
         self.assertEqual(taken, [True, False])
 
-    def put_in_force(
-        self, holder: ConfigurationHolder, version: int, *organisations: Organisation
-    ) -> None:
-        named = {each.name: each for each in organisations}
-        holder.replace(Configuration(Version(version), organisations=named))
-
 
 class TransferTests(SliceTestCase):
     """Check that tokens go where the demand is."""
@@ -214,7 +209,7 @@
     def test_tokens_that_come_late_are_not_used(self) -> None:
         limiter = self.entry.limiter
         limiter._table.remove_except({})
-        limiter._table.set_slice(ARCHIVE.name, 0.0, 0.0, 0.0)
+        limiter._table.set_slice(ARCHIVE.name, start_limit(Limit(0.0, 0.0)), 0.0)
         with patch("corianderhold.coordination.rate.transfer.TRANSFER_USE_S", 0.0):
             self.assertFalse(self.entry.charge(ARCHIVE))
 
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -58,7 +58,9 @@
         self.assertEqual(self.load(GOOD).entry_slots, 0)
         for text, slots in (("3", 3), ("members", None)):
             option = f"entry_slots = {text}\nrate_slack = 10\nseeds ="
+            option = f"rate_lowering_delay_s = 2.5\n{option}"
             settings = self.load(GOOD.replace("seeds =", option))
+            self.assertEqual(settings.rate_lowering_delay_s, 2.5)
             self.assertEqual((settings.entry_slots, settings.rate_slack), (slots, 10))
         for text in ("-1", "many", "10001"):
             option = f"entry_slots = {text}\nseeds ="
