--- a/corianderhold/coordination/rate/parts.py
+++ b/corianderhold/coordination/rate/parts.py
@@ -50,13 +50,23 @@
     control: ControlClient,
     clock: Clock,
     slack: float,
+    lowering_delay_s: float,
 ) -> RateParts:
     """Give this entry a slice of every organisation, with tokens of its peers."""
     table = SliceTable()
     limiter = TransferLimiter(
-        table, place, configuration, members, control, clock, Random(os.urandom(16))
+        table,
+        place,
+        configuration,
+        division,
+        members,
+        control,
+        clock,
+        Random(os.urandom(16)),
+    )
+    allocator = SliceAllocator(
+        table, configuration, division, clock, slack, lowering_delay_s
     )
-    allocator = SliceAllocator(table, configuration, division, clock, slack)
     handlers = {ControlTopic.RATE: limiter}
     return RateParts(limiter, (allocator,), handlers, lambda: table.settled)
 
--- a/corianderhold/settings/schema.py
+++ b/corianderhold/settings/schema.py
@@ -42,6 +42,7 @@
     CONF_PEER,
     CONF_PEER_ADVERTISED,
     CONF_PEER_TRUST,
+    CONF_RATE_LOWERING_DELAY_S,
     CONF_RATE_SLACK,
     CONF_READINESS,
     CONF_REGION,
@@ -58,6 +59,7 @@
     DEFAULT_ENTRY_SLOTS,
     DEFAULT_LEVEL,
     DEFAULT_OUTGOING_THREADS,
+    DEFAULT_RATE_LOWERING_DELAY_S,
     DEFAULT_RATE_SLACK,
     DEFAULT_RETENTION_S,
     DEFAULT_RETRY_BURST,
@@ -81,6 +83,7 @@
 STOP_LIMIT_ACCEPTED = "accepted: seconds from 3 to 600"
 DEREGISTRATION_DELAY_ACCEPTED = "accepted: seconds from 0 to 600"
 ENTRY_SLOTS_ACCEPTED = "accepted: a whole number from 0 to 10000, or members"
+RATE_LOWERING_DELAY_ACCEPTED = "accepted: seconds from 0 to 60"
 RATE_SLACK_ACCEPTED = "accepted: a whole number from 0 to 1000"
 RETRY_BURST_ACCEPTED = "accepted: a whole number from 0 to 10000"
 THREADS = All(
@@ -213,6 +216,12 @@
                 Coerce(int, msg=RETRY_BURST_ACCEPTED),
                 Range(min=0, max=HIGHEST_RETRY_BURST, msg=RETRY_BURST_ACCEPTED),
             ),
+            Optional(
+                CONF_RATE_LOWERING_DELAY_S, default=DEFAULT_RATE_LOWERING_DELAY_S
+            ): All(
+                Coerce(float, msg=RATE_LOWERING_DELAY_ACCEPTED),
+                Range(min=0, max=60, msg=RATE_LOWERING_DELAY_ACCEPTED),
+            ),
         }
     ),
     CONF_SECURITY: Schema(
--- a/tests/coordination/rate/test_slices.py
+++ b/tests/coordination/rate/test_slices.py
@@ -16,25 +16,25 @@
     Division,
     FixedSlots,
 )
+from corianderhold.coordination.rate.limits import Limit, start_limit
 from corianderhold.coordination.rate.slices import SliceAllocator, SliceTable
 from corianderhold.ids import (
     FailureDomainId,
     Incarnation,
     InstanceId,
     OrganisationId,
-    Version,
 )
 from corianderhold.protocol.peer.control import ControlSender
 from corianderhold.protocol.rate.codec import decode_reply, encode_request
 from corianderhold.protocol.rate.model import LoanAsk, LoanRequest
 from corianderhold.protocol.verdict import Reason
 from corianderhold.state.configuration.holder import ConfigurationHolder
-from corianderhold.state.configuration.model import Configuration, Organisation
+from corianderhold.state.configuration.model import Organisation
 from corianderhold.state.membership.model import MemberState
 from tests.common.clock import FakeClock
 from tests.common.followers import StaticMembers, build_member
 from tests.common.rate_fleet import WindowCheck
-from tests.common.slice_fleet import TICK_S, Entry, SliceFleet
+from tests.common.slice_fleet import TICK_S, Entry, SliceFleet, build_configuration
 
 DOMAINS = 3
 ENTRIES = 4
@@ -110,7 +110,7 @@
     def find_highest_sum(self) -> float:
         """Lend all of a slice and return the most that it and the borrower hold."""
         table = SliceTable()
-        table.set_slice(SMALL.name, 10.0, 3.0, 0.0, tokens=3.0)
+        table.set_slice(SMALL.name, start_limit(Limit(10.0, 3.0)), 0.0, tokens=3.0)
         lent = table.lend(SMALL.name, 3.0, 0.0)
         left = 0.0
         while table.take(SMALL.name, TRANSFER_USE_S) <= 0:
@@ -124,7 +124,7 @@
 
     def test_slice_refills_to_the_top_after_what_was_lent_has_ended(self) -> None:
         table = SliceTable()
-        table.set_slice(SMALL.name, 10.0, 3.0, 0.0, tokens=3.0)
+        table.set_slice(SMALL.name, start_limit(Limit(10.0, 3.0)), 0.0, tokens=3.0)
         table.lend(SMALL.name, 3.0, 0.0)
         taken = [table.take(SMALL.name, 5.0) <= 0 for _ in range(4)]
         self.assertEqual(taken, [True, True, True, False])
@@ -136,23 +136,18 @@
         allocator = SliceAllocator(table, holder, division, clock)
         clock.advance(0.5)
         holder.add_listener(allocator.apply)
-        self.put_in_force(holder, 1, Organisation(ARCHIVE.name, 12, 12, shares=SHARES))
+        first = Organisation(ARCHIVE.name, 12, 12, shares=SHARES)
+        holder.replace(build_configuration(1, first))
         now = clock.read_monotonic()
         taken = [table.take(ARCHIVE.name, now) <= 0 for _ in range(3)]
         self.assertEqual(taken, [True, True, False])
         slow = Organisation(ARCHIVE.name, 3, 3, shares=SHARES)
-        self.put_in_force(holder, 2, slow, SMALL)
+        holder.replace(build_configuration(2, slow, SMALL))
         self.assertGreater(table.take(SMALL.name, now), 0)
         now += 100.0
         taken = [table.take(ARCHIVE.name, now) <= 0 for _ in range(2)]
         self.assertEqual(taken, [True, False])
 
-    def put_in_force(
-        self, holder: ConfigurationHolder, version: int, *organisations: Organisation
-    ) -> None:
-        named = {each.name: each for each in organisations}
-        holder.replace(Configuration(Version(version), organisations=named))
-
 
 class TransferTests(SliceTestCase):
     """Check that tokens go where the demand is."""
@@ -219,7 +214,7 @@
     def test_tokens_that_come_late_are_not_used(self) -> None:
         limiter = self.entry.limiter
         limiter._table.remove_except({})
-        limiter._table.set_slice(ARCHIVE.name, 0.0, 0.0, 0.0)
+        limiter._table.set_slice(ARCHIVE.name, start_limit(Limit(0.0, 0.0)), 0.0)
         with patch("corianderhold.coordination.rate.transfer.TRANSFER_USE_S", 0.0):
             self.assertFalse(self.entry.charge(ARCHIVE))
 
@@ -269,6 +264,40 @@
         admitted = self.put(fleet, 20.0, 12 * SMALL.rate, SMALL)
         self.assertGreater(admitted, 0.95 * 20.0 * SMALL.rate)
 
+    def test_rate_below_a_token_a_member_is_held_by_few_in_every_domain(self) -> None:
+        for seed in SEEDS[:2]:
+            fleet = SliceFleet([SMALL], 6, 13, seed, slack=20.0)
+            counts: list[tuple[float, int]] = []
+            observe = lambda now, count, to=counts: to.append((now, count))  # noqa: E731
+            self.put(fleet, 10.0, 0.0, SMALL)
+            held = [
+                (entry.allocator._division.find_part(SMALL), entry.member.domain)
+                for entry in fleet.entries.values()
+            ]
+            self.assertAlmostEqual(sum(part for part, _ in held), 1.0)
+            self.assertEqual(len({domain for part, domain in held if part}), 6)
+            before = fleet.messages
+            admitted = self.put(fleet, 20.0, SMALL.rate / 2, SMALL, observe)
+            self.assertGreater(admitted, 0.97 * 20.0 * SMALL.rate / 2)
+            self.assertLess(fleet.messages - before, 3 * admitted)
+            admitted = self.put(fleet, 20.0, 12 * SMALL.rate, SMALL, observe)
+            self.assertGreater(admitted, 0.95 * 20.0 * SMALL.rate)
+            fleet.cut = {held[0][1]}
+            self.put(fleet, 5.0, 12 * SMALL.rate, SMALL, observe)
+            fleet.cut = set()
+            for entry in fleet.entries.values():
+                entry.restart()
+            self.put(fleet, 8.0, 12 * SMALL.rate, SMALL, observe)
+            self.check_windows(counts, SMALL)
+
+    def check_windows(
+        self, counts: list[tuple[float, int]], organisation: Organisation
+    ) -> None:
+        allowed = (5.0 * organisation.rate + organisation.burst) * 1.1 + 20.0
+        for end, _ in counts:
+            admitted = sum(c for now, c in counts if end - 5.0 < now <= end)
+            self.assertLessEqual(admitted, allowed)
+
     def test_windows_stay_within_a_tenth_and_the_slack(self) -> None:
         for seed in SEEDS:
             fleet = SliceFleet(ORGANISATIONS, DOMAINS, ENTRIES, seed, slack=20.0)
@@ -281,10 +310,7 @@
             for entry in fleet.entries.values():
                 entry.restart()
             self.put(fleet, 10.0, 3 * ARCHIVE.rate, observe=observe)
-            for end, _ in counts:
-                admitted = sum(c for now, c in counts if end - 5.0 < now <= end)
-                allowed = (5.0 * ARCHIVE.rate + ARCHIVE.burst) * 1.1 + 20.0
-                self.assertLessEqual(admitted, allowed)
+            self.check_windows(counts, ARCHIVE)
 
     def test_dead_members_count_for_a_time_and_left_ones_do_not(self) -> None:
         clock, members = FakeClock(), StaticMembers()
@@ -293,7 +319,9 @@
             member = build_member(FailureDomainId("d"), f"10.0.0.{number}")
             object.__setattr__(member, "state", state)
             members.members[member.instance] = member
-        division = CountedMembers(InstanceId("10.0.0.0"), members, clock)
+        division = CountedMembers(
+            InstanceId("10.0.0.0"), FailureDomainId("d"), members, clock
+        )
         division.refresh()
         self.assertEqual(division.find_part(ARCHIVE), 0.0)
         clock.advance(1.0)
--- a/tests/platform/test_nested.py
+++ b/tests/platform/test_nested.py
@@ -66,14 +66,20 @@
         daemon = build_daemon(
             load_settings(self._write_settings(store_port)), build_deployment()
         )
-        for part in (store, self.server, daemon):
+        for part in (store, self.server):
             part.start()
             self.addCleanup(part.stop)
+        life = threading.Thread(target=daemon.run, args=(lambda: None,), daemon=True)
+        life.start()
+        self.addCleanup(life.join)
+        self.addCleanup(daemon.request_stop)
         self.addCleanup(self.server.released.set)
-        beat = {**HEARTBEAT, "address": f"{HOST}:{server_port}"}
+        beat = json.dumps({**HEARTBEAT, "address": f"{HOST}:{server_port}"}).encode()
         url = self._locate("announce", "/corianderhold/rpc?call=instances.heartbeat")
-        beaten = send_request("POST", f"{url}&of=i-1", body=json.dumps(beat).encode())
-        self.assertEqual(beaten.status, 200)
+        wait_until(
+            lambda: send_request("POST", f"{url}&of=i-1", body=beat).status == 200,
+            "the announcement is acknowledged",
+        )
         for path, headers in (("/b/", {}), ("/a/", KEY)):
             wait_until(
                 lambda at=path, sent=headers: self.call(at, **sent) == 200,  # type: ignore[misc]
