--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -2,7 +2,6 @@
 
 import os
 import threading
-from collections.abc import Mapping
 from random import Random
 
 from corianderhold.admin.api import AdminApi, AdminParts
@@ -12,6 +11,7 @@
 from corianderhold.coordination.configuration.publisher import Publisher
 from corianderhold.coordination.entry.application import CallerApplication
 from corianderhold.coordination.entry.choice import LocalityChooser, Place
+from corianderhold.coordination.entry.const import NESTED_PART
 from corianderhold.coordination.entry.intake import Intake
 from corianderhold.coordination.entry.outgoing import OutgoingApplication
 from corianderhold.coordination.entry.request import RequestReader
@@ -48,11 +48,13 @@
 )
 from corianderhold.coordination.rate.shards import list_shards as list_rate_shards
 from corianderhold.coordination.rate.transfer import EntryPlace
+from corianderhold.coordination.retry import FleetBurst
 from corianderhold.core import Application
+from corianderhold.deadline import StopDeadline
 from corianderhold.deployment import Deployment
 from corianderhold.drain import GracefulStop, StopParts, TargetDrain
 from corianderhold.metrics import Metrics
-from corianderhold.protocol.peer.control import ControlHandler, ControlTopic
+from corianderhold.protocol.peer.control import ControlTopic
 from corianderhold.readiness import Readiness
 from corianderhold.settings.model import Settings
 from corianderhold.state.configuration.holder import ConfigurationHolder
@@ -88,7 +90,6 @@
         self._metrics = Metrics()
         self._header_names = deployment.headers
         self._holder = ConfigurationHolder()
-        self._readiness = Readiness(self._holder)
         self._incarnation = draw_start()
         self._identity = Identity(
             settings.instance, self._incarnation, settings.fleet_secret
@@ -106,6 +107,8 @@
         self._locator = HolderLocator(self._membership)
         self._node = Holder(settings.instance, self._incarnation)
         self._leases = self._build_leases()
+        self._rate = self._build_rate()
+        self._readiness = Readiness(self._holder, self._clock, self._rate.is_settled)
 
     def build(self) -> Application:
         """Return the application with all parts."""
@@ -117,11 +120,12 @@
         keeper = OnceKeeper(self._leases, direct, self._clock)
         router = self._build_keyed_router(keeper, direct)
         watch = CallerWatch(router.cancel)
-        rate = self._build_rate()
-        callers = self._build_callers(router, watch, rate)
+        callers = self._build_callers(router, watch, owner)
         self._metrics.add_gauge("request_in_flight", callers.count_in_flight)
         outgoing = self._build_outgoing(router, watch, owner)
         caller_server = self._build_caller_server(callers)
+        times = self._settings.stop
+        deadline = StopDeadline(times.limit_s, self._clock)
         stop_parts = StopParts(
             readiness=self._readiness,
             member=self._membership,
@@ -137,17 +141,18 @@
                 AdmissionConfigurator(
                     admission, self._holder, self._membership, self._clock
                 ),
-                self._build_peer_server(owner, keeper, rate.handlers),
+                self._build_peer_server(owner, keeper),
                 self._membership,
                 self._follower,
                 self._leases,
                 *([keeper] if self._header_names.idempotency_key else []),
-                *rate.components,
+                *self._rate.components,
                 watch,
                 *self._build_target_servers(outgoing),
                 caller_server,
-                GracefulStop(stop_parts, self._settings.stop, self._clock),
-            ]
+                GracefulStop(stop_parts, times, deadline, self._clock),
+            ],
+            deadline,
         )
 
     def _build_owner(self, admission: Admission) -> Owner:
@@ -178,7 +183,12 @@
         )
 
     def _build_intake(
-        self, name: str, router: KeyedRouter, watch: CallerWatch, threads: int
+        self,
+        name: str,
+        router: KeyedRouter,
+        watch: CallerWatch,
+        threads: int,
+        reserve: float = 0.0,
     ) -> Intake:
         reader = RequestReader(self._header_names, self._settings.service or "")
         return Intake(
@@ -190,14 +200,24 @@
             threads,
             reader,
             self._deployment.format_retry_after,
+            reserve,
         )
 
     def _build_callers(
-        self, router: KeyedRouter, watch: CallerWatch, rate: RateParts
+        self, router: KeyedRouter, watch: CallerWatch, owner: Owner
     ) -> CallerApplication:
         threads = self._settings.listeners.caller_threads
-        intake = self._build_intake("request", router, watch, threads)
-        return CallerApplication(intake, self._holder, rate.limiter, self._clock)
+        takes_nested = self._header_names.context is None
+        intake = self._build_intake(
+            "request", router, watch, threads, NESTED_PART if takes_nested else 0.0
+        )
+        return CallerApplication(
+            intake,
+            self._holder,
+            self._rate.limiter,
+            self._clock,
+            owner.calls if takes_nested else None,
+        )
 
     def _build_outgoing(
         self, router: KeyedRouter, watch: CallerWatch, owner: Owner
@@ -306,6 +326,7 @@
             self._sender,
             self._clock,
             self._metrics,
+            FleetBurst(settings.retry_burst, self._membership),
         )
 
     def _build_leases(self) -> LeaseManager:
@@ -332,6 +353,7 @@
                 self._control,
                 self._clock,
                 settings.rate_slack,
+                settings.rate_lowering_delay_s,
             )
         return build_loans(
             self._node,
@@ -348,14 +370,15 @@
         settings = self._settings
         if settings.entry_slots is not None:
             return FixedSlots(settings.domain, settings.entry_slots)
-        return CountedMembers(settings.instance, self._membership, self._clock)
+        return CountedMembers(
+            settings.instance,
+            settings.domain,
+            self._membership,
+            self._clock,
+            settings.rate_slack,
+        )
 
-    def _build_peer_server(
-        self,
-        owner: Owner,
-        keeper: OnceKeeper,
-        handlers: Mapping[ControlTopic, ControlHandler],
-    ) -> PeerServer:
+    def _build_peer_server(self, owner: Owner, keeper: OnceKeeper) -> PeerServer:
         return PeerServer(
             self._settings.listeners.peer,
             self._identity,
@@ -365,6 +388,6 @@
                 ControlTopic.MEMBERSHIP: self._membership,
                 ControlTopic.CONFIGURATION: self._follower,
                 ControlTopic.LEASE: self._leases,
-                **handlers,
+                **self._rate.handlers,
             },
         )
