Load the administration API when an operator first asks

Cause: each daemon imported CherryPy and all that it brings (96 modules) at its start, for pages that only operators and a scrape of the metrics ask for. Ruled out: importing only some of CherryPy's modules: its package imports all of them. Change: AdminApplication takes the admin listener's requests and builds the API at the first. AdminParts moved to the model, so that the composition root needs no CherryPy.

--- a/corianderhold/admin/api.py
+++ b/corianderhold/admin/api.py
@@ -1,6 +1,5 @@
 """Mount the administration API as a WSGI application."""
 
-from dataclasses import dataclass
 from hmac import compare_digest
 from logging import NullHandler
 from typing import Any
@@ -16,41 +15,14 @@
     StatusResource,
 )
 from corianderhold.admin.keys import KeysResource
-from corianderhold.admin.model import (
-    ChangeHistory,
-    ChangePublisher,
-    Drain,
-    Identity,
-    ReadinessSource,
-    StreamView,
-)
+from corianderhold.admin.model import AdminParts
 from corianderhold.admin.request import FORBIDDEN, UNAUTHORISED, format_error_page
-from corianderhold.clock import Clock
-from corianderhold.metrics import Metrics
-from corianderhold.state.configuration.holder import ConfigurationHolder
-from corianderhold.state.membership.model import Members
 
 BEARER = "Bearer "
 OPEN_PATHS = frozenset({"/health", "/metrics"})
 READ_METHODS = frozenset({"GET", "HEAD"})
 
 
-@dataclass(frozen=True)
-class AdminParts:
-    """The parts of the daemon that the administration API works on."""
-
-    identity: Identity
-    readiness: ReadinessSource
-    holder: ConfigurationHolder
-    publisher: ChangePublisher
-    history: ChangeHistory
-    stream: StreamView
-    members: Members
-    drain: Drain
-    metrics: Metrics
-    clock: Clock
-
-
 class Branch:
     """A part of the path that answers nothing itself."""
 
--- a/corianderhold/admin/model.py
+++ b/corianderhold/admin/model.py
@@ -4,12 +4,16 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from corianderhold.clock import Clock
 from corianderhold.coordination.configuration.exchanger import HeardHead
 from corianderhold.coordination.configuration.history import HistoryEntry
 from corianderhold.coordination.configuration.publisher import Published
 from corianderhold.ids import ChangeId, FailureDomainId, InstanceId
+from corianderhold.metrics import Metrics
 from corianderhold.protocol.configuration.messages import Head
+from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.configuration.records import ChangeRecord
+from corianderhold.state.membership.model import Members
 
 
 @dataclass(frozen=True)
@@ -65,3 +69,19 @@
 
     def is_draining(self) -> bool:
         """Return whether the target takes no new work though it is there."""
+
+
+@dataclass(frozen=True)
+class AdminParts:
+    """The parts of the daemon that the administration API works on."""
+
+    identity: Identity
+    readiness: ReadinessSource
+    holder: ConfigurationHolder
+    publisher: ChangePublisher
+    history: ChangeHistory
+    stream: StreamView
+    members: Members
+    drain: Drain
+    metrics: Metrics
+    clock: Clock
--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -5,7 +5,8 @@
 from collections.abc import Mapping
 from random import Random
 
-from corianderhold.admin.api import AdminApi, AdminParts
+from corianderhold.admin.application import AdminApplication
+from corianderhold.admin.model import AdminParts
 from corianderhold.admin.model import Identity as AdminIdentity
 from corianderhold.clock import SystemClock
 from corianderhold.coordination.configuration.follower import ConfigurationFollower
@@ -233,7 +234,7 @@
     def _build_operator_servers(self) -> list[WebServer]:
         """Build the listeners that answer as long as the process lives."""
         listeners, deployment = self._settings.listeners, self._deployment
-        admin = self._build_admin_api().mount()
+        admin = self._build_admin()
         servers = [WebServer("admin", listeners.admin, admin, ADMIN_THREADS)]
         if listeners.readiness is not None and deployment.build_readiness is not None:
             readiness = deployment.build_readiness(self._readiness.is_ready)
@@ -242,7 +243,7 @@
             )
         return servers
 
-    def _build_admin_api(self) -> AdminApi:
+    def _build_admin(self) -> AdminApplication:
         settings = self._settings
         parts = AdminParts(
             identity=AdminIdentity(settings.instance, settings.domain),
@@ -256,7 +257,7 @@
             metrics=self._metrics,
             clock=self._clock,
         )
-        return AdminApi(parts, settings.admin_token)
+        return AdminApplication(parts, settings.admin_token)
 
     def _build_membership(self) -> MembershipService:
         settings = self._settings
--- a/tests/admin/case.py
+++ b/tests/admin/case.py
@@ -1,7 +1,7 @@
 """Serve the administration API of one daemon in tests."""
 
-from corianderhold.admin.api import AdminApi, AdminParts
-from corianderhold.admin.model import Identity
+from corianderhold.admin.application import AdminApplication
+from corianderhold.admin.model import AdminParts, Identity
 from corianderhold.readiness import Readiness
 from corianderhold.state.membership.model import Address
 from corianderhold.transport.web.server import WebServer
@@ -50,7 +50,7 @@
             clock=self.fleet.clock,
         )
         address = Address("127.0.0.1", find_free_port())
-        application = AdminApi(parts, token).mount()
+        application = AdminApplication(parts, token)
         server = WebServer("admin", address, application, 2)
         server.start()
         self.addCleanup(server.stop)
