Start a listener's threads when few are free

Ruled out: smaller stacks: pages that are not touched take no memory. Starting a thread in the request that finds none free: it would wait for the start; the sweeper starts them. Change: a listener starts 8 threads; while fewer than 4 wait and the bound is not reached, its sweeper starts more.

--- a/corianderhold/transport/web/pool.py
+++ b/corianderhold/transport/web/pool.py
@@ -8,11 +8,16 @@
 from collections.abc import Callable
 from typing import Any
 
-from cheroot.workers.threadpool import ThreadPool
+from cheroot.workers.threadpool import ThreadPool, WorkerThread
 
 from corianderhold.state.configuration.model import CallerLimits
 from corianderhold.transport.web.caller import CallerConnection
-from corianderhold.transport.web.const import IDLE_CONNECTIONS_MAX, SWEEP_INTERVAL_S
+from corianderhold.transport.web.const import (
+    FIRST_THREADS,
+    FREE_THREADS_MIN,
+    IDLE_CONNECTIONS_MAX,
+    SWEEP_INTERVAL_S,
+)
 
 ONE_REQUEST = select.EPOLLIN | select.EPOLLRDHUP | select.EPOLLONESHOT
 
@@ -23,11 +28,21 @@
 
     The system wakes one thread for each connection, so that a request passes from no
     thread to another. Whoever takes a connection out of `_waiting` owns it. A thread
-    of its own closes the connections that wait for too long.
+    of its own closes the connections that wait for too long, and calls `add_threads`
+    when few threads are free, until `is_full` is set.
     """
 
-    def __init__(self, find_limits: Callable[[], CallerLimits]) -> None:
+    def __init__(
+        self,
+        find_limits: Callable[[], CallerLimits],
+        add_threads: Callable[[], None] = lambda: None,
+    ) -> None:
         self._find_limits = find_limits
+        self._add_threads = add_threads
+        self.is_full = False
+        self._free = 0
+        self._free_lock = threading.Lock()
+        self._wake = threading.Event()
         self._epoll = select.epoll()
         self._waiting: dict[int, CallerConnection] = {}
         self._items: deque[object] = deque()
@@ -62,6 +77,21 @@
 
     def get(self) -> object:
         """Return the next connection that has something to read, or the next item."""
+        with self._free_lock:
+            self._free += 1
+        try:
+            return self._take()
+        finally:
+            with self._free_lock:
+                self._free -= 1
+            if self._free < FREE_THREADS_MIN and not self.is_full:
+                self._wake.set()
+
+    def count_free(self) -> int:
+        """Return the number of threads that wait."""
+        return self._free
+
+    def _take(self) -> object:
         while True:
             for number, _ in self._epoll.poll(None, 1):
                 if number == self._item_count:
@@ -85,6 +115,7 @@
     def close(self) -> None:
         """Close the connections that wait."""
         self._stopped.set()
+        self._wake.set()
         while self._waiting:
             _, connection = self._waiting.popitem()
             connection.close()
@@ -104,8 +135,15 @@
         return True
 
     def _sweep_often(self) -> None:
-        while not self._stopped.wait(SWEEP_INTERVAL_S):
-            self._sweep(time.monotonic())
+        sweep_at = time.monotonic() + SWEEP_INTERVAL_S
+        while not self._stopped.is_set():
+            if self._wake.wait(max(0.0, sweep_at - time.monotonic())):
+                self._wake.clear()
+                self._add_threads()
+            now = time.monotonic()
+            if now >= sweep_at:
+                self._sweep(now)
+                sweep_at = now + SWEEP_INTERVAL_S
 
     def _sweep(self, now: float) -> None:
         """Close the connections that wait for too long at monotonic time `now`."""
@@ -118,26 +156,47 @@
 
 
 class PollingPool(ThreadPool):
-    """Run a fixed number of threads on a `ConnectionQueue`."""
+    """Run threads on a `ConnectionQueue`, more of them once few are free."""
 
     def __init__(
         self, server: Any, threads: int, find_limits: Callable[[], CallerLimits]
     ) -> None:
-        super().__init__(server, min=threads, max=threads)
-        self.connections = ConnectionQueue(find_limits)
+        super().__init__(server, min=min(threads, FIRST_THREADS), max=threads)
+        self.connections = ConnectionQueue(find_limits, self._add_threads)
+        self.connections.is_full = self.min == threads
         self._queue = self.connections
         self.get = self.connections.get
+        self._threads: list[WorkerThread] = []
+        self._grow_lock = threading.Lock()
 
     def start(self) -> None:
-        """Start the threads."""
-        self.connections.start()
+        """Start the first threads."""
         super().start()
+        self.connections.start()
 
     def stop(self, timeout: int = 5) -> None:
         """End the threads within `timeout` seconds and close idle connections."""
+        with self._grow_lock:
+            self.connections.is_full = True
         super().stop(timeout)
         self.connections.close()
 
+    def _add_threads(self) -> None:
+        """Start some threads unless all run or the pool stops."""
+        with self._grow_lock:
+            if self.connections.is_full:
+                return
+            missing = FREE_THREADS_MIN - self.connections.count_free()
+            for _ in range(min(missing, self.max - len(self._threads))):
+                self._threads.append(self._start_thread())
+            self.connections.is_full = len(self._threads) >= self.max
+
+    def _start_thread(self) -> WorkerThread:
+        """Start one thread; the library's own `grow` sleeps until it runs."""
+        thread = WorkerThread(self.server)  # type: ignore[no-untyped-call]
+        thread.start()
+        return thread
+
     @staticmethod
     def _force_close(conn: CallerConnection | None) -> None:
         """End the exchange of a thread that did not end in time."""
--- a/corianderhold/transport/web/server.py
+++ b/corianderhold/transport/web/server.py
@@ -100,7 +100,7 @@
 
 
 class WebServer:
-    """Run one listener with a fixed number of threads."""
+    """Run one listener with up to `threads` threads."""
 
     def __init__(
         self,
--- a/tests/transport/web/test_pool.py
+++ b/tests/transport/web/test_pool.py
@@ -1,6 +1,7 @@
 """Test the threads that wait on connections themselves."""
 
 import socket
+import threading
 from collections.abc import Iterable
 from contextlib import ExitStack
 from unittest import TestCase
@@ -8,8 +9,10 @@
 from corianderhold.state.membership.model import Address
 from corianderhold.transport.web.server import Environ, StartResponse, WebServer
 from tests.common.ports import HOST, find_free_port
+from tests.common.waiting import wait_until
 
 THREADS = 2
+MANY_THREADS = 40
 IDLE_CONNECTIONS = 20
 TIMEOUT_S = 8.0  # less than a silent caller may hold a thread
 REQUEST = b"GET /%d HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -51,6 +54,38 @@
         self._server.stop()
         self.assertEqual(connection.recv(1), b"")
 
+    def test_threads_start_when_they_are_needed_up_to_the_bound(self) -> None:
+        together = threading.Barrier(MANY_THREADS, timeout=TIMEOUT_S)
+
+        def wait_for_others(
+            environ: Environ, start_response: StartResponse
+        ) -> Iterable[bytes]:
+            if environ["PATH_INFO"] == "/0":
+                together.wait()
+            return echo_path(environ, start_response)
+
+        self._server.stop()
+        threads_before = threading.active_count()
+        self._server = WebServer("test", self._address, wait_for_others, MANY_THREADS)
+        self._server.start()
+        self.addCleanup(self._server.stop)
+        callers = [self._connect() for _ in range(MANY_THREADS + 1)]
+        self._ask(callers[0], 1)
+        self.assertLess(threading.active_count() - threads_before, MANY_THREADS // 2)
+        for caller in callers[:-1]:
+            caller.sendall(REQUEST % 0)
+        for caller in callers[:-1]:
+            self._receive(caller, b"/0")
+        self._ask(callers[-1], 2)
+        self._server.stop()
+        wait_until(
+            lambda: threading.active_count() <= threads_before, "all threads ended"
+        )
+
+    def _ask(self, connection: socket.socket, number: int) -> None:
+        connection.sendall(REQUEST % number)
+        self._receive(connection, b"/%d" % number)
+
     def _connect(self) -> socket.socket:
         address = (self._address.host, self._address.port)
         connection = socket.create_connection(address, TIMEOUT_S)
