--- a/corianderhold/coordination/configuration/exchanger.py
+++ b/corianderhold/coordination/configuration/exchanger.py
@@ -3,6 +3,7 @@
 import math
 import threading
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from result import Err
@@ -63,7 +64,8 @@
     """
     Exchange with peers and answer their exchanges.
 
-    All methods may be called from any thread.
+    `all_poll` says whether every daemon reads the log. All methods may be called from
+    any thread.
     """
 
     def __init__(
@@ -74,6 +76,7 @@
         client: ControlClient,
         clock: Clock,
         metrics: Metrics,
+        all_poll: Callable[[], bool],
     ) -> None:
         self._replica = replica
         self._keeper = keeper
@@ -81,6 +84,7 @@
         self._client = client
         self._clock = clock
         self._metrics = metrics
+        self._all_poll = all_poll
         self._texts = SnapshotTexts(replica)
         self._heard_lock = threading.Lock()
         self._heard: OrderedDict[InstanceId, HeardHead] = OrderedDict()
@@ -122,9 +126,7 @@
             self._adopt_proof(member, sent_at, reply)
             if not mine.is_ahead_of(reply.head):
                 return True
-            records = self._replica.slice_tail(
-                reply.head.next_offset, RECORDS_BYTES_MAX
-            )
+            records = self._slice_tail(reply.head.next_offset)
             if not records:
                 return True
         return True
@@ -136,13 +138,19 @@
         size = sum(len(record.data) for record in records)
         return records if size <= PUSH_BYTES_MAX else ()
 
+    def _slice_tail(self, from_offset: Offset) -> tuple[LogRecord, ...]:
+        """Return what a peer lacks; no long snapshot, where most read it themselves."""
+        return self._replica.slice_tail(
+            from_offset, RECORDS_BYTES_MAX, plain_snapshot=not self._all_poll()
+        )
+
     def _build_reply(self, theirs: Head) -> ExchangeReply:
         # The age is read before the head: the proof must not outrun the records.
         age_ms = self._read_verified_age_ms()
         mine = self._replica.head
         records: tuple[LogRecord, ...] = ()
         if mine.is_ahead_of(theirs):
-            records = self._replica.slice_tail(theirs.next_offset, RECORDS_BYTES_MAX)
+            records = self._slice_tail(theirs.next_offset)
         return ExchangeReply(
             mine,
             age_ms,
--- a/corianderhold/coordination/configuration/follower.py
+++ b/corianderhold/coordination/configuration/follower.py
@@ -77,7 +77,13 @@
             self.replica, self._peers, log, holder, clock, retention_s
         )
         self.exchanger = Exchanger(
-            self.replica, self.keeper, holder, client, clock, metrics
+            self.replica,
+            self.keeper,
+            holder,
+            client,
+            clock,
+            metrics,
+            self._peers.all_poll,
         )
         self._reader = LogReader(self.replica, self.keeper, log, holder, clock, metrics)
         self._reader_lock = threading.Lock()
--- a/corianderhold/coordination/configuration/replica.py
+++ b/corianderhold/coordination/configuration/replica.py
@@ -7,6 +7,7 @@
 from result import Ok
 
 from corianderhold.coordination.configuration.const import (
+    PLAIN_SNAPSHOT_BYTES_MAX,
     TAIL_BYTES_MAX,
     TAIL_RECORDS_MAX,
 )
@@ -59,6 +60,7 @@
         self._lock = threading.RLock()
         self._state: FoldState = INITIAL_STATE
         self._tail = Tail(TAIL_RECORDS_MAX, TAIL_BYTES_MAX)
+        self._snapshot_offset: Offset | None = None
         self._news_listeners: list[NewsListener] = []
         self._snapshot_listeners: list[SnapshotListener] = []
 
@@ -87,9 +89,17 @@
                 return change
         return None
 
-    def slice_tail(self, from_offset: Offset, bytes_max: int) -> tuple[LogRecord, ...]:
-        """Return records from an offset on, none when that one is not kept."""
+    def slice_tail(
+        self, from_offset: Offset, bytes_max: int, plain_snapshot: bool = True
+    ) -> tuple[LogRecord, ...]:
+        """
+        Return records from an offset on, none when that one is not kept.
+
+        Without `plain_snapshot`, also none when that one is a long snapshot.
+        """
         with self._lock:
+            if from_offset == self._snapshot_offset and not plain_snapshot:
+                return ()
             return self._tail.slice_from(from_offset, bytes_max)
 
     def take_records(self, records: Sequence[LogRecord]) -> bool:
@@ -161,10 +171,20 @@
         if self._state.next_offset != record.offset + 1:
             self._tail.clear()
             return False
+        if outcome.kind is OutcomeKind.SNAPSHOT_ADOPTED:
+            self._replace_tail(record)
+            return True
         stale = outcome.kind is OutcomeKind.SNAPSHOT_STALE
         self._tail.append(LogRecord(record.offset, "") if stale else record)
         return True
 
+    def _replace_tail(self, record: LogRecord) -> None:
+        """Begin the tail anew with a snapshot, which holds what came before it."""
+        self._tail.clear()
+        self._tail.append(record)
+        if len(record.data) > PLAIN_SNAPSHOT_BYTES_MAX:
+            self._snapshot_offset = record.offset
+
     def _put_in_force(self) -> None:
         configuration = self._state.configuration
         if self._holder.replace(configuration):
--- a/corianderhold/coordination/configuration/texts.py
+++ b/corianderhold/coordination/configuration/texts.py
@@ -53,7 +53,7 @@
         following = Offset(folded_to + 1)
         if following == self._replica.head.next_offset:
             return True
-        return bool(self._replica.slice_tail(following, 1))
+        return bool(self._replica.slice_tail(following, 1, plain_snapshot=False))
 
 
 def decompress_snapshot(data: bytes) -> Result[str, str]:
--- a/tests/coordination/configuration/test_spread.py
+++ b/tests/coordination/configuration/test_spread.py
@@ -4,13 +4,13 @@
 from zlib import crc32
 
 from corianderhold.coordination.configuration.publisher import RefusalReason
-from corianderhold.ids import KeyId, Offset
+from corianderhold.ids import KeyId, Offset, RouteName
 from corianderhold.protocol.peer.const import FRAME_BYTES_MAX
 from corianderhold.protocol.store.model import StreamName
 from corianderhold.state.configuration.codec import encode_snapshot
 from corianderhold.state.configuration.fold import build_snapshot, fold
 from corianderhold.state.configuration.records import Delta
-from tests.common.changes import RADIO_KEY, make_text
+from tests.common.changes import RADIO_KEY, SEARCH, make_text
 from tests.coordination.configuration.case import (
     RETENTION_S,
     SpreadTestCase,
@@ -20,6 +20,9 @@
 STREAM = StreamName.CONFIGURATION
 IN_FORCE_LIMIT_S = 8.0
 OUTAGE_S = 300.0
+DOCUMENT_ROUTES = 200
+DOCUMENT_INTERVAL_S = 0.08
+PEER_LIMIT_S = 1.5
 
 
 class SpreadTests(SpreadTestCase):
@@ -84,6 +87,37 @@
             age_s = self.fleet.clock.read_monotonic() - daemon.holder.verified_at
             self.assertLess(age_s, 30.0)
 
+    def test_long_documents_reach_a_daemon_that_the_log_turns_away_compressed(
+        self,
+    ) -> None:
+        cut_off = self.get_daemon(0)
+        self.ways[cut_off.member.instance].cut = True
+        state = self.get_daemon(1).follower.replica.state
+        routes = tuple(
+            replace(SEARCH, name=RouteName(f"r{i}"), path_prefix=f"/{i}")
+            for i in range(DOCUMENT_ROUTES)
+        )
+        sent_before = sum(each.bytes_sent for each in self.fleet.daemons.values())
+        documents = 0
+        for version in range(1, 26):
+            limits = limit_concurrency(version)
+            delta = replace(limits, routes=routes if version == 1 else ())
+            change = make_text(f"x{version}", version, delta)
+            state, _ = fold(state, state.next_offset, change)
+            text = encode_snapshot(
+                replace(build_snapshot(state), folded_to=Offset(version - 1))
+            )
+            self.append(text)
+            documents += len(text)
+            self.fleet.run(DOCUMENT_INTERVAL_S)
+        learnt = self.fleet.run_until(
+            lambda: cut_off.holder.current.version == 26, PEER_LIMIT_S
+        )
+        self.assertTrue(learnt, cut_off.versions)
+        self.settle()
+        sent = sum(each.bytes_sent for each in self.fleet.daemons.values())
+        self.assertLess(sent - sent_before, documents / 10)
+
     def test_daemon_starts_from_a_peer_during_an_outage(self) -> None:
         self.append_changes(1, 600)
         self.settle()
