Translate only the newest document of one read

Ruled out: leaving the replaced records out of the page: the fold takes that for a gap. Change: of the documents in one read only the newest that can be read gets its text; the head that peers see is read between whole reads, for a record without text would look like a divergence.

--- a/corianderhold/coordination/configuration/replica.py
+++ b/corianderhold/coordination/configuration/replica.py
@@ -71,8 +71,9 @@
 
     @property
     def head(self) -> Head:
-        """Return how far the stream is folded."""
-        return describe_head(self._state)
+        """Return how far the stream is folded, after all records of one read."""
+        with self._lock:
+            return describe_head(self._state)
 
     def add_news_listener(self, listener: NewsListener) -> None:
         """Call `listener` after records were folded or a snapshot was adopted."""
--- a/tests/platform/test_log.py
+++ b/tests/platform/test_log.py
@@ -50,10 +50,12 @@
         self.assertEqual(self._read(4), [])
 
     def test_configuration(self) -> None:
+        self.store.put("keyed.op", "config", write_document(6))
         self.store.put("keyed.op", "config", write_document(7))
         self.store.put("keyed.op", "config", b"{")
         page = self.log.read(StreamName.CONFIGURATION, Offset(0), 100, TIMEOUT_S)
-        first, second = page.unwrap().records
+        replaced, first, second = page.unwrap().records
+        self.assertEqual(replaced.data, "")
         record = decode_record(first.data).unwrap()
         assert isinstance(record, SnapshotRecord)
         self.assertEqual(record.configuration.version, 7)
