--- a/corianderhold/coordination/configuration/reader.py
+++ b/corianderhold/coordination/configuration/reader.py
@@ -133,7 +133,7 @@
             if snapshot is None or snapshot.folded_to + 1 < first_offset:
                 continue
             if adopt(snapshot):
-                self._keeper.note_snapshot(snapshot)
+                self._keeper.note_snapshot(snapshot.folded_to)
                 log_event("snapshot_adopted", offset=record.offset, behind_from=before)
                 return True
         return False
--- a/corianderhold/coordination/configuration/replica.py
+++ b/corianderhold/coordination/configuration/replica.py
@@ -35,7 +35,7 @@
 )
 
 NewsListener = Callable[[], None]
-SnapshotListener = Callable[[SnapshotRecord], None]
+SnapshotListener = Callable[[Offset], None]
 LOGGED = frozenset(
     {
         OutcomeKind.CORRUPT,
@@ -80,7 +80,7 @@
         self._news_listeners.append(listener)
 
     def add_snapshot_listener(self, listener: SnapshotListener) -> None:
-        """Call `listener` with each valid snapshot that comes from the log."""
+        """Call `listener` with the last offset of each valid snapshot of the log."""
         self._snapshot_listeners.append(listener)
 
     def find_change(self, change_id: ChangeId) -> RememberedChange | None:
@@ -167,8 +167,8 @@
         self._state, outcome = fold(self._state, record.offset, record.data)
         self._report(outcome)
         self.history.record(record.data, outcome)
-        if outcome.kind in VALID_SNAPSHOTS:
-            self._notify_snapshot(record)
+        if outcome.kind in VALID_SNAPSHOTS and outcome.folded_to is not None:
+            self._notify_snapshot(outcome.folded_to)
         if self._state.next_offset != record.offset + 1:
             self._tail.clear()
             return False
@@ -216,11 +216,9 @@
         for listener in self._news_listeners:
             listener()
 
-    def _notify_snapshot(self, record: LogRecord) -> None:
-        snapshot = decode_snapshot(record.data)
-        if snapshot is not None:
-            for listener in self._snapshot_listeners:
-                listener(snapshot)
+    def _notify_snapshot(self, folded_to: Offset) -> None:
+        for listener in self._snapshot_listeners:
+            listener(folded_to)
 
 
 def describe_head(state: FoldState) -> Head:
--- a/corianderhold/coordination/configuration/snapshots.py
+++ b/corianderhold/coordination/configuration/snapshots.py
@@ -22,7 +22,6 @@
 from corianderhold.state.configuration.codec import encode_snapshot
 from corianderhold.state.configuration.fold import build_snapshot
 from corianderhold.state.configuration.holder import ConfigurationHolder
-from corianderhold.state.configuration.records import SnapshotRecord
 
 NO_SNAPSHOT = Offset(-1)
 
@@ -76,11 +75,11 @@
             elif mark.folded_to == self._folded_to:
                 self._seen_at = min(self._seen_at, seen_at)
 
-    def note_snapshot(self, snapshot: SnapshotRecord) -> None:
-        """Note a valid snapshot that was read from the log."""
+    def note_snapshot(self, folded_to: Offset) -> None:
+        """Note the last offset of a valid snapshot that was read from the log."""
         with self._lock:
-            if snapshot.folded_to > self._folded_to:
-                self._set_mark(snapshot.folded_to, self._clock.read_monotonic())
+            if folded_to > self._folded_to:
+                self._set_mark(folded_to, self._clock.read_monotonic())
 
     def note_first_offset(self, first_offset: Offset) -> None:
         """Note the oldest offset that the log still keeps."""
--- a/corianderhold/state/configuration/fold.py
+++ b/corianderhold/state/configuration/fold.py
@@ -79,6 +79,7 @@
 
     `version` is the version in force afterwards. `earlier` is the change that won
     the race, or the first record of a duplicate, where it is still remembered.
+    `folded_to` is the last record that a snapshot holds.
     """
 
     kind: OutcomeKind
@@ -88,6 +89,7 @@
     earlier: RememberedChange | None = None
     faults: tuple[Fault, ...] = ()
     detail: str = ""
+    folded_to: Offset | None = None
 
 
 INITIAL_STATE = FoldState()
@@ -188,7 +190,8 @@
         return _advance(state, offset), outcome
     adopted, outcome = adopt_snapshot(state, snapshot)
     # The next record of a snapshot of all before it is the snapshot itself.
-    return _advance(adopted, offset), replace(outcome, offset=offset)
+    outcome = replace(outcome, offset=offset, folded_to=snapshot.folded_to)
+    return _advance(adopted, offset), outcome
 
 
 def _fold_change(
--- a/tests/coordination/configuration/test_exchange.py
+++ b/tests/coordination/configuration/test_exchange.py
@@ -35,6 +35,9 @@
     ReadFailure,
     StreamName,
 )
+from corianderhold.state.configuration import codec
+from corianderhold.state.configuration.codec import encode_snapshot
+from corianderhold.state.configuration.fold import build_snapshot
 from corianderhold.state.configuration.model import Configuration
 from corianderhold.state.membership.model import Address
 from tests.common.changes import BASE, make_text
@@ -110,6 +113,16 @@
         daemon.follower.read_log()
         self.assertEqual(daemon.holder.verified_at, asked_at)
 
+    def test_snapshot_of_the_log_is_decoded_once_and_marked(self) -> None:
+        follower = self.get_daemon(0).follower
+        snapshot = build_snapshot(follower.replica.state)
+        self.append(encode_snapshot(snapshot))
+        with patch.object(codec, "_load_json", wraps=codec._load_json) as load:
+            follower.read_log()
+        load.assert_called_once()
+        mark = follower.keeper.read_mark()
+        self.assertEqual(mark, SnapshotMark(snapshot.folded_to, 0))
+
     def test_proof_without_the_records_is_not_taken(self) -> None:
         asker, peer = self.get_daemon(0), self.get_daemon(3)
         before = asker.holder.verified_at
