Go on when the system has no further thread for a link or a listener

Ruled out: a bound of our own (LINKS_MAX and caller_threads are there; the system's is lower). Change: the link is closed and peer_link_refused logged; the sweeper logs listener_thread_refused and tries again at the next need.

--- a/corianderhold/transport/peer/server.py
+++ b/corianderhold/transport/peer/server.py
@@ -120,9 +120,14 @@
                 link.close()
                 return
             self._links[link] = None
-        threading.Thread(
+        thread = threading.Thread(
             target=self._run_link, args=(link,), name="peer-link", daemon=True
-        ).start()
+        )
+        try:
+            thread.start()
+        except RuntimeError as error:  # the system has no further thread
+            log_warning("peer_link_refused", error=str(error))
+            self._forget_link(link)
 
     def _run_link(self, link: Link) -> None:
         try:
@@ -133,9 +138,12 @@
             if isinstance(error, FrameError):
                 log_warning("frame_malformed", error=str(error))
         finally:
-            with self._lock:
-                self._links.pop(link, None)
-            link.close()
+            self._forget_link(link)
+
+    def _forget_link(self, link: Link) -> None:
+        with self._lock:
+            self._links.pop(link, None)
+        link.close()
 
     def _handle(self, link: Link, peer: Peer, message: Message) -> None:
         """
--- a/corianderhold/transport/web/pool.py
+++ b/corianderhold/transport/web/pool.py
@@ -10,6 +10,7 @@
 
 from cheroot.workers.threadpool import ThreadPool, WorkerThread
 
+from corianderhold.log import log_warning
 from corianderhold.state.configuration.model import CallerLimits
 from corianderhold.transport.web.caller import CallerConnection
 from corianderhold.transport.web.const import (
@@ -188,7 +189,11 @@
                 return
             missing = FREE_THREADS_MIN - self.connections.count_free()
             for _ in range(min(missing, self.max - len(self._threads))):
-                self._threads.append(self._start_thread())
+                try:
+                    self._threads.append(self._start_thread())
+                except RuntimeError as error:  # the system has no further thread
+                    log_warning("listener_thread_refused", error=str(error))
+                    return
             self.connections.is_full = len(self._threads) >= self.max
 
     def _start_thread(self) -> WorkerThread:
--- a/tests/transport/peer/test_links.py
+++ b/tests/transport/peer/test_links.py
@@ -2,8 +2,10 @@
 
 import socket
 import struct
+import threading
 import time
 from unittest import TestCase
+from unittest.mock import patch
 
 from result import Err, Ok
 
@@ -131,6 +133,15 @@
             reply = client.request(self.address, ControlTopic.RATE, b"hi", 1.0)
             self.assertEqual(reply, Ok(b"client:hi"))
 
+    def test_server_outlives_a_link_that_gets_no_thread(self) -> None:
+        client = self.make_client()
+        refused = RuntimeError("can't start new thread")
+        with patch.object(threading.Thread, "start", side_effect=refused):
+            reply = client.request(self.address, ControlTopic.RATE, b"hi", 1.0)
+            self.assertEqual(reply, Err(ControlFailure.UNREACHABLE))
+        reply = client.request(self.address, ControlTopic.RATE, b"hi", 1.0)
+        self.assertEqual(reply, Ok(b"client:hi"))
+
     def test_stranger_is_refused(self) -> None:
         client = self.make_client(b"another secret")
         reply = client.request(self.address, ControlTopic.RATE, b"hi", 1.0)
--- a/tests/transport/web/test_pool.py
+++ b/tests/transport/web/test_pool.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from contextlib import ExitStack
 from unittest import TestCase
+from unittest.mock import patch
 
 from corianderhold.state.membership.model import Address
 from corianderhold.transport.web.server import Environ, StartResponse, WebServer
@@ -54,6 +55,21 @@
         self._server.stop()
         self.assertEqual(connection.recv(1), b"")
 
+    def test_pool_goes_on_when_a_thread_can_not_be_started(self) -> None:
+        self._server.stop()
+        self._server = WebServer("test", self._address, echo_path, MANY_THREADS)
+        self._server.start()
+        pool = self._server._server.requests
+        refused = RuntimeError("can't start new thread")
+        with (
+            patch.object(pool, "_start_thread", side_effect=refused) as start,
+            patch.object(pool.connections, "count_free", return_value=0),
+        ):
+            pool.connections._wake.set()
+            wait_until(lambda: start.called, "a thread is asked for")
+        pool.connections._wake.set()
+        wait_until(lambda: not pool.connections._wake.is_set(), "the sweeper goes on")
+
     def test_threads_start_when_they_are_needed_up_to_the_bound(self) -> None:
         together = threading.Barrier(MANY_THREADS, timeout=TIMEOUT_S)
 
