Raise the rate of the slices by half of the overage that the operators allow

Cause: an organisation that asks for just its rate is refused where its tokens are at other entries; the users' rule allows a tenth of the rate beyond it, of which nothing was used. Change: rate_overage (0: as before); half of it raises the rate of every slice. Tests: the sum over all entries is new; the windows under pressure, cuts and restarts and the lowering are checked with it against the same bounds.

--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -355,6 +355,7 @@
                 self._clock,
                 settings.rate_slack,
                 settings.rate_lowering_delay_s,
+                settings.rate_overage,
             )
         return build_loans(
             self._node,
--- a/corianderhold/coordination/rate/const.py
+++ b/corianderhold/coordination/rate/const.py
@@ -22,6 +22,7 @@
 NEAR_LENDERS = 4  # peers asked in the own domain, and in the rest of the region
 FAR_LENDERS = 2
 LENT_RESERVE = 0.25  # part of a slice that is not lent, where it makes a token
+OVERAGE_USED = 0.5  # the rest is for times in which daemons count differently
 HOLDER_CAPACITY = 2.0  # tokens in a slice, where equal ones would be below one token
 SLICE_REFRESH_INTERVAL_S = 0.1
 COUNT_SETTLE_S = 0.3  # without a further member, until members are taken as counted
--- a/corianderhold/coordination/rate/parts.py
+++ b/corianderhold/coordination/rate/parts.py
@@ -51,6 +51,7 @@
     clock: Clock,
     slack: float,
     lowering_delay_s: float,
+    overage: float,
 ) -> RateParts:
     """Give this entry a slice of every organisation, with tokens of its peers."""
     table = SliceTable()
@@ -65,7 +66,7 @@
         Random(os.urandom(16)),
     )
     allocator = SliceAllocator(
-        table, configuration, division, clock, slack, lowering_delay_s
+        table, configuration, division, clock, slack, lowering_delay_s, overage
     )
     handlers = {ControlTopic.RATE: limiter}
     return RateParts(limiter, (allocator,), handlers, lambda: table.settled)
--- a/corianderhold/coordination/rate/slices.py
+++ b/corianderhold/coordination/rate/slices.py
@@ -9,6 +9,7 @@
 from corianderhold.coordination.rate.bucket import TokenBucket
 from corianderhold.coordination.rate.const import (
     LENT_RESERVE,
+    OVERAGE_USED,
     SLICE_REFRESH_INTERVAL_S,
     TRANSFER_KEPT_S,
     TRANSFER_USE_S,
@@ -180,7 +181,8 @@
     """
     Set this entry's slices from the configuration and the division.
 
-    `slack` is added to the burst of every organisation, in requests. A slice accrues
+    `slack` is added to the burst of every organisation, in requests, and the part
+    OVERAGE_USED of `overage` to its rate, as a part of it. A slice accrues
     from the start of the process, when its predecessor had ended; organisations of
     later versions begin empty. A lowered rate or burst is in force, at the latest,
     `lowering_delay_s` after the last time at which its version is known not to have
@@ -195,6 +197,7 @@
         clock: Clock,
         slack: float = 0.0,
         lowering_delay_s: float = 0.0,
+        overage: float = 0.0,
     ) -> None:
         self._table = table
         self._configuration = configuration
@@ -202,6 +205,7 @@
         self._clock = clock
         self._slack = slack
         self._lowering_delay_s = lowering_delay_s
+        self._rate_factor = 1.0 + OVERAGE_USED * overage
         self._organisations: Mapping[OrganisationId, Organisation] = {}
         self._limits: dict[OrganisationId, TimedLimit] = {}
         self._started_at = clock.read_monotonic()
@@ -248,7 +252,8 @@
         lowered_at = self._configuration.verified_at + delay_s
         limits = {}
         for name, organisation in configuration.organisations.items():
-            target = Limit(organisation.rate, organisation.burst + self._slack)
+            rate = organisation.rate * self._rate_factor
+            target = Limit(rate, organisation.burst + self._slack)
             held = self._limits.get(name, start_limit(target))
             limits[name] = held.follow(target, now, lowered_at)
         self._limits = limits
--- a/corianderhold/settings/model.py
+++ b/corianderhold/settings/model.py
@@ -50,8 +50,9 @@
     highest number of daemons that ever run at once in this failure domain, for fixed
     slices of the rates, None for slices by the number of known members, or 0 for
     loans. With slices, the fleet may admit `rate_slack` requests of an organisation
-    beyond its burst, and use an old rate or burst for up to `rate_lowering_delay_s`
-    seconds after a version that lowers it was accepted. `retry_burst` is how many
+    beyond its burst and the part `rate_overage` beyond its rate, and use an old rate or
+    burst for up to `rate_lowering_delay_s` seconds after a version that lowers it was
+    accepted. `retry_burst` is how many
     retries to a service the fleet may save up, 0 for a number that each daemon has for
     itself. `domains` names all failure domains of the fleet where the deployment's
     configuration does not divide the rates itself. `fleet_secret` is empty where peers
@@ -70,6 +71,7 @@
     seeds: tuple[Address, ...]
     entry_slots: int | None
     rate_slack: int
+    rate_overage: float
     retry_burst: int
     rate_lowering_delay_s: float
     domains: tuple[FailureDomainId, ...]
--- a/corianderhold/settings/schema.py
+++ b/corianderhold/settings/schema.py
@@ -43,6 +43,7 @@
     CONF_PEER_ADVERTISED,
     CONF_PEER_TRUST,
     CONF_RATE_LOWERING_DELAY_S,
+    CONF_RATE_OVERAGE,
     CONF_RATE_SLACK,
     CONF_READINESS,
     CONF_REGION,
@@ -60,6 +61,7 @@
     DEFAULT_LEVEL,
     DEFAULT_OUTGOING_THREADS,
     DEFAULT_RATE_LOWERING_DELAY_S,
+    DEFAULT_RATE_OVERAGE,
     DEFAULT_RATE_SLACK,
     DEFAULT_RETENTION_S,
     DEFAULT_RETRY_BURST,
@@ -84,6 +86,7 @@
 DEREGISTRATION_DELAY_ACCEPTED = "accepted: seconds from 0 to 600"
 ENTRY_SLOTS_ACCEPTED = "accepted: a whole number from 0 to 10000, or members"
 RATE_LOWERING_DELAY_ACCEPTED = "accepted: seconds from 0 to 60"
+RATE_OVERAGE_ACCEPTED = "accepted: a part from 0 to 1"
 RATE_SLACK_ACCEPTED = "accepted: a whole number from 0 to 1000"
 RETRY_BURST_ACCEPTED = "accepted: a whole number from 0 to 10000"
 THREADS = All(
@@ -212,6 +215,10 @@
                 Coerce(int, msg=RATE_SLACK_ACCEPTED),
                 Range(min=0, max=HIGHEST_RATE_SLACK, msg=RATE_SLACK_ACCEPTED),
             ),
+            Optional(CONF_RATE_OVERAGE, default=DEFAULT_RATE_OVERAGE): All(
+                Coerce(float, msg=RATE_OVERAGE_ACCEPTED),
+                Range(min=0, max=1, msg=RATE_OVERAGE_ACCEPTED),
+            ),
             Optional(CONF_RETRY_BURST, default=DEFAULT_RETRY_BURST): All(
                 Coerce(int, msg=RETRY_BURST_ACCEPTED),
                 Range(min=0, max=HIGHEST_RETRY_BURST, msg=RETRY_BURST_ACCEPTED),
--- a/measurements/slices.py
+++ b/measurements/slices.py
@@ -78,7 +78,9 @@
     def __init__(
         self, organisations: list[Organisation], seed: int, entries: int
     ) -> None:
-        self._fleet = SliceFleet(organisations, len(DOMAINS), entries, seed, SLACK_USED)
+        self._fleet = SliceFleet(
+            organisations, len(DOMAINS), entries, seed, SLACK_USED, overage=OVERAGE - 1
+        )
         self._entries = list(self._fleet.entries.values())
 
     def advance(self) -> float:
--- a/tests/common/slice_fleet.py
+++ b/tests/common/slice_fleet.py
@@ -70,6 +70,7 @@
             fleet.clock,
             fleet.slack,
             fleet.lowering_delay_s,
+            fleet.overage,
         )
         self.configuration.add_listener(self.allocator.apply)
 
@@ -107,9 +108,11 @@
         seed: int,
         slack: float = 0.0,
         lowering_delay_s: float = 0.0,
+        overage: float = 0.0,
     ) -> None:
         self.lowering_delay_s = lowering_delay_s
         self.slack = slack
+        self.overage = overage
         self.random = Random(seed)
         self.clock = FakeClock()
         self.configuration = build_configuration(1, *organisations)
--- a/tests/coordination/rate/test_lowering.py
+++ b/tests/coordination/rate/test_lowering.py
@@ -32,7 +32,7 @@
     def run(self, quiet_s: float, demand: float, seconds: float) -> list[float]:
         """Ask `demand` a second after `quiet_s`; return when requests were admitted."""
         fleet = SliceFleet(
-            [OLD], DOMAINS, self.entries // DOMAINS, self.seed, SLACK, self.delay_s
+            [OLD], DOMAINS, self.entries // DOMAINS, self.seed, SLACK, self.delay_s, 0.1
         )
         fleet.run(WARM_UP_S)
         began_at = fleet.clock.read_monotonic()
--- a/tests/coordination/rate/test_slices.py
+++ b/tests/coordination/rate/test_slices.py
@@ -300,7 +300,9 @@
 
     def test_windows_stay_within_a_tenth_and_the_slack(self) -> None:
         for seed in SEEDS:
-            fleet = SliceFleet(ORGANISATIONS, DOMAINS, ENTRIES, seed, slack=20.0)
+            fleet = SliceFleet(
+                ORGANISATIONS, DOMAINS, ENTRIES, seed, slack=20.0, overage=0.1
+            )
             counts: list[tuple[float, int]] = []
             observe = lambda now, count, to=counts: to.append((now, count))  # noqa: E731
             self.put(fleet, 10.0, 3 * ARCHIVE.rate, observe=observe)
@@ -312,6 +314,15 @@
             self.put(fleet, 10.0, 3 * ARCHIVE.rate, observe=observe)
             self.check_windows(counts, ARCHIVE)
 
+    def test_half_of_the_overage_raises_the_rate(self) -> None:
+        fleet = SliceFleet(ORGANISATIONS, DOMAINS, ENTRIES, 1, overage=0.1)
+        fleet.run(10.0)
+        rates = [
+            entry.table.find_interval_s(ARCHIVE.name) ** -1
+            for entry in fleet.entries.values()
+        ]
+        self.assertAlmostEqual(sum(rates), 1.05 * ARCHIVE.rate)
+
     def test_dead_members_count_for_a_time_and_left_ones_do_not(self) -> None:
         clock, members = FakeClock(), StaticMembers()
         states = (MemberState.ALIVE, MemberState.SUSPECT, MemberState.DEAD)
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -57,12 +57,13 @@
     def test_division_of_the_rates_is_read(self) -> None:
         self.assertEqual(self.load(GOOD).entry_slots, 0)
         for text, slots in (("3", 3), ("members", None)):
-            option = f"entry_slots = {text}\nrate_slack = 10\nretry_burst = 47\nseeds ="
-            option = f"rate_lowering_delay_s = 2.5\n{option}"
+            option = f"entry_slots = {text}\nrate_slack = 10\nseeds ="
+            option = f"rate_lowering_delay_s = 2.5\nrate_overage = 0.1\n{option}"
+            option = f"retry_burst = 47\n{option}"
             settings = self.load(GOOD.replace("seeds =", option))
             self.assertEqual(settings.rate_lowering_delay_s, 2.5)
             self.assertEqual((settings.entry_slots, settings.rate_slack), (slots, 10))
-            self.assertEqual(settings.retry_burst, 47)
+            self.assertEqual((settings.retry_burst, settings.rate_overage), (47, 0.1))
         for text in ("-1", "many", "10001"):
             option = f"entry_slots = {text}\nseeds ="
             fault = self.fail_with(GOOD.replace("seeds =", option))
