Keep the fleet of membership processes with the measurement that runs it

Cause: tests/common held a module that no test imports; only script/measure control_cost runs it. It counted as test code. Ruled out: other modules of tests/common; each is imported by a test or is the plugin of the test runner. Change: moved to measurements/membership/fleet.py, unchanged but for its own name. Conclusion: no check lost.

--- a/measurements/control_cost.py
+++ b/measurements/control_cost.py
@@ -18,10 +18,10 @@
 from corianderhold.clock import SystemClock
 from corianderhold.protocol.membership.codec import decode_member, encode_member
 from corianderhold.state.membership.table import MemberTable
+from measurements.membership.fleet import Fleet, open_fleet
 from measurements.membership_scale import measure_rest
 from measurements.report import Target, judge_figures, print_figures
 from tests.common.membership import FakeNetwork, build_member
-from tests.common.membership_fleet import Fleet, open_fleet
 
 SIZES = (6, 24, 100)
 DESIGN_MEMBERS = 1700
--- /dev/null
+++ b/measurements/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Run fleets of daemons that do nothing but membership."""
--- a/tests/common/membership_fleet.py
+++ b/measurements/membership/fleet.py
@@ -176,7 +176,7 @@
         self.instance = f"daemon-{number:04}"
         arguments = [str(number), *map(str, ports), str(seed_port)]
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "tests.common.membership_fleet", *arguments],
+            [sys.executable, "-m", "measurements.membership.fleet", *arguments],
             stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
             text=True,
