Share what tests on processes repeat

Cause: 20 tests took a daemon or relay out of the fleet with the same three lines, and two tests of frames replayed a frame, two others broke one, with the same set-up. Ruled out: an own base class for the tests of one fleet; FleetTestCase has it already. Change: Fleet.get_daemon and get_peer_relay; FrameTests._send_and_replay for test_call_replayed_on_another_link_runs_once (which now also checks that the frame was replayed) and test_crossed_answer_is_not_taken_for_the_own_one. test_malformed_answer_is_no_whole_answer and test_malformed_call_ends_only_its_link are test_malformed_frame_is_no_whole_answer_and_ends_only_its_link, a sub-test each; a broken call must now have a verdict, before it only had to be not whole. Conclusion: no check lost.

--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -102,6 +102,18 @@
         self.store: ManagedProcess | None = None
         self.store_address = ""
 
+    def get_daemon(self, instance: str) -> ManagedProcess:
+        """Return the process of a daemon that was started."""
+        daemon = self.members[instance].daemon
+        assert daemon is not None
+        return daemon
+
+    def get_peer_relay(self, instance: str) -> Relay:
+        """Return the relay before the peer listener of a daemon planned with one."""
+        relay = self.members[instance].peer_relay
+        assert relay is not None
+        return relay
+
     def start(self, records: Sequence[str]) -> None:
         """Start everything; `records` go on the configuration stream first."""
         self.store = self._start("store", ["emulator", "store"])
--- a/tests/failures/test_callers.py
+++ b/tests/failures/test_callers.py
@@ -104,10 +104,8 @@
             self.check_verdicts([self.send(entry, plan)])
             refused = self.send(entry, RequestPlan(SEARCH, UNKNOWN_KEY))
             self.assertEqual(refused[1].verdict, "not_run")
-            daemon = self.fleet.members[entry].daemon
-            assert daemon is not None
-            self.assertNotIn(BROADCASTER_KEY, daemon.read_log())
-            self.assertNotIn(UNKNOWN_KEY, daemon.read_log())
+            self.assertNotIn(BROADCASTER_KEY, self._read(entry))
+            self.assertNotIn(UNKNOWN_KEY, self._read(entry))
         executions = self.fleet.list_executions(OWNER)
         self.assertNotIn(BROADCASTER_KEY, str(executions))
         self.assertNotIn("forged", str(executions))
@@ -149,9 +147,7 @@
         return found[1] if found else "none"
 
     def _read(self, instance: str) -> str:
-        daemon = self.fleet.members[instance].daemon
-        assert daemon is not None
-        return daemon.read_log()
+        return self.fleet.get_daemon(instance).read_log()
 
     def test_drained_target_gets_no_new_work(self) -> None:
         target = self.fleet.members[OWNER].target
--- a/tests/failures/test_configuration.py
+++ b/tests/failures/test_configuration.py
@@ -101,9 +101,7 @@
     def test_daemon_starts_and_serves_while_the_store_is_down(self) -> None:
         version = self.read_version(OWNER)
         self.fleet.set_store_faults({"down": True})
-        daemon = self.fleet.members[ENTRY].daemon
-        assert daemon is not None
-        daemon.kill()
+        self.fleet.get_daemon(ENTRY).kill()
         self.fleet.start_daemon(ENTRY)
         self.assertEqual(self.read_version(ENTRY), version)
         plan = RequestPlan(SEARCH, BROADCASTER_KEY)
--- a/tests/failures/test_frames.py
+++ b/tests/failures/test_frames.py
@@ -4,7 +4,7 @@
 import struct
 
 from corianderhold.protocol.peer.codec import decode_message, encode_message
-from corianderhold.protocol.peer.messages import AnswerHead, CallHead
+from corianderhold.protocol.peer.messages import AnswerHead, CallHead, Message
 from emulator.pattern import matches_pattern
 from emulator.sample import BROADCASTER_KEY
 from tests.common.fleet import DaemonPlan, RequestPlan
@@ -33,10 +33,8 @@
 
     def setUp(self) -> None:
         super().setUp()
-        relay = self.fleet.members[OWNER].peer_relay
-        assert relay is not None
-        self.relay = relay
-        self.addCleanup(setattr, relay, "frame_filter", pass_frame)
+        self.relay = self.fleet.get_peer_relay(OWNER)
+        self.addCleanup(setattr, self.relay, "frame_filter", pass_frame)
 
     def test_call_delivered_after_its_dispatch_deadline_does_not_run(self) -> None:
         gate = FrameGate(CallHead)
@@ -61,18 +59,8 @@
         self.check_verdicts([sent, *later])
 
     def test_call_replayed_on_another_link_runs_once(self) -> None:
-        kept: list[bytes] = []
-
-        def keep(body: bytes) -> tuple[bytes, ...]:
-            kept.append(body)
-            return (body,)
-
-        self.relay.frame_filter = FrameReplacer(CallHead, keep).filter
-        first = self.send(ENTRY, self._ingest())
+        first, second = self._send_and_replay(CallHead)
         self.assertTrue(first[1].is_whole, first)
-        replay = FrameReplacer(CallHead, lambda body: (kept[0], body))
-        self.relay.frame_filter = replay.filter
-        second = self.send(ENTRY, self._ingest())
         later = self._send_until_whole()
         self.assertEqual(self.fleet.count_runs()[first[0].request_id], 1)
         self.check_verdicts([first, second, *later])
@@ -89,35 +77,22 @@
         self.check_verdicts([first, *later])
 
     def test_crossed_answer_is_not_taken_for_the_own_one(self) -> None:
-        kept: list[bytes] = []
-
-        def keep(body: bytes) -> tuple[bytes, ...]:
-            kept.append(body)
-            return (body,)
-
-        self.relay.frame_filter = FrameReplacer(AnswerHead, keep).filter
-        first = self.send(ENTRY, self._ingest())
-        crossing = FrameReplacer(AnswerHead, lambda body: (kept[0], body))
-        self.relay.frame_filter = crossing.filter
-        second = self.send(ENTRY, self._ingest())
-        self.assertTrue(crossing.replaced.is_set())
+        first, second = self._send_and_replay(AnswerHead)
         self.assertNotEqual(second[1].verdict, "not_run")
         later = self._send_until_whole() + self._send_until_whole()
         self.check_verdicts([first, second, *later])
 
-    def test_malformed_answer_is_no_whole_answer(self) -> None:
-        replacer = FrameReplacer(AnswerHead, lambda _: (GARBAGE,))
-        self.relay.frame_filter = replacer.filter
-        sent = self.send(ENTRY, self._ingest())
-        self.assertEqual(sent[1].verdict, "may_have_run", sent)
-        self.check_verdicts([sent, *self._send_until_whole()])
-
-    def test_malformed_call_ends_only_its_link(self) -> None:
-        replacer = FrameReplacer(CallHead, lambda _: (GARBAGE,))
-        self.relay.frame_filter = replacer.filter
-        sent = self.send(ENTRY, self._ingest())
-        self.assertFalse(sent[1].is_whole)
-        self.check_verdicts([sent, *self._send_until_whole()])
+    def test_malformed_frame_is_no_whole_answer_and_ends_only_its_link(self) -> None:
+        for kind, verdicts in (
+            (AnswerHead, ["may_have_run"]),
+            (CallHead, ["may_have_run", "not_run"]),
+        ):
+            with self.subTest(kind.__name__):
+                replacer = FrameReplacer(kind, lambda _: (GARBAGE,))
+                self.relay.frame_filter = replacer.filter
+                sent = self.send(ENTRY, self._ingest())
+                self.assertIn(sent[1].verdict, verdicts, sent)
+                self.check_verdicts([sent, *self._send_until_whole()])
 
     def test_call_for_another_incarnation_does_not_run(self) -> None:
         def make_stale(body: bytes) -> tuple[bytes, ...]:
@@ -158,6 +133,22 @@
         self.assertFalse(sent[1].is_whole, "a part was passed off as whole")
         self.check_verdicts([sent, *self._send_until_whole()])
 
+    def _send_and_replay(self, kind: type[Message]) -> tuple[Sent, Sent]:
+        """Send two calls, the second with a frame of the first before its own."""
+        kept: list[bytes] = []
+
+        def keep(body: bytes) -> tuple[bytes, ...]:
+            kept.append(body)
+            return (body,)
+
+        self.relay.frame_filter = FrameReplacer(kind, keep).filter
+        first = self.send(ENTRY, self._ingest())
+        replay = FrameReplacer(kind, lambda body: (kept[0], body))
+        self.relay.frame_filter = replay.filter
+        second = self.send(ENTRY, self._ingest())
+        self.assertTrue(replay.replaced.is_set())
+        return first, second
+
     def _ingest(self) -> RequestPlan:
         return plan_ingest(WORK)
 
--- a/tests/failures/test_once.py
+++ b/tests/failures/test_once.py
@@ -6,7 +6,6 @@
 from emulator.sample import BROADCASTER_KEY, CATALOGUE, DOMAIN_A, DOMAIN_B
 from tests.common.fleet import DaemonPlan, RequestPlan
 from tests.common.keys import make_key
-from tests.common.processes import ManagedProcess
 from tests.common.scenario import FleetTestCase, Sent
 from tests.common.waiting import wait_until
 
@@ -67,28 +66,21 @@
         self.check_one_run(key, [first])
 
     def test_holder_is_killed(self) -> None:
-        daemon = self.get_daemon()
+        daemon = self.fleet.get_daemon(VICTIM)
         self.check_keys_across(daemon.kill, lambda: self.fleet.start_daemon(VICTIM))
 
     def test_holder_is_stopped_as_planned(self) -> None:
-        daemon = self.get_daemon()
+        daemon = self.fleet.get_daemon(VICTIM)
         self.check_keys_across(daemon.stop, lambda: self.fleet.start_daemon(VICTIM))
 
     def test_holder_is_paused(self) -> None:
-        daemon = self.get_daemon()
+        daemon = self.fleet.get_daemon(VICTIM)
         self.check_keys_across(daemon.freeze, daemon.thaw)
 
     def test_holder_is_cut_off_from_callers(self) -> None:
-        relay = self.fleet.members[VICTIM].peer_relay
-        assert relay is not None
+        relay = self.fleet.get_peer_relay(VICTIM)
         self.check_keys_across(relay.cut, relay.heal)
 
-    def get_daemon(self) -> ManagedProcess:
-        """Return the daemon that a fault is brought about at."""
-        daemon = self.fleet.members[VICTIM].daemon
-        assert daemon is not None
-        return daemon
-
     def check_keys_across(
         self, fail: Callable[[], object], repair: Callable[[], object]
     ) -> None:
--- a/tests/failures/test_operations.py
+++ b/tests/failures/test_operations.py
@@ -119,10 +119,7 @@
     def test_lost_with_its_owner(self) -> None:
         plan = plan_ingest("?work_ms=1500")
         future = self.send_in_background(ENTRY, plan)
-        entry = self.fleet.members[ENTRY].daemon
-        daemon = self.fleet.members[OWNER].daemon
-        assert entry is not None
-        assert daemon is not None
+        entry, daemon = self.fleet.get_daemon(ENTRY), self.fleet.get_daemon(OWNER)
         admission = re.compile(f"(call=\\w+) request={plan.request_id}")
         call = entry.wait_for_line(admission).group(1)
         daemon.wait_until_logged(re.compile(f"event=call_dispatched {call}"))
--- a/tests/failures/test_owner_loss.py
+++ b/tests/failures/test_owner_loss.py
@@ -43,7 +43,7 @@
             lambda: any(gate.held.is_set() for gate in gates.values()), "frame held"
         )
         victim = next(name for name, gate in gates.items() if gate.held.is_set())
-        self._kill_daemon(victim)
+        self.fleet.get_daemon(victim).kill()
         for gate in gates.values():
             gate.released.set()
         sent = future.result(WAIT_LIMIT_S)
@@ -53,7 +53,7 @@
         plan = plan_ingest(SLOW)
         future = self.send_in_background(ENTRY, plan)
         victim = self._wait_for_owner(plan)
-        self._kill_daemon(victim)
+        self.fleet.get_daemon(victim).kill()
         sent = future.result(WAIT_LIMIT_S)
         self.assertEqual(sent[1].verdict, "may_have_run", sent)
         self._restart_and_check(victim, [sent])
@@ -62,7 +62,7 @@
         plan = RequestPlan(SEARCH + SLOW, BROADCASTER_KEY)
         future = self.send_in_background(ENTRY, plan)
         victim = self._wait_for_owner(plan)
-        self._kill_daemon(victim)
+        self.fleet.get_daemon(victim).kill()
         sent = future.result(WAIT_LIMIT_S)
         self._restart_and_check(victim, [sent])
         self.assertNotEqual(sent[1].verdict, "not_run")
@@ -71,7 +71,7 @@
         plans = [plan_ingest(SLOW) for _ in range(4)]
         futures = [self.send_in_background(ENTRY, plan) for plan in plans]
         victim = self._wait_for_owner(*plans)
-        self._kill_daemon(victim)
+        self.fleet.get_daemon(victim).kill()
         self.fleet.start_daemon(victim)
         sent = [future.result(WAIT_LIMIT_S) for future in futures]
         sent += [self.send(ENTRY, plan_ingest()) for _ in range(20)]
@@ -82,8 +82,7 @@
         plans = [plan_ingest("?work_ms=300") for _ in range(6)]
         futures = [self.send_in_background(ENTRY, plan) for plan in plans]
         victim = self._wait_for_owner(*plans)
-        daemon = self.fleet.members[victim].daemon
-        assert daemon is not None
+        daemon = self.fleet.get_daemon(victim)
         daemon.freeze()
         self.addCleanup(daemon.thaw)
         futures += [self.send_in_background(ENTRY, plan_ingest()) for _ in range(6)]
@@ -97,8 +96,7 @@
         plans = [plan_ingest("?work_ms=300") for _ in range(6)]
         futures = [self.send_in_background(ENTRY, plan) for plan in plans]
         self._wait_for_owner(*plans)
-        entry = self.fleet.members[ENTRY].daemon
-        assert entry is not None
+        entry = self.fleet.get_daemon(ENTRY)
         entry.freeze()
         self.addCleanup(entry.thaw)
         runs_done = sum(self.fleet.count_runs()[plan.request_id] for plan in plans)
@@ -121,12 +119,7 @@
         wait_until(serve_both, "both owners serve")
 
     def _list_relays(self) -> dict[str, Relay]:
-        relays = {}
-        for instance in (OWNER, OTHER):
-            relay = self.fleet.members[instance].peer_relay
-            assert relay is not None
-            relays[instance] = relay
-        return relays
+        return {each: self.fleet.get_peer_relay(each) for each in (OWNER, OTHER)}
 
     def _wait_for_owner(self, *plans: RequestPlan) -> str:
         """Return the owner at whose target one of the requests runs."""
@@ -140,11 +133,6 @@
         wait_until(is_found, "a request runs")
         return found[0]
 
-    def _kill_daemon(self, instance: str) -> None:
-        daemon = self.fleet.members[instance].daemon
-        assert daemon is not None
-        daemon.kill()
-
     def _restart_and_check(self, victim: str, sent: list[Sent]) -> None:
         sent = [*sent, *self.send_until_whole(ENTRY, plan_ingest)]
         self.fleet.start_daemon(victim)
--- a/tests/failures/test_rates.py
+++ b/tests/failures/test_rates.py
@@ -100,9 +100,7 @@
         self.check_surge(["a1", "a2", "b1", "b2"])
 
     def test_surge_after_a_daemon_was_killed(self) -> None:
-        victim = self.fleet.members["a1"].daemon
-        assert victim is not None
-        victim.kill()
+        self.fleet.get_daemon("a1").kill()
         self.addCleanup(self.wait_until_admitted)
         self.addCleanup(self.fleet.start_daemon, "a1")
         self.check_surge(["a2", "b1", "b2"])
@@ -114,9 +112,8 @@
     entry_slots: ClassVar[str] = "members"
 
     def test_all_daemons_killed_at_once_serve_again(self) -> None:
-        for entry in self.fleet.members.values():
-            assert entry.daemon is not None
-            entry.daemon.kill()
+        for name in self.fleet.members:
+            self.fleet.get_daemon(name).kill()
         for name in self.fleet.members:
             self.fleet.start_daemon(name)
         self.wait_until_served()
--- a/tests/failures/test_silence.py
+++ b/tests/failures/test_silence.py
@@ -27,13 +27,10 @@
     probes = ("/catalogue/search",)
 
     def test_silent_peer_links_with_calls_in_flight(self) -> None:
-        relay = self.fleet.members[OWNER].peer_relay
-        assert relay is not None
-        self._silence_in_flight(relay.silence)
+        self._silence_in_flight(self.fleet.get_peer_relay(OWNER).silence)
 
     def test_silent_idle_peer_links(self) -> None:
-        relay = self.fleet.members[OWNER].peer_relay
-        assert relay is not None
+        relay = self.fleet.get_peer_relay(OWNER)
         sent = self.send_until_whole(ENTRY, plan_ingest)
         relay.silence()
         sent += self.send_until_whole(ENTRY, plan_ingest)
--- a/tests/failures/test_stop.py
+++ b/tests/failures/test_stop.py
@@ -40,9 +40,8 @@
         self._stop_while_calls_run(OTHER, OTHER)
 
     def test_stop_request_ends_a_paused_daemon(self) -> None:
-        for instance, member in self.fleet.members.items():
-            daemon = member.daemon
-            assert daemon is not None
+        for instance in self.fleet.members:
+            daemon = self.fleet.get_daemon(instance)
             daemon.freeze()
             daemon.terminate()
             daemon.thaw()
@@ -50,14 +49,12 @@
             self._restart(instance)
 
     def test_stopping_entry_serves_through_others_while_callers_come(self) -> None:
-        member = self.fleet.members[LINGERING]
-        daemon = member.daemon
-        assert daemon is not None
+        daemon = self.fleet.get_daemon(LINGERING)
         self.fleet.kill_target(LINGERING)
         daemon.terminate()
         daemon.wait_until_logged(DRAIN_BEGUN)
-        health = f"http://{member.get_address('admin')}/health"
-        self.assertEqual(send_request("GET", health).status, 503)
+        address = self.fleet.members[LINGERING].get_address("admin")
+        self.assertEqual(send_request("GET", f"http://{address}/health").status, 503)
         sent = [self.send(LINGERING, plan_ingest()) for _ in range(CALLS)]
         for _, outcome in sent:
             self.assertTrue(outcome.is_whole, outcome)
@@ -70,9 +67,8 @@
 
     def test_silent_store_does_not_hold_up_a_stop(self) -> None:
         store = self.fleet.store
-        daemon = self.fleet.members[OWNER].daemon
+        daemon = self.fleet.get_daemon(OWNER)
         assert store is not None
-        assert daemon is not None
         store.freeze()
         self.addCleanup(store.thaw)
         daemon.terminate()
@@ -81,8 +77,7 @@
         self._restart(OWNER)
 
     def test_stop_request_during_the_start_ends_a_daemon(self) -> None:
-        daemon = self.fleet.members[OWNER].daemon
-        assert daemon is not None
+        daemon = self.fleet.get_daemon(OWNER)
         daemon.kill()
         daemon = self.fleet.launch_daemon(OWNER)
         daemon.wait_until_logged(FIRST_LISTENER)
@@ -91,8 +86,7 @@
         self._restart(OWNER)
 
     def test_settings_are_reloaded_or_the_old_ones_kept(self) -> None:
-        daemon = self.fleet.members[ENTRY].daemon
-        assert daemon is not None
+        daemon = self.fleet.get_daemon(ENTRY)
         path = self.fleet.get_settings_path(ENTRY)
         text = path.read_text()
         self.addCleanup(path.write_text, text)
@@ -105,8 +99,7 @@
             daemon.wait_until_logged(re.compile(line))
 
     def test_repeated_stop_requests_end_a_daemon(self) -> None:
-        daemon = self.fleet.members[OWNER].daemon
-        assert daemon is not None
+        daemon = self.fleet.get_daemon(OWNER)
         daemon.terminate()
         daemon.terminate()
         self.assertEqual(daemon.wait_for_exit(STOP_LIMIT_S), 0)
@@ -116,8 +109,7 @@
         plans = [plan_ingest(SLOW) for _ in range(CALLS)]
         futures = [self.send_in_background(entry, plan) for plan in plans]
         wait_until(lambda: self._all_run(plans), "all calls run")
-        daemon = self.fleet.members[stopped].daemon
-        assert daemon is not None
+        daemon = self.fleet.get_daemon(stopped)
         daemon.terminate()
         later = [self._send_elsewhere(stopped) for _ in range(CALLS)]
         self.assertEqual(daemon.wait_for_exit(STOP_LIMIT_S), 0)
