Keep the log out of tests in one place, and list the loans' missing guards

Cause: eight classes silenced the log on their own; four tests of the loans took out a guard each with the same check; four tests of swim waited for a member's state. Ruled out: silencing the log for all tests; some read its lines. Change: QuietTestCase; SwimTestCase.run_until_seen; LoanTests.test_each_missing_guard_is_found holds test_burst_not_lowered_by_loans_is_found, test_loan_taken_back_before_its_end_is_found, test_steward_that_opens_at_once_is_found and test_grant_in_doubt_taken_back_is_found, a sub-test each.

--- a/tests/common/swim_case.py
+++ b/tests/common/swim_case.py
@@ -3,9 +3,6 @@
 from collections.abc import Callable
 from functools import wraps
 from typing import TypeVar
-from unittest import TestCase
-
-from loguru import logger
 
 from corianderhold.ids import InstanceId
 from corianderhold.protocol.membership.codec import (
@@ -21,6 +18,7 @@
     build_fleet,
     count_states,
 )
+from tests.common.quiet import QuietTestCase
 
 SEEDS = (1, 2, 3)
 LIMIT_S = 120.0
@@ -43,19 +41,9 @@
     return run
 
 
-class SwimTestCase(TestCase):
+class SwimTestCase(QuietTestCase):
     """Bring about faults between a few state machines."""
 
-    @classmethod
-    def setUpClass(cls) -> None:
-        """Keep thousands of log lines out of the output."""
-        logger.disable("corianderhold")
-
-    @classmethod
-    def tearDownClass(cls) -> None:
-        """Log again."""
-        logger.enable("corianderhold")
-
     def run_until(
         self, network: FakeNetwork, condition: Callable[[], bool], limit_s: float
     ) -> float:
@@ -88,6 +76,19 @@
             if member.instance == instance
         }
 
+    def run_until_seen(
+        self,
+        network: FakeNetwork,
+        nodes: list[Node],
+        subject: Node,
+        state: MemberState,
+        limit_s: float,
+    ) -> None:
+        """Let time pass until all nodes see one member in a state."""
+        self.run_until(
+            network, lambda: self.show_state(nodes, subject) == {state}, limit_s
+        )
+
     def see_alive(self, nodes: list[Node], subjects: list[Node]) -> bool:
         """Return whether the nodes see no subject as dead."""
         return all(
--- a/tests/coordination/lease/test_manager.py
+++ b/tests/coordination/lease/test_manager.py
@@ -1,9 +1,5 @@
 """Test how a daemon takes part in the leases of its domain."""
 
-from unittest import TestCase
-
-from loguru import logger
-
 from corianderhold.coordination.lease.const import (
     CARRIED_READ_INTERVAL_S,
     NEWCOMER_WAIT_S,
@@ -27,6 +23,7 @@
 from corianderhold.protocol.peer.control import ControlSender
 from corianderhold.protocol.store.model import StreamName
 from corianderhold.state.lease.model import Holder
+from tests.common.quiet import QuietTestCase
 from tests.common.rate_fleet import Node, NodeControl, RateFleet
 
 ARCHIVE = OrganisationId("archive")
@@ -35,12 +32,10 @@
 SENDER = ControlSender(InstanceId("sender"))
 
 
-class LeaseManagerTests(TestCase):
+class LeaseManagerTests(QuietTestCase):
     """Check claims, outages, records in doubt and lost history."""
 
     def setUp(self) -> None:
-        logger.disable("corianderhold")
-        self.addCleanup(logger.enable, "corianderhold")
         self.fleet = RateFleet([], [DOMAIN], 4, 1)
 
     def find_acting(self) -> list[Node]:
--- a/tests/coordination/membership/test_swim.py
+++ b/tests/coordination/membership/test_swim.py
@@ -53,12 +53,7 @@
         network, nodes = self.start_fleet(seed, 12)
         victim = nodes.pop()
         network.kill(victim)
-        dead = {MemberState.DEAD}
-        self.run_until(
-            network,
-            lambda: self.show_state(nodes, victim) == dead,
-            30.0,
-        )
+        self.run_until_seen(network, nodes, victim, MemberState.DEAD, 30.0)
         self.assertTrue(self.agree(nodes, 11))
 
     def test_line_of_a_death_says_for_how_long_nothing_was_heard(self) -> None:
@@ -68,11 +63,7 @@
         with mock.patch(
             "corianderhold.coordination.membership.roster.log_event"
         ) as log:
-            self.run_until(
-                network,
-                lambda: self.show_state(nodes, victim) == {MemberState.DEAD},
-                30.0,
-            )
+            self.run_until_seen(network, nodes, victim, MemberState.DEAD, 30.0)
         ages = [call.kwargs["heard_age_s"] for call in log.call_args_list]
         self.assertGreater(max(ages), 0.5)
 
@@ -92,9 +83,7 @@
         near, far = nodes[::2], nodes[1::2]
         network.cut(far)
         self.run_until(
-            network,
-            lambda: self.agree(near, 6) and self.agree(far, 6),
-            LIMIT_S,
+            network, lambda: self.agree(near, 6) and self.agree(far, 6), LIMIT_S
         )
         network.run(60.0)
         network.heal()
@@ -172,10 +161,7 @@
             nodes = self.start_all(network, incarnation)
         victim, survivors = nodes[5], nodes[:5] + nodes[6:]
         network.kill(victim)
-        dead = {MemberState.DEAD}
-        self.run_until(
-            network, lambda: self.show_state(survivors, victim) == dead, 10.0
-        )
+        self.run_until_seen(network, survivors, victim, MemberState.DEAD, 10.0)
         for wait_s in (0.0, 10.0):
             network.run(wait_s)
             self.restart(network, survivors)
@@ -270,8 +256,7 @@
         nodes[1].swim.announce_target(service, TargetState.DRAINING, network.now_s)
         self.run_until(network, lambda: self.count_owners(nodes) == [0] * 24, 3.0)
         nodes[2].swim.leave(network.now_s)
-        left = {MemberState.LEFT}
-        self.run_until(network, lambda: self.show_state(nodes, nodes[2]) == left, 3.0)
+        self.run_until_seen(network, nodes, nodes[2], MemberState.LEFT, 3.0)
 
     def count_owners(self, nodes: list[Node]) -> list[int]:
         """Return how many owners of the service each node sees."""
--- a/tests/coordination/rate/test_charger.py
+++ b/tests/coordination/rate/test_charger.py
@@ -1,15 +1,13 @@
 """Test charges at the steward for organisations that are cold at an entry."""
 
-from unittest import TestCase
 from unittest.mock import patch
 
-from loguru import logger
-
 from corianderhold.coordination.rate.const import SINGLE_RETRY_S
 from corianderhold.coordination.rate.limiter import Allowance
 from corianderhold.ids import FailureDomainId, OrganisationId
 from corianderhold.protocol.verdict import Reason
 from corianderhold.state.configuration.model import Organisation
+from tests.common.quiet import QuietTestCase
 from tests.common.rate_fleet import Node, RateFleet
 
 ARCHIVE = OrganisationId("archive")
@@ -26,12 +24,10 @@
         self.sent += 1
 
 
-class StewardChargerTests(TestCase):
+class StewardChargerTests(QuietTestCase):
     """Check one domain with four entries."""
 
     def setUp(self) -> None:
-        logger.disable("corianderhold")
-        self.addCleanup(logger.enable, "corianderhold")
         shares = {DOMAIN: 1.0}
         organisations = [
             Organisation(ARCHIVE, 100.0, 100.0, shares=shares),
--- a/tests/coordination/rate/test_entry.py
+++ b/tests/coordination/rate/test_entry.py
@@ -1,9 +1,7 @@
 """Test that an entry counts a loan from before its request."""
 
 from dataclasses import dataclass, field
-from unittest import TestCase
 
-from loguru import logger
 from result import Ok, Result
 
 from corianderhold.coordination.lease.locator import HolderLocator
@@ -26,6 +24,7 @@
 from corianderhold.state.lease.model import Holder, ShardId
 from corianderhold.state.membership.model import Address
 from tests.common.clock import FakeClock
+from tests.common.quiet import QuietTestCase
 from tests.common.rate_fleet import RateFleet
 
 ARCHIVE = OrganisationId("archive")
@@ -54,12 +53,10 @@
         return Ok(encode_reply(LoanReply(True, (grant,))))
 
 
-class EntryLoansTests(TestCase):
+class EntryLoansTests(QuietTestCase):
     """Check one entry against a slow steward."""
 
     def setUp(self) -> None:
-        logger.disable("corianderhold")
-        self.addCleanup(logger.enable, "corianderhold")
         members = RateFleet([], [DOMAIN], 1, 1).members
         self.clock = FakeClock()
         self.control = SlowControl(self.clock)
--- a/tests/coordination/rate/test_loans.py
+++ b/tests/coordination/rate/test_loans.py
@@ -1,14 +1,13 @@
 """Bring faults about in a fleet with loans and check that the rule holds."""
 
+from contextlib import AbstractContextManager
 from random import Random
-from unittest import TestCase
 from unittest.mock import patch
 
-from loguru import logger
-
 from corianderhold.coordination.rate.lender import Lender
 from corianderhold.ids import FailureDomainId, OrganisationId
 from corianderhold.state.configuration.model import Organisation
+from tests.common.quiet import QuietTestCase
 from tests.common.rate_fleet import TICK_S, RateFleet, WindowCheck
 
 ARCHIVE = OrganisationId("archive")
@@ -117,13 +116,9 @@
         )
 
 
-class LoanTests(TestCase):
+class LoanTests(QuietTestCase):
     """Check the rule under faults, and that the check sees a missing guard."""
 
-    def setUp(self) -> None:
-        logger.disable("corianderhold")
-        self.addCleanup(logger.enable, "corianderhold")
-
     def test_rate_and_burst_hold_under_every_fault(self) -> None:
         for seed in SEEDS:
             run = FaultyRun(seed)
@@ -131,45 +126,35 @@
             self.assertTrue(run.is_within(), vars(run))
             self.assertGreater(run.admitted, RATE * 25)
 
-    def check_found(self) -> None:
-        runs = [FaultyRun(seed) for seed in SEEDS]
-        for run in runs:
-            run.bring_faults()
-        self.assertFalse(all(run.is_within() for run in runs))
+    def test_each_missing_guard_is_found(self) -> None:
+        rate = "corianderhold.coordination.rate"
 
-    def test_burst_not_lowered_by_loans_is_found(self) -> None:
         def resize(lender: Lender, now: float) -> None:
             lender._bucket.resize(now, 0.0, BURST * 0.5)
             lender._bucket.add(now, TICK_S * RATE)
 
-        with patch.object(Lender, "_resize", resize):
-            self.check_found()
-
-    def test_loan_taken_back_before_its_end_is_found(self) -> None:
-        path = "corianderhold.coordination.rate.lender.ENTRY_LOAN_KEPT_S"
-        with patch(path, 0.5):
-            self.check_found()
-
-    def test_steward_that_opens_at_once_is_found(self) -> None:
-        path = "corianderhold.coordination.rate.steward.DOMAIN_LOAN_KEPT_S"
-        with patch(path, 0.0):
-            self.check_found()
-
-    def test_grant_in_doubt_taken_back_is_found(self) -> None:
         def confirm(lender: Lender, now: float, loan: object, ask: object) -> None:
             loan.grants = []  # type: ignore[attr-defined]
             lender._resize(now)
 
-        with patch.object(Lender, "_confirm", confirm):
-            self.check_found()
-
-
-class LoanServiceTests(TestCase):
+        broken: dict[str, AbstractContextManager[object]] = {
+            "burst not lowered by loans": patch.object(Lender, "_resize", resize),
+            "loan taken back early": patch(f"{rate}.lender.ENTRY_LOAN_KEPT_S", 0.5),
+            "steward opens at once": patch(f"{rate}.steward.DOMAIN_LOAN_KEPT_S", 0.0),
+            "grant in doubt taken back": patch.object(Lender, "_confirm", confirm),
+        }
+        for name, without_guard in broken.items():
+            with self.subTest(name), without_guard:
+                runs = [FaultyRun(seed) for seed in SEEDS]
+                for run in runs:
+                    run.bring_faults()
+                self.assertFalse(all(run.is_within() for run in runs))
+
+
+class LoanServiceTests(QuietTestCase):
     """Check that loans go where the demand is, and what a fault costs."""
 
     def setUp(self) -> None:
-        logger.disable("corianderhold")
-        self.addCleanup(logger.enable, "corianderhold")
         organisation = Organisation(ARCHIVE, RATE, BURST, shares=SHARES)
         self.fleet = RateFleet([organisation], DOMAINS, 3, 1)
 
--- a/tests/coordination/rate/test_slices.py
+++ b/tests/coordination/rate/test_slices.py
@@ -1,11 +1,8 @@
 """Test slices of the rates and tokens that move between entries."""
 
 from collections.abc import Callable
-from unittest import TestCase
 from unittest.mock import patch
 
-from loguru import logger
-
 from corianderhold.coordination.rate.const import TRANSFER_USE_S
 from corianderhold.coordination.rate.division import (
     CountedMembers,
@@ -28,6 +25,7 @@
 from corianderhold.state.membership.model import MemberState
 from tests.common.clock import FakeClock
 from tests.common.followers import StaticMembers, build_member
+from tests.common.quiet import QuietTestCase
 from tests.common.rate_fleet import WindowCheck
 from tests.common.slice_fleet import Entry, SliceFleet
 
@@ -49,13 +47,9 @@
         return FixedSlots(entry.member.domain, ENTRIES)
 
 
-class SliceTestCase(TestCase):
+class SliceTestCase(QuietTestCase):
     """Put requests to fleets."""
 
-    def setUp(self) -> None:
-        logger.disable("corianderhold")
-        self.addCleanup(logger.enable, "corianderhold")
-
     def put(
         self,
         fleet: SliceFleet,
@@ -153,7 +147,6 @@
     """Check that tokens go where the demand is."""
 
     def setUp(self) -> None:
-        super().setUp()
         self.fleet = FixedFleet(ORGANISATIONS, DOMAINS, ENTRIES, 1)
         self.fleet.run(10)
         self.entry = next(iter(self.fleet.entries.values()))
--- a/tests/coordination/rate/test_steward.py
+++ b/tests/coordination/rate/test_steward.py
@@ -1,9 +1,5 @@
 """Test whom a steward answers."""
 
-from unittest import TestCase
-
-from loguru import logger
-
 from corianderhold.ids import (
     FailureDomainId,
     Incarnation,
@@ -15,6 +11,7 @@
 from corianderhold.protocol.rate.model import LoanAsk, LoanReply, LoanRequest
 from corianderhold.state.configuration.model import Organisation
 from corianderhold.state.lease.model import ShardId
+from tests.common.quiet import QuietTestCase
 from tests.common.rate_fleet import Node, RateFleet
 
 ARCHIVE = OrganisationId("archive")
@@ -35,12 +32,10 @@
         return None
 
 
-class RateStewardTests(TestCase):
+class RateStewardTests(QuietTestCase):
     """Check requests from entries, other stewards and strangers."""
 
     def setUp(self) -> None:
-        logger.disable("corianderhold")
-        self.addCleanup(logger.enable, "corianderhold")
         shares = {EAST: 0.5, WEST: 0.5}
         organisation = Organisation(ARCHIVE, 10.0, 10.0, shares=shares)
         self.fleet = RateFleet([organisation], [EAST, WEST], 2, 1)
