Let settle check the version that all come to

Cause: 16 tests of the configuration read the version after each settling. Ruled out: leaving the version to settle alone; it can't know what a test expects. Change: SpreadTestCase.settle takes the version; the checks are the same.

--- a/tests/cli/test_publish.py
+++ b/tests/cli/test_publish.py
@@ -88,8 +88,7 @@
         self.way.release()
         code, answer = self.run_command(publish, draft, author="ada", change_id="x")
         self.assertEqual((code, answer["version"]), (EXIT_OK, 2))
-        self.settle()
-        self.assertEqual(self.read_version(), 2)
+        self.settle(2)
 
     def test_keys_are_granted_rotated_and_withdrawn(self) -> None:
         code, granted = self.run_command(grant, "radio", author="ada")
--- a/tests/coordination/configuration/case.py
+++ b/tests/coordination/configuration/case.py
@@ -75,8 +75,8 @@
         change = make_change(change_id, base, limit_concurrency(limit))
         return self.make_publisher(daemon).publish(change, PUBLISH_TIMEOUT_S)
 
-    def settle(self) -> None:
-        """Check that all come to one state and none ever went back."""
+    def settle(self, version: int | None = None) -> None:
+        """Check that all come to one state, of a version if named; none went back."""
         fleet = self.fleet
         settled = fleet.run_until(
             lambda: (
@@ -91,7 +91,7 @@
         }
         self.assertTrue(settled, heads)
         versions = {daemon.holder.current.version for daemon in fleet.daemons.values()}
-        self.assertEqual(len(versions), 1)
+        self.assertEqual(versions, {version or self.read_version()})
         for daemon in fleet.daemons.values():
             ascending = sorted(set(daemon.versions))
             self.assertEqual(daemon.versions, ascending)
--- a/tests/coordination/configuration/test_publisher.py
+++ b/tests/coordination/configuration/test_publisher.py
@@ -27,8 +27,7 @@
         published = self.publish(self.get_daemon(0), "x", 1, 5)
         self.assertEqual(published.outcome, PublishOutcome.ACCEPTED)
         self.assertEqual(published.version, 2)
-        self.settle()
-        self.assertEqual(self.read_version(), 2)
+        self.settle(2)
 
     def test_accepted_change_is_pushed_before_heads_are_compared(self) -> None:
         self.publish(self.get_daemon(0), "x", 1, 5)
@@ -39,8 +38,7 @@
         self.get_way(0).lose_answers = True
         published = self.publish(self.get_daemon(0), "x", 1, 5)
         self.assertEqual(published.outcome, PublishOutcome.ACCEPTED)
-        self.settle()
-        self.assertEqual(self.read_version(), 2)
+        self.settle(2)
 
     def test_append_that_arrives_late_is_unknown_first_and_counts_once(self) -> None:
         self.get_way(0).hold_appends = True
@@ -50,8 +48,7 @@
         self.get_way(0).release()
         resolved = self.make_publisher(self.get_daemon(0)).resolve(published.change_id)
         self.assertEqual(resolved.outcome, PublishOutcome.ACCEPTED)
-        self.settle()
-        self.assertEqual(self.read_version(), 2)
+        self.settle(2)
 
     def test_late_append_loses_to_a_change_made_meanwhile(self) -> None:
         self.get_way(0).hold_appends = True
@@ -63,8 +60,7 @@
             make_change("late", 1, Delta()).change_id
         )
         self.assertEqual(late.reason, RefusalReason.LOST_RACE)
-        self.settle()
-        self.assertEqual(self.read_version(), 2)
+        self.settle(2)
 
     def test_unreachable_store_is_refused_as_not_appended(self) -> None:
         self.get_way(0).cut = True
@@ -100,8 +96,7 @@
             self.assertEqual(lost.current_version, 2)
         rebased = self.publish(self.get_daemon(0), "rebased", 2, 10)
         self.assertEqual(rebased.outcome, PublishOutcome.ACCEPTED)
-        self.settle()
-        self.assertEqual(self.read_version(), 3)
+        self.settle(3)
 
     def test_invalid_change_is_refused_with_its_faults_before_any_append(self) -> None:
         change = make_change("x", 1, Delta(removed_services=(ServiceName("none"),)))
--- a/tests/coordination/configuration/test_spread.py
+++ b/tests/coordination/configuration/test_spread.py
@@ -45,8 +45,7 @@
             self.assertGreaterEqual(age_s, OUTAGE_S)
         self.log.down = False
         self.append_changes(1, 1)
-        self.settle()
-        self.assertEqual(self.read_version(), 2)
+        self.settle(2)
 
     def test_slow_store_delays_changes_only(self) -> None:
         for way in self.ways.values():
@@ -56,8 +55,7 @@
         self.assertEqual(self.fleet.in_force(2), 0)
         for way in self.ways.values():
             way.delay_s = 1.0
-        self.settle()
-        self.assertEqual(self.read_version(), 2)
+        self.settle(2)
 
     def test_isolated_domain_knows_the_age_of_its_view_and_catches_up(self) -> None:
         self.isolate("d0")
@@ -71,8 +69,7 @@
         self.fleet.cuts.clear()
         for way in self.ways.values():
             way.cut = False
-        self.settle()
-        self.assertEqual(self.read_version(), 6)
+        self.settle(6)
 
     def test_domain_learns_over_the_only_way_that_is_left(self) -> None:
         self.isolate("d0")
@@ -105,8 +102,7 @@
         for data in ("", "{", "[]", "\u0000" * 100, "[" * 10_000, incomplete, sealed):
             self.append(data)
         self.append_changes(1, 1)
-        self.settle()
-        self.assertEqual(self.read_version(), 2)
+        self.settle(2)
         counters = self.get_any().metrics.read_counters()
         self.assertGreaterEqual(counters["configuration_fold_corrupt"], 6)
 
@@ -120,13 +116,11 @@
         text = make_text("long", 1, Delta(keys=keys))
         self.assertGreater(len(text), FRAME_BYTES_MAX)
         self.append(text)
-        self.settle()
-        self.assertEqual(self.read_version(), 2)
+        self.settle(2)
 
     def test_burst_of_changes_reaches_all(self) -> None:
         self.append_changes(1, 200)
-        self.settle()
-        self.assertEqual(self.read_version(), 201)
+        self.settle(201)
 
 
 class RetentionTests(SpreadTestCase):
@@ -177,14 +171,12 @@
         self.lose_daemon_for(300)
         for daemon in self.get_domain("d0"):
             self.ways[daemon.member.instance].cut = False
-        self.settle()
-        self.assertEqual(self.read_version(), 301)
+        self.settle(301)
 
     def test_lagging_daemon_recovers_from_peers_alone(self) -> None:
         self.lose_daemon_for(600)
         self.fleet.cuts.clear()
-        self.settle()
-        self.assertEqual(self.read_version(), 601)
+        self.settle(601)
 
     def restart_log(self, changes: int) -> None:
         """Begin the stream anew with a snapshot of the state, with more changes."""
@@ -240,8 +232,7 @@
         self.append_changes(1, 300)
         self.fleet.run(60.0)
         self.append(encode_snapshot(paused))
-        self.settle()
-        self.assertEqual(self.read_version(), 301)
+        self.settle(301)
         for daemon in list(self.fleet.daemons.values()):
             self.fleet.kill(daemon)
         self.log.truncate(STREAM, 200)
@@ -263,8 +254,7 @@
         self.settle()
         for way in held:
             way.release()
-        self.settle()
-        self.assertEqual(self.read_version(), 302)
+        self.settle(302)
 
 
 class OtherSeedTests(SpreadTests):
