Build owners, peer servers and waits for members in one place a module

Cause: three tests of the owner, two of the pool and seven of the service wrote the same set-up again. Ruled out: one builder for all modules; they need different parts. Change: OwnerCase, PoolTests.start_server, MembershipServiceTests.wait_for_both; no test merged or changed. Before and after: tests.coordination.owner, tests.transport.peer and test_service 71 passed. Without the owner's checks of a drain, on a scratch copy, two tests fail. Conclusion: no check lost.

--- a/tests/coordination/membership/test_service.py
+++ b/tests/coordination/membership/test_service.py
@@ -110,6 +110,10 @@
         service.start()
         return service
 
+    def wait_for_both(self, *services: MembershipService) -> None:
+        for service in services:
+            wait_until(lambda each=service: len(each.list_members()) == 2, "both")  # type: ignore[misc]
+
     def wait_for_owners(self, service: MembershipService, count: int) -> None:
         wait_until(lambda: len(service.list_owners(RIGHTS)) == count, f"{count} owners")
 
@@ -147,8 +151,7 @@
 
     def test_members_find_each_other_through_the_log_alone(self) -> None:
         first, second = self.start(), self.start()
-        wait_until(lambda: len(first.list_members()) == 2, "both members")
-        wait_until(lambda: len(second.list_members()) == 2, "both members")
+        self.wait_for_both(first, second)
         records = self.log.read(StreamName.MEMBERS, 0, 10, 1.0)  # type: ignore[arg-type]
         self.assertEqual(len(records.unwrap().records), 2)
 
@@ -157,8 +160,7 @@
         first, second = self.start(), self.start()
         wait_until(lambda: self.log.reads >= 2, "both have asked")
         self.log.down = False
-        wait_until(lambda: len(first.list_members()) == 2, "both members")
-        wait_until(lambda: len(second.list_members()) == 2, "both members")
+        self.wait_for_both(first, second)
 
     def test_new_start_outranks_the_one_in_the_log(self) -> None:
         earlier = build_member(0, incarnation=2**50)
@@ -181,7 +183,7 @@
         self.log.down = True
         first = self.start()
         second = self.start((first.gossip_address,))
-        wait_until(lambda: len(second.list_members()) == 2, "both members")
+        self.wait_for_both(second)
 
     def test_hostile_datagrams_do_not_stop_the_service(self) -> None:
         first = self.start()
@@ -191,7 +193,7 @@
         for size in (0, 1, 17, 18, 300, 1500):
             attacker.send(first.gossip_address, random.randbytes(size))
         second = self.start((first.gossip_address,))
-        wait_until(lambda: len(second.list_members()) == 2, "both members")
+        self.wait_for_both(second)
 
     def test_failing_listener_does_not_stop_the_others(self) -> None:
         def fail(member: Member) -> None:
@@ -202,7 +204,7 @@
         first.add_listener(fail)
         first.add_listener(changes.append)
         self.start((first.gossip_address,))
-        wait_until(lambda: len(first.list_members()) == 2, "both members")
+        self.wait_for_both(first)
         wait_until(lambda: len(changes) > 0, "a change")
 
     def test_too_long_service_name_is_refused(self) -> None:
--- a/tests/coordination/owner/test_owner.py
+++ b/tests/coordination/owner/test_owner.py
@@ -13,6 +13,7 @@
     Answer,
     AnswerTruncatedError,
     InlineBody,
+    RequestBody,
     StreamedBody,
 )
 from corianderhold.coordination.owner.admission import Admission
@@ -44,6 +45,7 @@
 )
 
 CLOCK = SystemClock()
+NO_BODY = InlineBody(b"")
 
 
 class ScriptedSource:
@@ -74,7 +76,29 @@
         self.failures += failed
 
 
-class OwnerTests(TestCase):
+class OwnerCase(TestCase):
+    """Build an owner and make calls at it."""
+
+    clock: Clock = CLOCK
+
+    def build(self, *script: TargetStatus) -> Owner:
+        """Return an owner whose target's states come from a script."""
+        self.limit = RecordingLimit()
+        self.source = ScriptedSource(*script)
+        policy = build_default_policy()
+        self.admission = Admission(self.limit, policy, self.clock, Random(1))
+        client = TargetClient(self.clock)
+        self.addCleanup(client.close)
+        return Owner(self.source, self.admission, client, self.clock, Metrics())
+
+    def call(
+        self, owner: Owner, body: RequestBody = NO_BODY
+    ) -> Result[Answer, Refusal]:
+        context = make_context(deadline_at=self.clock.read_monotonic() + 5)
+        return owner.serve(context, body, RetryBudget(0))
+
+
+class OwnerTests(OwnerCase):
     """Serve calls beside a target that only listens."""
 
     def setUp(self) -> None:
@@ -82,20 +106,16 @@
         self.addCleanup(self.listener.close)
         host, port = self.listener.getsockname()
         self.address = Address(host, port)
-        self.limit = RecordingLimit()
         self.serving = TargetStatus(TargetState.SERVING, CATALOGUE, self.address)
         self.draining = TargetStatus(TargetState.DRAINING, CATALOGUE, self.address)
 
     def refuse(self, *script: TargetStatus) -> Reason:
         """Serve one call, which must be refused as not run, and return why."""
-        admission = Admission(self.limit, build_default_policy(), CLOCK, Random(1))
-        client = TargetClient(CLOCK)
-        owner = Owner(ScriptedSource(*script), admission, client, CLOCK, Metrics())
-        context = make_context(deadline_at=CLOCK.read_monotonic() + 5)
-        refusal = owner.serve(context, InlineBody(b""), RetryBudget(0)).unwrap_err()
+        owner = self.build(*script)
+        refusal = self.call(owner).unwrap_err()
         self.assertTrue(refusal.not_run)
         self.assertEqual(owner.count_in_flight(), 0)
-        self.assertEqual(admission.report_load(False).in_flight, 0)
+        self.assertEqual(self.admission.report_load(False).in_flight, 0)
         return refusal.reason
 
     def test_draining_target_is_refused_at_once(self) -> None:
@@ -117,36 +137,23 @@
 
     def test_target_that_refuses_connections_in_a_row_is_held_for_gone(self) -> None:
         self.listener.close()
-        admission = Admission(self.limit, build_default_policy(), CLOCK, Random(1))
-        source = ScriptedSource(self.serving)
-        owner = Owner(source, admission, TargetClient(CLOCK), CLOCK, Metrics())
-        reasons = []
-        for _ in range(REFUSED_CONNECTIONS_MAX + 1):
-            context = make_context(deadline_at=CLOCK.read_monotonic() + 5)
-            outcome = owner.serve(context, InlineBody(b""), RetryBudget(0))
-            reasons.append(outcome.unwrap_err().reason)
+        owner = self.build(self.serving)
+        reasons = [
+            self.call(owner).unwrap_err().reason
+            for _ in range(REFUSED_CONNECTIONS_MAX + 1)
+        ]
         unreachable = [Reason.TARGET_UNREACHABLE] * REFUSED_CONNECTIONS_MAX
         self.assertEqual(reasons, [*unreachable, Reason.NO_TARGET])
 
 
-class AnswersTests(TestCase):
+class AnswersTests(OwnerCase):
     """Serve calls beside a target that answers what a test says."""
 
-    def serve(self, *scripts: Script, clock: Clock = CLOCK) -> Owner:
+    def serve(self, *scripts: Script) -> Owner:
         target = ScriptedTarget(*scripts)
         self.addCleanup(target.close)
         status = TargetStatus(TargetState.SERVING, CATALOGUE, target.address)
-        self.source = ScriptedSource(status)
-        self.limit = RecordingLimit()
-        policy = build_default_policy()
-        self.admission = Admission(self.limit, policy, clock, Random(1))
-        client = TargetClient(clock)
-        self.addCleanup(client.close)
-        return Owner(self.source, self.admission, client, clock, Metrics())
-
-    def call(self, owner: Owner) -> Result[Answer, Refusal]:
-        context = make_context(deadline_at=CLOCK.read_monotonic() + 5)
-        return owner.serve(context, InlineBody(b""), RetryBudget(0))
+        return self.build(status)
 
     def test_target_that_is_another_is_held_for_gone(self) -> None:
         mismatch = b"HTTP/1.1 421 Misdirected\r\nContent-Length: 2\r\n\r\nno"
@@ -178,7 +185,8 @@
         self.assertEqual(answer.headers, (Header("Content-Length", "2"),))
 
     def test_answer_that_a_target_gives_at_the_deadline_counts(self) -> None:
-        clock, answered = FakeClock(), threading.Event()
+        self.clock = clock = FakeClock()
+        answered = threading.Event()
 
         def answer_at_once(connection: socket.socket) -> None:
             take_request(connection)
@@ -191,9 +199,8 @@
             clock.advance(5 + ANSWER_GRACE_S / 2)
             yield b"a"
 
-        owner = self.serve(answer_at_once, clock=clock)
-        context = make_context(deadline_at=clock.read_monotonic() + 5)
-        outcome = owner.serve(context, StreamedBody(produce(), None), RetryBudget(0))
+        owner = self.serve(answer_at_once)
+        outcome = self.call(owner, StreamedBody(produce(), None))
         self.assertEqual(outcome.unwrap().status, 504)
 
     def test_cancelled_answer_without_a_length_is_not_whole(self) -> None:
--- a/tests/transport/peer/test_links.py
+++ b/tests/transport/peer/test_links.py
@@ -108,16 +108,15 @@
 
     def setUp(self) -> None:
         self.address = Address("127.0.0.1", find_free_port())
-        identity = Identity(InstanceId("server"), Incarnation(1), SECRET)
-        self.server = PeerServer(
-            self.address,
-            identity,
-            CLOCK,
-            NoCalls(),
-            {ControlTopic.RATE: EchoHandler()},
-        )
-        self.server.start()
-        self.addCleanup(self.server.stop)
+        self.server = self.start_server(1)
+
+    def start_server(self, incarnation: int) -> PeerServer:
+        identity = Identity(InstanceId("server"), Incarnation(incarnation), SECRET)
+        handlers = {ControlTopic.RATE: EchoHandler()}
+        server = PeerServer(self.address, identity, CLOCK, NoCalls(), handlers)
+        server.start()
+        self.addCleanup(server.stop)
+        return server
 
     def make_client(self, secret: bytes = SECRET) -> LinkControlClient:
         identity = Identity(InstanceId("client"), Incarnation(2), secret)
@@ -146,15 +145,7 @@
         client = self.make_client()
         client.request(self.address, ControlTopic.RATE, b"1", 1.0).unwrap()
         self.server.stop()
-        restarted = PeerServer(
-            self.address,
-            Identity(InstanceId("server"), Incarnation(2), SECRET),
-            CLOCK,
-            NoCalls(),
-            {ControlTopic.RATE: EchoHandler()},
-        )
-        restarted.start()
-        self.addCleanup(restarted.stop)
+        self.start_server(2)
         deadline = time.monotonic() + 5
         reply = client.request(self.address, ControlTopic.RATE, b"2", 1.0)
         while isinstance(reply, Err) and time.monotonic() < deadline:
