Ask a fully loaded daemon for its metrics

Cause: nothing showed that operators can look at a daemon under full load. Ruled out: a load from the test's own process; it would measure that process. Conclusion: no fault found in the product.

--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -181,6 +181,13 @@
         member.target_address = member.target.wait_for_address()
         return member.target
 
+    def start_callers(self, entry: str, arguments: Sequence[str]) -> ManagedProcess:
+        """Start callers of one daemon in a process of their own."""
+        address = self.members[entry].get_address("caller")
+        return self._start(
+            "callers", ["emulator", "callers", "--addresses", address, *arguments]
+        )
+
     def kill_target(self, instance: str) -> None:
         """Kill a target; the runs that it counted are kept."""
         member = self.members[instance]
