Soak a fleet of processes under random faults

Cause: faults were brought about one kind at a time, or over keyed requests only. Ruled out: more faults in the measurement of keys; plain requests, withdrawn keys and drains need checks of their own. Judging a key's attempts one by one: an earlier attempt may have run before the withdrawal, so a keyed request is as old as its first one. Change: script/measure soak SEED [SECONDS]: six daemons in three domains, reads, plain and keyed writes; kills, freezes, cuts, crashes and drains of targets, a store that is down, slow or lossy, changed limits and withdrawn keys; judged at the targets (docs/SOAK.md). Its checks have a test that breaks each promise by hand.

--- /dev/null
+++ b/measurements/endurance/events.py
@@ -0,0 +1,119 @@
+"""Bring about random faults, drains and changes, one after another."""
+
+import random
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import replace
+
+from corianderhold.ids import KeyId
+from corianderhold.state.configuration.model import ApiKey, Service
+from corianderhold.state.configuration.records import Delta
+from emulator.sample import CATALOGUE, build_change
+from measurements.endurance.checks import Span
+from tests.common.fleet import Fleet
+
+FAULT_S = 2.5
+FREEZE_S = 5.0
+PAUSE_MAX_S = 1.5
+SLOW_STORE_MS = 1500
+DRAIN_SLACK_S = 1.0  # until the drain has reached the owner beside the target
+LIMITS = (8, 16, 32)
+
+
+class Events:
+    """Draw events; `keys` are withdrawn in turn, each with its time kept by text."""
+
+    def __init__(
+        self, fleet: Fleet, chooser: random.Random, keys: dict[str, ApiKey]
+    ) -> None:
+        self._fleet = fleet
+        self._random = chooser
+        self._keys = dict(keys)
+        self._version = 1
+        self.withdrawn: dict[str, float] = {}
+        self.faults: list[Span] = []
+        self.counts: Counter[str] = Counter()
+        self.runs_after_drain = 0
+        self._kinds: dict[str, Callable[[str], None]] = {
+            "kill": self._kill_daemon,
+            "freeze": self._freeze_daemon,
+            "cut": self._cut_daemon,
+            "target_crash": self._crash_target,
+            "drain": self._drain_target,
+            "store_down": lambda _: self._harm_store("down", True, False),
+            "store_slow": lambda _: self._harm_store("delay_ms", SLOW_STORE_MS, 0),
+            "store_lossy": lambda _: self._harm_store("lose_answers", True, False),
+            "limit": lambda _: self._change_limit(),
+            "withdrawal": lambda _: self._withdraw_key(),
+        }
+
+    def run(self, until: float) -> None:
+        """Draw events until a monotonic time; each kind once before any comes again."""
+        kinds: list[str] = []
+        while time.monotonic() < until:
+            kinds = kinds or self._random.sample(list(self._kinds), len(self._kinds))
+            kind = kinds.pop()
+            instance = self._random.choice(list(self._fleet.members))
+            self.counts[kind] += 1
+            began_at = time.time()
+            self._kinds[kind](instance)
+            if kind not in ("limit", "withdrawal"):
+                self.faults.append(Span(began_at, time.time()))
+            time.sleep(self._random.uniform(0.0, PAUSE_MAX_S))
+
+    def _kill_daemon(self, instance: str) -> None:
+        self._fleet.get_daemon(instance).kill()
+        time.sleep(FAULT_S)
+        self._fleet.start_daemon(instance)
+
+    def _freeze_daemon(self, instance: str) -> None:
+        daemon = self._fleet.get_daemon(instance)
+        daemon.freeze()
+        time.sleep(FREEZE_S)
+        daemon.thaw()
+
+    def _cut_daemon(self, instance: str) -> None:
+        relay = self._fleet.get_peer_relay(instance)
+        relay.cut()
+        time.sleep(FAULT_S)
+        relay.heal()
+
+    def _crash_target(self, instance: str) -> None:
+        self._fleet.kill_target(instance)
+        time.sleep(FAULT_S)
+        self._fleet.start_target(instance)
+
+    def _drain_target(self, instance: str) -> None:
+        self._fleet.drain_target(instance)
+        bound = time.time() + DRAIN_SLACK_S
+        time.sleep(FAULT_S)
+        starts = (e["started_at"] for e in self._fleet.list_executions(instance))
+        late = [at for at in starts if isinstance(at, float) and at > bound]
+        self.runs_after_drain += len(late)
+        self._crash_target(instance)
+
+    def _harm_store(self, name: str, fault: object, repaired: object) -> None:
+        self._fleet.set_store_faults({name: fault})
+        time.sleep(FAULT_S)
+        self._fleet.set_store_faults({name: repaired})
+
+    def _change_limit(self) -> None:
+        limit = self._random.choice(LIMITS)
+        self._publish(Delta(services=(Service(CATALOGUE, limit, limit),)))
+
+    def _withdraw_key(self) -> None:
+        if not self._keys:
+            return
+        text = next(iter(self._keys))
+        self._publish(Delta(keys=(replace(self._keys.pop(text), withdrawn=True),)))
+        self.withdrawn[text] = time.time()
+
+    def _publish(self, delta: Delta) -> None:
+        self._fleet.publish(build_change(self._version, delta))
+        self._version += 1
+
+
+def name_key(number: int) -> KeyId:
+    """Return the id of one of the keys that are withdrawn."""
+    return KeyId(f"leaving-{number}")
--- a/script/run_measurement.py
+++ b/script/run_measurement.py
@@ -20,13 +20,14 @@
 
 
 def main(arguments: list[str]) -> int:
-    """Run `main(seed)` of the named module and return its exit code."""
+    """Run `main` of the named module with the numbers given; return its exit code."""
     if not arguments or arguments[0] not in list_names():
-        print(f"usage: script/measure NAME [SEED]; names: {', '.join(list_names())}")
+        print(f"usage: script/measure NAME [SEED [SECONDS]]; {', '.join(list_names())}")
         return 2
     seed = int(arguments[1]) if len(arguments) > 1 else DEFAULT_SEED
     module = importlib.import_module(f"measurements.{arguments[0]}")
-    return int(module.main(seed))
+    seconds = [float(each) for each in arguments[2:]]
+    return int(module.main(seed, *seconds))
 
 
 if __name__ == "__main__":
