--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -102,6 +102,18 @@
         self.store: ManagedProcess | None = None
         self.store_address = ""
 
+    def get_daemon(self, instance: str) -> ManagedProcess:
+        """Return the process of a daemon that was started."""
+        daemon = self.members[instance].daemon
+        assert daemon is not None
+        return daemon
+
+    def get_peer_relay(self, instance: str) -> Relay:
+        """Return the relay before the peer listener of a daemon planned with one."""
+        relay = self.members[instance].peer_relay
+        assert relay is not None
+        return relay
+
     def start(self, records: Sequence[str]) -> None:
         """Start everything; `records` go on the configuration stream first."""
         self.store = self._start("store", ["emulator", "store"])
@@ -169,6 +181,13 @@
         member.target_address = member.target.wait_for_address()
         return member.target
 
+    def start_callers(self, entry: str, arguments: Sequence[str]) -> ManagedProcess:
+        """Start callers of one daemon in a process of their own."""
+        address = self.members[entry].get_address("caller")
+        return self._start(
+            "callers", ["emulator", "callers", "--addresses", address, *arguments]
+        )
+
     def kill_target(self, instance: str) -> None:
         """Kill a target; the runs that it counted are kept."""
         member = self.members[instance]
