--- a/corianderhold/coordination/configuration/replica.py
+++ b/corianderhold/coordination/configuration/replica.py
@@ -7,6 +7,7 @@
 from result import Ok
 
 from corianderhold.coordination.configuration.const import (
+    PLAIN_SNAPSHOT_BYTES_MAX,
     TAIL_BYTES_MAX,
     TAIL_RECORDS_MAX,
 )
@@ -34,7 +35,7 @@
 )
 
 NewsListener = Callable[[], None]
-SnapshotListener = Callable[[SnapshotRecord], None]
+SnapshotListener = Callable[[Offset], None]
 LOGGED = frozenset(
     {
         OutcomeKind.CORRUPT,
@@ -59,6 +60,7 @@
         self._lock = threading.RLock()
         self._state: FoldState = INITIAL_STATE
         self._tail = Tail(TAIL_RECORDS_MAX, TAIL_BYTES_MAX)
+        self._snapshot_offset: Offset | None = None
         self._news_listeners: list[NewsListener] = []
         self._snapshot_listeners: list[SnapshotListener] = []
 
@@ -69,15 +71,16 @@
 
     @property
     def head(self) -> Head:
-        """Return how far the stream is folded."""
-        return describe_head(self._state)
+        """Return how far the stream is folded, after all records of one read."""
+        with self._lock:
+            return describe_head(self._state)
 
     def add_news_listener(self, listener: NewsListener) -> None:
         """Call `listener` after records were folded or a snapshot was adopted."""
         self._news_listeners.append(listener)
 
     def add_snapshot_listener(self, listener: SnapshotListener) -> None:
-        """Call `listener` with each valid snapshot that comes from the log."""
+        """Call `listener` with the last offset of each valid snapshot of the log."""
         self._snapshot_listeners.append(listener)
 
     def find_change(self, change_id: ChangeId) -> RememberedChange | None:
@@ -87,9 +90,17 @@
                 return change
         return None
 
-    def slice_tail(self, from_offset: Offset, bytes_max: int) -> tuple[LogRecord, ...]:
-        """Return records from an offset on, none when that one is not kept."""
+    def slice_tail(
+        self, from_offset: Offset, bytes_max: int, plain_snapshot: bool = True
+    ) -> tuple[LogRecord, ...]:
+        """
+        Return records from an offset on, none when that one is not kept.
+
+        Without `plain_snapshot`, also none when that one is a long snapshot.
+        """
         with self._lock:
+            if from_offset == self._snapshot_offset and not plain_snapshot:
+                return ()
             return self._tail.slice_from(from_offset, bytes_max)
 
     def take_records(self, records: Sequence[LogRecord]) -> bool:
@@ -156,15 +167,25 @@
         self._state, outcome = fold(self._state, record.offset, record.data)
         self._report(outcome)
         self.history.record(record.data, outcome)
-        if outcome.kind in VALID_SNAPSHOTS:
-            self._notify_snapshot(record)
+        if outcome.kind in VALID_SNAPSHOTS and outcome.folded_to is not None:
+            self._notify_snapshot(outcome.folded_to)
         if self._state.next_offset != record.offset + 1:
             self._tail.clear()
             return False
+        if outcome.kind is OutcomeKind.SNAPSHOT_ADOPTED:
+            self._replace_tail(record)
+            return True
         stale = outcome.kind is OutcomeKind.SNAPSHOT_STALE
         self._tail.append(LogRecord(record.offset, "") if stale else record)
         return True
 
+    def _replace_tail(self, record: LogRecord) -> None:
+        """Begin the tail anew with a snapshot, which holds what came before it."""
+        self._tail.clear()
+        self._tail.append(record)
+        if len(record.data) > PLAIN_SNAPSHOT_BYTES_MAX:
+            self._snapshot_offset = record.offset
+
     def _put_in_force(self) -> None:
         configuration = self._state.configuration
         if self._holder.replace(configuration):
@@ -195,11 +216,9 @@
         for listener in self._news_listeners:
             listener()
 
-    def _notify_snapshot(self, record: LogRecord) -> None:
-        snapshot = decode_snapshot(record.data)
-        if snapshot is not None:
-            for listener in self._snapshot_listeners:
-                listener(snapshot)
+    def _notify_snapshot(self, folded_to: Offset) -> None:
+        for listener in self._snapshot_listeners:
+            listener(folded_to)
 
 
 def describe_head(state: FoldState) -> Head:
--- a/tests/coordination/configuration/test_spread.py
+++ b/tests/coordination/configuration/test_spread.py
@@ -4,13 +4,13 @@
 from zlib import crc32
 
 from corianderhold.coordination.configuration.publisher import RefusalReason
-from corianderhold.ids import KeyId, Offset
+from corianderhold.ids import KeyId, Offset, RouteName
 from corianderhold.protocol.peer.const import FRAME_BYTES_MAX
 from corianderhold.protocol.store.model import StreamName
 from corianderhold.state.configuration.codec import encode_snapshot
 from corianderhold.state.configuration.fold import build_snapshot, fold
 from corianderhold.state.configuration.records import Delta
-from tests.common.changes import RADIO_KEY, make_text
+from tests.common.changes import RADIO_KEY, SEARCH, make_text
 from tests.coordination.configuration.case import (
     RETENTION_S,
     SpreadTestCase,
@@ -20,6 +20,9 @@
 STREAM = StreamName.CONFIGURATION
 IN_FORCE_LIMIT_S = 8.0
 OUTAGE_S = 300.0
+DOCUMENT_ROUTES = 200
+DOCUMENT_INTERVAL_S = 0.08
+PEER_LIMIT_S = 1.5
 
 
 class SpreadTests(SpreadTestCase):
@@ -45,8 +48,7 @@
             self.assertGreaterEqual(age_s, OUTAGE_S)
         self.log.down = False
         self.append_changes(1, 1)
-        self.settle()
-        self.assertEqual(self.read_version(), 2)
+        self.settle(2)
 
     def test_slow_store_delays_changes_only(self) -> None:
         for way in self.ways.values():
@@ -56,8 +58,7 @@
         self.assertEqual(self.fleet.in_force(2), 0)
         for way in self.ways.values():
             way.delay_s = 1.0
-        self.settle()
-        self.assertEqual(self.read_version(), 2)
+        self.settle(2)
 
     def test_isolated_domain_knows_the_age_of_its_view_and_catches_up(self) -> None:
         self.isolate("d0")
@@ -71,8 +72,7 @@
         self.fleet.cuts.clear()
         for way in self.ways.values():
             way.cut = False
-        self.settle()
-        self.assertEqual(self.read_version(), 6)
+        self.settle(6)
 
     def test_domain_learns_over_the_only_way_that_is_left(self) -> None:
         self.isolate("d0")
@@ -84,6 +84,37 @@
             age_s = self.fleet.clock.read_monotonic() - daemon.holder.verified_at
             self.assertLess(age_s, 30.0)
 
+    def test_long_documents_reach_a_daemon_that_the_log_turns_away_compressed(
+        self,
+    ) -> None:
+        cut_off = self.get_daemon(0)
+        self.ways[cut_off.member.instance].cut = True
+        state = self.get_daemon(1).follower.replica.state
+        routes = tuple(
+            replace(SEARCH, name=RouteName(f"r{i}"), path_prefix=f"/{i}")
+            for i in range(DOCUMENT_ROUTES)
+        )
+        sent_before = sum(each.bytes_sent for each in self.fleet.daemons.values())
+        documents = 0
+        for version in range(1, 26):
+            limits = limit_concurrency(version)
+            delta = replace(limits, routes=routes if version == 1 else ())
+            change = make_text(f"x{version}", version, delta)
+            state, _ = fold(state, state.next_offset, change)
+            text = encode_snapshot(
+                replace(build_snapshot(state), folded_to=Offset(version - 1))
+            )
+            self.append(text)
+            documents += len(text)
+            self.fleet.run(DOCUMENT_INTERVAL_S)
+        learnt = self.fleet.run_until(
+            lambda: cut_off.holder.current.version == 26, PEER_LIMIT_S
+        )
+        self.assertTrue(learnt, cut_off.versions)
+        self.settle()
+        sent = sum(each.bytes_sent for each in self.fleet.daemons.values())
+        self.assertLess(sent - sent_before, documents / 10)
+
     def test_daemon_starts_from_a_peer_during_an_outage(self) -> None:
         self.append_changes(1, 600)
         self.settle()
@@ -105,8 +136,7 @@
         for data in ("", "{", "[]", "\u0000" * 100, "[" * 10_000, incomplete, sealed):
             self.append(data)
         self.append_changes(1, 1)
-        self.settle()
-        self.assertEqual(self.read_version(), 2)
+        self.settle(2)
         counters = self.get_any().metrics.read_counters()
         self.assertGreaterEqual(counters["configuration_fold_corrupt"], 6)
 
@@ -120,13 +150,11 @@
         text = make_text("long", 1, Delta(keys=keys))
         self.assertGreater(len(text), FRAME_BYTES_MAX)
         self.append(text)
-        self.settle()
-        self.assertEqual(self.read_version(), 2)
+        self.settle(2)
 
     def test_burst_of_changes_reaches_all(self) -> None:
         self.append_changes(1, 200)
-        self.settle()
-        self.assertEqual(self.read_version(), 201)
+        self.settle(201)
 
 
 class RetentionTests(SpreadTestCase):
@@ -177,14 +205,12 @@
         self.lose_daemon_for(300)
         for daemon in self.get_domain("d0"):
             self.ways[daemon.member.instance].cut = False
-        self.settle()
-        self.assertEqual(self.read_version(), 301)
+        self.settle(301)
 
     def test_lagging_daemon_recovers_from_peers_alone(self) -> None:
         self.lose_daemon_for(600)
         self.fleet.cuts.clear()
-        self.settle()
-        self.assertEqual(self.read_version(), 601)
+        self.settle(601)
 
     def restart_log(self, changes: int) -> None:
         """Begin the stream anew with a snapshot of the state, with more changes."""
@@ -240,8 +266,7 @@
         self.append_changes(1, 300)
         self.fleet.run(60.0)
         self.append(encode_snapshot(paused))
-        self.settle()
-        self.assertEqual(self.read_version(), 301)
+        self.settle(301)
         for daemon in list(self.fleet.daemons.values()):
             self.fleet.kill(daemon)
         self.log.truncate(STREAM, 200)
@@ -263,8 +288,7 @@
         self.settle()
         for way in held:
             way.release()
-        self.settle()
-        self.assertEqual(self.read_version(), 302)
+        self.settle(302)
 
 
 class OtherSeedTests(SpreadTests):
--- a/tests/coordination/rate/test_slices.py
+++ b/tests/coordination/rate/test_slices.py
@@ -1,11 +1,8 @@
 """Test slices of the rates and tokens that move between entries."""
 
 from collections.abc import Callable
-from unittest import TestCase
 from unittest.mock import patch
 
-from loguru import logger
-
 from corianderhold.coordination.rate.const import (
     COUNT_SETTLE_LIMIT_S,
     TRANSFER_USE_S,
@@ -33,6 +30,7 @@
 from corianderhold.state.membership.model import MemberState
 from tests.common.clock import FakeClock
 from tests.common.followers import StaticMembers, build_member
+from tests.common.quiet import QuietTestCase
 from tests.common.rate_fleet import WindowCheck
 from tests.common.slice_fleet import TICK_S, Entry, SliceFleet, build_configuration
 
@@ -54,13 +52,9 @@
         return FixedSlots(entry.member.domain, ENTRIES)
 
 
-class SliceTestCase(TestCase):
+class SliceTestCase(QuietTestCase):
     """Put requests to fleets."""
 
-    def setUp(self) -> None:
-        logger.disable("corianderhold")
-        self.addCleanup(logger.enable, "corianderhold")
-
     def put(
         self,
         fleet: SliceFleet,
@@ -153,7 +147,6 @@
     """Check that tokens go where the demand is."""
 
     def setUp(self) -> None:
-        super().setUp()
         self.fleet = FixedFleet(ORGANISATIONS, DOMAINS, ENTRIES, 1)
         self.fleet.run(10)
         self.entry = next(iter(self.fleet.entries.values()))
@@ -300,7 +293,9 @@
 
     def test_windows_stay_within_a_tenth_and_the_slack(self) -> None:
         for seed in SEEDS:
-            fleet = SliceFleet(ORGANISATIONS, DOMAINS, ENTRIES, seed, slack=20.0)
+            fleet = SliceFleet(
+                ORGANISATIONS, DOMAINS, ENTRIES, seed, slack=20.0, overage=0.1
+            )
             counts: list[tuple[float, int]] = []
             observe = lambda now, count, to=counts: to.append((now, count))  # noqa: E731
             self.put(fleet, 10.0, 3 * ARCHIVE.rate, observe=observe)
@@ -312,6 +307,15 @@
             self.put(fleet, 10.0, 3 * ARCHIVE.rate, observe=observe)
             self.check_windows(counts, ARCHIVE)
 
+    def test_half_of_the_overage_raises_the_rate(self) -> None:
+        fleet = SliceFleet(ORGANISATIONS, DOMAINS, ENTRIES, 1, overage=0.1)
+        fleet.run(10.0)
+        rates = [
+            entry.table.find_interval_s(ARCHIVE.name) ** -1
+            for entry in fleet.entries.values()
+        ]
+        self.assertAlmostEqual(sum(rates), 1.05 * ARCHIVE.rate)
+
     def test_dead_members_count_for_a_time_and_left_ones_do_not(self) -> None:
         clock, members = FakeClock(), StaticMembers()
         states = (MemberState.ALIVE, MemberState.SUSPECT, MemberState.DEAD)
