Share pauses and views of the membership's tests, merge two laws of the merge

Cause: set-up and checks over time were written again in each test. Ruled out: merging tests that bring about different faults. Change: SwimTestCase.pause, check_never and list_seen; inject takes claims too. MergeTests.test_neither_order_nor_repetition_matters holds test_order_does_not_matter and test_repetition_does_not_matter; build_table builds the tables of the third law. Conclusion: no check lost.

--- a/tests/common/swim_case.py
+++ b/tests/common/swim_case.py
@@ -10,9 +10,10 @@
 )
 from corianderhold.protocol.membership.model import Datagram, DatagramKind
 from corianderhold.protocol.membership.seal import DatagramSeal
-from corianderhold.state.membership.model import Address, MemberState
+from corianderhold.state.membership.model import Address, Member, MemberState
 from tests.common.membership import (
     SECRET,
+    STEP_S,
     FakeNetwork,
     Node,
     build_fleet,
@@ -66,15 +67,15 @@
         """Return whether each of the nodes sees this many members alive."""
         return all(count_states(node, MemberState.ALIVE) == alive for node in nodes)
 
+    def list_seen(self, nodes: list[Node], subject: Node) -> list[Member]:
+        """Return one member as each of the nodes sees it."""
+        instance = subject.swim.own.instance
+        found = [node.swim.get_member(instance) for node in nodes]
+        return [member for member in found if member is not None]
+
     def show_state(self, nodes: list[Node], subject: Node) -> set[MemberState]:
         """Return the states in which the nodes see one member."""
-        instance = subject.swim.own.instance
-        return {
-            member.state
-            for node in nodes
-            for member in node.swim.view.members
-            if member.instance == instance
-        }
+        return {member.state for member in self.list_seen(nodes, subject)}
 
     def run_until_seen(
         self,
@@ -96,10 +97,34 @@
             for subject in subjects
         )
 
-    def inject(self, network: FakeNetwork, node: Node, update: bytes) -> None:
-        """Hand a node an update as if a peer had gossiped it."""
+    def check_never(
+        self,
+        network: FakeNetwork,
+        nodes: list[Node],
+        state: MemberState,
+        steps: int,
+        step_s: float = STEP_S,
+    ) -> None:
+        """Let time pass and check that the nodes show no member in a state."""
+        for _ in range(steps):
+            network.run(step_s)
+            for node in nodes:
+                self.assertEqual(count_states(node, state), 0)
+
+    def pause(self, network: FakeNetwork, node: Node, seconds: float) -> None:
+        """Stop a node for a time."""
+        node.running = False
+        network.run(seconds)
+        node.running = True
+
+    def inject(
+        self, network: FakeNetwork, node: Node, *updates: bytes, claim: bytes = b""
+    ) -> None:
+        """Hand a node updates or a claim as if a peer had gossiped them."""
+        claims = (claim,) if claim else ()
+        sender = InstanceId("somebody")
         gossip = Datagram(
-            DatagramKind.GOSSIP, 0, InstanceId("somebody"), updates=(update,)
+            DatagramKind.GOSSIP, 0, sender, updates=updates, claims=claims
         )
         data = DatagramSeal(SECRET).seal(encode_datagram(gossip))
         node.swim.receive(data, STRANGER, network.now_s)
--- a/tests/coordination/membership/test_swim.py
+++ b/tests/coordination/membership/test_swim.py
@@ -71,10 +71,7 @@
         network, nodes = self.start_fleet(15, 6)
         pair = nodes[1].swim.own.gossip_address, nodes[2].swim.own.gossip_address
         network.blocked.add(frozenset(pair))
-        for _ in range(200):
-            network.run(0.2)
-            for node in nodes:
-                self.assertEqual(count_states(node, MemberState.SUSPECT), 0)
+        self.check_never(network, nodes, MemberState.SUSPECT, 200, 0.2)
 
     @with_seeds
     def test_cut_domain_and_rest_find_each_other_again(self, seed: int) -> None:
@@ -133,14 +130,7 @@
         before = nodes[0].swim.view
         for member in (build_member(99), build_member(1, sequence=9)):
             suspect = replace(member, state=MemberState.SUSPECT)
-            gossip = Datagram(
-                DatagramKind.GOSSIP,
-                0,
-                InstanceId("somebody"),
-                claims=(encode_claim(suspect),),
-            )
-            data = DatagramSeal(SECRET).seal(encode_datagram(gossip))
-            nodes[0].swim.receive(data, STRANGER, network.now_s)
+            self.inject(network, nodes[0], claim=encode_claim(suspect))
         self.assertEqual(nodes[0].swim.view, before)
 
     def test_restart_with_new_incarnation_replaces_older(self) -> None:
@@ -148,11 +138,12 @@
         seeds = (nodes[0].swim.own.gossip_address,)
         network.kill(nodes[5])
         nodes[5] = network.add(build_member(5, incarnation=2), seeds)
-        self.run_until(
-            network,
-            lambda: self.agree(nodes, 6) and self.list_incarnations(nodes) == {2},
-            20.0,
-        )
+
+        def is_replaced() -> bool:
+            seen = self.list_seen(nodes, nodes[5])
+            return {member.incarnation for member in seen} == {2}
+
+        self.run_until(network, lambda: self.agree(nodes, 6) and is_replaced(), 20.0)
 
     @with_seeds
     def test_restarts_replace_starts_with_higher_incarnations(self, seed: int) -> None:
@@ -202,9 +193,7 @@
         network, nodes = self.start_fleet(seed, 24)
         network.run(5.0)
         for node in nodes:
-            node.running = False
-            network.run(0.5)
-            node.running = True
+            self.pause(network, node, 0.5)
             for _ in range(5):
                 network.run(0.1)
                 self.assertTrue(self.see_alive(nodes, nodes))
@@ -219,16 +208,6 @@
         for node in (nodes[3], other):
             self.assertLess(node.swim.own.incarnation >> START_BITS, 20)
 
-    def list_incarnations(self, nodes: list[Node]) -> set[int]:
-        """Return the incarnations in which the nodes see the sixth daemon."""
-        instance = build_member(5).instance
-        return {
-            member.incarnation
-            for node in nodes
-            for member in node.swim.view.members
-            if member.instance == instance
-        }
-
     def test_new_instance_at_the_address_replaces_older(self) -> None:
         network, nodes = self.start_fleet(7, 6)
         seeds = (nodes[0].swim.own.gossip_address,)
@@ -299,16 +278,17 @@
         gossip = Datagram(
             DatagramKind.GOSSIP, 0, nodes[2].swim.own.instance, updates=(claim,)
         )
-        genuine = DatagramSeal(SECRET).seal(encode_datagram(gossip))
+        seal = DatagramSeal(SECRET).seal
+        genuine = seal(encode_datagram(gossip))
         changed = genuine[:-1] + bytes([genuine[-1] ^ 1])
         foreign = DatagramSeal(b"another fleet").seal(encode_datagram(gossip))
         payload = network.random.randbytes(100)
         hostile = [b"", b"\x01", payload, genuine[:-5], changed, foreign]
-        hostile += [DatagramSeal(SECRET).seal(payload[:n]) for n in range(1, 100)]
+        hostile += [seal(payload[:n]) for n in range(1, 100)]
         broken = replace(gossip, updates=(claim[:9], b"", payload))
-        hostile.append(DatagramSeal(SECRET).seal(encode_datagram(broken)))
+        hostile.append(seal(encode_datagram(broken)))
         broken = replace(gossip, updates=(), claims=(claim[:9], payload))
-        hostile.append(DatagramSeal(SECRET).seal(encode_datagram(broken)))
+        hostile.append(seal(encode_datagram(broken)))
         for data in hostile:
             nodes[0].swim.receive(data, STRANGER, network.now_s)
         self.assertEqual(nodes[0].swim.view, before)
--- a/tests/coordination/membership/test_swim_pauses.py
+++ b/tests/coordination/membership/test_swim_pauses.py
@@ -2,17 +2,9 @@
 
 from dataclasses import replace
 
-from corianderhold.coordination.membership.const import (
-    SUSPICION_MULTIPLIER,
-)
-from corianderhold.protocol.membership.codec import (
-    encode_member,
-)
+from corianderhold.coordination.membership.const import SUSPICION_MULTIPLIER
+from corianderhold.protocol.membership.codec import encode_member
 from corianderhold.state.membership.model import MemberState
-from tests.common.membership import (
-    STEP_S,
-    count_states,
-)
 from tests.common.swim_case import SwimTestCase, with_seeds
 
 
@@ -23,13 +15,9 @@
     def test_paused_member_wakes_without_declaring_others_dead(self, seed: int) -> None:
         network, nodes = self.start_fleet(seed, 8)
         sleeper = nodes[3]
-        sleeper.running = False
-        network.run(40.0)
+        self.pause(network, sleeper, 40.0)
         self.assertEqual(self.show_state(nodes[:3], sleeper), {MemberState.DEAD})
-        sleeper.running = True
-        for _ in range(100):
-            network.run(0.2)
-            self.assertEqual(count_states(sleeper, MemberState.DEAD), 0)
+        self.check_never(network, [sleeper], MemberState.DEAD, 100, 0.2)
         self.assertTrue(self.agree(nodes, 8))
 
     def test_pause_runs_out_no_timer(self) -> None:
@@ -37,34 +25,21 @@
         sleeper, suspected = nodes[3], nodes[4]
         claim = replace(suspected.swim.own, state=MemberState.SUSPECT)
         self.inject(network, sleeper, encode_member(claim))
-        sleeper.running = False
-        network.run(40.0)
+        self.pause(network, sleeper, 40.0)
         sleeper.inbox.clear()
-        sleeper.running = True
-        for _ in range(200):
-            network.run(STEP_S)
-            self.assertEqual(count_states(sleeper, MemberState.DEAD), 0)
+        self.check_never(network, [sleeper], MemberState.DEAD, 200)
 
     def test_answer_lost_in_a_pause_raises_no_suspicion(self) -> None:
         network, nodes = self.start_fleet(11, 8)
         network.latest_delay_s = 0.3
         sleeper = nodes[3]
         for pause in range(30):
-            sleeper.running = False
-            network.run(1.0 + pause * 0.05)
+            self.pause(network, sleeper, 1.0 + pause * 0.05)
             sleeper.inbox.clear()
-            sleeper.running = True
-            for _ in range(20 + pause % 7):
-                network.run(STEP_S)
-                self.assertEqual(count_states(sleeper, MemberState.SUSPECT), 0)
+            steps = 20 + pause % 7
+            self.check_never(network, [sleeper], MemberState.SUSPECT, steps)
 
     def test_pause_shorter_than_suspicion_kills_nobody(self) -> None:
         network, nodes = self.start_fleet(4, 8)
-        sleeper = nodes[2]
-        sleeper.running = False
-        network.run(SUSPICION_MULTIPLIER * 0.6)
-        sleeper.running = True
-        for _ in range(100):
-            network.run(0.2)
-            for node in nodes:
-                self.assertEqual(count_states(node, MemberState.DEAD), 0)
+        self.pause(network, nodes[2], SUSPICION_MULTIPLIER * 0.6)
+        self.check_never(network, nodes, MemberState.DEAD, 100, 0.2)
--- a/tests/state/membership/test_table.py
+++ b/tests/state/membership/test_table.py
@@ -1,6 +1,7 @@
 """Test that the table's view depends only on the set of announcements."""
 
 from dataclasses import replace
+from random import Random
 from unittest import TestCase
 
 from hypothesis import given
@@ -39,42 +40,39 @@
 )
 
 
-def merge_all(members: list[Member]) -> frozenset[Member]:
-    """Return the view after merging the announcements in this order."""
+def build_table(members: list[Member]) -> MemberTable:
+    """Return a table after merging the announcements in this order."""
     table = MemberTable()
     for member in members:
         table.merge(member, 0.0)
-    return frozenset(table.read_view().members)
+    return table
+
+
+def merge_all(members: list[Member]) -> frozenset[Member]:
+    """Return the view after merging the announcements in this order."""
+    return frozenset(build_table(members).read_view().members)
 
 
 class MergeTests(TestCase):
     """Check the laws of the merge."""
 
     @given(st.lists(announcements, max_size=12), st.randoms(use_true_random=False))
-    def test_order_does_not_matter(self, members: list[Member], random: object) -> None:
-        shuffled = list(members)
-        random.shuffle(shuffled)  # type: ignore[attr-defined]
-        self.assertEqual(merge_all(members), merge_all(shuffled))
-
-    @given(st.lists(announcements, max_size=12))
-    def test_repetition_does_not_matter(self, members: list[Member]) -> None:
-        self.assertEqual(merge_all(members), merge_all(members + members))
+    def test_neither_order_nor_repetition_matters(
+        self, members: list[Member], random: Random
+    ) -> None:
+        view = merge_all(members)
+        self.assertEqual(view, merge_all(members + members))
+        self.assertEqual(view, merge_all(random.sample(members, len(members))))
 
     @given(st.lists(announcements, max_size=8), st.lists(announcements, max_size=8))
     def test_merging_another_table_gives_the_merge_of_both(
         self, ours: list[Member], theirs: list[Member]
     ) -> None:
-        left, right, both = MemberTable(), MemberTable(), MemberTable()
-        for member in ours:
-            left.merge(member, 0.0)
-        for member in theirs:
-            right.merge(member, 0.0)
-        for member in ours + theirs:
-            both.merge(member, 0.0)
-        for record in right.read_view().records:
-            left.merge(record, 0.0)
-        merged = frozenset(left.read_view().members)
-        self.assertEqual(merged, frozenset(both.read_view().members))
+        table = build_table(ours)
+        for record in build_table(theirs).read_view().records:
+            table.merge(record, 0.0)
+        merged = frozenset(table.read_view().members)
+        self.assertEqual(merged, merge_all(ours + theirs))
 
 
 class TableTests(TestCase):
