Share members and loans of the rates' tests, merge the steward's refusals

Cause: the fleet of the rates had its own list and builder of members; the steward's tests differed in one request. Ruled out: merging the lender's tests; each brings about another course of loans. Change: FleetMembers extends StaticMembers and uses build_member; LenderTests.borrow. test_strangers_unknown_organisations_and_malformed_requests holds the refusals of an entry of another domain, a request in another's name, an unknown organisation and a malformed request; test_entries_and_stewards_of_other_domains_get_loans holds the two loans.

--- a/tests/common/rate_fleet.py
+++ b/tests/common/rate_fleet.py
@@ -20,8 +20,6 @@
     InstanceId,
     Offset,
     OrganisationId,
-    RegionId,
-    ServiceName,
     Version,
 )
 from corianderhold.protocol.peer.control import (
@@ -39,13 +37,9 @@
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.configuration.model import Configuration, Organisation
 from corianderhold.state.lease.model import Holder
-from corianderhold.state.membership.model import (
-    Address,
-    Member,
-    MemberState,
-    TargetState,
-)
+from corianderhold.state.membership.model import Address, MemberState
 from tests.common.clock import FakeClock
+from tests.common.followers import StaticMembers, build_member
 from tests.common.log import FakeLog
 
 TICK_S = 0.1
@@ -73,24 +67,9 @@
         return self.random.random() < self.loss
 
 
-class FleetMembers:
+class FleetMembers(StaticMembers):
     """List all nodes; a dead one is seen as dead after a time."""
 
-    def __init__(self) -> None:
-        self.members: dict[InstanceId, Member] = {}
-
-    def list_owners(self, service: ServiceName) -> tuple[Member, ...]:
-        """Return nothing: no calls are routed here."""
-        return ()
-
-    def find_member(self, instance: InstanceId) -> Member | None:
-        """Return one member."""
-        return self.members.get(instance)
-
-    def list_members(self) -> tuple[Member, ...]:
-        """Return all nodes."""
-        return tuple(self.members.values())
-
     def mark_dead(self, instance: InstanceId) -> None:
         """Let every node see that an instance is dead."""
         member = self.members[instance]
@@ -228,17 +207,8 @@
         node = Node(self, domain, index)
         self.nodes.append(node)
         self.network.nodes[node.address] = node
-        self.members.members[node.name] = Member(
-            node.name,
-            Incarnation(1),
-            1,
-            domain,
-            RegionId("region"),
-            node.address,
-            node.address,
-            None,
-            TargetState.SERVING,
-        )
+        member = replace(build_member(domain, node.name), peer_address=node.address)
+        self.members.members[node.name] = member
 
     def list_live(self, domain: FailureDomainId) -> list[Node]:
         """Return the nodes of a domain that run."""
--- a/tests/coordination/rate/test_lender.py
+++ b/tests/coordination/rate/test_lender.py
@@ -27,6 +27,9 @@
     return BorrowerId(kind, InstanceId(name), Incarnation(1))
 
 
+A, B = name_borrower("a"), name_borrower("b")
+
+
 def build_ask(
     demand: float, applied: int = 0, capacity: float = 0.0, returned: float = 0.0
 ) -> LoanAsk:
@@ -47,25 +50,29 @@
         assert grant is not None
         return grant
 
+    def borrow(self, now: float, number: int, rate: float, capacity: float) -> None:
+        loan = LoanGrant(ARCHIVE, number, rate, capacity, 0.0)
+        self.lender.accept_borrowed(now, NORTH, loan, now + DOMAIN_LOAN_S)
+
     def test_new_lender_has_no_tokens(self) -> None:
-        grant = self.lend(0.0, name_borrower("a"), build_ask(5.0))
+        grant = self.lend(0.0, A, build_ask(5.0))
         self.assertEqual(grant.tokens, 0.0)
 
     def test_two_borrowers_never_get_more_than_the_share(self) -> None:
-        first = self.lend(5.0, name_borrower("a"), build_ask(50.0))
-        second = self.lend(5.0, name_borrower("b"), build_ask(50.0))
+        first = self.lend(5.0, A, build_ask(50.0))
+        second = self.lend(5.0, B, build_ask(50.0))
         self.assertLessEqual(first.rate + second.rate, 10.0 + ROUNDING)
         self.assertLessEqual(first.capacity + second.capacity, 20.0 + ROUNDING)
 
     def test_own_bucket_is_lowered_by_what_is_lent(self) -> None:
-        grant = self.lend(5.0, name_borrower("a"), build_ask(5.0))
+        grant = self.lend(5.0, A, build_ask(5.0))
         self.lender.settle(6.0)
         self.assertLessEqual(
             self.lender.read_tokens() + grant.capacity, 20.0 + ROUNDING
         )
 
     def test_ended_loan_brings_back_no_tokens(self) -> None:
-        self.lend(5.0, name_borrower("a"), build_ask(50.0))
+        self.lend(5.0, A, build_ask(50.0))
         end = 5.0 + ENTRY_LOAN_KEPT_S
         self.lender.settle(end - 0.01)
         before = self.lender.read_tokens()
@@ -73,41 +80,36 @@
         self.assertLessEqual(self.lender.read_tokens() - before, 0.1 + ROUNDING)
 
     def test_unconfirmed_grant_stays_reserved(self) -> None:
-        borrower = name_borrower("a")
-        first = self.lend(5.0, borrower, build_ask(50.0))
-        self.lend(5.5, borrower, build_ask(1.0, first.number, first.capacity))
-        other = self.lend(6.0, name_borrower("b"), build_ask(50.0))
+        first = self.lend(5.0, A, build_ask(50.0))
+        self.lend(5.5, A, build_ask(1.0, first.number, first.capacity))
+        other = self.lend(6.0, B, build_ask(50.0))
         self.assertLessEqual(first.rate + other.rate, 10.0 + ROUNDING)
 
     def test_tokens_on_their_way_are_reserved_above_the_capacity_in_use(self) -> None:
-        borrower = name_borrower("a")
-        first = self.lend(5.0, borrower, build_ask(2.0))
+        first = self.lend(5.0, A, build_ask(2.0))
         ask = build_ask(2.0, first.number, first.capacity)
-        second = self.lend(5.5, borrower, ask)
+        second = self.lend(5.5, A, ask)
         self.assertGreater(second.tokens, 0.0)
         out = first.capacity + second.tokens
         self.assertLessEqual(self.lender._bucket.capacity + out, 20.0 + ROUNDING)
 
     def test_confirmed_grant_replaces_the_others(self) -> None:
-        borrower = name_borrower("a")
-        first = self.lend(5.0, borrower, build_ask(50.0))
-        second = self.lend(5.5, borrower, build_ask(1.0, first.number, first.capacity))
-        self.lend(6.0, borrower, build_ask(1.0, second.number, second.capacity))
-        other = self.lend(6.0, name_borrower("b"), build_ask(50.0))
+        first = self.lend(5.0, A, build_ask(50.0))
+        second = self.lend(5.5, A, build_ask(1.0, first.number, first.capacity))
+        self.lend(6.0, A, build_ask(1.0, second.number, second.capacity))
+        other = self.lend(6.0, B, build_ask(50.0))
         self.assertGreater(other.rate, 5.0)
 
     def test_late_request_is_ignored(self) -> None:
-        borrower = name_borrower("a")
-        self.assertIsNotNone(self.lender.answer(5.0, borrower, 7, build_ask(1.0)))
-        self.assertIsNone(self.lender.answer(5.1, borrower, 6, build_ask(1.0)))
+        self.assertIsNotNone(self.lender.answer(5.0, A, 7, build_ask(1.0)))
+        self.assertIsNone(self.lender.answer(5.1, A, 6, build_ask(1.0)))
 
     def test_returned_tokens_count_only_within_the_capacity_given_up(self) -> None:
-        borrower = name_borrower("a")
-        grant = self.lend(5.0, borrower, build_ask(5.0))
+        grant = self.lend(5.0, A, build_ask(5.0))
         self.lender.settle(5.0)
         before = self.lender.read_tokens()
         ask = LoanAsk(ARCHIVE, grant.number, 0.0, 1000.0, 0.0, 0.0)
-        self.lend(5.0, borrower, ask)
+        self.lend(5.0, A, ask)
         gained = self.lender.read_tokens() - before
         self.assertLessEqual(gained, grant.capacity + ROUNDING)
 
@@ -121,50 +123,43 @@
         self.assertGreater(self.lender.read_tokens(), 19.0)
 
     def test_domain_gets_only_what_entries_leave(self) -> None:
-        entry = self.lend(5.0, name_borrower("a"), build_ask(6.0))
+        entry = self.lend(5.0, A, build_ask(6.0))
         domain = name_borrower("north", BorrowerKind.DOMAIN)
         grant = self.lend(5.0, domain, build_ask(50.0))
         self.assertLessEqual(entry.rate + grant.rate, 10.0 + ROUNDING)
         later = 5.0 + DOMAIN_LOAN_KEPT_S - 0.01
-        other = self.lend(later, name_borrower("b"), build_ask(50.0))
+        other = self.lend(later, B, build_ask(50.0))
         self.assertLessEqual(other.rate + grant.rate, 10.0 + ROUNDING)
 
     def test_borrowed_rate_is_lent_on_only_while_it_lasts(self) -> None:
-        loan = LoanGrant(ARCHIVE, 1, 30.0, 30.0, 0.0)
-        self.lender.accept_borrowed(5.0, NORTH, loan, 5.0 + DOMAIN_LOAN_S)
-        early = self.lend(5.1, name_borrower("a"), build_ask(30.0))
+        self.borrow(5.0, 1, 30.0, 30.0)
+        early = self.lend(5.1, A, build_ask(30.0))
         self.assertGreater(early.rate, 10.0)
         last = 5.0 + DOMAIN_LOAN_S - ENTRY_LOAN_KEPT_S + 0.1
-        late = self.lend(last, name_borrower("b"), build_ask(30.0))
+        late = self.lend(last, B, build_ask(30.0))
         self.assertLessEqual(late.rate, 10.0 + ROUNDING)
 
     def test_smaller_loan_waits_until_nothing_depends_on_the_larger(self) -> None:
-        large = LoanGrant(ARCHIVE, 1, 30.0, 30.0, 0.0)
-        self.lender.accept_borrowed(5.0, NORTH, large, 5.0 + DOMAIN_LOAN_S)
-        self.lend(5.1, name_borrower("a"), build_ask(30.0))
-        small = LoanGrant(ARCHIVE, 2, 1.0, 1.0, 0.0)
-        self.lender.accept_borrowed(8.0, NORTH, small, 8.0 + DOMAIN_LOAN_S)
+        self.borrow(5.0, 1, 30.0, 30.0)
+        self.lend(5.1, A, build_ask(30.0))
+        self.borrow(8.0, 2, 1.0, 1.0)
         self.assertEqual(self.lender.borrowed.find_total(8.0).rate, 30.0)
         end = 5.1 + ENTRY_LOAN_KEPT_S
         self.lender.settle(end)
         self.assertEqual(self.lender.borrowed.find_total(end).rate, 1.0)
 
     def test_waiting_grant_is_not_lent_on_beyond_the_one_in_use(self) -> None:
-        wide = LoanGrant(ARCHIVE, 1, 0.0, 30.0, 0.0)
-        fast = LoanGrant(ARCHIVE, 2, 30.0, 1.0, 0.0)
-        self.lender.accept_borrowed(5.0, NORTH, wide, 5.0 + DOMAIN_LOAN_S)
-        first = self.lend(5.1, name_borrower("a"), build_ask(30.0))
-        self.lender.accept_borrowed(6.0, NORTH, fast, 6.0 + DOMAIN_LOAN_S)
-        second = self.lend(6.1, name_borrower("b"), build_ask(30.0))
+        self.borrow(5.0, 1, 0.0, 30.0)
+        first = self.lend(5.1, A, build_ask(30.0))
+        self.borrow(6.0, 2, 30.0, 1.0)
+        second = self.lend(6.1, B, build_ask(30.0))
         self.assertEqual(self.lender.borrowed.report_used(NORTH).number, 1)
         self.assertLessEqual(first.rate + second.rate, 10.0 + ROUNDING)
 
     def test_grant_not_named_in_a_request_is_forgotten(self) -> None:
-        large = LoanGrant(ARCHIVE, 1, 30.0, 30.0, 0.0)
-        small = LoanGrant(ARCHIVE, 2, 1.0, 1.0, 0.0)
-        self.lender.accept_borrowed(5.0, NORTH, large, 5.0 + DOMAIN_LOAN_S)
-        self.lend(5.1, name_borrower("a"), build_ask(30.0))
-        self.lender.accept_borrowed(6.0, NORTH, small, 6.0 + DOMAIN_LOAN_S)
+        self.borrow(5.0, 1, 30.0, 30.0)
+        self.lend(5.1, A, build_ask(30.0))
+        self.borrow(6.0, 2, 1.0, 1.0)
         self.assertEqual(self.lender.borrowed.report_used(NORTH).number, 1)
         self.lender.settle(5.0 + DOMAIN_LOAN_S)
         self.assertEqual(self.lender.borrowed.find_total(11.0).rate, 0.0)
--- a/tests/coordination/rate/test_steward.py
+++ b/tests/coordination/rate/test_steward.py
@@ -58,10 +58,11 @@
         answer = node.steward.handle_control(ControlSender(sender), body)
         return decode_reply(answer)
 
-    def test_entry_gets_a_loan(self) -> None:
+    def test_entries_and_stewards_of_other_domains_get_loans(self) -> None:
         reply = self.ask(self.steward, EAST)
         self.assertTrue(reply.accepted)
         self.assertGreater(reply.grants[0].rate, 4.0)
+        self.assertTrue(self.ask(self.steward, WEST, steward=True).accepted)
 
     def test_daemon_without_the_lease_names_the_holder(self) -> None:
         others = [n for n in self.fleet.list_live(EAST) if n is not self.steward]
@@ -78,21 +79,12 @@
         guard.tenure = None
         self.assertFalse(self.ask(self.steward, EAST).accepted)
 
-    def test_entry_of_another_domain_is_refused(self) -> None:
+    def test_strangers_unknown_organisations_and_malformed_requests(self) -> None:
         self.assertFalse(self.ask(self.steward, WEST).accepted)
-
-    def test_steward_of_another_domain_gets_a_loan(self) -> None:
-        self.assertTrue(self.ask(self.steward, WEST, steward=True).accepted)
-
-    def test_request_in_anothers_name_is_refused(self) -> None:
         stranger = InstanceId("stranger")
         self.assertFalse(self.ask(self.steward, EAST, sender=stranger).accepted)
-
-    def test_unknown_organisation_gets_nothing(self) -> None:
         unknown = OrganisationId("unknown")
         self.assertEqual(self.ask(self.steward, EAST, organisation=unknown).grants, ())
-
-    def test_malformed_request_is_refused(self) -> None:
         sender = ControlSender(ASKER)
         answer = self.steward.steward.handle_control(sender, b"\x0b\x00\x01")
         self.assertFalse(decode_reply(answer).accepted)
