Share the admission's set-up, merge refusals of the owner and of links

Ruled out: one clock for both; the end of a wait is real time. Change: AdmissionCase in tests/coordination/owner/case.py.

--- a/tests/common/relay.py
+++ b/tests/common/relay.py
@@ -114,11 +114,6 @@
         host, port = self._listener.getsockname()
         return f"{host}:{port}"
 
-    @property
-    def connection_count(self) -> int:
-        """Return how many connections were relayed since the start."""
-        return len(self._connections)
-
     def cut(self) -> None:
         """Close all connections and refuse new ones."""
         with self._lock:
--- a/tests/coordination/lease/test_lease.py
+++ b/tests/coordination/lease/test_lease.py
@@ -138,18 +138,13 @@
 class LeaseMachineTests(TestCase):
     """Check random events, and that they find two that act without two guards."""
 
-    def check_found(self, lease: type[Lease]) -> None:
-        with self.assertRaises(TwoActError):
-            run_machine(lease)
-
     def test_never_two_that_act(self) -> None:
         run_machine(Lease)
 
-    def test_check_made_once_is_found(self) -> None:
-        self.check_found(CheckedOnceLease)
-
-    def test_missing_wait_after_the_record_is_found(self) -> None:
-        self.check_found(NoTakeoverWaitLease)
+    def test_check_made_once_and_missing_wait_after_the_record_are_found(self) -> None:
+        for lease in (CheckedOnceLease, NoTakeoverWaitLease):
+            with self.subTest(lease.__name__), self.assertRaises(TwoActError):
+                run_machine(lease)
 
 
 # One guard left out, and events in which two act for want of it.
--- a/tests/coordination/owner/test_admission.py
+++ b/tests/coordination/owner/test_admission.py
@@ -1,22 +1,16 @@
 """Test who is admitted, who waits and who is refused."""
 
 import threading
-from random import Random
 from unittest import TestCase
 
-from result import Err, Ok, Result
+from result import Ok
 
 from corianderhold.clock import SystemClock
-from corianderhold.coordination.owner.admission import Admission, AdmissionPolicy
-from corianderhold.coordination.owner.limit import FixedLimit
 from corianderhold.coordination.owner.queue import FairQueue, Waiter
-from corianderhold.ids import OrganisationId, RouteName
-from corianderhold.protocol.verdict import Reason, Refusal
-from tests.common.calls import make_context
+from corianderhold.ids import OrganisationId
+from corianderhold.protocol.verdict import Reason
 from tests.common.waiting import wait_until
-
-CLOCK = SystemClock()
-SEARCH = RouteName("search")
+from tests.coordination.owner.case import AdmissionCase
 
 
 def make_waiter(importance: int, organisation: str) -> Waiter:
@@ -68,56 +62,17 @@
         self.assertEqual(served, ["other", "greedy", "greedy", "other"])
 
 
-class AdmissionTests(TestCase):
-    """Admit calls on real threads."""
-
-    def setUp(self) -> None:
-        self.admission = Admission(
-            FixedLimit(1),
-            AdmissionPolicy(2, lambda organisation: 1.0),
-            CLOCK,
-            Random(1),
-        )
-        self.outcomes: dict[str, Result[Waiter, Refusal]] = {}
-        self.waiters: dict[str, Waiter] = {}
-
-    def acquire(
-        self,
-        name: str,
-        importance: int,
-        wait_s: float = 30.0,
-        organisation: str = "schools",
-    ) -> None:
-        deadline = CLOCK.read_monotonic() + wait_s
-        context = make_context(name, importance, organisation, deadline)
-        self.outcomes[name] = self.admission.acquire(
-            context, lambda waiter: self.waiters.update({name: waiter})
-        )
-
-    def acquire_in_background(self, name: str, importance: int) -> threading.Thread:
-        """Start a thread that acquires, and wait until it queues or is refused."""
-        queued = self.admission.report_load(False).queued
-        thread = threading.Thread(target=self.acquire, args=(name, importance))
-        thread.start()
-        wait_until(
-            lambda: (
-                self.admission.report_load(False).queued > queued
-                or not thread.is_alive()
-                or any(isinstance(o, Err) for o in self.outcomes.values())
-            ),
-            f"{name} queues or decides",
-        )
-        return thread
+class AdmissionTests(AdmissionCase):
+    """Admit calls in real time."""
 
-    def release(self) -> None:
-        self.admission.release(SEARCH, CLOCK.read_monotonic(), failed=False)
+    clock = SystemClock()
 
     def reason(self, name: str) -> Reason:
         return self.outcomes[name].unwrap_err().reason
 
     def test_full_queue_refuses_and_says_when_to_come_back(self) -> None:
         self.acquire("running", 1)
-        threads = [self.acquire_in_background(f"q{i}", 1) for i in range(2)]
+        threads = [self.queue(f"q{i}", 1) for i in range(2)]
         self.acquire("late", 1)
         refusal = self.outcomes["late"].unwrap_err()
         self.assertEqual(refusal.reason, Reason.QUEUE_FULL)
@@ -133,8 +88,8 @@
 
     def test_important_call_takes_the_place_of_a_lesser_one(self) -> None:
         self.acquire("running", 1)
-        threads = [self.acquire_in_background(n, 0) for n in ("low1", "low2")]
-        threads.append(self.acquire_in_background("critical", 3))
+        threads = [self.queue(n, 0) for n in ("low1", "low2")]
+        threads.append(self.queue("critical", 3))
         wait_until(lambda: "low2" in self.outcomes, "a lesser call gives way")
         self.assertEqual(self.reason("low2"), Reason.SHED)
         self.release()
@@ -148,13 +103,13 @@
 
     def test_wait_ends_at_the_deadline(self) -> None:
         self.acquire("running", 1)
-        self.acquire("short", 1, wait_s=0.05)
+        self.acquire("short", left_s=0.05)
         self.assertEqual(self.reason("short"), Reason.DEADLINE_PASSED)
         self.assertEqual(self.admission.report_load(False).queued, 0)
 
     def test_cancelled_call_leaves_the_queue(self) -> None:
         self.acquire("running", 1)
-        thread = self.acquire_in_background("gone", 1)
+        thread = self.queue("gone", 1)
         self.waiters["gone"].cancel()
         thread.join()
         self.assertEqual(self.reason("gone"), Reason.CANCELLED)
@@ -163,7 +118,7 @@
 
     def test_organisation_with_less_waiting_gets_a_place_in_a_full_queue(self) -> None:
         self.acquire("running", 1)
-        threads = [self.acquire_in_background(f"greedy{i}", 1) for i in range(2)]
+        threads = [self.queue(f"greedy{i}", 1) for i in range(2)]
         modest = threading.Thread(
             target=self.acquire, args=("modest", 1, 30.0, "radio")
         )
--- a/tests/coordination/owner/test_deadlines.py
+++ b/tests/coordination/owner/test_deadlines.py
@@ -1,64 +1,32 @@
 """Test that calls which can't end by their deadline are dropped early."""
 
 import threading
-from random import Random
-from unittest import TestCase
 
-from result import Result
-
-from corianderhold.coordination.owner.admission import (
-    DEADLINE_UNMEETABLE,
-    Admission,
-    AdmissionPolicy,
-)
+from corianderhold.coordination.owner.admission import DEADLINE_UNMEETABLE
 from corianderhold.coordination.owner.const import ESTIMATE_LIFETIME_S
-from corianderhold.coordination.owner.limit import FixedLimit
-from corianderhold.coordination.owner.queue import Waiter
-from corianderhold.ids import RouteName
-from corianderhold.protocol.verdict import Reason, Refusal
+from corianderhold.protocol.verdict import Reason
 from corianderhold.state.configuration.model import Importance
-from tests.common.calls import make_context
 from tests.common.clock import FakeClock
-from tests.common.waiting import wait_until
+from tests.coordination.owner.case import SEARCH, AdmissionCase
 
-SEARCH = RouteName("search")
 SERVICE_S = 1.0
 
 
-class AdmissionCase(TestCase):
+class SlowCallCase(AdmissionCase):
     """Let one slow call run and others come behind it."""
 
+    clock: FakeClock
+
     def setUp(self) -> None:
         self.clock = FakeClock()
-        policy = AdmissionPolicy(2, lambda organisation: 1.0)
-        self.admission = Admission(FixedLimit(1), policy, self.clock, Random(1))
-        self.outcomes: dict[str, Result[Waiter, Refusal]] = {}
+        super().setUp()
         self.acquire("first")
         self.clock.advance(SERVICE_S)
         self.release(SERVICE_S)
         self.acquire("running")
 
-    def acquire(self, name: str, left_s: float = 100.0, importance: int = 1) -> None:
-        deadline_at = self.clock.read_monotonic() + left_s
-        context = make_context(name, importance, deadline_at=deadline_at)
-        self.outcomes[name] = self.admission.acquire(context, lambda waiter: None)
-
-    def queue(self, name: str, left_s: float, importance: int = 1) -> threading.Thread:
-        """Start a thread that waits in the queue."""
-        queued = self.admission.report_load(False).queued
-        thread = threading.Thread(target=self.acquire, args=(name, left_s, importance))
-        thread.start()
-        wait_until(
-            lambda: self.admission.report_load(False).queued > queued, f"{name} queues"
-        )
-        return thread
-
-    def release(self, duration_s: float = 0.0) -> None:
-        started_at = self.clock.read_monotonic() - duration_s
-        self.admission.release(SEARCH, started_at, failed=False)
-
 
-class DeadlineTests(AdmissionCase):
+class DeadlineTests(SlowCallCase):
     """Refuse what would be late."""
 
     def assert_late(self, name: str) -> None:
@@ -94,11 +62,11 @@
         self.assert_late("late")
 
 
-class ShedLevelTests(AdmissionCase):
+class ShedLevelTests(SlowCallCase):
     """Tell entries which importance is refused."""
 
     def fill(self, importance: int) -> list[threading.Thread]:
-        return [self.queue(f"queued-{i}", 50.0, importance) for i in range(2)]
+        return [self.queue(f"queued-{i}", importance, 50.0) for i in range(2)]
 
     def read_level(self) -> int:
         return self.admission.report_load(False).shed_below
--- a/tests/coordination/owner/test_limit.py
+++ b/tests/coordination/owner/test_limit.py
@@ -47,9 +47,6 @@
             for left in range(calls, 0, -1):
                 self.limit.note_completion(duration_s, failed, left)
 
-    def test_cold_target_starts_with_few_calls(self) -> None:
-        self.assertEqual(self.limit.read_limit(), INITIAL_LIMIT)
-
     def test_limit_stays_near_the_slots(self) -> None:
         self.serve()
         self.assertGreaterEqual(self.limit.read_limit(), SLOTS)
@@ -60,7 +57,8 @@
         self.serve()
         self.assertEqual(self.limit.read_limit(), 5)
 
-    def test_limit_that_is_not_reached_does_not_grow(self) -> None:
+    def test_cold_target_keeps_few_calls_while_they_are_not_reached(self) -> None:
+        self.assertEqual(self.limit.read_limit(), INITIAL_LIMIT)
         self.serve(in_flight=INITIAL_LIMIT - 1)
         self.assertEqual(self.limit.read_limit(), INITIAL_LIMIT)
 
--- a/tests/coordination/owner/test_owner.py
+++ b/tests/coordination/owner/test_owner.py
@@ -118,17 +118,14 @@
         self.assertEqual(self.admission.report_load(False).in_flight, 0)
         return refusal.reason
 
-    def test_draining_target_is_refused_at_once(self) -> None:
-        self.assertEqual(self.refuse(self.draining), Reason.DRAINING)
-
-    def test_call_that_waited_is_refused_after_a_drain(self) -> None:
-        reason = self.refuse(self.serving, self.draining)
-        self.assertEqual(reason, Reason.DRAINING)
-
-    def test_call_that_waited_is_refused_after_the_loss_of_the_target(self) -> None:
-        reason = self.refuse(self.serving, ABSENT_TARGET)
-        self.assertEqual(reason, Reason.NO_TARGET)
-        self.assertEqual(self.limit.failures, 0)
+    def test_target_that_drains_or_goes_refuses_also_calls_that_waited(self) -> None:
+        for script, reason in (
+            ((self.draining,), Reason.DRAINING),
+            ((self.serving, self.draining), Reason.DRAINING),
+            ((self.serving, ABSENT_TARGET), Reason.NO_TARGET),
+        ):
+            self.assertEqual(self.refuse(*script), reason)
+            self.assertEqual(self.limit.failures, 0)
 
     def test_unreachable_target_counts_as_its_failure(self) -> None:
         self.listener.close()
--- a/tests/transport/peer/test_links.py
+++ b/tests/transport/peer/test_links.py
@@ -80,15 +80,12 @@
         with self.assertRaises(LinkClosedError):
             self.link.receive(1)
 
-    def test_malformed_frame_is_reported(self) -> None:
-        self.raw.sendall(struct.pack("!I", 5) + b"\xff\x00\xff\x00\xff")
-        with self.assertRaises(FrameError):
-            self.link.receive(1)
-
-    def test_oversized_frame_is_refused_before_it_is_read(self) -> None:
-        self.raw.sendall(struct.pack("!I", FRAME_BYTES_MAX + 1))
-        with self.assertRaises(FrameError):
-            self.link.receive(1)
+    def test_malformed_frame_and_the_length_of_an_oversized_one(self) -> None:
+        malformed = struct.pack("!I", 5) + b"\xff\x00\xff\x00\xff"
+        for data in (malformed, struct.pack("!I", FRAME_BYTES_MAX + 1)):
+            self.raw.sendall(data)
+            with self.assertRaises(FrameError):
+                self.link.receive(1)
 
     def test_sender_notices_that_nothing_is_taken(self) -> None:
         with self.assertRaises(LinkSilentError):
