Call applications and note announcements in one place

Cause: three modules called an application without a server in their own way, two had a registrar each. Ruled out: servers for them; these tests need none. Change: call_application and RecordingRegistrar in tests/common/calls.py; KeyTest.recheck. The test of announcements now also checks that nothing was withdrawn.

--- a/tests/common/calls.py
+++ b/tests/common/calls.py
@@ -1,5 +1,7 @@
 """Make call contexts and members for tests."""
 
+import io
+
 from result import Err, Result
 
 from corianderhold.coordination.call import Answer, CallContext, RequestBody
@@ -17,10 +19,47 @@
 )
 from corianderhold.protocol.verdict import Reason, Refusal, refuse_not_run
 from corianderhold.state.membership.model import Address, Member, TargetState
+from corianderhold.state.membership.target import TargetAnnouncement
+from corianderhold.transport.web.server import Environ, WSGIApplication
 
 CATALOGUE = ServiceName("catalogue")
 
 
+class RecordingRegistrar:
+    """Note what the local target announced."""
+
+    def __init__(self) -> None:
+        self.announced: list[TargetAnnouncement] = []
+        self.withdrawn: list[tuple[str | None, int | None]] = []
+        self.drains = 0
+
+    def announce_target(self, announcement: TargetAnnouncement) -> None:
+        """Note one heartbeat."""
+        self.announced.append(announcement)
+
+    def withdraw_target(self, target_id: str | None, started: int | None) -> None:
+        """Note one withdrawal."""
+        self.withdrawn.append((target_id, started))
+
+    def drain_target(self) -> None:
+        """Count the drains."""
+        self.drains += 1
+
+
+def call_application(
+    application: WSGIApplication, environ: Environ, body: bytes = b""
+) -> tuple[str, dict[str, str], bytes]:
+    """Return status, headers and body of the answer to a request."""
+    begun: list[tuple[str, dict[str, str]]] = []
+
+    def start_response(status: str, headers: list[tuple[str, str]]) -> None:
+        begun.append((status, dict(headers)))
+
+    environ = {**environ, "wsgi.input": io.BytesIO(body)}
+    content = b"".join(application(environ, start_response))
+    return (*begun[0], content)
+
+
 class RefusingRouter:
     """Refuse every call as not run and note its context."""
 
--- a/tests/coordination/entry/test_application.py
+++ b/tests/coordination/entry/test_application.py
@@ -1,6 +1,5 @@
 """Test what a caller's request is admitted for and what goes on to the target."""
 
-import io
 import json
 from dataclasses import replace
 from unittest import TestCase
@@ -27,7 +26,7 @@
 )
 from corianderhold.state.keys.issue import build_opaque_key
 from corianderhold.transport.web.server import ENVIRON_SOCKET
-from tests.common.calls import RefusingRouter, make_context
+from tests.common.calls import RefusingRouter, call_application, make_context
 from tests.common.clock import FakeClock
 
 SCHOOLS = OrganisationId("schools")
@@ -89,24 +88,19 @@
         self.application = CallerApplication(
             self.intake, self.holder, self.limiter, self.clock, self.running
         )
-        self.response: tuple[str, dict[str, str]] = ("", {})
 
     def send(self, path: str, key: str | None = None, **headers: str) -> str:
         """Return the reason of the refusal, which is NO_TARGET once routed."""
-
-        def start_response(status: str, pairs: list[tuple[str, str]]) -> None:
-            self.response = (status, dict(pairs))
-
         environ = {
             "REQUEST_METHOD": "GET",
             "REQUEST_URI": path,
-            "wsgi.input": io.BytesIO(),
             ENVIRON_SOCKET: None,
             **{f"HTTP_{name.upper()}": value for name, value in headers.items()},
         }
         if key is not None:
             environ["HTTP_AUTHORIZATION"] = f"Bearer {key}"
-        body = b"".join(self.application(environ, start_response))
+        status, fields, body = call_application(self.application, environ)
+        self.response = (status, fields)
         reason: str = json.loads(body)["reason"]
         return reason
 
--- a/tests/coordination/entry/test_outgoing.py
+++ b/tests/coordination/entry/test_outgoing.py
@@ -1,6 +1,5 @@
 """Test what the local target may say and ask on the outgoing listener."""
 
-import io
 import json
 from collections import Counter
 from dataclasses import replace
@@ -25,7 +24,12 @@
 from corianderhold.state.membership.model import Address
 from corianderhold.state.membership.target import TargetAnnouncement
 from corianderhold.transport.web.server import ENVIRON_SOCKET
-from tests.common.calls import RefusingRouter, make_context
+from tests.common.calls import (
+    RecordingRegistrar,
+    RefusingRouter,
+    call_application,
+    make_context,
+)
 
 THREADS = 16
 LOOKUP = Route(
@@ -37,23 +41,6 @@
 )
 
 
-class RecordingRegistrar:
-    """Note what the target announced."""
-
-    def __init__(self) -> None:
-        self.announced: list[TargetAnnouncement] = []
-        self.drains = 0
-
-    def announce_target(self, announcement: TargetAnnouncement) -> None:
-        self.announced.append(announcement)
-
-    def withdraw_target(self, target_id: str | None, started: int | None) -> None:
-        raise NotImplementedError
-
-    def drain_target(self) -> None:
-        self.drains += 1
-
-
 class OutgoingTests(TestCase):
     """Send requests as the local target does."""
 
@@ -72,19 +59,11 @@
         self.application = OutgoingApplication(
             intake, self.holder, self.calls, self.registrar, clock
         )
-        self.status = ""
 
     def post(self, path: str, body: bytes, **headers: str) -> bytes:
-        def start_response(status: str, pairs: list[tuple[str, str]]) -> None:
-            self.status = status
-
-        environ = {
-            "REQUEST_METHOD": "POST",
-            "REQUEST_URI": path,
-            "wsgi.input": io.BytesIO(body),
-            **headers,
-        }
-        return b"".join(self.application(environ, start_response))
+        environ = {"REQUEST_METHOD": "POST", "REQUEST_URI": path, **headers}
+        self.status, _, answer = call_application(self.application, environ, body)
+        return answer
 
     def test_announcement_and_drain_are_passed_on(self) -> None:
         announcement = {"service": "rights", "address": "127.0.0.1:9000"}
@@ -97,7 +76,7 @@
         expected = [TargetAnnouncement(*target, started=start) for start in (0, 1)]
         self.assertEqual(self.registrar.announced, expected)
         self.post(DRAIN_PATH, b"")
-        self.assertEqual(self.registrar.drains, 1)
+        self.assertEqual((self.registrar.drains, self.registrar.withdrawn), (1, []))
 
     def test_malformed_announcement_is_refused_with_what_is_accepted(self) -> None:
         for body in (
--- a/tests/platform/test_targets.py
+++ b/tests/platform/test_targets.py
@@ -1,13 +1,12 @@
 """Test the translation of the server's heartbeats."""
 
-import io
 import json
-from typing import Any
 from unittest import TestCase
 
 from corianderhold.state.membership.model import Address
 from corianderhold.state.membership.target import TargetAnnouncement
 from corianderhold_platform.targets import TargetApplication
+from tests.common.calls import RecordingRegistrar, call_application
 
 HEARTBEAT = {
     "address": "10.0.0.9:8080",
@@ -17,27 +16,11 @@
 }
 
 
-class Registrar:
-    """Note what is announced."""
-
-    def __init__(self) -> None:
-        self.announced: list[TargetAnnouncement] = []
-        self.withdrawn: list[tuple[str | None, int | None]] = []
-
-    def announce_target(self, announcement: TargetAnnouncement) -> None:
-        """Note one heartbeat."""
-        self.announced.append(announcement)
-
-    def withdraw_target(self, target_id: str | None, started: int | None) -> None:
-        """Note one withdrawal."""
-        self.withdrawn.append((target_id, started))
-
-
 class TargetApplicationTest(TestCase):
     """Heartbeats are handed on or refused, and always answered."""
 
     def setUp(self) -> None:
-        self.registrar = Registrar()
+        self.registrar = RecordingRegistrar()
         self.application = TargetApplication(self.registrar)
 
     def _call(self, name: str, body: object, target_id: str = "i-1") -> str:
@@ -45,15 +28,8 @@
         environ = {
             "PATH_INFO": "/corianderhold/rpc",
             "QUERY_STRING": f"call=instances.{name}&of={target_id}",
-            "wsgi.input": io.BytesIO(text),
         }
-        statuses: list[str] = []
-
-        def start_response(status: str, headers: Any) -> None:  # noqa: ANN401
-            statuses.append(status)
-
-        b"".join(self.application(environ, start_response))
-        return statuses[0]
+        return call_application(self.application, environ, text)[0]
 
     def test_heartbeat(self) -> None:
         self.assertEqual(self._call("heartbeat", HEARTBEAT), "200 OK")
--- a/tests/state/keys/test_keys.py
+++ b/tests/state/keys/test_keys.py
@@ -55,6 +55,10 @@
         found = identify_caller(self.configuration, text, now_s)
         return found.err_value if isinstance(found, Err) else found.ok_value
 
+    def recheck(self) -> Reason | None:
+        """Return why the granted key's open connections are no longer served."""
+        return recheck_caller(self.configuration, self.caller, NOW_S)
+
     def rotate(self, overlap_s: float) -> IssuedKey:
         """Rotate the granted key and publish that."""
         rotated = rotate_key(
@@ -107,11 +111,10 @@
 
     def test_withdrawn_key_is_refused_also_on_an_open_connection(self) -> None:
         delta = withdraw_key(self.configuration, self.caller.key_id).unwrap()
-        self.assertIsNone(recheck_caller(self.configuration, self.caller, NOW_S))
+        self.assertIsNone(self.recheck())
         self.publish(delta)
         self.assertEqual(self.identify(self.issued.text), Reason.KEY_WITHDRAWN)
-        reason = recheck_caller(self.configuration, self.caller, NOW_S)
-        self.assertEqual(reason, Reason.KEY_WITHDRAWN)
+        self.assertEqual(self.recheck(), Reason.KEY_WITHDRAWN)
         forged = f"ch_{self.caller.key_id}_{'0' * 64}"
         self.assertEqual(self.identify(forged), Reason.KEY_UNKNOWN)
         revival = make_text("revival", self.state.version, self.issued.delta)
@@ -119,15 +122,13 @@
         self.assertEqual(outcomes[0].kind, OutcomeKind.REFUSED)
         self.publish(Delta(removed_keys=(self.caller.key_id,)))
         self.assertEqual(self.identify(self.issued.text), Reason.KEY_UNKNOWN)
-        reason = recheck_caller(self.configuration, self.caller, NOW_S)
-        self.assertEqual(reason, Reason.KEY_UNKNOWN)
+        self.assertEqual(self.recheck(), Reason.KEY_UNKNOWN)
 
     def test_key_of_another_organisation_or_digest_does_not_count(self) -> None:
         other = replace(RADIO_ENTITY, name=OrganisationId("school"))
         moved = replace(self.issued.key, organisation=other.name)
         self.publish(Delta(organisations=(other,), keys=(moved,)))
-        reason = recheck_caller(self.configuration, self.caller, NOW_S)
-        self.assertEqual(reason, Reason.KEY_UNKNOWN)
+        self.assertEqual(self.recheck(), Reason.KEY_UNKNOWN)
         later = replace(moved, digest=moved.digest.replace("hmac-sha256", "hmac-sha3"))
         self.publish(Delta(keys=(later,)))
         self.assertEqual(self.identify(self.issued.text), Reason.KEY_UNKNOWN)
