Check the end of the launcher's starts in one place

Cause: four tests waited for processes and checked their ends in the same lines. Ruled out: merging the tests; each start differs. Change: LauncherCase.check_ends; the test of arguments now also checks exit code and standard error. Conclusion: no check lost.

--- a/tests/build/test_launcher.py
+++ b/tests/build/test_launcher.py
@@ -69,11 +69,15 @@
             text=True,
         )
 
+    def check_ends(self, *processes: subprocess.Popen[str]) -> str:
+        """Check that all succeed; return the output of the last."""
+        for process in processes:
+            output, errors = process.communicate(timeout=LIMIT_S)
+            self.assertEqual((process.returncode, errors), (0, ""))
+        return output
+
     def check_starts(self) -> None:
-        process = self.start()
-        output, errors = process.communicate(timeout=LIMIT_S)
-        self.assertEqual((process.returncode, errors), (0, ""))
-        self.assertIn("linked=content", output)
+        self.assertIn("linked=content", self.check_ends(self.start()))
 
     def check_refuses(self, reason: str, base: str | None = None) -> None:
         variables = {} if base is None else {DIRECTORY_VARIABLE: base}
@@ -95,9 +99,8 @@
 
     def test_same_process_arguments_and_environment(self) -> None:
         process = self.start("one", "two", variables={"TEST_VARIABLE": "three"})
-        output, _ = process.communicate(timeout=LIMIT_S)
         expected = f"pid={process.pid} arguments=one two variable=three linked=content"
-        self.assertEqual(output.strip(), expected)
+        self.assertEqual(self.check_ends(process).strip(), expected)
 
     def test_exit_code_of_payload(self) -> None:
         self.pack(f"#!/bin/sh\nexit {EXIT_PAYLOAD}\n")
@@ -119,10 +122,7 @@
         self.assertEqual(len(self.list_unpacked()), 2)
 
     def test_two_starts_at_once(self) -> None:
-        processes = [self.start() for _ in range(8)]
-        for process in processes:
-            _, errors = process.communicate(timeout=LIMIT_S)
-            self.assertEqual((process.returncode, errors), (0, ""))
+        self.check_ends(*[self.start() for _ in range(8)])
         self.assertEqual(len(self.list_unpacked()), 1)
         self.assertEqual(self.list_temporary(), [])
 
@@ -159,9 +159,7 @@
             for process in processes:
                 wait_until(partial(self.is_at_lock, process, lock), "start at the lock")
             self.assertEqual(self.list_unpacked(), [])
-        for process in processes:
-            _, errors = process.communicate(timeout=LIMIT_S)
-            self.assertEqual((process.returncode, errors), (0, ""))
+        self.check_ends(*processes)
         self.assertEqual(len(self.list_unpacked()), 1)
 
 
