Freeze the store of the stop's tests in one place

Cause: three tests froze the store and had it thawed at the end in the same lines. Change: PlannedStopTests._freeze_store.

--- a/tests/failures/test_stop.py
+++ b/tests/failures/test_stop.py
@@ -6,6 +6,7 @@
 
 from emulator.sample import BROADCASTER_KEY
 from tests.common.fleet import DaemonPlan, RequestPlan
+from tests.common.processes import ManagedProcess
 from tests.common.scenario import FleetTestCase, Sent, plan_ingest
 from tests.common.waiting import WAIT_LIMIT_S, wait_until
 from tests.common.web import send_request
@@ -77,21 +78,15 @@
         self.check_verdicts(sent)
 
     def test_silent_store_does_not_hold_up_a_stop(self) -> None:
-        store = self.fleet.store
         daemon = self.fleet.get_daemon(OWNER)
-        assert store is not None
-        store.freeze()
-        self.addCleanup(store.thaw)
+        store = self._freeze_store()
         daemon.terminate()
         self.assertEqual(daemon.wait_for_exit(SETTINGS_STOP_LIMIT_S), 0)
         store.thaw()
         self._restart(OWNER)
 
     def test_limit_holds_while_everything_blocks(self) -> None:
-        store, member = self.fleet.store, self.fleet.members[OWNER]
-        daemon = member.daemon
-        assert store is not None
-        assert daemon is not None
+        member, daemon = self.fleet.members[OWNER], self.fleet.get_daemon(OWNER)
         plans = [RequestPlan(STALLED, BROADCASTER_KEY) for _ in range(CALLS)]
         futures = [self.send_in_background(OWNER, plan) for plan in plans[:2]]
         futures += [self.send_in_background(ENTRY, plan) for plan in plans[2:]]
@@ -100,8 +95,7 @@
         with socket.create_connection((host, int(port))) as unread:
             unread.sendall(UNREAD_REQUEST)
             daemon.wait_until_logged(UNREAD_ADMITTED)
-            store.freeze()
-            self.addCleanup(store.thaw)
+            store = self._freeze_store()
             began_at = time.monotonic()
             daemon.terminate()
             self.assertEqual(daemon.wait_for_exit(STOP_LIMIT_S), 0)
@@ -115,13 +109,9 @@
         self._restart(OWNER)
 
     def test_failed_start_ends_a_daemon_while_the_store_is_silent(self) -> None:
-        store, member = self.fleet.store, self.fleet.members[OWNER]
-        assert store is not None
-        assert member.daemon is not None
-        member.daemon.kill()
-        store.freeze()
-        self.addCleanup(store.thaw)
-        host, port = member.get_address("caller").split(":")
+        self.fleet.get_daemon(OWNER).kill()
+        store = self._freeze_store()
+        host, port = self.fleet.members[OWNER].get_address("caller").split(":")
         with socket.create_server((host, int(port))):
             daemon = self.fleet.launch_daemon(OWNER)
             daemon.wait_until_logged(START_FAILED)
@@ -172,6 +162,13 @@
         self._restart(stopped)
         self.check_verdicts([*held, *later])
 
+    def _freeze_store(self) -> ManagedProcess:
+        store = self.fleet.store
+        assert store is not None
+        store.freeze()
+        self.addCleanup(store.thaw)
+        return store
+
     def _send_elsewhere(self, stopped: str) -> Sent:
         entry = OTHER if stopped != OTHER else OWNER
         sent = self.send(entry, plan_ingest())
