Build the organisation with a low rate in one place

Cause: two modules of failures built the same organisation and key. Ruled out: putting it into the sample; all fleets would get it. Change: build_limited and LIMITED_KEY in tests/common/limited.py. Conclusion: no check lost.

--- /dev/null
+++ b/tests/common/limited.py
@@ -0,0 +1,19 @@
+"""Give a fleet one more organisation, with a rate and a key of its own."""
+
+from corianderhold.ids import KeyId, OrganisationId
+from corianderhold.state.configuration.model import ApiKey, Organisation
+from corianderhold.state.configuration.records import Delta
+from corianderhold.state.keys.const import KEY_MARK, SECRET_BYTES
+from corianderhold.state.keys.digest import digest_secret
+from emulator.sample import SHARES, build_change
+
+SECRET = "3d" * SECRET_BYTES
+LIMITED_KEY = f"{KEY_MARK}_limited-1_{SECRET}"
+
+
+def build_limited(rate: float, burst: float) -> str:
+    """Return the change that follows the sample's configuration."""
+    name = OrganisationId("limited")
+    organisation = Organisation(name, rate, burst, shares=SHARES)
+    key = ApiKey(KeyId("limited-1"), name, digest_secret(SECRET))
+    return build_change(1, Delta((), (), (organisation,), (key,)))
--- a/tests/failures/test_operations.py
+++ b/tests/failures/test_operations.py
@@ -5,13 +5,9 @@
 from functools import partial
 from pathlib import Path
 
-from corianderhold.ids import KeyId, OrganisationId
-from corianderhold.state.configuration.model import ApiKey, Organisation
-from corianderhold.state.configuration.records import Delta
-from corianderhold.state.keys.const import KEY_MARK, SECRET_BYTES
-from corianderhold.state.keys.digest import digest_secret
-from emulator.sample import BROADCASTER_KEY, SHARES, build_change
+from emulator.sample import BROADCASTER_KEY
 from tests.common.fleet import DaemonPlan, RequestPlan
+from tests.common.limited import LIMITED_KEY, build_limited
 from tests.common.processes import ROOT
 from tests.common.scenario import FleetTestCase, plan_ingest
 from tests.common.waiting import WAIT_LIMIT_S, wait_until
@@ -22,8 +18,6 @@
 OWNER = "owner"
 SLOW = "/catalogue/search?work_ms=1500"
 FLOOD = 40
-LIMITED_SECRET = "3d" * SECRET_BYTES
-LIMITED_KEY = f"{KEY_MARK}_limited-1_{LIMITED_SECRET}"
 SECTION = re.compile(r"^## (.*?)\n(.*?)(?=^## |\Z)", re.MULTILINE | re.DOTALL)
 COMMANDS = re.compile(r"^```sh\n(.*?)^```", re.MULTILINE | re.DOTALL)
 
@@ -76,12 +70,7 @@
             raise AssertionError(f"{error}: {printed}") from error
 
     def test_refused_by_rate(self) -> None:
-        organisation = Organisation(OrganisationId("limited"), 0.1, 1.0, shares=SHARES)
-        key = ApiKey(
-            KeyId("limited-1"), organisation.name, digest_secret(LIMITED_SECRET)
-        )
-        change = Delta((), (), (organisation,), (key,))
-        self.fleet.publish(build_change(1, change))
+        self.fleet.publish(build_limited(0.1, 1.0))
         answers: dict[str, Outcome] = {}
 
         def is_refused() -> bool:
--- a/tests/failures/test_rates.py
+++ b/tests/failures/test_rates.py
@@ -5,26 +5,12 @@
 from functools import partial
 from typing import ClassVar
 
-from corianderhold.ids import KeyId, OrganisationId
-from corianderhold.state.configuration.model import ApiKey, Organisation
-from corianderhold.state.configuration.records import Delta
-from corianderhold.state.keys.const import KEY_MARK, SECRET_BYTES
-from corianderhold.state.keys.digest import digest_secret
-from emulator.sample import (
-    CATALOGUE,
-    DOMAIN_A,
-    DOMAIN_B,
-    SHARES,
-    build_change,
-)
+from emulator.sample import CATALOGUE, DOMAIN_A, DOMAIN_B
 from tests.common.fleet import DaemonPlan, RequestPlan
+from tests.common.limited import LIMITED_KEY, build_limited
 from tests.common.scenario import FleetTestCase
 from tests.common.waiting import wait_until
 
-LIMITED = OrganisationId("limited")
-LIMITED_KEY_ID = KeyId("limited-1")
-LIMITED_SECRET = "3d" * SECRET_BYTES
-LIMITED_KEY = f"{KEY_MARK}_{LIMITED_KEY_ID}_{LIMITED_SECRET}"
 RATE = 40.0
 BURST = 40.0
 SEARCH = "/catalogue/search"
@@ -48,9 +34,7 @@
     def setUpClass(cls) -> None:
         """Start the fleet with one more organisation that has a low rate."""
         super().setUpClass()
-        organisation = Organisation(LIMITED, RATE, BURST, shares=SHARES)
-        key = ApiKey(LIMITED_KEY_ID, LIMITED, digest_secret(LIMITED_SECRET))
-        cls.fleet.publish(build_change(1, Delta((), (), (organisation,), (key,))))
+        cls.fleet.publish(build_limited(RATE, BURST))
         cls.wait_until_admitted()
 
     @classmethod
