--- a/tests/transport/web/test_pool.py
+++ b/tests/transport/web/test_pool.py
@@ -59,6 +59,7 @@
         self._server.stop()
         self._server = WebServer("test", self._address, echo_path, MANY_THREADS)
         self._server.start()
+        self.addCleanup(self._server.stop)
         pool = self._server._server.requests
         refused = RuntimeError("can't start new thread")
         with (
