--- a/corianderhold/coordination/entry/application.py
+++ b/corianderhold/coordination/entry/application.py
@@ -99,7 +99,7 @@
 
     def _may_be_nested(self, environ: Environ) -> bool:
         """
-        Whether a call of the local target may have caused a request.
+        Return whether a call of the local target may have caused a request.
 
         A caller that uses an open route looks the same; it gains a place at the gate,
         no importance.
--- a/corianderhold/coordination/lease/lease.py
+++ b/corianderhold/coordination/lease/lease.py
@@ -97,7 +97,7 @@
 
     @property
     def holds(self) -> bool:
-        """Whether the newest term read names this run of this daemon."""
+        """Return whether the newest term read names this run of this daemon."""
         return self.seen is not None and self.seen.holder == self.node
 
     @property
@@ -127,7 +127,7 @@
         return True
 
     def is_carried(self, margin_s: float) -> bool:
-        """Whether promises alone let this daemon act for `margin_s` more."""
+        """Return whether promises alone let this daemon act for `margin_s` more."""
         if self.claimed_on is not None or not self.may_act():
             return False
         until = self._clock.read_monotonic() + margin_s
@@ -251,7 +251,7 @@
         return max(self._wait_until, self._promise_kept_until)
 
     def _is_carried_by_promises(self, now: float) -> bool:
-        """Whether every possible successor has promised within the time."""
+        """Return whether every possible successor has promised within the time."""
         if now >= self._unread_until:
             return False
         return all(
--- a/corianderhold/coordination/lease/manager.py
+++ b/corianderhold/coordination/lease/manager.py
@@ -239,7 +239,7 @@
             entry.lease.stopped = self._read_once
 
     def _is_candidate(self, shard: ShardId) -> bool:
-        """Whether this daemon holds the shard or may come to hold it."""
+        """Return whether this daemon holds the shard or may come to hold it."""
         term = self._entries[shard].lease.seen
         if term is not None and self._node.instance in term.members:
             return True
--- a/corianderhold/coordination/owner/limit.py
+++ b/corianderhold/coordination/owner/limit.py
@@ -134,7 +134,7 @@
 
     @property
     def is_failing(self) -> bool:
-        """Whether too many of the calls failed."""
+        """Return whether too many of the calls failed."""
         return self.failures > self.calls * FAILED_RATIO_MAX
 
     def add(self, duration_s: float, failed: bool) -> None:
--- a/corianderhold/coordination/rate/division.py
+++ b/corianderhold/coordination/rate/division.py
@@ -175,7 +175,7 @@
         return count.find_holders(organisation.name, number)
 
     def _counts_all(self, now: float) -> bool:
-        """Whether others are known and no more were found for a time."""
+        """Return whether others are known and no more were found for a time."""
         if len(self._seen_at) > 1 and now - self._grew_at >= COUNT_SETTLE_S:
             return True
         return now - self._started_at >= COUNT_SETTLE_LIMIT_S
--- a/corianderhold/coordination/rate/lender.py
+++ b/corianderhold/coordination/rate/lender.py
@@ -234,7 +234,7 @@
         return reserved + sum(grant.reserved for grant in self._singles)
 
     def _fits(self, borrowed: Allowance) -> bool:
-        """Whether all that is lent fits into the share and `borrowed`."""
+        """Return whether all that is lent fits into the share and `borrowed`."""
         loans = self._loans.values()
         rate = self._own.rate + borrowed.rate
         capacity = self._own.capacity + borrowed.capacity
--- a/corianderhold/coordination/rate/transfer.py
+++ b/corianderhold/coordination/rate/transfer.py
@@ -159,7 +159,7 @@
         return encode_reply(LoanReply(True, tuple(grants)))
 
     def _is_unlimited(self, organisation: OrganisationId) -> bool:
-        """Whether the configuration sets no rate for an organisation."""
+        """Return whether the configuration sets no rate for an organisation."""
         known = self._configuration.current.organisations.get(organisation)
         return known is not None and known.rate <= 0
 
--- a/corianderhold/state/lease/fold.py
+++ b/corianderhold/state/lease/fold.py
@@ -25,7 +25,7 @@
 
     @property
     def may_build(self) -> bool:
-        """Whether a record may name what this fold holds for the newest one."""
+        """Return whether a record may name what this fold holds for the newest one."""
         return self.certain or self.term is None
 
     def apply(self, record: LeaseRecord) -> LeaseTerm | None:
--- a/corianderhold/transport/web/answer.py
+++ b/corianderhold/transport/web/answer.py
@@ -49,7 +49,7 @@
 
     @property
     def has_known_end(self) -> bool:
-        """Whether the body ends before the connection does."""
+        """Return whether the body ends before the connection does."""
         return self.chunked or self.length is not None
 
 
@@ -68,7 +68,7 @@
 
     @property
     def has_rest(self) -> bool:
-        """Whether bytes have come that were not read yet."""
+        """Return whether bytes have come that were not read yet."""
         return bool(self._buffer)
 
     def read_head(self, method: str, deadline_at: float) -> AnswerHead:
