--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -10,6 +10,7 @@
 from corianderhold.clock import SystemClock
 from corianderhold.coordination.configuration.follower import ConfigurationFollower
 from corianderhold.coordination.configuration.publisher import Publisher
+from corianderhold.coordination.eligibility import EligibilityRules
 from corianderhold.coordination.entry.application import CallerApplication
 from corianderhold.coordination.entry.choice import LocalityChooser
 from corianderhold.coordination.entry.const import NESTED_PART
@@ -30,6 +31,7 @@
 from corianderhold.coordination.once.key import list_shards as list_once_shards
 from corianderhold.coordination.once.router import KeyedRouter
 from corianderhold.coordination.owner.admission import Admission
+from corianderhold.coordination.owner.guard import PlaceGuard
 from corianderhold.coordination.owner.owner import Owner
 from corianderhold.coordination.owner.policy import (
     AdmissionConfigurator,
@@ -93,11 +95,13 @@
         self._metrics = Metrics()
         self._header_names = deployment.headers
         self._holder = ConfigurationHolder()
+        self._rules = EligibilityRules(self._holder)
         self._incarnation = draw_start()
         self._identity = Identity(
             settings.instance, self._incarnation, settings.fleet_secret
         )
         self._place = Place(settings.instance, settings.domain, settings.region)
+        self._guard = PlaceGuard(self._rules, self._place)
         self._meter = TrafficMeter(self._place, lambda: self._membership, self._metrics)
         self._pool = LinkPool(self._identity, self._clock, self._meter)
         self._control = LinkControlClient(self._pool)
@@ -145,7 +149,11 @@
                 *self._build_operator_servers(),
                 self._pool,
                 AdmissionConfigurator(
-                    admission, self._holder, self._membership, self._clock
+                    admission,
+                    self._holder,
+                    self._membership,
+                    self._guard,
+                    self._clock,
                 ),
                 self._build_peer_server(owner, keeper),
                 self._membership,
@@ -167,6 +175,7 @@
             self._membership,
             admission,
             TargetClient(self._clock, names.request_id),
+            self._guard,
             self._clock,
             self._metrics,
             names,
@@ -186,6 +195,8 @@
             self._sender,
             self._locator,
             self._membership,
+            self._rules,
+            self._place,
         )
 
     def _build_intake(
@@ -328,6 +339,7 @@
             self._membership,
             self._holder,
             LocalityChooser(self._place, self._clock, self._random),
+            self._rules,
             owner,
             self._sender,
             self._clock,
--- a/corianderhold/coordination/configuration/exchanger.py
+++ b/corianderhold/coordination/configuration/exchanger.py
@@ -159,7 +159,7 @@
             age_ms,
             records,
             mark=self._keeper.read_mark(),
-            snapshot_needed=mine.version > theirs.version and not records,
+            snapshot_needed=needs_snapshot(mine, theirs) and not records,
         )
 
     def _note_heard(self, instance: InstanceId, head: Head) -> None:
@@ -245,3 +245,8 @@
         except ExchangeError as error:
             log_warning("exchange_malformed", peer=member.instance, error=str(error))
             return None
+
+
+def needs_snapshot(mine: Head, theirs: Head) -> bool:
+    """Return whether records alone may leave out something that a peer lacks."""
+    return mine.is_ahead_of(theirs) and mine.digest != theirs.digest
--- a/corianderhold/coordination/configuration/reader.py
+++ b/corianderhold/coordination/configuration/reader.py
@@ -149,6 +149,8 @@
             snapshot = decode_snapshot(record.data)
             if snapshot is None or snapshot.folded_to + 1 < first_offset:
                 continue
+            if snapshot.keeps_evacuations:
+                continue  # only the records before it tell which domains these are
             if adopt(snapshot):
                 self._keeper.note_snapshot(snapshot.folded_to)
                 log_event("snapshot_adopted", offset=record.offset, behind_from=before)
--- a/corianderhold/coordination/configuration/replica.py
+++ b/corianderhold/coordination/configuration/replica.py
@@ -43,6 +43,7 @@
         OutcomeKind.SNAPSHOT_DIVERGED,
     }
 )
+EVACUATIONS = frozenset({OutcomeKind.EVACUATION_BEGUN, OutcomeKind.EVACUATION_ENDED})
 VALID_SNAPSHOTS = frozenset({OutcomeKind.SNAPSHOT_ADOPTED, OutcomeKind.SNAPSHOT_STALE})
 
 
@@ -192,6 +193,7 @@
             log_event(
                 "configuration_in_force",
                 version=configuration.version,
+                evacuated=",".join(sorted(configuration.evacuated)),
                 next_offset=self._state.next_offset,
             )
 
@@ -204,6 +206,8 @@
                 reason=outcome.kind,
                 detail=outcome.detail,
             )
+        elif outcome.kind in EVACUATIONS:
+            log_event("evacuation_folded", domain=outcome.detail, outcome=outcome.kind)
         elif outcome.change_id is not None:
             log_event(
                 "configuration_change_folded",
--- a/corianderhold/coordination/entry/choice.py
+++ b/corianderhold/coordination/entry/choice.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from corianderhold.clock import Clock
+from corianderhold.coordination.eligibility import Eligibility
 from corianderhold.coordination.entry.const import (
     CANDIDATES,
     EJECTION_DOUBLINGS_MAX,
@@ -106,9 +107,9 @@
         self,
         owners: tuple[Member, ...],
         importance: int,
-        tried: frozenset[InstanceId],
+        eligibility: Eligibility,
     ) -> Choice:
-        """Choose one of `owners` that was not tried yet."""
+        """Choose one of `owners` that is eligible."""
 
     def note_start(self, instance: InstanceId) -> None:
         """Count an attempt that begins."""
@@ -139,18 +140,18 @@
         self,
         owners: tuple[Member, ...],
         importance: int,
-        tried: frozenset[InstanceId],
+        eligibility: Eligibility,
     ) -> Choice:
-        """Choose one of `owners` that was not tried yet."""
-        untried = [member for member in owners if member.instance not in tried]
-        if not untried:
+        """Choose one of `owners` that is eligible."""
+        eligible = [member for member in owners if eligibility.allows(member)]
+        if not eligible:
             return Choice(None, ())
         now = self._clock.read_monotonic()
         with self._lock:
             healthy = [
-                m for m in untried if self._view(m.instance).ejected_until <= now
+                m for m in eligible if self._view(m.instance).ejected_until <= now
             ]
-            pool = healthy or untried
+            pool = healthy or eligible
             accepting = [m for m in pool if not self._sheds(m, importance, now)]
             if not accepting:
                 if self._random.random() >= PUSH_BACK_PROBE_RATIO:
--- a/corianderhold/coordination/entry/router.py
+++ b/corianderhold/coordination/entry/router.py
@@ -6,6 +6,7 @@
 
 from corianderhold.clock import Clock
 from corianderhold.coordination.call import Answer, CallContext, RequestBody
+from corianderhold.coordination.eligibility import Eligibility, EligibilityRules
 from corianderhold.coordination.entry.choice import (
     AttemptOutcome,
     Choice,
@@ -35,11 +36,15 @@
         Reason.INCARNATION_STALE,
         Reason.DRAINING,
         Reason.NO_TARGET,
+        Reason.DOMAIN_EVACUATED,
+        Reason.REGION_FORBIDDEN,
         Reason.QUEUE_FULL,
         Reason.TARGET_FULL,
         Reason.TARGET_MISMATCH,
     }
 )
+# Callers are told that there is no target; the log tells why.
+PLACEMENT = frozenset({Reason.DOMAIN_EVACUATED, Reason.REGION_FORBIDDEN})
 RETRYABLE_MAY_HAVE_RUN = frozenset({Reason.PEER_SILENT, Reason.ANSWER_TRUNCATED})
 FAILURES = frozenset(
     {
@@ -58,12 +63,12 @@
     """
     One attempt at a call.
 
-    `number` counts from 0, `tried` holds the owners tried before, and `refusal` is
-    what the last of them said.
+    `number` counts from 0, `eligibility` leaves out the owners tried before, and
+    `refusal` is what the last of them said.
     """
 
+    eligibility: Eligibility
     number: int = 0
-    tried: frozenset[InstanceId] = frozenset()
     refusal: Refusal | None = None
 
 
@@ -76,6 +81,7 @@
         members: Members,
         holder: ConfigurationHolder,
         chooser: Chooser,
+        rules: EligibilityRules,
         owner: CallOwner,
         sender: CallSender,
         clock: Clock,
@@ -86,6 +92,7 @@
         self._members = members
         self._holder = holder
         self._chooser = chooser
+        self._rules = rules
         self._owner = owner
         self._sender = sender
         self._clock = clock
@@ -130,22 +137,24 @@
         """Try one owner after the other until one answers or none may be tried."""
         throttle = self._find_throttle(context.service)
         throttle.note_attempt()
-        attempt = Attempt()
+        attempt = Attempt(self._rules.find(context))
         may_have_run = False
         while True:
             choice = self._choose(context, attempt)
             if choice.chosen is None:
-                refusal = attempt.refusal or explain_no_choice(choice)
-                return Err(widen_refusal(refusal, may_have_run))
+                refusal = attempt.refusal or self._explain_no_choice(
+                    context, attempt, choice
+                )
+                return Err(widen_refusal(hide_placement(refusal), may_have_run))
             outcome = self._try_owner(context, body, retries, choice.chosen)
             if isinstance(outcome, Ok):
                 return outcome
             refusal = outcome.err_value
             may_have_run = may_have_run or not refusal.not_run
             if not self._may_retry(context, body, refusal, retries, throttle):
-                return Err(widen_refusal(refusal, may_have_run))
-            tried = attempt.tried | {choice.chosen.instance}
-            attempt = Attempt(attempt.number + 1, tried, refusal)
+                return Err(widen_refusal(hide_placement(refusal), may_have_run))
+            eligibility = attempt.eligibility.exclude(choice.chosen.instance)
+            attempt = Attempt(eligibility, attempt.number + 1, refusal)
 
     def _forget_at_close(self, answer: Answer, call_id: CallId) -> Answer:
         """Return an answer whose call is in flight until it is closed."""
@@ -160,7 +169,7 @@
 
     def _choose(self, context: CallContext, attempt: Attempt) -> Choice:
         owners = self._members.list_owners(context.service)
-        choice = self._chooser.choose(owners, context.importance, attempt.tried)
+        choice = self._chooser.choose(owners, context.importance, attempt.eligibility)
         log_event(
             "call_routed",
             call=context.call_id,
@@ -213,6 +222,30 @@
         retries.give_back(part.left)
         return outcome
 
+    def _explain_no_choice(
+        self, context: CallContext, attempt: Attempt, choice: Choice
+    ) -> Refusal:
+        """Return the refusal of a call for which no owner was chosen, and log why."""
+        if choice.pushed_back:
+            detail = "all owners shed calls of this importance"
+            return refuse_not_run(Reason.SHED, OVERLOAD_RETRY_AFTER_MS, detail)
+        owners = self._members.list_owners(context.service)
+        eligibility = attempt.eligibility
+        regions = eligibility.residency.regions
+        if owners and not attempt.number:
+            self._metrics.increment("calls_without_eligible_owner")
+            log_event(
+                "no_eligible_owner",
+                call=context.call_id,
+                request=context.request_id,
+                organisation=context.organisation,
+                route=context.route,
+                owners=len(owners),
+                regions="any" if regions is None else ",".join(sorted(regions)),
+                evacuated=",".join(sorted(eligibility.evacuated)),
+            )
+        return refuse_not_run(Reason.NO_TARGET, NO_TARGET_RETRY_AFTER_MS)
+
     def _may_retry(
         self,
         context: CallContext,
@@ -249,12 +282,11 @@
         return throttle
 
 
-def explain_no_choice(choice: Choice) -> Refusal:
-    """Return the refusal of a call for which no owner was chosen."""
-    if choice.pushed_back:
-        detail = "all owners shed calls of this importance"
-        return refuse_not_run(Reason.SHED, OVERLOAD_RETRY_AFTER_MS, detail)
-    return refuse_not_run(Reason.NO_TARGET, NO_TARGET_RETRY_AFTER_MS)
+def hide_placement(refusal: Refusal) -> Refusal:
+    """Return the refusal without a reason that tells where targets may stand."""
+    if refusal.reason not in PLACEMENT:
+        return refusal
+    return replace(refusal, reason=Reason.NO_TARGET, detail="")
 
 
 def widen_refusal(refusal: Refusal, may_have_run: bool) -> Refusal:
--- a/corianderhold/coordination/once/router.py
+++ b/corianderhold/coordination/once/router.py
@@ -5,6 +5,7 @@
 from result import Err, Ok, Result
 
 from corianderhold.coordination.call import Answer, CallContext, RequestBody
+from corianderhold.coordination.eligibility import EligibilityRules
 from corianderhold.coordination.entry.sender import CallSender
 from corianderhold.coordination.entry.sent import SentCalls
 from corianderhold.coordination.lease.locator import HolderLocator
@@ -16,11 +17,12 @@
 from corianderhold.coordination.once.keeper import CallRouter, OnceKeeper
 from corianderhold.coordination.once.key import find_shard, read_key
 from corianderhold.coordination.retry import RetryBudget
-from corianderhold.ids import CallId, InstanceId
+from corianderhold.ids import CallId, InstanceId, RegionId
 from corianderhold.log import log_event
 from corianderhold.protocol.verdict import Reason, Refusal, refuse_not_run
 from corianderhold.state.lease.model import ShardId
 from corianderhold.state.membership.model import Members
+from corianderhold.state.membership.place import Place
 
 NOBODY = InstanceId("")
 # No holder was reached, so another one may be tried.
@@ -38,6 +40,8 @@
         sender: CallSender,
         locator: HolderLocator,
         members: Members,
+        rules: EligibilityRules,
+        place: Place,
     ) -> None:
         self._instance = instance
         self._keeper = keeper
@@ -45,6 +49,8 @@
         self._sender = sender
         self._locator = locator
         self._members = members
+        self._rules = rules
+        self._place = place
         self._in_flight = SentCalls()
 
     def route(
@@ -109,9 +115,33 @@
         """Send the request to one daemon that may hold the shard."""
         log_event("keyed_request_routed", call=context.call_id, holder=instance)
         if instance == self._instance:
-            return self._keeper.run(context, body, retries)
+            return self._run_here(context, body, retries)
         member = self._members.find_member(instance)
         if member is None:
             return Err(refuse_not_run(Reason.PEER_UNREACHABLE))
+        if not self._rules.find(context).residency.allows(member.region):
+            return refuse_forbidden_holder(context, member.region)
         self._in_flight.note(context.call_id, member)
         return self._sender.send(member, context, body, retries, lambda load: None)
+
+    def _run_here(
+        self, context: CallContext, body: RequestBody, retries: RetryBudget
+    ) -> Result[Answer, Refusal]:
+        """Run a request as its holder, which keeps its answer."""
+        if not self._rules.allows_region(context, self._place):
+            return refuse_forbidden_holder(context, self._place.region)
+        return self._keeper.run(context, body, retries)
+
+
+def refuse_forbidden_holder(
+    context: CallContext, region: RegionId
+) -> Result[Answer, Refusal]:
+    """Refuse a request whose holder may not keep its answer, and log why."""
+    log_event(
+        "holder_region_forbidden",
+        call=context.call_id,
+        organisation=context.organisation,
+        route=context.route,
+        region=region,
+    )
+    return Err(refuse_not_run(Reason.NO_TARGET, NO_HOLDER_RETRY_AFTER_MS))
--- /dev/null
+++ b/corianderhold/coordination/owner/guard.py
@@ -0,0 +1,31 @@
+"""Keep calls away from a target that may not serve them where it stands."""
+
+from corianderhold.coordination.call import CallContext
+from corianderhold.coordination.eligibility import EligibilityRules
+from corianderhold.coordination.owner.const import DRAINING_RETRY_AFTER_MS
+from corianderhold.protocol.verdict import Reason, Refusal, refuse_not_run
+from corianderhold.state.membership.place import Place
+
+
+class PlaceGuard:
+    """
+    Refuse what the place of the local target forbids.
+
+    The owner knows best: an entry may send by an older configuration.
+    """
+
+    def __init__(self, rules: EligibilityRules, place: Place) -> None:
+        self._rules = rules
+        self._place = place
+
+    def is_evacuated(self) -> bool:
+        """Return whether the target gets no calls."""
+        return self._rules.is_evacuated(self._place)
+
+    def refuse(self, context: CallContext) -> Refusal | None:
+        """Return why the target must not get a call, or None."""
+        if self.is_evacuated():
+            return refuse_not_run(Reason.DOMAIN_EVACUATED, DRAINING_RETRY_AFTER_MS)
+        if not self._rules.allows_region(context, self._place):
+            return refuse_not_run(Reason.REGION_FORBIDDEN, DRAINING_RETRY_AFTER_MS)
+        return None
--- a/corianderhold/coordination/owner/owner.py
+++ b/corianderhold/coordination/owner/owner.py
@@ -24,6 +24,7 @@
     DRAINING_RETRY_AFTER_MS,
     REFUSED_CONNECTIONS_MAX,
 )
+from corianderhold.coordination.owner.guard import PlaceGuard
 from corianderhold.coordination.owner.headers import (
     TargetHeaders,
     find_header,
@@ -80,6 +81,7 @@
         source: TargetSource,
         admission: Admission,
         client: TargetClient,
+        guard: PlaceGuard,
         clock: Clock,
         metrics: Metrics,
         names: HeaderNames | None = None,
@@ -87,6 +89,7 @@
         self._source = source
         self._admission = admission
         self._client = client
+        self._guard = guard
         self._clock = clock
         self._metrics = metrics
         self._names = names or HeaderNames()
@@ -139,8 +142,10 @@
 
     def report_load(self) -> LoadReport:
         """Return the present load."""
-        draining = self._source.read_target().state is not TargetState.SERVING
-        return self._admission.report_load(draining)
+        serving = self._source.read_target().state is TargetState.SERVING
+        return self._admission.report_load(
+            draining=not serving or self._guard.is_evacuated()
+        )
 
     def _find_target(self, context: CallContext) -> Result[TargetStatus, Refusal]:
         target = self._source.read_target()
@@ -148,7 +153,8 @@
             return Err(refuse_not_run(Reason.NO_TARGET))
         if target.state is TargetState.DRAINING:
             return Err(refuse_not_run(Reason.DRAINING, DRAINING_RETRY_AFTER_MS))
-        return Ok(target)
+        refusal = self._guard.refuse(context)
+        return Ok(target) if refusal is None else Err(refusal)
 
     def _dispatch(
         self, call: InFlightCall, body: RequestBody
--- a/corianderhold/coordination/owner/policy.py
+++ b/corianderhold/coordination/owner/policy.py
@@ -8,6 +8,7 @@
 from corianderhold.clock import Clock
 from corianderhold.coordination.owner.admission import Admission, AdmissionPolicy
 from corianderhold.coordination.owner.const import CONNECTIONS_PART
+from corianderhold.coordination.owner.guard import PlaceGuard
 from corianderhold.coordination.owner.limit import (
     AdaptiveLimit,
     ConcurrencyLimit,
@@ -71,11 +72,13 @@
         admission: Admission,
         holder: ConfigurationHolder,
         source: ObservedTargetSource,
+        guard: PlaceGuard,
         clock: Clock,
     ) -> None:
         self._admission = admission
         self._holder = holder
         self._source = source
+        self._guard = guard
         self._clock = clock
         self._lock = threading.Lock()
         self._key: LimitKey | None = None
@@ -113,6 +116,8 @@
         return AdaptiveLimit(key.bound, self._clock)
 
     def _follow_configuration(self, configuration: Configuration) -> None:
+        if self._guard.is_evacuated():
+            self._admission.refuse_waiting()
         self.apply()
 
     def _follow_target(self, target: TargetStatus) -> None:
--- a/corianderhold/protocol/verdict.py
+++ b/corianderhold/protocol/verdict.py
@@ -29,6 +29,8 @@
     RATE_EXCEEDED = "rate_exceeded"
     RATE_UNSETTLED = "rate_unsettled"
     NO_TARGET = "no_target"
+    DOMAIN_EVACUATED = "domain_evacuated"
+    REGION_FORBIDDEN = "region_forbidden"
     SHED = "shed"
     QUEUE_FULL = "queue_full"
     DEADLINE_PASSED = "deadline_passed"
--- a/corianderhold/state/configuration/codec.py
+++ b/corianderhold/state/configuration/codec.py
@@ -22,6 +22,7 @@
 from corianderhold.state.configuration.records import (
     ChangeRecord,
     Draft,
+    EvacuationRecord,
     RememberedChange,
     SnapshotRecord,
 )
@@ -30,16 +31,18 @@
     CONFIGURATION_SCHEMA,
     DRAFT_SCHEMA,
     ENVELOPE_SCHEMA,
+    EVACUATION_SCHEMA,
     SNAPSHOT_SCHEMA,
 )
 
 CHANGE_KIND = "change"
 SNAPSHOT_KIND = "snapshot"
+EVACUATION_KIND = "evacuation"
 
 MAX_DETAIL_LENGTH = 200
 MALFORMED = (ValueError, RecursionError, Invalid)
 
-Record = ChangeRecord | SnapshotRecord
+Record = ChangeRecord | SnapshotRecord | EvacuationRecord
 
 
 class DecodeFailure(Enum):
@@ -100,9 +103,17 @@
         "digest": snapshot.digest,
         "remembered": remembered,
     }
+    if snapshot.keeps_evacuations:
+        body["keeps_evacuations"] = True
     return _seal(SNAPSHOT_KIND, body)
 
 
+def encode_evacuation(evacuation: EvacuationRecord) -> str:
+    """Return the text of an evacuation's begin or end for the log."""
+    body = {"domain": evacuation.domain, "active": evacuation.active}
+    return _seal(EVACUATION_KIND, body)
+
+
 def encode_draft(draft: Draft) -> str:
     """Return the JSON text of a draft."""
     return dump_json({"base_version": draft.base_version, **delta_to_json(draft.delta)})
@@ -125,6 +136,7 @@
         folded_to=Offset(value["folded_to"]),
         digest=value["digest"],
         remembered=tuple(RememberedChange(**each) for each in value["remembered"]),
+        keeps_evacuations=value.get("keeps_evacuations", False),
     )
 
 
@@ -166,6 +178,9 @@
             return Ok(_change_from_json(CHANGE_SCHEMA(body)))
         if kind == SNAPSHOT_KIND:
             return Ok(_snapshot_from_json(SNAPSHOT_SCHEMA(body)))
+        if kind == EVACUATION_KIND:
+            value = EVACUATION_SCHEMA(body)
+            return Ok(EvacuationRecord(value["domain"], value["active"]))
     except MALFORMED as error:
         return Err(DecodeError(DecodeFailure.CORRUPT, str(error)[:MAX_DETAIL_LENGTH]))
     return Err(DecodeError(DecodeFailure.UNKNOWN_FORMAT, f"kind {kind[:40]!r}"))
--- a/corianderhold/state/configuration/delta.py
+++ b/corianderhold/state/configuration/delta.py
@@ -1,6 +1,7 @@
 """Apply a change's delta to a configuration."""
 
 from collections.abc import Hashable, Iterable, Iterator, Mapping
+from dataclasses import replace
 from typing import TypeVar
 
 from result import Err, Ok, Result
@@ -109,7 +110,8 @@
             delta.removed_routes,
         )
         routes = tuple(sorted(index.values(), key=lambda each: each.name))
-    return Configuration(
+    return replace(
+        configuration,
         version=Version(configuration.version + 1),
         services=_update(
             configuration.services,
--- a/corianderhold/state/configuration/digest.py
+++ b/corianderhold/state/configuration/digest.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from hashlib import sha256
 
+from corianderhold.ids import FailureDomainId
 from corianderhold.state.configuration.entities import (
     JsonObject,
     dump_json,
@@ -41,6 +42,12 @@
         yield hash_entity(EntityKind.KEY, key_to_json(key))
     if configuration.limits != CallerLimits():
         yield hash_entity(EntityKind.LIMITS, limits_to_json(configuration.limits))
+    yield from _hash_evacuated(configuration.evacuated)
+
+
+def _hash_evacuated(domains: frozenset[FailureDomainId]) -> Iterable[int]:
+    for domain in domains:
+        yield hash_entity(EntityKind.EVACUATION, {"domain": domain})
 
 
 def update_sum(
@@ -52,6 +59,17 @@
     return (content_sum - old + new) % SUM_MODULUS
 
 
+def update_evacuations(
+    content_sum: int,
+    before: frozenset[FailureDomainId],
+    after: frozenset[FailureDomainId],
+) -> int:
+    """Return the sum of a configuration whose evacuated domains have changed."""
+    old = sum(_hash_evacuated(before - after))
+    new = sum(_hash_evacuated(after - before))
+    return (content_sum - old + new) % SUM_MODULUS
+
+
 def _select(configuration: Configuration, delta: Delta) -> Configuration:
     """Return only the entities that `delta` names."""
     services = {each.name for each in delta.services}.union(delta.removed_services)
--- a/corianderhold/state/configuration/entities.py
+++ b/corianderhold/state/configuration/entities.py
@@ -8,6 +8,7 @@
     FailureDomainId,
     KeyId,
     OrganisationId,
+    RegionId,
     RouteName,
     ServiceName,
     Version,
@@ -52,7 +53,12 @@
         "retry_ratio": float(service.retry_ratio),
         "adaptive_limit": service.adaptive_limit,
     }
-    return _add_given(value, {"max_connections": service.max_connections})
+    later = {
+        "max_connections": service.max_connections,
+        "cold_s": float(service.cold_s),
+        "cold_rate": None if service.cold_rate is None else float(service.cold_rate),
+    }
+    return _add_given(value, later)
 
 
 def route_to_json(route: Route) -> JsonObject:
@@ -80,6 +86,7 @@
         ],
         "anonymous": route.anonymous,
         "target_latency_ms": route.target_latency_ms,
+        "regions": sorted(route.regions),
     }
     return _add_given(value, later)
 
@@ -95,7 +102,8 @@
     }
     importance = organisation.importance
     name = None if importance is None else importance.name.lower()
-    return _add_given(value, {"importance": name})
+    later = {"importance": name, "regions": sorted(organisation.regions)}
+    return _add_given(value, later)
 
 
 def key_to_json(key: ApiKey) -> JsonObject:
@@ -144,9 +152,8 @@
     limits = {}
     if configuration.limits != CallerLimits():
         limits = limits_to_json(configuration.limits)
-    return _add_given(
-        {"version": configuration.version, **entities}, {"limits": limits}
-    )
+    later = {"limits": limits, "evacuated": sorted(configuration.evacuated)}
+    return _add_given({"version": configuration.version, **entities}, later)
 
 
 def delta_to_json(delta: Delta) -> JsonObject:
@@ -191,6 +198,7 @@
         splits=tuple(Split(**each) for each in value.get("splits", ())),
         anonymous=value.get("anonymous", False),
         target_latency_ms=value.get("target_latency_ms"),
+        regions=frozenset(map(RegionId, value.get("regions", ()))),
     )
 
 
@@ -199,7 +207,9 @@
     importance = None
     if value.get("importance") is not None:
         importance = Importance[value["importance"].upper()]
-    return Organisation(**{**value, "shares": shares, "importance": importance})
+    regions = frozenset(map(RegionId, value.get("regions", ())))
+    own = {"shares": shares, "importance": importance, "regions": regions}
+    return Organisation(**{**value, **own})
 
 
 def _limits_from_json(value: JsonObject) -> CallerLimits:
@@ -219,6 +229,7 @@
         organisations={each.name: each for each in organisations},
         keys={each.key_id: each for each in keys},
         limits=_limits_from_json(value.get("limits", {})),
+        evacuated=frozenset(map(FailureDomainId, value.get("evacuated", ()))),
     )
 
 
--- a/corianderhold/state/configuration/fold.py
+++ b/corianderhold/state/configuration/fold.py
@@ -5,7 +5,7 @@
 
 from result import Err
 
-from corianderhold.ids import ChangeId, Offset, Version
+from corianderhold.ids import ChangeId, FailureDomainId, Offset, Version
 from corianderhold.state.configuration.codec import (
     DecodeError,
     DecodeFailure,
@@ -16,6 +16,7 @@
 from corianderhold.state.configuration.digest import (
     compute_digest,
     sum_content,
+    update_evacuations,
     update_sum,
 )
 from corianderhold.state.configuration.model import (
@@ -24,6 +25,7 @@
 )
 from corianderhold.state.configuration.records import (
     ChangeRecord,
+    EvacuationRecord,
     Fault,
     RememberedChange,
     SnapshotRecord,
@@ -34,6 +36,8 @@
     """What the fold did with a record."""
 
     ACCEPTED = "accepted"
+    EVACUATION_BEGUN = "evacuation_begun"
+    EVACUATION_ENDED = "evacuation_ended"
     LOST_RACE = "lost_race"
     BASE_AHEAD = "base_ahead"
     REFUSED = "refused"
@@ -113,7 +117,11 @@
         return _fold_snapshot(state, offset, record)
     if offset > state.next_offset:
         outcome = _report(state, offset, OutcomeKind.AFTER_GAP)
-        return state, replace(outcome, change_id=record.change_id)
+        if isinstance(record, ChangeRecord):
+            outcome = replace(outcome, change_id=record.change_id)
+        return state, outcome
+    if isinstance(record, EvacuationRecord):
+        return _fold_evacuation(state, offset, record)
     return _fold_change(state, offset, record)
 
 
@@ -125,30 +133,42 @@
 
     Ahead is a higher version, or the same version folded further. A snapshot whose
     digest does not fit its content is corrupt; one of the same version with another
-    content is diverged and left alone.
+    content, apart from the evacuated domains, is diverged and left alone.
     """
     offset = snapshot.folded_to
-    content_sum = sum_content(snapshot.configuration)
-    digest = compute_digest(snapshot.configuration, content_sum)
-    if digest != snapshot.digest:
+    configuration = snapshot.configuration
+    content_sum = sum_content(configuration)
+    if compute_digest(configuration, content_sum) != snapshot.digest:
         detail = "the digest does not fit the content"
         return state, _report(state, offset, OutcomeKind.CORRUPT, detail=detail)
-    version = snapshot.configuration.version
+    if snapshot.keeps_evacuations:
+        evacuated = state.configuration.evacuated
+        configuration = replace(configuration, evacuated=evacuated)
+        content_sum = sum_content(configuration)
+    version = configuration.version
     next_offset = Offset(snapshot.folded_to + 1)
-    if version == state.version and digest != state.digest:
+    if _is_diverged(state, configuration, content_sum):
         return state, _report(state, offset, OutcomeKind.SNAPSHOT_DIVERGED)
     if (version, next_offset) <= (state.version, state.next_offset):
         return state, _report(state, offset, OutcomeKind.SNAPSHOT_STALE)
     detail = ""
     if next_offset < state.next_offset:
         detail = "repairs a divergence: a higher version from fewer records"
-    adopted = FoldState(
-        snapshot.configuration, next_offset, snapshot.remembered, content_sum
-    )
+    adopted = FoldState(configuration, next_offset, snapshot.remembered, content_sum)
     outcome = _report(adopted, offset, OutcomeKind.SNAPSHOT_ADOPTED, detail=detail)
     return adopted, outcome
 
 
+def _is_diverged(
+    state: FoldState, configuration: Configuration, content_sum: int
+) -> bool:
+    """Return whether two states of one version differ in more than evacuations."""
+    if configuration.version != state.version or content_sum == state.content_sum:
+        return False
+    aligned = replace(configuration, evacuated=state.configuration.evacuated)
+    return sum_content(aligned) != state.content_sum
+
+
 def build_snapshot(state: FoldState) -> SnapshotRecord:
     """Return the snapshot of a state."""
     return SnapshotRecord(
@@ -189,11 +209,52 @@
         outcome = _report(state, offset, OutcomeKind.CORRUPT, detail=detail)
         return _advance(state, offset), outcome
     adopted, outcome = adopt_snapshot(state, snapshot)
+    if outcome.kind is OutcomeKind.SNAPSHOT_STALE:
+        adopted = _correct_evacuations(state, snapshot)
     # The next record of a snapshot of all before it is the snapshot itself.
     outcome = replace(outcome, offset=offset, folded_to=snapshot.folded_to)
     return _advance(adopted, offset), outcome
 
 
+def _correct_evacuations(state: FoldState, snapshot: SnapshotRecord) -> FoldState:
+    """
+    Return the state with the evacuations that the log's snapshot of it states.
+
+    Records that are gone from the log may have ended some.
+    """
+    stated = snapshot.configuration
+    same = (stated.version, snapshot.folded_to + 1) == (
+        state.version,
+        state.next_offset,
+    )
+    if not same or snapshot.keeps_evacuations:
+        return state
+    return _replace_evacuations(state, stated.evacuated)
+
+
+def _replace_evacuations(
+    state: FoldState, evacuated: frozenset[FailureDomainId]
+) -> FoldState:
+    before = state.configuration.evacuated
+    return replace(
+        state,
+        configuration=replace(state.configuration, evacuated=evacuated),
+        content_sum=update_evacuations(state.content_sum, before, evacuated),
+    )
+
+
+def _fold_evacuation(
+    state: FoldState, offset: Offset, evacuation: EvacuationRecord
+) -> tuple[FoldState, FoldOutcome]:
+    evacuated = state.configuration.evacuated - {evacuation.domain}
+    kind = OutcomeKind.EVACUATION_ENDED
+    if evacuation.active:
+        evacuated |= {evacuation.domain}
+        kind = OutcomeKind.EVACUATION_BEGUN
+    folded = _replace_evacuations(_advance(state, offset), evacuated)
+    return folded, _report(folded, offset, kind, detail=evacuation.domain)
+
+
 def _fold_change(
     state: FoldState, offset: Offset, change: ChangeRecord
 ) -> tuple[FoldState, FoldOutcome]:
--- a/corianderhold/state/configuration/holder.py
+++ b/corianderhold/state/configuration/holder.py
@@ -12,7 +12,8 @@
     """
     Give the newest accepted configuration; versions only grow.
 
-    Listeners get each version once and in order. `verified_at` is the monotonic time
+    Within a version, only the evacuated domains change. Listeners get each state once
+    and in order. `verified_at` is the monotonic time
     in seconds up to which the view is known to be complete, as the follower of the
     stream reports it.
     """
@@ -42,9 +43,13 @@
                 listener(self._current)
 
     def replace(self, configuration: Configuration) -> bool:
-        """Put a newer configuration in force; return False for an older one."""
+        """Put a newer state in force; return False for an older or the same one."""
         with self._replace_lock:
-            if configuration.version <= self._current.version:
+            current = self._current
+            is_same = configuration.evacuated == current.evacuated
+            if configuration.version < current.version:
+                return False
+            if configuration.version == current.version and is_same:
                 return False
             self._current = configuration
             for listener in self._listeners:
--- a/corianderhold/state/configuration/model.py
+++ b/corianderhold/state/configuration/model.py
@@ -8,6 +8,7 @@
     FailureDomainId,
     KeyId,
     OrganisationId,
+    RegionId,
     RouteName,
     ServiceName,
     Version,
@@ -37,7 +38,9 @@
 
     `max_concurrency` bounds the limit of a target's owner; with `adaptive_limit` the
     owner learns a lower one. `max_connections` is how many connections one target
-    accepts from all daemons together, or None for no known bound.
+    accepts from all daemons together, or None for no known bound. A target that has
+    just started is cold for `cold_s` seconds and bears `cold_rate` calls a second
+    meanwhile; None stands for no known bound.
     """
 
     name: ServiceName
@@ -46,6 +49,8 @@
     retry_ratio: float = 0.1
     adaptive_limit: bool = True
     max_connections: int | None = None
+    cold_s: float = 0.0
+    cold_rate: float | None = None
 
 
 @dataclass(frozen=True)
@@ -66,7 +71,8 @@
     `anonymous` route is also open to requests without a key, which run for the
     organisation "". `deadline_ms` is the longest time a request may be kept waiting,
     `target_latency_ms` the time within which an answer has its full value. `calls`
-    names the routes that the service calls to answer this one.
+    names the routes that the service calls to answer this one. `regions` are the only
+    ones whose targets may answer; an empty set names no restriction.
     """
 
     name: RouteName
@@ -86,6 +92,7 @@
     splits: tuple[Split, ...] = ()
     anonymous: bool = False
     target_latency_ms: int | None = None
+    regions: frozenset[RegionId] = frozenset()
 
     def list_services(self) -> tuple[ServiceName, ...]:
         """Return the services that answer the route's requests."""
@@ -101,7 +108,8 @@
 
     `rate` is in root requests a second, 0 for no limit, `burst` in root requests;
     `shares` gives each failure domain's part of both, with a sum of 1. `importance`
-    goes before that of the route.
+    goes before that of the route. `regions` are the only ones whose targets may answer
+    its requests; an empty set names no restriction.
     """
 
     name: OrganisationId
@@ -110,6 +118,7 @@
     weight: float = 1.0
     shares: Mapping[FailureDomainId, float] = field(default_factory=dict)
     importance: Importance | None = None
+    regions: frozenset[RegionId] = frozenset()
 
 
 @dataclass(frozen=True)
@@ -144,7 +153,12 @@
 
 @dataclass(frozen=True)
 class Configuration:
-    """Everything that operators decide, at one version."""
+    """
+    Everything that operators decide, at one version.
+
+    Targets in the domains of `evacuated` get no calls. These domains change without a
+    new version.
+    """
 
     version: Version
     services: Mapping[ServiceName, Service] = field(default_factory=dict)
@@ -152,6 +166,7 @@
     organisations: Mapping[OrganisationId, Organisation] = field(default_factory=dict)
     keys: Mapping[KeyId, ApiKey] = field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
+    evacuated: frozenset[FailureDomainId] = frozenset()
 
 
 EMPTY_CONFIGURATION = Configuration(Version(0))
--- a/corianderhold/state/configuration/records.py
+++ b/corianderhold/state/configuration/records.py
@@ -5,6 +5,7 @@
 
 from corianderhold.ids import (
     ChangeId,
+    FailureDomainId,
     KeyId,
     Offset,
     OrganisationId,
@@ -30,6 +31,7 @@
     ORGANISATION = "organisation"
     KEY = "key"
     LIMITS = "limits"
+    EVACUATION = "evacuation"
 
 
 @dataclass(frozen=True)
@@ -105,10 +107,20 @@
     The whole state after the fold of all records up to offset `folded_to`.
 
     `digest` is the state's digest, checked on reading; `folded_to` is -1 before
-    the first record.
+    the first record. With `keeps_evacuations` the snapshot says nothing of evacuations,
+    and those known before it stay.
     """
 
     configuration: Configuration
     folded_to: Offset
     digest: str
     remembered: tuple[RememberedChange, ...] = field(default=())
+    keeps_evacuations: bool = False
+
+
+@dataclass(frozen=True)
+class EvacuationRecord:
+    """Begin the evacuation of a failure domain, or end it where not `active`."""
+
+    domain: FailureDomainId
+    active: bool
--- a/corianderhold/state/configuration/schema.py
+++ b/corianderhold/state/configuration/schema.py
@@ -10,6 +10,7 @@
     MAX_BODY_BYTES,
     MAX_BURST,
     MAX_CALLER_TIMEOUT_S,
+    MAX_COLD_S,
     MAX_CONCURRENCY,
     MAX_CONNECTIONS,
     MAX_DEADLINE_MS,
@@ -170,7 +171,11 @@
     "retry_ratio": bound_number(0.0, 1.0),
     "adaptive_limit": require_boolean,
 }
-SERVICE_LATER = {"max_connections": bound_integer(1, MAX_CONNECTIONS)}
+SERVICE_LATER: Fields = {
+    "max_connections": bound_integer(1, MAX_CONNECTIONS),
+    "cold_s": bound_number(0.0, MAX_COLD_S),
+    "cold_rate": bound_number(0.0, MAX_RATE_PER_S),
+}
 SPLIT_FIELDS = {
     "service": NAME,
     "weight": bound_number(0.0, MAX_SPLIT_WEIGHT),
@@ -190,11 +195,12 @@
     "isolated_after_s": bound_number(0.0, MAX_ISOLATED_AFTER_S),
     "calls": check_all(NAME),
 }
-ROUTE_LATER = {
+ROUTE_LATER: Fields = {
     "host": HOST,
     "splits": check_all(check_entity(SPLIT_FIELDS)),
     "anonymous": require_boolean,
     "target_latency_ms": bound_integer(1, MAX_DEADLINE_MS),
+    "regions": check_all(NAME),
 }
 ORGANISATION_FIELDS: Fields = {
     "name": NAME,
@@ -203,7 +209,7 @@
     "weight": bound_number(0.001, MAX_WEIGHT),
     "shares": Schema({NAME: bound_number(0.0, 1.0)}, required=False),
 }
-ORGANISATION_LATER = {"importance": IMPORTANCE}
+ORGANISATION_LATER: Fields = {"importance": IMPORTANCE, "regions": check_all(NAME)}
 KEY_FIELDS: Fields = {
     "key_id": NAME,
     "organisation": NAME,
@@ -236,7 +242,11 @@
     "version": Maybe(VERSION),
     "author": bound_text(MAX_AUTHOR_LENGTH),
 }
-CONFIGURATION = {"version": VERSION, **ENTITIES}
+CONFIGURATION = {
+    "version": VERSION,
+    **ENTITIES,
+    Optional("evacuated"): check_all(NAME),
+}
 
 CONFIGURATION_SCHEMA = Schema(CONFIGURATION, required=True)
 DELTA = {
@@ -261,9 +271,11 @@
         "folded_to": bound_integer(-1, 2**63 - 1),
         "digest": match(DIGEST_PATTERN, "a digest"),
         "remembered": [REMEMBERED],
+        Optional("keeps_evacuations"): require_boolean,
     },
     required=True,
 )
+EVACUATION_SCHEMA = Schema({"domain": NAME, "active": require_boolean}, required=True)
 ENVELOPE_SCHEMA = Schema(
     {"format": bound_integer(1, 2**31), "kind": str, "body": dict},
     required=True,
--- a/tests/coordination/entry/test_choice.py
+++ b/tests/coordination/entry/test_choice.py
@@ -3,6 +3,7 @@
 from random import Random
 from unittest import TestCase
 
+from corianderhold.coordination.eligibility import Eligibility
 from corianderhold.coordination.entry.choice import (
     AttemptOutcome,
     LocalityChooser,
@@ -22,7 +23,7 @@
 NEAR2 = make_member("near2")
 REGION = make_member("region", domain="west-b")
 FAR = make_member("far", domain="east-a", region="east")
-NOBODY: frozenset[InstanceId] = frozenset()
+ANY = Eligibility()
 
 
 class LocalityChooserTests(TestCase):
@@ -34,7 +35,7 @@
         self.chooser = LocalityChooser(place, self.clock, Random(7))
 
     def choose(self, *owners: object, importance: int = 1) -> str | None:
-        choice = self.chooser.choose(owners, importance, NOBODY)  # type: ignore[arg-type]
+        choice = self.chooser.choose(owners, importance, ANY)  # type: ignore[arg-type]
         return choice.chosen.instance if choice.chosen else None
 
     def end(
@@ -74,12 +75,12 @@
     def test_candidates_tell_how_old_their_loads_are(self) -> None:
         self.end("near", AttemptOutcome.ANSWERED, LoadReport(1, 10))
         self.clock.advance(0.25)
-        choice = self.chooser.choose((NEAR, NEAR2), 1, NOBODY)
+        choice = self.chooser.choose((NEAR, NEAR2), 1, ANY)
         ages = {c.member.instance: c.load_age_s for c in choice.candidates}
         self.assertEqual(ages, {"near": 0.25, "near2": float("inf")})
 
     def test_tried_owner_is_not_taken_again(self) -> None:
-        tried = frozenset({NEAR.instance})
+        tried = ANY.exclude(NEAR.instance)
         choice = self.chooser.choose((NEAR, FAR), 1, tried)
         self.assertEqual(choice.chosen, FAR)
         self.assertIsNone(self.chooser.choose((NEAR,), 1, tried).chosen)
--- a/tests/coordination/entry/test_router.py
+++ b/tests/coordination/entry/test_router.py
@@ -11,6 +11,7 @@
     InlineBody,
     RequestBody,
 )
+from corianderhold.coordination.eligibility import EligibilityRules
 from corianderhold.coordination.entry.choice import LocalityChooser
 from corianderhold.coordination.entry.router import Router
 from corianderhold.coordination.entry.sender import NoteLoad
@@ -19,6 +20,7 @@
     CallId,
     FailureDomainId,
     InstanceId,
+    OrganisationId,
     RegionId,
     Version,
 )
@@ -32,7 +34,11 @@
     refuse_not_run,
 )
 from corianderhold.state.configuration.holder import ConfigurationHolder
-from corianderhold.state.configuration.model import Configuration, Service
+from corianderhold.state.configuration.model import (
+    Configuration,
+    Organisation,
+    Service,
+)
 from corianderhold.state.membership.model import Address, Member
 from corianderhold.state.membership.place import Place
 from tests.common.calls import CATALOGUE, FixedMembers, make_context, make_member
@@ -88,11 +94,23 @@
     """Route calls to three owners elsewhere."""
 
     def route(
-        self, sender: ScriptedSender, idempotent: bool, budget: int = 2
+        self,
+        sender: ScriptedSender,
+        idempotent: bool,
+        budget: int = 2,
+        organisations: tuple[Organisation, ...] = (),
+        evacuated: frozenset[FailureDomainId] = frozenset(),
     ) -> Result[Answer, Refusal]:
         holder = ConfigurationHolder()
         services = {CATALOGUE: Service(CATALOGUE, retry_ratio=0.1)}
-        holder.replace(Configuration(Version(1), services))
+        holder.replace(
+            Configuration(
+                Version(1),
+                services,
+                organisations={each.name: each for each in organisations},
+                evacuated=evacuated,
+            )
+        )
         clock = FakeClock()
         place = Place(ENTRY, FailureDomainId("west-a"), RegionId("west"))
         owners = tuple(make_member(f"o{number}") for number in range(3))
@@ -102,6 +120,7 @@
             members,
             holder,
             LocalityChooser(place, clock, Random(1)),
+            EligibilityRules(holder),
             NoOwner(),
             sender,
             clock,
@@ -116,6 +135,31 @@
         self.assertEqual(self.route(sender, idempotent=False), Ok(ANSWER))
         self.assertEqual(len(set(sender.attempts)), 2)
 
+    def test_caller_is_not_told_which_regions_are_missing(self) -> None:
+        sender = ScriptedSender()
+        south = frozenset({RegionId("south")})
+        restricted = Organisation(OrganisationId("schools"), 0, 0, regions=south)
+        outcome = self.route(sender, True, organisations=(restricted,))
+        refusal = outcome.unwrap_err()
+        self.assertEqual((refusal.reason, refusal.detail), (Reason.NO_TARGET, ""))
+        self.assertGreater(refusal.retry_after_ms, 0)
+        self.assertEqual(sender.attempts, [])
+
+    def test_owners_of_evacuated_domains_get_nothing(self) -> None:
+        sender = ScriptedSender(None)
+        evacuated = frozenset({FailureDomainId("west-a")})
+        outcome = self.route(sender, True, evacuated=evacuated)
+        self.assertEqual(outcome.unwrap_err().reason, Reason.NO_TARGET)
+        self.assertEqual(sender.attempts, [])
+
+    def test_owner_that_knows_of_an_evacuation_first_is_passed_over(self) -> None:
+        refused = refuse_not_run(Reason.DOMAIN_EVACUATED, 100)
+        sender = ScriptedSender(refused, None)
+        self.assertEqual(self.route(sender, idempotent=False), Ok(ANSWER))
+        sender = ScriptedSender(refused, refused, refused)
+        refusal = self.route(sender, idempotent=False).unwrap_err()
+        self.assertEqual(refusal.reason, Reason.NO_TARGET)
+
     def test_may_have_run_is_tried_again_only_when_idempotent(self) -> None:
         sender = ScriptedSender(SILENT, None)
         self.assertEqual(self.route(sender, idempotent=True), Ok(ANSWER))
--- a/tests/coordination/owner/test_owner.py
+++ b/tests/coordination/owner/test_owner.py
@@ -16,23 +16,35 @@
     RequestBody,
     StreamedBody,
 )
+from corianderhold.coordination.eligibility import EligibilityRules
 from corianderhold.coordination.owner.admission import Admission
 from corianderhold.coordination.owner.const import (
     ANSWER_GRACE_S,
     REFUSED_CONNECTIONS_MAX,
 )
+from corianderhold.coordination.owner.guard import PlaceGuard
 from corianderhold.coordination.owner.limit import FixedLimit
 from corianderhold.coordination.owner.owner import Owner
 from corianderhold.coordination.owner.policy import (
     build_default_policy,
 )
 from corianderhold.coordination.retry import RetryBudget
-from corianderhold.ids import CallId
+from corianderhold.ids import (
+    CallId,
+    FailureDomainId,
+    InstanceId,
+    OrganisationId,
+    RegionId,
+    Version,
+)
 from corianderhold.metrics import Metrics
 from corianderhold.protocol.peer.const import INLINE_BODY_BYTES
 from corianderhold.protocol.peer.messages import Header
 from corianderhold.protocol.verdict import Reason, Refusal
+from corianderhold.state.configuration.holder import ConfigurationHolder
+from corianderhold.state.configuration.model import Configuration, Organisation
 from corianderhold.state.membership.model import Address, TargetState
+from corianderhold.state.membership.place import Place
 from corianderhold.state.membership.target import ABSENT_TARGET, TargetStatus
 from corianderhold.transport.web.target import TargetClient
 from tests.common.calls import CATALOGUE, make_context
@@ -45,6 +57,8 @@
 )
 
 CLOCK = SystemClock()
+DOMAIN = FailureDomainId("west-a")
+OWN_PLACE = Place(InstanceId("owner"), DOMAIN, RegionId("west"))
 NO_BODY = InlineBody(b"")
 
 
@@ -89,7 +103,9 @@
         self.admission = Admission(self.limit, policy, self.clock, Random(1))
         client = TargetClient(self.clock)
         self.addCleanup(client.close)
-        return Owner(self.source, self.admission, client, self.clock, Metrics())
+        self.holder = ConfigurationHolder()
+        guard = PlaceGuard(EligibilityRules(self.holder), OWN_PLACE)
+        return Owner(self.source, self.admission, client, guard, self.clock, Metrics())
 
     def call(
         self, owner: Owner, body: RequestBody = NO_BODY
@@ -127,6 +143,28 @@
             self.assertEqual(self.refuse(*script), reason)
             self.assertEqual(self.limit.failures, 0)
 
+    def test_evacuated_domain_refuses_until_it_is_taken_back(self) -> None:
+        owner = self.build(self.serving)
+        self.holder.replace(Configuration(Version(1), evacuated=frozenset({DOMAIN})))
+        refusal = self.call(owner).unwrap_err()
+        self.assertTrue(refusal.not_run)
+        self.assertEqual(refusal.reason, Reason.DOMAIN_EVACUATED)
+        self.assertTrue(owner.report_load().draining)
+        self.holder.replace(Configuration(Version(1)))
+        self.assertFalse(owner.report_load().draining)
+
+    def test_call_that_may_not_be_answered_here_is_refused(self) -> None:
+        owner = self.build(self.serving)
+        schools = Organisation(
+            OrganisationId("schools"), 0, 0, regions=frozenset({RegionId("east")})
+        )
+        self.holder.replace(
+            Configuration(Version(1), organisations={schools.name: schools})
+        )
+        refusal = self.call(owner).unwrap_err()
+        self.assertTrue(refusal.not_run)
+        self.assertEqual(refusal.reason, Reason.REGION_FORBIDDEN)
+
     def test_unreachable_target_counts_as_its_failure(self) -> None:
         self.listener.close()
         self.assertEqual(self.refuse(self.serving), Reason.TARGET_UNREACHABLE)
--- /dev/null
+++ b/tests/coordination/owner/test_pace.py
@@ -0,0 +1,211 @@
+"""Test that cold targets get no more calls than they bear."""
+
+from collections import deque
+from random import Random
+from unittest import TestCase
+
+from result import Ok
+
+from corianderhold.coordination.eligibility import Eligibility
+from corianderhold.coordination.entry.choice import AttemptOutcome, LocalityChooser
+from corianderhold.coordination.entry.const import MOVES_MAX
+from corianderhold.coordination.owner.admission import Admission, AdmissionPolicy
+from corianderhold.coordination.owner.const import PACE_BURST
+from corianderhold.coordination.owner.limit import FixedLimit
+from corianderhold.coordination.owner.pace import TargetPace
+from corianderhold.ids import FailureDomainId, InstanceId, RegionId, RouteName
+from corianderhold.state.membership.model import Address, Member, TargetState
+from corianderhold.state.membership.place import Place
+from corianderhold.state.membership.target import TargetStatus
+from tests.common.calls import CATALOGUE, make_context, make_member
+from tests.common.clock import FakeClock
+
+RATE = 5.5
+COLD_S = 3.0
+STEP_S = 0.01
+TOLERATED = RATE * 1.5 + 8  # calls within one second; above it a cold target fails
+SLOTS = 20
+SERVICE_S = 0.05
+
+
+def make_status(cold_until: float, heard_at: float = 0.0) -> TargetStatus:
+    """Return a target in service that is cold until a time."""
+    return TargetStatus(
+        TargetState.SERVING,
+        CATALOGUE,
+        Address("127.0.0.1", 1),
+        cold_until=cold_until,
+        heard_at=heard_at,
+    )
+
+
+class TargetPaceTests(TestCase):
+    """Offer calls to one target all the time."""
+
+    def setUp(self) -> None:
+        self.clock = FakeClock()
+        self.now = self.clock.read_monotonic()
+        self.pace = self.start()
+
+    def start(self) -> TargetPace:
+        pace = TargetPace(self.clock)
+        pace.configure(RATE)
+        return pace
+
+    def follow(self, cold_s: float) -> None:
+        now = self.clock.read_monotonic()
+        self.pace.follow(make_status(now + cold_s, now))
+
+    def offer(self, seconds: float) -> int:
+        taken = 0
+        for _ in range(round(seconds / STEP_S)):
+            taken += self.pace.take_turn()
+            self.clock.advance(STEP_S)
+        return taken
+
+    def test_cold_target_gets_its_rate_and_then_everything(self) -> None:
+        self.follow(COLD_S)
+        first = self.offer(1.0)
+        self.assertLessEqual(first, RATE)
+        self.assertGreaterEqual(first, RATE - 1)
+        self.offer(COLD_S - 1.0 + STEP_S)
+        self.assertEqual(self.offer(1.0), round(1.0 / STEP_S))
+
+    def test_rest_saves_up_a_few_turns_only(self) -> None:
+        self.follow(COLD_S)
+        self.pace.take_turn()
+        self.clock.advance(1.5)
+        self.assertLessEqual(self.offer(1.0), RATE + PACE_BURST)
+
+    def test_restart_of_the_daemon_gives_no_turns_twice(self) -> None:
+        self.follow(COLD_S)
+        taken = self.offer(0.5)
+        self.pace = self.start()
+        self.follow(COLD_S - 0.5)
+        self.assertLessEqual(taken + self.offer(0.5), RATE)
+
+    def test_target_that_becomes_cold_again_is_held_back_again(self) -> None:
+        self.follow(0.0)
+        self.assertEqual(self.offer(0.1), 10)
+        self.follow(COLD_S)
+        self.assertLessEqual(self.offer(1.0), RATE)
+
+    def test_suspicion_lasts_until_a_newer_heartbeat(self) -> None:
+        self.follow(0.0)
+        self.clock.advance(0.5)
+        self.pace.suspect()
+        self.assertLessEqual(self.offer(1.0), RATE)
+        self.follow(0.0)
+        self.assertFalse(self.pace.is_cold())
+
+    def test_service_without_a_rate_is_not_held_back(self) -> None:
+        self.pace.configure(None)
+        self.follow(COLD_S)
+        self.assertEqual(self.offer(1.0), 100)
+        self.assertEqual(self.pace.read_wait(), 0.0)
+
+    def test_refused_calls_are_told_later_and_later_turns(self) -> None:
+        self.follow(COLD_S)
+        waits = [self.pace.promise_turn() for _ in range(40)]
+        self.assertEqual(waits, sorted(waits))
+        self.assertAlmostEqual(waits[1] - waits[0], 1 / RATE)
+        self.assertLessEqual(waits[-1], COLD_S)
+
+
+class ColdFleet:
+    """Twelve cold targets of one service, offered calls by six entries."""
+
+    def __init__(self, count: int = 12, entries: int = 6) -> None:
+        self.clock = FakeClock()
+        self.random = Random(3)
+        policy = AdmissionPolicy(32, lambda organisation: 1.0, RATE)
+        self.members = tuple(make_member(f"o{number}") for number in range(count))
+        self.admissions: dict[InstanceId, Admission] = {}
+        now = self.clock.read_monotonic()
+        for member in self.members:
+            admission = Admission(FixedLimit(SLOTS), policy, self.clock, self.random)
+            admission.follow_target(make_status(now + COLD_S, now))
+            self.admissions[member.instance] = admission
+        self.choosers = [
+            LocalityChooser(
+                Place(
+                    InstanceId(f"entry{n}"), FailureDomainId("west-a"), RegionId("west")
+                ),
+                self.clock,
+                self.random,
+            )
+            for n in range(entries)
+        ]
+        self.arrivals: dict[InstanceId, deque[float]] = {
+            member.instance: deque() for member in self.members
+        }
+        self.most_in_a_second = 0
+        self._running: deque[tuple[float, Member, LocalityChooser]] = deque()
+
+    def play(self, seconds: float, calls_per_s: float) -> tuple[int, int]:
+        """Return how many calls were served and how many refused."""
+        served = refused = 0
+        due = 0.0
+        for _ in range(round(seconds / STEP_S)):
+            self._end_calls()
+            due += calls_per_s * STEP_S
+            while due >= 1:
+                due -= 1
+                if self._offer(self.random.choice(self.choosers)):
+                    served += 1
+                else:
+                    refused += 1
+            self.clock.advance(STEP_S)
+        return served, refused
+
+    def _offer(self, chooser: LocalityChooser) -> bool:
+        eligibility = Eligibility()
+        for _ in range(MOVES_MAX + 1):
+            chosen = chooser.choose(self.members, 1, eligibility).chosen
+            if chosen is None:
+                return False
+            admission = self.admissions[chosen.instance]
+            chooser.note_start(chosen.instance)
+            context = make_context(deadline_at=self.clock.read_monotonic() + 5)
+            outcome = admission.acquire(context, lambda waiter: None)
+            if isinstance(outcome, Ok):
+                self._note_arrival(chosen)
+                ends_at = self.clock.read_monotonic() + SERVICE_S
+                self._running.append((ends_at, chosen, chooser))
+                return True
+            load = admission.report_load(False)
+            chooser.note_end(chosen.instance, AttemptOutcome.REFUSED, load)
+            eligibility = eligibility.exclude(chosen.instance)
+        return False
+
+    def _note_arrival(self, member: Member) -> None:
+        now = self.clock.read_monotonic()
+        arrivals = self.arrivals[member.instance]
+        arrivals.append(now)
+        while arrivals[0] <= now - 1.0:
+            arrivals.popleft()
+        self.most_in_a_second = max(self.most_in_a_second, len(arrivals))
+
+    def _end_calls(self) -> None:
+        now = self.clock.read_monotonic()
+        while self._running and self._running[0][0] <= now:
+            _, member, chooser = self._running.popleft()
+            admission = self.admissions[member.instance]
+            admission.release(RouteName("search"), now - SERVICE_S, failed=False)
+            chooser.note_end(
+                member.instance, AttemptOutcome.ANSWERED, admission.report_load(False)
+            )
+
+
+class ColdFleetTests(TestCase):
+    """Offer a service whose targets are all cold ten times what they bear."""
+
+    def test_none_falls_over_and_all_serve_once_they_are_warm(self) -> None:
+        fleet = ColdFleet()
+        bearable = 12 * RATE
+        served, _ = fleet.play(COLD_S - STEP_S, 10 * bearable)
+        self.assertLessEqual(fleet.most_in_a_second, TOLERATED)
+        self.assertGreaterEqual(served, 0.8 * bearable * COLD_S)
+        fleet.play(2 * STEP_S, 0)
+        served, refused = fleet.play(2.0, 10 * bearable)
+        self.assertLessEqual(refused, 0.01 * (served + refused))
--- a/tests/coordination/owner/test_policy.py
+++ b/tests/coordination/owner/test_policy.py
@@ -6,25 +6,29 @@
 from random import Random
 from unittest import TestCase
 
+from corianderhold.coordination.eligibility import EligibilityRules
 from corianderhold.coordination.owner.admission import Admission
 from corianderhold.coordination.owner.const import INITIAL_LIMIT
+from corianderhold.coordination.owner.guard import PlaceGuard
 from corianderhold.coordination.owner.limit import FixedLimit
 from corianderhold.coordination.owner.policy import (
     AdmissionConfigurator,
     build_default_limit,
     build_default_policy,
 )
-from corianderhold.ids import Version
+from corianderhold.ids import FailureDomainId, InstanceId, RegionId, Version
 from corianderhold.protocol.verdict import Reason
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.configuration.model import Configuration, Service
 from corianderhold.state.membership.model import Address, TargetState
+from corianderhold.state.membership.place import Place
 from corianderhold.state.membership.target import ABSENT_TARGET, TargetStatus
 from tests.common.calls import CATALOGUE, make_context
 from tests.common.clock import FakeClock
 from tests.common.waiting import wait_until
 
 ADDRESS = Address("127.0.0.1", 1)
+OWN_PLACE = Place(InstanceId("owner"), FailureDomainId("west-a"), RegionId("west"))
 SERVING = TargetStatus(TargetState.SERVING, CATALOGUE, ADDRESS)
 
 
@@ -64,8 +68,9 @@
         self.refused: list[Reason] = []
         self.holder = ConfigurationHolder()
         self.source = FakeSource()
+        guard = PlaceGuard(EligibilityRules(self.holder), OWN_PLACE)
         AdmissionConfigurator(
-            self.admission, self.holder, self.source, FakeClock()
+            self.admission, self.holder, self.source, guard, FakeClock()
         ).start()
 
     def configure(self, version: int, limit: int, adaptive: bool = False) -> None:
@@ -127,6 +132,19 @@
             self.admission.release_unused()
         self.assertEqual(self.refused, [Reason.DRAINING] * 2)
 
+    def test_calls_that_wait_are_refused_when_the_domain_is_evacuated(self) -> None:
+        self.configure(1, 1)
+        self.source.announce(SERVING)
+        self.admission.acquire(make_context(), lambda waiter: None)
+        waiting = threading.Thread(target=self.wait_in_queue)
+        waiting.start()
+        wait_until(lambda: self.admission.report_load(False).queued == 1, "a waiter")
+        current = self.holder.current
+        evacuated = frozenset({OWN_PLACE.domain})
+        self.holder.replace(replace(current, evacuated=evacuated))
+        waiting.join()
+        self.assertEqual(self.refused, [Reason.DRAINING])
+
     def wait_in_queue(self) -> None:
         outcome = self.admission.acquire(make_context(), lambda waiter: None)
         self.refused.append(outcome.unwrap_err().reason)
--- a/tests/platform/store.py
+++ b/tests/platform/store.py
@@ -96,6 +96,7 @@
         items = [
             {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
             for key, (offset, value) in sorted(newest.items())
+            if value
         ]
         page = {"items": items, "has_more": False, "end": len(records)}
         return HTTPStatus.OK, json.dumps(page).encode()
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -40,6 +40,29 @@
             self.assertEqual(caller.organisation, "t1")
         self.assertTrue(identify_caller(configuration, "key-three", 0.0).is_err())
 
+    def test_regions_and_cold_targets(self) -> None:
+        document = json.loads(write_document(7))
+        for table, regions in (("routes", ["west"]), ("tenants", [])):
+            document[table]["columns"].append("allowed_regions")
+            for row in document[table]["rows"]:
+                row.append(regions)
+        document["services"] = {
+            "columns": ["name", "cold_s", "cold_per_s"],
+            "rows": [["s1", 3.0, 5.5], ["s2", None, None]],
+        }
+        text = json.dumps(document).encode()
+        configuration = translate_document(text, DOMAINS)
+        self.assertEqual(configuration.routes[0].regions, {"west"})
+        organisation = configuration.organisations[OrganisationId("t1")]
+        self.assertEqual(organisation.regions, frozenset())
+        cold, unknown = configuration.services.values()
+        self.assertEqual((cold.cold_s, cold.cold_rate), (3.0, 5.5))
+        self.assertEqual((unknown.cold_s, unknown.cold_rate), (0.0, None))
+        _, outcome = fold(
+            INITIAL_STATE, Offset(0), encode_document(text, DOMAINS, Offset(0))
+        )
+        self.assertEqual(outcome.kind, OutcomeKind.SNAPSHOT_ADOPTED)
+
     def test_no_keys_where_there_are_no_organisations(self) -> None:
         document = json.loads(write_document(7))
         del document["tenants"]
--- a/tests/platform/test_log.py
+++ b/tests/platform/test_log.py
@@ -1,11 +1,13 @@
 """Test the streams in the platform's store, against a stand-in."""
 
+from dataclasses import replace
 from unittest import TestCase
 
 from corianderhold.clock import SystemClock
 from corianderhold.ids import FailureDomainId, Offset
 from corianderhold.protocol.store.model import ReadFailure, StreamName
 from corianderhold.state.configuration.codec import decode_record
+from corianderhold.state.configuration.fold import INITIAL_STATE, FoldState, fold
 from corianderhold.state.configuration.records import SnapshotRecord
 from corianderhold.state.membership.model import Address
 from corianderhold_platform.log import PlatformLog
@@ -61,6 +63,54 @@
         self.assertEqual(record.configuration.version, 7)
         self.assertTrue(decode_record(second.data).is_err())
 
+    def _follow(self, state: FoldState) -> FoldState:
+        """Fold what the stream has for a state, as the product's reader does."""
+        page = self.log.read(
+            StreamName.CONFIGURATION, state.next_offset, 100, TIMEOUT_S
+        ).unwrap()
+        for record in page.records:
+            if record.data:
+                state, _ = fold(state, record.offset, record.data)
+            elif record.offset == state.next_offset:
+                state = replace(state, next_offset=Offset(record.offset + 1))
+        return state
+
+    def test_evacuations_begin_and_end(self) -> None:
+        self.store.put("keyed.op", "config", write_document(6))
+        self.store.put("keyed.op", "evacuate/west-a", b"{}")
+        state = self._follow(INITIAL_STATE)
+        self.assertEqual(state.configuration.evacuated, {"west-a"})
+        self.store.put("keyed.op", "config", write_document(7))
+        state = self._follow(state)
+        self.assertEqual((state.version, len(state.configuration.evacuated)), (7, 1))
+        self.store.put("keyed.op", "evacuate/west-a", b"")
+        state = self._follow(state)
+        self.assertEqual(state.configuration.evacuated, frozenset())
+        self.assertEqual(state.next_offset, 4)
+
+    def test_evacuation_of_an_unknown_domain_is_left_out(self) -> None:
+        self.store.put("keyed.op", "config", write_document(6))
+        self.store.put("keyed.op", "evacuate/nowhere", b"{}")
+        self.assertEqual(
+            self._follow(INITIAL_STATE).configuration.evacuated, frozenset()
+        )
+
+    def test_lost_history_says_which_evacuations_are_left(self) -> None:
+        self.store.put("keyed.op", "config", write_document(6))
+        self.store.put("keyed.op", "evacuate/west-a", b"{}")
+        known = self._follow(INITIAL_STATE)
+        self.store.put("keyed.op", "evacuate/west-a", b"")
+        self.store.forget("keyed.op")
+        state = self._follow(known)
+        self.assertEqual(state.configuration.evacuated, frozenset())
+        self.assertEqual(state.next_offset, 3)
+        self.store.put("keyed.op", "evacuate/west-a", b"{}")
+        self.store.forget("keyed.op")
+        for behind in (known, state, INITIAL_STATE):
+            found = self._follow(self._follow(behind))
+            self.assertEqual(found.configuration.evacuated, {"west-a"})
+            self.assertEqual((found.version, found.next_offset), (6, 4))
+
     def test_refused_read(self) -> None:
         self.store.refuse = True
         page = self.log.read(StreamName.MEMBERS, Offset(0), 100, TIMEOUT_S)
