Hold cold targets to the calls a second that they bear

Cause: a target that has just started bears `cold_per_s` calls a second for `cold_s` seconds and falls over above that, to come back cold. The load that keeps a fleet cold is a metastable state.

Change: the owner, which all calls of a target pass, gives turns at the configured rate while the last heartbeat says that the target is cold, and after an evacuation until a newer heartbeat. A call without a turn is refused at once, unrun, and goes on to the next owner, which costs no retry since nothing was sent. Refusals and load reports name the next free turn; entries leave the owner out until then.

--- a/corianderhold/coordination/entry/choice.py
+++ b/corianderhold/coordination/entry/choice.py
@@ -52,6 +52,7 @@
     failures: int = 0
     ejected_until: float = float("-inf")
     ejections: int = 0
+    cold_until: float = float("-inf")
 
 
 UNKNOWN_OWNER = OwnerView()
@@ -92,12 +93,14 @@
     The outcome of a choice.
 
     `chosen` is None when there is no owner, or when all owners shed calls of this
-    importance, which `pushed_back` tells apart.
+    importance, which `pushed_back` tells apart. Where all of them are cold, the first
+    of them takes a call in `wait_s` seconds.
     """
 
     chosen: Member | None
     candidates: tuple[Candidate, ...]
     pushed_back: bool = False
+    wait_s: float = 0.0
 
 
 class Chooser(Protocol):
@@ -154,9 +157,12 @@
             pool = healthy or eligible
             accepting = [m for m in pool if not self._sheds(m, importance, now)]
             if not accepting:
+                warm = [m for m in pool if now >= self._view(m.instance).cold_until]
+                if not warm:
+                    return Choice(None, (), pushed_back=True, wait_s=self._wait(pool))
                 if self._random.random() >= PUSH_BACK_PROBE_RATIO:
                     return Choice(None, (), pushed_back=True)
-                accepting = pool
+                accepting = warm
             return self._take_best(accepting, now)
 
     def note_start(self, instance: InstanceId) -> None:
@@ -176,14 +182,22 @@
             if load is not None:
                 view.load = load
                 view.reported_at = now
+                view.cold_until = now + load.cold_wait_ms / 1000
             judge_outcome(view, outcome, now)
 
     def _view(self, instance: InstanceId) -> OwnerView:
         return self._views.get(instance, UNKNOWN_OWNER)
 
+    def _wait(self, members: list[Member]) -> float:
+        """Return in how many seconds the first of some cold owners takes a call."""
+        now = self._clock.read_monotonic()
+        return min(self._view(each.instance).cold_until for each in members) - now
+
     def _sheds(self, member: Member, importance: int, now: float) -> bool:
         view = self._view(member.instance)
         age_s = now - view.reported_at
+        if now < view.cold_until:
+            return True
         if view.load is None or age_s > LOAD_REPORT_LIFETIME_S:
             return False
         pushes_back = age_s <= PUSH_BACK_LIFETIME_S
--- a/corianderhold/coordination/entry/const.py
+++ b/corianderhold/coordination/entry/const.py
@@ -15,6 +15,7 @@
 FILL_RATIO = 0.9  # of an owner's limit, from which on farther ones are asked too
 LIMIT_UNKNOWN = 16  # assumed of an owner that has reported none
 CANDIDATES = 2
+MOVES_MAX = 4  # owners passed over that could not take a call
 CALLER_CHECK_INTERVAL_S = 0.1
 CANCEL_TIMEOUT_S = 0.2  # other callers that left wait meanwhile
 RESERVED_THREADS = 8
--- a/corianderhold/coordination/entry/router.py
+++ b/corianderhold/coordination/entry/router.py
@@ -13,6 +13,7 @@
     Chooser,
 )
 from corianderhold.coordination.entry.const import (
+    MOVES_MAX,
     NO_TARGET_RETRY_AFTER_MS,
     OVERLOAD_RETRY_AFTER_MS,
 )
@@ -39,12 +40,17 @@
         Reason.DOMAIN_EVACUATED,
         Reason.REGION_FORBIDDEN,
         Reason.QUEUE_FULL,
+        Reason.TARGET_COLD,
         Reason.TARGET_FULL,
         Reason.TARGET_MISMATCH,
     }
 )
 # Callers are told that there is no target; the log tells why.
 PLACEMENT = frozenset({Reason.DOMAIN_EVACUATED, Reason.REGION_FORBIDDEN})
+# The owner has sent nothing on: the next owner's attempt is no repeat.
+MOVES = frozenset(
+    {Reason.DOMAIN_EVACUATED, Reason.REGION_FORBIDDEN, Reason.TARGET_COLD}
+)
 RETRYABLE_MAY_HAVE_RUN = frozenset({Reason.PEER_SILENT, Reason.ANSWER_TRUNCATED})
 FAILURES = frozenset(
     {
@@ -151,7 +157,7 @@
                 return outcome
             refusal = outcome.err_value
             may_have_run = may_have_run or not refusal.not_run
-            if not self._may_retry(context, body, refusal, retries, throttle):
+            if not self._may_retry(context, body, refusal, retries, throttle, attempt):
                 return Err(widen_refusal(hide_placement(refusal), may_have_run))
             eligibility = attempt.eligibility.exclude(choice.chosen.instance)
             attempt = Attempt(eligibility, attempt.number + 1, refusal)
@@ -226,6 +232,9 @@
         self, context: CallContext, attempt: Attempt, choice: Choice
     ) -> Refusal:
         """Return the refusal of a call for which no owner was chosen, and log why."""
+        if choice.wait_s > 0:
+            wait_ms = max(OVERLOAD_RETRY_AFTER_MS, int(choice.wait_s * 1000))
+            return refuse_not_run(Reason.TARGET_COLD, wait_ms)
         if choice.pushed_back:
             detail = "all owners shed calls of this importance"
             return refuse_not_run(Reason.SHED, OVERLOAD_RETRY_AFTER_MS, detail)
@@ -253,6 +262,7 @@
         refusal: Refusal,
         retries: RetryBudget,
         throttle: RetryThrottle,
+        attempt: Attempt,
     ) -> bool:
         """Spend a retry where it is safe and of use."""
         if self._in_flight.is_cancelled(context.call_id) or body.started:
@@ -263,6 +273,9 @@
             useful = context.idempotent and refusal.reason in RETRYABLE_MAY_HAVE_RUN
         if not useful or self._clock.read_monotonic() >= context.deadline_at:
             return False
+        if refusal.reason in MOVES:
+            self._metrics.increment("moves")
+            return attempt.number < MOVES_MAX
         if not throttle.allow_retry(self._burst.find_part()):
             self._metrics.increment("retries_throttled")
             return False
--- a/corianderhold/coordination/owner/admission.py
+++ b/corianderhold/coordination/owner/admission.py
@@ -10,6 +10,7 @@
 from corianderhold.clock import Clock
 from corianderhold.coordination.call import CallContext
 from corianderhold.coordination.owner.const import (
+    COLD_RETRY_AFTER_MS,
     DRAINING_RETRY_AFTER_MS,
     QUEUE_RETRY_AFTER_MS,
     RETRY_AFTER_SPREAD,
@@ -17,22 +18,30 @@
 )
 from corianderhold.coordination.owner.estimate import ServiceTimes
 from corianderhold.coordination.owner.limit import ConcurrencyLimit
+from corianderhold.coordination.owner.pace import TargetPace
 from corianderhold.coordination.owner.queue import FairQueue, Waiter, WaiterState
 from corianderhold.ids import OrganisationId, RouteName
 from corianderhold.log import log_event
 from corianderhold.protocol.peer.messages import LoadReport
 from corianderhold.protocol.verdict import Reason, Refusal, refuse_not_run
 from corianderhold.state.configuration.model import Importance
+from corianderhold.state.membership.target import TargetStatus
 
 DEADLINE_UNMEETABLE = "the deadline can't be met"
 
 
 @dataclass(frozen=True)
 class AdmissionPolicy:
-    """The configured part of admission; `weigh` gives an organisation's weight."""
+    """
+    The configured part of admission.
+
+    `weigh` gives an organisation's weight. A cold target bears `cold_rate` calls a
+    second, None for no known bound.
+    """
 
     queue_length: int
     weigh: Callable[[OrganisationId], float]
+    cold_rate: float | None = None
 
 
 class Admission:
@@ -53,11 +62,26 @@
         self._queue = FairQueue()
         self._in_flight = 0
         self._service_times = ServiceTimes(clock)
+        self._pace = TargetPace(clock)
+        self._pace.configure(policy.cold_rate)
+
+    def follow_target(self, target: TargetStatus) -> None:
+        """Take over what a heartbeat says of how cold the target is."""
+        with self._lock:
+            self._pace.follow(target)
+            self._refuse_waiting_if_cold()
+
+    def suspect_target(self) -> None:
+        """Hold the target for cold until its next heartbeat."""
+        with self._lock:
+            self._pace.suspect()
+            self._refuse_waiting_if_cold()
 
     def replace_policy(self, policy: AdmissionPolicy) -> None:
         """Go on with another policy."""
         with self._lock:
             self._policy = policy
+            self._pace.configure(policy.cold_rate)
 
     def replace_limit(self, limit: ConcurrencyLimit) -> None:
         """Go on with another limit; calls in flight stay counted."""
@@ -82,7 +106,10 @@
         )
         hold_waiter(waiter)
         with self._lock:
-            if not self._queue and self._in_flight < self._limit.read_limit():
+            has_room = self._in_flight < self._limit.read_limit()
+            if self._pace.is_cold() and not (has_room and self._pace.take_turn()):
+                return Err(self._refuse_cold())
+            if not self._queue and has_room:
                 self._in_flight += 1
                 waiter.state = WaiterState.ADMITTED
                 return Ok(waiter)
@@ -94,8 +121,7 @@
     def refuse_waiting(self) -> None:
         """Refuse the calls that wait, so that their entries try other owners."""
         with self._lock:
-            for waiter in self._queue.take_all():
-                waiter.decide(WaiterState.DRAINED)
+            self._drain_queue()
 
     def release_unused(self) -> None:
         """Give back a permit whose call was not sent to the target."""
@@ -155,6 +181,7 @@
                 len(self._queue),
                 self._find_shed_level(),
                 draining,
+                int(self._pace.read_wait() * 1000),
             )
 
     def _find_shed_level(self) -> int:
@@ -221,9 +248,22 @@
             self._queue.remove(waiter)
         return Err(refuse_not_run(Reason.DEADLINE_PASSED, detail="in the queue"))
 
+    def _refuse_waiting_if_cold(self) -> None:
+        if self._pace.is_cold():
+            self._drain_queue()
+
+    def _drain_queue(self) -> None:
+        for waiter in self._queue.take_all():
+            waiter.decide(WaiterState.DRAINED)
+
+    def _refuse_cold(self) -> Refusal:
+        """Refuse a call that has no turn at the cold target."""
+        wait_ms = int(self._pace.promise_turn() * 1000)
+        return refuse_not_run(Reason.TARGET_COLD, max(COLD_RETRY_AFTER_MS, wait_ms))
+
     def _admit_waiters(self) -> None:
         """Admit the next waiters that fit, and drop those that are too late."""
-        while self._in_flight < self._limit.read_limit():
+        while self._in_flight < self._limit.read_limit() and not self._pace.is_cold():
             waiter = self._queue.pop()
             if waiter is None:
                 return
--- a/corianderhold/coordination/owner/policy.py
+++ b/corianderhold/coordination/owner/policy.py
@@ -64,7 +64,8 @@
     """
     Give the admission the limit and weights of the local target's service.
 
-    A limit that has learnt is kept until the target or its service's bound changes.
+    A limit that has learnt is kept until the target or its service's bound changes. A
+    target that was evacuated may have become cold meanwhile, whatever it said before.
     """
 
     def __init__(
@@ -82,6 +83,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._key: LimitKey | None = None
+        self._was_evacuated = False
 
     def start(self) -> None:
         """Follow the configuration and the local target."""
@@ -98,7 +100,9 @@
             configuration = self._holder.current
             service = find_service(configuration, target)
             self._admission.replace_policy(
-                AdmissionPolicy(service.queue_length, weigh_by(configuration))
+                AdmissionPolicy(
+                    service.queue_length, weigh_by(configuration), service.cold_rate
+                )
             )
             if target.state is TargetState.DRAINING:
                 return
@@ -117,12 +121,17 @@
 
     def _follow_configuration(self, configuration: Configuration) -> None:
         if self._guard.is_evacuated():
+            self._was_evacuated = True
             self._admission.refuse_waiting()
+        elif self._was_evacuated:
+            self._was_evacuated = False
+            self._admission.suspect_target()
         self.apply()
 
     def _follow_target(self, target: TargetStatus) -> None:
         if target.state is not TargetState.SERVING:
             self._admission.refuse_waiting()
+        self._admission.follow_target(target)
         known = self._key
         if known is None or known.target != target:
             self.apply()
--- a/corianderhold/protocol/peer/codec.py
+++ b/corianderhold/protocol/peer/codec.py
@@ -70,7 +70,12 @@
 def encode_load(load: LoadReport) -> Any:
     """Return the thrift struct of a load report."""
     return ttypes.LoadReport(
-        load.in_flight, load.limit, load.queued, load.shed_below, load.draining
+        load.in_flight,
+        load.limit,
+        load.queued,
+        load.shed_below,
+        load.draining,
+        load.cold_wait_ms or None,
     )
 
 
@@ -82,6 +87,7 @@
         struct.queued,
         struct.shed_below,
         struct.draining,
+        struct.cold_wait_ms or 0,
     )
 
 
--- a/corianderhold/protocol/peer/gen/ttypes.py
+++ b/corianderhold/protocol/peer/gen/ttypes.py
@@ -317,6 +317,7 @@
      - queued
      - shed_below
      - draining
+     - cold_wait_ms
 
     """
 
@@ -326,15 +327,17 @@
         'queued',
         'shed_below',
         'draining',
+        'cold_wait_ms',
     )
 
 
-    def __init__(self, in_flight=None, limit=None, queued=None, shed_below=None, draining=None,):
+    def __init__(self, in_flight=None, limit=None, queued=None, shed_below=None, draining=None, cold_wait_ms=None,):
         self.in_flight = in_flight
         self.limit = limit
         self.queued = queued
         self.shed_below = shed_below
         self.draining = draining
+        self.cold_wait_ms = cold_wait_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -370,6 +373,11 @@
                     self.draining = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.cold_wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -400,6 +408,10 @@
             oprot.writeFieldBegin('draining', TType.BOOL, 5)
             oprot.writeBool(self.draining)
             oprot.writeFieldEnd()
+        if self.cold_wait_ms is not None:
+            oprot.writeFieldBegin('cold_wait_ms', TType.I32, 6)
+            oprot.writeI32(self.cold_wait_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1977,6 +1989,7 @@
     (3, TType.I32, 'queued', None, None, ),  # 3
     (4, TType.I32, 'shed_below', None, None, ),  # 4
     (5, TType.BOOL, 'draining', None, None, ),  # 5
+    (6, TType.I32, 'cold_wait_ms', None, None, ),  # 6
 )
 all_structs.append(Header)
 Header.thrift_spec = (
--- a/corianderhold/protocol/peer/messages.py
+++ b/corianderhold/protocol/peer/messages.py
@@ -35,13 +35,18 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """Load of an owner; calls below `shed_below` in importance are shed now."""
+    """
+    Load of an owner; calls below `shed_below` in importance are shed now.
+
+    `cold_wait_ms` is in how many milliseconds a cold target takes one more call.
+    """
 
     in_flight: int = 0
     limit: int = 0
     queued: int = 0
     shed_below: int = 0
     draining: bool = False
+    cold_wait_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/corianderhold/protocol/verdict.py
+++ b/corianderhold/protocol/verdict.py
@@ -42,6 +42,7 @@
     PEER_SILENT = "peer_silent"
     TARGET_UNREACHABLE = "target_unreachable"
     TARGET_SILENT = "target_silent"
+    TARGET_COLD = "target_cold"
     TARGET_FULL = "target_full"
     TARGET_REFUSED = "target_refused"
     TARGET_MISMATCH = "target_mismatch"
--- a/corianderhold/state/membership/target.py
+++ b/corianderhold/state/membership/target.py
@@ -16,7 +16,7 @@
     The local target; `address` is where it takes requests, None if absent.
 
     `slots` is how many calls it runs at once. Until `cold_until`, in monotonic seconds,
-    it is slow after its start.
+    it is slow after its start. The last heartbeat came at `heard_at`.
     """
 
     state: TargetState
@@ -26,6 +26,7 @@
     started: int | None = None
     slots: int | None = None
     cold_until: float = field(default=0.0, compare=False)
+    heard_at: float = field(default=float("-inf"), compare=False)
 
 
 @dataclass(frozen=True)
@@ -195,6 +196,7 @@
             known.started,
             known.slots,
             now_s + known.cold_s,
+            now_s,
         )
 
 
