Let operators evacuate failure domains through the product's own command

Cause: evacuations could only be ordered through a platform's log. Change: `corianderhold evacuate DOMAIN [--end]` and POST /v1/evacuations append the record and answer once this daemon has folded it; GET /v1/evacuations and /v1/status say which domains are evacuated and since when, and how many calls the daemon's own target still runs. An unknown domain is refused (404), a log that the operators' own tool writes refuses (503).

The test fleet keeps states in place of versions, and still refuses a version that comes into force twice.

--- a/corianderhold/admin/api.py
+++ b/corianderhold/admin/api.py
@@ -8,6 +8,7 @@
 
 from corianderhold.admin.changes import ChangesResource, ConfigurationResource
 from corianderhold.admin.const import REALM
+from corianderhold.admin.evacuations import EvacuationsResource
 from corianderhold.admin.fleet import (
     DrainResource,
     HealthResource,
@@ -66,12 +67,17 @@
         root.v1.changes = ChangesResource(parts.publisher, parts.history, parts.clock)
         root.v1.keys = KeysResource(parts.publisher, parts.holder, parts.clock)
         root.v1.drain = DrainResource(parts.drain)
+        root.v1.evacuations = EvacuationsResource(
+            parts.orders, parts.evacuations, parts.members
+        )
         root.v1.status = StatusResource(
             parts.identity,
             parts.holder,
             parts.stream,
             parts.members,
             parts.drain,
+            parts.evacuations,
+            parts.metrics,
             parts.clock,
         )
         branch: Branch = root
--- a/corianderhold/admin/fleet.py
+++ b/corianderhold/admin/fleet.py
@@ -4,12 +4,14 @@
 
 from corianderhold.admin.formats import (
     JsonObject,
+    evacuations_to_json,
     format_metrics,
     heard_to_json,
     member_to_json,
 )
 from corianderhold.admin.model import (
     Drain,
+    EvacuationList,
     Identity,
     ReadinessSource,
     StreamView,
@@ -34,6 +36,8 @@
         stream: StreamView,
         members: Members,
         drain: Drain,
+        evacuations: EvacuationList,
+        metrics: Metrics,
         clock: Clock,
     ) -> None:
         self._identity = identity
@@ -41,6 +45,8 @@
         self._stream = stream
         self._members = members
         self._drain = drain
+        self._evacuations = evacuations
+        self._metrics = metrics
         self._clock = clock
 
     @answer_errors
@@ -53,6 +59,8 @@
             "instance": self._identity.instance,
             "domain": self._identity.domain,
             "draining": self._drain.is_draining(),
+            "in_flight": self._metrics.read_gauges().get("owner_in_flight"),
+            "evacuations": evacuations_to_json(self._evacuations.list_evacuations()),
             "configuration": {
                 "version": self._holder.current.version,
                 "next_offset": head.next_offset,
--- a/corianderhold/admin/formats.py
+++ b/corianderhold/admin/formats.py
@@ -1,7 +1,7 @@
 """Turn what the daemon knows into JSON values and metrics text."""
 
 import json
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 from corianderhold.admin.const import METRIC_PREFIX
@@ -11,6 +11,7 @@
     Published,
     PublishOutcome,
 )
+from corianderhold.ids import FailureDomainId
 from corianderhold.metrics import Metrics
 from corianderhold.state.configuration.entities import delta_to_json
 from corianderhold.state.configuration.fold import FoldOutcome, OutcomeKind
@@ -26,6 +27,16 @@
     return (json.dumps(value, indent=2) + "\n").encode()
 
 
+def evacuations_to_json(
+    evacuations: Mapping[FailureDomainId, float],
+) -> list[JsonObject]:
+    """Return the evacuated domains with the Unix seconds since when each is known."""
+    return [
+        {"domain": domain, "known_since": since}
+        for domain, since in sorted(evacuations.items())
+    ]
+
+
 def published_to_json(published: Published) -> JsonObject:
     """Return what became of a change."""
     return {
--- a/corianderhold/admin/model.py
+++ b/corianderhold/admin/model.py
@@ -1,10 +1,11 @@
 """Say what the administration API needs of the parts behind it."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
 from corianderhold.clock import Clock
+from corianderhold.coordination.configuration.evacuator import EvacuationOutcome
 from corianderhold.coordination.configuration.exchanger import HeardHead
 from corianderhold.coordination.configuration.history import HistoryEntry
 from corianderhold.coordination.configuration.publisher import Published
@@ -34,6 +35,22 @@
         """Return what became of a change after reading the log once more."""
 
 
+class EvacuationOrders(Protocol):
+    """Begin and end evacuations."""
+
+    def order(
+        self, domain: FailureDomainId, active: bool, author: str, timeout_s: float
+    ) -> EvacuationOutcome:
+        """Begin the evacuation of a domain, or end it where not `active`."""
+
+
+class EvacuationList(Protocol):
+    """Tell which domains are evacuated."""
+
+    def list_evacuations(self) -> Mapping[FailureDomainId, float]:
+        """Return the evacuated domains, with the Unix time since when each is known."""
+
+
 class ChangeHistory(Protocol):
     """Give the audit trail of changes."""
 
@@ -79,6 +96,8 @@
     readiness: ReadinessSource
     holder: ConfigurationHolder
     publisher: ChangePublisher
+    orders: EvacuationOrders
+    evacuations: EvacuationList
     history: ChangeHistory
     stream: StreamView
     members: Members
--- a/corianderhold/admin/schema.py
+++ b/corianderhold/admin/schema.py
@@ -12,6 +12,7 @@
     VERSION,
     bound_number,
     bound_text,
+    require_boolean,
 )
 from corianderhold.state.keys.const import MAX_OVERLAP_S
 
@@ -40,4 +41,7 @@
     }
 )
 WITHDRAW = Schema(AUTHORSHIP)
+EVACUATE = Schema(
+    {**AUTHORSHIP, Required("domain"): NAME, Required("active"): require_boolean}
+)
 ROTATE = Schema({**AUTHORSHIP, Required("overlap_s"): bound_number(0.0, MAX_OVERLAP_S)})
--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -8,6 +8,10 @@
 from corianderhold.admin.model import AdminParts
 from corianderhold.admin.model import Identity as AdminIdentity
 from corianderhold.clock import SystemClock
+from corianderhold.coordination.configuration.evacuator import (
+    EvacuationWatch,
+    Evacuator,
+)
 from corianderhold.coordination.configuration.follower import ConfigurationFollower
 from corianderhold.coordination.configuration.publisher import Publisher
 from corianderhold.coordination.eligibility import EligibilityRules
@@ -286,6 +290,8 @@
             readiness=self._readiness,
             holder=self._holder,
             publisher=Publisher(self._follower, self._log, self._clock),
+            orders=Evacuator(self._follower, self._log, self._clock),
+            evacuations=EvacuationWatch(self._holder, self._clock),
             history=self._follower.replica.history,
             stream=self._follower,
             members=self._membership,
--- a/corianderhold/cli/commands.py
+++ b/corianderhold/cli/commands.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from corianderhold.cli.answers import check, diff, generate, init
-from corianderhold.cli.fleet import drain, status
+from corianderhold.cli.fleet import drain, evacuate, status
 from corianderhold.cli.keys import grant, rotate, withdraw
 from corianderhold.cli.publish import explain, history, publish, show
 from corianderhold.cli.serve import serve
@@ -19,4 +19,5 @@
     "keys": [grant, rotate, withdraw],
     "status": status,
     "drain": drain,
+    "evacuate": evacuate,
 }
--- a/corianderhold/cli/const.py
+++ b/corianderhold/cli/const.py
@@ -4,7 +4,12 @@
 EXIT_FAILED = 1
 EXIT_USAGE = 2
 EXIT_UNKNOWN = 3
-EXIT_CODES = {"accepted": EXIT_OK, "refused": EXIT_FAILED, "unknown": EXIT_UNKNOWN}
+EXIT_CODES = {
+    "accepted": EXIT_OK,
+    "in_force": EXIT_OK,
+    "refused": EXIT_FAILED,
+    "unknown": EXIT_UNKNOWN,
+}
 
 TOKEN_VARIABLE = "CORIANDERHOLD_TOKEN"
 CONNECT_TIMEOUT_S = 3.0
--- /dev/null
+++ b/corianderhold/coordination/configuration/evacuator.py
@@ -0,0 +1,108 @@
+"""Begin and end the evacuation of failure domains for operators."""
+
+import time
+from collections.abc import Callable, Mapping
+from enum import Enum
+
+from result import Err
+
+from corianderhold.clock import Clock
+from corianderhold.coordination.configuration.const import (
+    LOG_APPEND_TIMEOUT_S,
+    PUBLISH_RETRY_PAUSE_S,
+)
+from corianderhold.coordination.configuration.follower import ConfigurationFollower
+from corianderhold.ids import FailureDomainId
+from corianderhold.log import log_event
+from corianderhold.protocol.store.model import AppendFailure, Log, StreamName
+from corianderhold.state.configuration.codec import encode_evacuation
+from corianderhold.state.configuration.holder import ConfigurationHolder
+from corianderhold.state.configuration.model import Configuration
+from corianderhold.state.configuration.records import EvacuationRecord
+
+Pause = Callable[[float], None]
+
+
+class EvacuationOutcome(Enum):
+    """What is known of an order."""
+
+    IN_FORCE = "in_force"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"  # it may be in the log, or may still get there
+
+
+class Evacuator:
+    """
+    Append orders to the log and wait until this daemon has folded them.
+
+    An order that arrives twice changes nothing more; one that arrives late counts from
+    then on, as every later order does.
+    """
+
+    def __init__(
+        self,
+        follower: ConfigurationFollower,
+        log: Log,
+        clock: Clock,
+        pause: Pause = time.sleep,
+    ) -> None:
+        self._follower = follower
+        self._log = log
+        self._clock = clock
+        self._pause = pause
+
+    def order(
+        self, domain: FailureDomainId, active: bool, author: str, timeout_s: float
+    ) -> EvacuationOutcome:
+        """Begin the evacuation of a domain, or end it where not `active`."""
+        outcome = self._append(EvacuationRecord(domain, active), timeout_s)
+        log_event(
+            "evacuation_ordered",
+            domain=domain,
+            active=active,
+            author=author,
+            outcome=outcome,
+        )
+        return outcome
+
+    def _append(
+        self, evacuation: EvacuationRecord, timeout_s: float
+    ) -> EvacuationOutcome:
+        if StreamName.CONFIGURATION in self._log.read_only:
+            return EvacuationOutcome.REFUSED
+        deadline = self._clock.read_monotonic() + timeout_s
+        appended = self._log.append(
+            StreamName.CONFIGURATION,
+            encode_evacuation(evacuation),
+            min(timeout_s, LOG_APPEND_TIMEOUT_S),
+        )
+        if isinstance(appended, Err):
+            if appended.err_value is AppendFailure.NOT_APPENDED:
+                return EvacuationOutcome.REFUSED
+            return EvacuationOutcome.UNKNOWN
+        while self._follower.replica.head.next_offset <= appended.ok_value:
+            if self._clock.read_monotonic() >= deadline:
+                return EvacuationOutcome.UNKNOWN
+            self._follower.read_log()
+            self._pause(PUBLISH_RETRY_PAUSE_S)
+        return EvacuationOutcome.IN_FORCE
+
+
+class EvacuationWatch:
+    """Note since when this daemon has known of each evacuation."""
+
+    def __init__(self, holder: ConfigurationHolder, clock: Clock) -> None:
+        self._clock = clock
+        self._since: Mapping[FailureDomainId, float] = {}
+        holder.add_listener(self._follow)
+
+    def list_evacuations(self) -> Mapping[FailureDomainId, float]:
+        """Return the evacuated domains, with the Unix time since when each is known."""
+        return self._since
+
+    def _follow(self, configuration: Configuration) -> None:
+        now = self._clock.read_wall()
+        known = self._since
+        self._since = {
+            domain: known.get(domain, now) for domain in configuration.evacuated
+        }
--- a/tests/admin/test_api.py
+++ b/tests/admin/test_api.py
@@ -225,3 +225,22 @@
         text = self.call("GET", "/metrics").body
         self.assertIn("corianderhold_configuration_version 1\n", text)
         self.assertIn('corianderhold_call_seconds{quantile="0.99"} 0.002', text)
+
+    def test_evacuation_begins_and_ends(self) -> None:
+        body = {"author": "ada", "domain": "d1", "active": True}
+        answer = self.call("POST", "/v1/evacuations", body)
+        self.assertEqual((answer.status, answer.body["outcome"]), (200, "in_force"))
+        listed = self.call("GET", "/v1/evacuations").body["evacuations"]
+        self.assertEqual([each["domain"] for each in listed], ["d1"])
+        status = self.call("GET", "/v1/status").body
+        self.assertEqual(status["evacuations"], listed)
+        self.call("POST", "/v1/evacuations", {**body, "active": False})
+        answer = self.call("GET", "/v1/evacuations")
+        self.assertEqual(answer.body["evacuations"], [])
+
+    def test_evacuation_of_an_unknown_domain_is_refused(self) -> None:
+        body = {"author": "ada", "domain": "nowhere", "active": True}
+        answer = self.call("POST", "/v1/evacuations", body)
+        self.assertEqual(answer.status, 404)
+        answer = self.call("POST", "/v1/evacuations", {**body, "active": "yes"})
+        self.assertEqual(answer.status, 400)
--- a/tests/common/followers.py
+++ b/tests/common/followers.py
@@ -17,6 +17,7 @@
 )
 from corianderhold.protocol.store.model import Log
 from corianderhold.state.configuration.holder import ConfigurationHolder
+from corianderhold.state.configuration.model import Configuration
 from corianderhold.state.membership.model import (
     Address,
     Member,
@@ -86,8 +87,8 @@
         self.up = True
         self.metrics = Metrics()
         self.holder = ConfigurationHolder()
-        self.versions: list[int] = []
-        self.holder.add_listener(lambda each: self.versions.append(each.version))
+        self.states: list[Configuration] = []
+        self.holder.add_listener(self.states.append)
         self.bytes_sent = 0
         self.log = log
         members: Members = fleet.members
@@ -105,6 +106,21 @@
         )
         self.follower.replica.add_news_listener(self.schedule_push)
 
+    @property
+    def versions(self) -> list[int]:
+        """Return the versions that came into force; evacuations make no new one."""
+        versions: list[int] = []
+        before: Configuration | None = None
+        for state in self.states:
+            if (
+                before is None
+                or state.version != before.version
+                or state.evacuated == before.evacuated
+            ):
+                versions.append(state.version)
+            before = state
+        return versions
+
     def request(
         self, address: Address, topic: ControlTopic, body: bytes, timeout_s: float
     ) -> Result[bytes, ControlFailure]:
--- a/tests/coordination/configuration/case.py
+++ b/tests/coordination/configuration/case.py
@@ -2,6 +2,7 @@
 
 from unittest import TestCase
 
+from corianderhold.coordination.configuration.evacuator import Evacuator
 from corianderhold.coordination.configuration.publisher import Published, Publisher
 from corianderhold.ids import ServiceName
 from corianderhold.protocol.store.model import StreamName
@@ -69,6 +70,11 @@
         clock = self.fleet.clock
         return Publisher(daemon.follower, way, clock, clock.advance)
 
+    def make_evacuator(self, daemon: Daemon) -> Evacuator:
+        way = self.ways[daemon.member.instance]
+        clock = self.fleet.clock
+        return Evacuator(daemon.follower, way, clock, clock.advance)
+
     def publish(
         self, daemon: Daemon, change_id: str, base: int, limit: int
     ) -> Published:
--- a/tests/coordination/configuration/test_exchange.py
+++ b/tests/coordination/configuration/test_exchange.py
@@ -2,7 +2,6 @@
 
 import threading
 from functools import partial
-from operator import eq
 from typing import Any
 from unittest import TestCase
 from unittest.mock import patch
@@ -51,6 +50,11 @@
 AGREED_BYTES_MAX = 64
 
 
+def has_versions(daemon: Daemon, expected: list[int]) -> bool:
+    """Return whether these versions, and no other, came into force."""
+    return daemon.versions == expected
+
+
 class MessageTests(TestCase):
     """Check that messages come back whole and bad bytes are refused."""
 
@@ -257,7 +261,7 @@
             text = make_text(f"c{version}", version - 1, BASE)
             log.append(StreamName.CONFIGURATION, text, 1.0)
             expected = list(range(1, version + 1))
-            wait_until(partial(eq, daemon.versions, expected), f"version {version}")
+            wait_until(partial(has_versions, daemon, expected), f"version {version}")
         wait_until(lambda: log.held == 1, "a read is held")
         daemon.follower.read_log()
         self.assertLessEqual(log.reads, 5)
