--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -157,6 +157,7 @@
                     self._holder,
                     self._membership,
                     self._guard,
+                    self._settings.cold_tolerance,
                     self._clock,
                 ),
                 self._build_peer_server(owner, keeper),
