--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -157,7 +157,6 @@
                     self._holder,
                     self._membership,
                     self._guard,
-                    self._settings.cold_tolerance,
                     self._clock,
                 ),
                 self._build_peer_server(owner, keeper),
--- a/corianderhold/coordination/owner/admission.py
+++ b/corianderhold/coordination/owner/admission.py
@@ -35,13 +35,13 @@
     """
     The configured part of admission.
 
-    `weigh` gives an organisation's weight. A cold target bears `cold_calls` in any one
+    `weigh` gives an organisation's weight. A cold target bears `cold_rate` calls a
     second, None for no known bound.
     """
 
     queue_length: int
     weigh: Callable[[OrganisationId], float]
-    cold_calls: float | None = None
+    cold_rate: float | None = None
 
 
 class Admission:
@@ -63,7 +63,7 @@
         self._in_flight = 0
         self._service_times = ServiceTimes(clock)
         self._pace = TargetPace(clock)
-        self._pace.configure(policy.cold_calls)
+        self._pace.configure(policy.cold_rate)
 
     def follow_target(self, target: TargetStatus) -> None:
         """Take over what a heartbeat says of how cold the target is."""
@@ -81,7 +81,7 @@
         """Go on with another policy."""
         with self._lock:
             self._policy = policy
-            self._pace.configure(policy.cold_calls)
+            self._pace.configure(policy.cold_rate)
 
     def replace_limit(self, limit: ConcurrencyLimit) -> None:
         """Go on with another limit; calls in flight stay counted."""
--- a/corianderhold/coordination/owner/pace.py
+++ b/corianderhold/coordination/owner/pace.py
@@ -1,13 +1,13 @@
 """Hold a cold target to the calls a second that it bears."""
 
 from corianderhold.clock import Clock
-from corianderhold.coordination.owner.const import PACE_PART, PACE_SAVED_UP_PART
+from corianderhold.coordination.owner.const import PACE_BURST
 from corianderhold.state.membership.target import TargetStatus
 
 
 class TargetPace:
     """
-    Hand out turns to a target that is cold, below the calls that it bears in a second.
+    Hand out turns to a target that is cold, at the rate that its service names.
 
     Answers the load that meets targets which have just started, above all when a whole
     domain comes back at once: above their rate they fall over and come back cold again.
@@ -22,8 +22,7 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._rate = 0.0
-        self._saved_up = 0.0
+        self._rate: float | None = None
         self._cold_until = float("-inf")
         self._suspected_at = float("-inf")
         self._heard_at = float("-inf")
@@ -32,10 +31,9 @@
         self._counted_at = 0.0
         self._promised_at = float("-inf")
 
-    def configure(self, borne: float | None) -> None:
-        """Take over how many calls a cold target bears in any one second, or None."""
-        self._rate = PACE_PART * (borne or 0.0)
-        self._saved_up = max(1.0, PACE_SAVED_UP_PART * (borne or 0.0))
+    def configure(self, rate: float | None) -> None:
+        """Take over a rate in calls a second; None holds no target back."""
+        self._rate = rate
 
     def follow(self, target: TargetStatus) -> None:
         """Take over what the target's newest heartbeat says."""
@@ -62,9 +60,10 @@
         """Use a turn; return False when none has come yet."""
         if not self.is_cold():
             return True
+        assert self._rate is not None
         now = self._clock.read_monotonic()
         grown = self._turns + (now - self._counted_at) * self._rate
-        self._turns = min(self._saved_up, grown)
+        self._turns = min(PACE_BURST, grown)
         self._counted_at = now
         if self._turns < 1:
             return False
@@ -73,6 +72,7 @@
 
     def promise_turn(self) -> float:
         """Return in how many seconds a call that was refused is to come back."""
+        assert self._rate is not None
         now = self._clock.read_monotonic()
         self._promised_at = max(self._promised_at, now) + 1 / self._rate
         return self.read_wait()
--- a/corianderhold/coordination/owner/policy.py
+++ b/corianderhold/coordination/owner/policy.py
@@ -18,7 +18,6 @@
 from corianderhold.ids import OrganisationId, ServiceName
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.configuration.model import Configuration, Service
-from corianderhold.state.configuration.tolerance import ColdTolerance
 from corianderhold.state.membership.model import TargetState
 from corianderhold.state.membership.target import TargetStatus
 
@@ -75,14 +74,12 @@
         holder: ConfigurationHolder,
         source: ObservedTargetSource,
         guard: PlaceGuard,
-        tolerance: ColdTolerance,
         clock: Clock,
     ) -> None:
         self._admission = admission
         self._holder = holder
         self._source = source
         self._guard = guard
-        self._tolerance = tolerance
         self._clock = clock
         self._lock = threading.Lock()
         self._key: LimitKey | None = None
@@ -104,9 +101,7 @@
             service = find_service(configuration, target)
             self._admission.replace_policy(
                 AdmissionPolicy(
-                    service.queue_length,
-                    weigh_by(configuration),
-                    self._tolerance.count_calls(service),
+                    service.queue_length, weigh_by(configuration), service.cold_rate
                 )
             )
             if target.state is TargetState.DRAINING:
--- a/corianderhold/settings/const.py
+++ b/corianderhold/settings/const.py
@@ -19,8 +19,6 @@
 
 CONF_TARGET = "target"
 CONF_SERVICE = "service"
-CONF_COLD_OVERAGE = "cold_overage"
-CONF_COLD_SLACK = "cold_slack"
 CONF_HEARTBEAT_TTL_S = "heartbeat_ttl_s"
 
 CONF_STORE = "store"
--- a/corianderhold/settings/loader.py
+++ b/corianderhold/settings/loader.py
@@ -15,8 +15,6 @@
     CONF_ANNOUNCE,
     CONF_CALLER,
     CONF_CALLER_THREADS,
-    CONF_COLD_OVERAGE,
-    CONF_COLD_SLACK,
     CONF_DEREGISTRATION_DELAY_S,
     CONF_DOMAIN,
     CONF_DOMAINS,
@@ -55,7 +53,6 @@
 from corianderhold.settings.errors import SettingsError
 from corianderhold.settings.model import Listeners, Settings, StopTimes
 from corianderhold.settings.schema import REQUIRED_SECTIONS, SECTIONS
-from corianderhold.state.configuration.tolerance import ColdTolerance
 
 Checked = dict[str, dict[str, Any]]
 
@@ -182,10 +179,6 @@
         ),
         service=checked[CONF_TARGET][CONF_SERVICE],
         target_ttl_s=checked[CONF_TARGET][CONF_HEARTBEAT_TTL_S],
-        cold_tolerance=ColdTolerance(
-            checked[CONF_TARGET][CONF_COLD_OVERAGE],
-            checked[CONF_TARGET][CONF_COLD_SLACK],
-        ),
         store=checked[CONF_STORE][CONF_ADDRESS],
         retention_s=checked[CONF_STORE][CONF_RETENTION_S],
         seeds=checked[CONF_MEMBERSHIP][CONF_SEEDS],
--- a/corianderhold/settings/schema.py
+++ b/corianderhold/settings/schema.py
@@ -23,8 +23,6 @@
     CONF_ANNOUNCE,
     CONF_CALLER,
     CONF_CALLER_THREADS,
-    CONF_COLD_OVERAGE,
-    CONF_COLD_SLACK,
     CONF_DEREGISTRATION_DELAY_S,
     CONF_DOMAIN,
     CONF_DOMAINS,
@@ -83,8 +81,6 @@
 
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9_.-]{0,62}")
 RETENTION_ACCEPTED = "accepted: seconds, at least 60"
-COLD_OVERAGE_ACCEPTED = "accepted: a number from 1 to 10"
-COLD_SLACK_ACCEPTED = "accepted: calls from 0 to 1000"
 HEARTBEAT_TTL_ACCEPTED = "accepted: seconds from 1 to 60"
 STOP_LIMIT_ACCEPTED = "accepted: seconds from 3 to 600"
 DEREGISTRATION_DELAY_ACCEPTED = "accepted: seconds from 0 to 600"
@@ -195,14 +191,6 @@
     CONF_TARGET: Schema(
         {
             Optional(CONF_SERVICE, default=""): parse_service,
-            Optional(CONF_COLD_OVERAGE, default=1.0): All(
-                Coerce(float, msg=COLD_OVERAGE_ACCEPTED),
-                Range(min=1, max=10, msg=COLD_OVERAGE_ACCEPTED),
-            ),
-            Optional(CONF_COLD_SLACK, default=0.0): All(
-                Coerce(float, msg=COLD_SLACK_ACCEPTED),
-                Range(min=0, max=1000, msg=COLD_SLACK_ACCEPTED),
-            ),
             Optional(CONF_HEARTBEAT_TTL_S, default=TARGET_TTL_S): All(
                 Coerce(float, msg=HEARTBEAT_TTL_ACCEPTED),
                 Range(min=1, max=60, msg=HEARTBEAT_TTL_ACCEPTED),
