Divide rates at once by the fleet that the log names, after a restart

Change: where the members stream, read whole, holds an earlier start of this daemon, the fleet that it names is counted at once; those of it that are gone count for a minute, as dead members do. A request that comes before is told 0.6 s, not 0.3.

--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -401,6 +401,7 @@
             self._membership,
             self._clock,
             settings.rate_slack,
+            self._membership.list_announced,
         )
 
     def _build_peer_server(self, owner: Owner, keeper: OnceKeeper) -> PeerServer:
--- a/corianderhold/coordination/membership/service.py
+++ b/corianderhold/coordination/membership/service.py
@@ -235,6 +235,15 @@
         """Return all known members, dead and left ones included."""
         return self._view.members
 
+    def list_announced(self) -> tuple[Member, ...]:
+        """
+        Return the fleet that an earlier start of this daemon belonged to.
+
+        As the log named it when this start first read it; nobody before that, or where
+        there was no earlier start.
+        """
+        return self._synchronizer.announced
+
     def add_target_listener(self, listener: TargetListener) -> None:
         """
         Call `listener` with the target's status, at least at each change.
--- a/corianderhold/coordination/membership/stream.py
+++ b/corianderhold/coordination/membership/stream.py
@@ -81,6 +81,20 @@
             if member.state is not MemberState.LEFT
         )
 
+    def list_members(self) -> tuple[Member, ...]:
+        """
+        Return the newest announcements of those that have not left.
+
+        Nobody where a part of the stream was left out.
+        """
+        if self._position > LOG_TAIL_RECORDS:
+            return ()
+        return tuple(
+            member
+            for _, member in self._logged.values()
+            if member.state is not MemberState.LEFT
+        )
+
     def find_incarnation(self, instance: InstanceId) -> Incarnation | None:
         """Return the highest incarnation of an instance in the stream, or None."""
         entry = self._logged.get(instance)
--- a/corianderhold/coordination/membership/synchronizer.py
+++ b/corianderhold/coordination/membership/synchronizer.py
@@ -93,6 +93,7 @@
         self._schedule = SyncSchedule(random)
         self._log_at_s = clock.read_monotonic()
         self._start = read_start(own.incarnation)
+        self.announced: tuple[Member, ...] = ()
         self._has_read = False
         self._joins = False
         self._stopping = False
@@ -254,6 +255,8 @@
             return False
         logged = self._stream.find_incarnation(self._own.instance)
         is_other = logged is not None and read_start(logged) != self._start
+        if is_other and not self._has_read:
+            self.announced = self._stream.list_members()
         outranking = logged if is_other else None
         if outranking is not None and self._announcement is not None:
             raised = outrank(self._announcement.incarnation, outranking)
--- a/corianderhold/coordination/rate/const.py
+++ b/corianderhold/coordination/rate/const.py
@@ -2,7 +2,7 @@
 
 UNKNOWN_RETRY_AFTER_MS = 1000
 LONGEST_RETRY_AFTER_MS = 60_000
-UNSETTLED_RETRY_AFTER_MS = 300
+UNSETTLED_RETRY_AFTER_MS = 600
 
 ENTRY_LOAN_S = 3.0  # an entry uses a loan this long after its request
 ENTRY_LOAN_KEPT_S = 3.3  # its lender takes it back this long after the grant
--- a/corianderhold/coordination/rate/division.py
+++ b/corianderhold/coordination/rate/division.py
@@ -1,6 +1,7 @@
 """Divide an organisation's rate and burst between the entries of the fleet."""
 
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from typing import Protocol
@@ -102,10 +103,13 @@
     Divide the whole by the number of members that this daemon knows.
 
     Where an equal part can't hold a whole token, fewer members hold a larger one, the
-    same ones at all daemons. `slack` is what the burst is raised by. A member that is
-    taken for dead counts for DEAD_COUNTED_S: it may be cut off and admit.
-    Nothing is held before the count of a daemon that started has settled. While two
-    daemons count differently, the parts may add up to more than the whole.
+    same ones at all daemons. `slack` is
+    what the burst is raised by. A member that is taken for dead counts for
+    DEAD_COUNTED_S: it may be cut off and admit. Nothing is held before the count of a
+    daemon that started has settled: at once where `list_announced` gives the fleet that
+    an earlier start of it belonged to, all of which count, and else when no more
+    members are found. While two daemons count differently, the parts may add up to more
+    than the whole.
     """
 
     def __init__(
@@ -115,6 +119,7 @@
         members: Members,
         clock: Clock,
         slack: float = 0.0,
+        list_announced: Callable[[], tuple[Member, ...]] = tuple,
     ) -> None:
         self._instance = instance
         self._domain = domain
@@ -123,6 +128,7 @@
         self._started_at = clock.read_monotonic()
         self._grew_at = self._started_at
         self._slack = slack
+        self._list_announced = list_announced
         self._seen_at: dict[InstanceId, float] = {}
         self._counted_members: tuple[Member, ...] = ()
         self._recount_at = float("-inf")
@@ -147,6 +153,10 @@
                 self._seen_at.pop(member.instance, None)
             else:
                 self._seen_at.setdefault(member.instance, now)
+        announced = () if self._settled else self._list_announced()
+        for member in announced:
+            domains[member.instance] = member.domain
+            self._seen_at.setdefault(member.instance, now)
         self._seen_at[self._instance] = now
         domains[self._instance] = self._domain
         for instance, seen_at in list(self._seen_at.items()):
@@ -157,7 +167,7 @@
         counted = {instance: domains[instance] for instance in self._seen_at}
         if counted != before:
             self._count = _Count(counted)
-        self._settled = self._settled or self._counts_all(now)
+        self._settled = self._settled or bool(announced) or self._counts_all(now)
         return counted != before or self._settled != was_settled
 
     def is_settled(self) -> bool:
--- a/tests/coordination/membership/test_service.py
+++ b/tests/coordination/membership/test_service.py
@@ -228,6 +228,20 @@
         wait_until(lambda: bool(find_records()), "the new start is in the log")
         self.assertGreater(find_records()[0].incarnation, 2**50)
 
+    def test_fleet_of_an_earlier_start_is_known_from_the_log(self) -> None:
+        service = self.start()
+        self.assertEqual(service.list_announced(), ())
+        stream = MemberStream(self.log)
+        earlier = replace(build_member(0), instance=InstanceId("daemon-1"))
+        for member in (earlier, build_member(7), build_member(8)):
+            stream.append(member)
+        stream.append(build_member(8, sequence=2, state=MemberState.LEFT))
+        again = self.start()
+        wait_until(lambda: bool(again.list_announced()), "the log was read")
+        instances = {each.instance for each in again.list_announced()}
+        self.assertIn(build_member(7).instance, instances)
+        self.assertNotIn(build_member(8).instance, instances)
+
     def test_outage_of_the_log_does_not_keep_members_apart(self) -> None:
         self.log.down = True
         first = self.start()
--- a/tests/coordination/membership/test_sync.py
+++ b/tests/coordination/membership/test_sync.py
@@ -144,6 +144,7 @@
         self.stream.read()
         self.assertEqual(self.log.reads, 2)
         contacts = self.stream.list_contacts()
+        self.assertEqual(self.stream.list_members(), ())
         self.assertEqual(len(contacts), LOG_TAIL_RECORDS)
         newest = build_member(3 * LOG_TAIL_RECORDS - 1)
         self.assertEqual(contacts[-1], find_contact(newest))
--- a/tests/coordination/rate/test_slices.py
+++ b/tests/coordination/rate/test_slices.py
@@ -336,6 +336,26 @@
         division.refresh()
         self.assertEqual(division.find_part(ARCHIVE), 1 / 2)
 
+    def test_fleet_of_an_earlier_start_is_counted_at_once(self) -> None:
+        clock, members = FakeClock(), StaticMembers()
+        announced = tuple(
+            build_member(FailureDomainId("d"), f"10.0.0.{number}")
+            for number in range(4)
+        )
+        division = CountedMembers(
+            announced[0].instance,
+            FailureDomainId("d"),
+            members,
+            clock,
+            list_announced=lambda: announced,
+        )
+        division.refresh()
+        self.assertTrue(division.is_settled())
+        self.assertEqual(division.find_part(ARCHIVE), 1 / 4)
+        clock.advance(60.0)
+        division.refresh()
+        self.assertEqual(division.find_part(ARCHIVE), 1.0)
+
     def test_members_that_stay_the_same_are_not_counted_each_time(self) -> None:
         clock, members = FakeClock(), mock.Mock()
         view = CountingTuple(
