Let the refusal of a cold deep service climb to the root

Change: a daemon whose target's own calls are refused for a cold service refuses, unrun and with the same time to come back, calls of the routes that its target keeps failing meanwhile (`CalleeBreaker`); its callers' daemons do the same in turn. Routes that call nobody go on. When all owners of a service are cold, a call is told when the last of them has a turn; before, when the first one has, which others had been promised too. A daemon without a configuration says 0.8 s, not 0.3.

--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -35,6 +35,7 @@
 from corianderhold.coordination.once.key import list_shards as list_once_shards
 from corianderhold.coordination.once.router import KeyedRouter
 from corianderhold.coordination.owner.admission import Admission
+from corianderhold.coordination.owner.breaker import CalleeBreaker
 from corianderhold.coordination.owner.guard import PlaceGuard
 from corianderhold.coordination.owner.owner import Owner
 from corianderhold.coordination.owner.policy import (
@@ -105,6 +106,7 @@
             settings.instance, self._incarnation, settings.fleet_secret
         )
         self._place = Place(settings.instance, settings.domain, settings.region)
+        self._breaker = CalleeBreaker(self._clock)
         self._guard = PlaceGuard(self._rules, self._place)
         self._meter = TrafficMeter(self._place, lambda: self._membership, self._metrics)
         self._pool = LinkPool(self._identity, self._clock, self._meter)
@@ -180,6 +182,7 @@
             admission,
             TargetClient(self._clock, names.request_id),
             self._guard,
+            self._breaker,
             self._clock,
             self._metrics,
             names,
@@ -236,6 +239,7 @@
             intake,
             self._holder,
             self._rate.limiter,
+            self._breaker,
             self._clock,
             owner.calls if takes_nested else None,
         )
@@ -246,7 +250,12 @@
         threads = self._settings.listeners.outgoing_threads
         intake = self._build_intake("nested_call", router, watch, threads)
         return OutgoingApplication(
-            intake, self._holder, owner.calls, self._membership, self._clock
+            intake,
+            self._holder,
+            owner.calls,
+            self._membership,
+            self._breaker,
+            self._clock,
         )
 
     def _build_caller_server(self, callers: CallerApplication) -> WebServer:
--- a/corianderhold/coordination/entry/application.py
+++ b/corianderhold/coordination/entry/application.py
@@ -9,16 +9,21 @@
 
 from corianderhold.clock import Clock
 from corianderhold.coordination.call import Answer, CallContext
-from corianderhold.coordination.entry.const import OVERLOAD_RETRY_AFTER_MS
+from corianderhold.coordination.entry.const import (
+    OVERLOAD_RETRY_AFTER_MS,
+    START_RETRY_AFTER_MS,
+)
 from corianderhold.coordination.entry.intake import (
     Arrival,
     Intake,
     Origin,
     build_context,
     find_deadline,
+    note_cold_callee,
 )
 from corianderhold.coordination.entry.request import WebRequest
 from corianderhold.coordination.entry.split import SplitChooser
+from corianderhold.coordination.owner.breaker import CalleeBreaker
 from corianderhold.coordination.owner.registry import InFlightCalls
 from corianderhold.coordination.rate.limiter import RateLimiter
 from corianderhold.coordination.retry import RetryBudget
@@ -65,6 +70,7 @@
         intake: Intake,
         holder: ConfigurationHolder,
         limiter: RateLimiter,
+        breaker: CalleeBreaker,
         clock: Clock,
         running: InFlightCalls | None = None,
     ) -> None:
@@ -72,6 +78,7 @@
         self._running = running
         self._holder = holder
         self._limiter = limiter
+        self._breaker = breaker
         self._clock = clock
         self._index = build_route_index(holder.current)
         self._splits = SplitChooser(Random(os.urandom(16)))
@@ -128,7 +135,10 @@
         context = build_context(arrival, admission.match, service, origin)
         self._log_admission(context)
         retries = RetryBudget(route.retry_budget)
-        return self._intake.route(arrival.environ, context, retries)
+        outcome = self._intake.route(arrival.environ, context, retries)
+        if self._running and route.anonymous:
+            note_cold_callee(self._breaker, outcome)
+        return outcome
 
     def _log_admission(self, context: CallContext) -> None:
         configuration_age_s = self._clock.read_monotonic() - self._holder.verified_at
@@ -162,7 +172,7 @@
         configuration = self._holder.current
         if not configuration.version:
             reason = Reason.CONFIGURATION_MISSING
-            return Err(refuse_not_run(reason, OVERLOAD_RETRY_AFTER_MS))
+            return Err(refuse_not_run(reason, START_RETRY_AFTER_MS))
         found = self._index.find(request.host, request.method, request.path)
         if isinstance(found, Err):
             return Err(refuse_not_run(found.err_value))
--- a/corianderhold/coordination/entry/choice.py
+++ b/corianderhold/coordination/entry/choice.py
@@ -93,8 +93,8 @@
     The outcome of a choice.
 
     `chosen` is None when there is no owner, or when all owners shed calls of this
-    importance, which `pushed_back` tells apart. Where all of them are cold, the first
-    of them takes a call in `wait_s` seconds.
+    importance, which `pushed_back` tells apart. Where all of them are cold, a call is
+    to come back in `wait_s` seconds.
     """
 
     chosen: Member | None
@@ -189,9 +189,13 @@
         return self._views.get(instance, UNKNOWN_OWNER)
 
     def _wait(self, members: list[Member]) -> float:
-        """Return in how many seconds the first of some cold owners takes a call."""
+        """
+        Return in how many seconds the last of some cold owners takes a call.
+
+        The turns of the others have been promised, to this entry or another one.
+        """
         now = self._clock.read_monotonic()
-        return min(self._view(each.instance).cold_until for each in members) - now
+        return max(self._view(each.instance).cold_until for each in members) - now
 
     def _sheds(self, member: Member, importance: int, now: float) -> bool:
         view = self._view(member.instance)
--- a/corianderhold/coordination/entry/const.py
+++ b/corianderhold/coordination/entry/const.py
@@ -3,6 +3,7 @@
 DEPTH_MAX = 16
 NO_TARGET_RETRY_AFTER_MS = 1000
 OVERLOAD_RETRY_AFTER_MS = 300
+START_RETRY_AFTER_MS = 800  # until a daemon that starts has its configuration
 RETRY_AFTER_EXTRA_S = 2
 RETRY_AFTER_LEAST_MS = 50
 LOAD_REPORT_LIFETIME_S = 1.0  # an older report says nothing about the load now
--- a/corianderhold/coordination/entry/intake.py
+++ b/corianderhold/coordination/entry/intake.py
@@ -32,6 +32,7 @@
 )
 from corianderhold.coordination.entry.watch import CallerWatch
 from corianderhold.coordination.once.keeper import CallRouter
+from corianderhold.coordination.owner.breaker import CalleeBreaker
 from corianderhold.coordination.retry import RetryBudget
 from corianderhold.ids import CallId, OrganisationId, RootId, ServiceName
 from corianderhold.log import log_event
@@ -47,6 +48,7 @@
 
 MILLISECONDS = 1000
 PREFIX_BYTES = 12
+COLD = frozenset({Reason.TARGET_COLD, Reason.CALLEE_COLD})
 
 
 @dataclass(frozen=True)
@@ -281,3 +283,9 @@
     if arrival.request.deadline_ms is not None:
         limit_ms = min(limit_ms, arrival.request.deadline_ms)
     return arrival.arrived_at + limit_ms / MILLISECONDS
+
+
+def note_cold_callee(breaker: CalleeBreaker, outcome: Result[Answer, Refusal]) -> None:
+    """Note how a nested call ended where a cold service refused it."""
+    if isinstance(outcome, Err) and outcome.err_value.reason in COLD:
+        breaker.note_callee_refused(outcome.err_value.retry_after_ms / MILLISECONDS)
--- a/corianderhold/coordination/entry/outgoing.py
+++ b/corianderhold/coordination/entry/outgoing.py
@@ -19,6 +19,7 @@
     Origin,
     build_context,
     find_deadline,
+    note_cold_callee,
 )
 from corianderhold.coordination.entry.response import (
     describe_status,
@@ -26,6 +27,7 @@
     respond_refusal,
 )
 from corianderhold.coordination.entry.split import SplitChooser
+from corianderhold.coordination.owner.breaker import CalleeBreaker
 from corianderhold.coordination.owner.registry import InFlightCall, InFlightCalls
 from corianderhold.coordination.retry import RetryBudget
 from corianderhold.ids import CallId, ServiceName
@@ -71,11 +73,13 @@
         holder: ConfigurationHolder,
         calls: InFlightCalls,
         registrar: TargetRegistrar,
+        breaker: CalleeBreaker,
         clock: Clock,
     ) -> None:
         self._intake = intake
         self._calls = calls
         self._registrar = registrar
+        self._breaker = breaker
         self._clock = clock
         self._target_starts = 0
         self._index = build_route_index(holder.current)
@@ -140,6 +144,7 @@
         retries = RetryBudget(allowed)
         started_at = self._clock.read_monotonic()
         outcome = self._intake.route(environ, context, retries)
+        note_cold_callee(self._breaker, outcome)
         parent.note_nested(self._clock.read_monotonic() - started_at)
         parent.retries.give_back(part - allowed + retries.left)
         return outcome
--- a/corianderhold/coordination/owner/owner.py
+++ b/corianderhold/coordination/owner/owner.py
@@ -1,5 +1,6 @@
 """Serve calls with the local target; nobody else ever sends to it."""
 
+from http import HTTPStatus
 from typing import Protocol
 
 from result import Err, Ok, Result
@@ -13,6 +14,7 @@
     RequestBody,
 )
 from corianderhold.coordination.owner.admission import Admission
+from corianderhold.coordination.owner.breaker import CalleeBreaker
 from corianderhold.coordination.owner.chunks import (
     GuardedChunks,
     discard,
@@ -21,6 +23,7 @@
 )
 from corianderhold.coordination.owner.const import (
     ANSWER_GRACE_S,
+    COLD_RETRY_AFTER_MS,
     DRAINING_RETRY_AFTER_MS,
     REFUSED_CONNECTIONS_MAX,
 )
@@ -82,6 +85,7 @@
         admission: Admission,
         client: TargetClient,
         guard: PlaceGuard,
+        breaker: CalleeBreaker,
         clock: Clock,
         metrics: Metrics,
         names: HeaderNames | None = None,
@@ -90,6 +94,7 @@
         self._admission = admission
         self._client = client
         self._guard = guard
+        self._breaker = breaker
         self._clock = clock
         self._metrics = metrics
         self._names = names or HeaderNames()
@@ -111,6 +116,10 @@
         found = self._find_target(context)
         if isinstance(found, Err):
             return self._refuse(context, found.err_value)
+        wait_s = self._breaker.find_wait(context.route)
+        if wait_s > 0:
+            wait_ms = max(COLD_RETRY_AFTER_MS, int(wait_s * 1000))
+            return self._refuse(context, refuse_not_run(Reason.CALLEE_COLD, wait_ms))
         token = draw_token() if self._names.context else ""
         request_id = find_header(context.headers, self._names.request_id)
         call = InFlightCall(context, retries, token, request_id)
@@ -229,15 +238,19 @@
             return Err(refuse_may_have_run(reason, detail=str(error)))
         if isinstance(outcome, Err) and call.cancelled:
             return Err(refuse_may_have_run(Reason.CANCELLED))
-        return self._check_run(target, outcome) if isinstance(outcome, Ok) else outcome
+        if isinstance(outcome, Err):
+            return outcome
+        return self._check_run(call, target, outcome)
 
     def _check_run(
-        self, target: TargetStatus, outcome: Ok[TargetAnswer]
+        self, call: InFlightCall, target: TargetStatus, outcome: Ok[TargetAnswer]
     ) -> Result[TargetAnswer, Refusal]:
         """Turn an answer that says "not run" into a refusal."""
         answer = outcome.ok_value
         refusal = judge_answer(answer.status, answer.headers, self._names)
         if refusal is None:
+            failed = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+            self._breaker.note_end(call.context.route, failed)
             return outcome
         if refusal.reason is Reason.TARGET_MISMATCH:
             self._source.suspend_target(target)
--- a/tests/coordination/entry/test_application.py
+++ b/tests/coordination/entry/test_application.py
@@ -11,6 +11,7 @@
 from corianderhold.coordination.entry.intake import Intake
 from corianderhold.coordination.entry.request import RequestReader
 from corianderhold.coordination.entry.watch import CallerWatch
+from corianderhold.coordination.owner.breaker import CalleeBreaker
 from corianderhold.coordination.owner.registry import InFlightCall, InFlightCalls
 from corianderhold.coordination.retry import RetryBudget
 from corianderhold.ids import OrganisationId, RouteName, ServiceName, Version
@@ -86,7 +87,12 @@
         )
         self.running = InFlightCalls()
         self.application = CallerApplication(
-            self.intake, self.holder, self.limiter, self.clock, self.running
+            self.intake,
+            self.holder,
+            self.limiter,
+            CalleeBreaker(self.clock),
+            self.clock,
+            self.running,
         )
 
     def send(self, path: str, key: str | None = None, **headers: str) -> str:
--- a/tests/coordination/entry/test_outgoing.py
+++ b/tests/coordination/entry/test_outgoing.py
@@ -14,6 +14,7 @@
 )
 from corianderhold.coordination.entry.request import RequestReader
 from corianderhold.coordination.entry.watch import CallerWatch
+from corianderhold.coordination.owner.breaker import CalleeBreaker
 from corianderhold.coordination.owner.registry import InFlightCall, InFlightCalls
 from corianderhold.coordination.retry import RetryBudget
 from corianderhold.ids import RouteName, ServiceName, Version
@@ -57,7 +58,12 @@
         self.holder.replace(Configuration(Version(1), routes=(LOOKUP,)))
         self.calls = InFlightCalls()
         self.application = OutgoingApplication(
-            intake, self.holder, self.calls, self.registrar, clock
+            intake,
+            self.holder,
+            self.calls,
+            self.registrar,
+            CalleeBreaker(clock),
+            clock,
         )
 
     def post(self, path: str, body: bytes, **headers: str) -> bytes:
--- a/tests/coordination/owner/test_owner.py
+++ b/tests/coordination/owner/test_owner.py
@@ -18,8 +18,10 @@
 )
 from corianderhold.coordination.eligibility import EligibilityRules
 from corianderhold.coordination.owner.admission import Admission
+from corianderhold.coordination.owner.breaker import CalleeBreaker
 from corianderhold.coordination.owner.const import (
     ANSWER_GRACE_S,
+    BREAKER_FAILURES,
     REFUSED_CONNECTIONS_MAX,
 )
 from corianderhold.coordination.owner.guard import PlaceGuard
@@ -105,7 +107,16 @@
         self.addCleanup(client.close)
         self.holder = ConfigurationHolder()
         guard = PlaceGuard(EligibilityRules(self.holder), OWN_PLACE)
-        return Owner(self.source, self.admission, client, guard, self.clock, Metrics())
+        self.breaker = CalleeBreaker(self.clock)
+        return Owner(
+            self.source,
+            self.admission,
+            client,
+            guard,
+            self.breaker,
+            self.clock,
+            Metrics(),
+        )
 
     def call(
         self, owner: Owner, body: RequestBody = NO_BODY
@@ -238,6 +249,18 @@
         outcome = self.call(owner, StreamedBody(produce(), None))
         self.assertEqual(outcome.unwrap().status, 504)
 
+    def test_route_that_fails_for_a_cold_callee_is_refused_unrun(self) -> None:
+        self.clock = FakeClock()
+        failed = b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"
+        owner = self.serve(answer_with(*(BREAKER_FAILURES + 1) * [failed]))
+        self.breaker.note_callee_refused(1.5)
+        for _ in range(BREAKER_FAILURES + 1):  # the last one is a probe
+            self.assertEqual(self.call(owner).unwrap().status, 500)
+        refusal = self.call(owner).unwrap_err()
+        self.assertTrue(refusal.not_run)
+        self.assertIs(refusal.reason, Reason.CALLEE_COLD)
+        self.assertEqual(refusal.retry_after_ms, 1500)
+
     def test_cancelled_answer_without_a_length_is_not_whole(self) -> None:
         size = 2 * INLINE_BODY_BYTES
         owner = self.serve(answer_with(b"HTTP/1.1 200 OK\r\n\r\n" + b"a" * size))
