Hold a rate at fewer daemons, so that slices make whole tokens

Cause: a slice can't use or lend what is below a whole token.

Tokens at the start: the rule's windows leave 0.25 s of the rate, too little to matter.

Change: holders are as many as make two tokens a second and hold four, at least one in each failure domain where the burst allows it, so that a domain that is cut off goes on; before, all daemons unless a part was below one token, then as many as hold two.

--- a/corianderhold/coordination/rate/division.py
+++ b/corianderhold/coordination/rate/division.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import cached_property
 from hashlib import blake2b
 from typing import Protocol
 
@@ -12,6 +13,7 @@
     COUNT_SETTLE_S,
     DEAD_COUNTED_S,
     HOLDER_CAPACITY,
+    HOLDER_RATE,
     RECOUNT_INTERVAL_S,
 )
 from corianderhold.ids import FailureDomainId, InstanceId, OrganisationId
@@ -74,6 +76,11 @@
         default_factory=dict
     )
 
+    @cached_property
+    def domains_number(self) -> int:
+        """Return in how many failure domains the members are."""
+        return len(set(self.domains.values()))
+
     def find_holders(
         self, organisation: OrganisationId, number: int
     ) -> frozenset[InstanceId]:
@@ -102,8 +109,9 @@
     """
     Divide the whole by the number of members that this daemon knows.
 
-    Where an equal part can't hold a whole token, fewer members hold a larger one, the
-    same ones at all daemons. `slack` is
+    Where an equal part would hold or make too few tokens, fewer members hold a larger
+    one, the same ones at all daemons: what is below a whole token can't be used, and
+    after a start no slice has one for as long as its rate takes to make it. `slack` is
     what the burst is raised by. A member that is taken for dead counts for
     DEAD_COUNTED_S: it may be cut off and admit. Nothing is held before the count of a
     daemon that started has settled: at once where `list_announced` gives the fleet that
@@ -187,9 +195,11 @@
         """Return the members that hold a part, None for all; from any thread."""
         count = self._count
         capacity = organisation.burst + self._slack
-        if capacity >= len(count.domains):
+        number = int(min(capacity / HOLDER_CAPACITY, organisation.rate / HOLDER_RATE))
+        # One in each domain, so that one that is cut off can go on admitting.
+        number = max(1, number, min(count.domains_number, int(capacity)))
+        if number >= len(count.domains):
             return None
-        number = max(1, int(capacity / HOLDER_CAPACITY))
         return count.find_holders(organisation.name, number)
 
     def _counts_all(self, now: float) -> bool:
