Drop a success that names no request on a connection whose answers do

A second copy of an answer that comes on a connection in use again was told from the next one by the id that it repeats; a copy without an id would have been taken for it. Change: where an earlier answer on a connection named its request, a success that names none ends the connection, and the request may have run. Failures without an id pass, since a target that sheds may not name the request.

Tests: a second copy with and without an id (the latter seen to fail without the check); an answer lost by a close, a reset or half an answer is never told as "not run"; an answer that breaks off never ends as whole, with a length, in chunks or without either. The last two found nothing to mend.

--- a/corianderhold/transport/web/connection.py
+++ b/corianderhold/transport/web/connection.py
@@ -47,6 +47,7 @@
         self.address = address
         self.usable_until = float("inf")
         self.has_sent = False
+        self.names_answers = False
         self.socket: socket.socket
         self.reader = AnswerReader(self.receive)
         self._clock = clock
--- a/corianderhold/transport/web/target.py
+++ b/corianderhold/transport/web/target.py
@@ -34,6 +34,7 @@
 from corianderhold.transport.web.errors import AnswerError, TargetError
 
 Attach = Callable[[socket.socket | None], None]
+SUCCESSES = range(200, 300)
 TARGET_ERRORS = (AnswerError, OSError)
 
 
@@ -153,6 +154,7 @@
         for skipped in range(FOREIGN_ANSWERS_MAX):
             head = reader.read_head(request.method, deadline_at)
             if not self._is_foreign(head, request):
+                self._check_named(connection, head)
                 return head, skipped > 0
             if not head.has_known_end or request.method == "HEAD":
                 break
@@ -163,15 +165,26 @@
                     break
         raise AnswerError("only answers to other requests came")
 
+    def _check_named(self, connection: TargetConnection, head: AnswerHead) -> None:
+        """
+        Raise AnswerError for a success that names no request where others did.
+
+        It may be a second copy of an earlier answer.
+        """
+        if self._list_ids(head):
+            connection.names_answers = True
+        elif connection.names_answers and head.status in SUCCESSES:
+            raise AnswerError("an answer that names no request")
+
     def _is_foreign(self, head: AnswerHead, request: TargetRequest) -> bool:
         if request.request_id is None:
             return False
+        return any(value != request.request_id for value in self._list_ids(head))
+
+    def _list_ids(self, head: AnswerHead) -> list[str]:
+        """Return the ids of the requests that an answer says it is for."""
         name = self._request_id_name
-        return any(
-            header.value != request.request_id
-            for header in head.headers
-            if header.name.lower() == name
-        )
+        return [each.value for each in head.headers if each.name.lower() == name]
 
     def _take_idle(self, address: Address) -> TargetConnection | None:
         now = self._clock.read_monotonic()
--- a/tests/coordination/owner/test_owner.py
+++ b/tests/coordination/owner/test_owner.py
@@ -2,11 +2,11 @@
 
 import socket
 import threading
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from random import Random
 from unittest import TestCase
 
-from result import Result
+from result import Err, Result
 
 from corianderhold.clock import Clock, SystemClock
 from corianderhold.coordination.call import (
@@ -55,6 +55,7 @@
     Script,
     ScriptedTarget,
     answer_with,
+    reset,
     take_request,
 )
 
@@ -261,6 +262,49 @@
         self.assertIs(refusal.reason, Reason.CALLEE_COLD)
         self.assertEqual(refusal.retry_after_ms, 1500)
 
+    def test_lost_answer_is_never_told_as_not_run(self) -> None:
+        def lose(end: Callable[[socket.socket], None]) -> Script:
+            def play(connection: socket.socket) -> None:
+                take_request(connection)
+                end(connection)
+
+            return play
+
+        half = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"
+        for end in (socket.socket.close, reset, lambda each: each.sendall(half)):
+            refusal = self.call(self.serve(lose(end))).unwrap_err()
+            self.assertFalse(refusal.not_run)
+            self.assertEqual(self.limit.refusals, 0)
+
+    def test_answer_that_breaks_off_never_ends_as_whole(self) -> None:
+        size = 2 * INLINE_BODY_BYTES
+        part = b"a" * size
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        heads = (
+            b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (2 * size),
+            chunked + b"%x\r\n" % (2 * size),
+            chunked + b"%x\r\n%b\r\n" % (size, part),
+            b"HTTP/1.1 200 OK\r\n\r\n",
+        )
+
+        def break_off(head: bytes) -> Script:
+            def play(connection: socket.socket) -> None:
+                take_request(connection)
+                connection.sendall(head + part)
+                reset(connection)
+
+            return play
+
+        for head in heads:
+            outcome = self.call(self.serve(break_off(head)))
+            if isinstance(outcome, Err):
+                self.assertFalse(outcome.err_value.not_run)
+                continue
+            answer = outcome.ok_value
+            self.assertIsNone(answer.body)
+            with self.assertRaises(AnswerTruncatedError):
+                list(answer.chunks)
+
     def test_cancelled_answer_without_a_length_is_not_whole(self) -> None:
         size = 2 * INLINE_BODY_BYTES
         owner = self.serve(answer_with(b"HTTP/1.1 200 OK\r\n\r\n" + b"a" * size))
--- a/tests/transport/web/test_target.py
+++ b/tests/transport/web/test_target.py
@@ -133,6 +133,23 @@
         self.assertEqual(self.get("r2"), b"right")
         self.assertEqual(self.break_off(request_id="r2"), Reason.ANSWER_TRUNCATED)
 
+    def test_second_copy_on_a_connection_in_use_again_is_dropped(self) -> None:
+        first = OK + b"X-Request-Id: r1\r\nContent-Length: 5\r\n\r\nfirst"
+        second = OK + b"X-Request-Id: r2\r\nContent-Length: 6\r\n\r\nsecond"
+        unnamed = OK + b"Content-Length: 5\r\n\r\nfirst"
+        full = b"HTTP/1.1 503 Full\r\nContent-Length: 4\r\n\r\nfull"
+        self.start(
+            answer_with(first, first + second),
+            answer_with(first, unnamed + second),
+            answer_with(first, full),
+        )
+        self.assertEqual(self.get("r1"), b"first")
+        self.assertEqual(self.get("r2"), b"second")
+        self.assertEqual(self.get("r1"), b"first")
+        self.assertEqual(self.break_off(request_id="r2"), Reason.ANSWER_TRUNCATED)
+        self.assertEqual(self.get("r1"), b"first")
+        self.assertEqual(self.get("r2"), b"full")
+
     def test_connection_with_further_bytes_is_not_used_again(self) -> None:
         read, sent = threading.Event(), threading.Event()
 
