--- a/tests/coordination/rate/test_slices.py
+++ b/tests/coordination/rate/test_slices.py
@@ -40,6 +40,7 @@
 SHARES = {FailureDomainId(f"domain-{n}"): 1 / DOMAINS for n in range(DOMAINS)}
 ARCHIVE = Organisation(OrganisationId("archive"), 60.0, 30.0, shares=SHARES)
 SMALL = Organisation(OrganisationId("small"), 6.0, 6.0, shares=SHARES)
+MIDDLE = Organisation(OrganisationId("middle"), 20.0, 20.0, shares=SHARES)
 FREE = Organisation(OrganisationId("free"), 0.0, 0.0, shares=SHARES)
 ORGANISATIONS = [ARCHIVE, SMALL, FREE]
 ROUNDING = 1e-6
@@ -284,6 +285,18 @@
             self.put(fleet, 8.0, 12 * SMALL.rate, SMALL, observe)
             self.check_windows(counts, SMALL)
 
+    def test_fleet_that_restarted_soon_admits_what_it_may(self) -> None:
+        slack, settled_s, asked_s = 20.0, 1.0, 3.0
+        for seed in SEEDS:
+            fleet = SliceFleet([MIDDLE], 6, 6, seed, slack=slack)
+            self.put(fleet, 5.0, MIDDLE.rate / 2, MIDDLE)
+            for entry in fleet.entries.values():
+                entry.restart()
+            fleet.run(settled_s)
+            admitted = self.put(fleet, asked_s, MIDDLE.rate, MIDDLE)
+            # One bucket that was empty at the restart and is always in reach admits all.
+            self.assertGreater(admitted, 0.9 * asked_s * MIDDLE.rate)
+
     def check_windows(
         self, counts: list[tuple[float, int]], organisation: Organisation
     ) -> None:
