--- a/tests/coordination/rate/test_slices.py
+++ b/tests/coordination/rate/test_slices.py
@@ -294,7 +294,7 @@
                 entry.restart()
             fleet.run(settled_s)
             admitted = self.put(fleet, asked_s, MIDDLE.rate, MIDDLE)
-            # One bucket that was empty at the restart and is always in reach admits all.
+            # One bucket that begins empty and is always in reach admits all.
             self.assertGreater(admitted, 0.9 * asked_s * MIDDLE.rate)
 
     def check_windows(
