--- a/corianderhold/protocol/peer/messages.py
+++ b/corianderhold/protocol/peer/messages.py
@@ -38,7 +38,8 @@
     """
     Load of an owner; calls below `shed_below` in importance are shed now.
 
-    `cold_wait_ms` is in how many milliseconds a cold target takes one more call.
+    `cold_wait_ms` is in how many milliseconds a cold target takes one more call,
+    `mean_ms` how many its calls took lately, 0 if that is not known.
     """
 
     in_flight: int = 0
@@ -47,6 +48,7 @@
     shed_below: int = 0
     draining: bool = False
     cold_wait_ms: int = 0
+    mean_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
