--- a/corianderhold/coordination/entry/choice.py
+++ b/corianderhold/coordination/entry/choice.py
@@ -19,10 +19,6 @@
     LOAD_REPORT_LIFETIME_S,
     PUSH_BACK_LIFETIME_S,
     PUSH_BACK_PROBE_RATIO,
-    SLOW_FACTOR,
-    SLOW_KNOWN_MIN,
-    SLOW_LEAST_MS,
-    SLOW_LIFETIME_S,
 )
 from corianderhold.ids import InstanceId
 from corianderhold.protocol.peer.messages import LoadReport
@@ -133,7 +129,7 @@
 
     The rings are this daemon, its failure domain, its region and the rest. The load is
     what the last answer carried. Owners that fail repeatedly are ejected for a while,
-    but never all of them; far slower ones are left out, but never more than half.
+    but never all of them.
     """
 
     def __init__(self, place: Place, clock: Clock, random: Random) -> None:
@@ -167,7 +163,7 @@
                 if self._random.random() >= PUSH_BACK_PROBE_RATIO:
                     return Choice(None, (), pushed_back=True)
                 accepting = warm
-            return self._take_best(self._leave_slow_out(accepting, now), now)
+            return self._take_best(accepting, now)
 
     def note_start(self, instance: InstanceId) -> None:
         """Count an attempt that begins."""
@@ -212,30 +208,6 @@
         sheds = pushes_back and importance < view.load.shed_below
         return view.load.draining or sheds
 
-    def _leave_slow_out(self, members: list[Member], now: float) -> list[Member]:
-        """
-        Return the owners without those far slower than the faster ones.
-
-        Answers the load on targets of which some turn several times slower: near ones
-        would be filled before farther ones are asked. All are returned where more than
-        half are slow, or the rest would be too few.
-        """
-        times = {m.instance: self._read_mean_ms(m, now) for m in members}
-        known = sorted(each for each in times.values() if each)
-        if len(known) < SLOW_KNOWN_MIN:
-            return members
-        longest_ms = max(SLOW_LEAST_MS, SLOW_FACTOR * known[len(known) // 4])
-        if known[-1] <= longest_ms:
-            return members
-        fast = [m for m in members if times[m.instance] <= longest_ms]
-        return fast if 2 * len(fast) >= len(members) else members
-
-    def _read_mean_ms(self, member: Member, now: float) -> int:
-        view = self._view(member.instance)
-        if view.load is None or now - view.reported_at > SLOW_LIFETIME_S:
-            return 0
-        return view.load.mean_ms
-
     def _take_best(self, members: list[Member], now: float) -> Choice:
         """Take the least busy of a few near owners, of farther ones if all are full."""
         scored: list[Candidate] = []
--- a/corianderhold/coordination/entry/const.py
+++ b/corianderhold/coordination/entry/const.py
@@ -16,12 +16,6 @@
 FILL_RATIO = 0.9  # of an owner's limit, from which on farther ones are asked too
 LIMIT_UNKNOWN = 16  # assumed of an owner that has reported none
 CANDIDATES = 2
-SLOW_FACTOR = (
-    5.0  # of the mean time of the faster owners; speeds differ up to threefold
-)
-SLOW_LEAST_MS = 100
-SLOW_LIFETIME_S = 5.0  # then a slow owner is tried again
-SLOW_KNOWN_MIN = 3  # owners whose times are known, below which none is slow
 MOVES_MAX = 4  # owners passed over that could not take a call
 CALLER_CHECK_INTERVAL_S = 0.1
 CANCEL_TIMEOUT_S = 0.2  # other callers that left wait meanwhile
--- a/corianderhold/coordination/owner/admission.py
+++ b/corianderhold/coordination/owner/admission.py
@@ -182,7 +182,6 @@
                 self._find_shed_level(),
                 draining,
                 int(self._pace.read_wait() * 1000),
-                int(self._service_times.read_mean() * 1000),
             )
 
     def _find_shed_level(self) -> int:
--- a/corianderhold/protocol/peer/codec.py
+++ b/corianderhold/protocol/peer/codec.py
@@ -76,7 +76,6 @@
         load.shed_below,
         load.draining,
         load.cold_wait_ms or None,
-        load.mean_ms or None,
     )
 
 
@@ -89,7 +88,6 @@
         struct.shed_below,
         struct.draining,
         struct.cold_wait_ms or 0,
-        struct.mean_ms or 0,
     )
 
 
--- a/corianderhold/protocol/peer/gen/ttypes.py
+++ b/corianderhold/protocol/peer/gen/ttypes.py
@@ -318,7 +318,6 @@
      - shed_below
      - draining
      - cold_wait_ms
-     - mean_ms
 
     """
 
@@ -329,18 +328,16 @@
         'shed_below',
         'draining',
         'cold_wait_ms',
-        'mean_ms',
     )
 
 
-    def __init__(self, in_flight=None, limit=None, queued=None, shed_below=None, draining=None, cold_wait_ms=None, mean_ms=None,):
+    def __init__(self, in_flight=None, limit=None, queued=None, shed_below=None, draining=None, cold_wait_ms=None,):
         self.in_flight = in_flight
         self.limit = limit
         self.queued = queued
         self.shed_below = shed_below
         self.draining = draining
         self.cold_wait_ms = cold_wait_ms
-        self.mean_ms = mean_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -381,11 +378,6 @@
                     self.cold_wait_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 7:
-                if ftype == TType.I32:
-                    self.mean_ms = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -420,10 +412,6 @@
             oprot.writeFieldBegin('cold_wait_ms', TType.I32, 6)
             oprot.writeI32(self.cold_wait_ms)
             oprot.writeFieldEnd()
-        if self.mean_ms is not None:
-            oprot.writeFieldBegin('mean_ms', TType.I32, 7)
-            oprot.writeI32(self.mean_ms)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2002,7 +1990,6 @@
     (4, TType.I32, 'shed_below', None, None, ),  # 4
     (5, TType.BOOL, 'draining', None, None, ),  # 5
     (6, TType.I32, 'cold_wait_ms', None, None, ),  # 6
-    (7, TType.I32, 'mean_ms', None, None, ),  # 7
 )
 all_structs.append(Header)
 Header.thrift_spec = (
--- a/corianderhold/protocol/peer/messages.py
+++ b/corianderhold/protocol/peer/messages.py
@@ -38,8 +38,7 @@
     """
     Load of an owner; calls below `shed_below` in importance are shed now.
 
-    `cold_wait_ms` is in how many milliseconds a cold target takes one more call,
-    `mean_ms` how many its calls took lately, 0 if that is not known.
+    `cold_wait_ms` is in how many milliseconds a cold target takes one more call.
     """
 
     in_flight: int = 0
@@ -48,7 +47,6 @@
     shed_below: int = 0
     draining: bool = False
     cold_wait_ms: int = 0
-    mean_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/corianderhold/protocol/peer/peer.thrift
+++ b/corianderhold/protocol/peer/peer.thrift
@@ -31,7 +31,6 @@
   4: required i32 shed_below   // importance below which the owner sheds now
   5: required bool draining
   6: optional i32 cold_wait_ms // until a cold target takes one more call
-  7: optional i32 mean_ms      // that calls took lately
 }
 
 struct Header {
