Log what targets say of themselves in their answers

The owner now logs each change as target_notice_changed and has the limit in force as a metric, owner_rate_limit. No decision uses it yet.

Tests: tests.coordination.owner.test_notices (values that aren't decimal numbers, negative or infinite ones are ignored).

--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -192,6 +192,7 @@
         )
         self._metrics.add_gauge("owner_queued", lambda: owner.report_load().queued)
         self._metrics.add_gauge("owner_limit", lambda: owner.report_load().limit)
+        self._metrics.add_gauge("owner_rate_limit", owner.read_rate_limit)
         return owner
 
     def _build_keyed_router(self, keeper: OnceKeeper, direct: Router) -> KeyedRouter:
--- a/corianderhold/coordination/owner/owner.py
+++ b/corianderhold/coordination/owner/owner.py
@@ -34,6 +34,7 @@
     parse_refusal,
     select_headers,
 )
+from corianderhold.coordination.owner.notices import TargetNotices
 from corianderhold.coordination.owner.policy import TargetSource
 from corianderhold.coordination.owner.registry import (
     InFlightCall,
@@ -99,6 +100,7 @@
         self._metrics = metrics
         self._names = names or HeaderNames()
         self._headers = TargetHeaders(self._names)
+        self._notices = TargetNotices(clock, self._names)
         self._refused_connections = 0
         self.calls = InFlightCalls()
 
@@ -149,6 +151,10 @@
         """Return the number of calls that wait or run."""
         return len(self.calls)
 
+    def read_rate_limit(self) -> float:
+        """Return the target's named limit in calls per second; 0 if it names none."""
+        return self._notices.read_rate_limit()
+
     def report_load(self) -> LoadReport:
         """Return the current load."""
         serving = self._source.read_target().state is TargetState.SERVING
@@ -240,6 +246,7 @@
             return Err(refuse_may_have_run(Reason.CANCELLED))
         if isinstance(outcome, Err):
             return outcome
+        self._notices.observe(target, outcome.ok_value.headers)
         return self._convert_not_run(call, target, outcome)
 
     def _convert_not_run(
--- a/corianderhold/protocol/headers.py
+++ b/corianderhold/protocol/headers.py
@@ -13,6 +13,8 @@
 HEADER_CALLER_SERVICE = "X-Corianderhold-Caller-Service"
 HEADER_EXPECTED_TARGET = "X-Corianderhold-Expected-Target"
 HEADER_NOT_RUN = "X-Corianderhold-Not-Run"
+HEADER_RATE_LIMIT = "X-Corianderhold-Rate-Limit"
+HEADER_LEAVING = "X-Corianderhold-Leaving"
 HEADER_REQUEST_ID = "X-Request-Id"
 HEADER_AUTHORIZATION = "Authorization"
 HEADER_IDEMPOTENCY_KEY = "Idempotency-Key"
@@ -64,6 +66,8 @@
     with the remaining milliseconds. `caller_service` is the service of the target next
     to the entry. A target that is not the one named in `expected_target` refuses the
     request with 421; a target that has not run a request indicates it with `not_run`.
+    A target names in `rate_limit` how many calls per second it accepts from all daemons
+    together, and sets `leaving` to 1 when it leaves.
     `importance` and `context` are None if targets do not support them; they are not
     sent then. `idempotency_key` is None if callers send none; no leases are held for
     idempotency keys then.
@@ -77,4 +81,6 @@
     caller_service: str = HEADER_CALLER_SERVICE
     expected_target: str = HEADER_EXPECTED_TARGET
     not_run: str = HEADER_NOT_RUN
+    rate_limit: str = HEADER_RATE_LIMIT
+    leaving: str = HEADER_LEAVING
     idempotency_key: str | None = HEADER_IDEMPOTENCY_KEY
