Hold targets to the calls a second that they name

Cause: nobody read the header. The owner passed it on to the caller with the answer and admitted by calls in flight alone, which a target that answers as fast as ever never fills. That each entry kept the limit for itself is ruled out: there was no such code, and no refusal.

Change: the owner, which alone sends to the target, so that its count is the sum over all machines, keeps a token bucket at the named rate. A call without a token is refused at once as target_limited, true not run, and sent on to other owners without a cost of retries. More important levels that came lately find a part of the bucket left to them. Retry-After is spread over 2 s. An answer raises or ends a limit only if its call was sent after the limit was named last. Builds that don't know the reason get target_full, with the real one in a new optional field, as an unknown reason breaks the whole frame there.

--- a/corianderhold/coordination/entry/router.py
+++ b/corianderhold/coordination/entry/router.py
@@ -41,6 +41,7 @@
         Reason.REGION_FORBIDDEN,
         Reason.QUEUE_FULL,
         Reason.TARGET_COLD,
+        Reason.TARGET_LIMITED,
         Reason.TARGET_FULL,
         Reason.TARGET_MISMATCH,
     }
@@ -49,7 +50,12 @@
 PLACEMENT_REASONS = frozenset({Reason.DOMAIN_EVACUATED, Reason.REGION_FORBIDDEN})
 # The owner has not contacted its target, so trying the next one is not a retry.
 REROUTE_REASONS = frozenset(
-    {Reason.DOMAIN_EVACUATED, Reason.REGION_FORBIDDEN, Reason.TARGET_COLD}
+    {
+        Reason.DOMAIN_EVACUATED,
+        Reason.REGION_FORBIDDEN,
+        Reason.TARGET_COLD,
+        Reason.TARGET_LIMITED,
+    }
 )
 RETRYABLE_MAY_HAVE_RUN_REASONS = frozenset(
     {Reason.PEER_SILENT, Reason.ANSWER_TRUNCATED}
--- a/corianderhold/coordination/owner/admission.py
+++ b/corianderhold/coordination/owner/admission.py
@@ -14,12 +14,14 @@
     COLD_RETRY_AFTER_MS,
     DRAINING_RETRY_AFTER_MS,
     QUEUE_RETRY_AFTER_MS,
+    RATE_LIMIT_RETRY_SPREAD_S,
     RETRY_AFTER_JITTER_RATIO,
     WEIGHT_MIN,
 )
 from corianderhold.coordination.owner.estimate import ServiceTimeEstimator
 from corianderhold.coordination.owner.limit import ConcurrencyLimit
 from corianderhold.coordination.owner.queue import FairQueue, Waiter, WaiterState
+from corianderhold.coordination.owner.rate_limit import TargetRateLimiter
 from corianderhold.ids import OrganisationId, RouteName
 from corianderhold.log import log_event
 from corianderhold.protocol.peer.messages import LoadReport
@@ -64,6 +66,7 @@
         self._service_times = ServiceTimeEstimator(clock)
         self._cold_start = ColdStartLimiter(clock)
         self._cold_start.configure(policy.cold_rate)
+        self._rate_limiter = TargetRateLimiter(clock)
 
     def update_target(self, target: TargetStatus) -> None:
         """Apply the target's heartbeat, which says until when it is cold."""
@@ -77,6 +80,13 @@
             self._cold_start.assume_cold()
             self._refuse_queued_if_cold()
 
+    def limit_rate(self, rate: float | None) -> None:
+        """Limit the calls per second to the target; None ends the limit."""
+        with self._lock:
+            self._rate_limiter.set_rate(rate)
+            if rate is not None:
+                self._drain_queue()
+
     def replace_policy(self, policy: AdmissionPolicy) -> None:
         """Replace the policy; calls that are already queued stay queued."""
         with self._lock:
@@ -107,12 +117,17 @@
         )
         register_waiter(waiter)
         with self._lock:
-            # While the target is cold, a call without room or token is not queued.
+            # While calls per second are limited, one without room or token is not
+            # queued.
             has_room = self._in_flight < self._limit.read_limit()
             if self._cold_start.is_cold() and not (
                 has_room and self._cold_start.try_acquire()
             ):
                 return Err(self._refuse_cold())
+            if self._rate_limiter.is_limited() and not (
+                has_room and self._rate_limiter.try_acquire(context.importance)
+            ):
+                return Err(self._refuse_limited())
             if not self._queue and has_room:
                 self._in_flight += 1
                 waiter.state = WaiterState.ADMITTED
@@ -180,13 +195,16 @@
     def report_load(self, draining: bool) -> LoadReport:
         """Return the current load."""
         with self._lock:
+            wait_s = max(
+                self._cold_start.read_retry_after(), self._rate_limiter.find_wait()
+            )
             return LoadReport(
                 self._in_flight,
                 self._limit.read_limit(),
                 len(self._queue),
-                self._find_shed_level(),
+                max(self._find_shed_level(), self._rate_limiter.find_shed_level()),
                 draining,
-                int(self._cold_start.read_retry_after() * 1000),
+                int(wait_s * 1000),
             )
 
     def _find_shed_level(self) -> int:
@@ -273,6 +291,12 @@
         wait_ms = int(self._cold_start.reserve_retry() * 1000)
         return refuse_not_run(Reason.TARGET_COLD, max(COLD_RETRY_AFTER_MS, wait_ms))
 
+    def _refuse_limited(self) -> Refusal:
+        """Refuse a call above the target's limit; retries arrive spread out."""
+        spread_s = self._random.uniform(0, RATE_LIMIT_RETRY_SPREAD_S)
+        wait_ms = int((self._rate_limiter.find_wait() + spread_s) * 1000)
+        return refuse_not_run(Reason.TARGET_LIMITED, max(COLD_RETRY_AFTER_MS, wait_ms))
+
     def _admit_waiters(self) -> None:
         """Admit waiters within the limit; refuse those that would end too late."""
         while (
--- a/corianderhold/coordination/owner/const.py
+++ b/corianderhold/coordination/owner/const.py
@@ -34,6 +34,12 @@
 BREAKER_PROBE_INTERVAL_S = 0.25
 COLD_RETRY_AFTER_MS = 50  # minimum while a target or a callee is cold
 COLD_START_BURST = 2.0  # tokens that a cold target may accumulate
+RATE_LIMIT_MIN = 0.25  # calls per second, to detect that a limit of zero has ended
+RATE_LIMIT_BURST_S = 0.5  # of a named limit that may accumulate as tokens
+RATE_LIMIT_BURST_MIN = 4.0  # tokens, so that each level of importance can leave one
+RATE_LIMIT_RESERVE_RATIO = 0.5  # of the tokens, that the least important calls leave
+RATE_LIMIT_RESERVE_S = 1.0  # tokens are left to a level after its last call
+RATE_LIMIT_RETRY_SPREAD_S = 2.0  # refused calls are told to return within this time
 COLD_START_LIMIT_RATIO_MIN = 0.5  # of the concurrency limit, until the ramp begins
 COLD_START_RAMP_S = 5.0  # to the full limit, at the end of a cold start
 # Of the target's maximum connections. The rest is for connections whose close the
--- a/corianderhold/coordination/owner/notices.py
+++ b/corianderhold/coordination/owner/notices.py
@@ -1,7 +1,8 @@
-"""Track what the local target says of itself in its responses."""
+"""Apply what the local target says of itself in its responses."""
 
 import threading
 from dataclasses import dataclass
+from typing import Protocol
 
 from corianderhold.clock import Clock
 from corianderhold.coordination.owner.headers import find_header
@@ -15,6 +16,13 @@
 TargetKey = tuple[str | None, int | None, Address | None]
 
 
+class LimitedAdmission(Protocol):
+    """Limit the calls per second to the local target."""
+
+    def limit_rate(self, rate: float | None) -> None:
+        """Limit the calls per second to the target; None ends the limit."""
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseNotice:
     """
@@ -32,33 +40,78 @@
 
 
 class TargetNotices:
-    """Track and log the notices of one start of the local target; thread-safe."""
+    """
+    Apply the notices of the local target to admission, one start at a time.
+
+    A response raises or ends a limit only if its call was dispatched after the limit
+    had last been named: the target may have sent an earlier one before it named the
+    limit. Any thread may call.
+    """
 
-    def __init__(self, clock: Clock, names: HeaderNames) -> None:
+    def __init__(
+        self, admission: LimitedAdmission, clock: Clock, names: HeaderNames
+    ) -> None:
+        self._admission = admission
         self._clock = clock
         self._names = names
         self._lock = threading.Lock()
         self._target: TargetKey | None = None
         self._notice = NO_NOTICE
+        self._named_at = float("-inf")
 
     def read_rate_limit(self) -> float:
         """Return the limit in calls per second that is in force; 0 for none."""
         return self._notice.rate_limit or 0.0
 
-    def observe(self, target: TargetStatus, headers: tuple[Header, ...]) -> None:
-        """Record the notice of a response."""
+    def follow(self, target: TargetStatus) -> None:
+        """End the limit of an earlier start when `target` is a new one."""
+        if identify_target(target) != self._target:
+            with self._lock:
+                self._begin(target)
+
+    def observe(
+        self, target: TargetStatus, headers: tuple[Header, ...], dispatched_at: float
+    ) -> None:
+        """Apply the notice of a response to a call dispatched at `dispatched_at`."""
         notice = parse_notice(headers, self._names)
-        key = identify_target(target)
+        if notice == NO_NOTICE and self._notice == NO_NOTICE:
+            return
         with self._lock:
-            known = self._notice if key == self._target else NO_NOTICE
-            self._target, self._notice = key, notice
-        if notice != known:
-            log_event(
-                "target_notice_changed",
-                target=target.target_id,
-                rate_limit=notice.rate_limit,
-                leaving=notice.leaving,
-            )
+            if identify_target(target) == self._target:
+                self._apply(target, notice, dispatched_at)
+
+    def _begin(self, target: TargetStatus) -> None:
+        self._target = identify_target(target)
+        if self._notice.rate_limit is not None:
+            self._admission.limit_rate(None)
+        self._notice = NO_NOTICE
+
+    def _apply(
+        self, target: TargetStatus, notice: ResponseNotice, dispatched_at: float
+    ) -> None:
+        known = self._notice
+        if is_relaxed(notice, known) and dispatched_at < self._named_at:
+            return
+        if notice.rate_limit is not None:
+            self._named_at = self._clock.read_monotonic()
+        if notice == known:
+            return
+        self._notice = notice
+        if notice.rate_limit != known.rate_limit:
+            self._admission.limit_rate(notice.rate_limit)
+        log_event(
+            "target_notice_changed",
+            target=target.target_id,
+            rate_limit=notice.rate_limit,
+            leaving=notice.leaving,
+        )
+
+
+def is_relaxed(notice: ResponseNotice, known: ResponseNotice) -> bool:
+    """Return whether a notice raises or ends the limit that is known."""
+    if known.rate_limit is None:
+        return False
+    return notice.rate_limit is None or notice.rate_limit > known.rate_limit
 
 
 def identify_target(target: TargetStatus) -> TargetKey:
--- a/corianderhold/coordination/owner/owner.py
+++ b/corianderhold/coordination/owner/owner.py
@@ -100,7 +100,7 @@
         self._metrics = metrics
         self._names = names or HeaderNames()
         self._headers = TargetHeaders(self._names)
-        self._notices = TargetNotices(clock, self._names)
+        self._notices = TargetNotices(admission, clock, self._names)
         self._refused_connections = 0
         self.calls = InFlightCalls()
 
@@ -166,6 +166,7 @@
         target = self._source.read_target()
         if target.address is None or target.service != context.service:
             return Err(refuse_not_run(Reason.NO_TARGET))
+        self._notices.follow(target)
         if target.state is TargetState.DRAINING:
             return Err(refuse_not_run(Reason.DRAINING, DRAINING_RETRY_AFTER_MS))
         refusal = self._guard.refuse(context)
@@ -237,6 +238,7 @@
         body: RequestBody,
     ) -> Result[TargetResponse, Refusal]:
         request = self._build_request(call, target, body)
+        dispatched_at = self._clock.read_monotonic()
         try:
             outcome = self._client.exchange(connection, request, call.attach_connection)
         except BodyError as error:
@@ -246,7 +248,7 @@
             return Err(refuse_may_have_run(Reason.CANCELLED))
         if isinstance(outcome, Err):
             return outcome
-        self._notices.observe(target, outcome.ok_value.headers)
+        self._notices.observe(target, outcome.ok_value.headers, dispatched_at)
         return self._convert_not_run(call, target, outcome)
 
     def _convert_not_run(
--- a/corianderhold/protocol/peer/codec.py
+++ b/corianderhold/protocol/peer/codec.py
@@ -39,6 +39,10 @@
 from corianderhold.protocol.verdict import Reason, Refusal, RunState
 
 PROTOCOL_FACTORY = TBinaryProtocolAcceleratedFactory()
+# Builds that don't know a reason can't read the frame, so it is sent as the nearest
+# reason that all builds know, together with the actual one.
+READABLE_REASONS = {Reason.TARGET_LIMITED: Reason.TARGET_FULL}
+KNOWN_REASONS = {reason.value: reason for reason in Reason}
 
 
 def encode_message(message: Message) -> bytes:
@@ -220,15 +224,17 @@
 def encode_refused(message: CallRefused) -> Any:
     """Encode a CallRefused as a frame."""
     refusal = message.refusal
+    readable = READABLE_REASONS.get(refusal.reason, refusal.reason)
     return ttypes.Frame(
         refusal=ttypes.Refusal(
             call_id=message.call_id,
             run_state=refusal.run_state.value,
-            reason=refusal.reason.value,
+            reason=readable.value,
             retry_after_ms=refusal.retry_after_ms,
             load=encode_load(message.load),
             retry_budget_left=message.retry_budget_left,
             detail=refusal.detail,
+            cause=None if readable is refusal.reason else refusal.reason.value,
         )
     )
 
@@ -237,7 +243,7 @@
     """Decode a CallRefused from a thrift struct."""
     refusal = Refusal(
         RunState(struct.run_state),
-        Reason(struct.reason),
+        decode_reason(struct.cause, Reason(struct.reason)),
         struct.retry_after_ms,
         struct.detail,
     )
@@ -249,6 +255,11 @@
     )
 
 
+def decode_reason(cause: str | None, reason: Reason) -> Reason:
+    """Return the cause of a refusal, or the reason if there is no known cause."""
+    return KNOWN_REASONS.get(cause or "", reason)
+
+
 ENCODERS: dict[type[Any], Callable[[Any], Any]] = {
     Hello: encode_hello,
     Ping: lambda m: ttypes.Frame(ping=ttypes.Ping(m.clock_us)),
--- a/corianderhold/protocol/peer/gen/ttypes.py
+++ b/corianderhold/protocol/peer/gen/ttypes.py
@@ -1354,6 +1354,7 @@
      - load
      - retry_budget_left
      - detail
+     - cause
 
     """
 
@@ -1365,10 +1366,11 @@
         'load',
         'retry_budget_left',
         'detail',
+        'cause',
     )
 
 
-    def __init__(self, call_id=None, run_state=None, reason=None, retry_after_ms=None, load=None, retry_budget_left=None, detail=None,):
+    def __init__(self, call_id=None, run_state=None, reason=None, retry_after_ms=None, load=None, retry_budget_left=None, detail=None, cause=None,):
         self.call_id = call_id
         self.run_state = run_state
         self.reason = reason
@@ -1376,6 +1378,7 @@
         self.load = load
         self.retry_budget_left = retry_budget_left
         self.detail = detail
+        self.cause = cause
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1422,6 +1425,11 @@
                     self.detail = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.cause = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1460,6 +1468,10 @@
             oprot.writeFieldBegin('detail', TType.STRING, 7)
             oprot.writeString(self.detail.encode('utf-8') if sys.version_info[0] == 2 else self.detail)
             oprot.writeFieldEnd()
+        if self.cause is not None:
+            oprot.writeFieldBegin('cause', TType.STRING, 8)
+            oprot.writeString(self.cause.encode('utf-8') if sys.version_info[0] == 2 else self.cause)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2064,6 +2076,7 @@
     (5, TType.STRUCT, 'load', [LoadReport, None], None, ),  # 5
     (6, TType.I32, 'retry_budget_left', None, None, ),  # 6
     (7, TType.STRING, 'detail', 'UTF8', None, ),  # 7
+    (8, TType.STRING, 'cause', 'UTF8', None, ),  # 8
 )
 all_structs.append(Cancel)
 Cancel.thrift_spec = (
--- a/corianderhold/protocol/peer/peer.thrift
+++ b/corianderhold/protocol/peer/peer.thrift
@@ -106,6 +106,7 @@
   5: required LoadReport load
   6: required i32 retry_budget_left
   7: required string detail
+  8: optional string cause             // a reason that `reason` replaces for older builds
 }
 
 // Cancels a call that was sent on another link.
--- a/corianderhold/protocol/verdict.py
+++ b/corianderhold/protocol/verdict.py
@@ -43,6 +43,7 @@
     TARGET_UNREACHABLE = "target_unreachable"
     TARGET_SILENT = "target_silent"
     TARGET_COLD = "target_cold"
+    TARGET_LIMITED = "target_limited"
     CALLEE_COLD = "callee_cold"
     TARGET_FULL = "target_full"
     TARGET_REFUSED = "target_refused"
--- /dev/null
+++ b/tests/protocol/peer/test_codec.py
@@ -0,0 +1,41 @@
+"""Test that refusals stay readable between builds that know different reasons."""
+
+from unittest import TestCase
+
+from thrift.TSerialization import deserialize
+
+from corianderhold.ids import CallId
+from corianderhold.protocol.peer.codec import (
+    PROTOCOL_FACTORY,
+    decode_message,
+    encode_message,
+)
+from corianderhold.protocol.peer.gen import ttypes
+from corianderhold.protocol.peer.messages import CallRefused, LoadReport
+from corianderhold.protocol.verdict import Reason, refuse_not_run
+
+# Those of 12b17ce and later builds, which fail to read a frame with any other reason.
+READABLE_BY_ALL_BUILDS = frozenset({"target_full"})
+
+
+def refuse(reason: Reason) -> CallRefused:
+    """Return the message that a call was refused for this reason."""
+    refusal = refuse_not_run(reason, 700, "detail")
+    return CallRefused(CallId("c1"), refusal, LoadReport(), 2)
+
+
+class RefusalTests(TestCase):
+    """Encode and decode refusals."""
+
+    def test_limited_target_is_reported_in_a_reason_that_older_builds_read(
+        self,
+    ) -> None:
+        encoded = encode_message(refuse(Reason.TARGET_LIMITED))
+        frame = deserialize(ttypes.Frame(), encoded, PROTOCOL_FACTORY)
+        self.assertIn(frame.refusal.reason, READABLE_BY_ALL_BUILDS)
+        self.assertEqual(frame.refusal.run_state, "not_run")
+
+    def test_every_reason_survives(self) -> None:
+        for reason in Reason:
+            message = refuse(reason)
+            self.assertEqual(decode_message(encode_message(message)), message)
