Tell a restarted owner by its calls what its target said

What was wrong: a daemon that restarts beside a target that names a limit knew nothing of it until the first answer, and sent whatever came meanwhile, while the entries that had passed the limit on still bound by it went on sending. The count binds all of them.

Cause: what a target says of itself lived in one process only.

Change: an owner reports the notice of its target, with the id of the target's start, with its answers; an entry keeps the last one and sends it along with its calls; an owner that has had no answer yet takes it over if it is about the same start. Both are optional fields that older builds skip. An answer without a notice removes it at the entry only if its call was sent after it came.

Tests: test_daemon_that_restarts_is_told_the_limit_by_calls (the call arrived at the target before), tests.coordination.entry.test_notices and test_router.

--- a/corianderhold/coordination/call.py
+++ b/corianderhold/coordination/call.py
@@ -6,7 +6,7 @@
 
 from corianderhold.errors import CorianderholdError
 from corianderhold.ids import CallId, OrganisationId, RootId, RouteName, ServiceName
-from corianderhold.protocol.peer.messages import Header
+from corianderhold.protocol.peer.messages import Header, TargetNotice
 from corianderhold.protocol.verdict import Reason, Refusal
 
 
@@ -17,7 +17,7 @@
 
     `deadline_at` is in seconds on this daemon's monotonic clock. `depth` is 0 for a
     root request and increases by one with each nested call. `request_id` is the
-    caller's id of the request.
+    caller's id of the request. `notice` is what the entry knows of the owner's target.
     """
 
     call_id: CallId
@@ -34,6 +34,7 @@
     headers: tuple[Header, ...] = field(repr=False)
     idempotency_key: str | None = None
     request_id: str = ""
+    notice: TargetNotice | None = None
 
 
 class RequestBody(Protocol):
--- a/corianderhold/coordination/entry/router.py
+++ b/corianderhold/coordination/entry/router.py
@@ -18,6 +18,7 @@
     Choice,
     LoadBalancer,
 )
+from corianderhold.coordination.entry.notices import KnownNotices
 from corianderhold.coordination.entry.sender import CallSender
 from corianderhold.coordination.owner.owner import CallOwner
 from corianderhold.coordination.retry import FleetRetryBurst, RetryBudget, RetryThrottle
@@ -113,6 +114,7 @@
         self._metrics = metrics
         self._burst = burst
         self._in_flight = CallLocations()
+        self._notices = KnownNotices(clock)
         self._throttles: dict[ServiceName, RetryThrottle] = {}
 
     def route(
@@ -218,6 +220,10 @@
     ) -> Result[Response, Refusal]:
         """Send the call to one owner and report the outcome to the load balancer."""
         loads: list[LoadReport] = []
+        started_at = self._clock.read_monotonic()
+        notice = self._notices.find(member.instance)
+        if notice is not None:
+            context = replace(context, notice=notice)
         self._in_flight.set_location(context.call_id, member)
         self._load_balancer.record_start(member.instance)
         outcome: Result[Response, Refusal] | None = None
@@ -234,6 +240,8 @@
             self._load_balancer.record_end(
                 member.instance, classify_outcome(outcome), load
             )
+        if isinstance(outcome, Ok) and load is not None:
+            self._notices.record(member.instance, load.notice, started_at)
         return outcome
 
     def _serve_locally(
--- a/corianderhold/coordination/entry/sender.py
+++ b/corianderhold/coordination/entry/sender.py
@@ -182,6 +182,7 @@
             body=inline or b"",
             body_follows=inline is None,
             body_length=body.length,
+            notice=context.notice,
         )
 
     def _send_body(self, body: RequestBody) -> None:
--- a/corianderhold/coordination/owner/notices.py
+++ b/corianderhold/coordination/owner/notices.py
@@ -1,14 +1,14 @@
 """Apply what the local target says of itself in its responses."""
 
 import threading
-from dataclasses import dataclass
+from dataclasses import replace
 from typing import Protocol
 
 from corianderhold.clock import Clock
 from corianderhold.coordination.owner.headers import find_header
 from corianderhold.log import log_event, log_warning
 from corianderhold.protocol.headers import HeaderNames
-from corianderhold.protocol.peer.messages import Header
+from corianderhold.protocol.peer.messages import Header, TargetNotice
 from corianderhold.state.membership.model import Address
 from corianderhold.state.membership.target import TargetStatus
 
@@ -23,20 +23,7 @@
         """Limit the calls per second to the target; None ends the limit."""
 
 
-@dataclass(frozen=True, slots=True)
-class ResponseNotice:
-    """
-    What one response says of its target.
-
-    `rate_limit` is the number of calls per second that the target accepts from all
-    daemons together, or None if it names no limit.
-    """
-
-    rate_limit: float | None = None
-    leaving: bool = False
-
-
-NO_NOTICE = ResponseNotice()
+NO_NOTICE = TargetNotice()
 
 
 class TargetNotices:
@@ -45,7 +32,8 @@
 
     A response raises or ends a limit only if its call was dispatched after the limit
     had last been named: the target may have sent an earlier one before it named the
-    limit. Any thread may call.
+    limit. What an entry knows from an earlier start of this daemon counts until the
+    first response. Any thread may call.
     """
 
     def __init__(
@@ -58,15 +46,22 @@
         self._target: TargetKey | None = None
         self._notice = NO_NOTICE
         self._named_at = float("-inf")
+        self._heard = False
 
     def read_rate_limit(self) -> float:
         """Return the limit in calls per second that is in force; 0 for none."""
         return self._notice.rate_limit or 0.0
 
+    def read(self) -> TargetNotice | None:
+        """Return what the target said of itself, or None if it said nothing."""
+        return None if self._notice == NO_NOTICE else self._notice
+
     def follow(self, target: TargetStatus) -> None:
         """End the limit of an earlier start when `target` is a new one."""
-        if identify_target(target) != self._target:
-            with self._lock:
+        if identify_target(target) == self._target:
+            return
+        with self._lock:
+            if identify_target(target) != self._target:
                 self._begin(target)
 
     def observe(
@@ -75,25 +70,39 @@
         """Apply the notice of a response to a call dispatched at `dispatched_at`."""
         notice = parse_notice(headers, self._names)
         if notice == NO_NOTICE and self._notice == NO_NOTICE:
+            self._heard = True
             return
         with self._lock:
             if identify_target(target) == self._target:
+                self._heard = True
                 self._apply(target, notice, dispatched_at)
 
+    def adopt(self, target: TargetStatus, notice: TargetNotice) -> None:
+        """Apply what an entry knows of the target unless a response said otherwise."""
+        with self._lock:
+            if self._heard or not notice.target:
+                return
+            if describe_start(target) != notice.target or self._notice != NO_NOTICE:
+                return
+            self._apply(target, notice, self._clock.read_monotonic())
+
     def _begin(self, target: TargetStatus) -> None:
         self._target = identify_target(target)
         if self._notice.rate_limit is not None:
             self._admission.limit_rate(None)
         self._notice = NO_NOTICE
+        self._heard = False
 
     def _apply(
-        self, target: TargetStatus, notice: ResponseNotice, dispatched_at: float
+        self, target: TargetStatus, notice: TargetNotice, dispatched_at: float
     ) -> None:
         known = self._notice
         if is_relaxed(notice, known) and dispatched_at < self._named_at:
             return
         if notice.rate_limit is not None:
             self._named_at = self._clock.read_monotonic()
+        if notice != NO_NOTICE:
+            notice = replace(notice, target=describe_start(target))
         if notice == known:
             return
         self._notice = notice
@@ -107,7 +116,7 @@
         )
 
 
-def is_relaxed(notice: ResponseNotice, known: ResponseNotice) -> bool:
+def is_relaxed(notice: TargetNotice, known: TargetNotice) -> bool:
     """Return whether a notice raises or ends the limit that is known."""
     if known.rate_limit is None:
         return False
@@ -119,10 +128,17 @@
     return target.target_id, target.started, target.address
 
 
-def parse_notice(headers: tuple[Header, ...], names: HeaderNames) -> ResponseNotice:
+def describe_start(target: TargetStatus) -> str:
+    """Return the name of a target's start for other daemons; empty without an id."""
+    if target.target_id is None:
+        return ""
+    return f"{target.target_id}/{'' if target.started is None else target.started}"
+
+
+def parse_notice(headers: tuple[Header, ...], names: HeaderNames) -> TargetNotice:
     """Return the notice in the headers of a response; a malformed limit is ignored."""
     leaving = find_header(headers, names.leaving) == LEAVING_VALUE
-    return ResponseNotice(parse_rate_limit(headers, names), leaving)
+    return TargetNotice(parse_rate_limit(headers, names), leaving)
 
 
 def parse_rate_limit(headers: tuple[Header, ...], names: HeaderNames) -> float | None:
--- a/corianderhold/coordination/owner/owner.py
+++ b/corianderhold/coordination/owner/owner.py
@@ -1,5 +1,6 @@
 """Serve calls with the local target; only its owner sends requests to it."""
 
+from dataclasses import replace
 from http import HTTPStatus
 from typing import Protocol
 
@@ -158,15 +159,19 @@
     def report_load(self) -> LoadReport:
         """Return the current load."""
         serving = self._source.read_target().state is TargetState.SERVING
-        return self._admission.report_load(
+        load = self._admission.report_load(
             draining=not serving or self._guard.is_evacuated()
         )
+        notice = self._notices.read()
+        return load if notice is None else replace(load, notice=notice)
 
     def _find_target(self, context: CallContext) -> Result[TargetStatus, Refusal]:
         target = self._source.read_target()
         if target.address is None or target.service != context.service:
             return Err(refuse_not_run(Reason.NO_TARGET))
         self._notices.follow(target)
+        if context.notice is not None:
+            self._notices.adopt(target, context.notice)
         if target.state is TargetState.DRAINING:
             return Err(refuse_not_run(Reason.DRAINING, DRAINING_RETRY_AFTER_MS))
         refusal = self._guard.refuse(context)
--- a/corianderhold/coordination/owner/remote.py
+++ b/corianderhold/coordination/owner/remote.py
@@ -176,6 +176,7 @@
         path=head.path,
         headers=head.headers,
         idempotency_key=head.idempotency_key,
+        notice=head.notice,
     )
 
 
--- a/corianderhold/protocol/peer/codec.py
+++ b/corianderhold/protocol/peer/codec.py
@@ -35,6 +35,7 @@
     Ping,
     Pong,
     Progress,
+    TargetNotice,
 )
 from corianderhold.protocol.verdict import Reason, Refusal, RunState
 
@@ -80,6 +81,7 @@
         load.shed_below,
         load.draining,
         load.cold_wait_ms or None,
+        encode_notice(load.notice),
     )
 
 
@@ -92,9 +94,24 @@
         struct.shed_below,
         struct.draining,
         struct.cold_wait_ms or 0,
+        decode_notice(struct.notice),
     )
 
 
+def encode_notice(notice: TargetNotice | None) -> Any:
+    """Encode a target's notice as a thrift struct, or return None without one."""
+    if notice is None:
+        return None
+    return ttypes.TargetNotice(notice.target, notice.rate_limit, notice.leaving or None)
+
+
+def decode_notice(struct: Any) -> TargetNotice | None:
+    """Decode a target's notice from a thrift struct, or return None without one."""
+    if struct is None:
+        return None
+    return TargetNotice(struct.rate_limit, bool(struct.leaving), struct.target)
+
+
 def encode_headers(headers: tuple[Header, ...]) -> list[Any]:
     """Encode HTTP headers as thrift structs."""
     return [ttypes.Header(header.name, header.value) for header in headers]
@@ -164,6 +181,7 @@
             body=message.body,
             body_follows=message.body_follows,
             body_length=message.body_length,
+            notice=encode_notice(message.notice),
         )
     )
 
@@ -190,6 +208,7 @@
         body=struct.body,
         body_follows=struct.body_follows,
         body_length=struct.body_length,
+        notice=decode_notice(struct.notice),
     )
 
 
--- a/corianderhold/protocol/peer/gen/ttypes.py
+++ b/corianderhold/protocol/peer/gen/ttypes.py
@@ -309,6 +309,100 @@
         return not (self == other)
 
 
+class TargetNotice(object):
+    """
+    Attributes:
+     - target
+     - rate_limit
+     - leaving
+
+    """
+
+    __slots__ = (
+        'target',
+        'rate_limit',
+        'leaving',
+    )
+
+
+    def __init__(self, target=None, rate_limit=None, leaving=None,):
+        self.target = target
+        self.rate_limit = rate_limit
+        self.leaving = leaving
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.rate_limit = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TargetNotice')
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 1)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.rate_limit is not None:
+            oprot.writeFieldBegin('rate_limit', TType.DOUBLE, 2)
+            oprot.writeDouble(self.rate_limit)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 3)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.target is None:
+            raise TProtocolException(message='Required field target is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LoadReport(object):
     """
     Attributes:
@@ -318,6 +412,7 @@
      - shed_below
      - draining
      - cold_wait_ms
+     - notice
 
     """
 
@@ -328,16 +423,18 @@
         'shed_below',
         'draining',
         'cold_wait_ms',
+        'notice',
     )
 
 
-    def __init__(self, in_flight=None, limit=None, queued=None, shed_below=None, draining=None, cold_wait_ms=None,):
+    def __init__(self, in_flight=None, limit=None, queued=None, shed_below=None, draining=None, cold_wait_ms=None, notice=None,):
         self.in_flight = in_flight
         self.limit = limit
         self.queued = queued
         self.shed_below = shed_below
         self.draining = draining
         self.cold_wait_ms = cold_wait_ms
+        self.notice = notice
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -378,6 +475,12 @@
                     self.cold_wait_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRUCT:
+                    self.notice = TargetNotice()
+                    self.notice.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -412,6 +515,10 @@
             oprot.writeFieldBegin('cold_wait_ms', TType.I32, 6)
             oprot.writeI32(self.cold_wait_ms)
             oprot.writeFieldEnd()
+        if self.notice is not None:
+            oprot.writeFieldBegin('notice', TType.STRUCT, 7)
+            self.notice.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -553,6 +660,7 @@
      - body
      - body_follows
      - body_length
+     - notice
 
     """
 
@@ -576,10 +684,11 @@
         'body',
         'body_follows',
         'body_length',
+        'notice',
     )
 
 
-    def __init__(self, call_id=None, root_id=None, incarnation=None, accept_by_us=None, deadline_us=None, organisation=None, importance=None, retry_budget=None, depth=None, service_name=None, method=None, path=None, headers=None, idempotent=None, idempotency_key=None, route=None, body=None, body_follows=None, body_length=None,):
+    def __init__(self, call_id=None, root_id=None, incarnation=None, accept_by_us=None, deadline_us=None, organisation=None, importance=None, retry_budget=None, depth=None, service_name=None, method=None, path=None, headers=None, idempotent=None, idempotency_key=None, route=None, body=None, body_follows=None, body_length=None, notice=None,):
         self.call_id = call_id
         self.root_id = root_id
         self.incarnation = incarnation
@@ -599,6 +708,7 @@
         self.body = body
         self.body_follows = body_follows
         self.body_length = body_length
+        self.notice = notice
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -710,6 +820,12 @@
                     self.body_length = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.STRUCT:
+                    self.notice = TargetNotice()
+                    self.notice.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -799,6 +915,10 @@
             oprot.writeFieldBegin('body_length', TType.I64, 19)
             oprot.writeI64(self.body_length)
             oprot.writeFieldEnd()
+        if self.notice is not None:
+            oprot.writeFieldBegin('notice', TType.STRUCT, 20)
+            self.notice.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1993,6 +2113,13 @@
     (2, TType.I64, 'incarnation', None, None, ),  # 2
     (3, TType.STRUCT, 'load', [LoadReport, None], None, ),  # 3
 )
+all_structs.append(TargetNotice)
+TargetNotice.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'target', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'rate_limit', None, None, ),  # 2
+    (3, TType.BOOL, 'leaving', None, None, ),  # 3
+)
 all_structs.append(LoadReport)
 LoadReport.thrift_spec = (
     None,  # 0
@@ -2002,6 +2129,7 @@
     (4, TType.I32, 'shed_below', None, None, ),  # 4
     (5, TType.BOOL, 'draining', None, None, ),  # 5
     (6, TType.I32, 'cold_wait_ms', None, None, ),  # 6
+    (7, TType.STRUCT, 'notice', [TargetNotice, None], None, ),  # 7
 )
 all_structs.append(Header)
 Header.thrift_spec = (
@@ -2031,6 +2159,7 @@
     (17, TType.STRING, 'body', 'BINARY', None, ),  # 17
     (18, TType.BOOL, 'body_follows', None, None, ),  # 18
     (19, TType.I64, 'body_length', None, None, ),  # 19
+    (20, TType.STRUCT, 'notice', [TargetNotice, None], None, ),  # 20
 )
 all_structs.append(Continue)
 Continue.thrift_spec = (
--- a/corianderhold/protocol/peer/messages.py
+++ b/corianderhold/protocol/peer/messages.py
@@ -33,12 +33,28 @@
     clock_us: int
 
 
+@dataclass(frozen=True, slots=True)
+class TargetNotice:
+    """
+    What a target said of itself in its responses.
+
+    `rate_limit` is the number of calls per second that it accepts from all daemons
+    together, or None if it names no limit. `target` identifies its start, empty if
+    unknown.
+    """
+
+    rate_limit: float | None = None
+    leaving: bool = False
+    target: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """
     Load of an owner; it currently sheds calls with an importance below `shed_below`.
 
-    `cold_wait_ms` is the time until a cold target accepts one more call.
+    `cold_wait_ms` is the time until a target that is cold or names a limit accepts one
+    more call. `notice` is None if the target said nothing of itself.
     """
 
     in_flight: int = 0
@@ -47,6 +63,7 @@
     shed_below: int = 0
     draining: bool = False
     cold_wait_ms: int = 0
+    notice: TargetNotice | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +106,7 @@
     body: bytes
     body_follows: bool
     body_length: int | None = None
+    notice: TargetNotice | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/corianderhold/protocol/peer/peer.thrift
+++ b/corianderhold/protocol/peer/peer.thrift
@@ -23,6 +23,14 @@
   3: optional LoadReport load
 }
 
+// What a target said of itself in its responses. `target` identifies its start, and is
+// empty if that is unknown.
+struct TargetNotice {
+  1: required string target
+  2: optional double rate_limit // calls per second, from all daemons together
+  3: optional bool leaving
+}
+
 // Load of an owner for its target, sent with every response.
 struct LoadReport {
   1: required i32 in_flight
@@ -30,7 +38,8 @@
   3: required i32 queued
   4: required i32 shed_below   // the owner currently sheds calls of lower importance
   5: required bool draining
-  6: optional i32 cold_wait_ms // until a cold target accepts one more call
+  6: optional i32 cold_wait_ms // until a limited target accepts one more call
+  7: optional TargetNotice notice // absent if the target said nothing
 }
 
 struct Header {
@@ -61,6 +70,7 @@
   17: required binary body
   18: required bool body_follows
   19: optional i64 body_length       // in bytes; absent if unknown
+  20: optional TargetNotice notice   // as the entry last received it from this owner
 }
 
 // Signals that a call was admitted and requests the rest of its body.
--- a/tests/coordination/entry/test_router.py
+++ b/tests/coordination/entry/test_router.py
@@ -30,7 +30,7 @@
     Version,
 )
 from corianderhold.metrics import Metrics
-from corianderhold.protocol.peer.messages import LoadReport
+from corianderhold.protocol.peer.messages import LoadReport, TargetNotice
 from corianderhold.protocol.verdict import (
     Reason,
     Refusal,
@@ -77,6 +77,8 @@
     def __init__(self, *script: Refusal | None) -> None:
         self.script = list(script)
         self.attempts: list[InstanceId] = []
+        self.load: LoadReport | None = None
+        self.notices: list[TargetNotice | None] = []
         self.cancelled: list[Address] = []
 
     def send(
@@ -88,6 +90,9 @@
         on_load: LoadCallback,
     ) -> Result[Response, Refusal]:
         self.attempts.append(member.instance)
+        self.notices.append(context.notice)
+        if self.load is not None:
+            on_load(self.load)
         refusal = self.script.pop(0)
         return Ok(RESPONSE) if refusal is None else Err(refusal)
 
@@ -98,14 +103,13 @@
 class RouterTests(TestCase):
     """Route calls to three remote owners."""
 
-    def route(
+    def build(
         self,
         sender: ScriptedSender,
-        idempotent: bool,
-        budget: int = 2,
         organisations: tuple[Organisation, ...] = (),
         evacuated: frozenset[FailureDomainId] = frozenset(),
-    ) -> Result[Response, Refusal]:
+        owner_count: int = 3,
+    ) -> Router:
         holder = ConfigurationHolder()
         services = {CATALOGUE: Service(CATALOGUE, retry_ratio=0.1)}
         holder.replace(
@@ -118,9 +122,9 @@
         )
         clock = FakeClock()
         locality = Locality(ENTRY, FailureDomainId("west-a"), RegionId("west"))
-        owners = tuple(make_member(f"o{number}") for number in range(3))
+        owners = tuple(make_member(f"o{number}") for number in range(owner_count))
         members = FixedMembers(owners)
-        router = Router(
+        return Router(
             ENTRY,
             members,
             holder,
@@ -132,9 +136,28 @@
             Metrics(),
             FleetRetryBurst(0, members),
         )
+
+    def route(
+        self,
+        sender: ScriptedSender,
+        idempotent: bool,
+        budget: int = 2,
+        organisations: tuple[Organisation, ...] = (),
+        evacuated: frozenset[FailureDomainId] = frozenset(),
+    ) -> Result[Response, Refusal]:
+        router = self.build(sender, organisations, evacuated)
         context = make_context(idempotent=idempotent)
         return router.route(context, InlineBody(b""), RetryBudget(budget))
 
+    def test_owner_is_told_what_its_target_said(self) -> None:
+        notice = TargetNotice(rate_limit=20.0, target="t-1/1")
+        sender = ScriptedSender(None, None)
+        sender.load = LoadReport(notice=notice)
+        router = self.build(sender, owner_count=1)
+        for _ in range(2):
+            router.route(make_context(), InlineBody(b""), RetryBudget(0))
+        self.assertEqual(sender.notices, [None, notice])
+
     def test_not_run_is_retried_at_another_owner(self) -> None:
         sender = ScriptedSender(UNREACHABLE, None)
         self.assertEqual(self.route(sender, idempotent=False), Ok(RESPONSE))
--- a/tests/coordination/owner/test_owner.py
+++ b/tests/coordination/owner/test_owner.py
@@ -8,6 +8,7 @@
 import socket
 import threading
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 from random import Random
 from unittest import TestCase
 
@@ -46,7 +47,7 @@
 )
 from corianderhold.metrics import Metrics
 from corianderhold.protocol.peer.const import INLINE_BODY_BYTES
-from corianderhold.protocol.peer.messages import Header
+from corianderhold.protocol.peer.messages import Header, TargetNotice
 from corianderhold.protocol.verdict import Reason, Refusal
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.configuration.model import Configuration, Organisation
@@ -127,9 +128,13 @@
         )
 
     def call(
-        self, owner: Owner, body: RequestBody = NO_BODY
+        self,
+        owner: Owner,
+        body: RequestBody = NO_BODY,
+        notice: TargetNotice | None = None,
     ) -> Result[Response, Refusal]:
         context = make_context(deadline_at=self.clock.read_monotonic() + 5)
+        context = replace(context, notice=notice)
         return owner.serve(context, body, RetryBudget(0))
 
 
--- a/tests/coordination/owner/test_rate_limit.py
+++ b/tests/coordination/owner/test_rate_limit.py
@@ -1,7 +1,9 @@
 """Test that a target gets no more calls per second than it names in its responses."""
 
 import socket
+from contextlib import suppress
 from dataclasses import replace
+from threading import Thread
 from unittest import TestCase
 
 from result import Err, Result
@@ -19,11 +21,12 @@
 from corianderhold.protocol.peer.messages import Header
 from corianderhold.protocol.verdict import Reason, Refusal
 from corianderhold.state.configuration.model import Importance
-from corianderhold.state.membership.model import Address, TargetState
+from corianderhold.state.membership.model import Address, Member, TargetState
 from corianderhold.state.membership.target import TargetStatus
 from tests.common.calls import CATALOGUE
 from tests.common.clock import FakeClock
 from tests.common.scripted_target import ScriptedTarget, take_request
+from tests.coordination.owner.test_cold_start import ColdFleet, make_status
 from tests.coordination.owner.test_owner import OwnerCase
 
 RATE = 20.0
@@ -42,19 +45,24 @@
     def __init__(self, limit: str | None = None) -> None:
         self.limit = limit
         self.arrivals = 0
-        self._target = ScriptedTarget(self._play)
+        self._target = ScriptedTarget(self._accept, self._accept)
         self.close = self._target.close
         self.status = TargetStatus(
             TargetState.SERVING, CATALOGUE, self._target.address, "t-1", 1
         )
 
+    def _accept(self, connection: socket.socket) -> None:
+        thread = Thread(target=self._play, args=(connection.dup(),), daemon=True)
+        thread.start()
+
     def _play(self, connection: socket.socket) -> None:
-        while True:
-            take_request(connection)
-            self.arrivals += 1
-            named = f"{HEADER_RATE_LIMIT}: {self.limit}\r\n" if self.limit else ""
-            head = f"HTTP/1.1 200 OK\r\n{named}Content-Length: 0\r\n\r\n"
-            connection.sendall(head.encode())
+        with connection, suppress(ConnectionError):
+            while True:
+                take_request(connection)
+                self.arrivals += 1
+                named = f"{HEADER_RATE_LIMIT}: {self.limit}\r\n" if self.limit else ""
+                head = f"HTTP/1.1 200 OK\r\n{named}Content-Length: 0\r\n\r\n"
+                connection.sendall(head.encode())
 
 
 class NamedLimitTests(OwnerCase):
@@ -107,6 +115,25 @@
         self.source.script = [replace(self.target.status, started=2)]
         self.assertEqual(self.offer(self.owner, 1.0), round(1.0 / STEP_S))
 
+    def test_daemon_that_restarts_is_told_the_limit_by_calls(self) -> None:
+        self.offer(self.owner, 1.0)
+        notice = self.owner.report_load().notice
+        assert notice is not None
+        arrived = self.target.arrivals
+        self.owner = self.build(self.target.status)
+        outcome = self.call(self.owner, notice=notice)
+        assert isinstance(outcome, Err)
+        self.assertIs(outcome.err_value.reason, Reason.TARGET_LIMITED)
+        self.assertEqual(self.target.arrivals, arrived)
+        self.assertEqual(self.owner.report_load().notice, notice)
+
+    def test_limit_of_another_start_is_not_taken_from_calls(self) -> None:
+        self.offer(self.owner, 1.0)
+        notice = self.owner.report_load().notice
+        self.target.limit = None
+        self.owner = self.build(replace(self.target.status, started=2))
+        self.assertTrue(self.call(self.owner, notice=notice).is_ok())
+
     def test_calls_above_the_limit_are_told_to_return_spread_out(self) -> None:
         self.offer(self.owner, 1.0)
         refusals = [outcome.err_value for outcome in self.refused]
@@ -198,3 +225,38 @@
         self.assertEqual(limiter.find_shed_level(), Importance.CRITICAL)
         clock.advance(RATE_LIMIT_BURST_S)
         self.assertEqual((limiter.find_wait(), limiter.find_shed_level()), (0.0, 0))
+
+
+class LimitedFleet(ColdFleet):
+    """Simulate six warm targets of which the first `limited` name a limit."""
+
+    def __init__(self, limited: int) -> None:
+        super().__init__(count=6)
+        now = self.clock.read_monotonic()
+        for admission in self.admissions.values():
+            admission.update_target(make_status(now, now))
+        for member in self.members[:limited]:
+            self.admissions[member.instance].limit_rate(RATE)
+
+    def count_arrivals(self, members: tuple[Member, ...]) -> list[int]:
+        """Return the calls of the last second at each of some targets."""
+        return [len(self.arrivals[member.instance]) for member in members]
+
+
+class LimitedFleetTests(TestCase):
+    """Offer a service twice what the limits of its targets allow in sum."""
+
+    def test_calls_above_a_limit_go_to_targets_with_room(self) -> None:
+        fleet = LimitedFleet(limited=4)
+        fleet.play(1.0, 12 * RATE)
+        _, refused = fleet.play(3.0, 12 * RATE)
+        self.assertEqual(refused, 0)
+        for arrived in fleet.count_arrivals(fleet.members[:4]):
+            self.assertLessEqual(arrived, RATE * (1 + RATE_LIMIT_BURST_S))
+
+    def test_limits_of_all_targets_are_kept_and_used(self) -> None:
+        fleet = LimitedFleet(limited=6)
+        fleet.play(1.0, 12 * RATE)
+        served, _ = fleet.play(WINDOW_S, 12 * RATE)
+        self.assertGreaterEqual(served, 6 * USED_MIN)
+        self.assertLessEqual(served, 6 * RATE * (WINDOW_S + RATE_LIMIT_BURST_S))
--- a/tests/protocol/peer/test_codec.py
+++ b/tests/protocol/peer/test_codec.py
@@ -4,14 +4,19 @@
 
 from thrift.TSerialization import deserialize
 
-from corianderhold.ids import CallId
+from corianderhold.ids import CallId, Incarnation
 from corianderhold.protocol.peer.codec import (
     PROTOCOL_FACTORY,
     decode_message,
     encode_message,
 )
 from corianderhold.protocol.peer.gen import ttypes
-from corianderhold.protocol.peer.messages import CallRefused, LoadReport
+from corianderhold.protocol.peer.messages import (
+    CallRefused,
+    LoadReport,
+    Pong,
+    TargetNotice,
+)
 from corianderhold.protocol.verdict import Reason, refuse_not_run
 
 # Those of 12b17ce and later builds, which fail to read a frame with any other reason.
@@ -24,6 +29,19 @@
     return CallRefused(CallId("c1"), refusal, LoadReport(), 2)
 
 
+class NoticeTests(TestCase):
+    """Encode and decode what an owner reports of its target."""
+
+    def test_notice_survives(self) -> None:
+        for notice in (
+            None,
+            TargetNotice(22.8, False, "i-1/1700000000000"),
+            TargetNotice(0.0, True, "i-1/"),
+        ):
+            message = Pong(1, Incarnation(2), LoadReport(notice=notice))
+            self.assertEqual(decode_message(encode_message(message)), message)
+
+
 class RefusalTests(TestCase):
     """Encode and decode refusals."""
 
