Spread the returns of calls above the limits of all targets

What callers saw: once an entry knew that all targets of a service were at their limits, it refused with the time until the next token, 0.3 s at least, so that all came back together; as target_cold, which they were not.

Change: the entry's own refusal is target_limited, with a Retry-After spread over 2 s, as the owners' is. A nested call above its callee's limit opens the caller's circuit breaker for 0.1 s at most: a limited service takes calls all the time, a cold one doesn't.

Tests: test_calls_above_the_limits_of_all_targets_are_told_to_return_spread_out failed before (one reason, one time).

--- a/corianderhold/coordination/entry/load_balancer.py
+++ b/corianderhold/coordination/entry/load_balancer.py
@@ -17,6 +17,7 @@
     OWNER_LIMIT_DEFAULT,
     PUSH_BACK_LIFETIME_S,
     PUSH_BACK_PROBE_RATIO,
+    RATE_LIMIT_RETRY_SPREAD_S,
     SAMPLED_OWNERS_PER_LOCALITY,
     SPILLOVER_UTILIZATION,
 )
@@ -93,14 +94,15 @@
     The result of load balancing.
 
     `chosen` is None if there is no eligible owner or, with `pushed_back`, if all of
-    them shed calls of this importance. If all of them are cold, `wait_s` is the
-    retry-after time in seconds.
+    them shed calls of this importance. If all of them are cold, or if the targets name
+    limits (`limited`), `wait_s` is the retry-after time in seconds.
     """
 
     chosen: Member | None
     candidates: tuple[Candidate, ...]
     pushed_back: bool = False
     wait_s: float = 0.0
+    limited: bool = False
 
 
 class LoadBalancer(Protocol):
@@ -162,12 +164,8 @@
                 warm = [
                     m for m in usable if now >= self._read_status(m.instance).cold_until
                 ]
-                if not warm:
-                    return Choice(
-                        None, (), pushed_back=True, wait_s=self._find_retry_wait(usable)
-                    )
-                if self._random.random() >= PUSH_BACK_PROBE_RATIO:
-                    return Choice(None, (), pushed_back=True)
+                if not warm or self._random.random() >= PUSH_BACK_PROBE_RATIO:
+                    return self._push_back(usable, warm)
                 accepting = warm
             return self._choose_least_loaded(accepting, now)
 
@@ -194,6 +192,20 @@
     def _read_status(self, instance: InstanceId) -> OwnerStatus:
         return self._statuses.get(instance, UNKNOWN_OWNER)
 
+    def _push_back(self, usable: list[Member], warm: list[Member]) -> Choice:
+        """Choose no owner; calls above the limits of targets return spread out."""
+        wait_s = 0.0 if warm else self._find_retry_wait(usable)
+        limited = any(self._is_limited(member) for member in usable)
+        if limited:
+            wait_s += self._random.uniform(0, RATE_LIMIT_RETRY_SPREAD_S)
+        return Choice(None, (), pushed_back=True, wait_s=wait_s, limited=limited)
+
+    def _is_limited(self, member: Member) -> bool:
+        """Return whether an owner's target has named a limit on calls per second."""
+        load = self._read_status(member.instance).load
+        notice = load.notice if load is not None else None
+        return notice is not None and notice.rate_limit is not None
+
     def _find_retry_wait(self, members: list[Member]) -> float:
         """
         Return the longest retry-after in seconds of some cold owners.
--- a/corianderhold/coordination/entry/request_handler.py
+++ b/corianderhold/coordination/entry/request_handler.py
@@ -15,6 +15,7 @@
     Response,
 )
 from corianderhold.coordination.entry.const import (
+    LIMITED_CALLEE_WAIT_S,
     OVERLOAD_RETRY_AFTER_MS,
     RESERVED_THREADS,
 )
@@ -288,6 +289,15 @@
 def record_cold_callee(
     breaker: CalleeCircuitBreaker, outcome: Result[Response, Refusal]
 ) -> None:
-    """Record a nested call that a cold service refused."""
-    if isinstance(outcome, Err) and outcome.err_value.reason in COLD_REASONS:
-        breaker.record_callee_refusal(outcome.err_value.retry_after_ms / MILLISECONDS)
+    """
+    Record a nested call that a cold or limited service refused.
+
+    A limited service takes some calls all the time, so its callers wait only briefly.
+    """
+    if not isinstance(outcome, Err):
+        return
+    wait_s = outcome.err_value.retry_after_ms / MILLISECONDS
+    if outcome.err_value.reason in COLD_REASONS:
+        breaker.record_callee_refusal(wait_s)
+    elif outcome.err_value.reason is Reason.TARGET_LIMITED:
+        breaker.record_callee_refusal(min(wait_s, LIMITED_CALLEE_WAIT_S))
--- a/corianderhold/coordination/entry/router.py
+++ b/corianderhold/coordination/entry/router.py
@@ -258,7 +258,8 @@
         """Return the refusal of a call without a chosen owner, and log the reason."""
         if choice.wait_s > 0:
             wait_ms = max(OVERLOAD_RETRY_AFTER_MS, int(choice.wait_s * 1000))
-            return refuse_not_run(Reason.TARGET_COLD, wait_ms)
+            reason = Reason.TARGET_LIMITED if choice.limited else Reason.TARGET_COLD
+            return refuse_not_run(reason, wait_ms)
         if choice.pushed_back:
             detail = "all owners shed calls of this importance"
             return refuse_not_run(Reason.SHED, OVERLOAD_RETRY_AFTER_MS, detail)
--- a/tests/coordination/entry/test_router.py
+++ b/tests/coordination/entry/test_router.py
@@ -158,6 +158,20 @@
             router.route(make_context(), InlineBody(b""), RetryBudget(0))
         self.assertEqual(sender.notices, [None, notice])
 
+    def test_calls_above_the_limits_of_all_targets_are_told_to_return_spread_out(
+        self,
+    ) -> None:
+        notice = TargetNotice(rate_limit=20.0)
+        sender = ScriptedSender(refuse_not_run(Reason.TARGET_LIMITED, 700))
+        sender.load = LoadReport(cold_wait_ms=50, notice=notice)
+        router = self.build(sender, owner_count=1)
+        waits_ms = set()
+        for number in range(20):
+            outcome = router.route(make_context(), InlineBody(b""), RetryBudget(0))
+            self.assertIs(outcome.unwrap_err().reason, Reason.TARGET_LIMITED, number)
+            waits_ms.add(outcome.unwrap_err().retry_after_ms)
+        self.assertGreater(max(waits_ms) - min(waits_ms), 1000)
+
     def test_not_run_is_retried_at_another_owner(self) -> None:
         sender = ScriptedSender(UNREACHABLE, None)
         self.assertEqual(self.route(sender, idempotent=False), Ok(RESPONSE))
