Send no more calls to a target that says in its answers that it leaves

What callers saw: nothing; a target that had said Server-Leaving was sent calls until its heartbeat said so too, which may come seconds late or, after a restart of its daemon while the store is away, be forgotten.

The header was passed on and not read; a drain was known from heartbeats alone.

Change: the owner drains the start of its target that says so, as for a heartbeat that does, writes the departure to the log, and tells entries by its notices. A restarted owner is told by the calls of entries that passed such an answer on, which needs neither store nor heartbeat. A new start serves.

--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -369,6 +369,7 @@
             self._clock,
             self._metrics,
             FleetRetryBurst(settings.retry_burst, self._membership),
+            self._header_names,
         )
 
     def _build_leases(self) -> LeaseManager:
--- a/corianderhold/coordination/entry/notices.py
+++ b/corianderhold/coordination/entry/notices.py
@@ -28,6 +28,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._known: dict[InstanceId, KnownNotice] = {}
+        self._left_until: dict[InstanceId, float] = {}
 
     def find(self, owner: InstanceId) -> TargetNotice | None:
         """Return what is known of the target of an owner, or None."""
@@ -54,3 +55,21 @@
         known = self._known.get(owner)
         if known is not None and known.received_at < started_at:
             self._known.pop(owner, None)
+
+    def exclude(self, owner: InstanceId) -> None:
+        """
+        Send an owner no more calls, because its target leaves and it can't be told.
+
+        It runs an older build, which does not know of notices.
+        """
+        expires_at = self._clock.read_monotonic() + NOTICE_LIFETIME_S
+        self._left_until = {**self._left_until, owner: expires_at}
+
+    def list_excluded(self) -> frozenset[InstanceId]:
+        """Return the owners that must get no calls."""
+        if not self._left_until:
+            return frozenset()
+        now = self._clock.read_monotonic()
+        return frozenset(
+            owner for owner, expires_at in self._left_until.items() if now < expires_at
+        )
--- a/corianderhold/coordination/entry/router.py
+++ b/corianderhold/coordination/entry/router.py
@@ -20,11 +20,14 @@
 )
 from corianderhold.coordination.entry.notices import KnownNotices
 from corianderhold.coordination.entry.sender import CallSender
+from corianderhold.coordination.owner.headers import find_header
+from corianderhold.coordination.owner.notices import LEAVING_VALUE
 from corianderhold.coordination.owner.owner import CallOwner
 from corianderhold.coordination.retry import FleetRetryBurst, RetryBudget, RetryThrottle
 from corianderhold.ids import CallId, InstanceId, ServiceName
 from corianderhold.log import log_event
 from corianderhold.metrics import Metrics
+from corianderhold.protocol.headers import HeaderNames
 from corianderhold.protocol.peer.messages import LoadReport
 from corianderhold.protocol.verdict import Reason, Refusal, RunState, refuse_not_run
 from corianderhold.state.configuration.holder import ConfigurationHolder
@@ -102,6 +105,7 @@
         clock: Clock,
         metrics: Metrics,
         burst: FleetRetryBurst,
+        names: HeaderNames | None = None,
     ) -> None:
         self._instance = instance
         self._members = members
@@ -113,6 +117,7 @@
         self._clock = clock
         self._metrics = metrics
         self._burst = burst
+        self._names = names or HeaderNames()
         self._in_flight = CallLocations()
         self._notices = KnownNotices(clock)
         self._throttles: dict[ServiceName, RetryThrottle] = {}
@@ -153,7 +158,10 @@
         """Try owners in turn until one responds or no further attempt is allowed."""
         throttle = self._find_throttle(context.service)
         throttle.record_attempt()
-        attempt = Attempt(self._rules.find(context))
+        eligibility = self._rules.find(context)
+        for owner in self._notices.list_excluded():
+            eligibility = eligibility.exclude(owner)
+        attempt = Attempt(eligibility)
         may_have_run = False
         while True:
             choice = self._choose(context, attempt)
@@ -242,8 +250,14 @@
             )
         if isinstance(outcome, Ok) and load is not None:
             self._notices.record(member.instance, load.notice, started_at)
+            if load.notice is None and self._is_leaving(outcome.ok_value):
+                self._notices.exclude(member.instance)
         return outcome
 
+    def _is_leaving(self, response: Response) -> bool:
+        """Return whether a response says that its target leaves."""
+        return find_header(response.headers, self._names.leaving) == LEAVING_VALUE
+
     def _serve_locally(
         self, context: CallContext, body: RequestBody, retries: RetryBudget
     ) -> Result[Response, Refusal]:
--- a/corianderhold/coordination/membership/service.py
+++ b/corianderhold/coordination/membership/service.py
@@ -270,6 +270,13 @@
         self._target.drain()
         self._notify_target_listeners()
 
+    def drain_start(self, status: TargetStatus) -> None:
+        """Stop new work for a start of the local target that says that it leaves."""
+        departure = self._target.drain_start(status)
+        if departure is not None:
+            self._record_departure(departure)
+        self._notify_target_listeners()
+
     def withdraw_target(self, target_id: str | None, started: int | None) -> None:
         """Remove a start of the local target; its late heartbeats are ignored."""
         departure = self._target.withdraw(target_id, started)
--- a/corianderhold/coordination/owner/notices.py
+++ b/corianderhold/coordination/owner/notices.py
@@ -6,6 +6,7 @@
 
 from corianderhold.clock import Clock
 from corianderhold.coordination.owner.headers import find_header
+from corianderhold.coordination.owner.policy import TargetSource
 from corianderhold.log import log_event, log_warning
 from corianderhold.protocol.headers import HeaderNames
 from corianderhold.protocol.peer.messages import Header, TargetNotice
@@ -28,7 +29,9 @@
 
 class TargetNotices:
     """
-    Apply the notices of the local target to admission, one start at a time.
+    Apply the notices of the local target, one start at a time.
+
+    A limit is set at the admission, and a target that leaves is drained.
 
     A response raises or ends a limit only if its call was dispatched after the limit
     had last been named: the target may have sent an earlier one before it named the
@@ -37,8 +40,13 @@
     """
 
     def __init__(
-        self, admission: LimitedAdmission, clock: Clock, names: HeaderNames
+        self,
+        source: TargetSource,
+        admission: LimitedAdmission,
+        clock: Clock,
+        names: HeaderNames,
     ) -> None:
+        self._source = source
         self._admission = admission
         self._clock = clock
         self._names = names
@@ -80,11 +88,14 @@
     def adopt(self, target: TargetStatus, notice: TargetNotice) -> None:
         """Apply what an entry knows of the target unless a response said otherwise."""
         with self._lock:
-            if self._heard or not notice.target:
-                return
-            if describe_start(target) != notice.target or self._notice != NO_NOTICE:
+            if not notice.target or describe_start(target) != notice.target:
                 return
-            self._apply(target, notice, self._clock.read_monotonic())
+            known = self._notice
+            rate_limit = known.rate_limit
+            if rate_limit is None and notice.rate_limit is not None and not self._heard:
+                rate_limit = notice.rate_limit
+                self._named_at = self._clock.read_monotonic()
+            self._change(target, rate_limit, notice.leaving or known.leaving)
 
     def _begin(self, target: TargetStatus) -> None:
         self._target = identify_target(target)
@@ -97,10 +108,19 @@
         self, target: TargetStatus, notice: TargetNotice, dispatched_at: float
     ) -> None:
         known = self._notice
+        rate_limit = notice.rate_limit
         if is_relaxed(notice, known) and dispatched_at < self._named_at:
-            return
-        if notice.rate_limit is not None:
+            rate_limit = known.rate_limit
+        elif rate_limit is not None:
             self._named_at = self._clock.read_monotonic()
+        # A target that leaves does not come back in the same start.
+        self._change(target, rate_limit, notice.leaving or known.leaving)
+
+    def _change(
+        self, target: TargetStatus, rate_limit: float | None, leaving: bool
+    ) -> None:
+        """Apply and log what differs from the notice in force."""
+        known, notice = self._notice, TargetNotice(rate_limit, leaving)
         if notice != NO_NOTICE:
             notice = replace(notice, target=describe_start(target))
         if notice == known:
@@ -108,6 +128,8 @@
         self._notice = notice
         if notice.rate_limit != known.rate_limit:
             self._admission.limit_rate(notice.rate_limit)
+        if notice.leaving and not known.leaving:
+            self._source.drain_start(target)
         log_event(
             "target_notice_changed",
             target=target.target_id,
--- a/corianderhold/coordination/owner/owner.py
+++ b/corianderhold/coordination/owner/owner.py
@@ -101,7 +101,7 @@
         self._metrics = metrics
         self._names = names or HeaderNames()
         self._headers = TargetHeaders(self._names)
-        self._notices = TargetNotices(admission, clock, self._names)
+        self._notices = TargetNotices(source, admission, clock, self._names)
         self._refused_connections = 0
         self.calls = InFlightCalls()
 
@@ -172,6 +172,7 @@
         self._notices.follow(target)
         if context.notice is not None:
             self._notices.adopt(target, context.notice)
+            target = self._source.read_target()
         if target.state is TargetState.DRAINING:
             return Err(refuse_not_run(Reason.DRAINING, DRAINING_RETRY_AFTER_MS))
         refusal = self._guard.refuse(context)
--- a/corianderhold/coordination/owner/policy.py
+++ b/corianderhold/coordination/owner/policy.py
@@ -36,6 +36,9 @@
     def suspend_target(self, status: TargetStatus) -> None:
         """Treat the target as absent until its next heartbeat."""
 
+    def drain_start(self, status: TargetStatus) -> None:
+        """Stop new work for a start of the target that says that it leaves."""
+
 
 class ObservedTargetSource(TargetSource, Protocol):
     """Provide the local target, and notify listeners of changes."""
--- a/corianderhold/state/membership/target.py
+++ b/corianderhold/state/membership/target.py
@@ -120,6 +120,21 @@
         with self._lock:
             self._drain()
 
+    def drain_start(self, status: TargetStatus) -> Departure | None:
+        """
+        Mark one start of the target as draining, if it is the current one.
+
+        Return the departure to store, or None for a target without an id.
+        """
+        with self._lock:
+            known = self._known
+            if known is None or not is_start_of(status, known):
+                return None
+            self._drain()
+            if known.target_id is None:
+                return None
+            return Departure(known.target_id, known.started, withdrawn=False)
+
     def withdraw(
         self, target_id: str | None = None, started: int | None = None
     ) -> Departure | None:
@@ -208,6 +223,15 @@
     return announcement.service, announcement.address, announcement.started
 
 
+def is_start_of(status: TargetStatus, announcement: TargetAnnouncement) -> bool:
+    """Return whether a status is of the start that made an announcement."""
+    return (status.target_id, status.started, status.address) == (
+        announcement.target_id,
+        announcement.started,
+        announcement.address,
+    )
+
+
 def is_late(announcement: TargetAnnouncement, known: TargetAnnouncement) -> bool:
     """Return whether a heartbeat is repeated, reordered or from an earlier start."""
     started, known_started = announcement.started, known.started
--- a/tests/coordination/entry/test_router.py
+++ b/tests/coordination/entry/test_router.py
@@ -5,6 +5,7 @@
 which may have run has not.
 """
 
+from dataclasses import replace
 from random import Random
 from unittest import TestCase
 
@@ -30,7 +31,8 @@
     Version,
 )
 from corianderhold.metrics import Metrics
-from corianderhold.protocol.peer.messages import LoadReport, TargetNotice
+from corianderhold.protocol.headers import HEADER_LEAVING
+from corianderhold.protocol.peer.messages import Header, LoadReport, TargetNotice
 from corianderhold.protocol.verdict import (
     Reason,
     Refusal,
@@ -78,6 +80,7 @@
         self.script = list(script)
         self.attempts: list[InstanceId] = []
         self.load: LoadReport | None = None
+        self.response = RESPONSE
         self.notices: list[TargetNotice | None] = []
         self.cancelled: list[Address] = []
 
@@ -94,7 +97,7 @@
         if self.load is not None:
             on_load(self.load)
         refusal = self.script.pop(0)
-        return Ok(RESPONSE) if refusal is None else Err(refusal)
+        return Ok(self.response) if refusal is None else Err(refusal)
 
     def cancel(self, address: Address, call_id: CallId) -> None:
         self.cancelled.append(address)
@@ -158,6 +161,19 @@
             router.route(make_context(), InlineBody(b""), RetryBudget(0))
         self.assertEqual(sender.notices, [None, notice])
 
+    def test_owner_of_an_older_build_gets_no_call_after_its_target_said_it_leaves(
+        self,
+    ) -> None:
+        leaving = (Header(HEADER_LEAVING, "1"),)
+        sender = ScriptedSender(None)
+        sender.load = LoadReport()
+        sender.response = replace(RESPONSE, headers=leaving)
+        router = self.build(sender, owner_count=1)
+        router.route(make_context(), InlineBody(b""), RetryBudget(0))
+        outcome = router.route(make_context(), InlineBody(b""), RetryBudget(0))
+        self.assertIs(outcome.unwrap_err().reason, Reason.NO_TARGET)
+        self.assertEqual(len(sender.attempts), 1)
+
     def test_calls_above_the_limits_of_all_targets_are_told_to_return_spread_out(
         self,
     ) -> None:
--- a/tests/coordination/membership/test_service.py
+++ b/tests/coordination/membership/test_service.py
@@ -168,7 +168,9 @@
         self.log.down = False
         self.wait_for_both(first, second)
 
-    def restart_beside(self, announcements: list[TargetAnnouncement]) -> TargetState:
+    def restart_beside(
+        self, announcements: list[TargetAnnouncement], says_leaving: bool = False
+    ) -> TargetState:
         """
         Withdraw or drain a target, then replace its daemon as after a kill.
 
@@ -179,7 +181,9 @@
         first.announce_target(late)
         for announcement in announcements:
             first.announce_target(announcement)
-        if not announcements:
+        if says_leaving:
+            first.drain_start(first.read_target())
+        elif not announcements:
             first.withdraw_target("t1", 5)
         instance = InstanceId("daemon-0")
 
@@ -209,6 +213,11 @@
         draining = TargetAnnouncement(RIGHTS, TARGET, True, "t1", 5, 2)
         self.assertIs(self.restart_beside([draining]), TargetState.DRAINING)
 
+    def test_target_that_said_it_leaves_does_not_serve_again_after_a_restart(
+        self,
+    ) -> None:
+        self.assertIs(self.restart_beside([], says_leaving=True), TargetState.DRAINING)
+
     def test_new_start_of_a_target_serves_after_a_restart(self) -> None:
         self.restart_beside([])
         again = TargetAnnouncement(RIGHTS, TARGET, False, "t1", 6, 1)
--- a/tests/coordination/owner/test_owner.py
+++ b/tests/coordination/owner/test_owner.py
@@ -83,6 +83,9 @@
     def suspend_target(self, status: TargetStatus) -> None:
         self.script = [ABSENT_TARGET]
 
+    def drain_start(self, status: TargetStatus) -> None:
+        self.script = [replace(status, state=TargetState.DRAINING)]
+
 
 class RecordingLimit(FixedLimit):
     """Count the failures and refusals that are recorded."""
--- a/tests/coordination/owner/test_policy.py
+++ b/tests/coordination/owner/test_policy.py
@@ -52,6 +52,9 @@
         """Make the target absent."""
         self.announce(ABSENT_TARGET)
 
+    def drain_start(self, status: TargetStatus) -> None:
+        raise AssertionError(status)
+
     def add_target_listener(self, listener: Callable[[TargetStatus], None]) -> None:
         """Add a listener."""
         self.listeners.append(listener)
--- a/tests/coordination/owner/test_rate_limit.py
+++ b/tests/coordination/owner/test_rate_limit.py
@@ -1,9 +1,6 @@
 """Test that a target gets no more calls per second than it names in its responses."""
 
-import socket
-from contextlib import suppress
 from dataclasses import replace
-from threading import Thread
 from unittest import TestCase
 
 from result import Err, Result
@@ -17,15 +14,15 @@
 from corianderhold.coordination.owner.notices import TargetNotices
 from corianderhold.coordination.owner.owner import Owner
 from corianderhold.coordination.owner.rate_limit import TargetRateLimiter
-from corianderhold.protocol.headers import HEADER_RATE_LIMIT, HeaderNames
-from corianderhold.protocol.peer.messages import Header
+from corianderhold.protocol.headers import HeaderNames
+from corianderhold.protocol.peer.messages import Header, TargetNotice
 from corianderhold.protocol.verdict import Reason, Refusal
 from corianderhold.state.configuration.model import Importance
 from corianderhold.state.membership.model import Address, Member, TargetState
 from corianderhold.state.membership.target import TargetStatus
 from tests.common.calls import CATALOGUE
 from tests.common.clock import FakeClock
-from tests.common.scripted_target import ScriptedTarget, take_request
+from tests.common.notice_target import NoticeTarget
 from tests.coordination.owner.test_cold_start import ColdFleet, make_status
 from tests.coordination.owner.test_owner import OwnerCase
 
@@ -39,47 +36,22 @@
 NAMES = HeaderNames()
 
 
-class LimitingTarget:
-    """Respond to each request, naming `limit` if there is one, and count them."""
-
-    def __init__(self, limit: str | None = None) -> None:
-        self.limit = limit
-        self.arrivals = 0
-        self._target = ScriptedTarget(self._accept, self._accept)
-        self.close = self._target.close
-        self.status = TargetStatus(
-            TargetState.SERVING, CATALOGUE, self._target.address, "t-1", 1
-        )
-
-    def _accept(self, connection: socket.socket) -> None:
-        thread = Thread(target=self._play, args=(connection.dup(),), daemon=True)
-        thread.start()
-
-    def _play(self, connection: socket.socket) -> None:
-        with connection, suppress(ConnectionError):
-            while True:
-                take_request(connection)
-                self.arrivals += 1
-                named = f"{HEADER_RATE_LIMIT}: {self.limit}\r\n" if self.limit else ""
-                head = f"HTTP/1.1 200 OK\r\n{named}Content-Length: 0\r\n\r\n"
-                connection.sendall(head.encode())
-
-
 class NamedLimitTests(OwnerCase):
     """Offer calls to one target at two and a half times its limit."""
 
     def setUp(self) -> None:
         self.clock: FakeClock = FakeClock()
-        self.target = LimitingTarget(str(RATE))
+        self.target = NoticeTarget(str(RATE))
         self.addCleanup(self.target.close)
         self.owner = self.build(self.target.status)
         self.refused: list[Err[Refusal]] = []
+        self.notice: TargetNotice | None = None
 
     def offer(self, owner: Owner, seconds: float) -> int:
         """Return how many of the calls that are offered in some time arrive."""
         before = self.target.arrivals
         for _ in range(round(seconds / STEP_S)):
-            outcome: Result[Response, Refusal] = self.call(owner)
+            outcome: Result[Response, Refusal] = self.call(owner, notice=self.notice)
             if isinstance(outcome, Err):
                 self.refused.append(outcome)
             self.clock.advance(STEP_S)
@@ -127,6 +99,13 @@
         self.assertEqual(self.target.arrivals, arrived)
         self.assertEqual(self.owner.report_load().notice, notice)
 
+    def test_limit_ends_although_calls_still_tell_of_it(self) -> None:
+        self.offer(self.owner, 1.0)
+        self.notice = self.owner.report_load().notice
+        self.target.limit = None
+        self.offer(self.owner, 1.0)
+        self.assertEqual(self.offer(self.owner, 1.0), round(1.0 / STEP_S))
+
     def test_limit_of_another_start_is_not_taken_from_calls(self) -> None:
         self.offer(self.owner, 1.0)
         notice = self.owner.report_load().notice
@@ -152,7 +131,7 @@
     def setUp(self) -> None:
         self.clock = FakeClock()
         self.rates: list[float | None] = []
-        self.notices = TargetNotices(self, self.clock, NAMES)
+        self.notices = TargetNotices(self, self, self.clock, NAMES)
         self.target = TargetStatus(
             TargetState.SERVING, CATALOGUE, Address("127.0.0.1", 1), "t-1", 1
         )
@@ -162,6 +141,15 @@
         """Record a limit that is set."""
         self.rates.append(rate)
 
+    def read_target(self) -> TargetStatus:
+        return self.target
+
+    def suspend_target(self, status: TargetStatus) -> None:
+        raise AssertionError(status)
+
+    def drain_start(self, status: TargetStatus) -> None:
+        raise AssertionError(status)
+
     def observe(self, limit: str | None, dispatched_at: float) -> None:
         headers = () if limit is None else (Header(NAMES.rate_limit, limit),)
         self.notices.observe(self.target, headers, dispatched_at)
--- a/tests/state/membership/test_target.py
+++ b/tests/state/membership/test_target.py
@@ -12,6 +12,7 @@
 from corianderhold.state.membership.const import TARGET_TTL_S
 from corianderhold.state.membership.model import Address, TargetState
 from corianderhold.state.membership.target import (
+    Departure,
     LocalTarget,
     TargetAnnouncement,
     TargetStatus,
@@ -135,6 +136,16 @@
         self.send_heartbeat(sequence=9)
         self.assertIs(self.send_heartbeat(sequence=8, draining=True).state, DRAINING)
 
+    def test_start_that_said_it_leaves_does_not_come_back(self) -> None:
+        said = self.send_heartbeat()
+        departure = self.holder.drain_start(said)
+        self.assertEqual(departure, Departure("t1", 5, withdrawn=False))
+        self.assertIs(self.holder.read().state, DRAINING)
+        self.assertIs(self.send_heartbeat(sequence=2).state, DRAINING)
+        self.assertIs(self.send_heartbeat(started=6).state, SERVING)
+        self.assertIsNone(self.holder.drain_start(said))
+        self.assertIs(self.holder.read().state, SERVING)
+
     def test_withdrawn_start_does_not_come_back(self) -> None:
         self.send_heartbeat()
         self.holder.withdraw("t1", 5)
