Keep a refusal's not run when its reason is of a newer build

What callers would see: a refusal with a reason that this build doesn't know broke the whole frame, so that a true not run became 502, may have run, and the link was closed.

Change: an unknown reason keeps the run state and the time to come back; it is taken for target_refused, or answer_truncated.

Test: test_not_run_of_a_newer_build_is_not_turned_into_may_have_run raised FrameError before.

--- a/corianderhold/protocol/peer/codec.py
+++ b/corianderhold/protocol/peer/codec.py
@@ -43,6 +43,10 @@
 # Builds that don't know a reason can't read the frame, so it is sent as the nearest
 # reason that all builds know, together with the actual one.
 READABLE_REASONS = {Reason.TARGET_LIMITED: Reason.TARGET_FULL}
+UNKNOWN_REASONS = {
+    RunState.NOT_RUN: Reason.TARGET_REFUSED,
+    RunState.MAY_HAVE_RUN: Reason.ANSWER_TRUNCATED,
+}
 KNOWN_REASONS = {reason.value: reason for reason in Reason}
 
 
@@ -260,9 +264,10 @@
 
 def decode_refused(struct: Any) -> CallRefused:
     """Decode a CallRefused from a thrift struct."""
+    run_state = RunState(struct.run_state)
     refusal = Refusal(
-        RunState(struct.run_state),
-        decode_reason(struct.cause, Reason(struct.reason)),
+        run_state,
+        decode_reason(struct, run_state),
         struct.retry_after_ms,
         struct.detail,
     )
@@ -274,9 +279,17 @@
     )
 
 
-def decode_reason(cause: str | None, reason: Reason) -> Reason:
-    """Return the cause of a refusal, or the reason if there is no known cause."""
-    return KNOWN_REASONS.get(cause or "", reason)
+def decode_reason(struct: Any, run_state: RunState) -> Reason:
+    """
+    Return the most specific known reason of a refusal.
+
+    A newer build may send reasons that this one does not know. What the refusal says of
+    the request still holds.
+    """
+    for name in (struct.cause, struct.reason):
+        if name in KNOWN_REASONS:
+            return KNOWN_REASONS[name]
+    return UNKNOWN_REASONS[run_state]
 
 
 ENCODERS: dict[type[Any], Callable[[Any], Any]] = {
--- a/tests/protocol/peer/test_codec.py
+++ b/tests/protocol/peer/test_codec.py
@@ -2,7 +2,7 @@
 
 from unittest import TestCase
 
-from thrift.TSerialization import deserialize
+from thrift.TSerialization import deserialize, serialize
 
 from corianderhold.ids import CallId, Incarnation
 from corianderhold.protocol.peer.codec import (
@@ -57,3 +57,12 @@
         for reason in Reason:
             message = refuse(reason)
             self.assertEqual(decode_message(encode_message(message)), message)
+
+    def test_not_run_of_a_newer_build_is_not_turned_into_may_have_run(self) -> None:
+        encoded = encode_message(refuse(Reason.DRAINING))
+        frame = deserialize(ttypes.Frame(), encoded, PROTOCOL_FACTORY)
+        frame.refusal.reason = "reason_of_a_newer_build"
+        decoded = decode_message(serialize(frame, PROTOCOL_FACTORY))
+        assert isinstance(decoded, CallRefused)
+        self.assertTrue(decoded.refusal.not_run)
+        self.assertEqual(decoded.refusal.retry_after_ms, 700)
