Prove notices of targets across processes and beside older builds

For that a target may announce an id, and the emulator's target can name a limit and say that it leaves.

--- a/corianderhold/coordination/entry/outgoing.py
+++ b/corianderhold/coordination/entry/outgoing.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from result import Err, Result
-from voluptuous import Invalid, Optional, Required, Schema
+from voluptuous import Any, Invalid, Optional, Required, Schema
 
 from corianderhold.clock import Clock
 from corianderhold.coordination.call import CallContext, Response
@@ -46,6 +46,7 @@
     {
         Required("service"): parse_name,
         Required("address"): parse_address,
+        Optional("id", default=None): Any(None, parse_name),
         Optional("restarted", default=False): bool,
     }
 )
@@ -162,11 +163,13 @@
                 refusal, CallId(""), start_response, format_whole_seconds
             )
         self._target_starts += announcement["restarted"]
+        target_id = announcement["id"]
         self._registrar.announce_target(
             TargetAnnouncement(
                 ServiceName(announcement["service"]),
                 announcement["address"],
-                started=self._target_starts,
+                target_id=target_id,
+                started=self._target_starts if target_id is None else None,
             )
         )
         return respond_empty(HTTPStatus.NO_CONTENT, start_response)
--- a/emulator/announcer.py
+++ b/emulator/announcer.py
@@ -18,9 +18,13 @@
 class Announcer:
     """Send the announcement every second until drained or stopped."""
 
-    def __init__(self, daemon_outgoing: str, service: str, address: str) -> None:
+    def __init__(
+        self, daemon_outgoing: str, service: str, address: str, target_id: str = ""
+    ) -> None:
         self._base = f"http://{daemon_outgoing}"
         self._announcement = {"service": service, "address": address}
+        if target_id:
+            self._announcement["id"] = target_id
         self._pool = urllib3.PoolManager(retries=False, timeout=ANNOUNCE_TIMEOUT_S)
         self._stopped = threading.Event()
         self._accepted = False
--- a/emulator/target.py
+++ b/emulator/target.py
@@ -31,6 +31,8 @@
 )
 
 ORGANISATION_HEADER = "X-Corianderhold-Organisation"
+RATE_LIMIT_HEADER = "X-Corianderhold-Rate-Limit"
+LEAVING_HEADER = "X-Corianderhold-Leaving"
 SPARE_THREADS = 32
 STALL_CHECK_S = 0.05
 LOGNORMAL_SIGMA = 0.5
@@ -53,7 +55,8 @@
     `slow_factor` multiplies service times for `slow_for_s` seconds, `stall` blocks
     every response while set, `lying_health` reports no load, `truncate_answers`
     closes the connection halfway through every body, `delay_ms` is added to each
-    service time.
+    service time. Every response names `rate_limit` unless it is None, and says that the
+    target leaves while `leaving` is set.
     """
 
     slow_factor: float = 1.0
@@ -62,6 +65,8 @@
     lying_health: bool = False
     truncate_answers: bool = False
     delay_ms: float = 0.0
+    rate_limit: float | None = None
+    leaving: bool = False
 
 
 class ServiceTimes:
@@ -226,6 +231,10 @@
         body = break_body(body, size // 2, stall_s, truncate)
         length = None if request.read_query("chunked") else size
         headers = {"Content-Type": kind, "X-Emulator-Request-Id": request_id}
+        if self._faults.rate_limit is not None:
+            headers[RATE_LIMIT_HEADER] = str(self._faults.rate_limit)
+        if self._faults.leaving:
+            headers[LEAVING_HEADER] = "1"
         return Answer(status, body, length, headers)
 
 
@@ -267,6 +276,7 @@
     distribution: Distribution = Distribution.CONSTANT,
     seed: int = 1,
     announced_address: str = "",
+    announced_id: str = "",
 ) -> None:
     """
     Run a target that announces itself to the local daemon.
@@ -280,13 +290,14 @@
     :param distribution: distribution of service times
     :param seed: seed of the random number generator
     :param announced_address: ip:port to announce instead of the listening address
+    :param announced_id: id of this start of the target to announce; empty for none
     """
     times = ServiceTimes(service_ms, distribution, seed)
     emulated = Target(service, slots, times, NestedCaller(daemon_outgoing))
     server = WebServer("target", host, port, slots + SPARE_THREADS)
     server.bind(emulated)
     address = announced_address or server.address
-    announcer = Announcer(daemon_outgoing, service, address)
+    announcer = Announcer(daemon_outgoing, service, address, announced_id)
     server.start()
     server.print_listening()
     announcer.start()
--- a/script/mixed_builds.py
+++ b/script/mixed_builds.py
@@ -3,6 +3,7 @@
 import json
 import subprocess
 import sys
+import time
 from collections.abc import Mapping, Sequence
 from functools import partial
 from pathlib import Path
@@ -42,6 +43,11 @@
 RATE = 20.0
 BURST = 20.0
 SNAPSHOT_RECORDS = 300  # a snapshot is appended after 256 records
+CATALOGUE = ("catalogue-a", "catalogue-b")
+LEAVING = "catalogue-b"
+TARGET_LIMIT = 10.0
+LIMIT_SETTLE_S = 1.0
+LIMIT_OFFERED_S = 4.0
 ANSWERS = ("archive", "counters")
 RATES_LENT = "0"  # stewards lend tokens to entries
 RATES_SLICED = "members"  # each entry has a slice by the number of members
@@ -83,8 +89,9 @@
 class BuildCheck:
     """Drive one fleet and remember which steps were not as expected."""
 
-    def __init__(self, fleet: MixedFleet) -> None:
+    def __init__(self, fleet: MixedFleet, new: Program) -> None:
         self._fleet = fleet
+        self._new = new
         self.unexpected: list[str] = []
 
     def check_all(self, phase: str) -> None:
@@ -98,6 +105,7 @@
         self._report(phase, "publication", self._publish_everywhere())
         self._report(phase, "keys", self._grant_and_withdraw())
         self._report(phase, "evacuation", self._evacuate())
+        self._report(phase, "limits", self._hold_limits())
         self._report(phase, "one_view", self._agree())
 
     def check_leave(self, phase: str) -> None:
@@ -113,6 +121,7 @@
             wait_until(partial(has_left, name), f"{name} sees that {leaver} left")
         self._fleet.wait_until_served(rest, RequestPlan(SEARCH, BROADCASTER_KEY))
         self._report(phase, "leave", code == 0)
+        self._report(phase, "leaving_target", self._leave_target(LEAVING, rest))
 
     def read_view(self, instance: str) -> dict[str, Any]:
         """Return the configuration's version and digest in force in one daemon."""
@@ -266,6 +275,60 @@
         wait_until(is_as_expected, f"{instance} knows the evacuation: {expected}")
         return True
 
+    def _hold_limits(self) -> bool:
+        """
+        Let both catalogue targets name a limit and send more from all entries.
+
+        Every entry must read the refusals of every owner as "not run", and owners of
+        the new build must keep the limit.
+        """
+        for name in CATALOGUE:
+            self._fleet.set_target_faults(name, {"rate_limit": TARGET_LIMIT})
+        self._offer(LIMIT_SETTLE_S)
+        started = time.monotonic()
+        sent = self._offer(LIMIT_OFFERED_S)
+        allowed = 1.5 * TARGET_LIMIT * (time.monotonic() - started) + 5
+        kept = all(
+            sum(name in self._fleet.find_targets(each) for each in sent) <= allowed
+            for name in CATALOGUE
+            if self._fleet.assignment[name] is self._new
+        )
+        for name in CATALOGUE:
+            self._fleet.set_target_faults(name, {"rate_limit": None})
+        plan = RequestPlan(SEARCH, BROADCASTER_KEY)
+        self._fleet.wait_until_served(INSTANCES, plan)
+        unread = [each for each in sent.values() if each.may_have_run]
+        return kept and not unread
+
+    def _offer(self, seconds: float) -> dict[str, Outcome]:
+        """Send requests from all entries in turn; return their outcomes by id."""
+        sent = {}
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            for name in INSTANCES:
+                plan = RequestPlan(SEARCH, BROADCASTER_KEY)
+                sent[plan.request_id] = self._fleet.send(name, plan)
+        return sent
+
+    def _leave_target(self, leaver: str, entries: Sequence[str]) -> bool:
+        """Let the last target of a service say that it leaves, beside a new daemon."""
+        self._fleet.set_target_faults(leaver, {"leaving": True})
+        plan = RequestPlan(SEARCH, BROADCASTER_KEY)
+        for entry in entries:
+            wait_until(
+                lambda at=entry: not self._fleet.send(at, plan).is_whole,  # type: ignore[misc]
+                f"{entry} gets no answer of a target that leaves",
+            )
+        late = [RequestPlan(SEARCH, BROADCASTER_KEY) for _ in entries]
+        outcomes = [
+            self._fleet.send(entry, plan)
+            for entry, plan in zip(entries, late, strict=True)
+        ]
+        runs = self._fleet.count_runs()
+        return not any(each.is_whole or each.may_have_run for each in outcomes) and (
+            all(runs[plan.request_id] == 0 for plan in late)
+        )
+
     def _agree(self) -> bool:
         views = [self.read_view(name) for name in INSTANCES]
         return all(view == views[0] for view in views)
@@ -344,11 +407,11 @@
 
 
 def check_fleet(
-    old: Program, new: Program, entry_slots: str, directory: Path
+    old: Program, new: Program, entry_slots: str, directory: Path, newest: Program
 ) -> list[str]:
     """Run one fleet through both builds; return the steps that were not as expected."""
     fleet = MixedFleet(directory, dict.fromkeys(INSTANCES, old), entry_slots)
-    check = BuildCheck(fleet)
+    check = BuildCheck(fleet, newest)
     mixed = dict(zip(INSTANCES, (old, new, new, old), strict=True))
     swapped = dict(zip(INSTANCES, (new, old, old, new), strict=True))
     try:
@@ -363,7 +426,7 @@
         ):
             fleet.restart(assignment)
             check.check_all(phase)
-        fleet.restart(mixed)
+        fleet.restart(mixed if newest is new else swapped)
         check.check_leave("mixed_again")
     finally:
         fleet.stop()
@@ -386,7 +449,7 @@
         ("new_to_old", new, old, RATES_SLICED),
     ):
         with TemporaryDirectory(prefix="corianderhold-") as name:
-            found = check_fleet(first, second, entry_slots, Path(name))
+            found = check_fleet(first, second, entry_slots, Path(name), new)
             unexpected += [f"{direction}/{each}" for each in found]
     print(format_event("builds_checked", {"unexpected": ",".join(unexpected)}))
     return 1 if unexpected else 0
--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -32,7 +32,7 @@
     Describe one daemon and, if it has a service, its local target.
 
     `relay_peer` and `relay_target` put a fault-injecting relay in front of its peer
-    listener and its target.
+    listener and its target. The target announces itself with `target_id` if it is set.
     """
 
     instance: str
@@ -45,6 +45,7 @@
     relay_target: bool = False
     log_level: str = "info"
     deregistration_delay_s: float = 0.2
+    target_id: str = ""
 
 
 @dataclass
@@ -172,6 +173,8 @@
         arguments = ["emulator", "target", "--service", plan.service]
         arguments += ["--daemon-outgoing", member.get_address("outgoing")]
         arguments += ["--slots", str(plan.slots), "--service-ms", str(plan.service_ms)]
+        if plan.target_id:
+            arguments += ["--announced-id", plan.target_id]
         if plan.relay_target:
             port = self._reserve_ports(1)[0]
             member.target_relay = Relay(f"{HOST}:{port}")
