Count only responses of the current start as heard

What was wrong: a late response of an earlier start of the target marked the new start as heard, so that calls could no longer tell a restarted owner what it said.

Test: test_response_of_an_earlier_start_does_not_keep_out_what_calls_tell failed before.

--- a/corianderhold/coordination/owner/notices.py
+++ b/corianderhold/coordination/owner/notices.py
@@ -31,9 +31,7 @@
     """
     Apply the notices of the local target, one start at a time.
 
-    A limit is set at the admission, and a target that leaves is drained.
-
-    A response raises or ends a limit only if its call was dispatched after the limit
+    A limit is set at the admission, and a target that leaves is drained. A response raises or ends a limit only if its call was dispatched after the limit
     had last been named: the target may have sent an earlier one before it named the
     limit. What an entry knows from an earlier start of this daemon counts until the
     first response. Any thread may call.
@@ -77,8 +75,7 @@
     ) -> None:
         """Apply the notice of a response to a call dispatched at `dispatched_at`."""
         notice = parse_notice(headers, self._names)
-        if notice == NO_NOTICE and self._notice == NO_NOTICE:
-            self._heard = True
+        if self._heard and notice == NO_NOTICE and self._notice == NO_NOTICE:
             return
         with self._lock:
             if identify_target(target) == self._target:
--- a/tests/coordination/owner/test_rate_limit.py
+++ b/tests/coordination/owner/test_rate_limit.py
@@ -11,7 +11,7 @@
     RATE_LIMIT_MIN,
     RATE_LIMIT_RETRY_SPREAD_S,
 )
-from corianderhold.coordination.owner.notices import TargetNotices
+from corianderhold.coordination.owner.notices import TargetNotices, describe_start
 from corianderhold.coordination.owner.owner import Owner
 from corianderhold.coordination.owner.rate_limit import TargetRateLimiter
 from corianderhold.protocol.headers import HeaderNames
@@ -165,6 +165,17 @@
         self.observe(None, self.clock.read_monotonic())
         self.assertEqual(self.rates, [20.0, None])
 
+    def test_response_of_an_earlier_start_does_not_keep_out_what_calls_tell(
+        self,
+    ) -> None:
+        earlier = self.target
+        self.target = replace(earlier, started=2)
+        self.notices.follow(self.target)
+        self.notices.observe(earlier, (), self.clock.read_monotonic())
+        notice = TargetNotice(rate_limit=20.0, target=describe_start(self.target))
+        self.notices.adopt(self.target, notice)
+        self.assertEqual(self.rates, [20.0])
+
     def test_response_of_an_earlier_start_is_ignored(self) -> None:
         earlier = self.target
         self.target = replace(earlier, started=2)
