--- a/corianderhold/coordination/owner/notices.py
+++ b/corianderhold/coordination/owner/notices.py
@@ -31,10 +31,11 @@
     """
     Apply the notices of the local target, one start at a time.
 
-    A limit is set at the admission, and a target that leaves is drained. A response raises or ends a limit only if its call was dispatched after the limit
-    had last been named: the target may have sent an earlier one before it named the
-    limit. What an entry knows from an earlier start of this daemon counts until the
-    first response. Any thread may call.
+    A limit is set at the admission, and a target that leaves is drained. A response
+    raises or ends a limit only if its call was dispatched after the limit had last been
+    named: the target may have sent an earlier one before it named the limit. What an
+    entry knows from an earlier start of this daemon counts until the first response.
+    Any thread may call.
     """
 
     def __init__(
--- a/script/mixed_builds.py
+++ b/script/mixed_builds.py
@@ -192,7 +192,7 @@
         def is_decided(entry: str) -> bool:
             nonlocal in_doubt
             outcome = self._send_keyed(entry, key)
-            in_doubt = not outcome.is_whole and outcome.may_have_run
+            in_doubt = is_in_doubt(outcome)
             return outcome.is_whole or in_doubt
 
         for entry in INSTANCES:
@@ -297,7 +297,7 @@
             self._fleet.set_target_faults(name, {"rate_limit": None})
         plan = RequestPlan(SEARCH, BROADCASTER_KEY)
         self._fleet.wait_until_served(INSTANCES, plan)
-        unread = [each for each in sent.values() if each.may_have_run]
+        unread = [each for each in sent.values() if is_in_doubt(each)]
         return kept and not unread
 
     def _offer(self, seconds: float) -> dict[str, Outcome]:
@@ -325,9 +325,8 @@
             for entry, plan in zip(entries, late, strict=True)
         ]
         runs = self._fleet.count_runs()
-        return not any(each.is_whole or each.may_have_run for each in outcomes) and (
-            all(runs[plan.request_id] == 0 for plan in late)
-        )
+        refused = not any(each.is_whole or each.may_have_run for each in outcomes)
+        return refused and all(runs[plan.request_id] == 0 for plan in late)
 
     def _agree(self) -> bool:
         views = [self.read_view(name) for name in INSTANCES]
@@ -365,6 +364,11 @@
         return reply
 
 
+def is_in_doubt(outcome: Outcome) -> bool:
+    """Return whether a request may have run although it got no whole response."""
+    return not outcome.is_whole and outcome.may_have_run
+
+
 def run_command(program: Program, arguments: Sequence[str], cwd: Path) -> str:
     """Return the output and exit code of a command of one build."""
     done = subprocess.run(
