Pass far owners at their limits by while others have room

Cause: a target at its limit has few calls in flight, so that it looks least loaded to an entry of another region, whose call pays for the way and is refused; three in a row before one with room.

Change: owners beyond the entry's domain that lately reported a limit are chosen only when all others are full. Their own neighbours use up the limit. After 2 s without a report a call finds out whether it has ended.

Test: test_call_above_a_near_limit_goes_past_far_owners_at_their_limits failed before.

--- a/corianderhold/coordination/entry/const.py
+++ b/corianderhold/coordination/entry/const.py
@@ -8,6 +8,7 @@
 RETRY_AFTER_MIN_MS = 50
 LOAD_REPORT_LIFETIME_S = 1.0  # older reports don't reflect the current load
 NOTICE_LIFETIME_S = 60.0  # a target that leaves has ended by then
+LIMIT_REPORT_LIFETIME_S = 2.0  # then a call finds out whether the limit has ended
 PUSH_BACK_LIFETIME_S = 0.1  # a full queue may have drained after this time
 PUSH_BACK_PROBE_RATIO = 0.05  # calls sent as probes, to detect recovered owners
 EJECTION_FAILURES = 3
--- a/corianderhold/coordination/entry/load_balancer.py
+++ b/corianderhold/coordination/entry/load_balancer.py
@@ -13,6 +13,7 @@
     EJECTION_FAILURES,
     EJECTION_TIME_MAX_S,
     EJECTION_TIME_S,
+    LIMIT_REPORT_LIFETIME_S,
     LOAD_REPORT_LIFETIME_S,
     OWNER_LIMIT_DEFAULT,
     PUSH_BACK_LIFETIME_S,
@@ -33,6 +34,7 @@
     Distance.REGION: 0.3,
     Distance.ELSEWHERE: 1.0,
 }
+NEAR = frozenset({Distance.SELF, Distance.DOMAIN})
 
 
 class AttemptOutcome(Enum):
@@ -167,7 +169,7 @@
                 if not warm or self._random.random() >= PUSH_BACK_PROBE_RATIO:
                     return self._push_back(usable, warm)
                 accepting = warm
-            return self._choose_least_loaded(accepting, now)
+            return self._choose_with_room(accepting, now)
 
     def record_start(self, instance: InstanceId) -> None:
         """Record the start of an attempt."""
@@ -195,16 +197,18 @@
     def _push_back(self, usable: list[Member], warm: list[Member]) -> Choice:
         """Choose no owner; calls above the limits of targets return spread out."""
         wait_s = 0.0 if warm else self._find_retry_wait(usable)
-        limited = any(self._is_limited(member) for member in usable)
+        now = self._clock.read_monotonic()
+        limited = any(self._is_limited(member, now) for member in usable)
         if limited:
             wait_s += self._random.uniform(0, RATE_LIMIT_RETRY_SPREAD_S)
         return Choice(None, (), pushed_back=True, wait_s=wait_s, limited=limited)
 
-    def _is_limited(self, member: Member) -> bool:
-        """Return whether an owner's target has named a limit on calls per second."""
-        load = self._read_status(member.instance).load
-        notice = load.notice if load is not None else None
-        return notice is not None and notice.rate_limit is not None
+    def _is_limited(self, member: Member, now: float) -> bool:
+        """Return whether an owner lately reported that its target names a limit."""
+        status = self._read_status(member.instance)
+        notice = status.load.notice if status.load is not None else None
+        is_recent = now - status.reported_at <= LIMIT_REPORT_LIFETIME_S
+        return is_recent and notice is not None and notice.rate_limit is not None
 
     def _find_retry_wait(self, members: list[Member]) -> float:
         """
@@ -229,6 +233,25 @@
         sheds = is_recent and importance < status.load.shed_below
         return status.load.draining or sheds
 
+    def _choose_with_room(self, members: list[Member], now: float) -> Choice:
+        """
+        Choose the least loaded owner, farther ones at their limits only if need be.
+
+        The entries near such an owner use up its limit, so that a call from farther
+        away would pay for the way and be refused.
+        """
+        preferred = [
+            member
+            for member in members
+            if self._locality.measure_distance(member) in NEAR
+            or not self._is_limited(member, now)
+        ]
+        choice = self._choose_least_loaded(preferred or members, now)
+        has_room = any(c.score < SPILLOVER_UTILIZATION for c in choice.candidates)
+        if has_room or len(preferred) in (0, len(members)):
+            return choice
+        return self._choose_least_loaded(members, now)
+
     def _choose_least_loaded(self, members: list[Member], now: float) -> Choice:
         """Choose the least loaded of a few near owners, or of farther ones if full."""
         scored: list[Candidate] = []
--- a/tests/coordination/entry/test_load_balancer.py
+++ b/tests/coordination/entry/test_load_balancer.py
@@ -5,6 +5,7 @@
 or keeps sending them to owners that fail.
 """
 
+from dataclasses import replace
 from random import Random
 from unittest import TestCase
 
@@ -12,6 +13,7 @@
 from corianderhold.coordination.entry.const import (
     EJECTION_FAILURES,
     EJECTION_TIME_S,
+    LIMIT_REPORT_LIFETIME_S,
     PUSH_BACK_LIFETIME_S,
 )
 from corianderhold.coordination.entry.load_balancer import (
@@ -19,7 +21,7 @@
     LocalityLoadBalancer,
 )
 from corianderhold.ids import FailureDomainId, InstanceId, RegionId
-from corianderhold.protocol.peer.messages import LoadReport
+from corianderhold.protocol.peer.messages import LoadReport, TargetNotice
 from corianderhold.state.membership.locality import Locality
 from tests.common.calls import make_member
 from tests.common.clock import FakeClock
@@ -29,6 +31,7 @@
 REGION = make_member("region", domain="west-b")
 FAR = make_member("far", domain="east-a", region="east")
 ANY = Eligibility()
+LIMITED = LoadReport(1, 10, notice=TargetNotice(rate_limit=20.0))
 
 
 class LocalityChooserTests(TestCase):
@@ -54,6 +57,23 @@
         chosen = {self.choose(NEAR, REGION, FAR) for _ in range(50)}
         self.assertEqual(chosen, {"near"})
 
+    def test_call_above_a_near_limit_goes_past_far_owners_at_their_limits(self) -> None:
+        region = make_member("region2", domain="west-b")
+        self.end("near", AttemptOutcome.REFUSED, replace(LIMITED, cold_wait_ms=50))
+        self.end("region", AttemptOutcome.REFUSED, LIMITED)
+        self.end("region2", AttemptOutcome.ANSWERED, LoadReport(4, 10))
+        for _ in range(50):
+            self.assertEqual(self.choose(NEAR, REGION, region), "region2")
+        self.assertEqual(self.choose(NEAR, REGION), "region")
+        self.clock.advance(LIMIT_REPORT_LIFETIME_S + 0.1)
+        chosen = {self.choose(REGION, region) for _ in range(50)}
+        self.assertEqual(chosen, {"region", "region2"})
+
+    def test_far_owner_at_its_limit_is_used_when_the_others_are_full(self) -> None:
+        self.end("region", AttemptOutcome.ANSWERED, LoadReport(10, 10, 5))
+        self.end("far", AttemptOutcome.ANSWERED, LIMITED)
+        self.assertEqual(self.choose(REGION, FAR), "far")
+
     def test_busy_near_owner_loses_to_a_farther_one(self) -> None:
         self.end("near", AttemptOutcome.ANSWERED, LoadReport(10, 10, 5))
         self.assertEqual(self.choose(NEAR, REGION), "region")
