Log the era of the store, and count it in the metrics

Each page of the log now carries the era that its response states, MonitoredLog writes store_era_changed with the position before and the end after, and the gauge store_era has the newest era. A read beyond the end of the own store's stream (410) returns an empty page with that end. Nothing acts on the era yet.

--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -116,6 +116,7 @@
             self._clock,
             lambda: self._clock.read_monotonic() - self._holder.verified_at,
         )
+        self._metrics.add_gauge("store_era", self._log.read_era)
         self._membership = self._build_membership()
         self._follower = self._build_follower()
         self._sender = PeerSender(self._pool, self._clock)
--- a/corianderhold/ids.py
+++ b/corianderhold/ids.py
@@ -15,3 +15,7 @@
 Incarnation = NewType("Incarnation", int)
 Version = NewType("Version", int)
 Offset = NewType("Offset", int)
+StoreEra = NewType("StoreEra", int)
+
+UNKNOWN_ERA = StoreEra(0)
+FIRST_ERA = StoreEra(1)
--- a/corianderhold/protocol/store/model.py
+++ b/corianderhold/protocol/store/model.py
@@ -6,7 +6,7 @@
 
 from result import Result
 
-from corianderhold.ids import Offset
+from corianderhold.ids import UNKNOWN_ERA, Offset, StoreEra
 
 
 class StreamName(Enum):
@@ -45,12 +45,15 @@
     Records of a stream in ascending order.
 
     `first_offset` is the oldest offset that the log retains, and `next_offset` the
-    offset of the next record to be appended.
+    offset of the next record to be appended. `era` counts how often the store has been
+    restored from an older copy, from FIRST_ERA on; offsets of different eras are not
+    comparable. It is UNKNOWN_ERA if the store does not state it.
     """
 
     first_offset: Offset
     next_offset: Offset
     records: tuple[LogRecord, ...]
+    era: StoreEra = UNKNOWN_ERA
 
 
 class AppendOnlyLog(Protocol):
--- a/corianderhold/transport/store/client.py
+++ b/corianderhold/transport/store/client.py
@@ -13,12 +13,18 @@
     ReadFailure,
     StreamName,
 )
+from corianderhold.transport.store.const import ERA_HEADER
 from corianderhold.transport.store.http import HttpResponse, HttpStore
-from corianderhold.transport.store.schema import parse_append_response, parse_page
+from corianderhold.transport.store.schema import (
+    parse_append_response,
+    parse_end,
+    parse_page,
+)
 
 CREATED = 201
 OK = 200
 REQUEST_TIMEOUT = 408
+GONE = 410
 NOT_APPENDED_STATUSES = range(300, 500)
 
 
@@ -33,7 +39,7 @@
     read_only: frozenset[StreamName] = frozenset()
 
     def __init__(self, base_url: str, clock: Clock) -> None:
-        self._store = HttpStore(base_url, clock)
+        self._store = HttpStore(base_url, clock, ERA_HEADER)
 
     def append(
         self, stream: StreamName, data: str, timeout_s: float, key: str = ""
@@ -57,7 +63,11 @@
         timeout_s: float,
         wait_s: float = 0.0,
     ) -> Result[LogPage, ReadFailure]:
-        """Return records; a read that waits for new ones is sent once."""
+        """
+        Return records; a read that waits for new ones is sent once.
+
+        A read from beyond the end of the stream returns no records at once.
+        """
         path = f"/v1/streams/{stream.value}/records?from={from_offset}&limit={limit}"
         try:
             if wait_s > 0:
@@ -68,10 +78,12 @@
         except HTTPError as error:
             self._store.replace_connections(error)
             return Err(ReadFailure.UNAVAILABLE)
-        if response.status != OK:
+        if response.status not in (OK, GONE):
             return Err(ReadFailure.UNAVAILABLE)
         try:
-            return Ok(parse_page(response.body, from_offset))
+            if response.status == GONE:
+                return Ok(parse_end(response.body, response.era))
+            return Ok(parse_page(response.body, from_offset, response.era))
         except Invalid as error:
             log_warning("log_page_malformed", stream=stream, error=str(error))
             return Err(ReadFailure.MALFORMED)
--- a/corianderhold/transport/store/const.py
+++ b/corianderhold/transport/store/const.py
@@ -1,5 +1,6 @@
 """Define time-outs and limits of requests to the platform's log."""
 
+ERA_HEADER = "X-Store-Era"
 CONNECTION_IDLE_LIMIT_S = 20.0
 POOLED_CONNECTIONS_MAX = 4
 CONNECT_TIMEOUT_S = 1.0
--- a/corianderhold/transport/store/http.py
+++ b/corianderhold/transport/store/http.py
@@ -1,5 +1,6 @@
 """Send requests to the platform's store over pooled HTTP connections."""
 
+import re
 import threading
 from dataclasses import dataclass
 
@@ -13,6 +14,7 @@
 )
 
 from corianderhold.clock import Clock
+from corianderhold.ids import UNKNOWN_ERA, StoreEra
 from corianderhold.log import log_warning
 from corianderhold.transport.store.const import (
     CONNECT_TIMEOUT_S,
@@ -24,6 +26,7 @@
 )
 
 CONTENT_TYPE = "text/plain; charset=utf-8"
+ERA = re.compile(r"[0-9]{1,15}")
 
 
 class AnswerTooLongError(HTTPError):
@@ -32,17 +35,23 @@
 
 @dataclass(frozen=True)
 class HttpResponse:
-    """Status and complete body of a response."""
+    """Status, complete body and the store's era of a response."""
 
     status: int
     body: bytes
+    era: StoreEra = UNKNOWN_ERA
 
 
 class HttpStore:
-    """Send requests on pooled connections; replace all once one goes silent."""
+    """
+    Send requests on pooled connections; replace all once one goes silent.
 
-    def __init__(self, base_url: str, clock: Clock) -> None:
+    `era_header` is the response header in which the store states its era.
+    """
+
+    def __init__(self, base_url: str, clock: Clock, era_header: str) -> None:
         self._base_url = base_url
+        self._era_header = era_header
         self._clock = clock
         self._lock = threading.Lock()
         self._pool = self._open_pool()
@@ -99,7 +108,8 @@
             response.close()
             raise
         response.release_conn()
-        return HttpResponse(response.status, b"".join(chunks))
+        era = parse_era(response.headers.get(self._era_header))
+        return HttpResponse(response.status, b"".join(chunks), era)
 
     def _get_pool(self) -> HTTPConnectionPool:
         """Return the pool, a new one if its connections were idle for too long."""
@@ -122,3 +132,10 @@
 
     def _open_pool(self) -> HTTPConnectionPool:
         return connection_from_url(self._base_url, maxsize=POOLED_CONNECTIONS_MAX)
+
+
+def parse_era(text: str | None) -> StoreEra:
+    """Return the era in a response header, UNKNOWN_ERA if it is not a whole number."""
+    if text is None or ERA.fullmatch(text) is None:
+        return UNKNOWN_ERA
+    return StoreEra(int(text))
--- a/corianderhold/transport/store/monitored.py
+++ b/corianderhold/transport/store/monitored.py
@@ -3,10 +3,10 @@
 import threading
 from collections.abc import Callable
 
-from result import Result
+from result import Ok, Result
 
 from corianderhold.clock import Clock
-from corianderhold.ids import Offset
+from corianderhold.ids import UNKNOWN_ERA, Offset, StoreEra
 from corianderhold.log import log_event, log_warning
 from corianderhold.protocol.store.model import (
     AppendFailure,
@@ -22,7 +22,7 @@
 
 class MonitoredLog:
     """
-    Forward calls to a log; emit one log line when it is lost and one when regained.
+    Forward calls to a log; log when it is lost, regained, or restored from a copy.
 
     `read_age_s` returns the age of the current configuration view in seconds.
     """
@@ -36,6 +36,7 @@
         self._lock = threading.Lock()
         self._failures = 0
         self._failing_since = 0.0
+        self._era = UNKNOWN_ERA
 
     @property
     def read_only(self) -> frozenset[StreamName]:
@@ -61,8 +62,30 @@
         """Return up to `limit` records, starting at `from_offset` or the oldest."""
         outcome = self._log.read(stream, from_offset, limit, timeout_s, wait_s)
         self._record_outcome(succeeded=outcome.is_ok())
+        if isinstance(outcome, Ok):
+            self._record_era(stream, from_offset, outcome.ok_value)
         return outcome
 
+    def read_era(self) -> StoreEra:
+        """Return the newest era that the store has stated."""
+        return self._era
+
+    def _record_era(
+        self, stream: StreamName, from_offset: Offset, page: LogPage
+    ) -> None:
+        with self._lock:
+            before = self._era
+            self._era = max(before, page.era)
+        if page.era != before:
+            log_event(
+                "store_era_changed",
+                era=page.era,
+                before=before,
+                stream=stream,
+                from_offset=from_offset,
+                next_offset=page.next_offset,
+            )
+
     def _record_outcome(self, succeeded: bool) -> None:
         now = self._clock.read_monotonic()
         with self._lock:
--- a/corianderhold/transport/store/schema.py
+++ b/corianderhold/transport/store/schema.py
@@ -5,7 +5,7 @@
 
 from voluptuous import All, Invalid, Length, Range, Schema
 
-from corianderhold.ids import Offset
+from corianderhold.ids import UNKNOWN_ERA, Offset, StoreEra
 from corianderhold.protocol.store.model import LogPage, LogRecord
 
 
@@ -25,6 +25,8 @@
     extra=True,
 )
 
+END = Schema({"first": OFFSET, "next": OFFSET}, required=True, extra=True)
+
 
 def parse_json(body: bytes) -> Any:  # noqa: ANN401
     """Return the JSON value in a body; raise Invalid if it is not JSON."""
@@ -39,7 +41,9 @@
     return Offset(APPEND_RESPONSE(parse_json(body))["offset"])
 
 
-def parse_page(body: bytes, from_offset: Offset) -> LogPage:
+def parse_page(
+    body: bytes, from_offset: Offset, era: StoreEra = UNKNOWN_ERA
+) -> LogPage:
     """Return the page in the response to a read; raise Invalid."""
     page = PAGE(parse_json(body))
     records = tuple(
@@ -47,7 +51,13 @@
         for record in page["records"]
     )
     check_order(records, max(from_offset, page["first"]), page["next"])
-    return LogPage(Offset(page["first"]), Offset(page["next"]), records)
+    return LogPage(Offset(page["first"]), Offset(page["next"]), records, era)
+
+
+def parse_end(body: bytes, era: StoreEra) -> LogPage:
+    """Return an empty page from the response to a read beyond the end."""
+    end = END(parse_json(body))
+    return LogPage(Offset(end["first"]), Offset(end["next"]), (), era)
 
 
 def check_order(records: tuple[LogRecord, ...], lowest: int, end: int) -> None:
--- a/tests/common/log.py
+++ b/tests/common/log.py
@@ -4,7 +4,7 @@
 
 from result import Err, Ok, Result
 
-from corianderhold.ids import Offset
+from corianderhold.ids import FIRST_ERA, Offset, StoreEra
 from corianderhold.protocol.store.model import (
     AppendFailure,
     LogPage,
@@ -25,6 +25,7 @@
         self._records: dict[StreamName, list[LogRecord]] = {}
         self._next: dict[StreamName, int] = {}
         self.reads = 0
+        self.era = FIRST_ERA
 
     def append(
         self, stream: StreamName, data: str, timeout_s: float, key: str = ""
@@ -57,13 +58,22 @@
             next_offset = Offset(self._next.get(stream, 0))
             first = records[0].offset if records else next_offset
             page = [record for record in records if record.offset >= from_offset]
-            return Ok(LogPage(first, next_offset, tuple(page[:limit])))
+            return Ok(LogPage(first, next_offset, tuple(page[:limit]), self.era))
 
     def find_end(self, stream: StreamName) -> Offset:
         """Return the offset of the next record, even while the log is down."""
         with self._lock:
             return Offset(self._next.get(stream, 0))
 
+    def restore(self, ends: dict[StreamName, int]) -> None:
+        """Cut streams off at earlier ends, as a copy has them, and begin an era."""
+        with self._lock:
+            for stream, end in ends.items():
+                kept = [r for r in self._records.get(stream, []) if r.offset < end]
+                self._records[stream] = kept
+                self._next[stream] = end
+            self.era = StoreEra(self.era + 1)
+
     def restart_offsets(self, stream: StreamName, data: str) -> None:
         """Replace a stream by one record at offset 0."""
         with self._lock:
