Let the emulated store come back from an older copy

POST /v1/faults with restore_age_s loses what was appended in the last so many seconds, assigns those offsets again and raises the era, which is a header of every response; a read beyond the end is answered with 410. The platform's store of the tests can do the same, and refuses negative offsets as the users' store does.

--- a/emulator/web.py
+++ b/emulator/web.py
@@ -30,6 +30,7 @@
     204: "204 No Content",
     400: "400 Bad Request",
     404: "404 Not Found",
+    410: "410 Gone",
     500: "500 Internal Server Error",
     502: "502 Bad Gateway",
     503: "503 Service Unavailable",
--- a/tests/emulator/test_store.py
+++ b/tests/emulator/test_store.py
@@ -1,6 +1,7 @@
 """Test the emulated log service and its faults."""
 
 import json
+import time
 from queue import Empty, SimpleQueue
 from threading import Thread
 from unittest import TestCase
@@ -60,6 +61,55 @@
         self.assertEqual(answers.get(timeout=4), (0, 1, ["one"]))
         self.assertEqual(self._read(1, 50), (0, 1, []))
 
+    def test_restore_loses_the_newest_records_and_assigns_their_offsets_again(
+        self,
+    ) -> None:
+        self._append("one")
+        time.sleep(0.3)
+        self._append("two")
+        self._set_faults({"restore_age_s": 0.2})
+        self.assertEqual(self._read(0), (0, 1, ["one"]))
+        self.assertEqual(self._append("three"), 1)
+        self.assertEqual(self._read(0), (0, 2, ["one", "three"]))
+
+    def test_restore_raises_the_era_in_all_responses(self) -> None:
+        self.assertEqual(self._read_era("GET", RECORDS), "1")
+        self._set_faults({"restore_age_s": 0.0})
+        self._set_faults({"restore_age_s": 0.0})
+        for method, path in (
+            ("GET", RECORDS),
+            ("POST", RECORDS),
+            ("GET", "/v1/counts"),
+            ("GET", "/elsewhere"),
+            ("GET", f"{RECORDS}?from=5"),
+        ):
+            self.assertEqual(self._read_era(method, path), "3")
+
+    def test_read_beyond_the_end_is_gone(self) -> None:
+        self._append("one")
+        response = self._pool.request("GET", f"{self._base}{RECORDS}?from=2")
+        self.assertEqual(response.status, 410)
+        self.assertEqual(response.json(), {"first": 0, "next": 1})
+
+    def test_restore_interrupts_reads_that_wait(self) -> None:
+        failures: SimpleQueue[Exception] = SimpleQueue()
+
+        def read() -> None:
+            try:
+                self._read(0, 5_000)
+            except urllib3.exceptions.ProtocolError as error:
+                failures.put(error)
+
+        Thread(target=read, daemon=True).start()
+        with self.assertRaises(Empty):
+            failures.get(timeout=0.2)
+        self._set_faults({"restore_age_s": 0.0})
+        failures.get(timeout=4)
+
+    def _read_era(self, method: str, path: str) -> str:
+        response = self._pool.request(method, f"{self._base}{path}", body="x")
+        return str(response.headers["X-Store-Era"])
+
     def _append(self, text: str) -> int:
         response = self._pool.request("POST", self._base + RECORDS, body=text)
         return int(response.json()["offset"])
--- a/tests/platform/store.py
+++ b/tests/platform/store.py
@@ -21,6 +21,7 @@
         self.topics: dict[str, list[tuple[str, bytes]]] = {}
         self.first: dict[str, int] = {}
         self.refuse = False
+        self.era = 1
         self._stopped = False
         self._changed = threading.Condition()
         self._server = WebServer("store", address, self, THREADS)
@@ -48,6 +49,14 @@
         """Delete the history of a topic; its newest records remain."""
         self.first[topic] = len(self.topics.get(topic, []))
 
+    def restore(self, ends: dict[str, int]) -> None:
+        """Cut topics off at earlier ends, as a copy of the store has them."""
+        with self._changed:
+            for topic, end in ends.items():
+                del self.topics.get(topic, [])[end:]
+            self.era += 1
+            self._changed.notify_all()
+
     def __call__(
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
@@ -59,7 +68,8 @@
             content = environ["wsgi.input"].read()
             status, body = getattr(self, f"_{verb}")(query, content)
         text = f"{status.value} {status.phrase}"
-        start_response(text, [("Content-Length", str(len(body)))])
+        headers = [("Content-Length", str(len(body))), ("Store-Era", str(self.era))]
+        start_response(text, headers)
         return [body]
 
     def _append(
@@ -73,7 +83,9 @@
     def _read(self, query: dict[str, str], content: bytes) -> tuple[HTTPStatus, bytes]:
         topic, start = query["topic"], int(query["from"])
         first = self.first.get(topic, 0)
-        if start < first:
+        if start < 0:
+            return HTTPStatus.BAD_REQUEST, b""
+        if start < first or start > len(self.topics.get(topic, [])):
             return HTTPStatus.GONE, json.dumps({"first": first}).encode()
         wait_s = int(query.get("wait_ms", 0)) / 1000
         with self._changed:
