Follow the configuration when the store is restored from an older copy

Cause: a position in a stream was taken to be valid for ever. After the restore it pointed past the end (410, then a read from -1 that is refused), later past records that had been assigned the same offsets again.

A lost evacuation stays until a new record ends it. Older builds skip the new field; without it a head counts as of the first era.

--- a/corianderhold/coordination/configuration/const.py
+++ b/corianderhold/coordination/configuration/const.py
@@ -61,6 +61,9 @@
 SNAPSHOT_RANK_DELAY_S = 30.0
 SNAPSHOT_VIEW_AGE_LIMIT_S = 30.0
 SNAPSHOT_RETRY_S = 120.0
+RESTORED_RANK_DELAY_S = 0.5  # of the snapshot that repairs a restored log
+RESTORED_RETRY_S = 2.0
+RESTORED_SETTLE_S = 3.0  # until the daemons have repaired a restored log
 LOG_APPEND_TIMEOUT_S = 5.0
 
 PUBLISH_RETRY_PAUSE_S = 0.25
--- a/corianderhold/coordination/configuration/evacuator.py
+++ b/corianderhold/coordination/configuration/evacuator.py
@@ -71,6 +71,9 @@
         if StreamName.CONFIGURATION in self._log.read_only:
             return EvacuationOutcome.REFUSED
         deadline = self._clock.read_monotonic() + timeout_s
+        if not self._follower.await_repaired_log(deadline, self._sleep):
+            return EvacuationOutcome.REFUSED
+        era = self._follower.replica.head.era
         appended = self._log.append(
             StreamName.CONFIGURATION,
             encode_evacuation(evacuation),
@@ -85,6 +88,8 @@
                 return EvacuationOutcome.UNKNOWN
             self._follower.read_log()
             self._sleep(PUBLISH_RETRY_PAUSE_S)
+        if self._follower.replica.head.era != era:
+            return EvacuationOutcome.UNKNOWN
         return EvacuationOutcome.IN_FORCE
 
 
--- a/corianderhold/coordination/configuration/exchanger.py
+++ b/corianderhold/coordination/configuration/exchanger.py
@@ -23,7 +23,7 @@
     decompress_snapshot,
 )
 from corianderhold.coordination.configuration.snapshots import SnapshotWriter
-from corianderhold.ids import InstanceId, Offset
+from corianderhold.ids import InstanceId, Offset, StoreEra
 from corianderhold.log import log_warning
 from corianderhold.metrics import Metrics
 from corianderhold.protocol.configuration.codec import (
@@ -102,7 +102,7 @@
         if exchange.snapshot is not None:
             part = self._snapshot_cache.read_part(exchange.snapshot)
             return encode_reply(ExchangeReply(self._replica.head, part=part))
-        self._replica.apply_records(exchange.records)
+        self._replica.apply_records(exchange.records, exchange.head.era)
         if exchange.head.is_ahead_of(self._replica.head):
             self._on_peer_ahead(sender.instance)
         return encode_reply(self._build_reply(exchange.head))
@@ -127,7 +127,7 @@
                 records = ()
                 continue
             self._adopt_verification(member, sent_at, reply)
-            if not mine.is_ahead_of(reply.head):
+            if not mine.is_ahead_of(reply.head) or mine.era != reply.head.era:
                 return True
             records = self._slice_tail(reply.head.next_offset)
             if not records:
@@ -153,7 +153,7 @@
         age_ms = self._read_verified_age_ms()
         mine = self._replica.head
         records: tuple[LogRecord, ...] = ()
-        if mine.is_ahead_of(theirs):
+        if mine.is_ahead_of(theirs) and mine.era == theirs.era:
             records = self._slice_tail(theirs.next_offset)
         return ExchangeReply(
             mine,
@@ -174,14 +174,17 @@
     def _apply_reply(self, member: Member, reply: ExchangeReply) -> bool:
         """Apply the peer's reply; return whether the local state advanced."""
         self._record_peer_head(member.instance, reply.head)
-        if reply.mark is not None:
+        if self._replica.adopt_position(reply.head):
+            self._snapshot_writer.begin_era()
+            return True
+        if reply.mark is not None and reply.head.era == self._replica.head.era:
             self._snapshot_writer.merge_mark(reply.mark)
         if reply.snapshot_needed:
             with self._fetch_lock:
                 if not reply.head.is_ahead_of(self._replica.head):
                     return True  # another thread has fetched it
                 return self._fetch_snapshot(member)
-        return self._replica.apply_records(reply.records)
+        return self._replica.apply_records(reply.records, reply.head.era)
 
     def _adopt_verification(
         self, member: Member, sent_at: float, reply: ExchangeReply
@@ -193,6 +196,8 @@
         it is.
         """
         mine = self._replica.head
+        if mine.era != reply.head.era:
+            return
         if mine.next_offset == reply.head.next_offset and mine != reply.head:
             self._metrics.increment("configuration_diverged")
             log_warning(
@@ -216,20 +221,20 @@
         while part is not None and part.from_byte == len(data):
             data += part.data
             if len(data) >= part.total_bytes or not part.data:
-                return self._install_compressed(data)
+                return self._install_compressed(data, part.era)
             if part.total_bytes > SNAPSHOT_BYTES_MAX:
                 return False
             part = self._request_part(member, SnapshotQuery(part.folded_to, len(data)))
         return False
 
-    def _install_compressed(self, data: bytes) -> bool:
+    def _install_compressed(self, data: bytes, era: StoreEra) -> bool:
         text = decompress_snapshot(data)
         snapshot = None if isinstance(text, Err) else decode_snapshot(text.ok_value)
         if snapshot is None:
             log_warning("snapshot_corrupt", bytes=len(data))
             return False
         self._metrics.increment("configuration_snapshots_from_peers")
-        return self._replica.install_snapshot(snapshot)
+        return self._replica.install_snapshot(snapshot, era)
 
     def _request_part(
         self, member: Member, query: SnapshotQuery
--- a/corianderhold/coordination/configuration/follower.py
+++ b/corianderhold/coordination/configuration/follower.py
@@ -26,8 +26,10 @@
     POLL_WAIT_MAX_S,
     POLL_WAIT_MIN_S,
     POLL_WAIT_SHARE,
+    PUBLISH_RETRY_PAUSE_S,
     PUSH_DELAY_S,
     PUSH_THREADS,
+    RESTORED_SETTLE_S,
     STARTUP_VIEW_AGE_LIMIT_S,
 )
 from corianderhold.coordination.configuration.exchanger import Exchanger, PeerHead
@@ -35,7 +37,7 @@
 from corianderhold.coordination.configuration.reader import LogReader, ReadOutcome
 from corianderhold.coordination.configuration.replica import Replica
 from corianderhold.coordination.configuration.snapshots import SnapshotWriter
-from corianderhold.ids import FailureDomainId, InstanceId
+from corianderhold.ids import FIRST_ERA, FailureDomainId, InstanceId, StoreEra
 from corianderhold.log import log_event, log_warning
 from corianderhold.metrics import Metrics
 from corianderhold.protocol.configuration.messages import Head
@@ -94,6 +96,8 @@
             self.replica, self.snapshot_writer, log, holder, clock, metrics
         )
         self._reader_lock = threading.Lock()
+        self._era_seen_at = clock.read_monotonic()
+        self.replica.add_era_listener(self._record_era)
         self._poll_backoff_s = POLL_INTERVAL_S
         self._poll_failures = 0
         self._defers_first_poll = True
@@ -147,6 +151,31 @@
         with self._reader_lock:
             return self._reader.catch_up()
 
+    def await_repaired_log(
+        self, deadline: float, sleep: Callable[[float], None]
+    ) -> bool:
+        """
+        Wait until the log has what it lost in a restore; return False at the deadline.
+
+        A record that is appended earlier may build on an outdated version.
+        """
+        while not self._is_log_repaired():
+            if self._clock.read_monotonic() >= deadline:
+                return False
+            self.snapshot_writer.append_if_due()
+            sleep(PUBLISH_RETRY_PAUSE_S)
+            self.read_log()
+        return True
+
+    def _is_log_repaired(self) -> bool:
+        if self.replica.head.era == FIRST_ERA:
+            return True
+        seen_s = self._clock.read_monotonic() - self._era_seen_at
+        return seen_s >= RESTORED_SETTLE_S and not self.replica.is_ahead_of_log
+
+    def _record_era(self, era: StoreEra) -> None:
+        self._era_seen_at = self._clock.read_monotonic()
+
     def poll_once(self) -> float:
         """Read the log if this daemon should; return the seconds to wait."""
         began_at = self._clock.read_monotonic()
--- a/corianderhold/coordination/configuration/publisher.py
+++ b/corianderhold/coordination/configuration/publisher.py
@@ -109,6 +109,12 @@
         published = self._refuse_read_only(change)
         if published is None:
             self._follower.read_log()
+            published = self._check(change)
+        if published is None and not self._follower.await_repaired_log(
+            deadline, self._sleep
+        ):
+            published = self._build_unconfirmed(change, in_doubt=False)
+        if published is None:
             published = self._check(change) or self._append(change, deadline)
         self._remember_refusal(published)
         log_event(
--- a/corianderhold/coordination/configuration/reader.py
+++ b/corianderhold/coordination/configuration/reader.py
@@ -1,6 +1,5 @@
 """Read the configuration stream from the log and apply it to the replica."""
 
-from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -15,15 +14,16 @@
     LOG_READ_TIMEOUT_S,
 )
 from corianderhold.coordination.configuration.replica import Replica, decode_snapshot
+from corianderhold.coordination.configuration.restored import (
+    RestoredFold,
+    RestoredStream,
+)
 from corianderhold.coordination.configuration.snapshots import SnapshotWriter
-from corianderhold.ids import Offset
+from corianderhold.ids import Offset, StoreEra
 from corianderhold.log import log_event, log_warning
 from corianderhold.metrics import Metrics
 from corianderhold.protocol.store.model import AppendOnlyLog, LogPage, StreamName
 from corianderhold.state.configuration.holder import ConfigurationHolder
-from corianderhold.state.configuration.records import SnapshotRecord
-
-InstallSnapshot = Callable[[SnapshotRecord], bool]
 
 
 class ReadOutcome(Enum):
@@ -100,25 +100,21 @@
                 fetched.page,
             )
             empty_until, fetched = fetched.empty_until, None
+            if page.era < self._replica.state.era:
+                return ReadOutcome.UNAVAILABLE  # answered before the restore
+            if self._is_restored(page, next_offset):
+                return self._follow_restored(page.era)
             self._snapshot_writer.record_first_offset(page.first_offset)
-            if next_offset > page.next_offset:
-                log_warning("log_shorter_than_state", next_offset=page.next_offset)
-                if not has_searched and self._install_newest(
-                    page, self._install_or_rebase
-                ):
-                    has_searched = True
-                    continue
-                return ReadOutcome.UNRECOVERABLE
             if not has_searched and self._needs_snapshot(page, next_offset):
                 has_searched = True
-                if self._install_newest(page, self._replica.install_snapshot):
+                if self._install_newest(page):
                     continue
             if page.first_offset > next_offset:
                 log_warning("configuration_gap", first_offset=page.first_offset)
                 return ReadOutcome.UNRECOVERABLE
             if empty_until is not None:
                 self._holder.mark_verified(empty_until)
-            self._replica.apply_records(page.records)
+            self._replica.apply_records(page.records, page.era)
             if self._replica.head.next_offset >= page.next_offset:
                 self._holder.mark_verified(requested_at)
                 return ReadOutcome.COMPLETE
@@ -128,13 +124,44 @@
         lag = page.next_offset - next_offset
         return page.first_offset > next_offset or lag > LOG_PAGE_RECORDS
 
-    def _install_or_rebase(self, snapshot: SnapshotRecord) -> bool:
-        """Install a newer snapshot, or rebase on one of the active state."""
-        return self._replica.install_snapshot(snapshot) or self._replica.rebase_offsets(
-            snapshot
-        )
-
-    def _install_newest(self, head: LogPage, install: InstallSnapshot) -> bool:
+    def _is_restored(self, page: LogPage, next_offset: Offset) -> bool:
+        """Return whether the state's position belongs to an earlier history."""
+        state = self._replica.state
+        if page.era == state.era:
+            return next_offset > page.next_offset
+        if state.next_offset == 0:
+            self._replica.begin_era(page.era)
+            return False
+        return True
+
+    def _follow_restored(self, era: StoreEra) -> ReadOutcome:
+        """Read the whole stream again and continue at its end."""
+        requested_at = self._clock.read_monotonic()
+        restored = self._read_restored(era)
+        if restored is None:
+            return ReadOutcome.UNAVAILABLE
+        self._snapshot_writer.begin_era()
+        self._replica.follow_restored(restored)
+        self._holder.mark_verified(requested_at)
+        return ReadOutcome.COMPLETE
+
+    def _read_restored(self, era: StoreEra) -> RestoredStream | None:
+        """Fold all retained records; return None if they could not all be read."""
+        replica = self._replica
+        restored = RestoredFold(replica.state, replica.find_record, era)
+        position = Offset(0)
+        for _ in range(LOG_PAGES_MAX):
+            page = self._read_page(position)
+            if page is None or page.era != era:
+                return None
+            restored.fold_page(page)
+            if page.records:
+                position = Offset(page.records[-1].offset + 1)
+            if not page.records or position >= page.next_offset:
+                return restored.build()
+        return None
+
+    def _install_newest(self, head: LogPage) -> bool:
         """
         Install the newest snapshot that the retained records continue.
 
@@ -146,14 +173,12 @@
             page = self._read_page(start)
             if page is None:
                 return False
-            if self._install_from(page, head.first_offset, install):
+            if self._install_from(page, head.first_offset):
                 return True
             end = start
         return False
 
-    def _install_from(
-        self, page: LogPage, first_offset: Offset, install: InstallSnapshot
-    ) -> bool:
+    def _install_from(self, page: LogPage, first_offset: Offset) -> bool:
         before = self._replica.head.next_offset
         for record in reversed(page.records):
             snapshot = decode_snapshot(record.data)
@@ -161,7 +186,7 @@
                 continue
             if snapshot.keeps_evacuations:
                 continue  # the evacuated domains are only in the records before it
-            if install(snapshot):
+            if self._replica.install_snapshot(snapshot, page.era):
                 self._snapshot_writer.record_snapshot(snapshot.folded_to)
                 log_event("snapshot_adopted", offset=record.offset, behind_from=before)
                 return True
--- a/corianderhold/coordination/configuration/replica.py
+++ b/corianderhold/coordination/configuration/replica.py
@@ -12,8 +12,9 @@
     UNCOMPRESSED_SNAPSHOT_BYTES_MAX,
 )
 from corianderhold.coordination.configuration.history import History
+from corianderhold.coordination.configuration.restored import RestoredStream
 from corianderhold.coordination.configuration.tail import Tail
-from corianderhold.ids import ChangeId, Offset
+from corianderhold.ids import ChangeId, FailureDomainId, Offset, StoreEra
 from corianderhold.log import log_event, log_warning
 from corianderhold.metrics import Metrics
 from corianderhold.protocol.configuration.const import DIGEST_BYTES
@@ -25,8 +26,10 @@
     FoldOutcome,
     FoldState,
     OutcomeKind,
+    adopt_content,
     adopt_snapshot,
     fold,
+    follow_restored,
 )
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.configuration.records import (
@@ -36,6 +39,7 @@
 
 UpdateListener = Callable[[], None]
 SnapshotListener = Callable[[Offset], None]
+EraListener = Callable[[StoreEra], None]
 LOGGED_OUTCOMES = frozenset(
     {
         OutcomeKind.CORRUPT,
@@ -66,8 +70,10 @@
         self._state: FoldState = INITIAL_STATE
         self._tail = Tail(TAIL_RECORDS_MAX, TAIL_BYTES_MAX)
         self._snapshot_offset: Offset | None = None
+        self._is_ahead_of_log = False
         self._update_listeners: list[UpdateListener] = []
         self._snapshot_listeners: list[SnapshotListener] = []
+        self._era_listeners: list[EraListener] = []
 
     @property
     def state(self) -> FoldState:
@@ -80,6 +86,21 @@
         with self._lock:
             return describe_head(self._state)
 
+    @property
+    def is_ahead_of_log(self) -> bool:
+        """Return whether the log has lost a part of the state in a restore."""
+        return self._is_ahead_of_log
+
+    def mark_logged(self, state: FoldState) -> None:
+        """Record that a snapshot of `state` has been appended to the log."""
+        with self._lock:
+            if state is self._state:
+                self._is_ahead_of_log = False
+
+    def add_era_listener(self, listener: EraListener) -> None:
+        """Call `listener` with each later era that the state moves to."""
+        self._era_listeners.append(listener)
+
     def add_update_listener(self, listener: UpdateListener) -> None:
         """Call `listener` after records are applied or a snapshot is installed."""
         self._update_listeners.append(listener)
@@ -108,14 +129,22 @@
                 return ()
             return self._tail.slice_from(from_offset, bytes_max)
 
-    def apply_records(self, records: Sequence[LogRecord]) -> bool:
+    def find_record(self, offset: Offset) -> LogRecord | None:
+        """Return the record applied at an offset, None if it is not kept."""
+        kept = self.slice_tail(offset, 0)
+        return kept[0] if kept and kept[0].offset == offset else None
+
+    def apply_records(self, records: Sequence[LogRecord], era: StoreEra) -> bool:
         """
         Apply the records that continue the state; return whether there were any.
 
-        Stops at a gap, and after a snapshot that moves the state to another offset.
+        Records of another era than the state's are ignored. Stops at a gap, and after a
+        snapshot that moves the state to another offset.
         """
         with self._lock:
             before = self._state
+            if era != before.era:
+                return False
             for record in records:
                 if record.offset > self._state.next_offset:
                     break
@@ -128,36 +157,102 @@
             self._notify_update_listeners()
         return advanced
 
-    def install_snapshot(self, snapshot: SnapshotRecord) -> bool:
-        """Install a snapshot if it is ahead; return whether it was."""
+    def install_snapshot(self, snapshot: SnapshotRecord, era: StoreEra) -> bool:
+        """
+        Install a snapshot if it is ahead; return whether it was.
+
+        Of a snapshot of an earlier era, only the content counts. One of a later era
+        moves the state to that era.
+        """
         with self._lock:
-            self._state, outcome = adopt_snapshot(self._state, snapshot)
-            self._report(outcome)
-            if outcome.kind is not OutcomeKind.SNAPSHOT_ADOPTED:
-                return False
-            self._tail.clear()
+            before = self._state
+            if era > before.era:
+                self._install_later_era(snapshot, era)
+            else:
+                adopt = adopt_snapshot if era == before.era else adopt_content
+                self._state, outcome = adopt(before, snapshot)
+                self._report(outcome)
+                if outcome.kind is not OutcomeKind.SNAPSHOT_ADOPTED:
+                    return False
+                self._tail.clear()
+                if era < before.era:
+                    self._is_ahead_of_log = True
+            advanced = self._state is not before
             self._activate()
+        if self._state.era != before.era:
+            self._notify_era_listeners()
+        self._notify_update_listeners()
+        return advanced
+
+    def begin_era(self, era: StoreEra) -> None:
+        """Set the era of a state that has no record yet."""
+        with self._lock:
+            self._state = replace(self._state, era=era)
+        self._notify_era_listeners()
+
+    def follow_restored(self, restored: RestoredStream) -> None:
+        """Continue at the end of a restored stream; keep what it has lost."""
+        with self._lock:
+            before, stated = self._state, restored.state
+            if stated.version > before.version:
+                for data, outcome in restored.changes:
+                    self.history.record(data, outcome)
+            evacuated = restored.merge_evacuations(before)
+            self._move(stated, evacuated)
+            lost = (self._state.version, evacuated) != (
+                stated.version,
+                stated.configuration.evacuated,
+            )
+            self._is_ahead_of_log = lost
+            log_event(
+                "restored_stream_followed",
+                era=stated.era,
+                version=self._state.version,
+                log_version=stated.version,
+                next_offset=stated.next_offset,
+                before_offset=before.next_offset,
+                ahead_of_log=lost,
+            )
+            self._activate()
+        self._notify_era_listeners()
         self._notify_update_listeners()
-        return True
 
-    def rebase_offsets(self, snapshot: SnapshotRecord) -> bool:
+    def adopt_position(self, head: Head) -> bool:
         """
-        Continue from the offset of a snapshot of the active state.
+        Continue at the position of a peer that has the same state in a later era.
 
-        Used after the log has restarted its offsets. Returns whether version and digest
-        of the snapshot match the state.
+        Returns whether the state was the same.
         """
         with self._lock:
             state = self._state
-            if (snapshot.configuration.version, snapshot.digest) != (
-                state.version,
-                state.digest,
+            own = describe_head(state)
+            if head.era <= state.era or (head.version, head.digest) != (
+                own.version,
+                own.digest,
             ):
                 return False
-            self._state = replace(state, next_offset=Offset(snapshot.folded_to + 1))
+            self._state = replace(state, next_offset=head.next_offset, era=head.era)
             self._tail.clear()
+        self._notify_era_listeners()
         return True
 
+    def _install_later_era(self, snapshot: SnapshotRecord, era: StoreEra) -> None:
+        """Move to the position of a peer's snapshot, and to its state if not older."""
+        restored, outcome = adopt_snapshot(replace(INITIAL_STATE, era=era), snapshot)
+        if outcome.kind is not OutcomeKind.SNAPSHOT_ADOPTED:
+            self._report(outcome)
+            return
+        evacuated = self._state.configuration.evacuated
+        if restored.version >= self._state.version:
+            evacuated = restored.configuration.evacuated
+        self._move(restored, evacuated)
+        self._is_ahead_of_log = self._state.version > restored.version
+
+    def _move(self, restored: FoldState, evacuated: frozenset[FailureDomainId]) -> None:
+        """Move the state to the position of a restored one."""
+        self._state = follow_restored(self._state, restored, evacuated)
+        self._tail.clear()
+
     def _fold_record(self, record: LogRecord) -> bool:
         """
         Apply one record; return whether the next one may follow.
@@ -179,12 +274,20 @@
             self._tail.clear()
             return False
         if outcome.kind is OutcomeKind.SNAPSHOT_ADOPTED:
+            self._is_ahead_of_log = False
             self._replace_tail(record)
             return True
         stale = outcome.kind is OutcomeKind.SNAPSHOT_STALE
+        if stale and self._is_ahead_of_log:
+            self._is_ahead_of_log = not self._is_logged(record)
         self._tail.append(LogRecord(record.offset, "") if stale else record)
         return True
 
+    def _is_logged(self, record: LogRecord) -> bool:
+        """Return whether a record is a snapshot of the current state."""
+        snapshot = decode_snapshot(record.data)
+        return snapshot is not None and snapshot.digest == self._state.digest
+
     def _replace_tail(self, record: LogRecord) -> None:
         """Restart the tail at a snapshot, which covers all earlier records."""
         self._tail.clear()
@@ -225,6 +328,10 @@
         for listener in self._update_listeners:
             listener()
 
+    def _notify_era_listeners(self) -> None:
+        for listener in self._era_listeners:
+            listener(self._state.era)
+
     def _notify_snapshot_listeners(self, folded_to: Offset) -> None:
         for listener in self._snapshot_listeners:
             listener(folded_to)
@@ -233,7 +340,7 @@
 def describe_head(state: FoldState) -> Head:
     """Return the head of a state."""
     digest = bytes.fromhex(state.digest)[:DIGEST_BYTES]
-    return Head(state.next_offset, state.version, digest)
+    return Head(state.next_offset, state.version, digest, state.era)
 
 
 def decode_snapshot(text: str) -> SnapshotRecord | None:
--- a/corianderhold/coordination/configuration/snapshot_cache.py
+++ b/corianderhold/coordination/configuration/snapshot_cache.py
@@ -12,7 +12,7 @@
     SNAPSHOT_PART_BYTES,
 )
 from corianderhold.coordination.configuration.replica import Replica
-from corianderhold.ids import Offset
+from corianderhold.ids import FIRST_ERA, Offset
 from corianderhold.protocol.configuration.messages import SnapshotPart, SnapshotQuery
 from corianderhold.state.configuration.codec import encode_snapshot
 from corianderhold.state.configuration.fold import build_snapshot
@@ -25,17 +25,26 @@
         self._replica = replica
         self._lock = threading.Lock()
         self._compressed: OrderedDict[Offset, bytes] = OrderedDict()
+        self._era = FIRST_ERA
 
     def read_part(self, query: SnapshotQuery) -> SnapshotPart:
         """Return the requested part, or the first part of the newest snapshot."""
         with self._lock:
+            self._discard_earlier_era()
             text = self._compressed.get(query.folded_to)
             folded_to, from_byte = query.folded_to, query.from_byte
             if text is None or not 0 <= from_byte < len(text):
                 folded_to, text = self._read_newest()
                 from_byte = 0
         data = text[from_byte : from_byte + SNAPSHOT_PART_BYTES]
-        return SnapshotPart(folded_to, from_byte, len(text), data)
+        return SnapshotPart(folded_to, from_byte, len(text), data, self._era)
+
+    def _discard_earlier_era(self) -> None:
+        """Discard the snapshots if their offsets belong to an earlier era."""
+        era = self._replica.head.era
+        if era != self._era:
+            self._compressed.clear()
+            self._era = era
 
     def _read_newest(self) -> tuple[Offset, bytes]:
         for folded_to in reversed(self._compressed):
--- a/corianderhold/coordination/configuration/snapshots.py
+++ b/corianderhold/coordination/configuration/snapshots.py
@@ -7,6 +7,8 @@
 from corianderhold.clock import Clock
 from corianderhold.coordination.configuration.const import (
     LOG_APPEND_TIMEOUT_S,
+    RESTORED_RANK_DELAY_S,
+    RESTORED_RETRY_S,
     SNAPSHOT_AGE_SHARE,
     SNAPSHOT_INTERVAL_RECORDS,
     SNAPSHOT_RANK_DELAY_S,
@@ -86,6 +88,13 @@
         with self._lock:
             self._first_offset = max(self._first_offset, first_offset)
 
+    def begin_era(self) -> None:
+        """Forget what is known of the log's snapshots after a restore of the store."""
+        with self._lock:
+            self._first_offset = Offset(0)
+            self._set_mark(NO_SNAPSHOT, self._clock.read_monotonic())
+        self._retry_at = float("-inf")
+
     def append_if_due(self) -> None:
         """Append a snapshot if one is due and the rank delay has passed."""
         now = self._clock.read_monotonic()
@@ -98,8 +107,11 @@
         if now < self._retry_at or view_age_s > SNAPSHOT_VIEW_AGE_LIMIT_S:
             return
         rank = self._peers.compute_own_rank(f"snapshot/{self._folded_to}")
-        if now - self._due_since >= rank * SNAPSHOT_RANK_DELAY_S:
-            self._retry_at = now + SNAPSHOT_RETRY_S
+        rank_delay_s, retry_s = SNAPSHOT_RANK_DELAY_S, SNAPSHOT_RETRY_S
+        if self._replica.is_ahead_of_log:
+            rank_delay_s, retry_s = RESTORED_RANK_DELAY_S, RESTORED_RETRY_S
+        if now - self._due_since >= rank * rank_delay_s:
+            self._retry_at = now + retry_s
             self._append()
 
     def _set_mark(self, folded_to: Offset, seen_at: float) -> None:
@@ -113,10 +125,11 @@
         state = self._replica.state
         with self._lock:
             continued_at = self._folded_to + 1
-            if state.next_offset == 0:
+            if not state.version:
                 return False
             return (
-                state.next_offset - continued_at >= SNAPSHOT_INTERVAL_RECORDS
+                self._replica.is_ahead_of_log
+                or state.next_offset - continued_at >= SNAPSHOT_INTERVAL_RECORDS
                 or now - self._seen_at >= self._age_limit_s
                 or continued_at < self._first_offset
             )
@@ -125,6 +138,8 @@
         state = self._replica.state
         text = encode_snapshot(build_snapshot(state))
         outcome = self._log.append(StreamName.CONFIGURATION, text, LOG_APPEND_TIMEOUT_S)
+        if isinstance(outcome, Ok):
+            self._replica.mark_logged(state)
         log_event(
             "snapshot_appended",
             version=state.version,
--- a/corianderhold/ids.py
+++ b/corianderhold/ids.py
@@ -17,5 +17,4 @@
 Offset = NewType("Offset", int)
 StoreEra = NewType("StoreEra", int)
 
-UNKNOWN_ERA = StoreEra(0)
 FIRST_ERA = StoreEra(1)
--- a/corianderhold/protocol/configuration/codec.py
+++ b/corianderhold/protocol/configuration/codec.py
@@ -6,7 +6,7 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.TSerialization import deserialize, serialize
 
-from corianderhold.ids import Offset, Version
+from corianderhold.ids import FIRST_ERA, Offset, StoreEra, Version
 from corianderhold.protocol.configuration.errors import ExchangeError
 from corianderhold.protocol.configuration.gen import ttypes
 from corianderhold.protocol.configuration.messages import (
@@ -103,11 +103,26 @@
 
 
 def _encode_head(head: Head) -> Any:  # noqa: ANN401
-    return ttypes.Head(head.next_offset, head.version, head.digest)
+    era = _encode_era(head.era)
+    return ttypes.Head(head.next_offset, head.version, head.digest, era)
 
 
 def _decode_head(struct: Any) -> Head:  # noqa: ANN401
-    return Head(Offset(struct.next_offset), Version(struct.version), struct.digest)
+    return Head(
+        Offset(struct.next_offset),
+        Version(struct.version),
+        struct.digest,
+        _decode_era(struct.era),
+    )
+
+
+def _encode_era(era: StoreEra) -> int | None:
+    return None if era == FIRST_ERA else era
+
+
+def _decode_era(value: int | None) -> StoreEra:
+    """Return the era; builds that do not state it know only the first one."""
+    return FIRST_ERA if value is None else StoreEra(value)
 
 
 def _encode_records(records: tuple[LogRecord, ...]) -> Any:  # noqa: ANN401
@@ -128,13 +143,21 @@
 
 def _encode_part(part: SnapshotPart | None) -> Any:  # noqa: ANN401
     return part and ttypes.SnapshotPart(
-        part.folded_to, part.from_byte, part.total_bytes, part.data
+        part.folded_to,
+        part.from_byte,
+        part.total_bytes,
+        part.data,
+        _encode_era(part.era),
     )
 
 
 def _decode_part(struct: Any) -> SnapshotPart:  # noqa: ANN401
     return SnapshotPart(
-        Offset(struct.folded_to), struct.from_byte, struct.total_bytes, struct.data
+        Offset(struct.folded_to),
+        struct.from_byte,
+        struct.total_bytes,
+        struct.data,
+        _decode_era(struct.era),
     )
 
 
--- a/corianderhold/protocol/configuration/configuration.thrift
+++ b/corianderhold/protocol/configuration/configuration.thrift
@@ -8,6 +8,7 @@
   1: required i64 next_offset
   2: required i64 version
   3: required binary digest            // first bytes of the digest of the state
+  4: optional i64 era                  // of the store; omitted in its first one
 }
 
 // A record of the stream; empty data stands for a snapshot that changes nothing.
@@ -28,6 +29,7 @@
   2: required i32 from_byte
   3: required i32 total_bytes
   4: required binary data
+  5: optional i64 era                  // of the store; omitted in its first one
 }
 
 // The best snapshot known to be in the log, and its age in the log in seconds.
--- a/corianderhold/protocol/configuration/gen/ttypes.py
+++ b/corianderhold/protocol/configuration/gen/ttypes.py
@@ -22,6 +22,7 @@
      - next_offset
      - version
      - digest
+     - era
 
     """
 
@@ -29,13 +30,15 @@
         'next_offset',
         'version',
         'digest',
+        'era',
     )
 
 
-    def __init__(self, next_offset=None, version=None, digest=None,):
+    def __init__(self, next_offset=None, version=None, digest=None, era=None,):
         self.next_offset = next_offset
         self.version = version
         self.digest = digest
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -61,6 +64,11 @@
                     self.digest = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -83,6 +91,10 @@
             oprot.writeFieldBegin('digest', TType.STRING, 3)
             oprot.writeBinary(self.digest)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 4)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -289,6 +301,7 @@
      - from_byte
      - total_bytes
      - data
+     - era
 
     """
 
@@ -297,14 +310,16 @@
         'from_byte',
         'total_bytes',
         'data',
+        'era',
     )
 
 
-    def __init__(self, folded_to=None, from_byte=None, total_bytes=None, data=None,):
+    def __init__(self, folded_to=None, from_byte=None, total_bytes=None, data=None, era=None,):
         self.folded_to = folded_to
         self.from_byte = from_byte
         self.total_bytes = total_bytes
         self.data = data
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -335,6 +350,11 @@
                     self.data = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -361,6 +381,10 @@
             oprot.writeFieldBegin('data', TType.STRING, 4)
             oprot.writeBinary(self.data)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 5)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -729,6 +753,7 @@
     (1, TType.I64, 'next_offset', None, None, ),  # 1
     (2, TType.I64, 'version', None, None, ),  # 2
     (3, TType.STRING, 'digest', 'BINARY', None, ),  # 3
+    (4, TType.I64, 'era', None, None, ),  # 4
 )
 all_structs.append(Record)
 Record.thrift_spec = (
@@ -749,6 +774,7 @@
     (2, TType.I32, 'from_byte', None, None, ),  # 2
     (3, TType.I32, 'total_bytes', None, None, ),  # 3
     (4, TType.STRING, 'data', 'BINARY', None, ),  # 4
+    (5, TType.I64, 'era', None, None, ),  # 5
 )
 all_structs.append(SnapshotMark)
 SnapshotMark.thrift_spec = (
--- a/corianderhold/protocol/configuration/messages.py
+++ b/corianderhold/protocol/configuration/messages.py
@@ -2,22 +2,27 @@
 
 from dataclasses import dataclass
 
-from corianderhold.ids import Offset, Version
+from corianderhold.ids import FIRST_ERA, Offset, StoreEra, Version
 from corianderhold.protocol.store.model import LogRecord
 
 
 @dataclass(frozen=True)
 class Head:
-    """Position of a daemon in the stream, with the first bytes of its digest."""
+    """
+    Position of a daemon in the stream, with the first bytes of its digest.
+
+    `era` is the era of the store that `next_offset` refers to.
+    """
 
     next_offset: Offset
     version: Version
     digest: bytes
+    era: StoreEra = FIRST_ERA
 
     def is_ahead_of(self, other: "Head") -> bool:
         """Return whether this head is ahead of `other`."""
-        own = (self.version, self.next_offset)
-        return own > (other.version, other.next_offset)
+        own = (self.version, self.era, self.next_offset)
+        return own > (other.version, other.era, other.next_offset)
 
 
 @dataclass(frozen=True)
@@ -30,12 +35,13 @@
 
 @dataclass(frozen=True)
 class SnapshotPart:
-    """A part of a compressed snapshot."""
+    """A part of a compressed snapshot, whose offset belongs to `era`."""
 
     folded_to: Offset
     from_byte: int
     total_bytes: int
     data: bytes
+    era: StoreEra = FIRST_ERA
 
 
 @dataclass(frozen=True)
--- a/corianderhold/protocol/store/model.py
+++ b/corianderhold/protocol/store/model.py
@@ -6,7 +6,7 @@
 
 from result import Result
 
-from corianderhold.ids import UNKNOWN_ERA, Offset, StoreEra
+from corianderhold.ids import FIRST_ERA, Offset, StoreEra
 
 
 class StreamName(Enum):
@@ -47,13 +47,13 @@
     `first_offset` is the oldest offset that the log retains, and `next_offset` the
     offset of the next record to be appended. `era` counts how often the store has been
     restored from an older copy, from FIRST_ERA on; offsets of different eras are not
-    comparable. It is UNKNOWN_ERA if the store does not state it.
+    comparable. A store that does not state its era is taken to be in the first one.
     """
 
     first_offset: Offset
     next_offset: Offset
     records: tuple[LogRecord, ...]
-    era: StoreEra = UNKNOWN_ERA
+    era: StoreEra = FIRST_ERA
 
 
 class AppendOnlyLog(Protocol):
--- a/corianderhold/state/configuration/fold.py
+++ b/corianderhold/state/configuration/fold.py
@@ -5,7 +5,14 @@
 
 from result import Err
 
-from corianderhold.ids import ChangeId, FailureDomainId, Offset, Version
+from corianderhold.ids import (
+    FIRST_ERA,
+    ChangeId,
+    FailureDomainId,
+    Offset,
+    StoreEra,
+    Version,
+)
 from corianderhold.state.configuration.codec import (
     DecodeError,
     DecodeFailure,
@@ -57,13 +64,15 @@
     The result of folding all records below `next_offset`.
 
     `recent_changes` holds the most recent changes in order, for deduplication;
-    `content_sum` is the sum of the hashes of the configuration's entities.
+    `content_sum` is the sum of the hashes of the configuration's entities. `era` is the
+    era of the store that `next_offset` refers to.
     """
 
     configuration: Configuration = EMPTY_CONFIGURATION
     next_offset: Offset = Offset(0)
     recent_changes: tuple[RecentChange, ...] = ()
     content_sum: int = 0
+    era: StoreEra = FIRST_ERA
 
     @property
     def version(self) -> Version:
@@ -156,11 +165,44 @@
     detail = ""
     if next_offset < state.next_offset:
         detail = "repairs a divergence: higher version from fewer records"
-    adopted = FoldState(configuration, next_offset, snapshot.remembered, content_sum)
+    adopted = replace(
+        state,
+        configuration=configuration,
+        next_offset=next_offset,
+        recent_changes=snapshot.remembered,
+        content_sum=content_sum,
+    )
     outcome = _report(adopted, offset, OutcomeKind.SNAPSHOT_ADOPTED, detail=detail)
     return adopted, outcome
 
 
+def adopt_content(
+    state: FoldState, snapshot: SnapshotRecord
+) -> tuple[FoldState, FoldOutcome]:
+    """
+    Return the state with the content of a newer snapshot, at its own position.
+
+    Used for a snapshot whose offsets belong to another era of the store.
+    """
+    return adopt_snapshot(
+        state, replace(snapshot, folded_to=Offset(state.next_offset - 1))
+    )
+
+
+def follow_restored(
+    state: FoldState, restored: FoldState, evacuated: frozenset[FailureDomainId]
+) -> FoldState:
+    """
+    Return the state continued at the position of `restored`, in a later era.
+
+    `restored` is what the log holds after the store was restored from an older copy.
+    Its version may be lower; what was in force stays in force.
+    """
+    newest = restored if restored.version > state.version else state
+    moved = replace(newest, next_offset=restored.next_offset, era=restored.era)
+    return _replace_evacuations(moved, evacuated)
+
+
 def _is_diverged(
     state: FoldState, configuration: Configuration, content_sum: int
 ) -> bool:
--- a/corianderhold/transport/store/http.py
+++ b/corianderhold/transport/store/http.py
@@ -14,7 +14,7 @@
 )
 
 from corianderhold.clock import Clock
-from corianderhold.ids import UNKNOWN_ERA, StoreEra
+from corianderhold.ids import FIRST_ERA, StoreEra
 from corianderhold.log import log_warning
 from corianderhold.transport.store.const import (
     CONNECT_TIMEOUT_S,
@@ -26,7 +26,7 @@
 )
 
 CONTENT_TYPE = "text/plain; charset=utf-8"
-ERA = re.compile(r"[0-9]{1,15}")
+ERA = re.compile(r"[1-9][0-9]{0,14}")
 
 
 class AnswerTooLongError(HTTPError):
@@ -39,7 +39,7 @@
 
     status: int
     body: bytes
-    era: StoreEra = UNKNOWN_ERA
+    era: StoreEra = FIRST_ERA
 
 
 class HttpStore:
@@ -135,7 +135,7 @@
 
 
 def parse_era(text: str | None) -> StoreEra:
-    """Return the era in a response header, UNKNOWN_ERA if it is not a whole number."""
+    """Return the era in a response header, FIRST_ERA without a valid one."""
     if text is None or ERA.fullmatch(text) is None:
-        return UNKNOWN_ERA
+        return FIRST_ERA
     return StoreEra(int(text))
--- a/corianderhold/transport/store/monitored.py
+++ b/corianderhold/transport/store/monitored.py
@@ -6,7 +6,7 @@
 from result import Ok, Result
 
 from corianderhold.clock import Clock
-from corianderhold.ids import UNKNOWN_ERA, Offset, StoreEra
+from corianderhold.ids import FIRST_ERA, Offset, StoreEra
 from corianderhold.log import log_event, log_warning
 from corianderhold.protocol.store.model import (
     AppendFailure,
@@ -36,7 +36,7 @@
         self._lock = threading.Lock()
         self._failures = 0
         self._failing_since = 0.0
-        self._era = UNKNOWN_ERA
+        self._era = FIRST_ERA
 
     @property
     def read_only(self) -> frozenset[StreamName]:
--- a/corianderhold/transport/store/schema.py
+++ b/corianderhold/transport/store/schema.py
@@ -5,7 +5,7 @@
 
 from voluptuous import All, Invalid, Length, Range, Schema
 
-from corianderhold.ids import UNKNOWN_ERA, Offset, StoreEra
+from corianderhold.ids import FIRST_ERA, Offset, StoreEra
 from corianderhold.protocol.store.model import LogPage, LogRecord
 
 
@@ -41,9 +41,7 @@
     return Offset(APPEND_RESPONSE(parse_json(body))["offset"])
 
 
-def parse_page(
-    body: bytes, from_offset: Offset, era: StoreEra = UNKNOWN_ERA
-) -> LogPage:
+def parse_page(body: bytes, from_offset: Offset, era: StoreEra = FIRST_ERA) -> LogPage:
     """Return the page in the response to a read; raise Invalid."""
     page = PAGE(parse_json(body))
     records = tuple(
--- a/tests/coordination/configuration/test_exchange.py
+++ b/tests/coordination/configuration/test_exchange.py
@@ -17,7 +17,7 @@
 from result import Ok, Result
 
 from corianderhold.coordination.configuration.snapshot_cache import decompress_snapshot
-from corianderhold.ids import Offset, Version
+from corianderhold.ids import FIRST_ERA, Offset, Version
 from corianderhold.protocol.configuration.codec import (
     decode_exchange,
     decode_reply,
@@ -189,7 +189,7 @@
         old = make_text("old", 0, BASE)
         for offset in range(7):
             records = (LogRecord(Offset(offset), old),)
-            daemon.follower.replica.apply_records(records)
+            daemon.follower.replica.apply_records(records, FIRST_ERA)
         self.assertEqual(daemon.holder.current.version, 6)
         self.assertEqual(daemon.versions, sorted(set(daemon.versions)))
 
--- a/tests/transport/store/test_monitored.py
+++ b/tests/transport/store/test_monitored.py
@@ -2,7 +2,7 @@
 
 from unittest import TestCase
 
-from corianderhold.ids import UNKNOWN_ERA, Offset
+from corianderhold.ids import FIRST_ERA, Offset
 from corianderhold.protocol.store.model import StreamName
 from corianderhold.transport.store.monitored import MonitoredLog
 from tests.common.clock import FakeClock
@@ -36,7 +36,7 @@
 
     def test_loss_and_return_are_one_line_each(self) -> None:
         log = FakeLog()
-        log.era = UNKNOWN_ERA
+        log.era = FIRST_ERA
         watched = MonitoredLog(log, FakeClock(), lambda: 7.5)
         with collect_lines() as lines:
             for down in (False, True, True, True, False, False, True, False):
