Announce members and departures again after a restore of the store

Cause: a daemon took its announcement and its target's departure as lasting once the store had confirmed them, and read the members' stream from a position that outlives a restore. A settled daemon reads that stream every 600 s. So after a restore a machine that was added found nobody, and a daemon that restarted did not know that its target had left (DRAIN).

Change: the era that the configuration's readers or peers bring makes each daemon append its announcement and departure once more, spread at 200 a second over the fleet, without a read. A reader of the members' stream starts from 0 in a later era. An append that fails is repeated after 10 s; it used to wait for the next read of the stream, up to 600 s.

Ruled out: that the list of members that a restarted daemon takes its share of a rate from is much too short. The stream has one record an instance, so a copy lacks only machines that were added since, until they are heard of by gossip.

--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -119,6 +119,7 @@
         self._metrics.add_gauge("store_era", self._log.read_era)
         self._membership = self._build_membership()
         self._follower = self._build_follower()
+        self._follower.replica.add_era_listener(self._membership.handle_restored_store)
         self._sender = PeerSender(self._pool, self._clock)
         self._locator = HolderLocator(self._membership)
         self._lease_holder = LeaseHolder(settings.instance, self._incarnation)
--- a/corianderhold/coordination/membership/const.py
+++ b/corianderhold/coordination/membership/const.py
@@ -77,6 +77,7 @@
 LOG_RETRY_S = 10.0
 LOG_JOIN_RETRY_S = 1.0  # until the first successful read
 LOG_RECHECK_S = 0.7  # from the first read to the second
+RESTORED_APPENDS_PER_S = 200.0  # of all daemons, after a restore of the store
 LOG_TAIL_RECORDS = 256
 LOG_TIMEOUT_S = 2.0
 CONTACT_LIMIT = 32
--- a/corianderhold/coordination/membership/messages.py
+++ b/corianderhold/coordination/membership/messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from corianderhold.coordination.membership.contacts import Contact
-from corianderhold.ids import Incarnation
+from corianderhold.ids import Incarnation, StoreEra
 from corianderhold.protocol.membership.model import SyncRecord
 from corianderhold.state.membership.model import Member
 from corianderhold.state.membership.target import Departure
@@ -43,6 +43,13 @@
     departure: Departure
 
 
+@dataclass(frozen=True)
+class StoreRestored:
+    """Append to the log again what the store may have lost in a restore."""
+
+    era: StoreEra
+
+
 @dataclass(frozen=True)
 class LeaveRequested:
     """Announce that the daemon leaves the fleet permanently."""
@@ -74,5 +81,10 @@
     RecordsReceived | ContactsFound | DepartureFound | LeaveRequested | StopRequested
 )
 WorkerMessage = (
-    MemberFound | MembersRevived | AnnouncementChanged | TargetDeparted | StopRequested
+    MemberFound
+    | MembersRevived
+    | AnnouncementChanged
+    | TargetDeparted
+    | StoreRestored
+    | StopRequested
 )
--- a/corianderhold/coordination/membership/service.py
+++ b/corianderhold/coordination/membership/service.py
@@ -25,6 +25,7 @@
     MembersRevived,
     RecordsReceived,
     StopRequested,
+    StoreRestored,
     TableMessage,
     TargetDeparted,
 )
@@ -38,6 +39,7 @@
     InstanceId,
     RegionId,
     ServiceName,
+    StoreEra,
 )
 from corianderhold.log import log_event, log_warning
 from corianderhold.metrics import Metrics
@@ -297,6 +299,10 @@
         """
         return self._target.read()
 
+    def handle_restored_store(self, era: StoreEra) -> None:
+        """Announce this daemon and its target's departure in the log again."""
+        self._synchronizer.send(StoreRestored(era))
+
     def handle_control(self, sender: ControlSender, body: bytes) -> bytes:
         """Respond to a synchronisation request; raise MalformedMessageError."""
         request = decode_request(body)
--- a/corianderhold/coordination/membership/stream.py
+++ b/corianderhold/coordination/membership/stream.py
@@ -11,7 +11,7 @@
     LOG_TIMEOUT_S,
 )
 from corianderhold.coordination.membership.contacts import Contact
-from corianderhold.ids import Incarnation, InstanceId, Offset
+from corianderhold.ids import FIRST_ERA, Incarnation, InstanceId, Offset
 from corianderhold.log import log_warning
 from corianderhold.protocol.membership.codec import decode_member, encode_member
 from corianderhold.protocol.membership.model import MalformedMessageError
@@ -32,11 +32,13 @@
     """
     Read the tail of the stream, at most LOG_TAIL_RECORDS at a time.
 
-    The records only give addresses to contact. They may be outdated, so they never
-    enter the member table.
+    `era` is the era of the store in which the stream was read last. The records only
+    give addresses to contact. They may be outdated, so they never enter the member
+    table.
     """
 
     def __init__(self, log: AppendOnlyLog) -> None:
+        self.era = FIRST_ERA
         self._log = log
         self._next_offset = Offset(0)
         self._logged: dict[InstanceId, tuple[Offset, Member]] = {}
@@ -58,8 +60,19 @@
         )
 
     def read(self) -> Result[None, ReadFailure]:
-        """Read what was appended since the last read, skipping all but the tail."""
+        """
+        Read what was appended since the last read, skipping all but the tail.
+
+        After a restore of the store, all records are read again.
+        """
         page = self._read_page(self._next_offset)
+        if page.is_ok() and self._is_restored(page.unwrap()):
+            self._next_offset = Offset(0)
+            self._logged.clear()
+            self.era = page.unwrap().era
+            page = self._read_page(self._next_offset)
+        if page.is_ok() and page.unwrap().era != self.era:
+            return Err(ReadFailure.UNAVAILABLE)
         if page.is_ok():
             next_offset = page.unwrap().next_offset
             tail = Offset(next_offset - LOG_TAIL_RECORDS)
@@ -117,6 +130,10 @@
             StreamName.MEMBERS, position, LOG_TAIL_RECORDS, LOG_TIMEOUT_S
         )
 
+    def _is_restored(self, page: LogPage) -> bool:
+        """Return whether the position belongs to an earlier history of the stream."""
+        return page.era > self.era or page.next_offset < self._next_offset
+
     def _apply_page(self, page: LogPage) -> None:
         for record in page.records:
             self._apply_record(record)
--- a/corianderhold/coordination/membership/synchronizer.py
+++ b/corianderhold/coordination/membership/synchronizer.py
@@ -13,6 +13,7 @@
     LOG_RECHECK_S,
     LOG_RETRY_S,
     LOGGED_MEMBERS_MIN,
+    RESTORED_APPENDS_PER_S,
     STOP_TIMEOUT_S,
     SYNC_PAGES_LIMIT,
     SYNC_TIMEOUT_S,
@@ -25,6 +26,7 @@
     MembersRevived,
     RecordsReceived,
     StopRequested,
+    StoreRestored,
     TableMessage,
     TargetDeparted,
     WorkerMessage,
@@ -37,6 +39,7 @@
     list_newer,
     split_pages,
 )
+from corianderhold.ids import FIRST_ERA, StoreEra
 from corianderhold.log import log_event, log_warning
 from corianderhold.metrics import Metrics
 from corianderhold.protocol.membership.codec import decode_reply, encode_request
@@ -56,6 +59,8 @@
 from corianderhold.state.membership.table import MemberView
 from corianderhold.state.membership.target import Departure
 
+NEVER = float("inf")
+
 
 class Synchronizer:
     """
@@ -87,12 +92,15 @@
         self._stream = MemberStream(log)
         self._announcement: Member | None = own
         self._departure: Departure | None = None
+        self._era = FIRST_ERA
+        self._announced_era: StoreEra | None = None
         self._messages: queue.SimpleQueue[WorkerMessage] = queue.SimpleQueue()
         self._thread = threading.Thread(
             target=self._run, name="membership-sync", daemon=True
         )
         self._schedule = SyncSchedule(random)
         self._log_at_s = clock.read_monotonic()
+        self._append_at_s = NEVER
         self._start = extract_start_number(own.incarnation)
         self.logged_members: tuple[Member, ...] = ()
         self._has_read_log = False
@@ -125,7 +133,8 @@
 
     def _run_once(self) -> None:
         now_s = self._clock.read_monotonic()
-        wait_s = max(0.0, min(self._schedule.due_at_s, self._log_at_s) - now_s)
+        due_at_s = min(self._schedule.due_at_s, self._log_at_s, self._append_at_s)
+        wait_s = max(0.0, due_at_s - now_s)
         try:
             self._handle(self._messages.get(timeout=wait_s))
             return
@@ -136,6 +145,8 @@
             self._synchronize()
         if now_s >= self._log_at_s:
             self._follow_log()
+        if now_s >= self._append_at_s:
+            self._append_announcement()
 
     def _handle(self, message: WorkerMessage) -> None:
         match message:
@@ -150,11 +161,23 @@
                 self._departure = departure
                 self._announcement = self._find_own()
                 self._append_announcement()
+            case StoreRestored(era):
+                self._era = max(self._era, era)
+                self._announce_again()
             case AnnouncementChanged(member):
                 self._own = member
                 self._announcement = member
                 self._append_announcement()
 
+    def _announce_again(self) -> None:
+        """Schedule an announcement if the last one may be lost in a restore."""
+        if self._announced_era is None or self._announced_era >= self._era:
+            return
+        self._announcement = self._find_own()
+        spread_s = max(1.0, len(self._read_view().live) / RESTORED_APPENDS_PER_S)
+        now_s = self._clock.read_monotonic()
+        self._append_at_s = now_s + spread_s * self._random.random()
+
     def _synchronize(self) -> None:
         peer = self._choose_peer()
         news = None if peer is None else self._exchange(peer.peer_address)
@@ -255,6 +278,9 @@
         """Read the stream and post its contacts; return whether it could be read."""
         if self._stream.read().is_err():
             return False
+        self._era = max(self._era, self._stream.era)
+        if self._announced_era is not None and self._announced_era < self._era:
+            self._announcement = self._announcement or self._find_own()
         logged = self._stream.find_incarnation(self._own.instance)
         is_other = logged is not None and extract_start_number(logged) != self._start
         if is_other and not self._has_read_log:
@@ -295,5 +321,8 @@
         if result.is_err():
             failure = result.unwrap_err()
             log_warning("member_append_failed", failure=failure)
+            self._append_at_s = self._clock.read_monotonic() + LOG_RETRY_S
         else:
+            self._append_at_s = NEVER
             self._announcement = None
+            self._announced_era = self._era
--- a/tests/coordination/membership/test_sync.py
+++ b/tests/coordination/membership/test_sync.py
@@ -163,6 +163,19 @@
         self.stream.read()
         self.assertEqual(self.stream.count_live(view), 0)
 
+    def test_offsets_assigned_again_after_a_restore_are_read(self) -> None:
+        writer = MemberStream(self.log)
+        for number in range(3):
+            writer.append(build_member(number))
+        self.stream.read()
+        self.log.restore({StreamName.MEMBERS: 1})
+        for number in (7, 8, 9):
+            writer.append(build_member(number))
+        self.assertTrue(self.stream.read().is_ok())
+        found = [find_contact(build_member(number)) for number in (0, 7, 8, 9)]
+        self.assertEqual(list(self.stream.list_contacts()), found)
+        self.assertEqual(self.stream.era, 2)
+
     def test_outage_keeps_the_contacts(self) -> None:
         MemberStream(self.log).append(build_member(1))
         self.stream.read()
