Accept a fraction for retry_burst, rounded down

Test: tests.settings.test_loader.test_rate_division_options_are_read, which failed before with 47.6; words, negative numbers and nan are still refused.

--- a/corianderhold/settings/schema.py
+++ b/corianderhold/settings/schema.py
@@ -88,7 +88,7 @@
 RATE_LOWERING_DELAY_ACCEPTED = "accepted: seconds from 0 to 60"
 RATE_OVERAGE_ACCEPTED = "accepted: a fraction from 0 to 1"
 RATE_SLACK_ACCEPTED = "accepted: a whole number from 0 to 1000"
-RETRY_BURST_ACCEPTED = "accepted: a whole number from 0 to 10000"
+RETRY_BURST_ACCEPTED = "accepted: a number from 0 to 10000"
 THREADS = All(
     Coerce(int, msg="accepted: a whole number from 4 to 1024"),
     Range(min=4, max=1024, msg="accepted: a whole number from 4 to 1024"),
@@ -229,8 +229,9 @@
                 Range(min=0, max=1, msg=RATE_OVERAGE_ACCEPTED),
             ),
             Optional(CONF_RETRY_BURST, default=DEFAULT_RETRY_BURST): All(
-                Coerce(int, msg=RETRY_BURST_ACCEPTED),
+                Coerce(float, msg=RETRY_BURST_ACCEPTED),
                 Range(min=0, max=HIGHEST_RETRY_BURST, msg=RETRY_BURST_ACCEPTED),
+                Coerce(int, msg=RETRY_BURST_ACCEPTED),
             ),
             Optional(
                 CONF_RATE_LOWERING_DELAY_S, default=DEFAULT_RATE_LOWERING_DELAY_S
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -59,11 +59,15 @@
         for text, slots in (("3", 3), ("members", None)):
             option = f"entry_slots = {text}\nrate_slack = 10\nseeds ="
             option = f"rate_lowering_delay_s = 2.5\nrate_overage = 0.1\n{option}"
-            option = f"retry_burst = 47\n{option}"
+            option = f"retry_burst = 47.6\n{option}"
             settings = self.load(VALID_SETTINGS.replace("seeds =", option))
             self.assertEqual(settings.rate_lowering_delay_s, 2.5)
             self.assertEqual((settings.entry_slots, settings.rate_slack), (slots, 10))
             self.assertEqual((settings.retry_burst, settings.rate_overage), (47, 0.1))
+        for text in ("-1", "many", "10001", "nan"):
+            option = f"retry_burst = {text}\nseeds ="
+            fault = self.load_invalid(VALID_SETTINGS.replace("seeds =", option))
+            self.assertIn("[membership] retry_burst: accepted: a number", fault)
         for text in ("-1", "many", "10001"):
             option = f"entry_slots = {text}\nseeds ="
             fault = self.load_invalid(VALID_SETTINGS.replace("seeds =", option))
