Take no refusal without a request id for the answer to a later request

The users' report: a faulty server wrote an earlier refusal once more on a kept connection. A copy that has the earlier request's id was dropped already. A copy without an id was taken for 'not run' of the request in hand, which may run (REFUSED), and which was then sent to a second target (TWICE).

Change: on a connection whose earlier responses had ids, a refusal without one gives 'may have run'. A target that never repeats ids can't be told apart, as before; the users' servers always do.

Test: test_earlier_refusal_sent_again_is_never_taken_for_not_run with 503, 429 and 421, with and without the id; the three without failed before.

--- a/corianderhold/coordination/owner/owner.py
+++ b/corianderhold/coordination/owner/owner.py
@@ -267,9 +267,12 @@
             failed = response.status >= HTTPStatus.INTERNAL_SERVER_ERROR
             self._breaker.record_outcome(call.context.route, failed)
             return outcome
+        discard(response, self._clock)
+        if not response.attributable:
+            detail = "refusal without a request id, maybe of an earlier request"
+            return Err(refuse_may_have_run(Reason.ANSWER_TRUNCATED, detail))
         if refusal.reason is Reason.TARGET_MISMATCH:
             self._source.suspend_target(target)
-        discard(response, self._clock)
         return Err(refusal)
 
     def _build_request(
--- a/corianderhold/transport/web/target.py
+++ b/corianderhold/transport/web/target.py
@@ -53,7 +53,9 @@
 
     `chunks` raises `TargetError` when the response is truncated or misses the deadline.
     `length` is the body's length in bytes, None if unknown; `has_known_end` says
-    whether the end of the body is marked by its length or last chunk.
+    whether the end of the body is marked by its length or last chunk. The response is
+    not `attributable` if it has no request id although earlier ones on its connection
+    had: it may repeat one of them.
     """
 
     status: int
@@ -61,6 +63,7 @@
     chunks: "ResponseChunks"
     length: int | None
     has_known_end: bool
+    attributable: bool = True
 
 
 class TargetClient:
@@ -112,6 +115,7 @@
             if not connection.has_sent:
                 raise AnswerError("connection was closed before the request was sent")
             head, mismatched = self._read_head(connection, request)
+            attributable = self._check_request_id(connection, head)
         except TARGET_ERRORS as error:
             self._detach_and_close(connection, attach)
             if not connection.has_sent:
@@ -124,7 +128,12 @@
         chunks = ResponseChunks(self, connection, head, request, attach, reusable)
         return Ok(
             TargetResponse(
-                head.status, head.headers, chunks, head.length, head.has_known_end
+                head.status,
+                head.headers,
+                chunks,
+                head.length,
+                head.has_known_end,
+                attributable,
             )
         )
 
@@ -159,7 +168,6 @@
         for skipped in range(MISMATCHED_RESPONSES_MAX):
             head = reader.read_head(request.method, deadline_at)
             if not self._is_mismatched(head, request):
-                self._check_request_id(connection, head)
                 return head, skipped > 0
             if not head.has_known_end or request.method == "HEAD":
                 break
@@ -172,16 +180,22 @@
 
     def _check_request_id(
         self, connection: TargetConnection, head: HttpResponseHead
-    ) -> None:
+    ) -> bool:
         """
-        Raise AnswerError for a success without a request id where others had one.
+        Return whether a response has a request id where earlier ones had one.
 
-        It may be a duplicate of an earlier response.
+        A response without one may be a duplicate of an earlier response. Raise
+        AnswerError if it is a success.
         """
         if self._list_request_ids(head):
             connection.echoes_request_ids = True
-        elif connection.echoes_request_ids and head.status in SUCCESS_STATUSES:
-            raise AnswerError("response has no request id although earlier ones had")
+        elif connection.echoes_request_ids:
+            if head.status in SUCCESS_STATUSES:
+                raise AnswerError(
+                    "response has no request id although earlier ones had"
+                )
+            return False
+        return True
 
     def _is_mismatched(self, head: HttpResponseHead, request: TargetRequest) -> bool:
         if request.request_id is None:
--- a/tests/coordination/owner/test_owner.py
+++ b/tests/coordination/owner/test_owner.py
@@ -214,8 +214,8 @@
     def serve(self, *scripts: Script) -> Owner:
         target = ScriptedTarget(*scripts)
         self.addCleanup(target.close)
-        status = TargetStatus(TargetState.SERVING, CATALOGUE, target.address)
-        return self.build(status)
+        self.serving = TargetStatus(TargetState.SERVING, CATALOGUE, target.address)
+        return self.build(self.serving)
 
     def test_mismatched_target_is_suspended(self) -> None:
         mismatch = b"HTTP/1.1 421 Misdirected\r\nContent-Length: 2\r\n\r\nno"
@@ -234,6 +234,33 @@
         self.assertEqual((self.limit.refusals, self.limit.failures), (2, 0))
         self.assertEqual(self.admission.report_load(False).in_flight, 0)
 
+    def test_earlier_refusal_sent_again_is_never_taken_for_not_run(self) -> None:
+        named = b"X-Request-Id: %b\r\nContent-Length: 0\r\n\r\n"
+        unnamed = b"Content-Length: 0\r\n\r\n"
+        whole = b"HTTP/1.1 200 OK\r\n" + named % b"r2"
+        refusals = (
+            b"HTTP/1.1 503 Full\r\nX-Corianderhold-Not-Run: 1\r\n",
+            b"HTTP/1.1 429 Many\r\nX-Corianderhold-Not-Run: 1\r\n",
+            b"HTTP/1.1 421 Misdirected\r\nX-Corianderhold-Not-Run: 1\r\n",
+        )
+        for refused in refusals:
+            first = refused + named % b"r1"
+            for copy in (first, refused + unnamed):
+                with self.subTest(copy):
+                    owner = self.serve(answer_with(first, copy + whole))
+                    self.assertTrue(self.call_named(owner, "r1").unwrap_err().not_run)
+                    self.source.script = [self.serving]
+                    second = self.call_named(owner, "r2")
+                    if second.is_err():
+                        self.assertFalse(second.unwrap_err().not_run)
+
+    def call_named(self, owner: Owner, request_id: str) -> Result[Response, Refusal]:
+        """Send a call that has a request id."""
+        context = make_context(deadline_at=self.clock.read_monotonic() + 5)
+        header = Header("X-Request-Id", request_id)
+        context = replace(context, headers=(*context.headers, header))
+        return owner.serve(context, NO_BODY, RetryBudget(0))
+
     def test_responses_are_passed_on_unchanged(self) -> None:
         failed = b"HTTP/1.1 504 Late\r\nSeal: s\r\nContent-Length: 2\r\n\r\nno"
         chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
