Show by tests that two of the users' reports can't happen here

An answer that ends within its head: the connection is cut after each byte of five heads (length, chunked, none, interim response before it); none is taken for complete.

Late requests in a planned stop: 20 requests a second that may not be repeated are sent to a stopping entry until its process is gone. Each is answered whole or has not run at its target.

--- a/tests/failures/test_stop.py
+++ b/tests/failures/test_stop.py
@@ -34,6 +34,7 @@
 SETTINGS_STOP_LIMIT_S = 6.0
 DRAIN_BEGUN = re.compile("event=drain_begun")
 CALLS = 4
+LATE_REQUEST_INTERVAL_S = 0.05
 
 
 class PlannedStopTests(FleetTestCase):
@@ -82,6 +83,29 @@
         self.fleet.start_target(LINGERING)
         self.check_verdicts(sent)
 
+    def test_requests_sent_late_in_a_planned_stop_are_answered_or_not_read(
+        self,
+    ) -> None:
+        daemon = self.fleet.get_daemon(LINGERING)
+        daemon.terminate()
+        daemon.wait_until_logged(DRAIN_BEGUN)
+        futures = []
+        while daemon.exit_code is None:
+            plan = plan_ingest("?work_ms=300")
+            futures.append(self.send_in_background(LINGERING, plan))
+            time.sleep(LATE_REQUEST_INTERVAL_S)
+        sent = [future.result(WAIT_LIMIT_S) for future in futures]
+        self.check_verdicts(sent)
+        runs = self.fleet.count_runs()
+        whole = [plan for plan, outcome in sent if outcome.is_whole]
+        self.assertTrue(whole)
+        for plan, outcome in sent:
+            if not outcome.is_whole:
+                self.assertEqual(runs[plan.request_id], 0, outcome)
+            if outcome.status:
+                self.assertIn(outcome.status, (200, 503), outcome)
+        self._restart(LINGERING)
+
     def test_silent_store_does_not_delay_a_stop(self) -> None:
         daemon = self.fleet.get_daemon(OWNER)
         store = self._freeze_store()
--- a/tests/transport/web/test_target.py
+++ b/tests/transport/web/test_target.py
@@ -121,6 +121,24 @@
             with self.subTest(name):
                 self.assertEqual(self.find_refusal_reason(), Reason.ANSWER_TRUNCATED)
 
+    def test_response_that_ends_within_its_head_is_never_complete(self) -> None:
+        heads = (
+            OK + b"X-Request-Id: r1\r\nContent-Length: 5\r\n\r\n",
+            OK + b"Content-Length: 0\r\nX-Seal: s\r\n\r\n",
+            OK + b"X-Request-Id: r1\r\n" + CHUNKED,
+            OK + b"Connection: close\r\n\r\n",
+            b"HTTP/1.1 100 Continue\r\n\r\n" + OK + b"Content-Length: 0\r\n\r\n",
+        )
+        for head in heads:
+            ends = range(len(head))
+            self.start(
+                *[close_after(head[:end], lambda connection: None) for end in ends]
+            )
+            for end in ends:
+                with self.subTest(head[:end]):
+                    reason = self.find_refusal_reason("r1")
+                    self.assertEqual(reason, Reason.ANSWER_TRUNCATED)
+
     def test_response_without_a_length_is_complete_only_at_a_clean_close(self) -> None:
         self.start(
             close_after(UNFRAMED, socket.socket.close),
