Restore the store in the soak, in the measurement of keys and beside older builds

The soak and 'once' draw a restore from a copy up to 20 s old among their faults; mixed_builds restores the store without the last change, which has to stay in force, and publishes once more.

--- a/measurements/endurance/events.py
+++ b/measurements/endurance/events.py
@@ -17,6 +17,7 @@
 FREEZE_S = 5.0
 PAUSE_MAX_S = 1.5
 SLOW_STORE_MS = 1500
+COPY_AGE_S = (1.0, 20.0)  # of the copy that the store is restored from
 DRAIN_SLACK_S = 1.0  # time for the drain to reach the target's owner
 LIMITS = (8, 16, 32)
 
@@ -44,6 +45,7 @@
             "store_down": lambda _: self._fail_store("down", True, False),
             "store_slow": lambda _: self._fail_store("delay_ms", SLOW_STORE_MS, 0),
             "store_lossy": lambda _: self._fail_store("lose_answers", True, False),
+            "store_restored": lambda _: self._restore_store(),
             "limit": lambda _: self._change_limit(),
             "withdrawal": lambda _: self._withdraw_key(),
         }
@@ -98,6 +100,13 @@
         time.sleep(FAULT_S)
         self._fleet.set_store_faults({name: repaired})
 
+    def _restore_store(self) -> None:
+        """Let the store be away, and then come back from an older copy."""
+        self._fleet.set_store_faults({"down": True})
+        time.sleep(FAULT_S)
+        age_s = FAULT_S + self._random.uniform(*COPY_AGE_S)
+        self._fleet.set_store_faults({"down": False, "restore_age_s": age_s})
+
     def _change_limit(self) -> None:
         limit = self._random.choice(LIMITS)
         self._publish(Delta(services=(Service(CATALOGUE, limit, limit),)))
--- a/measurements/once.py
+++ b/measurements/once.py
@@ -34,6 +34,8 @@
 SENDERS = 8
 REPEATS_MAX = 4
 FAULT_PAUSE_S = 2.5
+FAULT_KINDS = ("kill", "pause", "store_down", "lose_answers", "store_restored")
+COPY_AGE_MAX_S = 20.0  # of the copy that the store is restored from
 SETTLE_S = 10.0
 PATH = "/catalogue/ingest?work_ms=20"
 
@@ -79,7 +81,7 @@
         instance = rng.choice(list(fleet.members))
         daemon = fleet.members[instance].daemon
         assert daemon is not None
-        kind = rng.choice(["kill", "pause", "store_down", "lose_answers"])
+        kind = rng.choice(FAULT_KINDS)
         faults[kind] += 1
         if kind == "kill":
             daemon.kill()
@@ -89,6 +91,9 @@
             daemon.freeze()
             time.sleep(2 * FAULT_PAUSE_S)
             daemon.thaw()
+        elif kind == "store_restored":
+            age_s = rng.uniform(0.0, COPY_AGE_MAX_S)
+            fleet.set_store_faults({"restore_age_s": age_s})
         else:
             name = "down" if kind == "store_down" else "lose_answers"
             fleet.set_store_faults({name: True})
--- a/script/mixed_builds.py
+++ b/script/mixed_builds.py
@@ -48,6 +48,7 @@
 TARGET_LIMIT = 10.0
 LIMIT_SETTLE_S = 1.0
 LIMIT_OFFERED_S = 4.0
+COPY_AGE_S = 2.0  # of the copy that the store is restored from
 ANSWERS = ("archive", "counters")
 RATES_LENT = "0"  # stewards lend tokens to entries
 RATES_SLICED = "members"  # each entry has a slice by the number of members
@@ -123,6 +124,33 @@
         self._report(phase, "leave", code == 0)
         self._report(phase, "leaving_target", self._leave_target(LEAVING, rest))
 
+    def check_restored(self, phase: str) -> None:
+        """
+        Restore the store without the last change, which stays in force everywhere.
+
+        A daemon of the new build then publishes, which reaches daemons of both builds.
+        """
+        running = INSTANCES[1:]
+        publisher = next(
+            name for name in running if self._fleet.assignment[name] is self._new
+        )
+        time.sleep(COPY_AGE_S)
+        before = self._publish(publisher, 31)
+        self._await_version(running, before)
+        self._fleet.set_store_faults({"restore_age_s": COPY_AGE_S})
+        version = self._publish(publisher, 32)
+        self._await_version(running, version)
+        self._report(phase, "restored_store", version > before)
+
+    def _await_version(self, instances: Sequence[str], version: int) -> None:
+        def is_in_force(observer: str) -> bool:
+            return bool(self.read_view(observer)["version"] >= version)
+
+        for name in instances:
+            wait_until(
+                partial(is_in_force, name), f"version {version} is in force at {name}"
+            )
+
     def read_view(self, instance: str) -> dict[str, Any]:
         """Return the configuration's version and digest in force in one daemon."""
         view = self._call(instance, "GET", "/v1/status").body["configuration"]
@@ -432,6 +460,7 @@
             check.check_all(phase)
         fleet.restart(mixed if newest is new else swapped)
         check.check_leave("mixed_again")
+        check.check_restored("mixed_again")
     finally:
         fleet.stop()
     return check.unexpected
