--- a/corianderhold/coordination/configuration/reader.py
+++ b/corianderhold/coordination/configuration/reader.py
@@ -129,10 +129,7 @@
         state = self._replica.state
         if page.era == state.era:
             return next_offset > page.next_offset
-        if state.next_offset == 0:
-            self._replica.begin_era(page.era)
-            return False
-        return True
+        return not self._replica.begin_era(page.era)
 
     def _follow_restored(self, era: StoreEra) -> ReadOutcome:
         """Read the whole stream again and continue at its end."""
--- a/corianderhold/coordination/configuration/replica.py
+++ b/corianderhold/coordination/configuration/replica.py
@@ -184,16 +184,21 @@
         self._notify_update_listeners()
         return advanced
 
-    def begin_era(self, era: StoreEra) -> None:
-        """Set the era of a state that has no record yet."""
+    def begin_era(self, era: StoreEra) -> bool:
+        """Set the era of a state that has no record yet; return whether it has none."""
         with self._lock:
+            if self._state.next_offset != 0:
+                return False
             self._state = replace(self._state, era=era)
         self._notify_era_listeners()
+        return True
 
     def follow_restored(self, restored: RestoredStream) -> None:
         """Continue at the end of a restored stream; keep what it has lost."""
         with self._lock:
             before, stated = self._state, restored.state
+            if stated.era < before.era:
+                return
             if stated.version > before.version:
                 for data, outcome in restored.changes:
                     self.history.record(data, outcome)
--- a/tests/coordination/configuration/test_restored_store.py
+++ b/tests/coordination/configuration/test_restored_store.py
@@ -13,7 +13,7 @@
     PublishOutcome,
     RefusalReason,
 )
-from corianderhold.ids import FailureDomainId, KeyId
+from corianderhold.ids import FIRST_ERA, FailureDomainId, KeyId, StoreEra
 from corianderhold.protocol.store.model import StreamName
 from corianderhold.state.configuration.records import Delta
 from tests.common.changes import RADIO_KEY, make_change
@@ -180,6 +180,11 @@
         self.await_repair()
         self.assertEqual(self.list_evacuated(), {frozenset()})
 
+    def test_state_that_a_peer_has_filled_is_not_moved_to_a_later_era(self) -> None:
+        replica = self.get_daemon(0).follower.replica
+        self.assertFalse(replica.begin_era(StoreEra(2)))
+        self.assertEqual(replica.head.era, FIRST_ERA)
+
     def test_late_answer_from_before_the_restore_is_ignored(self) -> None:
         follower = self.get_daemon(0).follower
         before = self.log.read(STREAM, follower.replica.head.next_offset, 10, 1.0)
