--- a/corianderhold/coordination/lease/manager.py
+++ b/corianderhold/coordination/lease/manager.py
@@ -165,7 +165,11 @@
             return None if acting is None else acting.tenure
 
     def find_holder(self, shard: ShardId) -> InstanceId | None:
-        """Return the holder in the newest term read, None if there is none."""
+        """
+        Return the presumed holder, None if there is none.
+
+        After a restore of the store it is the one known before, until a new term.
+        """
         entry = self._shard_leases.get(shard)
         if entry is None:
             return None
