--- a/tests/common/faults.py
+++ b/tests/common/faults.py
@@ -20,6 +20,8 @@
 
     def __init__(self, log: FakeLog, clock: FakeClock) -> None:
         self.cut = False
+        self.silent = False
+        self.silence_detected_s = float("inf")
         self.delay_s = 0.0
         self.answer_delay_s = 0.0
         self.lose_answers = False
@@ -63,6 +65,9 @@
         wait_s: float = 0.0,
     ) -> Result[LogPage, ReadFailure]:
         """Read a page, subject to the injected faults."""
+        if self.silent:
+            self._clock.advance(min(wait_s + timeout_s, self.silence_detected_s))
+            return Err(ReadFailure.UNAVAILABLE)
         self._clock.advance(min(self.delay_s, timeout_s))
         if self.cut or self.delay_s > timeout_s:
             return Err(ReadFailure.UNAVAILABLE)
--- a/tests/coordination/configuration/case.py
+++ b/tests/coordination/configuration/case.py
@@ -24,16 +24,18 @@
 
 
 class SpreadTestCase(TestCase):
-    """Run nine daemons in three domains, each with its own connection to the log."""
+    """Run daemons in several domains, each with its own connection to the log."""
 
     seed = 1
+    domains = 3
+    daemons = 9
 
     def setUp(self) -> None:
         self.log = FakeLog()
         self.fleet = Fleet(0, 0, self.log, self.seed, RETENTION_S)
         self.ways: dict[str, FaultyLog] = {}
-        for number in range(9):
-            self.add_daemon(f"d{number % 3}", f"10.0.0.{number}")
+        for number in range(self.daemons):
+            self.add_daemon(f"d{number % self.domains}", f"10.0.0.{number}")
         self.append(make_text("c1", 0, BASE))
         self.settle()
 
@@ -59,9 +61,9 @@
 
     def isolate(self, domain: str) -> None:
         """Partition a domain from the log and from all other domains."""
-        for other in ("d0", "d1", "d2"):
-            if other != domain:
-                self.fleet.cut(domain, other)
+        for number in range(self.domains):
+            if f"d{number}" != domain:
+                self.fleet.cut(domain, f"d{number}")
         for daemon in self.get_domain(domain):
             self.ways[daemon.member.instance].cut = True
 
--- a/tests/transport/store/test_client.py
+++ b/tests/transport/store/test_client.py
@@ -21,9 +21,11 @@
     StreamName,
 )
 from corianderhold.transport.store.client import HttpLog
+from tests.common.waiting import wait_until
 
 STREAM = StreamName.CONFIGURATION
 TIMEOUT_S = 0.4
+HELD_S = 20.0
 
 
 class ScriptedServer:
@@ -137,6 +139,19 @@
         self.assertEqual(len(self.server.requests), 1)
         self.assertIn(b"from=4&limit=10&wait_ms=100 ", self.server.requests[0])
 
+    def test_held_read_ends_once_another_request_found_the_store_silent(self) -> None:
+        log = self.start()
+        ended = threading.Event()
+
+        def hold() -> None:
+            log.read(STREAM, Offset(4), 10, TIMEOUT_S, wait_s=HELD_S)
+            ended.set()
+
+        threading.Thread(target=hold, daemon=True).start()
+        wait_until(lambda: len(self.server.requests) == 1, "the read is sent")
+        log.read(STREAM, Offset(0), 10, TIMEOUT_S)
+        self.assertTrue(ended.wait(HELD_S / 2))
+
     def test_malformed_pages_are_reported(self) -> None:
         bodies = [
             "[",
