--- a/corianderhold/coordination/configuration/const.py
+++ b/corianderhold/coordination/configuration/const.py
@@ -40,6 +40,8 @@
 POLL_RETRY_S = 0.2  # after the first failed read
 POLL_INTERVAL_S = 1.0  # if the log does not hold reads
 POLL_BACKOFF_LIMIT_S = 4.0
+# Of polls before the end of their delay, for daemons that only lost their own way.
+POLL_EARLY_RETRIES_MAX = 3
 EXTRA_POLL_BACKOFF_LIMIT_S = 30.0  # for pollers beyond POLLERS_PER_DOMAIN
 POLL_JOIN_TIMEOUT_S = 0.2  # a held read is abandoned
 NO_PEER_TIMEOUT_S = 1.5  # without a response from any peer
--- a/corianderhold/coordination/configuration/follower.py
+++ b/corianderhold/coordination/configuration/follower.py
@@ -6,23 +6,21 @@
 from random import Random
 
 from corianderhold.clock import Clock
+from corianderhold.coordination.configuration.backoff import PollBackoff
 from corianderhold.coordination.configuration.const import (
     ANTI_ENTROPY_ANY_MEMBER_SHARE,
     ANTI_ENTROPY_CROSS_DOMAIN_SHARE,
     ANTI_ENTROPY_INTERVAL_S,
     ANTI_ENTROPY_JITTER,
     ANTI_ENTROPY_PARENT_SHARE,
-    EXTRA_POLL_BACKOFF_LIMIT_S,
     FALLBACK_POLL_AFTER_S,
     FALLBACK_POLL_BACKOFF_LIMIT_S,
     FIRST_EXCHANGE_INTERVAL_S,
     HELD_POLL_MIN_S,
     JOIN_POLL_DELAY_S,
     NO_PEER_TIMEOUT_S,
-    POLL_BACKOFF_LIMIT_S,
     POLL_INTERVAL_S,
     POLL_JOIN_TIMEOUT_S,
-    POLL_RETRY_S,
     POLL_WAIT_MAX_S,
     POLL_WAIT_MIN_S,
     POLL_WAIT_SHARE,
@@ -98,8 +96,7 @@
         self._reader_lock = threading.Lock()
         self._era_seen_at = clock.read_monotonic()
         self.replica.add_era_listener(self._record_era)
-        self._poll_backoff_s = POLL_INTERVAL_S
-        self._poll_failures = 0
+        self._backoff = PollBackoff(clock, random)
         self._defers_first_poll = True
         self._is_start_check_pending = True
         self._started_at = clock.read_monotonic()
@@ -180,11 +177,15 @@
         """Read the log if this daemon should; return the seconds to wait."""
         began_at = self._clock.read_monotonic()
         before = self.replica.state.version
-        outcome = None
+        outcome, is_first = None, False
         if not before and self._defers_first_poll:
             self._defers_first_poll = False
             return self._draw_join_delay_s()
         if self._peers.is_poller():
+            wait_s = self._find_backoff_wait_s()
+            if wait_s > 0:
+                return wait_s
+            is_first = not self._backoff.may_hold
             outcome = self._long_poll()
             self._record_poll(outcome)
         elif self._needs_fallback_poll() or self._take_start_check():
@@ -192,10 +193,12 @@
         self.snapshot_writer.append_if_due()
         held = self._clock.read_monotonic() - began_at >= HELD_POLL_MIN_S
         if outcome is ReadOutcome.COMPLETE and (
-            held or self.replica.state.version > before
+            held or is_first or self.replica.state.version > before
         ):
             return 0.0
-        return self._poll_backoff_s * (1 + ANTI_ENTROPY_JITTER * self._random.random())
+        if self._backoff.failures:
+            return self._find_backoff_wait_s()
+        return POLL_INTERVAL_S * (1 + ANTI_ENTROPY_JITTER * self._random.random())
 
     def exchange_once(self) -> float:
         """Exchange with one peer; return the seconds to wait."""
@@ -246,13 +249,14 @@
         now = self._clock.read_monotonic()
         if self.replica.state.next_offset == 0:
             return now - self._started_at >= JOIN_POLL_DELAY_S
-        if self._poll_failures:
+        if self._backoff.failures:
             return True
         return now - self._holder.verified_at > FALLBACK_POLL_AFTER_S
 
     def _long_poll(self) -> ReadOutcome:
         """Long-poll the log; other threads may read it in the meantime."""
-        asked = self._reader.poll_page(self._draw_poll_wait_s())
+        wait_s = self._draw_poll_wait_s() if self._backoff.may_hold else 0.0
+        asked = self._reader.poll_page(wait_s)
         if asked is None:
             return ReadOutcome.UNAVAILABLE
         with self._reader_lock:
@@ -277,19 +281,15 @@
 
     def _record_poll(self, outcome: ReadOutcome) -> None:
         if outcome in (ReadOutcome.COMPLETE, ReadOutcome.PARTIAL):
-            self._poll_backoff_s = POLL_INTERVAL_S
-            self._poll_failures = 0
+            self._backoff.record_success()
             return
         log_warning("configuration_poll_failed", outcome=outcome)
-        self._poll_failures += 1
-        if self._poll_failures == 1:
-            self._poll_backoff_s = POLL_RETRY_S
-            return
-        limit_s = EXTRA_POLL_BACKOFF_LIMIT_S
-        if self._peers.is_domain_poller():
-            limit_s = POLL_BACKOFF_LIMIT_S
-        longer_s = max(POLL_INTERVAL_S, 2 * self._poll_backoff_s)
-        self._poll_backoff_s = min(limit_s, longer_s)
+        self._backoff.record_failure(self._peers.is_domain_poller())
+
+    def _find_backoff_wait_s(self) -> float:
+        """Return the seconds until the next poll, or until to check again."""
+        wait_s = self._backoff.find_wait_s(self._holder.verified_at)
+        return min(wait_s, POLL_INTERVAL_S)
 
     def _needs_fallback_poll(self) -> bool:
         """
@@ -338,7 +338,7 @@
 
     def _queue_pull(self, instance: InstanceId) -> None:
         """Queue an exchange with a peer that is ahead, unless the log will catch up."""
-        if self._peers.all_members_poll() and not self._poll_failures:
+        if self._peers.all_members_poll() and not self._backoff.failures:
             return
         member = self._members.find_member(instance)
         if member is not None:
--- a/corianderhold/transport/store/client.py
+++ b/corianderhold/transport/store/client.py
@@ -72,7 +72,7 @@
         try:
             if wait_s > 0:
                 path += f"&wait_ms={wait_s * 1000:.0f}"
-                response = self._store.exchange("GET", path, None, wait_s + timeout_s)
+                response = self._store.read_held(path, wait_s, timeout_s)
             else:
                 response = self._store.read_with_retry(path, timeout_s)
         except HTTPError as error:
--- a/corianderhold/transport/store/http.py
+++ b/corianderhold/transport/store/http.py
@@ -1,17 +1,19 @@
 """Send requests to the platform's store over pooled HTTP connections."""
 
 import re
+import socket
 import threading
 from dataclasses import dataclass
 
 from urllib3 import HTTPConnectionPool, Timeout
-from urllib3.connectionpool import connection_from_url
+from urllib3.connection import HTTPConnection
 from urllib3.exceptions import (
     ConnectTimeoutError,
     HTTPError,
     NewConnectionError,
     ReadTimeoutError,
 )
+from urllib3.util import parse_url
 
 from corianderhold.clock import Clock
 from corianderhold.ids import FIRST_ERA, StoreEra
@@ -20,13 +22,24 @@
     CONNECT_TIMEOUT_S,
     CONNECTION_IDLE_LIMIT_S,
     FIRST_ATTEMPT_TIMEOUT_RATIO,
+    KEEPALIVE_IDLE_S,
+    KEEPALIVE_INTERVAL_S,
+    KEEPALIVE_PROBES,
     PAGE_BYTES_MAX,
     POOLED_CONNECTIONS_MAX,
     READ_CHUNK_BYTES,
 )
+from corianderhold.transport.store.held import HeldReads, TrackedConnection
 
 CONTENT_TYPE = "text/plain; charset=utf-8"
 ERA = re.compile(r"[1-9][0-9]{0,14}")
+SOCKET_OPTIONS = (
+    *HTTPConnection.default_socket_options,
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+)
 
 
 class AnswerTooLongError(HTTPError):
@@ -42,15 +55,24 @@
     era: StoreEra = FIRST_ERA
 
 
+class StorePool(HTTPConnectionPool):
+    """Open connections whose held reads can be interrupted."""
+
+    ConnectionCls = TrackedConnection
+
+
 class HttpStore:
     """
     Send requests on pooled connections; replace all once one goes silent.
 
-    `era_header` is the response header in which the store states its era.
+    Reads that the store holds end with them: on a silent connection they would wait
+    until their time-out. `era_header` is the response header in which the store states
+    its era.
     """
 
     def __init__(self, base_url: str, clock: Clock, era_header: str) -> None:
-        self._base_url = base_url
+        self._address = parse_url(base_url)
+        self._held = HeldReads()
         self._era_header = era_header
         self._clock = clock
         self._lock = threading.Lock()
@@ -77,6 +99,15 @@
             raise AnswerTooLongError(f"no time left of {timeout_s} s to retry the read")
         return self.exchange("GET", path, None, remaining_s)
 
+    def read_held(self, path: str, wait_s: float, timeout_s: float) -> HttpResponse:
+        """
+        Read once; the store may hold the read for `wait_s` seconds.
+
+        Raise HTTPError as soon as another request finds that the store is silent.
+        """
+        with self._held.track():
+            return self.exchange("GET", path, None, wait_s + timeout_s)
+
     def exchange(
         self, method: str, path: str, body: bytes | None, timeout_s: float
     ) -> HttpResponse:
@@ -122,16 +153,27 @@
             return self._pool
 
     def replace_connections(self, error: HTTPError) -> None:
-        """Close all pooled connections; others may be silent like the failed one."""
+        """Close all connections; others may be silent like the failed one."""
         if not isinstance(error, ReadTimeoutError | AnswerTooLongError):
             return
-        log_warning("log_connections_replaced", error=type(error).__name__)
         with self._lock:
             self._pool.close()
             self._pool = self._open_pool()
+        interrupted = self._held.interrupt()
+        log_warning(
+            "log_connections_replaced",
+            error=type(error).__name__,
+            held=interrupted,
+        )
 
     def _open_pool(self) -> HTTPConnectionPool:
-        return connection_from_url(self._base_url, maxsize=POOLED_CONNECTIONS_MAX)
+        return StorePool(
+            self._address.host or "",
+            self._address.port,
+            maxsize=POOLED_CONNECTIONS_MAX,
+            socket_options=SOCKET_OPTIONS,
+            held=self._held,
+        )
 
 
 def parse_era(text: str | None) -> StoreEra:
