--- a/emulator/target.py
+++ b/emulator/target.py
@@ -3,6 +3,7 @@
 import hashlib
 import json
 import math
+import os
 import random
 import threading
 import time
@@ -37,6 +38,7 @@
 STALL_CHECK_S = 0.05
 LOGNORMAL_SIGMA = 0.5
 DRAIN_LIMIT_S = 10.0
+CRASH_EXIT_CODE = 70
 
 
 class Distribution(Enum):
@@ -56,7 +58,8 @@
     every response while set, `lying_health` reports no load, `truncate_answers`
     closes the connection halfway through every body, `delay_ms` is added to each
     service time. Every response names `rate_limit` unless it is None, and says that the
-    target leaves while `leaving` is set.
+    target leaves while `leaving` is set. A request with `crash` in its query ends the
+    process unless `ignore_crash` is set.
     """
 
     slow_factor: float = 1.0
@@ -67,6 +70,7 @@
     delay_ms: float = 0.0
     rate_limit: float | None = None
     leaving: bool = False
+    ignore_crash: bool = False
 
 
 class ServiceTimes:
@@ -189,6 +193,8 @@
     def _work(self, request: Request, request_id: str) -> Answer:
         time.sleep(self._faults.delay_ms / 1000)
         time.sleep(self._choose_service_time(request))
+        if request.read_query("crash") and not self._faults.ignore_crash:
+            os._exit(CRASH_EXIT_CODE)
         self._wait_while_stalled()
         context = request.headers.get(CONTEXT_HEADER, "")
         outcomes = [
