--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -44,6 +44,10 @@
     build_default_policy,
 )
 from corianderhold.coordination.owner.remote import RemoteCallServer
+from corianderhold.coordination.owner.screen import CallScreen
+from corianderhold.coordination.quarantine.crashes import CrashDetector
+from corianderhold.coordination.quarantine.hints import QuarantineHints
+from corianderhold.coordination.quarantine.service import QuarantineService
 from corianderhold.coordination.rate.components import (
     RateComponents,
     build_loans,
@@ -69,6 +73,8 @@
 from corianderhold.state.lease.model import LeaseHolder, ShardId
 from corianderhold.state.membership.incarnation import generate_incarnation
 from corianderhold.state.membership.locality import Locality
+from corianderhold.state.quarantine.fingerprint import Fingerprinter
+from corianderhold.state.quarantine.table import QuarantineTable
 from corianderhold.traffic import TrafficMeter, TrafficReport
 from corianderhold.transport.peer.control import LinkControlClient
 from corianderhold.transport.peer.handshake import Identity
@@ -125,6 +131,9 @@
         self._lease_holder = LeaseHolder(settings.instance, self._incarnation)
         self._leases = self._build_leases()
         self._rate = self._build_rate()
+        self._fingerprinter = Fingerprinter(settings.fleet_secret)
+        self._quarantines = QuarantineTable(self._clock)
+        self._quarantine = self._build_quarantine()
         self._readiness = Readiness(self._holder, self._clock, self._rate.is_settled)
 
     def build(self) -> Application:
@@ -167,6 +176,7 @@
                 self._membership,
                 self._follower,
                 self._leases,
+                self._quarantine,
                 *([keeper] if self._header_names.idempotency_key else []),
                 *self._rate.components,
                 watch,
@@ -179,14 +189,16 @@
 
     def _build_owner(self, admission: AdmissionController) -> Owner:
         names = self._header_names
+        client = TargetClient(self._clock, names.request_id)
         owner = Owner(
             self._membership,
             admission,
-            TargetClient(self._clock, names.request_id),
+            client,
             self._guard,
             self._breaker,
             self._clock,
             self._metrics,
+            self._build_screen(client),
             names,
         )
         self._metrics.add_gauge(
@@ -197,6 +209,35 @@
         self._metrics.add_gauge("owner_rate_limit", owner.read_rate_limit)
         return owner
 
+    def _build_screen(self, client: TargetClient) -> CallScreen:
+        detector = CrashDetector(
+            self._membership.read_target, client.refuses_connections, self._clock
+        )
+        return CallScreen(
+            self._quarantines,
+            self._fingerprinter,
+            self._quarantine,
+            detector,
+            self._clock,
+            self._metrics,
+        )
+
+    def _build_quarantine(self) -> QuarantineService:
+        service = QuarantineService(
+            self._settings.instance,
+            self._quarantines,
+            self._membership,
+            self._control,
+            self._clock,
+            Random(os.urandom(16)),
+            self._metrics,
+        )
+        self._membership.add_listener(service.handle_member)
+        self._membership.add_target_listener(service.handle_target)
+        self._metrics.add_gauge("suspects", self._quarantines.count_suspects)
+        self._metrics.add_gauge("quarantines", self._quarantines.count_quarantines)
+        return service
+
     def _build_keyed_router(self, keeper: OnceKeeper, direct: Router) -> KeyedRouter:
         return KeyedRouter(
             self._settings.instance,
@@ -371,6 +412,7 @@
             self._clock,
             self._metrics,
             FleetRetryBurst(settings.retry_burst, self._membership),
+            QuarantineHints(self._fingerprinter, self._quarantines, self._clock),
             self._header_names,
         )
 
@@ -440,6 +482,7 @@
                 ControlTopic.MEMBERSHIP: self._membership,
                 ControlTopic.CONFIGURATION: self._follower,
                 ControlTopic.LEASE: self._leases,
+                ControlTopic.QUARANTINE: self._quarantine,
                 **self._rate.handlers,
             },
             self._meter,
--- a/corianderhold/coordination/call.py
+++ b/corianderhold/coordination/call.py
@@ -18,6 +18,8 @@
     `deadline_at` is in seconds on this daemon's monotonic clock. `depth` is 0 for a
     root request and increases by one with each nested call. `request_id` is the
     caller's id of the request. `notice` is what the entry knows of the owner's target.
+    With `in_trial`, an equal call was in flight when a target crashed, and the owner is
+    the one that tries it again.
     """
 
     call_id: CallId
@@ -35,6 +37,7 @@
     idempotency_key: str | None = None
     request_id: str = ""
     notice: TargetNotice | None = None
+    in_trial: bool = False
 
 
 class RequestBody(Protocol):
--- a/corianderhold/coordination/entry/router.py
+++ b/corianderhold/coordination/entry/router.py
@@ -23,6 +23,7 @@
 from corianderhold.coordination.owner.headers import find_header
 from corianderhold.coordination.owner.notices import LEAVING_VALUE
 from corianderhold.coordination.owner.owner import CallOwner
+from corianderhold.coordination.quarantine.hints import QuarantineHints
 from corianderhold.coordination.retry import FleetRetryBurst, RetryBudget, RetryThrottle
 from corianderhold.ids import CallId, InstanceId, ServiceName
 from corianderhold.log import log_event
@@ -32,6 +33,7 @@
 from corianderhold.protocol.verdict import Reason, Refusal, RunState, refuse_not_run
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.membership.model import Member, MemberDirectory
+from corianderhold.state.quarantine.model import Suspicion
 
 # Refusals that depend on the owner, so that another owner may accept the call.
 RETRYABLE_NOT_RUN_REASONS = frozenset(
@@ -48,6 +50,7 @@
         Reason.TARGET_LIMITED,
         Reason.TARGET_FULL,
         Reason.TARGET_MISMATCH,
+        Reason.TRIAL_REQUIRED,
     }
 )
 # Reported to callers as NO_TARGET; only the log has the actual reason.
@@ -59,10 +62,11 @@
         Reason.REGION_FORBIDDEN,
         Reason.TARGET_COLD,
         Reason.TARGET_LIMITED,
+        Reason.TRIAL_REQUIRED,
     }
 )
 RETRYABLE_MAY_HAVE_RUN_REASONS = frozenset(
-    {Reason.PEER_SILENT, Reason.ANSWER_TRUNCATED}
+    {Reason.PEER_SILENT, Reason.ANSWER_TRUNCATED, Reason.TARGET_CRASHED}
 )
 OWNER_FAILURE_REASONS = frozenset(
     {
@@ -72,6 +76,7 @@
         Reason.TARGET_SILENT,
         Reason.ANSWER_TRUNCATED,
         Reason.NO_TARGET,
+        Reason.TARGET_CRASHED,
     }
 )
 
@@ -82,12 +87,14 @@
     One attempt at a call.
 
     `number` counts from 0, `eligibility` excludes the owners that were already tried,
-    and `refusal` is that of the previous attempt.
+    and `refusal` is that of the previous attempt. With `in_trial`, only the owner that
+    tries calls that may crash their target is used.
     """
 
     eligibility: Eligibility
     number: int = 0
     refusal: Refusal | None = None
+    in_trial: bool = False
 
 
 class Router:
@@ -105,8 +112,10 @@
         clock: Clock,
         metrics: Metrics,
         burst: FleetRetryBurst,
+        hints: QuarantineHints,
         names: HeaderNames | None = None,
     ) -> None:
+        self._hints = hints
         self._instance = instance
         self._members = members
         self._holder = holder
@@ -156,15 +165,18 @@
         self, context: CallContext, body: RequestBody, retries: RetryBudget
     ) -> Result[Response, Refusal]:
         """Try owners in turn until one responds or no further attempt is allowed."""
+        suspicion = self._hints.find(context, body)
+        if suspicion is Suspicion.QUARANTINED:
+            return Err(self._hints.refuse(context, body))
         throttle = self._find_throttle(context.service)
         throttle.record_attempt()
         eligibility = self._rules.find(context)
         for owner in self._notices.list_excluded():
             eligibility = eligibility.exclude(owner)
-        attempt = Attempt(eligibility)
+        attempt = Attempt(eligibility, in_trial=suspicion is Suspicion.SUSPECT)
         may_have_run = False
         while True:
-            choice = self._choose(context, attempt)
+            choice = self._choose(context, body, attempt)
             if choice.chosen is None:
                 refusal = attempt.refusal or self._refuse_without_owner(
                     context, attempt, choice
@@ -172,17 +184,21 @@
                 return Err(
                     apply_run_state(hide_placement_reason(refusal), may_have_run)
                 )
-            outcome = self._try_owner(context, body, retries, choice.chosen)
+            tried = replace(context, in_trial=attempt.in_trial)
+            outcome = self._try_owner(tried, body, retries, choice.chosen)
             if isinstance(outcome, Ok):
+                self._hints.forget(context, body)
                 return outcome
             refusal = outcome.err_value
+            learned = self._hints.learn(context, body, refusal)
             may_have_run = may_have_run or not refusal.not_run
             if not self._may_retry(context, body, refusal, retries, throttle, attempt):
                 return Err(
                     apply_run_state(hide_placement_reason(refusal), may_have_run)
                 )
             eligibility = attempt.eligibility.exclude(choice.chosen.instance)
-            attempt = Attempt(eligibility, attempt.number + 1, refusal)
+            in_trial = attempt.in_trial or learned is Suspicion.SUSPECT
+            attempt = Attempt(eligibility, attempt.number + 1, refusal, in_trial)
 
     def _remove_at_close(self, response: Response, call_id: CallId) -> Response:
         """Return a response that keeps its call cancellable until it is closed."""
@@ -195,11 +211,18 @@
 
         return replace(response, close=close)
 
-    def _choose(self, context: CallContext, attempt: Attempt) -> Choice:
+    def _choose(
+        self, context: CallContext, body: RequestBody, attempt: Attempt
+    ) -> Choice:
         owners = self._members.list_owners(context.service)
-        choice = self._load_balancer.choose(
-            owners, context.importance, attempt.eligibility
-        )
+        if attempt.in_trial:
+            allows = attempt.eligibility.allows
+            tester = self._hints.choose_tester(context, body, owners, allows)
+            choice = Choice(tester, ())
+        else:
+            choice = self._load_balancer.choose(
+                owners, context.importance, attempt.eligibility
+            )
         log_event(
             "call_routed",
             call=context.call_id,
@@ -209,6 +232,7 @@
             importance=context.importance,
             route=context.route,
             attempt=attempt.number,
+            in_trial=attempt.in_trial,
             owner=choice.chosen.instance if choice.chosen else None,
             candidates=",".join(
                 f"{c.member.instance}:{c.score:.2f}" for c in choice.candidates
--- a/corianderhold/coordination/entry/sender.py
+++ b/corianderhold/coordination/entry/sender.py
@@ -183,6 +183,7 @@
             body_follows=inline is None,
             body_length=body.length,
             notice=context.notice,
+            in_trial=context.in_trial,
         )
 
     def _send_body(self, body: RequestBody) -> None:
--- a/corianderhold/coordination/owner/chunks.py
+++ b/corianderhold/coordination/owner/chunks.py
@@ -7,7 +7,7 @@
 from corianderhold.coordination.call import AnswerTruncatedError
 from corianderhold.coordination.owner.const import RESPONSE_BUFFER_TIME_S
 from corianderhold.protocol.peer.const import INLINE_BODY_BYTES
-from corianderhold.protocol.verdict import Reason, refuse_may_have_run
+from corianderhold.protocol.verdict import Reason, Refusal, refuse_may_have_run
 from corianderhold.transport.web.errors import TargetError
 from corianderhold.transport.web.target import TargetResponse
 
@@ -16,7 +16,8 @@
     """
     Pass on the chunks of a response and run the clean-up exactly once.
 
-    At the end `is_complete` says whether the response ended regularly.
+    At the end `is_complete` says whether the response ended regularly. `explain`
+    returns the refusal of one that failed, before the clean-up.
     """
 
     def __init__(
@@ -24,7 +25,9 @@
         chunks: Iterator[bytes],
         on_end: "EndCallback",
         is_complete: Callable[[], bool],
+        explain: Callable[[Refusal], Refusal],
     ) -> None:
+        self._explain = explain
         self._chunks = chunks
         self._on_end: EndCallback | None = on_end
         self._is_complete = is_complete
@@ -47,8 +50,9 @@
             refusal = refuse_may_have_run(Reason.CANCELLED)
             raise AnswerTruncatedError(refusal) from None
         except TargetError as error:
+            refusal = self._explain(error.refusal)
             self._finish(failed=True)
-            raise AnswerTruncatedError(error.refusal) from error
+            raise AnswerTruncatedError(refusal) from error
         except BaseException:
             self._finish(failed=True)
             raise
--- a/corianderhold/coordination/owner/owner.py
+++ b/corianderhold/coordination/owner/owner.py
@@ -42,6 +42,7 @@
     InFlightCalls,
     generate_token,
 )
+from corianderhold.coordination.owner.screen import CallScreen
 from corianderhold.coordination.retry import RetryBudget
 from corianderhold.ids import CallId
 from corianderhold.log import log_event
@@ -90,8 +91,10 @@
         breaker: CalleeCircuitBreaker,
         clock: Clock,
         metrics: Metrics,
+        screen: CallScreen,
         names: HeaderNames | None = None,
     ) -> None:
+        self._screen = screen
         self._source = source
         self._admission = admission
         self._client = client
@@ -116,20 +119,20 @@
 
         The permit is returned at the end of the response, at the latest by `close`.
         """
-        found = self._find_target(context)
-        if isinstance(found, Err):
-            return self._refuse(context, found.err_value)
-        wait_s = self._breaker.find_retry_after(context.route)
-        if wait_s > 0:
-            wait_ms = max(COLD_RETRY_AFTER_MS, int(wait_s * 1000))
-            return self._refuse(context, refuse_not_run(Reason.CALLEE_COLD, wait_ms))
+        refusal = self._find_refusal(context)
+        if refusal is not None:
+            return self._refuse(context, refusal)
+        screened = self._screen.admit(context, body)
+        if isinstance(screened, Err):
+            return self._refuse(context, screened.err_value)
         token = generate_token() if self._names.context else ""
         request_id = find_header(context.headers, self._names.request_id)
-        call = InFlightCall(context, retries, token, request_id)
+        call = InFlightCall(context, retries, token, request_id, body)
+        call.trial = screened.ok_value
         self.calls.add(call)
         admitted = self._admission.acquire(context, call.register_waiter)
         if isinstance(admitted, Err):
-            self.calls.remove(call)
+            self._remove(call)
             return self._refuse(context, admitted.err_value)
         started_at = self._clock.read_monotonic()
         try:
@@ -165,6 +168,27 @@
         notice = self._notices.read()
         return load if notice is None else replace(load, notice=notice)
 
+    def _find_refusal(self, context: CallContext) -> Refusal | None:
+        """Return why a call can't be served at all at present, None if it can."""
+        found = self._find_target(context)
+        if isinstance(found, Err):
+            return found.err_value
+        wait_s = self._breaker.find_retry_after(context.route)
+        if wait_s > 0:
+            wait_ms = max(COLD_RETRY_AFTER_MS, int(wait_s * 1000))
+            return refuse_not_run(Reason.CALLEE_COLD, wait_ms)
+        return None
+
+    def _remove(self, call: InFlightCall, *, passed: bool = False) -> None:
+        """Remove a call, whose trial ends, from those in flight."""
+        self.calls.remove(call)
+        if call.trial is not None:
+            call.trial.end(passed=passed)
+
+    def _suspend(self, target: TargetStatus) -> None:
+        self._screen.detector.record_suspension(target)
+        self._source.suspend_target(target)
+
     def _find_target(self, context: CallContext) -> Result[TargetStatus, Refusal]:
         target = self._source.read_target()
         if target.address is None or target.service != context.service:
@@ -217,7 +241,7 @@
         self._refused_connections += failure.refused
         if self._refused_connections >= REFUSED_CONNECTIONS_MAX:
             self._refused_connections = 0
-            self._source.suspend_target(target)
+            self._suspend(target)
         return Err(refuse_not_run(Reason.TARGET_UNREACHABLE, detail=failure.detail))
 
     def _check_dispatchable(
@@ -245,6 +269,7 @@
     ) -> Result[TargetResponse, Refusal]:
         request = self._build_request(call, target, body)
         dispatched_at = self._clock.read_monotonic()
+        call.target = target
         try:
             outcome = self._client.exchange(connection, request, call.attach_connection)
         except BodyError as error:
@@ -253,10 +278,20 @@
         if isinstance(outcome, Err) and call.cancelled:
             return Err(refuse_may_have_run(Reason.CANCELLED))
         if isinstance(outcome, Err):
-            return outcome
+            return Err(self._explain(call, outcome.err_value))
         self._notices.observe(target, outcome.ok_value.headers, dispatched_at)
         return self._convert_not_run(call, target, outcome)
 
+    def _explain(self, call: InFlightCall, refusal: Refusal) -> Refusal:
+        """Return the refusal of a call that was sent; a crash suspends its target."""
+        target = call.target
+        if target is None:
+            return refusal
+        explained = self._screen.explain_failure(call, target, self.calls, refusal)
+        if explained is not refusal:
+            self._suspend(target)
+        return explained
+
     def _convert_not_run(
         self, call: InFlightCall, target: TargetStatus, outcome: Ok[TargetResponse]
     ) -> Result[TargetResponse, Refusal]:
@@ -272,7 +307,7 @@
             detail = "refusal without a request id, maybe of an earlier request"
             return Err(refuse_may_have_run(Reason.ANSWER_TRUNCATED, detail))
         if refusal.reason is Reason.TARGET_MISMATCH:
-            self._source.suspend_target(target)
+            self._suspend(target)
         return Err(refusal)
 
     def _build_request(
@@ -304,7 +339,10 @@
             # length just as the target does.
             return response.has_known_end or not call.cancelled
 
-        chunks = FinalizedChunks(response.chunks, finish, is_complete)
+        def explain(refusal: Refusal) -> Refusal:
+            return self._explain(call, refusal)
+
+        chunks = FinalizedChunks(response.chunks, finish, is_complete, explain)
         headers = select_headers(response.headers)
         try:
             first, complete = buffer_small(chunks, response.length, self._clock)
@@ -319,7 +357,9 @@
 
     def _finish(self, call: InFlightCall, started_at: float, *, failed: bool) -> None:
         """Finish a call; a cancelled one does not affect the limit."""
-        self.calls.remove(call)
+        self._remove(call, passed=not failed)
+        if not failed:
+            self._screen.record_response(call, started_at)
         if failed and call.cancelled:
             self._admission.release_unsent()
         else:
@@ -334,10 +374,10 @@
     ) -> None:
         """Finish a refused call; one that was not sent does not affect the limit."""
         if refusal.reason is Reason.TARGET_FULL:
-            self.calls.remove(call)
+            self._remove(call)
             self._admission.release_refused()
         elif refusal.not_run and refusal.reason is not Reason.TARGET_UNREACHABLE:
-            self.calls.remove(call)
+            self._remove(call)
             self._admission.release_unsent()
         else:
             self._finish(call, started_at, failed=True)
--- a/corianderhold/coordination/owner/registry.py
+++ b/corianderhold/coordination/owner/registry.py
@@ -5,11 +5,13 @@
 import threading
 from dataclasses import dataclass, field
 
-from corianderhold.coordination.call import CallContext
+from corianderhold.coordination.call import CallContext, InlineBody, RequestBody
 from corianderhold.coordination.owner.const import CONTEXT_TOKEN_BYTES
 from corianderhold.coordination.owner.queue import Waiter
+from corianderhold.coordination.quarantine.trial import Trial
 from corianderhold.coordination.retry import RetryBudget
 from corianderhold.ids import CallId
+from corianderhold.state.membership.target import TargetStatus
 
 
 def generate_token() -> str:
@@ -25,12 +27,17 @@
     `token` identifies the call when the target sends it with nested calls; it is empty
     for a target that sends none. It is random, carries no data and is valid only
     during the call. `request_id` is the caller's id of the request, if there is one.
+    `target` is what the call was sent to, None before; `trial` is that of a call that
+    may crash its target.
     """
 
     context: CallContext
     retries: RetryBudget
     token: str = field(repr=False, default_factory=generate_token)
     request_id: str | None = None
+    body: RequestBody = field(repr=False, default=InlineBody(b""))
+    target: TargetStatus | None = None
+    trial: Trial | None = None
     cancelled: bool = False
     _lock: threading.Lock = field(default_factory=threading.Lock, repr=False)
     _connection: socket.socket | None = None
@@ -104,6 +111,11 @@
                 del self._by_id[call.context.call_id]
             self._by_token.pop(call.token, None)
 
+    def list_calls(self) -> list[InFlightCall]:
+        """Return the calls that are queued or running."""
+        with self._lock:
+            return list(self._by_id.values())
+
     def find_by_token(self, token: str) -> InFlightCall | None:
         """Return the call whose token this is, or None."""
         return self._by_token.get(token)
--- a/corianderhold/coordination/owner/remote.py
+++ b/corianderhold/coordination/owner/remote.py
@@ -177,6 +177,7 @@
         headers=head.headers,
         idempotency_key=head.idempotency_key,
         notice=head.notice,
+        in_trial=head.in_trial,
     )
 
 
--- /dev/null
+++ b/corianderhold/coordination/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Keep calls that crash their targets from reaching further ones."""
--- /dev/null
+++ b/corianderhold/coordination/quarantine/const.py
@@ -0,0 +1,22 @@
+"""Define the timing of quarantines."""
+
+CRASH_CHECKS = 2  # a target that ends may still accept a connection for a moment
+CRASH_CHECK_PAUSE_S = 0.01
+CRASH_MEMORY_S = 10.0  # a later connection failure is not part of the same crash
+NO_CRASH_MEMORY_S = 0.05
+
+TRIAL_DELAY_S = 0.1  # after the crash, until the other owners know of the suspects
+TRIAL_WAIT_MAX_S = 0.5
+TRIALS_WAITING_MAX = 16
+TRIAL_RETRY_AFTER_MS = 500
+QUARANTINED_RETRY_AFTER_MIN_MS = 1000
+
+HINT_LIFETIME_S = 5.0  # of what an owner's refusal says of a call
+HINTS_MAX = 1024
+
+NOTICE_TIMEOUT_S = 1.0
+NOTICE_THREADS = 16
+SYNC_INTERVAL_S = 2.0  # while anything is known
+START_SYNC_PEERS = 3
+PEER_FAILURES_MAX = 3  # then a peer, maybe of an older build, is left out for a time
+PEER_PAUSE_S = 30.0
--- /dev/null
+++ b/corianderhold/coordination/quarantine/service.py
@@ -0,0 +1,290 @@
+"""Share among the owners of a service what crashed their targets."""
+
+import queue
+import threading
+from collections.abc import Callable
+from random import Random
+
+from result import Err
+
+from corianderhold.clock import Clock
+from corianderhold.coordination.quarantine.const import (
+    NOTICE_THREADS,
+    NOTICE_TIMEOUT_S,
+    PEER_FAILURES_MAX,
+    PEER_PAUSE_S,
+    START_SYNC_PEERS,
+    SYNC_INTERVAL_S,
+)
+from corianderhold.ids import Fingerprint, InstanceId, ServiceName
+from corianderhold.log import log_event, log_warning
+from corianderhold.metrics import Metrics
+from corianderhold.protocol.peer.control import (
+    ControlClient,
+    ControlSender,
+    ControlTopic,
+)
+from corianderhold.protocol.quarantine.codec import decode_notice, encode_notice
+from corianderhold.protocol.quarantine.model import Notice, NoticeError
+from corianderhold.state.membership.model import (
+    Member,
+    MemberDirectory,
+    MemberState,
+    TargetState,
+)
+from corianderhold.state.membership.target import TargetStatus
+from corianderhold.state.quarantine.model import (
+    CrashReport,
+    Quarantine,
+    rank_testers,
+)
+from corianderhold.state.quarantine.table import QuarantineTable
+
+STOP_TIMEOUT_S = 0.2
+
+
+class PeerFailures:
+    """Leave out peers that repeatedly did not reply, as those of older builds do."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._failures: dict[InstanceId, int] = {}
+        self._paused_until: dict[InstanceId, float] = {}
+
+    def is_paused(self, instance: InstanceId) -> bool:
+        """Return whether a peer is left out for now."""
+        now = self._clock.read_monotonic()
+        return now < self._paused_until.get(instance, float("-inf"))
+
+    def record(self, instance: InstanceId, *, replied: bool) -> None:
+        """Record the outcome of a request."""
+        if replied:
+            self._failures.pop(instance, None)
+            self._paused_until.pop(instance, None)
+            return
+        failures = self._failures.get(instance, 0) + 1
+        self._failures[instance] = failures
+        if failures >= PEER_FAILURES_MAX:
+            self._paused_until[instance] = self._clock.read_monotonic() + PEER_PAUSE_S
+
+
+class QuarantineService:
+    """
+    Send crashes to the other owners of a service at once, and compare with them later.
+
+    Only owners need to know: no call reaches a target but through its owner. While
+    anything is known, each owner compares with a random one every SYNC_INTERVAL_S, and
+    with a few when its target starts.
+    """
+
+    def __init__(
+        self,
+        instance: InstanceId,
+        table: QuarantineTable,
+        members: MemberDirectory,
+        client: ControlClient,
+        clock: Clock,
+        random: Random,
+        metrics: Metrics,
+    ) -> None:
+        self._instance = instance
+        self._table = table
+        self._members = members
+        self._client = client
+        self._clock = clock
+        self._random = random
+        self._metrics = metrics
+        self._service: ServiceName | None = None
+        self._services: dict[InstanceId, ServiceName] = {}
+        self._failures = PeerFailures(clock)
+        self._started_target = threading.Event()
+        self._target: TargetStatus | None = None
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name="quarantine", daemon=True
+        )
+
+    def start(self) -> None:
+        """Start to compare with other owners."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop; requests in progress have time-outs."""
+        self._stopped.set()
+        self._started_target.set()
+        if self._thread.ident is not None:
+            self._thread.join(STOP_TIMEOUT_S)
+
+    def handle_member(self, member: Member) -> None:
+        """Remember the service of a member, which its crashed target loses."""
+        if member.state is MemberState.LEFT:
+            self._services.pop(member.instance, None)
+        elif member.service is not None:
+            self._services[member.instance] = member.service
+
+    def handle_target(self, status: TargetStatus) -> None:
+        """Compare with other owners once a start of the local target serves."""
+        before, self._target = self._target, status
+        if status.service is not None:
+            self._service = status.service
+        serves = status.state is TargetState.SERVING
+        if serves and (before is None or before.state is not TargetState.SERVING):
+            self._started_target.set()
+
+    def report_crash(self, report: CrashReport) -> None:
+        """Add a crash to the table and send it to the other owners."""
+        quarantines = self._table.record_crash(report)
+        self._log_quarantines(quarantines)
+        digest = self._table.read_view().digest
+        notice = Notice(digest, reports=(report,), quarantines=quarantines)
+        self._send_to_owners(report.service, notice)
+
+    def clear(self, fingerprint: Fingerprint, service: ServiceName) -> None:
+        """Clear a call and tell the other owners."""
+        clearance = self._table.clear(fingerprint)
+        if clearance is None:
+            return
+        log_event("suspect_cleared", fingerprint=fingerprint.hex(), service=service)
+        digest = self._table.read_view().digest
+        self._send_to_owners(service, Notice(digest, clearances=(clearance,)))
+
+    def is_tester(self, fingerprint: Fingerprint, service: ServiceName) -> bool:
+        """Return whether this owner runs the trials of a call."""
+        instances = {each.instance for each in self._members.list_owners(service)}
+        instances.add(self._instance)
+        return rank_testers(fingerprint, instances)[0] == self._instance
+
+    def handle_control(self, sender: ControlSender, body: bytes) -> bytes:
+        """
+        Merge a peer's notice; raise NoticeError if it is malformed.
+
+        The reply to a notice that only asks has all that is known, unless the peer
+        knows the same.
+        """
+        now = self._clock.read_monotonic()
+        notice = decode_notice(body, now)
+        self._merge(notice)
+        mine = self._build_notice()
+        if not notice.is_empty or mine.digest == notice.digest:
+            mine = Notice(mine.digest)
+        return encode_notice(mine, now)
+
+    def synchronize(self, member: Member) -> bool:
+        """Compare with a peer and return whether it replied."""
+        view = self._table.read_view()
+        reply = self._request(member, Notice(view.digest))
+        if reply is None:
+            return False
+        self._merge(reply)
+        mine = self._build_notice()
+        if mine.digest != reply.digest:
+            return self._request(member, mine) is not None
+        return True
+
+    def synchronize_once(self) -> None:
+        """Compare with one random peer while anything is known."""
+        if self._service is None or not self._table.is_active:
+            return
+        peers = [
+            each
+            for each in self._list_peers(self._service)
+            if not self._failures.is_paused(each.instance)
+        ]
+        if peers:
+            self.synchronize(self._random.choice(peers))
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            jitter = 0.5 + self._random.random()
+            started = self._started_target.wait(SYNC_INTERVAL_S * jitter)
+            self._started_target.clear()
+            if self._stopped.is_set():
+                return
+            try:
+                if started:
+                    self._synchronize_target()
+                self.synchronize_once()
+            except Exception as error:  # noqa: BLE001
+                # A failed step must not end the thread.
+                log_warning("quarantine_step_failed", error=repr(error))
+
+    def _synchronize_target(self) -> None:
+        """Compare with a few owners, as the target of this one has just started."""
+        if self._service is None:
+            return
+        peers = self._list_peers(self._service)
+        chosen = self._random.sample(peers, min(START_SYNC_PEERS, len(peers)))
+        self._run_for_each(chosen, lambda member: self.synchronize(member))
+
+    def _list_peers(self, service: ServiceName) -> list[Member]:
+        """Return the members that own a target of a service, also a crashed one."""
+        return [
+            member
+            for member in self._members.list_members()
+            if member.instance != self._instance
+            and member.state in (MemberState.ALIVE, MemberState.SUSPECT)
+            and service in (member.service, self._services.get(member.instance))
+        ]
+
+    def _send_to_owners(self, service: ServiceName, notice: Notice) -> None:
+        self._run_for_each(
+            self._list_peers(service), lambda member: self._request(member, notice)
+        )
+
+    def _run_for_each(
+        self, members: list[Member], step: Callable[[Member], object]
+    ) -> None:
+        """Run a step for each member, in threads that end with it."""
+        waiting: queue.SimpleQueue[Member] = queue.SimpleQueue()
+        for member in members:
+            waiting.put(member)
+
+        def work() -> None:
+            while not self._stopped.is_set():
+                try:
+                    step(waiting.get_nowait())
+                except queue.Empty:
+                    return
+                except Exception as error:  # noqa: BLE001
+                    log_warning("quarantine_step_failed", error=repr(error))
+
+        for _ in range(min(NOTICE_THREADS, len(members))):
+            threading.Thread(target=work, name="quarantine-send", daemon=True).start()
+
+    def _build_notice(self) -> Notice:
+        view = self._table.read_view()
+        return Notice(view.digest, view.reports, view.clearances, view.quarantines)
+
+    def _request(self, member: Member, notice: Notice) -> Notice | None:
+        body = encode_notice(notice, self._clock.read_monotonic())
+        answer = self._client.request(
+            member.peer_address, ControlTopic.QUARANTINE, body, NOTICE_TIMEOUT_S
+        )
+        self._metrics.increment("quarantine_bytes_sent", len(body))
+        self._failures.record(member.instance, replied=answer.is_ok())
+        if isinstance(answer, Err):
+            self._metrics.increment(f"quarantine_notice_{answer.err_value.value}")
+            return None
+        try:
+            return decode_notice(answer.ok_value, self._clock.read_monotonic())
+        except NoticeError as error:
+            log_warning("notice_malformed", peer=member.instance, error=str(error))
+            return None
+
+    def _merge(self, notice: Notice) -> None:
+        quarantines = self._table.merge(
+            notice.reports, notice.clearances, notice.quarantines
+        )
+        self._log_quarantines(quarantines)
+
+    def _log_quarantines(self, quarantines: tuple[Quarantine, ...]) -> None:
+        now = self._clock.read_monotonic()
+        for each in quarantines:
+            self._metrics.increment("quarantines_begun")
+            log_warning(
+                "call_quarantined",
+                fingerprint=each.fingerprint.hex(),
+                service=each.service,
+                left_s=each.until - now,
+                count=each.count,
+            )
--- a/corianderhold/ids.py
+++ b/corianderhold/ids.py
@@ -16,5 +16,7 @@
 Version = NewType("Version", int)
 Offset = NewType("Offset", int)
 StoreEra = NewType("StoreEra", int)
+CrashId = NewType("CrashId", bytes)
+Fingerprint = NewType("Fingerprint", bytes)
 
 FIRST_ERA = StoreEra(1)
--- a/corianderhold/protocol/peer/codec.py
+++ b/corianderhold/protocol/peer/codec.py
@@ -42,7 +42,13 @@
 PROTOCOL_FACTORY = TBinaryProtocolAcceleratedFactory()
 # Builds that don't know a reason can't read the frame, so it is sent as the nearest
 # reason that all builds know, together with the actual one.
-READABLE_REASONS = {Reason.TARGET_LIMITED: Reason.TARGET_FULL}
+READABLE_REASONS = {
+    Reason.TARGET_LIMITED: Reason.TARGET_FULL,
+    Reason.TARGET_CRASHED: Reason.ANSWER_TRUNCATED,
+    Reason.TRIAL_REQUIRED: Reason.QUEUE_FULL,
+    Reason.TRIAL_BUSY: Reason.SHED,
+    Reason.QUARANTINED: Reason.SHED,
+}
 UNKNOWN_REASONS = {
     RunState.NOT_RUN: Reason.TARGET_REFUSED,
     RunState.MAY_HAVE_RUN: Reason.ANSWER_TRUNCATED,
@@ -186,6 +192,7 @@
             body_follows=message.body_follows,
             body_length=message.body_length,
             notice=encode_notice(message.notice),
+            in_trial=message.in_trial or None,
         )
     )
 
@@ -213,6 +220,7 @@
         body_follows=struct.body_follows,
         body_length=struct.body_length,
         notice=decode_notice(struct.notice),
+        in_trial=bool(struct.in_trial),
     )
 
 
--- a/corianderhold/protocol/peer/control.py
+++ b/corianderhold/protocol/peer/control.py
@@ -18,6 +18,7 @@
     LEASE = "lease"
     RATE = "rate"
     ONCE = "once"
+    QUARANTINE = "quarantine"
 
 
 class ControlFailure(Enum):
--- a/corianderhold/protocol/peer/gen/ttypes.py
+++ b/corianderhold/protocol/peer/gen/ttypes.py
@@ -661,6 +661,7 @@
      - body_follows
      - body_length
      - notice
+     - in_trial
 
     """
 
@@ -685,10 +686,11 @@
         'body_follows',
         'body_length',
         'notice',
+        'in_trial',
     )
 
 
-    def __init__(self, call_id=None, root_id=None, incarnation=None, accept_by_us=None, deadline_us=None, organisation=None, importance=None, retry_budget=None, depth=None, service_name=None, method=None, path=None, headers=None, idempotent=None, idempotency_key=None, route=None, body=None, body_follows=None, body_length=None, notice=None,):
+    def __init__(self, call_id=None, root_id=None, incarnation=None, accept_by_us=None, deadline_us=None, organisation=None, importance=None, retry_budget=None, depth=None, service_name=None, method=None, path=None, headers=None, idempotent=None, idempotency_key=None, route=None, body=None, body_follows=None, body_length=None, notice=None, in_trial=None,):
         self.call_id = call_id
         self.root_id = root_id
         self.incarnation = incarnation
@@ -709,6 +711,7 @@
         self.body_follows = body_follows
         self.body_length = body_length
         self.notice = notice
+        self.in_trial = in_trial
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -826,6 +829,11 @@
                     self.notice.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.BOOL:
+                    self.in_trial = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -919,6 +927,10 @@
             oprot.writeFieldBegin('notice', TType.STRUCT, 20)
             self.notice.write(oprot)
             oprot.writeFieldEnd()
+        if self.in_trial is not None:
+            oprot.writeFieldBegin('in_trial', TType.BOOL, 21)
+            oprot.writeBool(self.in_trial)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2160,6 +2172,7 @@
     (18, TType.BOOL, 'body_follows', None, None, ),  # 18
     (19, TType.I64, 'body_length', None, None, ),  # 19
     (20, TType.STRUCT, 'notice', [TargetNotice, None], None, ),  # 20
+    (21, TType.BOOL, 'in_trial', None, None, ),  # 21
 )
 all_structs.append(Continue)
 Continue.thrift_spec = (
--- a/corianderhold/protocol/peer/messages.py
+++ b/corianderhold/protocol/peer/messages.py
@@ -107,6 +107,7 @@
     body_follows: bool
     body_length: int | None = None
     notice: TargetNotice | None = None
+    in_trial: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/corianderhold/protocol/peer/peer.thrift
+++ b/corianderhold/protocol/peer/peer.thrift
@@ -71,6 +71,7 @@
   18: required bool body_follows
   19: optional i64 body_length       // in bytes; absent if unknown
   20: optional TargetNotice notice   // as the entry last received it from this owner
+  21: optional bool in_trial         // an equal call was in flight at a target's crash
 }
 
 // Signals that a call was admitted and requests the rest of its body.
--- /dev/null
+++ b/corianderhold/protocol/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Messages about calls that crash targets."""
--- /dev/null
+++ b/corianderhold/protocol/quarantine/gen/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- a/corianderhold/protocol/verdict.py
+++ b/corianderhold/protocol/verdict.py
@@ -53,6 +53,10 @@
     REPEAT_IN_PROGRESS = "repeat_in_progress"
     REPEAT_UNKNOWN = "repeat_unknown"
     NOT_HOLDER = "not_holder"
+    TARGET_CRASHED = "target_crashed"
+    TRIAL_REQUIRED = "trial_required"
+    TRIAL_BUSY = "trial_busy"
+    QUARANTINED = "quarantined"
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/corianderhold/state/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Track calls that were in flight when a target crashed."""
--- a/corianderhold/traffic.py
+++ b/corianderhold/traffic.py
@@ -26,6 +26,7 @@
     RATE = "rate"
     LEASE = "lease"
     ONCE = "once"
+    QUARANTINE = "quarantine"
 
 
 class TrafficMeter:
--- a/corianderhold/transport/web/target.py
+++ b/corianderhold/transport/web/target.py
@@ -90,10 +90,20 @@
             connection.open()
         except (HTTPError, OSError) as error:
             connection.close()
-            refused = isinstance(error.__cause__ or error, ConnectionRefusedError)
-            return Err(ConnectFailure(refused, str(error)))
+            return Err(ConnectFailure(is_refused(error), str(error)))
         return Ok(connection)
 
+    def refuses_connections(self, address: Address) -> bool:
+        """Return whether no process listens at the address."""
+        connection = TargetConnection(address, self._clock)
+        try:
+            connection.open()
+        except (HTTPError, OSError) as error:
+            return is_refused(error)
+        finally:
+            connection.close()
+        return False
+
     def exchange(
         self, connection: TargetConnection, request: TargetRequest, attach: AttachSocket
     ) -> Result[TargetResponse, Refusal]:
@@ -283,6 +293,11 @@
             self._connection.close()
 
 
+def is_refused(error: Exception) -> bool:
+    """Return whether a connection failed because no process listens."""
+    return isinstance(error.__cause__ or error, ConnectionRefusedError)
+
+
 def describe_failure(error: Exception) -> Refusal:
     """Return the refusal of a request that was sent at least in part."""
     if isinstance(error, TimeoutError):
--- a/tests/coordination/entry/test_router.py
+++ b/tests/coordination/entry/test_router.py
@@ -50,6 +50,7 @@
 from corianderhold.state.membership.model import Address, Member
 from tests.common.calls import CATALOGUE, FixedMembers, make_context, make_member
 from tests.common.clock import FakeClock
+from tests.common.quarantine import build_hints
 
 ENTRY = InstanceId("entry")
 RESPONSE = Response(200, (), b"", iter(()), lambda: None)
@@ -82,6 +83,7 @@
         self.load: LoadReport | None = None
         self.response = RESPONSE
         self.notices: list[TargetNotice | None] = []
+        self.trials: list[bool] = []
         self.cancelled: list[Address] = []
 
     def send(
@@ -94,6 +96,7 @@
     ) -> Result[Response, Refusal]:
         self.attempts.append(member.instance)
         self.notices.append(context.notice)
+        self.trials.append(context.in_trial)
         if self.load is not None:
             on_load(self.load)
         refusal = self.script.pop(0)
@@ -103,8 +106,8 @@
         self.cancelled.append(address)
 
 
-class RouterTests(TestCase):
-    """Route calls to three remote owners."""
+class RouterCase(TestCase):
+    """Build a router with three remote owners."""
 
     def build(
         self,
@@ -138,8 +141,13 @@
             clock,
             Metrics(),
             FleetRetryBurst(0, members),
+            build_hints(clock),
         )
 
+
+class RouterTests(RouterCase):
+    """Route calls to three remote owners."""
+
     def route(
         self,
         sender: ScriptedSender,
--- a/tests/coordination/owner/test_owner.py
+++ b/tests/coordination/owner/test_owner.py
@@ -54,9 +54,11 @@
 from corianderhold.state.membership.locality import Locality
 from corianderhold.state.membership.model import Address, TargetState
 from corianderhold.state.membership.target import ABSENT_TARGET, TargetStatus
+from corianderhold.state.quarantine.table import QuarantineTable
 from corianderhold.transport.web.target import TargetClient
 from tests.common.calls import CATALOGUE, make_context
 from tests.common.clock import FakeClock
+from tests.common.quarantine import RecordingNotifier, TargetReader, build_screen
 from tests.common.scripted_target import (
     Script,
     ScriptedTarget,
@@ -120,6 +122,12 @@
         self.holder = ConfigurationHolder()
         guard = PlacementGuard(EligibilityRules(self.holder), OWN_PLACE)
         self.breaker = CalleeCircuitBreaker(self.clock)
+        self.table = QuarantineTable(self.clock)
+        self.notifier = RecordingNotifier(self.table)
+        self.reader = TargetReader(script[0])
+        self.screen = build_screen(
+            self.notifier, self.table, client, self.reader, self.clock
+        )
         return Owner(
             self.source,
             self.admission,
@@ -128,6 +136,7 @@
             self.breaker,
             self.clock,
             Metrics(),
+            self.screen,
         )
 
     def call(
--- /dev/null
+++ b/tests/coordination/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of quarantines."""
--- a/tests/failures/test_query_of_death.py
+++ b/tests/failures/test_query_of_death.py
@@ -59,7 +59,7 @@
 
     def send_others(self, entry: str) -> list[Sent]:
         """Send requests that are no problem, each to a path of its own."""
-        sent = []
+        sent: list[Sent] = []
         until = time.monotonic() + REPEATS * 0.05
         while time.monotonic() < until:
             path = f"/catalogue/search?n={entry}-{len(sent)}"
