--- a/corianderhold/admin/api.py
+++ b/corianderhold/admin/api.py
@@ -17,6 +17,7 @@
 )
 from corianderhold.admin.keys import KeysResource
 from corianderhold.admin.model import AdminParts
+from corianderhold.admin.quarantines import QuarantinesResource
 from corianderhold.admin.request import FORBIDDEN, UNAUTHORISED, format_error_page
 
 BEARER_PREFIX = "Bearer "
@@ -71,6 +72,7 @@
         root.v1.evacuations = EvacuationsResource(
             parts.orders, parts.evacuations, parts.members
         )
+        root.v1.quarantines = QuarantinesResource(parts.quarantines, parts.clock)
         root.v1.status = StatusResource(
             parts.identity,
             parts.holder,
--- a/corianderhold/admin/formats.py
+++ b/corianderhold/admin/formats.py
@@ -17,6 +17,7 @@
 from corianderhold.state.configuration.fold import FoldOutcome, OutcomeKind
 from corianderhold.state.configuration.records import RecentChange, ValidationFault
 from corianderhold.state.membership.model import Member
+from corianderhold.state.quarantine.model import Quarantine
 
 JsonObject = dict[str, Any]
 MICROSECONDS = 1e6
@@ -119,6 +120,17 @@
     }
 
 
+def quarantine_to_json(quarantine: Quarantine, now_s: float) -> JsonObject:
+    """Return a call in quarantine, with its age and the time left in seconds."""
+    return {
+        "fingerprint": quarantine.fingerprint.hex(),
+        "service": quarantine.service,
+        "age_s": round(now_s - quarantine.since, 3),
+        "left_s": round(quarantine.until - now_s, 3),
+        "count": quarantine.count,
+    }
+
+
 def heard_to_json(heard: PeerHead, now_s: float) -> JsonObject:
     """Return the version last received from a peer, with its age in seconds."""
     return {
--- a/corianderhold/admin/model.py
+++ b/corianderhold/admin/model.py
@@ -9,12 +9,13 @@
 from corianderhold.coordination.configuration.exchanger import PeerHead
 from corianderhold.coordination.configuration.history import HistoryEntry
 from corianderhold.coordination.configuration.publisher import PublishResult
-from corianderhold.ids import ChangeId, FailureDomainId, InstanceId
+from corianderhold.ids import ChangeId, FailureDomainId, Fingerprint, InstanceId
 from corianderhold.metrics import Metrics
 from corianderhold.protocol.configuration.messages import Head
 from corianderhold.state.configuration.holder import ConfigurationHolder
 from corianderhold.state.configuration.records import ChangeRecord
 from corianderhold.state.membership.model import MemberDirectory
+from corianderhold.state.quarantine.model import Quarantine
 
 
 @dataclass(frozen=True)
@@ -88,6 +89,16 @@
         """Return whether the target is present but accepts no new calls."""
 
 
+class QuarantineList(Protocol):
+    """List and release calls in quarantine."""
+
+    def list_quarantines(self) -> Sequence[Quarantine]:
+        """Return the calls in quarantine, the newest last."""
+
+    def release(self, fingerprint: Fingerprint) -> bool:
+        """End a quarantine; return False if this daemon knows of none."""
+
+
 @dataclass(frozen=True)
 class AdminParts:
     """The components of the daemon that the administration API uses."""
@@ -102,5 +113,6 @@
     stream: StreamView
     members: MemberDirectory
     drain: Drain
+    quarantines: QuarantineList
     metrics: Metrics
     clock: Clock
--- a/corianderhold/admin/schema.py
+++ b/corianderhold/admin/schema.py
@@ -1,6 +1,6 @@
 """Define the validation schemas of request bodies."""
 
-from voluptuous import All, Any, Length, Optional, Required, Schema
+from voluptuous import All, Any, Length, Match, Optional, Required, Schema
 
 from corianderhold.state.configuration.const import (
     MAX_AUTHOR_LENGTH,
@@ -15,6 +15,7 @@
     require_boolean,
 )
 from corianderhold.state.keys.const import MAX_OVERLAP_S
+from corianderhold.state.quarantine.const import FINGERPRINT_BYTES
 
 AUTHORSHIP = {
     Required("author"): All(bound_text(MAX_AUTHOR_LENGTH), Length(min=1)),
@@ -44,4 +45,12 @@
 EVACUATE = Schema(
     {**AUTHORSHIP, Required("domain"): NAME, Required("active"): require_boolean}
 )
+RELEASE = Schema(
+    {
+        **AUTHORSHIP,
+        Required("fingerprint"): All(
+            str, Match(f"^[0-9a-f]{{{2 * FINGERPRINT_BYTES}}}$")
+        ),
+    }
+)
 ROTATE = Schema({**AUTHORSHIP, Required("overlap_s"): bound_number(0.0, MAX_OVERLAP_S)})
--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -228,6 +228,7 @@
             self._quarantines,
             self._membership,
             self._control,
+            self._log,
             self._clock,
             Random(os.urandom(16)),
             self._metrics,
@@ -357,6 +358,7 @@
             stream=self._follower,
             members=self._membership,
             drain=TargetDrain(self._membership),
+            quarantines=self._quarantine,
             metrics=self._metrics,
             clock=self._clock,
         )
--- a/corianderhold/cli/commands.py
+++ b/corianderhold/cli/commands.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from corianderhold.cli.answers import check, diff, generate, init
-from corianderhold.cli.fleet import drain, evacuate, status
+from corianderhold.cli.fleet import drain, evacuate, quarantines, release, status
 from corianderhold.cli.keys import grant, rotate, withdraw
 from corianderhold.cli.publish import explain, history, publish, show
 from corianderhold.cli.serve import serve
@@ -20,4 +20,6 @@
     "status": status,
     "drain": drain,
     "evacuate": evacuate,
+    "quarantines": quarantines,
+    "release": release,
 }
--- a/corianderhold/cli/fleet.py
+++ b/corianderhold/cli/fleet.py
@@ -1,4 +1,4 @@
-"""Implement the commands that show the fleet, drain targets and evacuate domains."""
+"""Implement the commands that show and operate the fleet."""
 
 from pathlib import Path
 
@@ -39,6 +39,33 @@
     return request_and_print("POST", "/v1/evacuations", url, token_file, body)
 
 
+def quarantines(*, url: str, token_file: Path | None = None) -> int:
+    """
+    Print the calls that are refused because they crashed their targets.
+
+    Only daemons beside a target of the service know of them.
+
+    :param url: URL of a daemon's administration API, as http://ADDRESS:PORT
+    :param token_file: file with the token; if not given, CORIANDERHOLD_TOKEN is used
+    """
+    return request_and_print("GET", "/v1/quarantines", url, token_file)
+
+
+def release(
+    fingerprint: str, *, url: str, author: str, token_file: Path | None = None
+) -> int:
+    """
+    Release a call from its quarantine, on all daemons of its service.
+
+    :param fingerprint: fingerprint of the call, as printed by `quarantines`
+    :param url: URL of a daemon's administration API, as http://ADDRESS:PORT
+    :param author: who releases it, for the log
+    :param token_file: file with the token; if not given, CORIANDERHOLD_TOKEN is used
+    """
+    body = {"fingerprint": fingerprint, "author": author}
+    return request_and_print("POST", "/v1/quarantines", url, token_file, body)
+
+
 def drain(*, url: str, token_file: Path | None = None) -> int:
     """
     Drain the local target of a daemon.
--- a/corianderhold/coordination/quarantine/const.py
+++ b/corianderhold/coordination/quarantine/const.py
@@ -20,3 +20,10 @@
 START_SYNC_PEERS = 3
 PEER_FAILURES_MAX = 3  # then a peer, maybe of an older build, is left out for a time
 PEER_PAUSE_S = 30.0
+
+LOG_TIMEOUT_S = 2.0
+LOG_PAGE_RECORDS = 256
+LOG_PAGES_MAX = 16
+LOG_KEYS = 256  # a later quarantine with the same key replaces an earlier one
+LOG_PENDING_MAX = 64
+UNREACHABLE_MEMORY_S = 120.0  # owners that can't be reached may append to the log
--- a/corianderhold/coordination/quarantine/service.py
+++ b/corianderhold/coordination/quarantine/service.py
@@ -3,6 +3,7 @@
 import queue
 import threading
 from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 
 from result import Err
@@ -15,7 +16,9 @@
     PEER_PAUSE_S,
     START_SYNC_PEERS,
     SYNC_INTERVAL_S,
+    UNREACHABLE_MEMORY_S,
 )
+from corianderhold.coordination.quarantine.stream import QuarantineStream
 from corianderhold.ids import Fingerprint, InstanceId, ServiceName
 from corianderhold.log import log_event, log_warning
 from corianderhold.metrics import Metrics
@@ -26,6 +29,7 @@
 )
 from corianderhold.protocol.quarantine.codec import decode_notice, encode_notice
 from corianderhold.protocol.quarantine.model import Notice, NoticeError
+from corianderhold.protocol.store.model import AppendOnlyLog
 from corianderhold.state.membership.model import (
     Member,
     MemberDirectory,
@@ -34,6 +38,7 @@
 )
 from corianderhold.state.membership.target import TargetStatus
 from corianderhold.state.quarantine.model import (
+    Clearance,
     CrashReport,
     Quarantine,
     rank_testers,
@@ -83,10 +88,15 @@
         table: QuarantineTable,
         members: MemberDirectory,
         client: ControlClient,
+        log: AppendOnlyLog,
         clock: Clock,
         random: Random,
         metrics: Metrics,
     ) -> None:
+        self._stream = QuarantineStream(log, clock)
+        self._must_read_log = False
+        self._unreachable_at = float("-inf")
+        self._work_due = threading.Event()
         self._instance = instance
         self._table = table
         self._members = members
@@ -97,7 +107,8 @@
         self._service: ServiceName | None = None
         self._services: dict[InstanceId, ServiceName] = {}
         self._failures = PeerFailures(clock)
-        self._started_target = threading.Event()
+        self._has_started = False
+        self._was_compared = False
         self._target: TargetStatus | None = None
         self._stopped = threading.Event()
         self._thread = threading.Thread(
@@ -111,7 +122,7 @@
     def stop(self) -> None:
         """Stop; requests in progress have time-outs."""
         self._stopped.set()
-        self._started_target.set()
+        self._work_due.set()
         if self._thread.ident is not None:
             self._thread.join(STOP_TIMEOUT_S)
 
@@ -119,8 +130,11 @@
         """Remember the service of a member, which its crashed target loses."""
         if member.state is MemberState.LEFT:
             self._services.pop(member.instance, None)
-        elif member.service is not None:
+            return
+        if member.service is not None:
             self._services[member.instance] = member.service
+        if member.state is MemberState.DEAD and self._is_owner(member):
+            self._unreachable_at = self._clock.read_monotonic()
 
     def handle_target(self, status: TargetStatus) -> None:
         """Compare with other owners once a start of the local target serves."""
@@ -129,12 +143,16 @@
             self._service = status.service
         serves = status.state is TargetState.SERVING
         if serves and (before is None or before.state is not TargetState.SERVING):
-            self._started_target.set()
+            self._has_started = True
+            self._work_due.set()
 
     def report_crash(self, report: CrashReport) -> None:
         """Add a crash to the table and send it to the other owners."""
         quarantines = self._table.record_crash(report)
         self._log_quarantines(quarantines)
+        for quarantine in quarantines:
+            self._stream.add(quarantine)
+            self._work_due.set()
         digest = self._table.read_view().digest
         notice = Notice(digest, reports=(report,), quarantines=quarantines)
         self._send_to_owners(report.service, notice)
@@ -148,6 +166,24 @@
         digest = self._table.read_view().digest
         self._send_to_owners(service, Notice(digest, clearances=(clearance,)))
 
+    def list_quarantines(self) -> tuple[Quarantine, ...]:
+        """Return the calls in quarantine, the newest last."""
+        now = self._clock.read_monotonic()
+        quarantines = self._table.read_view().quarantines
+        current = [each for each in quarantines if now < each.until]
+        return tuple(sorted(current, key=lambda each: each.since))
+
+    def release(self, fingerprint: Fingerprint) -> bool:
+        """End a quarantine; return False if this daemon knows of none."""
+        for each in self.list_quarantines():
+            if each.fingerprint == fingerprint:
+                self.clear(fingerprint, each.service)
+                now = self._clock.read_monotonic()
+                self._stream.add(replace(each, until=now))
+                self._work_due.set()
+                return True
+        return False
+
     def is_tester(self, fingerprint: Fingerprint, service: ServiceName) -> bool:
         """Return whether this owner runs the trials of a call."""
         instances = {each.instance for each in self._members.list_owners(service)}
@@ -193,25 +229,54 @@
         if peers:
             self.synchronize(self._random.choice(peers))
 
+    def use_log(self) -> None:
+        """
+        Append new quarantines, and read those of others if this daemon may lack them.
+
+        It may after a start, and while owners of its service can't be reached.
+        """
+        self._stream.append_pending()
+        now = self._clock.read_monotonic()
+        is_cut_off = now - self._unreachable_at < UNREACHABLE_MEMORY_S
+        if not self._must_read_log and not is_cut_off:
+            return
+        quarantines = self._stream.read()
+        self._must_read_log = quarantines is None
+        if quarantines:
+            over = [
+                Clearance(each.fingerprint, each.until)
+                for each in quarantines
+                if each.until <= now
+            ]
+            self._log_quarantines(self._table.merge((), over, quarantines))
+
+    def _is_owner(self, member: Member) -> bool:
+        """Return whether a member owns a target of the own service."""
+        services = (member.service, self._services.get(member.instance))
+        return self._service is not None and self._service in services
+
     def _run(self) -> None:
         while not self._stopped.is_set():
             jitter = 0.5 + self._random.random()
-            started = self._started_target.wait(SYNC_INTERVAL_S * jitter)
-            self._started_target.clear()
+            self._work_due.wait(SYNC_INTERVAL_S * jitter)
+            self._work_due.clear()
             if self._stopped.is_set():
                 return
             try:
-                if started:
-                    self._synchronize_target()
+                self._synchronize_target()
+                self.use_log()
                 self.synchronize_once()
             except Exception as error:  # noqa: BLE001
                 # A failed step must not end the thread.
                 log_warning("quarantine_step_failed", error=repr(error))
 
     def _synchronize_target(self) -> None:
-        """Compare with a few owners, as the target of this one has just started."""
-        if self._service is None:
+        """Compare with a few owners once the target of this one has started."""
+        if self._service is None or not self._has_started:
             return
+        if not self._was_compared:
+            self._must_read_log = True
+        self._has_started, self._was_compared = False, True
         peers = self._list_peers(self._service)
         chosen = self._random.sample(peers, min(START_SYNC_PEERS, len(peers)))
         self._run_for_each(chosen, lambda member: self.synchronize(member))
@@ -263,6 +328,7 @@
         self._metrics.increment("quarantine_bytes_sent", len(body))
         self._failures.record(member.instance, replied=answer.is_ok())
         if isinstance(answer, Err):
+            self._unreachable_at = self._clock.read_monotonic()
             self._metrics.increment(f"quarantine_notice_{answer.err_value.value}")
             return None
         try:
--- a/corianderhold/protocol/store/model.py
+++ b/corianderhold/protocol/store/model.py
@@ -15,6 +15,7 @@
     CONFIGURATION = "configuration"
     MEMBERS = "members"
     LEASES = "leases"
+    QUARANTINES = "quarantines"
 
 
 class AppendFailure(Enum):
--- a/tests/admin/test_api.py
+++ b/tests/admin/test_api.py
@@ -107,6 +107,21 @@
         self.assertEqual(explained["reason"], "lost_race")
         self.assertEqual(explained["change"]["note"], "more slots")
 
+    def test_quarantine_is_listed_and_released(self) -> None:
+        fingerprint = bytes(range(16))
+        self.quarantines.add(fingerprint, 300.0)
+        (listed,) = self.call("GET", "/v1/quarantines").body["quarantines"]
+        self.assertEqual(listed["fingerprint"], fingerprint.hex())
+        self.assertEqual((listed["left_s"], listed["count"]), (300.0, 1))
+        body = {"fingerprint": fingerprint.hex(), "author": "ada"}
+        self.assertEqual(self.call("POST", "/v1/quarantines", body).status, 200)
+        self.assertEqual(self.call("POST", "/v1/quarantines", body).status, 404)
+        for wrong in ("", "xy", fingerprint.hex() + "00", 7):
+            response = self.call(
+                "POST", "/v1/quarantines", {**body, "fingerprint": wrong}
+            )
+            self.assertEqual(response.status, 400, wrong)
+
     def publish_elsewhere(self) -> None:
         self.publish(self.get_daemon(1), "other", 2, 9)
 
--- a/tests/coordination/quarantine/test_service.py
+++ b/tests/coordination/quarantine/test_service.py
@@ -7,6 +7,7 @@
 """
 
 import threading
+from dataclasses import replace
 from random import Random
 from unittest import TestCase
 
@@ -27,13 +28,20 @@
     ControlTopic,
 )
 from corianderhold.protocol.quarantine.model import NoticeError
-from corianderhold.state.membership.model import Address, Member, TargetState
+from corianderhold.protocol.store.model import StreamName
+from corianderhold.state.membership.model import (
+    Address,
+    Member,
+    MemberState,
+    TargetState,
+)
 from corianderhold.state.membership.target import TargetStatus
 from corianderhold.state.quarantine.const import FINGERPRINT_BYTES
 from corianderhold.state.quarantine.model import CrashReport, Suspicion
 from corianderhold.state.quarantine.table import QuarantineTable
 from tests.common.calls import CATALOGUE, make_member
 from tests.common.clock import FakeClock
+from tests.common.log import FakeLog
 from tests.common.waiting import wait_until
 
 DEADLY = Fingerprint(b"d" * FINGERPRINT_BYTES)
@@ -49,6 +57,7 @@
             make_member(f"o{number}", port=number + 1) for number in range(count)
         )
         self.cut: set[int] = set()
+        self.log = FakeLog()
         self.requests: list[tuple[int, bytes]] = []
         self.lock = threading.Lock()
         self.tables: list[QuarantineTable] = []
@@ -64,6 +73,7 @@
             table,
             self,
             Client(self, number),
+            self.log,
             self.clock,
             Random(number),
             Metrics(),
@@ -171,15 +181,8 @@
         down = make_member("o5", port=6)
         for service in self.fleet.services:
             service.handle_member(down)
-        gone = self.fleet.members[5]
-        absent = Member(
-            **{
-                name: getattr(gone, name)
-                for name in gone.__dataclass_fields__
-                if name not in ("service", "target_state")
-            },
-            service=None,
-            target_state=TargetState.ABSENT,
+        absent = replace(
+            self.fleet.members[5], service=None, target_state=TargetState.ABSENT
         )
         self.fleet.members = (*self.fleet.members[:5], absent)
         self.crash(0, in_trial=True)
@@ -210,6 +213,79 @@
             self.fleet.services[0].synchronize_once()
         self.assertLessEqual(len(self.fleet.requests), PEER_FAILURES_MAX + 1)
 
+    def test_owners_that_reach_only_the_store_learn_from_the_log(self) -> None:
+        self.fleet.cut = {1, 2, 3, 4, 5}
+        self.crash(0, in_trial=True)
+        self.fleet.services[0].use_log()
+        dead = replace(self.fleet.members[0], state=MemberState.DEAD)
+        for service in self.fleet.services[1:]:
+            service.handle_member(dead)
+            service.use_log()
+        self.assertEqual(self.fleet.find_all(), {Suspicion.QUARANTINED})
+
+    def test_all_owners_that_restarted_learn_from_the_log(self) -> None:
+        self.crash(0, in_trial=True)
+        self.fleet.services[0].use_log()
+        for number in range(6):
+            self.fleet.add(number)
+        self.assertEqual(self.fleet.find_all(), {Suspicion.NONE})
+        for service in self.fleet.services:
+            service.start()
+            self.addCleanup(service.stop)
+        self.await_all(Suspicion.QUARANTINED)
+
+    def test_released_quarantine_does_not_return_from_the_log(self) -> None:
+        self.crash(0, in_trial=True)
+        self.fleet.services[0].use_log()
+        self.await_all(Suspicion.QUARANTINED)
+        self.fleet.clock.advance(1)
+        service = self.fleet.services[2]
+        (quarantine,) = service.list_quarantines()
+        self.assertTrue(service.release(quarantine.fingerprint))
+        self.assertFalse(service.release(quarantine.fingerprint))
+        service.use_log()
+        self.await_all(Suspicion.NONE)
+        self.fleet.add(1)
+        self.fleet.clock.advance(1)
+        self.fleet.services[1].handle_member(
+            replace(self.fleet.members[0], state=MemberState.DEAD)
+        )
+        self.fleet.services[1].use_log()
+        self.assertIs(self.fleet.tables[1].find(DEADLY), Suspicion.NONE)
+
+    def test_quarantine_is_appended_once_the_store_is_back(self) -> None:
+        self.fleet.log.down = True
+        self.crash(0, in_trial=True)
+        self.fleet.services[0].use_log()
+        self.fleet.log.down = False
+        self.fleet.services[0].use_log()
+        self.fleet.add(1)
+        self.fleet.services[1].handle_member(
+            replace(self.fleet.members[0], state=MemberState.DEAD)
+        )
+        self.fleet.services[1].use_log()
+        self.assertIs(self.fleet.tables[1].find(DEADLY), Suspicion.QUARANTINED)
+
+    def test_odd_records_in_the_log_are_skipped(self) -> None:
+        self.crash(0, in_trial=True)
+        for text in ("", "{", "[]", "[" * 100_000, '{"until_ms": 1e400}', "NaN"):
+            self.fleet.log.append(StreamName.QUARANTINES, text, 1.0)
+        self.fleet.services[0].use_log()
+        self.fleet.add(1)
+        self.fleet.services[1].handle_member(
+            replace(self.fleet.members[0], state=MemberState.DEAD)
+        )
+        self.fleet.services[1].use_log()
+        self.assertIs(self.fleet.tables[1].find(DEADLY), Suspicion.QUARANTINED)
+
+    def test_store_is_not_read_while_all_owners_are_reached(self) -> None:
+        reads = self.fleet.log.reads
+        self.crash(0, in_trial=True)
+        self.await_all(Suspicion.QUARANTINED)
+        for service in self.fleet.services:
+            service.use_log()
+        self.assertEqual(self.fleet.log.reads, reads)
+
     def test_malformed_notice_is_refused(self) -> None:
         sender = ControlSender(InstanceId("o1"))
         with self.assertRaises(NoticeError):
