--- a/corianderhold/coordination/entry/outgoing.py
+++ b/corianderhold/coordination/entry/outgoing.py
@@ -156,7 +156,7 @@
         try:
             body = environ["wsgi.input"].read(ANNOUNCEMENT_BYTES_MAX)
             announcement = ANNOUNCEMENT_SCHEMA(json.loads(body))
-        except (Invalid, ValueError) as error:
+        except (Invalid, ValueError, RecursionError) as error:
             detail = f"announcement: {error}"
             refusal = refuse_not_run(Reason.REQUEST_MALFORMED, detail=detail)
             return write_refusal(
--- a/corianderhold/coordination/membership/stream.py
+++ b/corianderhold/coordination/membership/stream.py
@@ -5,6 +5,7 @@
 from dataclasses import asdict
 
 from result import Err, Ok, Result
+from voluptuous import REMOVE_EXTRA, Any, Invalid, Required, Schema
 
 from corianderhold.coordination.membership.const import (
     LOG_TAIL_RECORDS,
@@ -27,6 +28,15 @@
 from corianderhold.state.membership.table import MemberView, compute_order_key
 from corianderhold.state.membership.target import Departure
 
+DEPARTURE_SCHEMA = Schema(
+    {
+        Required("target_id"): str,
+        Required("started"): Any(None, int),
+        Required("withdrawn"): bool,
+    },
+    extra=REMOVE_EXTRA,
+)
+
 
 class MemberStream:
     """
@@ -147,7 +157,7 @@
             announcement, _, departure = record.data.partition(" ")
             member = decode_member(base64.b64decode(announcement, validate=True))
             departed = decode_departure(departure) if departure else None
-        except (MalformedMessageError, ValueError, TypeError) as error:
+        except (MalformedMessageError, Invalid, ValueError, RecursionError) as error:
             log_warning("member_record_skipped", offset=record.offset, error=str(error))
             return
         known = self._logged.get(member.instance)
@@ -163,8 +173,6 @@
 
 
 def decode_departure(text: str) -> Departure:
-    """Decode a departure; raise ValueError or TypeError if it is malformed."""
-    departure = Departure(**json.loads(base64.b64decode(text, validate=True)))
-    if not isinstance(departure.target_id, str):
-        raise ValueError("target_id of the departure is not a string")
-    return departure
+    """Decode a departure; raise Invalid, ValueError or RecursionError."""
+    fields = DEPARTURE_SCHEMA(json.loads(base64.b64decode(text, validate=True)))
+    return Departure(**fields)
