--- a/corianderhold/protocol/peer/codec.py
+++ b/corianderhold/protocol/peer/codec.py
@@ -1,5 +1,6 @@
 """Encode and decode the messages of peer links."""
 
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -53,6 +54,7 @@
     RunState.NOT_RUN: Reason.TARGET_REFUSED,
     RunState.MAY_HAVE_RUN: Reason.ANSWER_TRUNCATED,
 }
+KNOWN_TOPICS = {topic.value: topic for topic in ControlTopic}
 KNOWN_REASONS = {reason.value: reason for reason in Reason}
 
 
@@ -119,7 +121,10 @@
     """Decode a target's notice from a thrift struct, or return None without one."""
     if struct is None:
         return None
-    return TargetNotice(struct.rate_limit, bool(struct.leaving), struct.target)
+    rate_limit = struct.rate_limit
+    if rate_limit is not None and not 0 <= rate_limit < math.inf:
+        raise FrameError(f"rate_limit is {rate_limit}; expected a finite number")
+    return TargetNotice(rate_limit, bool(struct.leaving), struct.target)
 
 
 def encode_headers(headers: tuple[Header, ...]) -> list[Any]:
@@ -333,7 +338,9 @@
     "ping": lambda s: Ping(s.clock_us),
     "pong": decode_pong,
     "cancel": lambda s: Cancel(CallId(s.call_id)),
-    "control_request": lambda s: ControlRequest(ControlTopic(s.topic), s.body),
+    "control_request": lambda s: ControlRequest(
+        KNOWN_TOPICS.get(s.topic, ControlTopic.UNKNOWN), s.body
+    ),
     "control_reply": lambda s: ControlReply(s.accepted, s.body),
     "hello": decode_hello,
 }
--- a/corianderhold/protocol/peer/control.py
+++ b/corianderhold/protocol/peer/control.py
@@ -11,7 +11,11 @@
 
 
 class ControlTopic(Enum):
-    """Topic of a control request; a daemon has one handler for each topic."""
+    """
+    Topic of a control request; a daemon has one handler for each topic.
+
+    UNKNOWN stands for the topics of newer builds; it has no handler.
+    """
 
     MEMBERSHIP = "membership"
     CONFIGURATION = "configuration"
@@ -19,6 +23,7 @@
     RATE = "rate"
     ONCE = "once"
     QUARANTINE = "quarantine"
+    UNKNOWN = "unknown"
 
 
 class ControlFailure(Enum):
--- a/corianderhold/protocol/rate/codec.py
+++ b/corianderhold/protocol/rate/codec.py
@@ -1,5 +1,7 @@
 """Encode and decode loan messages."""
 
+import math
+
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAcceleratedFactory
 from thrift.Thrift import TException
 from thrift.TSerialization import deserialize, serialize
@@ -54,6 +56,8 @@
 def decode_request(body: bytes) -> LoanRequest:
     """Decode a request; raise LoanMessageError if it is malformed."""
     message = _deserialize(ttypes.LoanRequest(), body)
+    for ask in message.asks:
+        check_amounts(ask.capacity, ask.returned, ask.demand, ask.wanted)
     return LoanRequest(
         InstanceId(message.borrower),
         Incarnation(message.incarnation),
@@ -100,9 +104,18 @@
         )
         for grant in message.grants
     )
+    for grant in grants:
+        check_amounts(grant.rate, grant.capacity, grant.tokens)
     return LoanReply(message.accepted, grants, InstanceId(message.holder))
 
 
+def check_amounts(*amounts: float) -> None:
+    """Raise LoanMessageError unless all amounts are finite and not negative."""
+    for amount in amounts:
+        if not 0 <= amount < math.inf:
+            raise LoanMessageError(f"amount is {amount}; expected a finite number >= 0")
+
+
 def _deserialize(message: ttypes.LoanRequest | ttypes.LoanReply, body: bytes):  # type: ignore[no-untyped-def]  # noqa: ANN202
     """Deserialize a thrift struct and validate its required fields."""
     try:
--- a/tests/protocol/peer/test_codec.py
+++ b/tests/protocol/peer/test_codec.py
@@ -1,5 +1,6 @@
 """Test that refusals stay readable between builds that know different reasons."""
 
+import math
 from unittest import TestCase
 
 from thrift.TSerialization import deserialize, serialize
@@ -10,17 +11,31 @@
     decode_message,
     encode_message,
 )
+from corianderhold.protocol.peer.control import ControlTopic
+from corianderhold.protocol.peer.errors import FrameError
 from corianderhold.protocol.peer.gen import ttypes
 from corianderhold.protocol.peer.messages import (
     CallRefused,
+    ControlReply,
+    ControlRequest,
     LoadReport,
     Pong,
     TargetNotice,
 )
 from corianderhold.protocol.verdict import Reason, refuse_not_run
+from corianderhold.transport.peer.purpose import classify_frame
 
 # Those of 12b17ce and later builds, which fail to read a frame with any other reason.
-READABLE_BY_ALL_BUILDS = frozenset({"target_full"})
+READABLE_BY_ALL_BUILDS = frozenset(
+    {"target_full", "answer_truncated", "queue_full", "shed"}
+)
+NEW_REASONS = (
+    Reason.TARGET_LIMITED,
+    Reason.TARGET_CRASHED,
+    Reason.TRIAL_REQUIRED,
+    Reason.TRIAL_BUSY,
+    Reason.QUARANTINED,
+)
 
 
 def refuse(reason: Reason) -> CallRefused:
@@ -41,17 +56,40 @@
             message = Pong(1, Incarnation(2), LoadReport(notice=notice))
             self.assertEqual(decode_message(encode_message(message)), message)
 
+    def test_limit_that_is_no_number_is_refused(self) -> None:
+        for limit in (math.inf, -math.inf, math.nan, -1.0):
+            notice = TargetNotice(limit, False, "i-1/")
+            message = Pong(1, Incarnation(2), LoadReport(notice=notice))
+            with self.subTest(limit), self.assertRaises(FrameError):
+                decode_message(encode_message(message))
+
+
+class ControlTests(TestCase):
+    """Decode control requests, and count their bytes."""
+
+    def test_topic_of_a_newer_build_does_not_end_the_link(self) -> None:
+        frame = ttypes.Frame(control_request=ttypes.ControlRequest("newer", b"x"))
+        decoded = decode_message(serialize(frame, PROTOCOL_FACTORY))
+        self.assertEqual(decoded, ControlRequest(ControlTopic.UNKNOWN, b"x"))
+
+    def test_bytes_of_every_topic_are_counted(self) -> None:
+        for topic in ControlTopic:
+            request = ControlRequest(topic, b"")
+            purpose = classify_frame(request, None)
+            self.assertEqual(classify_frame(ControlReply(True, b""), request), purpose)
+            if topic is not ControlTopic.UNKNOWN:
+                self.assertEqual(purpose.value, topic.value)
+
 
 class RefusalTests(TestCase):
     """Encode and decode refusals."""
 
-    def test_limited_target_is_reported_in_a_reason_that_older_builds_read(
-        self,
-    ) -> None:
-        encoded = encode_message(refuse(Reason.TARGET_LIMITED))
-        frame = deserialize(ttypes.Frame(), encoded, PROTOCOL_FACTORY)
-        self.assertIn(frame.refusal.reason, READABLE_BY_ALL_BUILDS)
-        self.assertEqual(frame.refusal.run_state, "not_run")
+    def test_newer_reasons_are_sent_as_one_that_older_builds_read(self) -> None:
+        for reason in NEW_REASONS:
+            encoded = encode_message(refuse(reason))
+            frame = deserialize(ttypes.Frame(), encoded, PROTOCOL_FACTORY)
+            self.assertIn(frame.refusal.reason, READABLE_BY_ALL_BUILDS)
+            self.assertEqual(frame.refusal.run_state, "not_run")
 
     def test_every_reason_survives(self) -> None:
         for reason in Reason:
--- /dev/null
+++ b/tests/protocol/rate/__init__.py
@@ -0,0 +1,1 @@
+"""Test the messages of loans."""
