--- a/corianderhold/coordination/owner/owner.py
+++ b/corianderhold/coordination/owner/owner.py
@@ -130,7 +130,11 @@
         call = InFlightCall(context, retries, token, request_id, body)
         call.trial = screened.ok_value
         self.calls.add(call)
-        admitted = self._admission.acquire(context, call.register_waiter)
+        try:
+            admitted = self._admission.acquire(context, call.register_waiter)
+        except BaseException:
+            self._remove(call)
+            raise
         if isinstance(admitted, Err):
             self._remove(call)
             return self._refuse(context, admitted.err_value)
--- a/corianderhold/coordination/quarantine/const.py
+++ b/corianderhold/coordination/quarantine/const.py
@@ -26,4 +26,5 @@
 LOG_PAGES_MAX = 16
 LOG_KEYS = 256  # a later quarantine with the same key replaces an earlier one
 LOG_PENDING_MAX = 64
-UNREACHABLE_MEMORY_S = 120.0  # owners that can't be reached may append to the log
+LOG_INTERVAL_S = 3.0  # between reads, while an owner can't be reached
+UNREACHABLE_MEMORY_S = 120.0  # an owner that is dead for longer may have been removed
--- a/corianderhold/coordination/quarantine/service.py
+++ b/corianderhold/coordination/quarantine/service.py
@@ -10,6 +10,7 @@
 
 from corianderhold.clock import Clock
 from corianderhold.coordination.quarantine.const import (
+    LOG_INTERVAL_S,
     NOTICE_THREADS,
     NOTICE_TIMEOUT_S,
     PEER_FAILURES_MAX,
@@ -61,11 +62,15 @@
         now = self._clock.read_monotonic()
         return now < self._paused_until.get(instance, float("-inf"))
 
+    def forget(self, instance: InstanceId) -> None:
+        """Forget a peer that replied or has left."""
+        self._failures.pop(instance, None)
+        self._paused_until.pop(instance, None)
+
     def record(self, instance: InstanceId, *, replied: bool) -> None:
         """Record the outcome of a request."""
         if replied:
-            self._failures.pop(instance, None)
-            self._paused_until.pop(instance, None)
+            self.forget(instance)
             return
         failures = self._failures.get(instance, 0) + 1
         self._failures[instance] = failures
@@ -95,7 +100,10 @@
     ) -> None:
         self._stream = QuarantineStream(log, clock)
         self._must_read_log = False
-        self._unreachable_at = float("-inf")
+        self._read_log_at = float("-inf")
+        self._dead_since: dict[InstanceId, float] = {}
+        self._cleared: dict[ServiceName, list[Clearance]] = {}
+        self._cleared_lock = threading.Lock()
         self._work_due = threading.Event()
         self._instance = instance
         self._table = table
@@ -130,11 +138,14 @@
         """Remember the service of a member, which its crashed target loses."""
         if member.state is MemberState.LEFT:
             self._services.pop(member.instance, None)
-            return
-        if member.service is not None:
+            self._failures.forget(member.instance)
+        elif member.service is not None:
             self._services[member.instance] = member.service
         if member.state is MemberState.DEAD and self._is_owner(member):
-            self._unreachable_at = self._clock.read_monotonic()
+            now = self._clock.read_monotonic()
+            self._dead_since.setdefault(member.instance, now)
+        else:
+            self._dead_since.pop(member.instance, None)
 
     def handle_target(self, status: TargetStatus) -> None:
         """Compare with other owners once a start of the local target serves."""
@@ -158,13 +169,14 @@
         self._send_to_owners(report.service, notice)
 
     def clear(self, fingerprint: Fingerprint, service: ServiceName) -> None:
-        """Clear a call and tell the other owners."""
+        """Clear a call; the other owners are told soon, of several calls at once."""
         clearance = self._table.clear(fingerprint)
         if clearance is None:
             return
         log_event("suspect_cleared", fingerprint=fingerprint.hex(), service=service)
-        digest = self._table.read_view().digest
-        self._send_to_owners(service, Notice(digest, clearances=(clearance,)))
+        with self._cleared_lock:
+            self._cleared.setdefault(service, []).append(clearance)
+        self._work_due.set()
 
     def list_quarantines(self) -> tuple[Quarantine, ...]:
         """Return the calls in quarantine, the newest last."""
@@ -237,9 +249,10 @@
         """
         self._stream.append_pending()
         now = self._clock.read_monotonic()
-        is_cut_off = now - self._unreachable_at < UNREACHABLE_MEMORY_S
-        if not self._must_read_log and not is_cut_off:
+        is_due = self._is_cut_off(now) and now - self._read_log_at >= LOG_INTERVAL_S
+        if not self._must_read_log and not is_due:
             return
+        self._read_log_at = now
         quarantines = self._stream.read()
         self._must_read_log = quarantines is None
         if quarantines:
@@ -250,6 +263,22 @@
             ]
             self._log_quarantines(self._table.merge((), over, quarantines))
 
+    def send_clearances(self) -> None:
+        """Tell the other owners which calls have been cleared since the last time."""
+        with self._cleared_lock:
+            cleared, self._cleared = self._cleared, {}
+        digest = self._table.read_view().digest
+        for service, clearances in cleared.items():
+            notice = Notice(digest, clearances=tuple(clearances))
+            self._send_to_owners(service, notice)
+
+    def _is_cut_off(self, now: float) -> bool:
+        """Return whether an owner of the service can't be reached for a short time."""
+        return any(
+            now - since < UNREACHABLE_MEMORY_S
+            for since in list(self._dead_since.values())
+        )
+
     def _is_owner(self, member: Member) -> bool:
         """Return whether a member owns a target of the own service."""
         services = (member.service, self._services.get(member.instance))
@@ -263,6 +292,7 @@
             if self._stopped.is_set():
                 return
             try:
+                self.send_clearances()
                 self._synchronize_target()
                 self.use_log()
                 self.synchronize_once()
@@ -328,7 +358,6 @@
         self._metrics.increment("quarantine_bytes_sent", len(body))
         self._failures.record(member.instance, replied=answer.is_ok())
         if isinstance(answer, Err):
-            self._unreachable_at = self._clock.read_monotonic()
             self._metrics.increment(f"quarantine_notice_{answer.err_value.value}")
             return None
         try:
--- a/corianderhold/state/quarantine/fingerprint.py
+++ b/corianderhold/state/quarantine/fingerprint.py
@@ -37,7 +37,7 @@
         content = body if body is not None else b""
         kind = "inline" if body is not None else f"streamed {length}"
         for part in (organisation, service, method, path, kind):
-            data = part.encode("utf-8", "surrogateescape")
+            data = part.encode("utf-8", "surrogatepass")
             digest.update(len(data).to_bytes(LENGTH_BYTES, "big"))
             digest.update(data)
         digest.update(content)
--- a/tests/coordination/quarantine/test_service.py
+++ b/tests/coordination/quarantine/test_service.py
@@ -150,6 +150,7 @@
         self.await_all(Suspicion.QUARANTINED)
         self.fleet.clock.advance(1)
         self.fleet.services[3].clear(DEADLY, CATALOGUE)
+        self.fleet.services[3].send_clearances()
         self.await_all(Suspicion.NONE)
 
     def test_owner_that_was_cut_off_learns_when_the_cut_heals(self) -> None:
@@ -244,6 +245,7 @@
         self.assertTrue(service.release(quarantine.fingerprint))
         self.assertFalse(service.release(quarantine.fingerprint))
         service.use_log()
+        service.send_clearances()
         self.await_all(Suspicion.NONE)
         self.fleet.add(1)
         self.fleet.clock.advance(1)
