--- a/corianderhold/coordination/owner/screen.py
+++ b/corianderhold/coordination/owner/screen.py
@@ -10,6 +10,7 @@
 from corianderhold.coordination.call import CallContext, RequestBody
 from corianderhold.coordination.owner.registry import InFlightCall, InFlightCalls
 from corianderhold.coordination.quarantine.const import (
+    CLEARED_LIFETIME_S,
     TRIAL_DELAY_S,
     TRIAL_RETRY_AFTER_MS,
 )
@@ -22,6 +23,7 @@
     compute_fingerprint,
     refuse_quarantined,
 )
+from corianderhold.coordination.quarantine.successes import RecentSuccesses
 from corianderhold.coordination.quarantine.trial import Trial, TrialSlot
 from corianderhold.ids import CrashId, Fingerprint, ServiceName
 from corianderhold.log import log_warning
@@ -57,7 +59,8 @@
     Screen the calls of an owner by the crashes that equal calls were in flight at.
 
     A suspect runs only in a trial. The calls that are in flight at a crash become
-    suspects; if one of them ran in a trial, the crash is attributed to it alone.
+    suspects, but for those that the target has answered lately, if there are others. If
+    one of them ran in a trial, the crash is attributed to it alone.
     """
 
     def __init__(
@@ -76,6 +79,7 @@
         self._clock = clock
         self._metrics = metrics
         self._slot = TrialSlot(clock)
+        self._successes = RecentSuccesses(clock)
         self._lock = threading.Lock()
         self._reported: TargetStart | None = None
 
@@ -89,7 +93,7 @@
         suspicion = self._table.find(fingerprint)
         if suspicion is Suspicion.QUARANTINED:
             return Err(refuse_quarantined(self._table.find_left_s(fingerprint)))
-        if suspicion is Suspicion.NONE and not context.in_trial:
+        if suspicion is Suspicion.NONE and not self._is_news(context, fingerprint):
             return Ok(None)
         service = ServiceName(context.service)
         if not context.in_trial and not self._notifier.is_tester(fingerprint, service):
@@ -124,6 +128,7 @@
         """Record a response; it clears a suspect that was sent without a trial."""
         if self.detector.record_response(dispatched_at):
             self._reported = None
+        self._successes.record(call.context, call.body)
         if call.trial is not None or not self._table.is_active:
             return
         fingerprint = self._compute(call)
@@ -140,10 +145,24 @@
         if self._table.find(fingerprint) is Suspicion.QUARANTINED:
             self._slot.release()
             return Err(refuse_quarantined(self._table.find_left_s(fingerprint)))
+        if self._was_cleared(fingerprint):
+            self._slot.release()
+            return Ok(None)
         service = ServiceName(context.service)
         self._metrics.increment("trials")
         return Ok(Trial(self._slot, lambda: self._notifier.clear(fingerprint, service)))
 
+    def _is_news(self, context: CallContext, fingerprint: Fingerprint) -> bool:
+        """Return whether an entry knows of a crash that this owner does not."""
+        return context.in_trial and not self._was_cleared(fingerprint)
+
+    def _was_cleared(self, fingerprint: Fingerprint) -> bool:
+        """Return whether a call is no suspect, because it was cleared a moment ago."""
+        if self._table.find(fingerprint) is not Suspicion.NONE:
+            return False
+        now = self._clock.read_monotonic()
+        return now - self._table.find_cleared_at(fingerprint) < CLEARED_LIFETIME_S
+
     def _report(self, target: TargetStatus, calls: InFlightCalls) -> None:
         """
         Report the crash of a start of the target, once.
@@ -165,8 +184,10 @@
     def _build_report(
         self, target: TargetStatus, in_flight: list[InFlightCall]
     ) -> CrashReport:
-        trials = [self._compute(call) for call in in_flight if call.trial is not None]
-        suspects = trials or self._list_suspects(in_flight)
+        in_trial = [call for call in in_flight if call.trial is not None]
+        others = [call for call in in_flight if call.trial is None]
+        trials = [self._compute(call) for call in self._exonerate(in_trial)]
+        suspects = trials or self._list_suspects(self._exonerate(others) or in_flight)
         report = CrashReport(
             CrashId(os.urandom(CRASH_ID_BYTES)),
             ServiceName(target.service or ""),
@@ -186,6 +207,12 @@
         )
         return report
 
+    def _exonerate(self, calls: list[InFlightCall]) -> list[InFlightCall]:
+        """Return the calls that this target has not answered lately."""
+        return [
+            call for call in calls if not self._successes.take(call.context, call.body)
+        ]
+
     def _list_suspects(self, calls: list[InFlightCall]) -> list[Fingerprint]:
         """Return the calls that were in flight at earlier crashes as well, or all."""
         fingerprints = [self._compute(call) for call in calls]
--- a/corianderhold/coordination/quarantine/const.py
+++ b/corianderhold/coordination/quarantine/const.py
@@ -11,6 +11,10 @@
 TRIAL_RETRY_AFTER_MS = 500
 QUARANTINED_RETRY_AFTER_MIN_MS = 1000
 
+SUCCESS_LIFETIME_S = 60.0  # within which an answer exonerates a call at a crash
+SUCCESSES_MAX = 4096
+CLEARED_LIFETIME_S = 2.0  # within which an entry may not know of a clearance
+
 HINT_LIFETIME_S = 5.0  # of what an owner's refusal says of a call
 HINTS_MAX = 1024
 
--- a/corianderhold/state/quarantine/table.py
+++ b/corianderhold/state/quarantine/table.py
@@ -67,6 +67,10 @@
             return 0.0
         return max(0.0, quarantine.until - self._clock.read_monotonic())
 
+    def find_cleared_at(self, fingerprint: Fingerprint) -> float:
+        """Return when a call was last cleared; -inf if never."""
+        return self._clearances.get(fingerprint, float("-inf"))
+
     def find_crashed_at(self, fingerprint: Fingerprint) -> float:
         """Return when a target last crashed with a call in flight; -inf if never."""
         with self._lock:
--- a/tests/coordination/owner/test_screen.py
+++ b/tests/coordination/owner/test_screen.py
@@ -18,7 +18,7 @@
 from corianderhold.coordination.quarantine.const import TRIAL_DELAY_S
 from corianderhold.coordination.quarantine.hints import compute_fingerprint
 from corianderhold.coordination.retry import RetryBudget
-from corianderhold.ids import CallId, Fingerprint, OrganisationId
+from corianderhold.ids import CallId, CrashId, Fingerprint, OrganisationId
 from corianderhold.protocol.verdict import Reason, Refusal
 from corianderhold.state.membership.model import Address, TargetState
 from corianderhold.state.membership.target import TargetStatus
@@ -45,6 +45,7 @@
 
     def __init__(self) -> None:
         self.paths: list[bytes] = []
+        self.slow = False
         self._port = 0
         self._open: list[socket.socket] = []
         self.start()
@@ -86,7 +87,7 @@
                     self.crash()
                 elif path == b"/lost":
                     connection.close()
-                elif path == b"/ok":
+                elif path == b"/ok" and not self.slow:
                     connection.sendall(OK_RESPONSE)
                 elif path == b"/full":
                     connection.sendall(NOT_EXECUTED)
@@ -211,11 +212,10 @@
 
     def test_response_clears_a_suspect(self) -> None:
         self.crash_beside("/ok-later")
-        self.table.record_crash(replace(self.notifier.reports[0], crash_id=b"x" * 12))  # type: ignore[arg-type]
         self.restart_target()
         report = replace(
             self.notifier.reports[0],
-            crash_id=b"y" * 12,  # type: ignore[arg-type]
+            crash_id=CrashId(b"y" * 12),
             suspects=(self.compute("/ok"),),
         )
         self.table.record_crash(report)
@@ -228,7 +228,7 @@
         self.restart_target()
         report = replace(
             self.notifier.reports[0],
-            crash_id=b"y" * 12,  # type: ignore[arg-type]
+            crash_id=CrashId(b"y" * 12),
             suspects=(self.compute("/full"),),
         )
         self.table.record_crash(report)
@@ -243,6 +243,42 @@
         self.assertIs(future.result().unwrap_err().reason, Reason.TARGET_CRASHED)
         self.assertIs(self.find("/half"), Suspicion.SUSPECT)
 
+    def test_call_that_was_answered_lately_is_no_suspect_beside_others(self) -> None:
+        self.assertTrue(self.send("/ok").is_ok())
+        self.target.slow = True
+        popular = self.pool.submit(self.send, "/ok")
+        wait_until(
+            lambda: self.target.paths.count(b"/ok") == 2, "the call reaches the target"
+        )
+        self.crash_beside("/a")
+        self.assertIs(popular.result().unwrap_err().reason, Reason.ANSWER_TRUNCATED)
+        self.assertIs(self.find("/ok"), Suspicion.NONE)
+        self.assertIs(self.find("/a"), Suspicion.SUSPECT)
+
+    def test_calls_that_were_all_answered_lately_are_suspects(self) -> None:
+        self.assertTrue(self.send("/ok").is_ok())
+        self.target.slow = True
+        popular = self.pool.submit(self.send, "/ok")
+        wait_until(
+            lambda: self.target.paths.count(b"/ok") == 2, "the call reaches the target"
+        )
+        self.target.crash()
+        self.assertIs(popular.result().unwrap_err().reason, Reason.TARGET_CRASHED)
+        self.assertIs(self.find("/ok"), Suspicion.SUSPECT)
+
+    def test_calls_that_wait_for_a_trial_run_once_their_call_is_cleared(self) -> None:
+        self.crash_beside("/a")
+        self.restart_target()
+        report = replace(
+            self.notifier.reports[0],
+            crash_id=CrashId(b"y" * 12),
+            suspects=(self.compute("/ok"),),
+        )
+        self.table.record_crash(report)
+        futures = [self.pool.submit(self.send, "/ok", True) for _ in range(8)]
+        self.assertTrue(all(future.result().is_ok() for future in futures))
+        self.assertEqual(len(self.notifier.cleared), 1)
+
     def test_lost_response_is_no_crash(self) -> None:
         refusal = self.send("/lost").unwrap_err()
         self.assertFalse(refusal.not_run)
