--- a/corianderhold/coordination/owner/screen.py
+++ b/corianderhold/coordination/owner/screen.py
@@ -24,7 +24,7 @@
     refuse_quarantined,
 )
 from corianderhold.coordination.quarantine.successes import RecentSuccesses
-from corianderhold.coordination.quarantine.trial import Trial, TrialSlot
+from corianderhold.coordination.quarantine.trial import Trial, TrialSlots
 from corianderhold.ids import CrashId, Fingerprint, ServiceName
 from corianderhold.log import log_warning
 from corianderhold.metrics import Metrics
@@ -60,7 +60,7 @@
 
     A suspect runs only in a trial. The calls that are in flight at a crash become
     suspects, but for those that the target has answered lately, if there are others. If
-    one of them ran in a trial, the crash is attributed to it alone.
+    some of them ran in a trial, the crash is attributed to these alone.
     """
 
     def __init__(
@@ -78,7 +78,7 @@
         self._notifier = notifier
         self._clock = clock
         self._metrics = metrics
-        self._slot = TrialSlot(clock)
+        self._slots = TrialSlots(clock)
         self._successes = RecentSuccesses(clock)
         self._lock = threading.Lock()
         self._reported: TargetStart | None = None
@@ -139,18 +139,30 @@
         self, context: CallContext, fingerprint: Fingerprint
     ) -> Result[Trial | None, Refusal]:
         not_before = self._table.find_crashed_at(fingerprint) + TRIAL_DELAY_S
-        if not self._slot.acquire(not_before, context.deadline_at):
+        acquired = self._slots.acquire(
+            fingerprint,
+            not_before,
+            context.deadline_at,
+            lambda: not self._table.has_one_crash(fingerprint),
+        )
+        if not acquired:
             detail = "other trials are waiting"
             return Err(refuse_not_run(Reason.TRIAL_BUSY, TRIAL_RETRY_AFTER_MS, detail))
         if self._table.find(fingerprint) is Suspicion.QUARANTINED:
-            self._slot.release()
+            self._slots.release(fingerprint)
             return Err(refuse_quarantined(self._table.find_left_s(fingerprint)))
         if self._was_cleared(fingerprint):
-            self._slot.release()
+            self._slots.release(fingerprint)
             return Ok(None)
         service = ServiceName(context.service)
         self._metrics.increment("trials")
-        return Ok(Trial(self._slot, lambda: self._notifier.clear(fingerprint, service)))
+        return Ok(
+            Trial(
+                self._slots,
+                fingerprint,
+                lambda: self._notifier.clear(fingerprint, service),
+            )
+        )
 
     def _is_news(self, context: CallContext, fingerprint: Fingerprint) -> bool:
         """Return whether an entry knows of a crash that this owner does not."""
--- a/corianderhold/coordination/quarantine/const.py
+++ b/corianderhold/coordination/quarantine/const.py
@@ -6,8 +6,9 @@
 NO_CRASH_MEMORY_S = 0.05
 
 TRIAL_DELAY_S = 0.1  # after the crash, until the other owners know of the suspects
-TRIAL_WAIT_MAX_S = 0.5
-TRIALS_WAITING_MAX = 16
+TRIAL_WAIT_MAX_S = 1.0
+TRIALS_AT_ONCE = 4  # of calls that were in flight at one crash only
+TRIALS_WAITING_MAX = 32
 TRIAL_RETRY_AFTER_MS = 500
 QUARANTINED_RETRY_AFTER_MIN_MS = 1000
 
--- a/corianderhold/state/quarantine/table.py
+++ b/corianderhold/state/quarantine/table.py
@@ -67,6 +67,12 @@
             return 0.0
         return max(0.0, quarantine.until - self._clock.read_monotonic())
 
+    def has_one_crash(self, fingerprint: Fingerprint) -> bool:
+        """Return whether a suspect was in flight at a single crash so far."""
+        if fingerprint in self._quarantines:
+            return False
+        return len(self._crashes.get(fingerprint, ())) == 1
+
     def find_cleared_at(self, fingerprint: Fingerprint) -> float:
         """Return when a call was last cleared; -inf if never."""
         return self._clearances.get(fingerprint, float("-inf"))
