--- a/measurements/endurance/events.py
+++ b/measurements/endurance/events.py
@@ -9,9 +9,9 @@
 from corianderhold.ids import KeyId
 from corianderhold.state.configuration.model import ApiKey, Service
 from corianderhold.state.configuration.records import Delta
-from emulator.sample import CATALOGUE, build_change
+from emulator.sample import BROADCASTER_KEY, CATALOGUE, build_change
 from measurements.endurance.checks import Span
-from tests.common.fleet import Fleet
+from tests.common.fleet import Fleet, RequestPlan
 
 FAULT_S = 2.5
 FREEZE_S = 5.0
@@ -20,6 +20,8 @@
 COPY_AGE_S = (1.0, 20.0)  # of the copy that the store is restored from
 DRAIN_SLACK_S = 1.0  # time for the drain to reach the target's owner
 LIMITS = (8, 16, 32)
+DEADLY_PATH = "/catalogue/search?crash=1&work_ms=5"
+DEADLY_PAUSE_S = 0.1
 
 
 class Events:
@@ -36,12 +38,15 @@
         self.faults: list[Span] = []
         self.counts: Counter[str] = Counter()
         self.runs_after_drain = 0
+        self.crashes_max = 0
+        self._deadly_requests = 0
         self._kinds: dict[str, Callable[[str], None]] = {
             "kill": self._kill_daemon,
             "freeze": self._freeze_daemon,
             "cut": self._cut_daemon,
             "target_crash": self._crash_target,
             "drain": self._drain_target,
+            "deadly": lambda _: self._send_deadly(),
             "store_down": lambda _: self._fail_store("down", True, False),
             "store_slow": lambda _: self._fail_store("delay_ms", SLOW_STORE_MS, 0),
             "store_lossy": lambda _: self._fail_store("lose_answers", True, False),
@@ -86,6 +91,20 @@
         time.sleep(FAULT_S)
         self._fleet.start_target(instance)
 
+    def _send_deadly(self) -> None:
+        """Send one request that crashes its targets again and again, to all entries."""
+        self._deadly_requests += 1
+        path = f"{DEADLY_PATH}&n={self._deadly_requests}"
+        saved = self._fleet.save_runs()
+        entries = list(self._fleet.members)
+        until = time.monotonic() + FAULT_S
+        while time.monotonic() < until:
+            entry = self._random.choice(entries)
+            self._fleet.send(entry, RequestPlan(path, BROADCASTER_KEY))
+            time.sleep(DEADLY_PAUSE_S)
+        crashes = self._fleet.restart_crashed_targets(saved)
+        self.crashes_max = max(self.crashes_max, crashes)
+
     def _drain_target(self, instance: str) -> None:
         self._fleet.drain_target(instance)
         bound = time.time() + DRAIN_SLACK_S
--- a/measurements/soak.py
+++ b/measurements/soak.py
@@ -54,6 +54,7 @@
     Target("withdrawn_ran", highest=0),
     Target("crossed_answers", highest=0),
     Target("runs_after_drain", highest=0),
+    Target("crashes_max", highest=3),
     Target("recovery_s", highest=15.0),
 ]
 
@@ -101,6 +102,7 @@
     return {
         **count_breaches(traffic.sent, fleet.count_runs(), bounds),
         "runs_after_drain": float(events.runs_after_drain),
+        "crashes_max": float(events.crashes_max),
         "recovery_s": recovery_s,
         **count_outcomes(traffic.sent, events.withdrawn),
         **{f"event_{name}": float(n) for name, n in sorted(events.counts.items())},
--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -199,6 +199,31 @@
         member.target.kill()
         member.target_address = ""
 
+    def save_runs(self) -> dict[str, Counter[str]]:
+        """Return the executions of each target, which are lost if it crashes."""
+        return {name: self._read_runs(each) for name, each in self.members.items()}
+
+    def list_crashed_targets(self) -> list[str]:
+        """Return the instances whose target has ended by itself."""
+        return [
+            name
+            for name, member in self.members.items()
+            if member.target is not None
+            and member.target_address
+            and member.target.exit_code is not None
+        ]
+
+    def restart_crashed_targets(
+        self, saved: Mapping[str, Counter[str]] | None = None
+    ) -> int:
+        """Restart the targets that have ended; return how many. Keep `saved` runs."""
+        crashed = self.list_crashed_targets()
+        for name in crashed:
+            self._past_runs += (saved or {}).get(name, Counter())
+            self.members[name].target_address = ""
+            self.start_target(name)
+        return len(crashed)
+
     def send(self, entry: str, plan: RequestPlan) -> Outcome:
         """Send one request to the caller listener of a daemon."""
         url = f"http://{self.members[entry].get_address('caller')}{plan.path}"
--- a/tests/failures/test_query_of_death.py
+++ b/tests/failures/test_query_of_death.py
@@ -29,24 +29,12 @@
     )
     probes = ("/catalogue/search",)
 
-    def list_crashed(self) -> list[str]:
-        """Return the owners whose target has ended."""
-        return [
-            name
-            for name, member in self.fleet.members.items()
-            if member.target is not None and member.target.exit_code is not None
-        ]
-
-    def restart_crashed(self) -> int:
-        """Restart the targets that have ended, and return their number."""
-        crashed = self.list_crashed()
-        for name in crashed:
-            self.fleet.members[name].target_address = ""
-            self.fleet.start_target(name)
+    def restart_crashed(self) -> None:
+        """Restart the targets that have ended, and wait until all entries serve."""
+        self.fleet.restart_crashed_targets()
         self.fleet.wait_until_served(
             OWNERS, RequestPlan("/catalogue/search?after", BROADCASTER_KEY)
         )
-        return len(crashed)
 
     def send_deadly(self, entries: Sequence[str]) -> list[Sent]:
         """Send the same request with new ids, one after the other."""
@@ -73,7 +61,7 @@
         ]
         deadly = self.send_deadly(OWNERS)
         others = [each for future in futures for each in future.result()]
-        crashed = self.list_crashed()
+        crashed = self.fleet.list_crashed_targets()
         self.assertTrue(crashed)
         self.assertLessEqual(len(crashed), CRASHES_MAX, crashed)
         self.assertFalse(any(outcome.is_whole for _, outcome in deadly))
@@ -83,10 +71,10 @@
         self.assertLessEqual(len(failed), len(others) // 20, failed)
         self.restart_crashed()
         self.assertFalse(any(o.is_whole for _, o in self.send_deadly(OWNERS)))
-        self.assertEqual(self.list_crashed(), [])
+        self.assertEqual(self.fleet.list_crashed_targets(), [])
         self.restart_daemons()
         self.assertFalse(any(o.is_whole for _, o in self.send_deadly(OWNERS[:2])))
-        self.assertEqual(self.list_crashed(), [])
+        self.assertEqual(self.fleet.list_crashed_targets(), [])
 
     def restart_daemons(self) -> None:
         """Kill two daemons, which forget what they knew, and start them again."""
