--- a/script/mixed_builds.py
+++ b/script/mixed_builds.py
@@ -48,6 +48,7 @@
 TARGET_LIMIT = 10.0
 LIMIT_SETTLE_S = 1.0
 LIMIT_OFFERED_S = 4.0
+DEADLY_ROUNDS = 3
 COPY_AGE_S = 2.0  # of the copy that the store is restored from
 ANSWERS = ("archive", "counters")
 RATES_LENT = "0"  # stewards lend tokens to entries
@@ -107,6 +108,7 @@
         self._report(phase, "keys", self._grant_and_withdraw())
         self._report(phase, "evacuation", self._evacuate())
         self._report(phase, "limits", self._hold_limits())
+        self._report(phase, "deadly", self._send_deadly(phase))
         self._report(phase, "one_view", self._agree())
 
     def check_leave(self, phase: str) -> None:
@@ -303,6 +305,32 @@
         wait_until(is_as_expected, f"{instance} knows the evacuation: {expected}")
         return True
 
+    def _send_deadly(self, phase: str) -> bool:
+        """
+        Send a request that crashes its targets to each entry, several times.
+
+        No daemon may take its refusal for an answer or the end of a link. Owners of an
+        older build pass such a request on, so both targets may end; a daemon of the new
+        build serves other requests at once when they are back.
+        """
+        saved = self._fleet.save_runs()
+        plans = [
+            RequestPlan(f"{SEARCH}?crash=1&phase={phase}", BROADCASTER_KEY)
+            for _ in range(DEADLY_ROUNDS * len(INSTANCES))
+        ]
+        outcomes = [
+            self._fleet.send(INSTANCES[number % len(INSTANCES)], plan)
+            for number, plan in enumerate(plans)
+        ]
+        crashed = self._fleet.restart_crashed_targets(saved)
+        plan = RequestPlan(SEARCH, BROADCASTER_KEY)
+        self._fleet.wait_until_served(INSTANCES, plan)
+        refused = all(
+            not outcome.is_whole and outcome.verdict in ("not_run", "may_have_run")
+            for outcome in outcomes
+        )
+        return refused and 0 < crashed <= len(CATALOGUE)
+
     def _hold_limits(self) -> bool:
         """
         Let both catalogue targets name a limit and send more from all entries.
