--- a/corianderhold/coordination/quarantine/service.py
+++ b/corianderhold/coordination/quarantine/service.py
@@ -13,12 +13,11 @@
     LOG_INTERVAL_S,
     NOTICE_THREADS,
     NOTICE_TIMEOUT_S,
-    PEER_FAILURES_MAX,
-    PEER_PAUSE_S,
     START_SYNC_PEERS,
     SYNC_INTERVAL_S,
     UNREACHABLE_MEMORY_S,
 )
+from corianderhold.coordination.quarantine.peers import PeerFailures
 from corianderhold.coordination.quarantine.stream import QuarantineStream
 from corianderhold.ids import Fingerprint, InstanceId, ServiceName
 from corianderhold.log import log_event, log_warning
@@ -38,6 +37,7 @@
     TargetState,
 )
 from corianderhold.state.membership.target import TargetStatus
+from corianderhold.state.quarantine.const import QUARANTINE_S
 from corianderhold.state.quarantine.model import (
     Clearance,
     CrashReport,
@@ -47,35 +47,7 @@
 from corianderhold.state.quarantine.table import QuarantineTable
 
 STOP_TIMEOUT_S = 0.2
-
-
-class PeerFailures:
-    """Leave out peers that repeatedly did not reply, as those of older builds do."""
-
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
-        self._failures: dict[InstanceId, int] = {}
-        self._paused_until: dict[InstanceId, float] = {}
-
-    def is_paused(self, instance: InstanceId) -> bool:
-        """Return whether a peer is left out for now."""
-        now = self._clock.read_monotonic()
-        return now < self._paused_until.get(instance, float("-inf"))
-
-    def forget(self, instance: InstanceId) -> None:
-        """Forget a peer that replied or has left."""
-        self._failures.pop(instance, None)
-        self._paused_until.pop(instance, None)
-
-    def record(self, instance: InstanceId, *, replied: bool) -> None:
-        """Record the outcome of a request."""
-        if replied:
-            self.forget(instance)
-            return
-        failures = self._failures.get(instance, 0) + 1
-        self._failures[instance] = failures
-        if failures >= PEER_FAILURES_MAX:
-            self._paused_until[instance] = self._clock.read_monotonic() + PEER_PAUSE_S
+RELEASED_BEFORE_S = QUARANTINE_S - 1.0  # a quarantine that was shorter was released
 
 
 class QuarantineService:
@@ -101,6 +73,7 @@
         self._stream = QuarantineStream(log, clock)
         self._must_read_log = False
         self._read_log_at = float("-inf")
+        self._sync_at = float("-inf")
         self._dead_since: dict[InstanceId, float] = {}
         self._cleared: dict[ServiceName, list[Clearance]] = {}
         self._cleared_lock = threading.Lock()
@@ -229,10 +202,12 @@
             return self._request(member, mine) is not None
         return True
 
-    def synchronize_once(self) -> None:
-        """Compare with one random peer while anything is known."""
-        if self._service is None or not self._table.is_active:
+    def synchronize_if_due(self) -> None:
+        """Compare with one random peer from time to time, while anything is known."""
+        now = self._clock.read_monotonic()
+        if self._service is None or not self._table.is_active or now < self._sync_at:
             return
+        self._sync_at = now + SYNC_INTERVAL_S * (0.5 + self._random.random())
         peers = [
             each
             for each in self._list_peers(self._service)
@@ -256,12 +231,12 @@
         quarantines = self._stream.read()
         self._must_read_log = quarantines is None
         if quarantines:
-            over = [
+            released = [
                 Clearance(each.fingerprint, each.until)
                 for each in quarantines
-                if each.until <= now
+                if each.until - each.since < RELEASED_BEFORE_S
             ]
-            self._log_quarantines(self._table.merge((), over, quarantines))
+            self._log_quarantines(self._table.merge((), released, quarantines))
 
     def send_clearances(self) -> None:
         """Tell the other owners which calls have been cleared since the last time."""
@@ -286,8 +261,7 @@
 
     def _run(self) -> None:
         while not self._stopped.is_set():
-            jitter = 0.5 + self._random.random()
-            self._work_due.wait(SYNC_INTERVAL_S * jitter)
+            self._work_due.wait(SYNC_INTERVAL_S / 2)
             self._work_due.clear()
             if self._stopped.is_set():
                 return
@@ -295,7 +269,7 @@
                 self.send_clearances()
                 self._synchronize_target()
                 self.use_log()
-                self.synchronize_once()
+                self.synchronize_if_due()
             except Exception as error:  # noqa: BLE001
                 # A failed step must not end the thread.
                 log_warning("quarantine_step_failed", error=repr(error))
@@ -309,7 +283,7 @@
         self._has_started, self._was_compared = False, True
         peers = self._list_peers(self._service)
         chosen = self._random.sample(peers, min(START_SYNC_PEERS, len(peers)))
-        self._run_for_each(chosen, lambda member: self.synchronize(member))
+        self._run_for_each(chosen, self.synchronize)
 
     def _list_peers(self, service: ServiceName) -> list[Member]:
         """Return the members that own a target of a service, also a crashed one."""
