--- a/corianderhold/coordination/quarantine/hints.py
+++ b/corianderhold/coordination/quarantine/hints.py
@@ -54,6 +54,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._hints: OrderedDict[Fingerprint, Hint] = OrderedDict()
+        self._expiry_at = float("-inf")
 
     def find(self, context: CallContext, body: RequestBody) -> Suspicion:
         """Return whether a call may be sent."""
@@ -64,7 +65,11 @@
         if known is Suspicion.QUARANTINED:
             return known
         hint = self._hints.get(fingerprint)
-        if hint is None or hint.until <= self._clock.read_monotonic():
+        now = self._clock.read_monotonic()
+        if now >= self._expiry_at:
+            with self._lock:
+                self._remove_expired(now)
+        if hint is None or hint.until <= now:
             return known
         return hint.suspicion
 
@@ -119,6 +124,7 @@
         return eligible[rank_testers(fingerprint, eligible)[0]]
 
     def _remove_expired(self, now: float) -> None:
+        self._expiry_at = now + HINT_LIFETIME_S
         while self._hints:
             fingerprint, oldest = next(iter(self._hints.items()))
             if len(self._hints) <= HINTS_MAX and oldest.until > now:
--- a/tests/coordination/entry/test_router_quarantine.py
+++ b/tests/coordination/entry/test_router_quarantine.py
@@ -7,6 +7,7 @@
 
 from dataclasses import replace
 from unittest import TestCase
+from unittest.mock import patch
 
 from result import Ok
 
@@ -25,6 +26,7 @@
     refuse_may_have_run,
     refuse_not_run,
 )
+from corianderhold.state.quarantine.fingerprint import Fingerprinter
 from corianderhold.state.quarantine.model import Suspicion, rank_testers
 from tests.common.calls import make_context
 from tests.common.clock import FakeClock
@@ -137,6 +139,13 @@
         self.clock.advance(HINT_LIFETIME_S - 1.0)
         self.assertIs(self.find("/a"), Suspicion.NONE)
 
+    def test_entry_without_hints_computes_no_fingerprints(self) -> None:
+        self.hints.learn(self.make("/a"), NO_BODY, QUARANTINED)
+        self.clock.advance(2 * HINT_LIFETIME_S)
+        self.find("/b")
+        with patch.object(Fingerprinter, "compute", side_effect=AssertionError):
+            self.assertIs(self.find("/b"), Suspicion.NONE)
+
     def test_response_ends_a_hint(self) -> None:
         self.hints.learn(self.make("/a"), NO_BODY, CRASHED)
         self.assertIs(self.find("/a"), Suspicion.SUSPECT)
