--- a/corianderhold/protocol/lease/codec.py
+++ b/corianderhold/protocol/lease/codec.py
@@ -41,10 +41,13 @@
 
 
 def _deserialize(message: ttypes.PromiseRequest | ttypes.PromiseReply, body: bytes):  # type: ignore[no-untyped-def]  # noqa: ANN202
-    """Deserialize a thrift struct and validate its required fields."""
+    """Deserialize a thrift struct and validate its required fields, nested ones too."""
     try:
         deserialize(message, body, FACTORY)
         message.validate()
+        if isinstance(message, ttypes.PromiseRequest):
+            for ask in message.asks:
+                ask.validate()
     except (TException, EOFError, ValueError, TypeError, OverflowError) as error:
         raise PromiseMessageError(repr(error)) from error
     return message
--- a/corianderhold/protocol/membership/codec.py
+++ b/corianderhold/protocol/membership/codec.py
@@ -222,4 +222,8 @@
 
 
 def _parse_sync_record(record: ttypes.SyncRecord) -> SyncRecord:
+    try:
+        record.validate()
+    except TException as error:
+        raise MalformedMessageError(f"sync record: {error}") from error
     return SyncRecord(decode_member(record.member), record.dead_for_s)
--- a/corianderhold/protocol/peer/codec.py
+++ b/corianderhold/protocol/peer/codec.py
@@ -98,7 +98,8 @@
 
 
 def decode_load(struct: Any) -> LoadReport:
-    """Decode a load report from a thrift struct."""
+    """Decode a load report from a thrift struct; raise TException if incomplete."""
+    struct.validate()
     return LoadReport(
         struct.in_flight,
         struct.limit,
@@ -121,6 +122,7 @@
     """Decode a target's notice from a thrift struct, or return None without one."""
     if struct is None:
         return None
+    struct.validate()
     rate_limit = struct.rate_limit
     if rate_limit is not None and not 0 <= rate_limit < math.inf:
         raise FrameError(f"rate_limit is {rate_limit}; expected a finite number")
@@ -133,7 +135,9 @@
 
 
 def decode_headers(structs: list[Any]) -> tuple[Header, ...]:
-    """Decode HTTP headers from thrift structs."""
+    """Decode HTTP headers from thrift structs; raise TException if incomplete."""
+    for struct in structs:
+        struct.validate()
     return tuple(Header(struct.name, struct.value) for struct in structs)
 
 
--- a/corianderhold/protocol/rate/codec.py
+++ b/corianderhold/protocol/rate/codec.py
@@ -116,11 +116,18 @@
             raise LoanMessageError(f"amount is {amount}; expected a finite number >= 0")
 
 
+def is_request(message: ttypes.LoanRequest | ttypes.LoanReply) -> bool:
+    """Return whether a message is a request."""
+    return isinstance(message, ttypes.LoanRequest)
+
+
 def _deserialize(message: ttypes.LoanRequest | ttypes.LoanReply, body: bytes):  # type: ignore[no-untyped-def]  # noqa: ANN202
-    """Deserialize a thrift struct and validate its required fields."""
+    """Deserialize a thrift struct and validate its required fields, nested ones too."""
     try:
         deserialize(message, body, FACTORY)
         message.validate()
+        for part in message.asks if is_request(message) else message.grants:
+            part.validate()
     except (TException, EOFError, ValueError, TypeError, OverflowError) as error:
         raise LoanMessageError(repr(error)) from error
     return message
