--- a/corianderhold/coordination/entry/router.py
+++ b/corianderhold/coordination/entry/router.py
@@ -184,8 +184,9 @@
                 return Err(
                     apply_run_state(hide_placement_reason(refusal), may_have_run)
                 )
-            tried = replace(context, in_trial=attempt.in_trial)
-            outcome = self._try_owner(tried, body, retries, choice.chosen)
+            if attempt.in_trial and not context.in_trial:
+                context = replace(context, in_trial=True)
+            outcome = self._try_owner(context, body, retries, choice.chosen)
             if isinstance(outcome, Ok):
                 self._hints.forget(context, body)
                 return outcome
