--- a/corianderhold/coordination/configuration/follower.py
+++ b/corianderhold/coordination/configuration/follower.py
@@ -196,7 +196,7 @@
             held or is_first or self.replica.state.version > before
         ):
             return 0.0
-        if self._backoff.failures:
+        if outcome is not None and self._backoff.failures:
             return self._find_backoff_wait_s()
         return POLL_INTERVAL_S * (1 + ANTI_ENTROPY_JITTER * self._random.random())
 
--- a/tests/coordination/configuration/test_silent_store.py
+++ b/tests/coordination/configuration/test_silent_store.py
@@ -5,7 +5,13 @@
 back. Guards against a daemon, or a whole failure domain, that waits for such a read.
 """
 
-from corianderhold.coordination.configuration.const import ALL_POLL_DELAY_S
+from unittest.mock import patch
+
+from corianderhold.coordination.configuration.const import (
+    ALL_POLL_DELAY_S,
+    POLL_INTERVAL_S,
+)
+from corianderhold.coordination.configuration.peers import PeerSelector
 from tests.coordination.configuration.case import SpreadTestCase
 
 OUTAGE_S = 5.0
@@ -53,6 +59,17 @@
                 )
                 self.assertTrue(in_force)
 
+    def test_daemon_that_no_longer_polls_does_not_spin_after_a_failed_poll(
+        self,
+    ) -> None:
+        self.fleet.run(ALL_POLL_DELAY_S)
+        self.silence(True)
+        follower = self.get_daemon(0).follower
+        follower.poll_once()
+        self.fleet.clock.advance(OUTAGE_S)
+        with patch.object(PeerSelector, "is_poller", return_value=False):
+            self.assertGreaterEqual(follower.poll_once(), POLL_INTERVAL_S)
+
     def test_change_is_in_force_soon_after_a_silent_outage_of_any_length(self) -> None:
         for outage_s in (2.0, 5.0, 20.0, 60.0):
             with self.subTest(outage_s=outage_s):
