--- a/corianderhold/coordination/owner/screen.py
+++ b/corianderhold/coordination/owner/screen.py
@@ -138,10 +138,9 @@
     def _begin_trial(
         self, context: CallContext, fingerprint: Fingerprint
     ) -> Result[Trial | None, Refusal]:
-        not_before = self._table.find_crashed_at(fingerprint) + TRIAL_DELAY_S
         acquired = self._slots.acquire(
             fingerprint,
-            not_before,
+            lambda: self._table.find_crashed_at(fingerprint) + TRIAL_DELAY_S,
             context.deadline_at,
             lambda: not self._table.has_one_crash(fingerprint),
         )
--- a/corianderhold/coordination/quarantine/trial.py
+++ b/corianderhold/coordination/quarantine/trial.py
@@ -28,18 +28,24 @@
         self._waiting = 0
         self._waiting_alone = 0
 
+    @property
+    def is_exclusive_awaited(self) -> bool:
+        """Return whether a call waits to run alone."""
+        return self._waiting_alone > 0
+
     def acquire(
         self,
         fingerprint: Fingerprint,
-        not_before: float,
+        find_earliest: Callable[[], float],
         deadline_at: float,
         is_alone: Callable[[], bool],
     ) -> bool:
         """
         Take a slot; return False if none is free in time.
 
-        It is not taken before `not_before`, when `is_alone` is asked whether the call
-        has to run alone. Both times are in monotonic seconds.
+        It is not taken before the time that `find_earliest` returns, which a further
+        crash postpones. Then `is_alone` is asked whether the call has to run alone.
+        Times are in monotonic seconds.
         """
         limit_at = min(deadline_at, self._clock.read_monotonic() + TRIAL_WAIT_MAX_S)
         with self._changed:
@@ -47,8 +53,7 @@
                 return False
             self._waiting += 1
             try:
-                self._await(lambda: False, min(limit_at, not_before))
-                if not_before > limit_at:
+                if not self._await_earliest(find_earliest, limit_at):
                     return False
                 return self._take(fingerprint, limit_at, alone=is_alone())
             finally:
@@ -61,6 +66,15 @@
             self._is_exclusive = False
             self._changed.notify_all()
 
+    def _await_earliest(
+        self, find_earliest: Callable[[], float], limit_at: float
+    ) -> bool:
+        while (earliest := find_earliest()) > self._clock.read_monotonic():
+            if earliest > limit_at:
+                return False
+            self._await(lambda: False, earliest)
+        return True
+
     def _take(self, fingerprint: Fingerprint, limit_at: float, *, alone: bool) -> bool:
         self._waiting_alone += alone
         try:
@@ -85,7 +99,7 @@
     def _is_free(self, fingerprint: Fingerprint, alone: bool) -> bool:
         if alone:
             return not self._running
-        if self._is_exclusive or self._waiting_alone:
+        if self._is_exclusive or self.is_exclusive_awaited:
             return False
         return len(self._running) < TRIALS_AT_ONCE and fingerprint not in self._running
 
