--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -87,16 +87,28 @@
         """Write nothing."""
 
     def read_body(self) -> bytes:
-        """Return the whole body, sent with a length or in chunks."""
+        """Return the whole body; raise ConnectionError if it breaks off."""
         if self.headers.get("Transfer-Encoding", "").lower() == "chunked":
             parts = []
-            while size := int(self.rfile.readline().split(b";")[0], 16):
-                parts.append(self.rfile.read(size))
-                self.rfile.readline()
-            while self.rfile.readline().strip():
+            while size := int(self._read_line().split(b";")[0], 16):
+                parts.append(self._read_exactly(size))
+                self._read_line()
+            while self._read_line():
                 pass
             return b"".join(parts)
-        return self.rfile.read(int(self.headers.get("Content-Length") or 0))
+        return self._read_exactly(int(self.headers.get("Content-Length") or 0))
+
+    def _read_exactly(self, size: int) -> bytes:
+        data = self.rfile.read(size)
+        if len(data) < size:
+            raise ConnectionError("the request broke off")
+        return data
+
+    def _read_line(self) -> bytes:
+        line = self.rfile.readline()
+        if not line.endswith(b"\n"):
+            raise ConnectionError("the request broke off")
+        return line.strip()
 
     def answer(
         self, status: int, body: bytes = b"", headers: dict[str, str] | None = None
