--- a/review/run5.sh
+++ b/review/run5.sh
@@ -1,11 +1,15 @@
 #!/bin/sh
-# run5.sh N: runs case N five times with the disruption and once without it.
+# run5.sh N: runs case N five times with the disruption and once without it, and once more
+# for the record; prints what each run says.
 cd "$(dirname "$0")" || exit 2
+run() {
+    echo "case $2, $1:" "$("$2/run.sh" 2>&1 | grep -v '^store' | tr '\n' ';')"
+}
 for round in 1 2 3 4 5; do
-    "$1/run.sh" >/dev/null 2>&1
-    echo "case $1, round $round: exit code $?"
+    run "round $round" "$1"
 done
-TROUBLE=0 "$1/run.sh" >/dev/null 2>&1
-echo "case $1, TROUBLE=0: exit code $?"
-"$1/run.sh" >/dev/null 2>&1
-echo "case $1, record with the disruption: exit code $?"
+TROUBLE=0
+export TROUBLE
+run "TROUBLE=0" "$1"
+unset TROUBLE
+run "for the record" "$1"
