--- a/corianderhold/admin/errors.py
+++ b/corianderhold/admin/errors.py
@@ -17,6 +17,7 @@
     TOKEN_MISSING_OR_WRONG = "token_missing_or_wrong"
     CHANGE_UNKNOWN = "change_unknown"
     KEY_REFUSED = "key_refused"
+    DRAIN_UNCONFIRMED = "drain_unconfirmed"
     NOT_FOUND = "not_found"
     METHOD_NOT_ALLOWED = "method_not_allowed"
     REQUEST_REFUSED = "request_refused"
--- a/corianderhold/admin/fleet.py
+++ b/corianderhold/admin/fleet.py
@@ -2,6 +2,7 @@
 
 import math
 
+from corianderhold.admin.errors import ApiError, ErrorCode
 from corianderhold.admin.formats import (
     JsonObject,
     evacuations_to_json,
@@ -18,6 +19,7 @@
 )
 from corianderhold.admin.request import answer_errors, write_json, write_text
 from corianderhold.clock import Clock
+from corianderhold.coordination.membership.errors import DepartureUnconfirmedError
 from corianderhold.log import log_event
 from corianderhold.metrics import Metrics
 from corianderhold.state.configuration.holder import ConfigurationHolder
@@ -87,7 +89,11 @@
     def POST(self) -> bytes:  # noqa: N802
         """Drain the local target."""
         log_event("drain_requested")
-        self._drain.drain()
+        try:
+            self._drain.drain()
+        except DepartureUnconfirmedError as error:
+            message = f"the target drains until this daemon restarts: {error}"
+            raise ApiError(503, ErrorCode.DRAIN_UNCONFIRMED, message) from error
         return write_json(202, {"draining": True})
 
 
--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -482,6 +482,7 @@
             RemoteCallServer(owner, keeper, self._incarnation, self._clock),
             {
                 ControlTopic.MEMBERSHIP: self._membership,
+                ControlTopic.DEPARTURE: self._membership.departures,
                 ControlTopic.CONFIGURATION: self._follower,
                 ControlTopic.LEASE: self._leases,
                 ControlTopic.QUARANTINE: self._quarantine,
--- a/corianderhold/coordination/entry/outgoing.py
+++ b/corianderhold/coordination/entry/outgoing.py
@@ -27,10 +27,12 @@
     write_refusal,
 )
 from corianderhold.coordination.entry.split import SplitChooser
+from corianderhold.coordination.membership.errors import DepartureUnconfirmedError
 from corianderhold.coordination.owner.breaker import CalleeCircuitBreaker
 from corianderhold.coordination.owner.registry import InFlightCall, InFlightCalls
 from corianderhold.coordination.retry import RetryBudget
 from corianderhold.ids import CallId, ServiceName
+from corianderhold.log import log_event
 from corianderhold.protocol.verdict import Reason, Refusal, refuse_not_run
 from corianderhold.settings.schema import parse_address, parse_name
 from corianderhold.state.configuration.holder import ConfigurationHolder
@@ -59,7 +61,7 @@
         """Record a heartbeat of the target."""
 
     def drain_target(self) -> None:
-        """Record that the target accepts no new calls."""
+        """Record that the target takes no calls; raise DepartureUnconfirmedError."""
 
     def withdraw_target(self, target_id: str | None, started: int | None) -> None:
         """Record that a start of the target has ended."""
@@ -95,8 +97,7 @@
         if path == ANNOUNCE_PATH:
             return self._announce(environ, start_response)
         if path == DRAIN_PATH:
-            self._registrar.drain_target()
-            return respond_empty(HTTPStatus.NO_CONTENT, start_response)
+            return self._drain(start_response)
         return self._intake.serve(environ, start_response, self._handle)
 
     def _apply_configuration(self, configuration: Configuration) -> None:
@@ -150,6 +151,14 @@
         parent.retries.refund(share - allowed + retries.left)
         return outcome
 
+    def _drain(self, start_response: StartResponse) -> Iterable[bytes]:
+        try:
+            self._registrar.drain_target()
+        except DepartureUnconfirmedError as error:
+            log_event("departure_unconfirmed", error=str(error))
+            return respond_empty(HTTPStatus.SERVICE_UNAVAILABLE, start_response)
+        return respond_empty(HTTPStatus.NO_CONTENT, start_response)
+
     def _announce(
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
--- a/corianderhold/coordination/membership/const.py
+++ b/corianderhold/coordination/membership/const.py
@@ -83,6 +83,19 @@
 CONTACT_LIMIT = 32
 LOGGED_MEMBERS_MIN = 8
 
+# Departures
+DEPARTURE_RETRY_S = 1.0  # of a failed append; doubles up to LOG_RETRY_S
+DEPARTURE_HOLDERS = 2
+DEPARTURE_CONFIRM_S = 0.7  # a target waits for its acknowledgement for one second
+DEPARTURE_REQUEST_TIMEOUT_S = 0.6
+DEPARTURE_STOP_TIMEOUT_S = 0.2
+HOLDERS_PER_DISTANCE = 2  # in the own failure domain, and in all others together
+RECALL_PEERS_PER_DISTANCE = 3  # more than HOLDERS_PER_DISTANCE, as ranks shift
+RECALL_ATTEMPTS = 4  # for each peer
+RECALL_INTERVAL_S = 0.5
+RECALL_LIMIT_S = 5.0
+RECALL_PERIOD_S = 15.0
+
 # Service
 FORGET_INTERVAL_S = 10.0
 RECEIVE_LIMIT = 64
--- a/corianderhold/coordination/membership/errors.py
+++ b/corianderhold/coordination/membership/errors.py
@@ -12,3 +12,16 @@
             f"announcement of {size_bytes} bytes exceeds {MEMBER_LIMIT_BYTES} bytes;"
             " shorten the names of instance, domain, region or service"
         )
+
+
+class DepartureUnconfirmedError(CorianderholdError):
+    """
+    Departure that only this process knows, so that a restart would forget it.
+
+    The target is drained nevertheless.
+    """
+
+    def __init__(self, target_id: str) -> None:
+        super().__init__(
+            f"departure of target {target_id} is neither in the log nor at a peer"
+        )
--- a/corianderhold/coordination/membership/messages.py
+++ b/corianderhold/coordination/membership/messages.py
@@ -22,11 +22,12 @@
     Contacts read from the log, for the thread that owns the table.
 
     `outranking` is the highest incarnation of an earlier start of this instance in the
-    log, or None.
+    log, or None. `names_others` is whether the log names members besides this one.
     """
 
     contacts: tuple[Contact, ...]
     outranking: Incarnation | None = None
+    names_others: bool = False
 
 
 @dataclass(frozen=True)
--- a/corianderhold/coordination/membership/service.py
+++ b/corianderhold/coordination/membership/service.py
@@ -15,7 +15,11 @@
     STOP_TIMEOUT_S,
     TICK_S,
 )
-from corianderhold.coordination.membership.errors import AnnouncementTooLargeError
+from corianderhold.coordination.membership.departures import DepartureReplicator
+from corianderhold.coordination.membership.errors import (
+    AnnouncementTooLargeError,
+    DepartureUnconfirmedError,
+)
 from corianderhold.coordination.membership.messages import (
     AnnouncementChanged,
     ContactsFound,
@@ -138,7 +142,7 @@
         self._meter = meter
         self._clock = clock
         self._metrics = metrics
-        self._target = LocalTarget(clock, settings.target_ttl_s)
+        self._target = LocalTarget(clock, settings.target_ttl_s, is_open=False)
         self._announced = self._target.read()
         self._departure: Departure | None = None
         self._endpoint = DatagramEndpoint(settings.gossip_address)
@@ -152,6 +156,16 @@
             clock.read_monotonic(),
         )
         self._view = self._swim.view
+        self.departures = DepartureReplicator(
+            settings.instance,
+            settings.domain,
+            self.list_members,
+            control,
+            clock,
+            metrics,
+            self._recall_departure,
+            self._open_target,
+        )
         self._synchronizer = Synchronizer(
             self._own,
             lambda: self._view,
@@ -161,6 +175,7 @@
             clock,
             Random(random.getrandbits(64)),
             metrics,
+            self.departures,
         )
         self._listeners: list[MemberListener] = []
         self._target_listeners: list[TargetListener] = []
@@ -184,6 +199,7 @@
         self._swim.resume(self._clock.read_monotonic())
         self._thread.start()
         self._synchronizer.start()
+        self.departures.start()
         log_event(
             "membership_started",
             instance=self._own.instance,
@@ -207,6 +223,7 @@
         """Leave, gossip the leave for LEAVE_LINGER_S, then stop the threads."""
         started = self._thread.ident is not None
         if started:
+            self.departures.stop()
             self.leave()
             self._await_leave_gossip()
             self._post(StopRequested())
@@ -258,33 +275,47 @@
         """
         Accept a heartbeat of the local target, valid for `target_ttl_s` seconds.
 
-        Raises AnnouncementTooLargeError if the name of the service is too long.
+        Raises AnnouncementTooLargeError if the name of the service is too long, and
+        DepartureUnconfirmedError as `withdraw_target` does.
         """
         check_size(replace(self._own, service=announcement.service))
         self._target.announce(announcement)
+        departure = None
         if announcement.draining and announcement.target_id is not None:
             started = announcement.started
-            self._record_departure(Departure(announcement.target_id, started, False))
-        self._notify_target_listeners()
+            departure = Departure(announcement.target_id, started, withdrawn=False)
+        self._begin_departure(departure)
+        self._await_departure(departure)
 
     def drain_target(self) -> None:
-        """Stop new work for the local target and announce that it drains."""
-        self._target.drain()
-        self._notify_target_listeners()
+        """
+        Stop new work for the local target and announce that it drains.
+
+        Raises DepartureUnconfirmedError as `withdraw_target` does.
+        """
+        departure = self._target.drain()
+        self._begin_departure(departure)
+        self._await_departure(departure)
 
     def drain_start(self, status: TargetStatus) -> None:
-        """Stop new work for a start of the local target that says that it leaves."""
-        departure = self._target.drain_start(status)
-        if departure is not None:
-            self._record_departure(departure)
-        self._notify_target_listeners()
+        """
+        Stop new work for a start of the local target that says that it leaves.
+
+        Does not wait until the departure would outlive this daemon, as nothing is
+        acknowledged.
+        """
+        self._begin_departure(self._target.drain_start(status))
 
     def withdraw_target(self, target_id: str | None, started: int | None) -> None:
-        """Remove a start of the local target; its late heartbeats are ignored."""
+        """
+        Remove a start of the local target; its late heartbeats are ignored.
+
+        Raises DepartureUnconfirmedError if a restart of this daemon would forget it,
+        as neither a peer nor the log has it. It takes effect here all the same.
+        """
         departure = self._target.withdraw(target_id, started)
-        if departure is not None:
-            self._record_departure(departure)
-        self._notify_target_listeners()
+        self._begin_departure(departure)
+        self._await_departure(departure)
 
     def suspend_target(self, status: TargetStatus) -> None:
         """Treat the local target as absent until its next heartbeat."""
@@ -321,11 +352,42 @@
         for listener in self._target_listeners:
             listener(status)
 
-    def _record_departure(self, departure: Departure) -> None:
-        """Write a departure to the log, once."""
-        if departure != self._departure:
+    def _begin_departure(self, departure: Departure | None) -> None:
+        """Apply a departure, send it to peers and write it to the log, once."""
+        if departure is not None:
+            if departure.supersedes(self._departure):
+                self._departure = departure
+                self._synchronizer.send(TargetDeparted(departure))
+            self.departures.replicate(self._departure or departure)
+        self._notify_target_listeners()
+
+    def _await_departure(self, departure: Departure | None) -> None:
+        """Raise DepartureUnconfirmedError if only this process knows a departure."""
+        if departure is None:
+            return
+        if not self.departures.await_holders(self._departure or departure):
+            raise DepartureUnconfirmedError(departure.target_id)
+
+    def _recall_departure(self, departure: Departure) -> None:
+        """Apply a departure that a peer has kept for an earlier start."""
+        self._restore_departure(departure)
+        if self._departure is None:
             self._departure = departure
             self._synchronizer.send(TargetDeparted(departure))
+        self._notify_target_listeners()
+
+    def _restore_departure(self, departure: Departure) -> None:
+        log_event(
+            "departure_recalled",
+            target=departure.target_id,
+            withdrawn=departure.withdrawn,
+        )
+        self._target.restore(departure)
+
+    def _open_target(self) -> None:
+        """Believe the heartbeats of the target, as earlier departures are known."""
+        self._target.open()
+        self._notify_target_listeners()
 
     def _post(self, message: TableMessage) -> None:
         self._messages.put(message)
@@ -364,17 +426,13 @@
         match message:
             case RecordsReceived(records):
                 self._swim.merge_records(records, now_s)
-            case ContactsFound(contacts, outranking):
+            case ContactsFound(contacts, outranking, names_others):
                 if outranking is not None:
                     self._swim.supersede_incarnation(outranking, now_s)
                 self._swim.replace_contacts(contacts, now_s)
+                self.departures.record_log_read(names_others)
             case DepartureFound(departure):
-                log_event(
-                    "departure_recalled",
-                    target=departure.target_id,
-                    withdrawn=departure.withdrawn,
-                )
-                self._target.restore(departure)
+                self._restore_departure(departure)
             case LeaveRequested():
                 self._leave(now_s)
             case StopRequested():
@@ -416,6 +474,7 @@
             self._notify_listeners(member)
 
     def _notify_listeners(self, member: Member) -> None:
+        self.departures.handle_member(member)
         for listener in self._listeners:
             try:
                 listener(member)
--- a/corianderhold/coordination/membership/stream.py
+++ b/corianderhold/coordination/membership/stream.py
@@ -118,6 +118,13 @@
             if member.state is not MemberState.LEFT
         )
 
+    def names_others(self, instance: InstanceId) -> bool:
+        """Return whether the stream names a member that has not left besides this."""
+        return any(
+            member.instance != instance and member.state is not MemberState.LEFT
+            for _, member in self._logged.values()
+        )
+
     def find_incarnation(self, instance: InstanceId) -> Incarnation | None:
         """Return the highest incarnation of an instance in the stream, or None."""
         entry = self._logged.get(instance)
--- a/corianderhold/coordination/membership/synchronizer.py
+++ b/corianderhold/coordination/membership/synchronizer.py
@@ -5,9 +5,11 @@
 from collections.abc import Callable
 from dataclasses import replace
 from random import Random
+from typing import Protocol
 
 from corianderhold.clock import Clock
 from corianderhold.coordination.membership.const import (
+    DEPARTURE_RETRY_S,
     LOG_INTERVAL_S,
     LOG_JOIN_RETRY_S,
     LOG_RECHECK_S,
@@ -62,6 +64,13 @@
 NEVER = float("inf")
 
 
+class AppendListener(Protocol):
+    """Learn whether a departure has been appended to the log."""
+
+    def record_append(self, departure: Departure, *, succeeded: bool) -> None:
+        """Record the outcome of an attempt to append a departure."""
+
+
 class Synchronizer:
     """
     Periodically compare the table with a peer's and follow the log's stream.
@@ -81,6 +90,7 @@
         clock: Clock,
         random: Random,
         metrics: Metrics,
+        append_listener: AppendListener,
     ) -> None:
         self._own = own
         self._read_view = read_view
@@ -91,7 +101,10 @@
         self._metrics = metrics
         self._stream = MemberStream(log)
         self._announcement: Member | None = own
+        self._append_listener = append_listener
         self._departure: Departure | None = None
+        self._logged_departure: Departure | None = None
+        self._failed_appends = 0
         self._era = FIRST_ERA
         self._announced_era: StoreEra | None = None
         self._messages: queue.SimpleQueue[WorkerMessage] = queue.SimpleQueue()
@@ -159,6 +172,7 @@
                 self._schedule.record_revival(self._clock.read_monotonic(), members)
             case TargetDeparted(departure):
                 self._departure = departure
+                self._failed_appends = 0
                 self._announcement = self._find_own()
                 self._append_announcement()
             case StoreRestored(era):
@@ -289,15 +303,17 @@
         if outranking is not None and self._announcement is not None:
             raised = supersede_incarnation(self._announcement.incarnation, outranking)
             self._announcement = replace(self._announcement, incarnation=raised)
-        self._post(ContactsFound(self._stream.list_contacts(), outranking))
         self._restore_departure()
+        contacts = self._stream.list_contacts()
+        names_others = self._stream.names_others(self._own.instance)
+        self._post(ContactsFound(contacts, outranking, names_others))
         return True
 
     def _restore_departure(self) -> None:
         """Restore what an earlier start of this daemon logged about its target."""
         logged = self._stream.find_departure(self._own.instance)
         if self._departure is None and logged is not None:
-            self._departure = logged
+            self._departure = self._logged_departure = logged
             self._post(DepartureFound(logged))
 
     def _find_own(self) -> Member:
@@ -317,12 +333,27 @@
     def _append_announcement(self) -> None:
         if self._announcement is None:
             return
-        result = self._stream.append(self._announcement, self._departure)
+        departure = self._departure
+        result = self._stream.append(self._announcement, departure)
+        if departure is not None:
+            succeeded = result.is_ok()
+            self._append_listener.record_append(departure, succeeded=succeeded)
         if result.is_err():
             failure = result.unwrap_err()
             log_warning("member_append_failed", failure=failure)
-            self._append_at_s = self._clock.read_monotonic() + LOG_RETRY_S
+            now_s = self._clock.read_monotonic()
+            self._append_at_s = now_s + self._find_append_retry_s()
+            self._failed_appends += 1
         else:
             self._append_at_s = NEVER
             self._announcement = None
             self._announced_era = self._era
+            self._logged_departure = departure
+            self._failed_appends = 0
+
+    def _find_append_retry_s(self) -> float:
+        """Return when to try again; a departure that is not in the log is urgent."""
+        if self._departure == self._logged_departure:
+            return LOG_RETRY_S
+        delay_s = DEPARTURE_RETRY_S * 2.0 ** min(self._failed_appends, 10)
+        return min(LOG_RETRY_S, delay_s) * self._random.uniform(0.8, 1.2)
--- a/corianderhold/deployment.py
+++ b/corianderhold/deployment.py
@@ -21,10 +21,10 @@
     """Receive announcements of the local target."""
 
     def announce_target(self, announcement: TargetAnnouncement) -> None:
-        """Process a heartbeat of the target."""
+        """Process a heartbeat; raise DepartureUnconfirmedError if it drains."""
 
     def withdraw_target(self, target_id: str | None, started: int | None) -> None:
-        """Process the withdrawal of a target."""
+        """Process the withdrawal of a target; raise DepartureUnconfirmedError."""
 
 
 def open_http_log(settings: Settings, clock: Clock) -> AppendOnlyLog:
--- a/corianderhold/protocol/membership/codec.py
+++ b/corianderhold/protocol/membership/codec.py
@@ -19,6 +19,8 @@
 from corianderhold.protocol.membership.model import (
     Datagram,
     DatagramKind,
+    DepartureReply,
+    DepartureRequest,
     MalformedMessageError,
     MemberClaim,
     SyncRecord,
@@ -31,7 +33,9 @@
     MemberState,
     TargetState,
 )
+from corianderhold.state.membership.target import Departure
 
+MILLISECONDS = 1000
 FACTORY = TCompactProtocolAcceleratedFactory()
 DECODE_ERRORS = (
     TException,
@@ -181,6 +185,32 @@
     return SyncReply(tuple(message.buckets), records, message.last)
 
 
+def encode_departure_request(request: DepartureRequest) -> bytes:
+    """Encode a request to keep departures."""
+    records = [_build_departure_record(each) for each in request.departures]
+    return _serialize(ttypes.DepartureRequest(records))
+
+
+def decode_departure_request(data: bytes) -> DepartureRequest:
+    """Decode a request; raise MalformedMessageError if it is malformed."""
+    message = _deserialize(ttypes.DepartureRequest(), data)
+    return DepartureRequest(tuple(map(_parse_departure, message.departures)))
+
+
+def encode_departure_reply(reply: DepartureReply) -> bytes:
+    """Encode the reply to a request to keep departures."""
+    records = [_build_departure_record(each) for each in reply.departures]
+    uptime_ms = int(reply.uptime_s * MILLISECONDS)
+    return _serialize(ttypes.DepartureReply(records, uptime_ms))
+
+
+def decode_departure_reply(data: bytes) -> DepartureReply:
+    """Decode a reply; raise MalformedMessageError if it is malformed."""
+    message = _deserialize(ttypes.DepartureReply(), data)
+    departures = tuple(map(_parse_departure, message.departures))
+    return DepartureReply(departures, message.uptime_ms / MILLISECONDS)
+
+
 def _serialize(message: Any) -> bytes:  # noqa: ANN401
     return bytes(serialize(message, FACTORY))
 
@@ -227,3 +257,17 @@
     except TException as error:
         raise MalformedMessageError(f"sync record: {error}") from error
     return SyncRecord(decode_member(record.member), record.dead_for_s)
+
+
+def _build_departure_record(departure: Departure) -> ttypes.DepartureRecord:
+    return ttypes.DepartureRecord(
+        departure.target_id, departure.started, departure.withdrawn
+    )
+
+
+def _parse_departure(record: ttypes.DepartureRecord) -> Departure:
+    try:
+        record.validate()
+    except TException as error:
+        raise MalformedMessageError(f"departure: {error}") from error
+    return Departure(record.target_id, record.started, bool(record.withdrawn))
--- a/corianderhold/protocol/membership/gen/ttypes.py
+++ b/corianderhold/protocol/membership/gen/ttypes.py
@@ -838,6 +838,274 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class DepartureRecord(object):
+    """
+    Attributes:
+     - target_id
+     - started
+     - withdrawn
+
+    """
+
+    __slots__ = (
+        'target_id',
+        'started',
+        'withdrawn',
+    )
+
+
+    def __init__(self, target_id=None, started=None, withdrawn=None,):
+        self.target_id = target_id
+        self.started = started
+        self.withdrawn = withdrawn
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.target_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.started = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.withdrawn = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DepartureRecord')
+        if self.target_id is not None:
+            oprot.writeFieldBegin('target_id', TType.STRING, 1)
+            oprot.writeString(self.target_id.encode('utf-8') if sys.version_info[0] == 2 else self.target_id)
+            oprot.writeFieldEnd()
+        if self.started is not None:
+            oprot.writeFieldBegin('started', TType.I64, 2)
+            oprot.writeI64(self.started)
+            oprot.writeFieldEnd()
+        if self.withdrawn is not None:
+            oprot.writeFieldBegin('withdrawn', TType.BOOL, 3)
+            oprot.writeBool(self.withdrawn)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.target_id is None:
+            raise TProtocolException(message='Required field target_id is unset!')
+        if self.withdrawn is None:
+            raise TProtocolException(message='Required field withdrawn is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class DepartureRequest(object):
+    """
+    Attributes:
+     - departures
+
+    """
+
+    __slots__ = (
+        'departures',
+    )
+
+
+    def __init__(self, departures=None,):
+        self.departures = departures
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.departures = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = DepartureRecord()
+                        _elem47.read(iprot)
+                        self.departures.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DepartureRequest')
+        if self.departures is not None:
+            oprot.writeFieldBegin('departures', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.departures))
+            for iter48 in self.departures:
+                iter48.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.departures is None:
+            raise TProtocolException(message='Required field departures is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class DepartureReply(object):
+    """
+    Attributes:
+     - departures
+     - uptime_ms
+
+    """
+
+    __slots__ = (
+        'departures',
+        'uptime_ms',
+    )
+
+
+    def __init__(self, departures=None, uptime_ms=None,):
+        self.departures = departures
+        self.uptime_ms = uptime_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.departures = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = DepartureRecord()
+                        _elem54.read(iprot)
+                        self.departures.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.uptime_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DepartureReply')
+        if self.departures is not None:
+            oprot.writeFieldBegin('departures', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.departures))
+            for iter55 in self.departures:
+                iter55.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.uptime_ms is not None:
+            oprot.writeFieldBegin('uptime_ms', TType.I64, 2)
+            oprot.writeI64(self.uptime_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.departures is None:
+            raise TProtocolException(message='Required field departures is unset!')
+        if self.uptime_ms is None:
+            raise TProtocolException(message='Required field uptime_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(MemberRecord)
 MemberRecord.thrift_spec = (
     None,  # 0
@@ -894,5 +1162,23 @@
     (2, TType.LIST, 'records', (TType.STRUCT, [SyncRecord, None], False), None, ),  # 2
     (3, TType.BOOL, 'last', None, None, ),  # 3
 )
+all_structs.append(DepartureRecord)
+DepartureRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'target_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'started', None, None, ),  # 2
+    (3, TType.BOOL, 'withdrawn', None, None, ),  # 3
+)
+all_structs.append(DepartureRequest)
+DepartureRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'departures', (TType.STRUCT, [DepartureRecord, None], False), None, ),  # 1
+)
+all_structs.append(DepartureReply)
+DepartureReply.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'departures', (TType.STRUCT, [DepartureRecord, None], False), None, ),  # 1
+    (2, TType.I64, 'uptime_ms', None, None, ),  # 2
+)
 fix_spec(all_structs)
 del all_structs
--- a/corianderhold/protocol/membership/membership.thrift
+++ b/corianderhold/protocol/membership/membership.thrift
@@ -60,3 +60,22 @@
   2: required list<SyncRecord> records
   3: required bool last
 }
+
+// A start of the sender's local target that drains or, if `withdrawn`, has left.
+struct DepartureRecord {
+  1: required string target_id
+  2: optional i64 started
+  3: required bool withdrawn
+}
+
+// Asks the receiver to keep `departures` for the sender, in addition to earlier ones.
+struct DepartureRequest {
+  1: required list<DepartureRecord> departures
+}
+
+// All departures that are kept for the sender of the request, and for how long the
+// replying daemon has been running.
+struct DepartureReply {
+  1: required list<DepartureRecord> departures
+  2: required i64 uptime_ms
+}
--- a/corianderhold/protocol/membership/model.py
+++ b/corianderhold/protocol/membership/model.py
@@ -6,6 +6,7 @@
 from corianderhold.errors import CorianderholdError
 from corianderhold.ids import Incarnation, InstanceId
 from corianderhold.state.membership.model import Address, Member, MemberState
+from corianderhold.state.membership.target import Departure
 
 
 class MalformedMessageError(CorianderholdError):
@@ -80,3 +81,22 @@
     buckets: tuple[int, ...]
     records: tuple[SyncRecord, ...]
     last: bool
+
+
+@dataclass(frozen=True)
+class DepartureRequest:
+    """Ask a daemon to keep departures for the sender; empty to only ask for them."""
+
+    departures: tuple[Departure, ...] = ()
+
+
+@dataclass(frozen=True)
+class DepartureReply:
+    """
+    Return the departures that a daemon keeps for the sender of the request.
+
+    `uptime_s` is how long the replying daemon has been running, in seconds.
+    """
+
+    departures: tuple[Departure, ...]
+    uptime_s: float
--- a/corianderhold/protocol/peer/control.py
+++ b/corianderhold/protocol/peer/control.py
@@ -23,6 +23,7 @@
     RATE = "rate"
     ONCE = "once"
     QUARANTINE = "quarantine"
+    DEPARTURE = "departure"
     UNKNOWN = "unknown"
 
 
--- a/corianderhold/state/membership/target.py
+++ b/corianderhold/state/membership/target.py
@@ -60,26 +60,39 @@
     """
     A start of a target that drains or, if `withdrawn`, has left.
 
-    It is stored in the log, so that a late heartbeat does not put the target back into
-    service after a restart of the daemon.
+    It is stored in the log and at peers, so that a late heartbeat does not put the
+    target back into service after a restart of the daemon.
     """
 
     target_id: str
     started: int | None
     withdrawn: bool
 
+    def supersedes(self, other: "Departure | None") -> bool:
+        """Return whether this says more than `other`; a start that left stays away."""
+        if other is None or (other.target_id, other.started) != (
+            self.target_id,
+            self.started,
+        ):
+            return True
+        return self.withdrawn and not other.withdrawn
+
 
 class LocalTarget:
     """
     Keep the target's announcement for `ttl_s` seconds after each heartbeat.
 
     Each method takes effect before it returns, in the calling thread, so that a drain
-    or an expiry applies at once and does not wait for gossip.
+    or an expiry applies at once and does not wait for gossip. The target is absent
+    until `open` is called, unless `is_open`.
     """
 
-    def __init__(self, clock: Clock, ttl_s: float = TARGET_TTL_S) -> None:
+    def __init__(
+        self, clock: Clock, ttl_s: float = TARGET_TTL_S, is_open: bool = True
+    ) -> None:
         self._clock = clock
         self._ttl_s = ttl_s
+        self._is_open = is_open
         self._lock = threading.Lock()
         self._status = ABSENT_TARGET
         self._known: TargetAnnouncement | None = None
@@ -115,10 +128,23 @@
             self._expires_at_s = now_s + self._ttl_s
             self._status = self._build_status(announcement, now_s)
 
-    def drain(self) -> None:
-        """Mark the target as draining, so that it gets no new calls."""
+    def open(self) -> None:
+        """Let a target that announces itself serve from now on."""
+        with self._lock:
+            self._is_open = True
+
+    def drain(self) -> Departure | None:
+        """
+        Mark the target as draining, so that it gets no new calls.
+
+        Return the departure to store, or None for a target without an id.
+        """
         with self._lock:
             self._drain()
+            known = self._known
+            if known is None or known.target_id is None:
+                return None
+            return Departure(known.target_id, known.started, withdrawn=False)
 
     def drain_start(self, status: TargetStatus) -> Departure | None:
         """
@@ -150,11 +176,11 @@
             known = self._known
             if known is not None and known.target_id == target_id:
                 started = known.started if started is None else started
-            if target_id is not None:
-                self._withdrawn.append((target_id, started))
             departure = None
             if target_id is not None:
                 departure = Departure(target_id, started, withdrawn=True)
+                if (target_id, started) not in self._withdrawn:
+                    self._withdrawn.append((target_id, started))
             if known is None or known.target_id != target_id:
                 return departure
             if known.started is None or started is None or known.started <= started:
@@ -168,11 +194,13 @@
         """Restore a drain or withdrawal from before this daemon restarted."""
         start = (departure.target_id, departure.started)
         with self._lock:
-            if departure.withdrawn:
+            if departure.withdrawn and start not in self._withdrawn:
                 self._withdrawn.append(start)
             known = self._known
-            if known is None:
-                self._drained = None if departure.withdrawn else start
+            if known is None and departure.withdrawn:
+                self._drained = None if self._drained == start else self._drained
+            elif known is None:
+                self._drained = start
             elif identify_start(known) == start:
                 self._drain()
                 if departure.withdrawn:
@@ -194,7 +222,8 @@
         """Return the current status; absent once the last heartbeat has expired."""
         now_s = self._clock.read_monotonic()
         with self._lock:
-            return self._status if now_s < self._expires_at_s else ABSENT_TARGET
+            is_present = self._is_open and now_s < self._expires_at_s
+            return self._status if is_present else ABSENT_TARGET
 
     def _drain(self) -> None:
         if self._known is not None:
--- a/corianderhold/traffic.py
+++ b/corianderhold/traffic.py
@@ -27,6 +27,7 @@
     LEASE = "lease"
     ONCE = "once"
     QUARANTINE = "quarantine"
+    DEPARTURE = "departure"
 
 
 class TrafficMeter:
--- a/emulator/announcer.py
+++ b/emulator/announcer.py
@@ -44,6 +44,10 @@
         self.stop()
         return self._post(DRAIN_PATH) == NO_CONTENT
 
+    def announce(self) -> bool:
+        """Send one announcement, also after a drain; return whether it was accepted."""
+        return self._post(ANNOUNCE_PATH) == NO_CONTENT
+
     def _run(self) -> None:
         while not self._stopped.is_set():
             status = self._post(ANNOUNCE_PATH)
--- a/emulator/target.py
+++ b/emulator/target.py
@@ -107,13 +107,17 @@
         self._executions = ExecutionLog()
         self._lock = threading.Lock()
         self._in_flight = 0
-        self.drain_requested = threading.Event()
+        self._announcer: Announcer | None = None
 
     @property
     def in_flight(self) -> int:
         """Return the number of requests that hold or wait for a slot."""
         return self._in_flight
 
+    def use_announcer(self, announcer: Announcer) -> None:
+        """Drain and announce through `announcer` on request."""
+        self._announcer = announcer
+
     def handle(self, request: Request) -> Answer:
         """Route one request."""
         if request.path == "/_emulator/executions":
@@ -122,9 +126,10 @@
             return answer_json(200, self._executions.summarize())
         if request.path == "/_emulator/faults":
             return self._set_faults(request)
-        if request.path == "/_emulator/drain":
-            self.drain_requested.set()
-            return Answer(204, (), 0)
+        if request.path == "/_emulator/drain" and self._announcer:
+            return Answer(204 if self._announcer.drain() else 503, (), 0)
+        if request.path == "/_emulator/announce" and self._announcer:
+            return Answer(204 if self._announcer.announce() else 503, (), 0)
         if request.path == "/health":
             return self._report_health()
         return self._execute(request)
@@ -304,25 +309,16 @@
     server.bind(emulated)
     address = announced_address or server.address
     announcer = Announcer(daemon_outgoing, service, address, announced_id)
+    emulated.use_announcer(announcer)
     server.start()
     server.print_listening()
     announcer.start()
-    drainer = threading.Thread(
-        target=drain_on_request, args=(emulated, announcer), daemon=True
-    )
-    drainer.start()
     wait_for_signal()
     announcer.drain()
     wait_until_idle(emulated)
     server.stop()
 
 
-def drain_on_request(emulated: Target, announcer: Announcer) -> None:
-    """Wait for a drain request, then drain the target."""
-    emulated.drain_requested.wait()
-    announcer.drain()
-
-
 def wait_until_idle(emulated: Target) -> None:
     """Wait up to DRAIN_LIMIT_S until no request is in flight."""
     limit = time.monotonic() + DRAIN_LIMIT_S
--- a/measurements/endurance/events.py
+++ b/measurements/endurance/events.py
@@ -18,6 +18,7 @@
 PAUSE_MAX_S = 1.5
 SLOW_STORE_MS = 1500
 COPY_AGE_S = (1.0, 20.0)  # of the copy that the store is restored from
+LATE_ANNOUNCEMENTS = 5
 DRAIN_SLACK_S = 1.0  # time for the drain to reach the target's owner
 LIMITS = (8, 16, 32)
 DEADLY_PATH = "/catalogue/search?crash=1&work_ms=5"
@@ -46,6 +47,7 @@
             "cut": self._cut_daemon,
             "target_crash": self._crash_target,
             "drain": self._drain_target,
+            "forgotten_drain": self._drain_and_kill,
             "deadly": lambda _: self._send_deadly(),
             "store_down": lambda _: self._fail_store("down", True, False),
             "store_slow": lambda _: self._fail_store("delay_ms", SLOW_STORE_MS, 0),
@@ -109,6 +111,24 @@
         self._fleet.drain_target(instance)
         bound = time.time() + DRAIN_SLACK_S
         time.sleep(FAULT_S)
+        self._replace_drained(instance, bound)
+
+    def _drain_and_kill(self, instance: str) -> None:
+        """Kill the daemon of a drained target while the store is away."""
+        self._fleet.set_store_faults({"down": True})
+        self._fleet.drain_target(instance)
+        bound = time.time() + DRAIN_SLACK_S
+        self._fleet.get_daemon(instance).kill()
+        self._fleet.start_daemon(instance)
+        for _ in range(LATE_ANNOUNCEMENTS):
+            self._fleet.deliver_late_announcement(instance)
+            time.sleep(FAULT_S / LATE_ANNOUNCEMENTS)
+        self._fleet.set_store_faults({"down": False})
+        time.sleep(FAULT_S)
+        self._replace_drained(instance, bound)
+
+    def _replace_drained(self, instance: str, bound: float) -> None:
+        """Count what a drained target ran after a Unix time, then replace it."""
         starts = (e["started_at"] for e in self._fleet.list_executions(instance))
         late = [at for at in starts if isinstance(at, float) and at > bound]
         self.runs_after_drain += len(late)
--- a/measurements/soak.py
+++ b/measurements/soak.py
@@ -38,7 +38,14 @@
 DOMAINS = tuple(FailureDomainId(f"ch-west-{letter}") for letter in "abc")
 DAEMONS_EACH = 2
 PLANS = tuple(
-    DaemonPlan(f"{domain}-{number}", domain, CATALOGUE, slots=16, relay_peer=True)
+    DaemonPlan(
+        f"{domain}-{number}",
+        domain,
+        CATALOGUE,
+        slots=16,
+        relay_peer=True,
+        target_id=f"{domain}-{number}",
+    )
     for domain in DOMAINS
     for number in range(DAEMONS_EACH)
 )
--- a/tests/admin/case.py
+++ b/tests/admin/case.py
@@ -17,12 +17,15 @@
 
 
 class FakeDrain:
-    """Record whether a drain was requested."""
+    """Record whether a drain was requested; `error` is raised after it."""
 
     draining = False
+    error: Exception | None = None
 
     def drain(self) -> None:
         self.draining = True
+        if self.error is not None:
+            raise self.error
 
     def is_draining(self) -> bool:
         return self.draining
--- a/tests/admin/test_api.py
+++ b/tests/admin/test_api.py
@@ -8,6 +8,7 @@
 from urllib3 import HTTPConnectionPool
 from urllib3.response import BaseHTTPResponse
 
+from corianderhold.coordination.membership.errors import DepartureUnconfirmedError
 from corianderhold.ids import KeyId
 from corianderhold.protocol.verdict import Reason
 from corianderhold.state.configuration.codec import decode_configuration
@@ -243,6 +244,13 @@
         self.assertIn("corianderhold_configuration_version 1\n", text)
         self.assertIn('corianderhold_call_seconds{quantile="0.99"} 0.002', text)
 
+    def test_drain_that_a_restart_would_forget_is_answered_503(self) -> None:
+        self.drain.error = DepartureUnconfirmedError("t1")
+        reply = self.call("POST", "/v1/drain")
+        self.assertEqual(reply.status, 503)
+        self.assertEqual(reply.body["error"]["code"], "drain_unconfirmed")
+        self.assertTrue(self.drain.draining)
+
     def test_evacuation_begins_and_ends(self) -> None:
         body = {"author": "ada", "domain": "d1", "active": True}
         response = self.call("POST", "/v1/evacuations", body)
--- a/tests/common/calls.py
+++ b/tests/common/calls.py
@@ -26,24 +26,33 @@
 
 
 class RecordingRegistrar:
-    """Record what the local target announced."""
+    """Record what the local target announced; departures raise `error` if it is set."""
 
     def __init__(self) -> None:
         self.announced: list[TargetAnnouncement] = []
         self.withdrawn: list[tuple[str | None, int | None]] = []
         self.drains = 0
+        self.error: Exception | None = None
 
     def announce_target(self, announcement: TargetAnnouncement) -> None:
         """Record one heartbeat."""
         self.announced.append(announcement)
+        if announcement.draining:
+            self._raise()
 
     def withdraw_target(self, target_id: str | None, started: int | None) -> None:
         """Record one withdrawal."""
         self.withdrawn.append((target_id, started))
+        self._raise()
 
     def drain_target(self) -> None:
         """Count one drain."""
         self.drains += 1
+        self._raise()
+
+    def _raise(self) -> None:
+        if self.error is not None:
+            raise self.error
 
 
 def call_application(
--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -32,7 +32,8 @@
     Describe one daemon and, if it has a service, its local target.
 
     `relay_peer` and `relay_target` put a fault-injecting relay in front of its peer
-    listener and its target. The target announces itself with `target_id` if it is set.
+    listener and its target. Each start of the target announces itself with an id that
+    begins with `target_id` if it is set.
     """
 
     instance: str
@@ -174,7 +175,7 @@
         arguments += ["--daemon-outgoing", member.get_address("outgoing")]
         arguments += ["--slots", str(plan.slots), "--service-ms", str(plan.service_ms)]
         if plan.target_id:
-            arguments += ["--announced-id", plan.target_id]
+            arguments += ["--announced-id", f"{plan.target_id}-{self._starts}"]
         if plan.relay_target:
             port = self._reserve_ports(1)[0]
             member.target_relay = Relay(f"{HOST}:{port}")
@@ -255,11 +256,17 @@
         ]
 
     def drain_target(self, instance: str) -> None:
-        """Make a target announce to its daemon that it drains."""
+        """Make a target tell its daemon that it drains, and await the answer."""
         url = f"http://{self.members[instance].target_address}/_emulator/drain"
         outcome = send_request("POST", url)
         assert outcome.status == 204, outcome
 
+    def deliver_late_announcement(self, instance: str) -> None:
+        """Deliver an announcement of a target that was held up, also after a drain."""
+        url = f"http://{self.members[instance].target_address}/_emulator/announce"
+        outcome = send_request("POST", url)
+        assert outcome.status == 204, outcome
+
     def set_target_faults(self, instance: str, faults: Mapping[str, object]) -> None:
         """Inject faults into one target."""
         url = f"http://{self.members[instance].target_address}/_emulator/faults"
--- a/tests/coordination/entry/test_outgoing.py
+++ b/tests/coordination/entry/test_outgoing.py
@@ -19,6 +19,7 @@
 from corianderhold.coordination.entry.request import RequestReader
 from corianderhold.coordination.entry.request_handler import RequestHandler
 from corianderhold.coordination.entry.watch import CallerWatch
+from corianderhold.coordination.membership.errors import DepartureUnconfirmedError
 from corianderhold.coordination.owner.breaker import CalleeCircuitBreaker
 from corianderhold.coordination.owner.registry import InFlightCall, InFlightCalls
 from corianderhold.coordination.retry import RetryBudget
@@ -88,6 +89,10 @@
         self.assertEqual(self.registrar.announced, expected)
         self.post(DRAIN_PATH, b"")
         self.assertEqual((self.registrar.drains, self.registrar.withdrawn), (1, []))
+        self.assertEqual(self.status, "204 No Content")
+        self.registrar.error = DepartureUnconfirmedError("t1")
+        self.post(DRAIN_PATH, b"")
+        self.assertEqual(self.status, "503 Service Unavailable")
 
     def test_malformed_announcement_is_refused_with_its_error(self) -> None:
         for body in (
--- a/tests/coordination/membership/test_service.py
+++ b/tests/coordination/membership/test_service.py
@@ -6,7 +6,8 @@
 """
 
 import time
-from dataclasses import replace
+from contextlib import suppress
+from dataclasses import dataclass, replace
 from itertools import count
 from random import Random
 from unittest import TestCase
@@ -16,7 +17,10 @@
 from corianderhold.clock import SystemClock
 from corianderhold.coordination.entry.outgoing import TargetRegistrar
 from corianderhold.coordination.membership.const import LOG_RECHECK_S
-from corianderhold.coordination.membership.errors import AnnouncementTooLargeError
+from corianderhold.coordination.membership.errors import (
+    AnnouncementTooLargeError,
+    DepartureUnconfirmedError,
+)
 from corianderhold.coordination.membership.service import (
     MembershipService,
     MembershipSettings,
@@ -57,12 +61,13 @@
 LOOPBACK = Address("127.0.0.1", 0)
 
 
+@dataclass
 class FakeControl:
-    """Deliver control requests to the services of this process."""
+    """Deliver control requests of `sender` to the services of this process."""
 
-    def __init__(self) -> None:
-        self.services: dict[Address, MembershipService] = {}
-        self.requests = 0
+    services: dict[Address, MembershipService]
+    sender: InstanceId
+    requests: int = 0
 
     def request(
         self, address: Address, topic: ControlTopic, body: bytes, timeout_s: float
@@ -72,7 +77,9 @@
         service = self.services.get(address)
         if service is None:
             return Err(ControlFailure.UNREACHABLE)
-        sender = ControlSender(InstanceId("somebody"))
+        sender = ControlSender(self.sender)
+        if topic is ControlTopic.DEPARTURE:
+            return Ok(service.departures.handle_control(sender, body))
         return Ok(service.handle_control(sender, body))
 
 
@@ -87,22 +94,27 @@
     """Run a few services in one process."""
 
     def setUp(self) -> None:
-        self.control = FakeControl()
+        self.by_address: dict[Address, MembershipService] = {}
+        self.controls: list[FakeControl] = []
         self.log = FakeLog()
         self.services: list[MembershipService] = []
+        self.starts = 0
         self.addCleanup(self.stop_all)
 
     def stop_all(self) -> None:
         while self.services:
             self.services.pop().stop()
 
-    def start(self, seeds: tuple[Address, ...] = ()) -> MembershipService:
-        """Start one more service."""
-        number = len(self.services)
+    def start(
+        self, seeds: tuple[Address, ...] = (), instance: str = ""
+    ) -> MembershipService:
+        """Start one more service, which may be a new start of an instance."""
+        self.starts += 1
+        number = self.starts - 1 if instance else len(self.services)
         peer = Address("127.0.0.1", 1000 + number)
         settings = MembershipSettings(
-            InstanceId(f"daemon-{number}"),
-            Incarnation(number + 1),
+            InstanceId(instance or f"daemon-{number}"),
+            Incarnation(self.starts),
             FailureDomainId("domain"),
             RegionId("region"),
             peer,
@@ -110,10 +122,12 @@
             seeds,
             b"secret",
         )
+        control = FakeControl(self.by_address, settings.instance)
         service = MembershipService(
-            settings, SystemClock(), Random(number), self.log, self.control, Metrics()
+            settings, SystemClock(), Random(number), self.log, control, Metrics()
         )
-        self.control.services[peer] = service
+        self.by_address[peer] = service
+        self.controls.append(control)
         self.services.append(service)
         service.start()
         return service
@@ -147,7 +161,7 @@
         seen = [member.target_state for member in changes]
         self.assertIn(TargetState.SERVING, seen)
         self.assertIn(TargetState.DRAINING, seen)
-        self.assertGreater(self.control.requests, 0)
+        self.assertGreater(sum(control.requests for control in self.controls), 0)
 
     def test_target_without_heartbeat_expires_everywhere(self) -> None:
         first = self.start()
@@ -192,6 +206,7 @@
         first = self.start()
         if restored:
             self.wait_for_settled_fleet(first)
+        wait_until(lambda: first.departures.is_recalled, "the first serves")
         first.announce_target(late)
         for announcement in announcements:
             first.announce_target(announcement)
@@ -216,6 +231,7 @@
         reads = self.log.reads
         second = self.start()
         wait_until(lambda: self.log.reads > reads, "the log was read")
+        wait_until(lambda: second.departures.is_recalled, "departures are known")
         sequences = count(1)
 
         def is_corrected() -> bool:
@@ -237,6 +253,55 @@
     ) -> None:
         self.assertIs(self.restart_beside([], says_leaving=True), TargetState.DRAINING)
 
+    def test_departure_is_unconfirmed_while_nobody_else_knows_it(self) -> None:
+        self.log.down = True
+        first = self.start()
+        serving = TargetAnnouncement(RIGHTS, TARGET, False, "t1", 5, 1)
+        first.announce_target(serving)
+        with self.assertRaises(DepartureUnconfirmedError):
+            first.announce_target(replace(serving, draining=True, sequence=2))
+        with self.assertRaises(DepartureUnconfirmedError):
+            first.drain_target()
+        with self.assertRaises(DepartureUnconfirmedError):
+            first.withdraw_target("t1", 5)
+        self.assertIs(first.read_target().state, TargetState.ABSENT)
+        self.log.down = False
+
+        def is_confirmed() -> bool:
+            with suppress(DepartureUnconfirmedError):
+                first.withdraw_target("t1", 5)
+                return True
+            return False
+
+        wait_until(is_confirmed, "the log has the departure")
+
+    def test_departure_confirmed_without_the_log_is_known_after_a_restart(self) -> None:
+        for leave in ("drain", "withdraw"):
+            with self.subTest(leave=leave):
+                self.stop_all()
+                self.log = FakeLog()
+                self.check_departure_without_log(leave)
+
+    def check_departure_without_log(self, leave: str) -> None:
+        late = TargetAnnouncement(RIGHTS, TARGET, False, "t1", 5, 1)
+        first = self.start()
+        peer = self.start((first.gossip_address,))
+        self.wait_for_both(first, peer)
+        first.announce_target(late)
+        self.wait_for_owners(peer, 1)
+        self.log.down = True
+        if leave == "drain":
+            first.announce_target(replace(late, draining=True, sequence=2))
+        else:
+            first.withdraw_target("t1", 5)
+        self.services.remove(first)  # keeps running unnoticed, as after a kill
+        self.addCleanup(first.stop)
+        second = self.start((peer.gossip_address,), instance="daemon-0")
+        self.log.down = False
+        wait_until(lambda: second.departures.is_recalled, "departures are known")
+        second.announce_target(replace(late, sequence=3))
+        self.assertIsNot(second.read_target().state, TargetState.SERVING)
+
     def test_departure_lost_by_the_store_is_known_after_a_restart(self) -> None:
         self.assertIs(self.restart_beside([], restored=True), TargetState.ABSENT)
 
--- a/tests/platform/test_targets.py
+++ b/tests/platform/test_targets.py
@@ -3,6 +3,7 @@
 import json
 from unittest import TestCase
 
+from corianderhold.coordination.membership.errors import DepartureUnconfirmedError
 from corianderhold.state.membership.model import Address
 from corianderhold.state.membership.target import TargetAnnouncement
 from corianderhold_platform.targets import TargetApplication
@@ -17,7 +18,7 @@
 
 
 class TargetApplicationTest(TestCase):
-    """Heartbeats are forwarded or refused, and always acknowledged."""
+    """Heartbeats are forwarded or refused, and acknowledged once that binds."""
 
     def setUp(self) -> None:
         self.registrar = RecordingRegistrar()
@@ -52,6 +53,14 @@
         self._call("deregister", {"born": 7})
         self.assertEqual(self.registrar.withdrawn, [("i-1", None), ("i-1", 7)])
 
+    def test_departure_that_a_restart_would_forget_is_not_acknowledged(self) -> None:
+        self.registrar.error = DepartureUnconfirmedError("i-1")
+        draining = {**HEARTBEAT, "status": {"state": "draining", "seq": 5}}
+        self.assertEqual(self._call("heartbeat", HEARTBEAT), "200 OK")
+        unavailable = "503 Service Unavailable"
+        self.assertEqual(self._call("heartbeat", draining), unavailable)
+        self.assertEqual(self._call("deregister", None), unavailable)
+
     def test_malformed_heartbeats_are_refused(self) -> None:
         bad: list[object] = [
             None,
--- a/tests/protocol/membership/test_codec.py
+++ b/tests/protocol/membership/test_codec.py
@@ -19,11 +19,15 @@
 from corianderhold.protocol.membership.codec import (
     decode_claim,
     decode_datagram,
+    decode_departure_reply,
+    decode_departure_request,
     decode_member,
     decode_reply,
     decode_request,
     encode_claim,
     encode_datagram,
+    encode_departure_reply,
+    encode_departure_request,
     encode_member,
     encode_reply,
     encode_request,
@@ -31,6 +35,8 @@
 from corianderhold.protocol.membership.model import (
     Datagram,
     DatagramKind,
+    DepartureReply,
+    DepartureRequest,
     MalformedMessageError,
     SyncRecord,
     SyncReply,
@@ -42,6 +48,7 @@
     MemberState,
     TargetState,
 )
+from corianderhold.state.membership.target import Departure
 from tests.common.membership import build_member
 
 NUMBERS = st.integers(-(2**63), 2**63 - 1)
@@ -64,7 +71,21 @@
     st.lists(st.binary(max_size=100), max_size=20).map(tuple),
     st.lists(st.binary(max_size=30), max_size=20).map(tuple),
 )
-DECODERS = (decode_claim, decode_datagram, decode_member, decode_request, decode_reply)
+DECODERS = (
+    decode_claim,
+    decode_datagram,
+    decode_departure_reply,
+    decode_departure_request,
+    decode_member,
+    decode_request,
+    decode_reply,
+)
+DEPARTURES = st.builds(
+    Departure,
+    st.text(max_size=20),
+    st.none() | st.integers(0, 2**63 - 1),
+    st.booleans(),
+)
 
 
 class CodecTests(TestCase):
@@ -93,6 +114,16 @@
         reply = SyncReply((3, 63), (record, record), last=True)
         self.assertEqual(decode_reply(encode_reply(reply)), reply)
 
+    @given(st.lists(DEPARTURES, max_size=4).map(tuple), st.integers(0, 10**9))
+    def test_departures_survive(
+        self, departures: tuple[Departure, ...], uptime_s: int
+    ) -> None:
+        request = DepartureRequest(departures)
+        encoded = encode_departure_request(request)
+        self.assertEqual(decode_departure_request(encoded), request)
+        reply = DepartureReply(departures, float(uptime_s))
+        self.assertEqual(decode_departure_reply(encode_departure_reply(reply)), reply)
+
     @given(st.binary(max_size=200))
     def test_random_bytes_raise_only_malformed_message(self, data: bytes) -> None:
         for decode in DECODERS:
