--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -150,6 +150,8 @@
         self._metrics.add_gauge("request_in_flight", callers.count_in_flight)
         outgoing = self._build_outgoing(router, watch, owner)
         caller_server = self._build_caller_server(callers)
+        target_servers = self._build_target_servers(outgoing)
+        peer_server = self._build_peer_server(owner, keeper)
         times = self._settings.stop
         deadline = StopDeadline(times.limit_s, self._clock)
         stop_parts = StopParts(
@@ -159,6 +161,7 @@
             intake=callers,
             owner=owner,
             calls=watch,
+            senders=(*target_servers, peer_server),
         )
         return Application(
             [
@@ -172,7 +175,7 @@
                     self._guard,
                     self._clock,
                 ),
-                self._build_peer_server(owner, keeper),
+                peer_server,
                 self._membership,
                 self._follower,
                 self._leases,
@@ -180,7 +183,7 @@
                 *([keeper] if self._header_names.idempotency_key else []),
                 *self._rate.components,
                 watch,
-                *self._build_target_servers(outgoing),
+                *target_servers,
                 caller_server,
                 GracefulStop(stop_parts, times, deadline, self._clock),
             ],
--- a/corianderhold/coordination/entry/request_handler.py
+++ b/corianderhold/coordination/entry/request_handler.py
@@ -26,6 +26,7 @@
 )
 from corianderhold.coordination.entry.request_semaphore import RequestSemaphore
 from corianderhold.coordination.entry.response import (
+    CompleteBody,
     RetryAfterFormat,
     format_whole_seconds,
     write_refusal,
@@ -137,9 +138,11 @@
         may_use_reserve: Callable[[Environ], bool] | None = None,
     ) -> Iterable[bytes]:
         """
-        Handle one request and write its response or refusal.
+        Handle one request and return its response or refusal.
 
-        `may_use_reserve` is called only when the unreserved capacity is in use.
+        The request is in flight until the returned body is closed, which the server
+        does after it has written it. `may_use_reserve` is called only when the
+        unreserved capacity is in use.
         """
         call_id = self._ids.generate()
         if not self._try_acquire(environ, may_use_reserve):
@@ -157,22 +160,11 @@
             raise
         duration_s = self._clock.read_monotonic() - arrived_at
         self._metrics.record_duration(self._duration_name, duration_s)
-        if isinstance(outcome, Err):
-            self._release(call_id)
-            return self._refuse(outcome.err_value, call_id, environ, start_response)
-        response = outcome.ok_value
-        self._metrics.increment(self._answered_name)
-        log_event(
-            self._answered_name,
-            call=call_id,
-            status=response.status,
-            seconds=duration_s,
-        )
-        if response.body is None:
-            response = self._release_at_close(response, call_id)
-        else:
+        try:
+            return self._respond(outcome, call_id, duration_s, environ, start_response)
+        except BaseException:
             self._release(call_id)
-        return write_response(response, call_id, start_response)
+            raise
 
     def route(
         self, environ: Environ, context: CallContext, retries: RetryBudget
@@ -194,6 +186,39 @@
             return False
         return self.semaphore.try_acquire(reserve=True)
 
+    def _respond(
+        self,
+        outcome: Result[Response, Refusal],
+        call_id: CallId,
+        duration_s: float,
+        environ: Environ,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """Return the body of a response, which releases its request when closed."""
+        if isinstance(outcome, Err):
+            refusal = outcome.err_value
+            parts = self._refuse(refusal, call_id, environ, start_response)
+            return self._complete(parts, call_id)
+        response = outcome.ok_value
+        self._metrics.increment(self._answered_name)
+        log_event(
+            self._answered_name,
+            call=call_id,
+            status=response.status,
+            seconds=duration_s,
+        )
+        if response.body is None:
+            streamed = self._release_at_close(response, call_id)
+            return write_response(streamed, call_id, start_response)
+        return self._complete(
+            write_response(response, call_id, start_response), call_id
+        )
+
+    def _complete(self, parts: Iterable[bytes], call_id: CallId) -> CompleteBody:
+        """Return a whole response; its call has ended and is no longer watched."""
+        self._watch.remove(call_id)
+        return CompleteBody(parts, self.semaphore.release)
+
     def _release_at_close(self, response: Response, call_id: CallId) -> Response:
         """Return a streamed response that releases its request when it is closed."""
 
--- a/corianderhold/coordination/entry/response.py
+++ b/corianderhold/coordination/entry/response.py
@@ -64,6 +64,14 @@
     return ClosingBody(response)
 
 
+class CompleteBody(list[bytes]):
+    """The parts of a complete response; the server always calls `close`."""
+
+    def __init__(self, parts: Iterable[bytes], close: Callable[[], None]) -> None:
+        super().__init__(parts)
+        self.close = close
+
+
 class ClosingBody:
     """Pass on the chunks of a response; the server always calls `close`."""
 
--- a/corianderhold/drain.py
+++ b/corianderhold/drain.py
@@ -62,7 +62,7 @@
         """Refuse new requests from now on."""
 
 
-class DrainingListener(Protocol):
+class DrainingListener(InFlightSource, Protocol):
     """Make callers move to other connections."""
 
     def begin_drain(self) -> None:
@@ -91,7 +91,12 @@
 
 @dataclass(frozen=True)
 class StopParts:
-    """The components of a daemon that a planned stop takes out of service."""
+    """
+    The components of a daemon that a planned stop takes out of service.
+
+    `senders` send responses to others than callers. The listener and they count a
+    request until its response has been written, `intake` and `owner` until it exists.
+    """
 
     readiness: ReadinessSwitch
     member: FleetMember
@@ -99,6 +104,7 @@
     intake: RequestIntake
     owner: InFlightSource
     calls: CallCanceller
+    senders: tuple[InFlightSource, ...] = ()
 
 
 class GracefulStop:
@@ -154,4 +160,5 @@
 
     def _count(self) -> int:
         parts = self._parts
-        return parts.intake.count_in_flight() + parts.owner.count_in_flight()
+        sources = (parts.intake, parts.owner, parts.listener, *parts.senders)
+        return sum(source.count_in_flight() for source in sources)
--- a/corianderhold/transport/peer/server.py
+++ b/corianderhold/transport/peer/server.py
@@ -108,6 +108,11 @@
         for link in links:
             link.close()
 
+    def count_in_flight(self) -> int:
+        """Return the number of peers' calls whose response has not been sent whole."""
+        with self._lock:
+            return sum(head is not None for head in self._links.values())
+
     def _accept_links(self) -> None:
         assert self._listener is not None
         while not self._stopped.is_set():
--- a/corianderhold/transport/web/caller.py
+++ b/corianderhold/transport/web/caller.py
@@ -5,7 +5,9 @@
 import socket
 import struct
 import time
+from fcntl import ioctl
 from http import HTTPStatus
+from termios import TIOCOUTQ
 from typing import Any
 
 from cheroot.server import HTTPConnection
@@ -32,6 +34,7 @@
     b"Content-Length: 0\r\nConnection: close\r\n\r\n"
 )
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+COUNT = struct.Struct("i")
 
 
 class CallerConnection(HTTPConnection):
@@ -54,6 +57,8 @@
         self._discard_bytes = 0
         self._linger_until: float | None = None
         self._reset_on_close = False
+        self._undelivered_bytes = 0
+        self._progress_at = self._waiting_since
 
     @property
     def is_idle(self) -> bool:
@@ -72,8 +77,28 @@
         )
         return self._waiting_since + limit_s
 
+    def is_delivering(self) -> bool:
+        """
+        Return whether the caller is still taking bytes of a response.
+
+        A caller that takes nothing for PROGRESS_TIMEOUT_S does not count.
+        """
+        now = time.monotonic()
+        undelivered_bytes = count_undelivered_bytes(self.socket)
+        if undelivered_bytes != self._undelivered_bytes:
+            self._undelivered_bytes = undelivered_bytes
+            self._progress_at = now
+        return undelivered_bytes > 0 and now - self._progress_at < PROGRESS_TIMEOUT_S
+
     def communicate(self) -> bool:
         """Serve the received requests; return whether to wait for more."""
+        self.server.busy.add(self)
+        try:
+            return self._communicate()
+        finally:
+            self.server.busy.discard(self)
+
+    def _communicate(self) -> bool:
         if not self.input.receive(HEAD_READ_BYTES):
             return False
         keep_open = True
@@ -106,8 +131,12 @@
             except BlockingIOError:
                 self._wait_until_writable()
 
-    def refuse(self, error: RequestError) -> None:
-        """Respond to a request that can't be served and end the connection."""
+    def refuse(self, error: RequestError, *, may_block: bool = True) -> None:
+        """
+        Respond to a request that can't be served and end the connection.
+
+        Unless it may block, the response is cut off if earlier ones are still unread.
+        """
         status, body = error.status, error.detail.encode()
         lines = [
             f"HTTP/1.1 {status.value} {status.phrase}",
@@ -119,13 +148,15 @@
         if status is HTTPStatus.REQUEST_TIMEOUT:
             lines.append(f"{HEADER_RETRY_AFTER}: 1")
         log_event("http_request_refused", status=status.value, detail=error.detail)
-        self._linger("\r\n".join([*lines, "", ""]).encode("latin-1") + body)
+        head = "\r\n".join([*lines, "", ""]).encode("latin-1")
+        self._linger(head + body, may_block=may_block)
 
     def close_timed_out(self) -> None:
         """Close a connection whose wait timed out; send 408 if a head was started."""
         if self._head_started_at is not None:
             status = HTTPStatus.REQUEST_TIMEOUT
-            self.refuse(RequestError(status, "timed out waiting for the request head"))
+            error = RequestError(status, "timed out waiting for the request head")
+            self.refuse(error, may_block=False)
         self.close()
 
     def close(self) -> None:
@@ -143,6 +174,11 @@
         with contextlib.suppress(OSError):
             self.socket.shutdown(socket.SHUT_RDWR)
 
+    def _is_readable(self) -> bool:
+        poll = select.poll()
+        poll.register(self.socket, select.POLLIN)
+        return bool(poll.poll(0))
+
     def _has_disconnected(self) -> bool:
         """Return whether the caller closed its side after what it sent."""
         poll = select.poll()
@@ -214,26 +250,41 @@
         if not exchange.close_connection:
             self._discard_bytes = unread_bytes or 0
             return True
-        if unread_bytes == 0 and not self.input.buffer:
+        has_more = unread_bytes != 0 or self.input.buffer or self._is_readable()
+        if not has_more and not count_undelivered_bytes(self.socket):
             return False
         self._linger(b"")
         return True
 
-    def _linger(self, data: bytes) -> None:
+    def _linger(self, data: bytes, *, may_block: bool = True) -> None:
         """
         Send the last bytes and leave the caller time to read them.
 
-        Closing a socket with unread bytes resets the connection, and the caller would
-        lose the response.
+        A socket that is closed with unread bytes, or gets bytes afterwards, resets the
+        connection, and the caller would lose what has not been delivered by then.
         """
-        self._linger_until = time.monotonic() + LINGER_TIMEOUT_S
         with contextlib.suppress(OSError):
-            if data:
+            if data and may_block:
+                self.send(data)
+            elif data:
                 self.socket.send(data)
             self.socket.shutdown(socket.SHUT_WR)
+        self._linger_until = time.monotonic() + LINGER_TIMEOUT_S
 
     def _wait_until_writable(self) -> None:
         poll = select.poll()
         poll.register(self.socket, select.POLLOUT)
         if not poll.poll(PROGRESS_TIMEOUT_S * MILLISECONDS):
             raise TimeoutError(f"caller accepted no bytes for {PROGRESS_TIMEOUT_S} s")
+
+
+def count_undelivered_bytes(connection: socket.socket) -> int:
+    """
+    Return how many sent bytes the peer's host has not acknowledged.
+
+    0 also if the connection is broken or its socket closed.
+    """
+    try:
+        return int(COUNT.unpack(ioctl(connection, TIOCOUTQ, COUNT.pack(0)))[0])
+    except (OSError, ValueError):
+        return 0
--- a/corianderhold/transport/web/exchange.py
+++ b/corianderhold/transport/web/exchange.py
@@ -185,17 +185,17 @@
         return environ
 
     def respond(self) -> None:
-        """Write the application's response and always call its `close`."""
+        """Write the application's response and always call its `close` afterwards."""
         response = self.req.server.wsgi_app(self.env, self.start_response)
         try:
             self._begin(response)
             for chunk in response:
                 self.req.write(chunk)
+            self.req.finish()
         finally:
             close = getattr(response, "close", None)
             if close is not None:
                 close()
-        self.req.finish()
 
     def start_response(
         self, status: str, headers: list[tuple[str, str]], exc_info: Any = None
--- a/corianderhold/transport/web/pool.py
+++ b/corianderhold/transport/web/pool.py
@@ -114,15 +114,21 @@
         Close the connections on which no part of a request has been received.
 
         Bytes that have arrived but are still unread count as received; such a
-        connection is left to a worker thread.
+        connection is left to a worker thread. One whose caller is still taking a
+        response stays open, as another request would reset it and lose the response.
         """
         unread = self._find_readable()
         for fd, connection in list(self._waiting.items()):
-            if not connection.is_idle or fd in unread:
+            if not connection.is_idle or fd in unread or connection.is_delivering():
                 continue
             if self._waiting.pop(fd, None) is not None:
                 connection.close()
 
+    def count_delivering(self) -> int:
+        """Return how many waiting connections have a response that is not delivered."""
+        waiting = list(self._waiting.values())
+        return sum(connection.is_delivering() for connection in waiting)
+
     def wait_until_read(self, limit_s: float) -> None:
         """Wait up to `limit_s` seconds until threads have read received requests."""
         deadline_at = time.monotonic() + limit_s
@@ -173,7 +179,7 @@
         """Close the connections whose deadline is at or before monotonic time `now`."""
         limits = self._find_limits()
         for fd, connection in list(self._waiting.items()):
-            if now < connection.compute_deadline(limits):
+            if now < connection.compute_deadline(limits) or connection.is_delivering():
                 continue
             if self._waiting.pop(fd, None) is not None:
                 connection.close_timed_out()
--- a/corianderhold/transport/web/server.py
+++ b/corianderhold/transport/web/server.py
@@ -30,7 +30,7 @@
     StartResponse,
     WSGIApplication,
 )
-from corianderhold.transport.web.pool import PollingPool
+from corianderhold.transport.web.pool import ConnectionQueue, PollingPool
 
 __all__ = [
     "ENVIRON_SOCKET",
@@ -70,6 +70,7 @@
         )
         self.limits = limits
         self.is_draining = False
+        self.busy: set[CallerConnection] = set()
         self.gateway = SocketGateway
         self.requests = PollingPool(self, threads, lambda: self.limits)
         self.format_date = DateHeaderCache().format
@@ -129,6 +130,11 @@
         """Apply other limits to callers from now on."""
         self._server.limits = limits
 
+    def count_in_flight(self) -> int:
+        """Return how many connections have a request or an undelivered response."""
+        waiting: ConnectionQueue = self._server.requests.connections
+        return len(self._server.busy) + waiting.count_delivering()
+
     def begin_drain(self) -> None:
         """Close each connection after its next response."""
         self._server.is_draining = True
--- a/measurements/endurance/events.py
+++ b/measurements/endurance/events.py
@@ -10,6 +10,7 @@
 from corianderhold.state.configuration.model import ApiKey, Service
 from corianderhold.state.configuration.records import Delta
 from emulator.sample import BROADCASTER_KEY, CATALOGUE, build_change
+from emulator.slow_reader import SlowReader
 from measurements.endurance.checks import Span
 from tests.common.fleet import Fleet, RequestPlan
 
@@ -19,6 +20,11 @@
 SLOW_STORE_MS = 1500
 COPY_AGE_S = (1.0, 20.0)  # of the copy that the store is restored from
 LATE_ANNOUNCEMENTS = 5
+LARGE_ANSWER_PATH = "/catalogue/search?size=28000"
+SLOW_READERS = 4
+SENT_AHEAD = 6
+READ_BYTES_PER_S = 8000.0
+READ_BEFORE_STOP_MAX_S = 1.0
 DRAIN_SLACK_S = 1.0  # time for the drain to reach the target's owner
 LIMITS = (8, 16, 32)
 DEADLY_PATH = "/catalogue/search?crash=1&work_ms=5"
@@ -39,6 +45,7 @@
         self.faults: list[Span] = []
         self.counts: Counter[str] = Counter()
         self.runs_after_drain = 0
+        self.cut_answers = 0
         self.crashes_max = 0
         self._deadly_requests = 0
         self._kinds: dict[str, Callable[[str], None]] = {
@@ -48,6 +55,7 @@
             "target_crash": self._crash_target,
             "drain": self._drain_target,
             "forgotten_drain": self._drain_and_kill,
+            "slow_stop": self._stop_beside_slow_readers,
             "deadly": lambda _: self._send_deadly(),
             "store_down": lambda _: self._fail_store("down", True, False),
             "store_slow": lambda _: self._fail_store("delay_ms", SLOW_STORE_MS, 0),
@@ -127,6 +135,32 @@
         time.sleep(FAULT_S)
         self._replace_drained(instance, bound)
 
+    def _stop_beside_slow_readers(self, instance: str) -> None:
+        """Stop a daemon while callers read slowly; count the answers that it cuts."""
+        host, port = self._fleet.members[instance].get_address("caller").split(":")
+        began = f"{time.monotonic():.6f}"
+        readers = [
+            SlowReader(
+                (host, int(port)),
+                LARGE_ANSWER_PATH,
+                BROADCASTER_KEY,
+                [f"slow-{began}-{number}-{place}" for place in range(SENT_AHEAD)],
+                READ_BYTES_PER_S,
+            )
+            for number in range(SLOW_READERS)
+        ]
+        for reader in readers:
+            reader.start()
+        time.sleep(self._random.uniform(0.0, READ_BEFORE_STOP_MAX_S))
+        self._fleet.get_daemon(instance).stop()
+        runs = self._fleet.count_runs()
+        self._fleet.start_daemon(instance)
+        for reader in readers:
+            reader.hurry.set()
+            reader.join()
+            ran = {name for name in reader.request_ids if runs[name]}
+            self.cut_answers += len(ran - reader.answered.keys())
+
     def _replace_drained(self, instance: str, bound: float) -> None:
         """Count what a drained target ran after a Unix time, then replace it."""
         starts = (e["started_at"] for e in self._fleet.list_executions(instance))
--- a/measurements/soak.py
+++ b/measurements/soak.py
@@ -61,6 +61,7 @@
     Target("withdrawn_ran", highest=0),
     Target("crossed_answers", highest=0),
     Target("runs_after_drain", highest=0),
+    Target("cut_answers", highest=0),
     Target("crashes_max", highest=3),
     Target("recovery_s", highest=15.0),
 ]
@@ -109,6 +110,7 @@
     return {
         **count_breaches(traffic.sent, fleet.count_runs(), bounds),
         "runs_after_drain": float(events.runs_after_drain),
+        "cut_answers": float(events.cut_answers),
         "crashes_max": float(events.crashes_max),
         "recovery_s": recovery_s,
         **count_outcomes(traffic.sent, events.withdrawn),
--- a/tests/coordination/entry/test_request_handler.py
+++ b/tests/coordination/entry/test_request_handler.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterator
 from dataclasses import replace
 from http import HTTPStatus
+from typing import Any
 from unittest import TestCase
 from unittest.mock import Mock
 
@@ -73,9 +74,20 @@
     def serve(self, outcome: Result[Response, Refusal]) -> object:
         return self.intake.serve(ENVIRON, self.start_response, lambda arrival: outcome)
 
-    def test_small_response_releases_its_request(self) -> None:
-        self.serve(Ok(self.make_response(b"all")))
-        self.assertEqual((self.intake.semaphore.count, self.closed), (0, 1))
+    def check_held_until_closed(self, parts: Any, body: bytes) -> None:  # noqa: ANN401
+        self.assertIn(body, b"".join(parts))
+        self.assertEqual(self.intake.semaphore.count, 1)
+        parts.close()
+        self.assertEqual(self.intake.semaphore.count, 0)
+
+    def test_small_response_is_in_flight_until_it_is_closed(self) -> None:
+        parts = self.serve(Ok(self.make_response(b"all")))
+        self.check_held_until_closed(parts, b"all")
+        self.assertEqual(self.closed, 1)
+
+    def test_refusal_is_in_flight_until_it_is_closed(self) -> None:
+        parts = self.serve(Err(refuse_not_run(Reason.NO_TARGET)))
+        self.check_held_until_closed(parts, b'"no_target"')
 
     def test_streamed_response_is_in_flight_until_it_is_closed(self) -> None:
         parts = self.serve(Ok(self.make_response(None, b"a", b"b")))
@@ -92,9 +104,10 @@
             yield b""
 
         response = replace(self.make_response(None), chunks=truncate())
-        self.serve(Ok(response))
+        parts = self.serve(Ok(response))
         self.assertTrue(self.statuses[-1].startswith("504"))
-        self.assertEqual((self.intake.semaphore.count, self.closed), (0, 1))
+        self.check_held_until_closed(parts, b'"may_have_run"')
+        self.assertEqual(self.closed, 1)
 
     def test_body_that_is_not_accepted_is_refused_as_not_run(self) -> None:
         context = make_context(deadline_at=12.0)
@@ -115,7 +128,7 @@
                 ),
             )
             self.assertEqual(stream.deadline_at, 12.0)
-            self.assertIn(b'"not_run"', b"".join(body))
+            self.check_held_until_closed(body, b'"not_run"')
             self.assertTrue(self.statuses[-1].startswith(status), self.statuses)
 
     def test_caller_is_watched_until_the_end_of_its_response(self) -> None:
@@ -143,11 +156,10 @@
         self.assertIn(b'"draining"', list(body)[0])  # type: ignore[call-overload]
         self.assertEqual(self.intake.semaphore.count, 0)
 
-    def test_refusal_and_failure_release_their_requests(self) -> None:
+    def test_failure_releases_its_request(self) -> None:
         def fail(arrival: ReceivedRequest) -> Result[Response, Refusal]:
             raise RuntimeError
 
-        self.serve(Err(refuse_not_run(Reason.NO_TARGET)))
         with self.assertRaises(RuntimeError):
             self.intake.serve(ENVIRON, self.start_response, fail)
         self.assertEqual(self.intake.semaphore.count, 0)
--- a/tests/coordination/entry/test_sender.py
+++ b/tests/coordination/entry/test_sender.py
@@ -84,11 +84,12 @@
         self.addCleanup(self.pool.stop)
 
     def serve(self, calls: SilentCalls) -> int:
-        """Start an owner and return its port."""
+        """Start an owner, the last one as `server`, and return its port."""
         member = make_member("owner", port=find_free_port())
         identity = Identity(member.instance, Incarnation(1), SECRET)
         server = PeerServer(member.peer_address, identity, CLOCK, calls, {})
         server.start()
+        self.server = server
         self.addCleanup(server.stop)
         self.addCleanup(calls.ended.set)
         return member.peer_address.port
@@ -149,6 +150,19 @@
             lambda: calls.cancelled == [context.call_id], "the call is cancelled"
         )
 
+    def test_call_is_in_flight_until_its_owner_has_sent_the_response(self) -> None:
+        calls = StreamingCalls()
+        member = make_member("owner", port=self.serve(calls))
+        self.assertEqual(self.server.count_in_flight(), 0)
+        context = make_context(deadline_at=CLOCK.read_monotonic() + 60)
+        outcome = PeerSender(self.pool, CLOCK).send(
+            member, context, InlineBody(b""), RetryBudget(0), lambda load: None
+        )
+        self.assertEqual(self.server.count_in_flight(), 1)
+        calls.ended.set()
+        wait_until(lambda: not self.server.count_in_flight(), "the response is sent")
+        outcome.unwrap().close()
+
     def test_link_that_does_not_open_is_given_up_at_the_deadline(self) -> None:
         with socket.create_server(("127.0.0.1", 0)) as listener:
             refusal, late_s = self.send(listener.getsockname()[1])
--- a/tests/failures/test_stop.py
+++ b/tests/failures/test_stop.py
@@ -10,6 +10,7 @@
 import time
 
 from emulator.sample import BROADCASTER_KEY
+from emulator.slow_reader import SlowReader
 from tests.common.fleet import DaemonPlan, RequestPlan
 from tests.common.processes import ManagedProcess
 from tests.common.scenario import FleetTestCase, Sent, plan_ingest
@@ -35,6 +36,11 @@
 DRAIN_BEGUN = re.compile("event=drain_begun")
 CALLS = 4
 LATE_REQUEST_INTERVAL_S = 0.05
+LARGE_ANSWER = "/catalogue/search?size=28000"
+SLOW_READERS = 6
+SENT_AHEAD = 6
+READ_BYTES_PER_S = 8000.0
+READ_BEFORE_STOP_S = 0.25
 
 
 class PlannedStopTests(FleetTestCase):
@@ -106,6 +112,35 @@
                 self.assertIn(outcome.status, (200, 503), outcome)
         self._restart(LINGERING)
 
+    def test_stop_does_not_cut_answers_that_callers_read_slowly(self) -> None:
+        daemon = self.fleet.get_daemon(LINGERING)
+        host, port = self.fleet.members[LINGERING].get_address("caller").split(":")
+        readers = [
+            SlowReader(
+                (host, int(port)),
+                LARGE_ANSWER,
+                BROADCASTER_KEY,
+                [f"slow-{number}-{place}" for place in range(SENT_AHEAD)],
+                READ_BYTES_PER_S,
+            )
+            for number in range(SLOW_READERS)
+        ]
+        for reader in readers:
+            reader.start()
+        time.sleep(READ_BEFORE_STOP_S)
+        before = self.fleet.count_runs()
+        daemon.terminate()
+        self.assertEqual(daemon.wait_for_exit(STOP_LIMIT_S), 0)
+        runs = self.fleet.count_runs()
+        for reader in readers:
+            reader.hurry.set()
+            reader.join(WAIT_LIMIT_S)
+        asked = {name for reader in readers for name in reader.request_ids}
+        whole = {name for reader in readers for name in reader.answered}
+        self.assertTrue(whole & runs.keys() - before.keys(), "none ran in the stop")
+        self.assertEqual(asked & runs.keys() - whole, set())
+        self._restart(LINGERING)
+
     def test_silent_store_does_not_delay_a_stop(self) -> None:
         daemon = self.fleet.get_daemon(OWNER)
         store = self._freeze_store()
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -10,7 +10,7 @@
 
 from corianderhold.clock import SystemClock
 from corianderhold.deadline import StopDeadline
-from corianderhold.drain import GracefulStop, StopParts, TargetDrain
+from corianderhold.drain import GracefulStop, InFlightSource, StopParts, TargetDrain
 from corianderhold.ids import ServiceName
 from corianderhold.settings.model import StopTimes
 from corianderhold.state.membership.model import Address
@@ -91,9 +91,9 @@
     def setUp(self) -> None:
         self.daemon = FakeDaemon()
 
-    def stop(self, times: StopTimes) -> list[str]:
+    def stop(self, times: StopTimes, *senders: InFlightSource) -> list[str]:
         daemon = self.daemon
-        parts = StopParts(daemon, daemon, daemon, daemon, daemon, daemon)
+        parts = StopParts(daemon, daemon, daemon, daemon, daemon, daemon, senders)
         clock = SystemClock()
         deadline = StopDeadline(times.limit_s, clock)
         graceful = GracefulStop(parts, times, deadline, clock)
@@ -106,6 +106,20 @@
         expected = ["ready", "not ready", "leave", "drain", "refuse", "close idle"]
         self.assertEqual(steps, [*expected, "cancel"])
 
+    def test_response_that_is_still_sent_is_waited_for(self) -> None:
+        class Sender:
+            left = 3
+
+            def count_in_flight(self) -> int:
+                self.left -= 1
+                return max(0, self.left)
+
+        self.daemon.in_flight = 0
+        sender = Sender()
+        steps = self.stop(StopTimes(60.0, 0.0), sender)
+        self.assertNotIn("cancel", steps)
+        self.assertLess(sender.left, 1)
+
     def test_call_in_flight_is_waited_for(self) -> None:
         timer = threading.Timer(0.1, self.daemon.cancel_all)
         timer.start()
--- a/tests/transport/web/test_caller.py
+++ b/tests/transport/web/test_caller.py
@@ -7,6 +7,7 @@
 
 import socket
 import threading
+import time
 from collections.abc import Iterable, Iterator
 from contextlib import ExitStack
 from unittest import TestCase
@@ -25,6 +26,9 @@
 LIMITS = CallerLimits(header_bytes_max=2000, body_bytes_max=100_000)
 SMUGGLED = b"GET /smuggled HTTP/1.1\r\nHost: x\r\n\r\n"
 LARGE = b"x" * 10_000_000
+HELD = b"x" * 20_000  # fits into the kernel's send buffer
+RECEIVE_BUFFER = 1  # the kernel's minimum
+PAUSE_S = 0.3
 
 
 class ApplicationFailedError(Exception):
@@ -50,14 +54,18 @@
         status = path[1:] if path in ("/204", "/304") else "200"
         headers = [("Content-Length", "9")] if path == "/sized" else []
         start_response(f"{status} Text", headers)
-        if path in ("/stream", "/broken", "/sized", "/large"):
+        if path in ("/stream", "/broken", "/sized", "/large", "/taken"):
             self._path = path
             return self
+        if path == "/held":
+            return [HELD]
         return [path.encode() + b":" + body]
 
     def __iter__(self) -> Iterator[bytes]:
         if self._path == "/large":
             yield LARGE
+        if self._path == "/taken":
+            yield from [HELD] * 10
         yield b"part1"
         if self._path == "/broken":
             raise ApplicationFailedError
@@ -83,6 +91,14 @@
         connection = socket.create_connection(address, TIMEOUT_S)
         return self._stack.enter_context(connection)
 
+    def connect_slow_reader(self) -> socket.socket:
+        """Return a connection whose caller takes few bytes until it reads."""
+        connection = self._stack.enter_context(socket.socket())
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+        connection.settimeout(TIMEOUT_S)
+        connection.connect((self._address.host, self._address.port))
+        return connection
+
     def exchange(self, data: bytes) -> bytes:
         """Send `data` on a new connection and return all bytes up to its end."""
         connection = self.connect()
@@ -271,6 +287,53 @@
         responses = [read_to_end(connection) for connection in connections]
         self.assertEqual([a for a in responses if not a.endswith(b"/1:")], [])
 
+    def test_response_is_in_flight_until_its_caller_has_taken_it(self) -> None:
+        for path in (b"/taken", b"/held"):
+            connection = self.connect_slow_reader()
+            connection.sendall(
+                b"GET %b HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n" % path
+            )
+            self.assertIn(b"200", connection.recv(20))
+            time.sleep(PAUSE_S)
+            self.assertEqual(self.server.count_in_flight(), 1)
+            read_to_end(connection)
+            wait_until(lambda: not self.server.count_in_flight(), "it is delivered")
+
+    def test_kept_connection_is_not_closed_before_its_response_is_taken(self) -> None:
+        connection = self.connect_slow_reader()
+        connection.sendall(b"GET /held HTTP/1.1\r\nHost: x\r\n\r\n")
+        received = connection.recv(20)
+        time.sleep(PAUSE_S)
+        self.server.begin_drain()
+        self.server.close_idle()
+        connection.sendall(b"GET /next HTTP/1.1\r\nHost: x\r\n\r\n")
+        received += read_to_end(connection)
+        self.assertIn(HELD, received)
+        self.assertTrue(received.endswith(b"/next:"))
+
+    def test_close_does_not_reset_requests_that_were_sent_ahead(self) -> None:
+        connection = self.connect()
+        connection.sendall(b"GET /wait HTTP/1.1\r\nHost: x\r\n\r\n")
+        wait_until(lambda: bool(self.application.requests), "the request is started")
+        connection.sendall(SMUGGLED)
+        self.server.begin_drain()
+        self.application.released.set()
+        time.sleep(PAUSE_S)
+        connection.sendall(SMUGGLED)
+        self.assertTrue(read_to_end(connection).endswith(b"/wait:"))
+        self.assertEqual(len(self.application.requests), 1)
+
+    def test_refusal_behind_unread_responses_is_whole(self) -> None:
+        connection = self.connect_slow_reader()
+        requests = b"GET /held HTTP/1.1\r\nHost: x\r\n\r\n" * 40
+        connection.sendall(requests + b"GET / HTTP/1.1\r\nX: no host\r\n\r\n")
+        time.sleep(PAUSE_S)
+        response = read_to_end(connection)
+        self.assertEqual(response.count(b"HTTP/1.1 200"), 40)
+        refusal = response[response.index(b"HTTP/1.1 400") :]
+        head, _, body = refusal.partition(b"\r\n\r\n")
+        self.assertIn(b"Content-Length: %d\r\n" % len(body), head)
+
     def test_draining_server_closes_connections(self) -> None:
         idle, kept = self.connect(), self.connect()
         begun = self.connect()
