--- a/corianderhold/coordination/membership/departures.py
+++ b/corianderhold/coordination/membership/departures.py
@@ -9,6 +9,7 @@
 
 from corianderhold.clock import Clock
 from corianderhold.coordination.membership.const import (
+    DEPARTURE_ATTEMPTS,
     DEPARTURE_CONFIRM_S,
     DEPARTURE_HOLDERS,
     DEPARTURE_REQUEST_TIMEOUT_S,
@@ -208,7 +209,10 @@
         return encode_departure_reply(DepartureReply(kept, uptime_s))
 
     def _send(self, peer: Member, departure: Departure) -> None:
-        reply = self._request(peer, (departure,))
+        for _ in range(DEPARTURE_ATTEMPTS):
+            reply = self._request(peer, (departure,))
+            if isinstance(reply, DepartureReply) or reply is ControlFailure.REJECTED:
+                break
         held = isinstance(reply, DepartureReply)
         self._record_outcome(departure, peer.instance, held, self._is_far(peer))
 
--- a/tests/coordination/membership/test_departures.py
+++ b/tests/coordination/membership/test_departures.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from corianderhold.coordination.membership.const import (
+    DEPARTURE_ATTEMPTS,
     DEPARTURE_HOLDERS,
     HOLDERS_PER_DISTANCE,
     RECALL_LIMIT_S,
@@ -157,7 +158,7 @@
         fleet.failures.clear()
         for _ in range(3):
             self.assertTrue(self.replicate(fleet, logged=None))
-        self.assertEqual(len(fleet.sent), 2)
+        self.assertEqual(len(fleet.sent), DEPARTURE_ATTEMPTS + 1)
 
 
 class RecallTests(TestCase):
--- a/tests/failures/test_departures.py
+++ b/tests/failures/test_departures.py
@@ -3,7 +3,8 @@
 
 It guards against a target that gets calls again after its departure, because the
 daemon beside it was killed before the store had the departure, and a heartbeat that
-was held up reached the next start of that daemon.
+was held up reached the next start of that daemon; and against drains that nobody
+acknowledges because open connections have gone silent.
 """
 
 import time
@@ -17,18 +18,32 @@
 SEARCH = "/catalogue/search"
 OFFERED_S = 3.0
 ANNOUNCE_EVERY_S = 0.5
+ACKNOWLEDGEMENT_LIMIT_S = 1.0
 
 
 class DepartureTests(FleetTestCase):
     """Run an entry and two owners in two failure domains."""
 
     plans = (
-        DaemonPlan(ENTRY, "ch-west-b"),
-        DaemonPlan(OWNER, "ch-west-a", service="catalogue", target_id="t-1"),
-        DaemonPlan(OTHER_OWNER, "ch-west-a", service="catalogue", target_id="t-2"),
+        DaemonPlan(ENTRY, "ch-west-b", relay_peer=True),
+        DaemonPlan(OWNER, "ch-west-a", "catalogue", relay_peer=True, target_id="t-1"),
+        DaemonPlan(
+            OTHER_OWNER, "ch-west-a", "catalogue", relay_peer=True, target_id="t-2"
+        ),
     )
     probes = (SEARCH,)
 
+    def test_drain_is_acknowledged_while_all_open_connections_are_silent(self) -> None:
+        for peer in (ENTRY, OWNER):
+            self.fleet.get_peer_relay(peer).silence()
+        store = self.fleet.store
+        assert store is not None
+        store.freeze()
+        self.addCleanup(store.thaw)
+        began_at = time.monotonic()
+        self.fleet.drain_target(OTHER_OWNER)
+        self.assertLess(time.monotonic() - began_at, ACKNOWLEDGEMENT_LIMIT_S)
+
     def test_drain_acknowledged_without_the_store_outlives_a_kill(self) -> None:
         self.fleet.set_store_faults({"down": True})
         self.addCleanup(self.fleet.set_store_faults, {"down": False})
