--- a/tests/common/calls.py
+++ b/tests/common/calls.py
@@ -65,7 +65,10 @@
         begun.append((status, dict(headers)))
 
     environ = {**environ, "wsgi.input": io.BytesIO(body)}
-    content = b"".join(application(environ, start_response))
+    parts = application(environ, start_response)
+    content = b"".join(parts)
+    if hasattr(parts, "close"):
+        parts.close()  # as a server does
     return (*begun[0], content)
 
 
