--- a/corianderhold/drain.py
+++ b/corianderhold/drain.py
@@ -97,8 +97,8 @@
     """
     The components of a daemon that a planned stop takes out of service.
 
-    `senders` send responses to others than callers. The listener and they count a
-    request until its response has been written, `intake` and `owner` until it exists.
+    `senders` send responses to others than callers. The listener counts a request until
+    its caller has taken the response, `senders` until they have sent it.
     """
 
     readiness: ReadinessSwitch
