--- a/corianderhold/coordination/membership/departures.py
+++ b/corianderhold/coordination/membership/departures.py
@@ -81,6 +81,7 @@
     attempts: dict[InstanceId, int] = field(default_factory=dict)
     replied: set[InstanceId] = field(default_factory=set)
     has_settled_reply: bool = False
+    is_synchronized: bool = False
     is_log_read: bool = False
     names_others: bool = False
 
@@ -194,6 +195,12 @@
         recall.is_log_read = True
         self._recall_due.set()
 
+    def record_synchronized(self) -> None:
+        """Record that all members that a peer knows are listed."""
+        if not self._recall.is_synchronized:
+            self._recall.is_synchronized = True
+            self._recall_due.set()
+
     def handle_member(self, member: Member) -> None:
         """Ask a peer that has been found."""
         if not self._is_recalled and member.state is MemberState.ALIVE:
@@ -286,6 +293,7 @@
     def _recall_once(self) -> None:
         """Ask the peers that have not replied, then check what is known."""
         recall = self._recall
+        lists_all = recall.is_synchronized  # read before the members
         peers = self._choose_peers(RECALL_PEERS_PER_DISTANCE)
         asked = [
             peer
@@ -303,7 +311,7 @@
             thread.start()
         for thread in threads:
             thread.join(DEPARTURE_REQUEST_TIMEOUT_S)
-        if not self._is_recalled and self._knows_departures(peers):
+        if not self._is_recalled and self._knows_departures(peers, lists_all):
             log_event(
                 "departures_known",
                 peers=len(recall.replied),
@@ -325,19 +333,21 @@
         if isinstance(reply, DepartureReply) or reply is ControlFailure.REJECTED:
             recall.replied.add(peer.instance)
 
-    def _knows_departures(self, peers: list[Member]) -> bool:
+    def _knows_departures(self, peers: list[Member], lists_all: bool) -> bool:
         """
         Return whether enough is known to believe a heartbeat of the target.
 
         Peers that have just started as well know nothing, so that only the log tells
-        that there was no departure.
+        that there was no departure. As long as only a few members are known, those that
+        keep a departure may be missing.
         """
         recall = self._recall
         if self._clock.read_monotonic() - self._started_at >= RECALL_LIMIT_S:
             return True
         if not peers:
             return recall.is_log_read and not recall.names_others
-        if any(peer.instance not in recall.attempts for peer in peers):
+        is_asked = all(peer.instance in recall.attempts for peer in peers)
+        if not is_asked or not lists_all:
             return False
         has_reply = any(peer.instance in recall.replied for peer in peers)
         return has_reply and (recall.is_log_read or recall.has_settled_reply)
--- a/corianderhold/coordination/membership/messages.py
+++ b/corianderhold/coordination/membership/messages.py
@@ -71,6 +71,11 @@
     """Tell the synchroniser that dead members have returned."""
 
 
+@dataclass(frozen=True)
+class MembersSynchronized:
+    """The table has all that a peer knows; follows the records of that peer."""
+
+
 @dataclass(frozen=True)
 class AnnouncementChanged:
     """Append this announcement to the log."""
@@ -79,7 +84,12 @@
 
 
 TableMessage = (
-    RecordsReceived | ContactsFound | DepartureFound | LeaveRequested | StopRequested
+    RecordsReceived
+    | MembersSynchronized
+    | ContactsFound
+    | DepartureFound
+    | LeaveRequested
+    | StopRequested
 )
 WorkerMessage = (
     MemberFound
--- a/corianderhold/coordination/membership/service.py
+++ b/corianderhold/coordination/membership/service.py
@@ -27,6 +27,7 @@
     LeaveRequested,
     MemberFound,
     MembersRevived,
+    MembersSynchronized,
     RecordsReceived,
     StopRequested,
     StoreRestored,
@@ -186,6 +187,7 @@
         self._left = threading.Event()
         self._left_at_s: float | None = None
         self._joined = False
+        self._is_synchronized = False
         self._stopping = False
 
     @property
@@ -414,6 +416,8 @@
         for outgoing in self._swim.take_outgoing():
             self._send(outgoing)
         self._publish()
+        if self._is_synchronized:
+            self.departures.record_synchronized()
 
     def _send(self, outgoing: OutgoingDatagram) -> None:
         if not self._endpoint.send(outgoing.address, outgoing.data):
@@ -426,6 +430,8 @@
         match message:
             case RecordsReceived(records):
                 self._swim.merge_records(records, now_s)
+            case MembersSynchronized():
+                self._is_synchronized = True
             case ContactsFound(contacts, outranking, names_others):
                 if outranking is not None:
                     self._swim.supersede_incarnation(outranking, now_s)
--- a/corianderhold/coordination/membership/synchronizer.py
+++ b/corianderhold/coordination/membership/synchronizer.py
@@ -26,6 +26,7 @@
     DepartureFound,
     MemberFound,
     MembersRevived,
+    MembersSynchronized,
     RecordsReceived,
     StopRequested,
     StoreRestored,
@@ -216,6 +217,7 @@
             received.extend(reply.records)
             self._post(RecordsReceived(reply.records))
             if reply.last:
+                self._post(MembersSynchronized())
                 break
         now_s = self._clock.read_monotonic()
         newer = list_newer(self._read_view(), buckets, received, now_s)
--- a/tests/coordination/membership/test_departures.py
+++ b/tests/coordination/membership/test_departures.py
@@ -65,10 +65,12 @@
             lambda: None,
         )
 
-    def restart(self) -> DepartureReplicator:
+    def restart(self, *, is_synchronized: bool = True) -> DepartureReplicator:
         """Replace the first daemon by a new start, and start its replicator."""
         address = self.members[0].peer_address
         self.replicators[address] = replicator = self.build(self.members[0])
+        if is_synchronized:
+            replicator.record_synchronized()
         replicator.start()
         return replicator
 
@@ -192,6 +194,27 @@
         wait_until(lambda: replicator.is_recalled, "departures are known")
         self.assertIn(DEPARTURE, fleet.recalled)
 
+    def test_members_found_first_do_not_answer_for_those_not_known_yet(self) -> None:
+        fleet = Fleet((DOMAIN,) * 20 + (OTHER_DOMAIN,) * 20)
+        fleet.owner.replicate(DEPARTURE)
+        self.assertTrue(fleet.owner.await_holders(DEPARTURE))
+        wait_until(lambda: len(fleet.sent) == 2 * HOLDERS_PER_DISTANCE, "all are told")
+        everybody, holders = fleet.members, set(fleet.sent)
+        fleet.members = tuple(
+            member for member in everybody if member.peer_address not in holders
+        )[:2]
+        fleet.clock.advance(RECALL_LIMIT_S)
+        replicator = fleet.restart(is_synchronized=False)
+        self.addCleanup(replicator.stop)
+        replicator.record_log_read(names_others=True)
+        wait_until(lambda: len(fleet.sent) > len(holders), "the first one is asked")
+        with self.assertRaises(ConditionTimeoutError):
+            wait_until(lambda: replicator.is_recalled, "departures are known", 1.0)
+        fleet.members = everybody
+        replicator.record_synchronized()
+        wait_until(lambda: replicator.is_recalled, "departures are known")
+        self.assertIn(DEPARTURE, fleet.recalled)
+
     def test_peers_that_have_just_started_do_not_answer_for_the_log(self) -> None:
         fleet = Fleet((DOMAIN, DOMAIN, OTHER_DOMAIN))
         replicator = fleet.restart()
