Revert "Keep departures in the own region where it has another failure domain"

What is dear is not yet shown: more likely the links that are opened for it and kept with pings for 10 s than the requests themselves.

--- a/corianderhold/coordination/membership/departures.py
+++ b/corianderhold/coordination/membership/departures.py
@@ -21,7 +21,7 @@
     RECALL_PEERS_PER_DISTANCE,
     RECALL_PERIOD_S,
 )
-from corianderhold.ids import InstanceId
+from corianderhold.ids import FailureDomainId, InstanceId
 from corianderhold.log import log_event, log_warning
 from corianderhold.metrics import Metrics
 from corianderhold.protocol.membership.codec import (
@@ -43,7 +43,6 @@
 )
 from corianderhold.state.membership.const import INSTANCE_DEPARTURES_MAX
 from corianderhold.state.membership.departures import DepartureTable
-from corianderhold.state.membership.locality import Locality
 from corianderhold.state.membership.model import Member, MemberState
 from corianderhold.state.membership.target import Departure
 
@@ -99,7 +98,8 @@
 
     def __init__(
         self,
-        place: Locality,
+        instance: InstanceId,
+        domain: FailureDomainId,
         list_members: ListMembers,
         client: ControlClient,
         clock: Clock,
@@ -107,7 +107,8 @@
         on_departure: Callable[[Departure], None],
         on_recalled: Callable[[], None],
     ) -> None:
-        self._place = place
+        self._instance = instance
+        self._domain = domain
         self._list_members = list_members
         self._client = client
         self._clock = clock
@@ -260,26 +261,23 @@
         Return the best ranked peers of the own failure domain and of others.
 
         The ranking depends only on the instances, so that a restarted daemon asks the
-        peers that its earlier start has sent to. Other regions count only if the own
-        one has no other failure domain, as bytes between regions are dear.
+        peers that its earlier start has sent to.
         """
-        place = self._place
         peers = sorted(
             (
                 member
                 for member in self._list_members()
-                if member.instance != place.instance
+                if member.instance != self._instance
                 and member.state is MemberState.ALIVE
             ),
-            key=lambda member: hash_pair(place.instance, member.instance),
+            key=lambda member: hash_pair(self._instance, member.instance),
         )
         near = [peer for peer in peers if not self._is_far(peer)]
         far = [peer for peer in peers if self._is_far(peer)]
-        in_region = [peer for peer in far if peer.region == place.region]
-        return near[:per_distance] + (in_region or far)[:per_distance]
+        return near[:per_distance] + far[:per_distance]
 
     def _is_far(self, peer: Member) -> bool:
-        return peer.domain != self._place.domain
+        return peer.domain != self._domain
 
     def _run_recall(self) -> None:
         end_at = self._started_at + RECALL_PERIOD_S
--- a/corianderhold/coordination/membership/service.py
+++ b/corianderhold/coordination/membership/service.py
@@ -57,7 +57,6 @@
 from corianderhold.protocol.peer.control import ControlClient, ControlSender
 from corianderhold.protocol.store.model import AppendOnlyLog
 from corianderhold.state.membership.const import TARGET_TTL_S
-from corianderhold.state.membership.locality import Locality
 from corianderhold.state.membership.model import (
     Address,
     Member,
@@ -159,7 +158,8 @@
         )
         self._view = self._swim.view
         self.departures = DepartureReplicator(
-            Locality(settings.instance, settings.domain, settings.region),
+            settings.instance,
+            settings.domain,
             self.list_members,
             control,
             clock,
