--- a/review/stand_ins_2/rig.py
+++ b/review/stand_ins_2/rig.py
@@ -148,7 +148,7 @@
         self.address = address
         self.topics = {}
         self.down = False
-        self.refused_hosts = frozenset()
+        self.down_topics = frozenset()  # answered with 503
         self._changed = asyncio.Condition()
         self._writers = set()
 
@@ -184,7 +184,10 @@
                 parts = urlsplit(target)
                 query = dict(parse_qsl(parts.query))
                 verb = parts.path.rpartition("-")[2]
-                status, body = await getattr(self, f"_{verb}")(query, content)
+                if query.get("topic") in self.down_topics:
+                    status, body = 503, b"{}"
+                else:
+                    status, body = await getattr(self, f"_{verb}")(query, content)
                 if self.down:
                     reset(writer)
                     return
