--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,7 +7,7 @@
 compile(open(sys.argv[1], encoding='utf-8').read(), sys.argv[1], 'exec')
 " "$file" || exit 1
 done
-# Case 9 runs the daemons with a newer Python, if there is one.
+# Case 8 runs the daemons with a newer Python, if there is one.
 . review/stand_ins_2/newer_python.sh
 if [ -n "$NEWER" ] && [ ! -d target/deps-newer ]; then
     "$NEWER" -m pip install -q --target target/deps-newer -r deploy/requirements.txt ||
