--- a/corianderhold/transport/web/connection.py
+++ b/corianderhold/transport/web/connection.py
@@ -14,7 +14,6 @@
 from corianderhold.transport.web.const import READ_BYTES, TARGET_CONNECT_TIMEOUT_S
 from corianderhold.transport.web.response_reader import ResponseReader
 
-CONNECTION_BROKEN_ERRORS = (BrokenPipeError, ConnectionResetError)
 CONTROL_CHARACTERS = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 METHODS_WITH_BODY = frozenset({"PATCH", "POST", "PUT"})
 
@@ -49,6 +48,7 @@
         self.has_sent = False
         self.echoes_request_ids = False
         self.socket: socket.socket
+        self._reset: ConnectionResetError | None = None
         self.reader = ResponseReader(self.receive)
         self._clock = clock
         self._http = HTTPConnection(
@@ -83,17 +83,31 @@
             if isinstance(request.body, bytes):
                 return self._send(head + request.body, request.deadline_at)
             return self._send(head, request.deadline_at) and self._send_parts(request)
-        except CONNECTION_BROKEN_ERRORS:
+        except BrokenPipeError:
+            # The target closed the connection before any reset, so that all it sent
+            # can be read.
+            return False
+        except ConnectionResetError as error:
+            # The kernel reports a reset only once.
+            self._reset = error
             return False
 
     def receive(self, deadline_at: float) -> bytes:
-        """Return the next bytes, none once the target has closed the connection."""
+        """
+        Return the next bytes, none once the target has closed the connection.
+
+        Raise `ConnectionResetError` after the last bytes if it was reset instead, also
+        when the report of the reset was received while sending.
+        """
         while True:
             self._wait(self._readable, deadline_at)
             try:
-                return self.socket.recv(READ_BYTES)
+                data = self.socket.recv(READ_BYTES)
             except BlockingIOError:
                 continue
+            if not data and self._reset is not None:
+                raise self._reset
+            return data
 
     def _send_parts(self, request: TargetRequest) -> bool:
         chunked = request.length is None
--- a/tests/common/scripted_target.py
+++ b/tests/common/scripted_target.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import socket
-import struct
 import threading
 from collections.abc import Callable
 
@@ -50,13 +49,6 @@
     return data
 
 
-def reset(connection: socket.socket) -> None:
-    """Close a connection with a TCP reset."""
-    linger = struct.pack("ii", 1, 0)
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    connection.close()
-
-
 def answer_with(*answers: bytes) -> Script:
     """Return a script that answers requests in turn, then awaits the peer's close."""
 
--- a/tests/coordination/owner/test_owner.py
+++ b/tests/coordination/owner/test_owner.py
@@ -56,6 +56,7 @@
 from corianderhold.state.membership.target import ABSENT_TARGET, TargetStatus
 from corianderhold.state.quarantine.table import QuarantineTable
 from corianderhold.transport.web.target import TargetClient
+from emulator.broken_answers import reset
 from tests.common.calls import CATALOGUE, make_context
 from tests.common.clock import FakeClock
 from tests.common.quarantine import RecordingNotifier, TargetReader, build_screen
@@ -63,7 +64,6 @@
     Script,
     ScriptedTarget,
     answer_with,
-    reset,
     take_request,
 )
 
--- a/tests/transport/web/test_target.py
+++ b/tests/transport/web/test_target.py
@@ -20,12 +20,12 @@
 from corianderhold.transport.web.const import HEADER_BYTES_MAX
 from corianderhold.transport.web.errors import TargetError
 from corianderhold.transport.web.target import TargetClient, TargetResponse
+from emulator.broken_answers import reset
 from tests.common.clock import FakeClock
 from tests.common.scripted_target import (
     Script,
     ScriptedTarget,
     answer_with,
-    reset,
     take_request,
 )
 
