--- a/emulator/broken_answers.py
+++ b/emulator/broken_answers.py
@@ -1,16 +1,18 @@
 """Define responses of a target in trouble and send them on a raw connection."""
 
-import itertools
 import random
 import socket
 import struct
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
 
 BROKEN_HEADER = "X-Emulator-Broken"
 OK = f"HTTP/1.1 200 OK\r\n{BROKEN_HEADER}: 1\r\n".encode()
 BLOCK = b"x" * 16384
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
 LENGTH_AND_BODY = b"Content-Length: 5\r\n\r\nhello"
+WHOLE = OK + b"Connection: close\r\n" + LENGTH_AND_BODY
 MISMATCHED = OK + b"Request-Id: another\r\nContent-Length: 99999999999\r\n\r\n"
 REFUSAL = f"HTTP/1.1 503 Full\r\n{BROKEN_HEADER}: 1\r\nNot-Executed: 1\r\n".encode()
 
@@ -42,13 +44,15 @@
 }
 
 # By name: the first bytes, and those repeated without end after them.
-ENDLESS = {
+ENDLESS_HEADS = {
     "not HTTP": (b"", b"\x00" * 16384),
     "status line": (b"HTTP/1.1 200 ", BLOCK),
     "header name": (OK, BLOCK),
     "header value": (OK + b"A: ", BLOCK),
     "headers": (OK, b"Aa: b\r\n" * 512),
     "interim responses": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 64),
+}
+ENDLESS_BODIES = {
     "chunk line": (CHUNKED + b"5;", BLOCK),
     "trailers": (CHUNKED + b"0\r\n", b"Aa: b\r\n" * 512),
     "chunks": (CHUNKED, b"4000\r\n" + BLOCK + b"\r\n"),
@@ -58,6 +62,34 @@
     "response to another request": (MISMATCHED, BLOCK),
     "refusal without a length": (REFUSAL + b"\r\n", BLOCK),
 }
+ENDLESS = {**ENDLESS_HEADS, **ENDLESS_BODIES}
+
+
+class Ending(Enum):
+    """What a target does to the connection after its response."""
+
+    NONE = "none"
+    CLOSE = "close"
+    RESET = "reset"
+
+
+@dataclass(frozen=True)
+class BrokenAnswer:
+    """The bytes of a response, then those in `repeated` without end."""
+
+    first: bytes
+    repeated: bytes = b""
+    ending: Ending = Ending.NONE
+
+    def send(self, connection: socket.socket) -> None:
+        """Send the response and end the connection; raise `OSError`."""
+        connection.sendall(self.first)
+        while self.repeated:
+            connection.sendall(self.repeated)
+        if self.ending is Ending.RESET:
+            reset(connection)
+        elif self.ending is Ending.CLOSE:
+            connection.shutdown(socket.SHUT_WR)
 
 
 def list_malformed() -> Mapping[str, bytes]:
@@ -85,16 +117,11 @@
     connection.close()
 
 
-def draw_answer(rng: random.Random) -> Iterable[bytes]:
-    """Draw a kind of broken response, then one of that kind, as parts to be sent."""
+def draw_answer(rng: random.Random) -> BrokenAnswer:
+    """Draw a kind of broken response, then one of that kind."""
     kind = rng.choice(("unframed", "malformed", "endless"))
     if kind == "unframed":
-        return [rng.choice(list(UNFRAMED.values()))]
+        return BrokenAnswer(rng.choice(list(UNFRAMED.values())), ending=Ending.RESET)
     if kind == "malformed":
-        return [rng.choice(list(list_malformed().values()))]
-    return repeat_without_end(*rng.choice(list(ENDLESS.values())))
-
-
-def repeat_without_end(first: bytes, repeated: bytes) -> Iterator[bytes]:
-    """Yield the first bytes, then the repeated ones for ever."""
-    return itertools.chain((first,), itertools.repeat(repeated))
+        return BrokenAnswer(rng.choice(list(list_malformed().values())))
+    return BrokenAnswer(*rng.choice(list(ENDLESS.values())))
--- a/tests/transport/web/test_endless.py
+++ b/tests/transport/web/test_endless.py
@@ -21,31 +21,13 @@
 from corianderhold.transport.web.connection import TargetRequest
 from corianderhold.transport.web.errors import TargetError
 from corianderhold.transport.web.target import TargetClient, TargetResponse
+from emulator.broken_answers import ENDLESS
 from tests.common.scripted_target import ScriptedTarget, take_request
 
 DEADLINE_S = 1.0
 WAIT_S = 20.0
 TOLERANCE_S = 1.0  # for the last part and the close on a loaded machine
 MEMORY_MAX_BYTES = 4 * 1024 * 1024
-BLOCK = b"x" * 16384
-OK = b"HTTP/1.1 200 OK\r\n"
-CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
-MISMATCHED = OK + b"Request-Id: another\r\nContent-Length: 99999999999\r\n\r\n"
-
-# By name: the first bytes, and those repeated without end after them.
-ENDLESS = {
-    "not HTTP": (b"", b"\x00" * 16384),
-    "status line": (b"HTTP/1.1 200 ", BLOCK),
-    "header value": (OK + b"A: ", BLOCK),
-    "headers": (OK, b"Aa: b\r\n" * 512),
-    "interim responses": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 64),
-    "chunk line": (CHUNKED + b"5;", BLOCK),
-    "trailers": (CHUNKED + b"0\r\n", b"Aa: b\r\n" * 512),
-    "chunks": (CHUNKED, b"4000\r\n" + BLOCK + b"\r\n"),
-    "body without a length": (OK + b"\r\n", BLOCK),
-    "longest body": (OK + b"Content-Length: 999999999999999\r\n\r\n", BLOCK),
-    "response to another request": (MISMATCHED, BLOCK),
-}
 
 
 class EndlessTests(TestCase):
--- a/tests/transport/web/test_target.py
+++ b/tests/transport/web/test_target.py
@@ -20,7 +20,7 @@
 from corianderhold.transport.web.const import HEADER_BYTES_MAX
 from corianderhold.transport.web.errors import TargetError
 from corianderhold.transport.web.target import TargetClient, TargetResponse
-from emulator.broken_answers import reset
+from emulator.broken_answers import MALFORMED_FIELDS, list_malformed, reset
 from tests.common.clock import FakeClock
 from tests.common.scripted_target import (
     Script,
@@ -121,6 +121,31 @@
             with self.subTest(name):
                 self.assertEqual(self.find_refusal_reason(), Reason.ANSWER_TRUNCATED)
 
+    def test_malformed_heads_are_never_responses(self) -> None:
+        malformed = list_malformed()
+        self.start(
+            *(close_after(data, socket.socket.close) for data in malformed.values())
+        )
+        for name in malformed:
+            with self.subTest(name):
+                outcome = self.begin()
+                self.assertIs(outcome.unwrap_err().reason, Reason.ANSWER_TRUNCATED)
+
+    def test_malformed_trailer_lines_are_dropped(self) -> None:
+        lines = [line for line in MALFORMED_FIELDS.values() if b"\n" not in line]
+        body = OK + CHUNKED + b"5\r\nhello\r\n0\r\n"
+        self.start(
+            *(
+                close_after(body + line + b"\r\n\r\n", socket.socket.close)
+                for line in lines
+            )
+        )
+        for line in lines:
+            with self.subTest(line):
+                response = self.begin().unwrap()
+                self.assertEqual(b"".join(response.chunks), b"hello")
+                self.assertNotIn("bad", str(response.headers).lower())
+
     def test_response_that_ends_within_its_head_is_never_complete(self) -> None:
         heads = (
             OK + b"X-Request-Id: r1\r\nContent-Length: 5\r\n\r\n",
