--- a/corianderhold/transport/store/held.py
+++ b/corianderhold/transport/store/held.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from typing import Any
 
+from urllib3 import HTTPResponse
 from urllib3.connection import HTTPConnection
 
 
@@ -50,13 +51,34 @@
 
 
 class TrackedConnection(HTTPConnection):
-    """Attach itself to the held read that it is used for."""
+    """Attach itself to the held read that it is used for, and remember a reset."""
 
     def __init__(self, *args: Any, held: HeldReads, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self._held = held
+        self._reset: ConnectionResetError | None = None
 
     def request(self, *args: Any, **kwargs: Any) -> None:
         """Send a request, which can be interrupted if it is a held read."""
-        super().request(*args, **kwargs)
+        try:
+            super().request(*args, **kwargs)
+        except ConnectionResetError as error:
+            # The pool reads the response even so, and the kernel reports a reset only
+            # once: the response would end like one after an orderly close.
+            self._reset = error
+            raise
         self._held.attach(self)
+
+    def getresponse(self) -> HTTPResponse:  # type: ignore[override]
+        """
+        Return the response to the request.
+
+        Raise `ConnectionResetError` if the connection was reset during the request and
+        only its end would be the end of the response.
+        """
+        response = super().getresponse()
+        reset, self._reset = self._reset, None
+        if reset is None or response.chunked or response.length_remaining is not None:
+            return response
+        response.close()
+        raise reset
