--- a/corianderhold/transport/web/connection.py
+++ b/corianderhold/transport/web/connection.py
@@ -15,13 +15,14 @@
 from corianderhold.transport.web.response_reader import ResponseReader
 
 CONTROL_CHARACTERS = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+SocketOptions = list[tuple[int, int, int | bytes]]
 METHODS_WITH_BODY = frozenset({"PATCH", "POST", "PUT"})
 
 
 @dataclass(frozen=True)
 class TargetRequest:
     """
-    One request to the target; `deadline_at` is on the monotonic clock.
+    One request; `deadline_at` is on the monotonic clock.
 
     `request_id` is the id that the response must repeat if it has one, None for any.
     """
@@ -40,9 +41,16 @@
     Send requests and receive bytes; used by one thread at a time.
 
     The socket is non-blocking, so each wait is a single poll that ends by its deadline.
+    The store's client uses such connections as well, with its own options.
     """
 
-    def __init__(self, address: Address, clock: Clock) -> None:
+    def __init__(
+        self,
+        address: Address,
+        clock: Clock,
+        connect_timeout_s: float = TARGET_CONNECT_TIMEOUT_S,
+        socket_options: SocketOptions = HTTPConnection.default_socket_options,
+    ) -> None:
         self.address = address
         self.expires_at = float("inf")
         self.has_sent = False
@@ -52,7 +60,10 @@
         self.reader = ResponseReader(self.receive)
         self._clock = clock
         self._http = HTTPConnection(
-            address.host, address.port, timeout=TARGET_CONNECT_TIMEOUT_S
+            address.host,
+            address.port,
+            timeout=connect_timeout_s,
+            socket_options=socket_options,
         )
         self._readable = select.poll()
 
--- a/emulator/broken_answers.py
+++ b/emulator/broken_answers.py
@@ -51,6 +51,7 @@
     "header value": (OK + b"A: ", BLOCK),
     "headers": (OK, b"Aa: b\r\n" * 512),
     "interim responses": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 64),
+    "continuations": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 64),
 }
 ENDLESS_BODIES = {
     "chunk line": (CHUNKED + b"5;", BLOCK),
