--- a/corianderhold/cli/client.py
+++ b/corianderhold/cli/client.py
@@ -8,10 +8,16 @@
 from typing import Any
 
 from result import Err, Ok, Result
-from urllib3 import PoolManager, Timeout
-from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+from urllib3 import BaseHTTPResponse, PoolManager, Timeout
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+    ProtocolError,
+)
 
 from corianderhold.cli.const import (
+    ANSWER_BYTES_MAX,
     ANSWER_TIMEOUT_S,
     CONNECT_TIMEOUT_S,
     EXIT_CODES,
@@ -62,9 +68,13 @@
         data = None if body is None else json.dumps(body).encode()
         try:
             response = self._pool.request(
-                method, self._url + path, body=data, headers=self._headers
+                method,
+                self._url + path,
+                body=data,
+                headers=self._headers,
+                preload_content=False,
             )
-            value = json.loads(response.data)
+            value = json.loads(read_bounded(response))
         except (NewConnectionError, ConnectTimeoutError) as error:
             return Err(CallFailure(False, str(error)))
         except (HTTPError, ValueError) as error:
@@ -79,6 +89,17 @@
         return Ok(Reply(response.status, value))
 
 
+def read_bounded(response: BaseHTTPResponse) -> bytes:
+    """Return the body; raise `HTTPError`, also for over ANSWER_BYTES_MAX bytes."""
+    try:
+        data = response.read(ANSWER_BYTES_MAX + 1)
+    finally:
+        response.close()
+    if len(data) > ANSWER_BYTES_MAX:
+        raise ProtocolError(f"response exceeds {ANSWER_BYTES_MAX} bytes")
+    return data
+
+
 def open_client(url: str, token_file: Path | None) -> AdminClient:
     """
     Return a client with the token from the file or the environment.
