--- a/emulator/broken_answers.py
+++ b/emulator/broken_answers.py
@@ -3,6 +3,7 @@
 import random
 import socket
 import struct
+import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
@@ -10,6 +11,7 @@
 BROKEN_HEADER = "X-Emulator-Broken"
 OK = f"HTTP/1.1 200 OK\r\n{BROKEN_HEADER}: 1\r\n".encode()
 BLOCK = b"x" * 16384
+DRAWN_PAUSE_S = 0.01  # so that callers that keep all they receive can be used
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
 LENGTH_AND_BODY = b"Content-Length: 5\r\n\r\nhello"
 WHOLE = OK + b"Connection: close\r\n" + LENGTH_AND_BODY
@@ -76,17 +78,19 @@
 
 @dataclass(frozen=True)
 class BrokenAnswer:
-    """The bytes of a response, then those in `repeated` without end."""
+    """The bytes of a response, then those in `repeated` without end, with pauses."""
 
     first: bytes
     repeated: bytes = b""
     ending: Ending = Ending.NONE
+    pause_s: float = 0.0
 
     def send(self, connection: socket.socket) -> None:
         """Send the response and end the connection; raise `OSError`."""
         connection.sendall(self.first)
         while self.repeated:
             connection.sendall(self.repeated)
+            time.sleep(self.pause_s)
         if self.ending is Ending.RESET:
             reset(connection)
         elif self.ending is Ending.CLOSE:
@@ -125,4 +129,5 @@
         return BrokenAnswer(rng.choice(list(UNFRAMED.values())), ending=Ending.RESET)
     if kind == "malformed":
         return BrokenAnswer(rng.choice(list(list_malformed().values())))
-    return BrokenAnswer(*rng.choice(list(ENDLESS.values())))
+    first, repeated = rng.choice(list(ENDLESS.values()))
+    return BrokenAnswer(first, repeated, pause_s=DRAWN_PAUSE_S)
--- a/measurements/endurance/events.py
+++ b/measurements/endurance/events.py
@@ -4,15 +4,19 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
 
 from corianderhold.ids import KeyId
 from corianderhold.state.configuration.model import ApiKey, Service
 from corianderhold.state.configuration.records import Delta
+from emulator.broken_answers import BROKEN_HEADER, draw_answer
+from emulator.broken_target import BrokenTarget
 from emulator.sample import BROADCASTER_KEY, CATALOGUE, build_change
 from emulator.slow_reader import SlowReader
 from measurements.endurance.checks import Span
 from tests.common.fleet import Fleet, RequestPlan
+from tests.common.web import Outcome
 
 FAULT_S = 2.5
 FREEZE_S = 5.0
@@ -27,6 +31,9 @@
 READ_BEFORE_STOP_MAX_S = 1.0
 DRAIN_SLACK_S = 1.0  # time for the drain to reach the target's owner
 LIMITS = (8, 16, 32)
+UPLOAD_PATH = "/catalogue/ingest"
+UPLOAD = b"u" * (4 * 1024 * 1024)
+UPLOADERS = 4
 DEADLY_PATH = "/catalogue/search?crash=1&work_ms=5"
 DEADLY_PAUSE_S = 0.1
 
@@ -46,6 +53,7 @@
         self.counts: Counter[str] = Counter()
         self.runs_after_drain = 0
         self.cut_answers = 0
+        self.broken_answers = 0
         self.crashes_max = 0
         self._deadly_requests = 0
         self._kinds: dict[str, Callable[[str], None]] = {
@@ -56,6 +64,7 @@
             "drain": self._drain_target,
             "forgotten_drain": self._drain_and_kill,
             "slow_stop": self._stop_beside_slow_readers,
+            "broken_answers": self._break_answers,
             "deadly": lambda _: self._send_deadly(),
             "store_down": lambda _: self._fail_store("down", True, False),
             "store_slow": lambda _: self._fail_store("delay_ms", SLOW_STORE_MS, 0),
@@ -115,6 +124,32 @@
         crashes = self._fleet.restart_crashed_targets(saved)
         self.crashes_max = max(self.crashes_max, crashes)
 
+    def _break_answers(self, instance: str) -> None:
+        """Let a broken target take a target's place; count what appears complete."""
+        self._fleet.kill_target(instance)
+        outgoing = self._fleet.members[instance].get_address("outgoing")
+        target = BrokenTarget(outgoing, CATALOGUE, draw_answer(self._random))
+        target.start()
+        entries = [instance, self._random.choice(list(self._fleet.members))]
+        until = time.monotonic() + FAULT_S
+        with ThreadPoolExecutor(UPLOADERS) as uploaders:
+            while time.monotonic() < until:
+                uploads = [
+                    uploaders.submit(self._upload, entry)
+                    for entry in entries * (UPLOADERS // len(entries))
+                ]
+                for upload in uploads:
+                    outcome = upload.result()
+                    is_broken = BROKEN_HEADER in outcome.headers
+                    self.broken_answers += outcome.complete and is_broken
+                target.answer = draw_answer(self._random)
+        target.stop()
+        self._fleet.start_target(instance)
+
+    def _upload(self, entry: str) -> Outcome:
+        plan = RequestPlan(UPLOAD_PATH, BROADCASTER_KEY, "POST", body=UPLOAD)
+        return self._fleet.send(entry, plan)
+
     def _drain_target(self, instance: str) -> None:
         self._fleet.drain_target(instance)
         bound = time.time() + DRAIN_SLACK_S
--- a/measurements/soak.py
+++ b/measurements/soak.py
@@ -62,6 +62,7 @@
     Target("crossed_answers", highest=0),
     Target("runs_after_drain", highest=0),
     Target("cut_answers", highest=0),
+    Target("broken_answers", highest=0),
     Target("crashes_max", highest=3),
     Target("recovery_s", highest=15.0),
 ]
@@ -111,6 +112,7 @@
         **count_breaches(traffic.sent, fleet.count_runs(), bounds),
         "runs_after_drain": float(events.runs_after_drain),
         "cut_answers": float(events.cut_answers),
+        "broken_answers": float(events.broken_answers),
         "crashes_max": float(events.crashes_max),
         "recovery_s": recovery_s,
         **count_outcomes(traffic.sent, events.withdrawn),
--- a/tests/common/web.py
+++ b/tests/common/web.py
@@ -7,6 +7,7 @@
 import urllib3
 
 ANSWER_TIMEOUT_S = 20.0
+READ_BYTES = 65536
 
 
 @dataclass(frozen=True)
@@ -65,7 +66,8 @@
     except urllib3.exceptions.HTTPError as error:
         return Outcome(0, error=repr(error))
     try:
-        data = answer.read()
+        # A read of the whole would allocate whatever length the response states.
+        data = b"".join(answer.stream(READ_BYTES))
     except urllib3.exceptions.HTTPError as error:
         return Outcome(answer.status, answer.headers, error=repr(error))
     finally:
--- a/tests/failures/test_broken_answers.py
+++ b/tests/failures/test_broken_answers.py
@@ -40,6 +40,7 @@
 HEALTHY = "/rights/lookup"
 UPLOAD_BYTES = 64 * 1024 * 1024  # more than the buffers of all sockets on the way
 BLOCK = b"a" * 65536
+EARLY = b"HTTP/1.1 413 Too Large\r\nContent-Length: 5\r\n\r\nhello"
 STALL_S = 3.0  # of a caller; the deadline of its route is 2 s
 STALLED_S = 0.5  # without any progress of an upload
 # The smallest stated bound on a daemon's memory, 64 MB, less what it needs at rest.
@@ -190,6 +191,25 @@
                         body = b"" if first.endswith(b"\r\n\r\n") else b"hello"
                         self.assertEqual(received.partition(b"\r\n\r\n")[2], body)
 
+    def test_early_response_with_a_length_stays_whole(self) -> None:
+        self.check_early_response(OWNER)
+
+    def test_early_response_with_a_length_stays_whole_through_another_daemon(
+        self,
+    ) -> None:
+        self.check_early_response(ENTRY)
+
+    def check_early_response(self, entry: str) -> None:
+        """Check a response that the target sends at once, before it reads the rest."""
+        address = self.fleet.members[entry].get_address("caller")
+        with self.replace_target(BrokenAnswer(EARLY)):
+            upload = Upload(address, f"early-{entry}", chunked=False)
+            upload.start()
+            upload.join(WAIT_LIMIT_S)
+        self.assertLess(upload.sent_bytes, UPLOAD_BYTES)
+        self.assertRegex(upload.received, rb"^HTTP/1.1 413 ")
+        self.assertTrue(upload.received.endswith(b"\r\n\r\nhello"))
+
     def test_malformed_head_is_never_a_response(self) -> None:
         with self.replace_target(BrokenAnswer(b"")) as target:
             for name, first in list_malformed().items():
