--- a/tests/transport/web/test_target.py
+++ b/tests/transport/web/test_target.py
@@ -133,7 +133,7 @@
 
     def test_malformed_trailer_lines_are_dropped(self) -> None:
         lines = [line for line in MALFORMED_FIELDS.values() if b"\n" not in line]
-        body = OK + CHUNKED + b"5\r\nhello\r\n0\r\n"
+        body = OK + b"Connection: close\r\n" + CHUNKED + b"5\r\nhello\r\n0\r\n"
         self.start(
             *(
                 close_after(body + line + b"\r\n\r\n", socket.socket.close)
