--- a/corianderhold/bootstrap.py
+++ b/corianderhold/bootstrap.py
@@ -27,6 +27,7 @@
 from corianderhold.coordination.lease.locator import HolderLocator
 from corianderhold.coordination.lease.manager import LeaseManager
 from corianderhold.coordination.lease.ranking import MemberFilter
+from corianderhold.coordination.membership.health_check import TargetHealthCheck
 from corianderhold.coordination.membership.service import (
     MembershipService,
     MembershipSettings,
@@ -124,6 +125,7 @@
         )
         self._metrics.add_gauge("store_era", self._log.read_era)
         self._membership = self._build_membership()
+        self._holder.add_listener(self._membership.handle_configuration)
         self._follower = self._build_follower()
         self._follower.replica.add_era_listener(self._membership.handle_restored_store)
         self._sender = PeerSender(self._pool, self._clock)
@@ -387,6 +389,7 @@
             self._control,
             self._metrics,
             self._meter,
+            TargetHealthCheck(self._holder, self._clock, self._header_names),
         )
 
     def _build_follower(self) -> ConfigurationFollower:
--- a/corianderhold/coordination/membership/const.py
+++ b/corianderhold/coordination/membership/const.py
@@ -96,6 +96,8 @@
 RECALL_INTERVAL_S = 0.5
 RECALL_LIMIT_S = 5.0
 RECALL_PERIOD_S = 15.0
+HEALTH_CHECK_TIMEOUT_S = 1.0
+TIMELY_HEARTBEAT_S = 2.0  # after a start, an interval of heartbeats and some delay
 
 # Service
 FORGET_INTERVAL_S = 10.0
--- a/corianderhold/coordination/membership/departures.py
+++ b/corianderhold/coordination/membership/departures.py
@@ -3,6 +3,7 @@
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
 from hashlib import blake2b
 
 from result import Err
@@ -74,26 +75,50 @@
         return enough and (self.is_far or not self.needs_far)
 
 
+class DepartureKnowledge(Enum):
+    """
+    What a start knows of the departures that earlier starts have acknowledged.
+
+    With PARTIAL, it knows those that the log or a running daemon has, but others may
+    have been kept only by daemons that have been restarted since. With COMPLETE, there
+    are no others. With EXPIRED, a heartbeat sent before this start would have arrived.
+    """
+
+    NONE = "none"
+    PARTIAL = "partial"
+    COMPLETE = "complete"
+    EXPIRED = "expired"
+
+
+FINAL_KNOWLEDGE = (DepartureKnowledge.COMPLETE, DepartureKnowledge.EXPIRED)
+
+
 @dataclass
 class Recall:
-    """What peers have replied to this start of the daemon."""
+    """
+    What peers have replied to this start of the daemon.
+
+    `settled` are the peers that were running RECALL_LIMIT_S before it: they have what
+    they were sent for an earlier start.
+    """
 
     attempts: dict[InstanceId, int] = field(default_factory=dict)
     replied: set[InstanceId] = field(default_factory=set)
-    has_settled_reply: bool = False
+    settled: set[InstanceId] = field(default_factory=set)
     is_synchronized: bool = False
     is_log_read: bool = False
     names_others: bool = False
+    is_first_start: bool = False
 
 
 class DepartureReplicator:
     """
     Copy departures to a few peers, and ask peers for them after a start.
 
-    A departure outlives this daemon once a peer or the log has it. Until this start
-    knows what an earlier one may have recorded, `on_recalled` is not called; it is
-    called after RECALL_LIMIT_S in any case, as a domain that is cut off must serve.
-    Any thread may call.
+    A departure outlives this daemon once a peer or the log has it. `on_recalled` is
+    called whenever this start knows more of what earlier ones have recorded; after
+    RECALL_LIMIT_S in any case, as a domain that is cut off must serve. Any thread may
+    call.
     """
 
     def __init__(
@@ -105,7 +130,7 @@
         clock: Clock,
         metrics: Metrics,
         on_departure: Callable[[Departure], None],
-        on_recalled: Callable[[], None],
+        on_recalled: Callable[[DepartureKnowledge], None],
     ) -> None:
         self._instance = instance
         self._domain = domain
@@ -119,7 +144,7 @@
         self._changed = threading.Condition()
         self._replications: dict[Departure, Replication] = {}
         self._recall = Recall()
-        self._is_recalled = False
+        self._knowledge = DepartureKnowledge.NONE
         self._started_at = clock.read_monotonic()
         self._recall_due = threading.Event()
         self._stopped = threading.Event()
@@ -129,8 +154,13 @@
 
     @property
     def is_recalled(self) -> bool:
-        """Return whether this start knows what an earlier one may have recorded."""
-        return self._is_recalled
+        """Return whether this start knows what the log and its peers have."""
+        return self._knowledge is not DepartureKnowledge.NONE
+
+    @property
+    def knowledge(self) -> DepartureKnowledge:
+        """Return what this start knows of departures before it."""
+        return self._knowledge
 
     def start(self) -> None:
         """Start to ask peers for the departures of an earlier start."""
@@ -184,14 +214,17 @@
         """Record the outcome of an attempt to append a departure to the log."""
         self._record_outcome(departure, STORE, held=succeeded, is_far=True)
 
-    def record_log_read(self, names_others: bool) -> None:
+    def record_log_read(self, names_others: bool, is_first_start: bool = False) -> None:
         """
         Record that the departures in the log are known.
 
-        `names_others` is whether the log names other members.
+        `names_others` is whether the log names other members, `is_first_start` whether
+        it shows that this daemon has not been started before.
         """
         recall = self._recall
         recall.names_others = recall.names_others or names_others
+        if not recall.is_log_read:
+            recall.is_first_start = is_first_start
         recall.is_log_read = True
         self._recall_due.set()
 
@@ -203,7 +236,7 @@
 
     def handle_member(self, member: Member) -> None:
         """Ask a peer that has been found."""
-        if not self._is_recalled and member.state is MemberState.ALIVE:
+        if not self.is_recalled and member.state is MemberState.ALIVE:
             self._recall_due.set()
 
     def handle_control(self, sender: ControlSender, body: bytes) -> bytes:
@@ -256,7 +289,11 @@
             log_warning("departure_malformed", peer=peer.instance, error=str(error))
             return ControlFailure.REJECTED
 
-    def _choose_peers(self, per_distance: int) -> list[Member]:
+    def _choose_peers(
+        self,
+        per_distance: int,
+        states: tuple[MemberState, ...] = (MemberState.ALIVE,),
+    ) -> list[Member]:
         """
         Return the best ranked peers of the own failure domain and of others.
 
@@ -267,8 +304,7 @@
             (
                 member
                 for member in self._list_members()
-                if member.instance != self._instance
-                and member.state is MemberState.ALIVE
+                if member.instance != self._instance and member.state in states
             ),
             key=lambda member: hash_pair(self._instance, member.instance),
         )
@@ -311,15 +347,21 @@
             thread.start()
         for thread in threads:
             thread.join(DEPARTURE_REQUEST_TIMEOUT_S)
-        if not self._is_recalled and self._knows_departures(peers, lists_all):
-            log_event(
-                "departures_known",
-                peers=len(recall.replied),
-                log_read=recall.is_log_read,
-                seconds=self._clock.read_monotonic() - self._started_at,
-            )
-            self._on_recalled()
-            self._is_recalled = True
+        self._improve_knowledge(self._find_knowledge(peers, lists_all))
+
+    def _improve_knowledge(self, knowledge: DepartureKnowledge) -> None:
+        known = self._knowledge
+        if knowledge in (known, DepartureKnowledge.NONE) or known in FINAL_KNOWLEDGE:
+            return
+        log_event(
+            "departures_known",
+            peers=len(self._recall.replied),
+            log_read=self._recall.is_log_read,
+            knowledge=knowledge.value,
+            seconds=self._clock.read_monotonic() - self._started_at,
+        )
+        self._on_recalled(knowledge)
+        self._knowledge = knowledge
 
     def _ask(self, peer: Member) -> None:
         recall = self._recall
@@ -328,29 +370,48 @@
         if isinstance(reply, DepartureReply):
             for departure in reply.departures:
                 self._on_departure(departure)
-            if reply.uptime_s >= RECALL_LIMIT_S:
-                recall.has_settled_reply = True
+            elapsed_s = self._clock.read_monotonic() - self._started_at
+            if reply.uptime_s - elapsed_s >= RECALL_LIMIT_S:
+                recall.settled.add(peer.instance)
         if isinstance(reply, DepartureReply) or reply is ControlFailure.REJECTED:
             recall.replied.add(peer.instance)
 
-    def _knows_departures(self, peers: list[Member], lists_all: bool) -> bool:
+    def _find_knowledge(
+        self, peers: list[Member], lists_all: bool
+    ) -> DepartureKnowledge:
         """
-        Return whether enough is known to believe a heartbeat of the target.
+        Return what is known once the chosen peers have been asked.
 
-        Peers that have just started as well know nothing, so that only the log tells
-        that there was no departure. As long as only a few members are known, those that
-        keep a departure may be missing.
+        As long as only a few members are known, those that keep a departure may be
+        missing.
         """
         recall = self._recall
         if self._clock.read_monotonic() - self._started_at >= RECALL_LIMIT_S:
-            return True
+            return DepartureKnowledge.EXPIRED
         if not peers:
-            return recall.is_log_read and not recall.names_others
+            is_alone = recall.is_log_read and not recall.names_others
+            return DepartureKnowledge.COMPLETE if is_alone else DepartureKnowledge.NONE
         is_asked = all(peer.instance in recall.attempts for peer in peers)
-        if not is_asked or not lists_all:
-            return False
         has_reply = any(peer.instance in recall.replied for peer in peers)
-        return has_reply and (recall.is_log_read or recall.has_settled_reply)
+        if not (is_asked and lists_all and has_reply):
+            return DepartureKnowledge.NONE
+        if not recall.is_log_read and not recall.settled:
+            return DepartureKnowledge.NONE
+        is_first_start = recall.is_log_read and recall.is_first_start
+        if is_first_start or self._are_holders_settled(peers):
+            return DepartureKnowledge.COMPLETE
+        return DepartureKnowledge.PARTIAL
+
+    def _are_holders_settled(self, peers: list[Member]) -> bool:
+        """
+        Return whether all that may keep a departure have been running all along.
+
+        The log does not tell: it lacks what could not be appended.
+        """
+        states = (MemberState.ALIVE, MemberState.SUSPECT, MemberState.DEAD)
+        holders = self._choose_peers(HOLDERS_PER_DISTANCE, states)
+        names = {peer.instance for peer in (*peers, *holders)}
+        return names <= self._recall.settled
 
 
 def hash_pair(instance: InstanceId, peer: InstanceId) -> bytes:
--- a/corianderhold/coordination/membership/messages.py
+++ b/corianderhold/coordination/membership/messages.py
@@ -22,12 +22,14 @@
     Contacts read from the log, for the thread that owns the table.
 
     `outranking` is the highest incarnation of an earlier start of this instance in the
-    log, or None. `names_others` is whether the log names members besides this one.
+    log, or None. `names_others` is whether the log names members besides this one,
+    `is_first_start` whether its whole history has no earlier start of this instance.
     """
 
     contacts: tuple[Contact, ...]
     outranking: Incarnation | None = None
     names_others: bool = False
+    is_first_start: bool = False
 
 
 @dataclass(frozen=True)
--- a/corianderhold/coordination/membership/service.py
+++ b/corianderhold/coordination/membership/service.py
@@ -15,7 +15,10 @@
     STOP_TIMEOUT_S,
     TICK_S,
 )
-from corianderhold.coordination.membership.departures import DepartureReplicator
+from corianderhold.coordination.membership.departures import (
+    DepartureKnowledge,
+    DepartureReplicator,
+)
 from corianderhold.coordination.membership.errors import (
     AnnouncementTooLargeError,
     DepartureUnconfirmedError,
@@ -38,6 +41,10 @@
 from corianderhold.coordination.membership.swim import Swim
 from corianderhold.coordination.membership.sync import answer_request
 from corianderhold.coordination.membership.synchronizer import Synchronizer
+from corianderhold.coordination.membership.verification import (
+    HealthCheck,
+    TargetVerifier,
+)
 from corianderhold.ids import (
     FailureDomainId,
     Incarnation,
@@ -56,6 +63,7 @@
 )
 from corianderhold.protocol.peer.control import ControlClient, ControlSender
 from corianderhold.protocol.store.model import AppendOnlyLog
+from corianderhold.state.configuration.model import Configuration
 from corianderhold.state.membership.const import TARGET_TTL_S
 from corianderhold.state.membership.model import (
     Address,
@@ -138,12 +146,18 @@
         control: ControlClient,
         metrics: Metrics,
         meter: TrafficMeter | None = None,
+        health: HealthCheck | None = None,
     ) -> None:
         self._settings = settings
         self._meter = meter
         self._clock = clock
         self._metrics = metrics
         self._target = LocalTarget(clock, settings.target_ttl_s, is_open=False)
+        self._verifier = (
+            None
+            if health is None
+            else TargetVerifier(health, clock, self._open_verified)
+        )
         self._announced = self._target.read()
         self._departure: Departure | None = None
         self._endpoint = DatagramEndpoint(settings.gossip_address)
@@ -165,7 +179,7 @@
             clock,
             metrics,
             self._recall_departure,
-            self._open_target,
+            self._trust_heartbeats,
         )
         self._synchronizer = Synchronizer(
             self._own,
@@ -201,6 +215,8 @@
         self._swim.resume(self._clock.read_monotonic())
         self._thread.start()
         self._synchronizer.start()
+        if self._verifier is not None:
+            self._verifier.start()
         self.departures.start()
         log_event(
             "membership_started",
@@ -282,6 +298,8 @@
         """
         check_size(replace(self._own, service=announcement.service))
         self._target.announce(announcement)
+        if self._verifier and self._target.needs_verification(announcement):
+            self._verifier.handle_heartbeat(announcement)
         departure = None
         if announcement.draining and announcement.target_id is not None:
             started = announcement.started
@@ -332,6 +350,11 @@
         """
         return self._target.read()
 
+    def handle_configuration(self, configuration: Configuration) -> None:
+        """Check the target if the configuration has come after its heartbeat."""
+        if self._verifier is not None and configuration.health_paths:
+            self._verifier.check_due()
+
     def handle_restored_store(self, era: StoreEra) -> None:
         """Announce this daemon and its target's departure in the log again."""
         self._synchronizer.send(StoreRestored(era))
@@ -386,9 +409,22 @@
         )
         self._target.restore(departure)
 
-    def _open_target(self) -> None:
-        """Believe the heartbeats of the target, as earlier departures are known."""
-        self._target.open()
+    def _trust_heartbeats(self, knowledge: DepartureKnowledge) -> None:
+        """Believe as many heartbeats of the target as is known of its departures."""
+        match knowledge:
+            case DepartureKnowledge.PARTIAL:
+                self._target.open_to_verified()
+            case DepartureKnowledge.COMPLETE:
+                self._target.open()
+            case DepartureKnowledge.EXPIRED:
+                self._target.open_to_later()
+        if self._verifier is not None:
+            in_doubt = knowledge is DepartureKnowledge.PARTIAL
+            (self._verifier.begin if in_doubt else self._verifier.end)()
+        self._notify_target_listeners()
+
+    def _open_verified(self, announcement: TargetAnnouncement) -> None:
+        self._target.verify(announcement)
         self._notify_target_listeners()
 
     def _post(self, message: TableMessage) -> None:
@@ -432,11 +468,11 @@
                 self._swim.merge_records(records, now_s)
             case MembersSynchronized():
                 self._is_synchronized = True
-            case ContactsFound(contacts, outranking, names_others):
+            case ContactsFound(contacts, outranking, names_others, is_first_start):
                 if outranking is not None:
                     self._swim.supersede_incarnation(outranking, now_s)
                 self._swim.replace_contacts(contacts, now_s)
-                self.departures.record_log_read(names_others)
+                self.departures.record_log_read(names_others, is_first_start)
             case DepartureFound(departure):
                 self._restore_departure(departure)
             case LeaveRequested():
--- a/corianderhold/coordination/membership/stream.py
+++ b/corianderhold/coordination/membership/stream.py
@@ -42,13 +42,14 @@
     """
     Read the tail of the stream, at most LOG_TAIL_RECORDS at a time.
 
-    `era` is the era of the store in which the stream was read last. The records only
-    give addresses to contact. They may be outdated, so they never enter the member
-    table.
+    `era` is the era of the store in which the stream was read last. `is_complete` is
+    whether all records since the store's first one were read. The records only give
+    addresses to contact. They may be outdated, so they never enter the member table.
     """
 
     def __init__(self, log: AppendOnlyLog) -> None:
         self.era = FIRST_ERA
+        self.is_complete = True
         self._log = log
         self._next_offset = Offset(0)
         self._logged: dict[InstanceId, tuple[Offset, Member]] = {}
@@ -90,6 +91,7 @@
                 next_offset - self._next_offset
             ):
                 page = self._read_page(tail)
+                self.is_complete = False
         if page.is_err():
             return Err(page.unwrap_err())
         self._apply_page(page.unwrap())
@@ -152,6 +154,8 @@
         return page.era > self.era or page.next_offset < self._next_offset
 
     def _apply_page(self, page: LogPage) -> None:
+        if page.first_offset > 0 or page.era > FIRST_ERA:
+            self.is_complete = False
         for record in page.records:
             self._apply_record(record)
             self._next_offset = Offset(record.offset + 1)
--- a/corianderhold/coordination/membership/synchronizer.py
+++ b/corianderhold/coordination/membership/synchronizer.py
@@ -308,7 +308,8 @@
         self._restore_departure()
         contacts = self._stream.list_contacts()
         names_others = self._stream.names_others(self._own.instance)
-        self._post(ContactsFound(contacts, outranking, names_others))
+        is_first_start = self._stream.is_complete and not is_other
+        self._post(ContactsFound(contacts, outranking, names_others, is_first_start))
         return True
 
     def _restore_departure(self) -> None:
--- a/corianderhold/protocol/headers.py
+++ b/corianderhold/protocol/headers.py
@@ -67,7 +67,8 @@
     to the entry. A target that is not the one named in `expected_target` refuses the
     request with 421; a target that has not run a request indicates it with `not_run`.
     A target names in `rate_limit` how many calls per second it accepts from all daemons
-    together, and sets `leaving` to 1 when it leaves.
+    together, and sets `leaving` to 1 when it leaves. It names its id in `target_id` in
+    its answer to a health check; None if targets answer none.
     `importance` and `context` are None if targets do not support them; they are not
     sent then. `idempotency_key` is None if callers send none; no leases are held for
     idempotency keys then.
@@ -83,4 +84,5 @@
     not_run: str = HEADER_NOT_RUN
     rate_limit: str = HEADER_RATE_LIMIT
     leaving: str = HEADER_LEAVING
+    target_id: str | None = None
     idempotency_key: str | None = HEADER_IDEMPOTENCY_KEY
--- a/corianderhold/state/configuration/codec.py
+++ b/corianderhold/state/configuration/codec.py
@@ -1,14 +1,15 @@
 """Encode and decode configurations and the records of their stream."""
 
 import json
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
 from enum import Enum
 from zlib import crc32
 
 from result import Err, Ok, Result
 from voluptuous import Invalid
 
-from corianderhold.ids import ChangeId, Offset, Version
+from corianderhold.ids import ChangeId, Offset, ServiceName, Version
 from corianderhold.state.configuration.const import RECORD_FORMAT
 from corianderhold.state.configuration.entities import (
     JsonObject,
@@ -32,12 +33,14 @@
     DRAFT_SCHEMA,
     ENVELOPE_SCHEMA,
     EVACUATION_SCHEMA,
+    HEALTH_PATH_PATTERN,
     SNAPSHOT_SCHEMA,
 )
 
 CHANGE_KIND = "change"
 SNAPSHOT_KIND = "snapshot"
 EVACUATION_KIND = "evacuation"
+HEALTH_PATHS = "health_paths"  # of the envelope
 
 MAX_DETAIL_LENGTH = 200
 DECODE_ERRORS = (ValueError, RecursionError, Invalid)
@@ -60,9 +63,13 @@
     detail: str
 
 
-def _add_checksum(kind: str, body: JsonObject) -> str:
-    """Return the text of a record: its CRC-32 in hex, a space and its JSON."""
-    text = dump_json({"format": RECORD_FORMAT, "kind": kind, "body": body})
+def _add_checksum(kind: str, body: JsonObject, **extra: object) -> str:
+    """
+    Return the text of a record: its CRC-32 in hex, a space and its JSON.
+
+    Releases that do not know a field of `extra` ignore it.
+    """
+    text = dump_json({"format": RECORD_FORMAT, "kind": kind, "body": body, **extra})
     return f"{crc32(text.encode()):08x} {text}"
 
 
@@ -105,7 +112,9 @@
     }
     if snapshot.keeps_evacuations:
         body["keeps_evacuations"] = True
-    return _add_checksum(SNAPSHOT_KIND, body)
+    health_paths = snapshot.configuration.health_paths
+    extra = {HEALTH_PATHS: dict(health_paths)} if health_paths else {}
+    return _add_checksum(SNAPSHOT_KIND, body, **extra)
 
 
 def encode_evacuation(evacuation: EvacuationRecord) -> str:
@@ -130,9 +139,12 @@
     )
 
 
-def _snapshot_from_json(value: JsonObject) -> SnapshotRecord:
+def _snapshot_from_json(
+    value: JsonObject, health_paths: Mapping[ServiceName, str]
+) -> SnapshotRecord:
+    configuration = configuration_from_json(value["configuration"])
     return SnapshotRecord(
-        configuration=configuration_from_json(value["configuration"]),
+        configuration=replace(configuration, health_paths=health_paths),
         folded_to=Offset(value["folded_to"]),
         digest=value["digest"],
         remembered=tuple(RecentChange(**each) for each in value["remembered"]),
@@ -140,6 +152,17 @@
     )
 
 
+def _health_paths_from_json(value: object) -> dict[ServiceName, str]:
+    """Return the valid entries; health checks are optional."""
+    if not isinstance(value, dict):
+        return {}
+    return {
+        ServiceName(name): path
+        for name, path in value.items()
+        if isinstance(path, str) and HEALTH_PATH_PATTERN.fullmatch(path)
+    }
+
+
 def _reject_constant(name: str) -> None:
     raise ValueError(f"number is not finite: {name}")
 
@@ -177,7 +200,8 @@
         if kind == CHANGE_KIND:
             return Ok(_change_from_json(CHANGE_SCHEMA(body)))
         if kind == SNAPSHOT_KIND:
-            return Ok(_snapshot_from_json(SNAPSHOT_SCHEMA(body)))
+            health_paths = _health_paths_from_json(envelope.get(HEALTH_PATHS))
+            return Ok(_snapshot_from_json(SNAPSHOT_SCHEMA(body), health_paths))
         if kind == EVACUATION_KIND:
             value = EVACUATION_SCHEMA(body)
             return Ok(EvacuationRecord(value["domain"], value["active"]))
--- a/corianderhold/state/configuration/model.py
+++ b/corianderhold/state/configuration/model.py
@@ -156,7 +156,8 @@
     One version of everything that operators configure.
 
     Targets in the failure domains of `evacuated` receive no calls. The evacuated
-    domains change without a new version.
+    domains change without a new version. `health_paths` has the path of the health
+    check of each service whose targets have one; it is not part of the digest.
     """
 
     version: Version
@@ -166,6 +167,7 @@
     keys: Mapping[KeyId, ApiKey] = field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
     evacuated: frozenset[FailureDomainId] = frozenset()
+    health_paths: Mapping[ServiceName, str] = field(default_factory=dict)
 
 
 EMPTY_CONFIGURATION = Configuration(Version(0))
--- a/corianderhold/state/configuration/schema.py
+++ b/corianderhold/state/configuration/schema.py
@@ -38,6 +38,7 @@
     rf"(?=.{{1,{MAX_PATH_LENGTH}}}\Z)"
     r"(/|(/(?!\.{1,2}(/|$))[A-Za-z0-9._~!$&'()*+,=:@-]+)+/?)"
 )
+HEALTH_PATH_PATTERN = re.compile(rf"/[!-~]{{0,{MAX_PATH_LENGTH - 1}}}")
 HOST_PATTERN = re.compile(
     rf"[a-z0-9][a-z0-9._-]{{0,{MAX_HOST_LENGTH - 1}}}|\[[0-9a-f:.]{{2,45}}\]"
 )
--- a/corianderhold/state/membership/target.py
+++ b/corianderhold/state/membership/target.py
@@ -84,7 +84,7 @@
 
     Each method takes effect before it returns, in the calling thread, so that a drain
     or an expiry applies at once and does not wait for gossip. The target is absent
-    until `open` is called, unless `is_open`.
+    until `open`, `open_to_verified` or `open_to_later` is called, unless `is_open`.
     """
 
     def __init__(
@@ -93,6 +93,8 @@
         self._clock = clock
         self._ttl_s = ttl_s
         self._is_open = is_open
+        self._is_open_to_verified = is_open
+        self._verified: TargetStart | None = None
         self._lock = threading.Lock()
         self._status = ABSENT_TARGET
         self._known: TargetAnnouncement | None = None
@@ -133,6 +135,36 @@
         with self._lock:
             self._is_open = True
 
+    def open_to_verified(self) -> None:
+        """
+        Let a target serve that is verified, or that has no id.
+
+        A departure is recorded only for a target with an id.
+        """
+        with self._lock:
+            self._is_open_to_verified = True
+
+    def open_to_later(self) -> None:
+        """Let a target that is not verified serve from its next heartbeat on."""
+        with self._lock:
+            if not self._is_open and not self._is_verified():
+                self._expires_at_s = float("-inf")
+            self._is_open = True
+
+    def verify(self, announcement: TargetAnnouncement) -> None:
+        """Record that the start that sent a heartbeat has not left."""
+        with self._lock:
+            self._verified = identify_start(announcement)
+
+    def needs_verification(self, announcement: TargetAnnouncement) -> bool:
+        """Return whether the start that sent a heartbeat serves only once verified."""
+        with self._lock:
+            start = identify_start(announcement)
+            is_known = self._known is not None and identify_start(self._known) == start
+            if self._is_open or not is_known or self._is_verified():
+                return False
+            return start not in self._withdrawn and start != self._drained
+
     def drain(self) -> Departure | None:
         """
         Mark the target as draining, so that it gets no new calls.
@@ -222,9 +254,18 @@
         """Return the current status; absent once the last heartbeat has expired."""
         now_s = self._clock.read_monotonic()
         with self._lock:
-            is_present = self._is_open and now_s < self._expires_at_s
+            is_believed = self._is_open or (
+                self._is_open_to_verified and self._is_verified()
+            )
+            is_present = is_believed and now_s < self._expires_at_s
             return self._status if is_present else ABSENT_TARGET
 
+    def _is_verified(self) -> bool:
+        known = self._known
+        if known is None:
+            return False
+        return known.target_id is None or identify_start(known) == self._verified
+
     def _drain(self) -> None:
         if self._known is not None:
             self._drained = identify_start(self._known)
--- a/tests/coordination/membership/test_departures.py
+++ b/tests/coordination/membership/test_departures.py
@@ -2,7 +2,8 @@
 Test that a departure is confirmed only once it would outlive its daemon.
 
 Guards against acknowledgements that only one process knows, and against a start that
-believes a heartbeat before it has asked who may know better.
+believes a heartbeat before it has asked who may know better, or because nobody that
+runs can know better.
 """
 
 import threading
@@ -17,7 +18,10 @@
     HOLDERS_PER_DISTANCE,
     RECALL_LIMIT_S,
 )
-from corianderhold.coordination.membership.departures import DepartureReplicator
+from corianderhold.coordination.membership.departures import (
+    DepartureKnowledge,
+    DepartureReplicator,
+)
 from corianderhold.ids import FailureDomainId, InstanceId
 from corianderhold.metrics import Metrics
 from corianderhold.protocol.peer.control import (
@@ -62,7 +66,7 @@
             self.clock,
             Metrics(),
             self.recalled.append,
-            lambda: None,
+            lambda knowledge: None,
         )
 
     def restart(self, *, is_synchronized: bool = True) -> DepartureReplicator:
@@ -246,3 +250,69 @@
         self.assertFalse(replicator.is_recalled)
         fleet.clock.advance(RECALL_LIMIT_S)
         wait_until(lambda: replicator.is_recalled, "the limit has passed")
+
+
+class KnowledgeTests(TestCase):
+    """Restart the first daemon; what it knows depends on who else was restarted."""
+
+    def restart(self, fleet: Fleet, *, is_first_start: bool = False) -> None:
+        self.replicator = fleet.restart()
+        self.addCleanup(self.replicator.stop)
+        self.replicator.record_log_read(True, is_first_start)
+
+    def expect(self, knowledge: DepartureKnowledge) -> None:
+        wait_until(lambda: self.replicator.is_recalled, "departures are known")
+        self.assertIs(self.replicator.knowledge, knowledge)
+
+    def replace_peer(self, fleet: Fleet, number: int) -> None:
+        member = fleet.members[number]
+        fleet.replicators[member.peer_address] = fleet.build(member)
+
+    def test_log_that_was_read_does_not_tell_what_it_lacks(self) -> None:
+        self.restart(Fleet((DOMAIN, DOMAIN, OTHER_DOMAIN)))
+        self.expect(DepartureKnowledge.PARTIAL)
+
+    def test_peers_that_ran_all_along_rule_out_a_forgotten_departure(self) -> None:
+        fleet = Fleet((DOMAIN, DOMAIN, OTHER_DOMAIN))
+        fleet.clock.advance(RECALL_LIMIT_S)
+        self.restart(fleet)
+        self.expect(DepartureKnowledge.COMPLETE)
+
+    def test_one_restarted_holder_leaves_a_doubt(self) -> None:
+        fleet = Fleet((DOMAIN, DOMAIN, OTHER_DOMAIN))
+        fleet.clock.advance(RECALL_LIMIT_S)
+        self.replace_peer(fleet, 2)
+        self.restart(fleet)
+        self.expect(DepartureKnowledge.PARTIAL)
+
+    def test_dead_holder_leaves_a_doubt(self) -> None:
+        fleet = Fleet((DOMAIN, DOMAIN, OTHER_DOMAIN))
+        fleet.clock.advance(RECALL_LIMIT_S)
+        *others, last = fleet.members
+        fleet.members = (*others, replace(last, state=MemberState.DEAD))
+        self.restart(fleet)
+        self.expect(DepartureKnowledge.PARTIAL)
+
+    def test_peer_that_was_restarted_shortly_before_is_not_settled_later(self) -> None:
+        fleet = Fleet((DOMAIN, DOMAIN))
+        fleet.failures[fleet.members[1].peer_address] = ControlFailure.TIMEOUT
+        fleet.clock.advance(RECALL_LIMIT_S / 2)
+        self.restart(fleet)
+        wait_until(lambda: len(fleet.sent) > 0, "the peer is asked")
+        fleet.clock.advance(RECALL_LIMIT_S * 0.75)
+        fleet.failures.clear()
+        self.expect(DepartureKnowledge.PARTIAL)
+
+    def test_first_start_of_a_fleet_waits_for_nothing(self) -> None:
+        self.restart(Fleet((DOMAIN, DOMAIN, OTHER_DOMAIN)), is_first_start=True)
+        self.expect(DepartureKnowledge.COMPLETE)
+
+    def test_doubt_ends_once_no_heartbeat_can_be_late(self) -> None:
+        fleet = Fleet((DOMAIN, DOMAIN))
+        self.restart(fleet)
+        self.expect(DepartureKnowledge.PARTIAL)
+        fleet.clock.advance(RECALL_LIMIT_S)
+        wait_until(
+            lambda: self.replicator.knowledge is DepartureKnowledge.EXPIRED,
+            "the limit has passed",
+        )
--- a/tests/platform/store.py
+++ b/tests/platform/store.py
@@ -11,7 +11,7 @@
 from corianderhold.state.membership.model import Address
 from corianderhold.transport.web.server import Environ, StartResponse, WebServer
 
-THREADS = 4
+THREADS = 64  # each held read occupies one
 
 
 class PlatformStore:
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -89,6 +89,15 @@
         self.assertEqual((state.version, outcome.version), (9, 9))
         self.assertEqual(state.next_offset, 2)
 
+    def test_paths_of_health_checks_are_kept_without_odd_ones(self) -> None:
+        services = {
+            "columns": ["name", "health_check_path"],
+            "rows": [["s1", "/healthz"], ["s2", "/ \r\n"], ["s3", 7], ["s4", None]],
+        }
+        text = encode_document(write_document(7, services=services), DOMAINS, Offset(0))
+        state, _ = fold(INITIAL_STATE, Offset(0), text)
+        self.assertEqual(state.configuration.health_paths, {"s1": "/healthz"})
+
     def test_malformed_documents(self) -> None:
         columns = {"columns": ["name"], "rows": [["r-1"]]}
         for text in (b"{", b"[]", b'{"version":1,', write_document(1, routes=columns)):
--- a/tests/state/configuration/test_codec.py
+++ b/tests/state/configuration/test_codec.py
@@ -7,12 +7,21 @@
 
 import json
 import unittest
+from dataclasses import replace
+from zlib import crc32
 
 from result import Err
 
-from corianderhold.state.configuration.codec import decode_configuration
+from corianderhold.ids import ServiceName
+from corianderhold.state.configuration.codec import (
+    decode_configuration,
+    decode_record,
+    encode_snapshot,
+)
+from corianderhold.state.configuration.digest import sum_content
 from corianderhold.state.configuration.entities import configuration_to_json
-from corianderhold.state.configuration.records import Delta
+from corianderhold.state.configuration.fold import build_snapshot
+from corianderhold.state.configuration.records import Delta, SnapshotRecord
 from tests.common.changes import BASE, LIMITS, SPLIT, fold_all, make_text
 
 BASE_DIGEST = "abc8a6ace63d6445d67ed4ede4255ad9b21b7f11b029f3e995b4f96a22c36cc3"
@@ -28,6 +37,33 @@
         self.assertNotIn("limits", value)
         self.assertNotIn("host", value["routes"][0])
 
+    def test_health_paths_are_no_part_of_what_older_releases_read(self) -> None:
+        state, _ = fold_all([make_text("base", 0, BASE)])
+        paths = {ServiceName("catalogue"): "/healthz"}
+        configuration = replace(state.configuration, health_paths=paths)
+        self.assertEqual(
+            configuration_to_json(configuration),
+            configuration_to_json(state.configuration),
+        )
+        self.assertEqual(sum_content(configuration), state.content_sum)
+        text = encode_snapshot(
+            replace(build_snapshot(state), configuration=configuration)
+        )
+        known = {"format", "kind", "body", "health_paths"}
+        self.assertEqual(json.loads(text.partition(" ")[2]).keys(), known)
+        snapshot = decode_record(text).unwrap()
+        self.assertIsInstance(snapshot, SnapshotRecord)
+        self.assertEqual(snapshot.configuration.health_paths, paths)  # type: ignore[union-attr]
+
+    def test_odd_health_paths_are_skipped(self) -> None:
+        state, _ = fold_all([make_text("base", 0, BASE)])
+        plain = json.loads(encode_snapshot(build_snapshot(state)).partition(" ")[2])
+        values: tuple[object, ...] = (None, 1, [], "x", {"s": 1}, {"s": "/a\r\n"})
+        for odd in (*values, {"s": "a"}):
+            text = json.dumps({**plain, "health_paths": odd})
+            snapshot = decode_record(f"{crc32(text.encode()):08x} {text}").unwrap()
+            self.assertEqual(snapshot.configuration.health_paths, {})  # type: ignore[union-attr]
+
     def test_invalid_fields_are_refused(self) -> None:
         change = Delta(routes=(SPLIT,), limits=LIMITS)
         state, _ = fold_all([make_text("a", 0, BASE), make_text("b", 1, change)])
--- a/tests/state/membership/test_target.py
+++ b/tests/state/membership/test_target.py
@@ -173,3 +173,74 @@
         self.assertIs(self.send_heartbeat(sequence=2).state, SERVING)
         self.holder.mark_absent(replace(known, target_id="t0"))
         self.assertIs(self.holder.read().state, SERVING)
+
+
+class DoubtTests(TestCase):
+    """Announce a target to a start that may have forgotten its departure."""
+
+    def setUp(self) -> None:
+        self.clock = FakeClock()
+        self.holder = LocalTarget(self.clock, is_open=False)
+
+    def announce(
+        self, sequence: int, target_id: str | None = "t1"
+    ) -> TargetAnnouncement:
+        announcement = TargetAnnouncement(
+            RIGHTS, ADDRESS, target_id=target_id, started=5, sequence=sequence
+        )
+        self.holder.announce(announcement)
+        return announcement
+
+    def expect(self, state: TargetState) -> None:
+        self.assertIs(self.holder.read().state, state)
+
+    def test_start_that_is_not_verified_does_not_serve(self) -> None:
+        heartbeat = self.announce(1)
+        self.holder.open_to_verified()
+        self.expect(ABSENT)
+        self.assertTrue(self.holder.needs_verification(heartbeat))
+        self.holder.verify(heartbeat)
+        self.expect(SERVING)
+        self.assertFalse(self.holder.needs_verification(heartbeat))
+
+    def test_verified_start_does_not_serve_before_peers_were_asked(self) -> None:
+        self.holder.verify(self.announce(1))
+        self.expect(ABSENT)
+        self.holder.open_to_verified()
+        self.expect(SERVING)
+
+    def test_verification_is_of_one_start(self) -> None:
+        self.holder.open_to_verified()
+        self.holder.verify(self.announce(1))
+        later = TargetAnnouncement(RIGHTS, ADDRESS, target_id="t1", started=6)
+        self.holder.announce(later)
+        self.expect(ABSENT)
+
+    def test_target_without_an_id_serves_as_no_departure_is_kept_for_it(self) -> None:
+        self.holder.open_to_verified()
+        self.announce(1, target_id=None)
+        self.expect(SERVING)
+
+    def test_recalled_departure_holds_against_a_verification(self) -> None:
+        self.holder.open_to_verified()
+        heartbeat = self.announce(1)
+        self.holder.restore(Departure("t1", 5, withdrawn=True))
+        self.assertFalse(self.holder.needs_verification(heartbeat))
+        self.holder.verify(heartbeat)
+        self.announce(2)
+        self.expect(ABSENT)
+
+    def test_heartbeat_before_the_end_of_the_doubt_is_not_believed_after_it(
+        self,
+    ) -> None:
+        self.announce(1)
+        self.holder.open_to_later()
+        self.expect(ABSENT)
+        self.announce(2)
+        self.expect(SERVING)
+
+    def test_verified_target_serves_on_at_the_end_of_the_doubt(self) -> None:
+        self.holder.open_to_verified()
+        self.holder.verify(self.announce(1))
+        self.holder.open_to_later()
+        self.expect(SERVING)
