--- a/corianderhold/admin/fleet.py
+++ b/corianderhold/admin/fleet.py
@@ -92,7 +92,7 @@
         try:
             self._drain.drain()
         except DepartureUnconfirmedError as error:
-            message = f"the target drains until this daemon restarts: {error}"
+            message = f"the target drains, but a restart may forget it: {error}"
             raise ApiError(503, ErrorCode.DRAIN_UNCONFIRMED, message) from error
         return write_json(202, {"draining": True})
 
--- a/corianderhold/coordination/membership/departures.py
+++ b/corianderhold/coordination/membership/departures.py
@@ -195,20 +195,25 @@
                 daemon=True,
             ).start()
 
-    def await_holders(self, departure: Departure) -> bool:
+    def await_holders(self, departure: Departure, *, needs_log: bool = False) -> bool:
         """
         Return whether a departure would outlive this daemon.
 
         Waits at most DEPARTURE_CONFIRM_S for enough holders; one is sufficient if
-        others do not respond.
+        others do not respond. With `needs_log` only the log counts, as it also outlives
+        a restart of all daemons.
         """
 
         def find() -> Replication:
             return self._replications.get(departure, Replication())
 
+        def is_settled() -> bool:
+            return STORE not in find().pending if needs_log else find().is_settled
+
         with self._changed:
-            self._changed.wait_for(lambda: find().is_settled, DEPARTURE_CONFIRM_S)
-            return bool(find().holders)
+            self._changed.wait_for(is_settled, DEPARTURE_CONFIRM_S)
+            holders = find().holders
+            return STORE in holders if needs_log else bool(holders)
 
     def record_append(self, departure: Departure, *, succeeded: bool) -> None:
         """Record the outcome of an attempt to append a departure to the log."""
--- a/corianderhold/coordination/membership/errors.py
+++ b/corianderhold/coordination/membership/errors.py
@@ -16,12 +16,11 @@
 
 class DepartureUnconfirmedError(CorianderholdError):
     """
-    Departure that only this process knows, so that a restart would forget it.
+    Departure that a restart of those that know it would forget.
 
     The target is drained nevertheless.
     """
 
-    def __init__(self, target_id: str) -> None:
-        super().__init__(
-            f"departure of target {target_id} is neither in the log nor at a peer"
-        )
+    def __init__(self, target_id: str, *, needs_log: bool = False) -> None:
+        places = "not in the log" if needs_log else "neither in the log nor at a peer"
+        super().__init__(f"departure of target {target_id} is {places}")
--- a/corianderhold/coordination/membership/service.py
+++ b/corianderhold/coordination/membership/service.py
@@ -309,7 +309,7 @@
 
     def drain_target(self) -> None:
         """
-        Stop new work for the local target and announce that it drains.
+        Stop new work for the local target, which says that it leaves, and announce it.
 
         Raises DepartureUnconfirmedError as `withdraw_target` does.
         """
@@ -317,6 +317,17 @@
         self._begin_departure(departure)
         self._await_departure(departure)
 
+    def drain_for_operator(self) -> None:
+        """
+        Stop new work for the local target, which does not know that it drains.
+
+        Raises DepartureUnconfirmedError unless the log has it: if all daemons restart,
+        the target cannot tell that it has been drained.
+        """
+        departure = self._target.drain()
+        self._begin_departure(departure)
+        self._await_departure(departure, needs_log=True)
+
     def drain_start(self, status: TargetStatus) -> None:
         """
         Stop new work for a start of the local target that says that it leaves.
@@ -386,12 +397,15 @@
             self.departures.replicate(self._departure or departure)
         self._notify_target_listeners()
 
-    def _await_departure(self, departure: Departure | None) -> None:
-        """Raise DepartureUnconfirmedError if only this process knows a departure."""
+    def _await_departure(
+        self, departure: Departure | None, *, needs_log: bool = False
+    ) -> None:
+        """Raise DepartureUnconfirmedError if a restart would forget a departure."""
         if departure is None:
             return
-        if not self.departures.await_holders(self._departure or departure):
-            raise DepartureUnconfirmedError(departure.target_id)
+        known = self._departure or departure
+        if not self.departures.await_holders(known, needs_log=needs_log):
+            raise DepartureUnconfirmedError(departure.target_id, needs_log=needs_log)
 
     def _recall_departure(self, departure: Departure) -> None:
         """Apply a departure that a peer has kept for an earlier start."""
--- a/corianderhold/drain.py
+++ b/corianderhold/drain.py
@@ -19,7 +19,7 @@
 class DrainableTarget(Protocol):
     """Drain the local target and read its state."""
 
-    def drain_target(self) -> None:
+    def drain_for_operator(self) -> None:
         """Refuse new calls to the local target from now on."""
 
     def read_target(self) -> TargetStatus:
@@ -34,7 +34,7 @@
 
     def drain(self) -> None:
         """Stop accepting calls to the target; repeated calls have no effect."""
-        self._holder.drain_target()
+        self._holder.drain_for_operator()
 
     def is_draining(self) -> bool:
         """Return whether the target is present but accepts no new calls."""
--- a/tests/coordination/membership/test_departures.py
+++ b/tests/coordination/membership/test_departures.py
@@ -145,6 +145,13 @@
         del fleet.failures[fleet.members[2].peer_address]
         self.assertTrue(self.replicate(fleet, logged=False))
 
+    def test_drain_by_an_operator_is_confirmed_by_the_log_only(self) -> None:
+        fleet = Fleet((DOMAIN, DOMAIN, OTHER_DOMAIN))
+        self.assertTrue(self.replicate(fleet, logged=False))
+        self.assertFalse(fleet.owner.await_holders(DEPARTURE, needs_log=True))
+        fleet.owner.record_append(DEPARTURE, succeeded=True)
+        self.assertTrue(fleet.owner.await_holders(DEPARTURE, needs_log=True))
+
     def test_departure_is_held_in_two_domains_by_a_few_peers(self) -> None:
         fleet = Fleet((DOMAIN,) * 20 + (OTHER_DOMAIN,) * 20)
         self.assertTrue(self.replicate(fleet, logged=False))
--- a/tests/coordination/membership/test_service.py
+++ b/tests/coordination/membership/test_service.py
@@ -275,6 +275,27 @@
 
         wait_until(is_confirmed, "the log has the departure")
 
+    def test_drain_by_an_operator_is_unconfirmed_while_the_log_is_down(self) -> None:
+        first = self.start()
+        peer = self.start((first.gossip_address,))
+        self.wait_for_both(first, peer)
+        first.announce_target(TargetAnnouncement(RIGHTS, TARGET, False, "t1", 5, 1))
+        self.wait_for_owners(peer, 1)
+        self.log.down = True
+        first.drain_target()
+        with self.assertRaises(DepartureUnconfirmedError):
+            first.drain_for_operator()
+        self.assertIs(first.read_target().state, TargetState.DRAINING)
+        self.log.down = False
+
+        def is_confirmed() -> bool:
+            with suppress(DepartureUnconfirmedError):
+                first.drain_for_operator()
+                return True
+            return False
+
+        wait_until(is_confirmed, "the log has the drain")
+
     def test_departure_confirmed_without_the_log_is_known_after_a_restart(self) -> None:
         for leave in ("drain", "withdraw"):
             with self.subTest(leave=leave):
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -28,7 +28,7 @@
     def __init__(self) -> None:
         self.target = LocalTarget(FakeClock())
 
-    def drain_target(self) -> None:
+    def drain_for_operator(self) -> None:
         self.target.drain()
 
     def read_target(self) -> TargetStatus:
