--- a/corianderhold/coordination/membership/const.py
+++ b/corianderhold/coordination/membership/const.py
@@ -1,5 +1,7 @@
 """Define the constants of gossip and synchronisation."""
 
+from corianderhold.state.membership.const import LATE_HEARTBEAT_S
+
 # Probes
 PROBE_INTERVAL_S = 0.7
 PROBE_TIMEOUT_S = 0.25
@@ -94,7 +96,7 @@
 RECALL_PEERS_PER_DISTANCE = 3  # more than HOLDERS_PER_DISTANCE, as ranks shift
 RECALL_ATTEMPTS = 4  # for each peer
 RECALL_INTERVAL_S = 0.5
-RECALL_LIMIT_S = 5.0
+RECALL_LIMIT_S = LATE_HEARTBEAT_S
 RECALL_PERIOD_S = 15.0
 HEALTH_CHECK_TIMEOUT_S = 1.0
 TIMELY_HEARTBEAT_S = 2.0  # after a start, an interval of heartbeats and some delay
--- a/corianderhold/state/membership/const.py
+++ b/corianderhold/state/membership/const.py
@@ -4,6 +4,7 @@
 
 TARGET_TTL_S = 3.0
 WITHDRAWN_STARTS_MAX = 16
+LATE_HEARTBEAT_S = 5.0  # heartbeats that are held up for longer are believed
 DEAD_RETENTION_S = 7200.0
 DEPARTURE_RETENTION_S = 600.0  # longer than a departed target or heartbeat lingers
 DEPARTURES_MAX = 4096  # instances
--- a/corianderhold/state/membership/target.py
+++ b/corianderhold/state/membership/target.py
@@ -6,7 +6,11 @@
 
 from corianderhold.clock import Clock
 from corianderhold.ids import ServiceName
-from corianderhold.state.membership.const import TARGET_TTL_S, WITHDRAWN_STARTS_MAX
+from corianderhold.state.membership.const import (
+    LATE_HEARTBEAT_S,
+    TARGET_TTL_S,
+    WITHDRAWN_STARTS_MAX,
+)
 from corianderhold.state.membership.model import Address, TargetState
 
 
@@ -100,6 +104,8 @@
         self._known: TargetAnnouncement | None = None
         self._drained: TargetStart | None = None
         self._withdrawn: deque[TargetStart] = deque(maxlen=WITHDRAWN_STARTS_MAX)
+        self._withdrawn_id: str | None = None
+        self._withdrawn_id_until = float("-inf")
         self._expires_at_s = float("-inf")
         self._closed = False
 
@@ -115,7 +121,7 @@
         start = identify_start(announcement)
         with self._lock:
             known = self._known if now_s < self._expires_at_s else None
-            if start in self._withdrawn:
+            if self._is_withdrawn(start, now_s):
                 return
             if known is not None and is_late(announcement, known):
                 if announcement.draining and start == identify_start(known):
@@ -163,7 +169,8 @@
             is_known = self._known is not None and identify_start(self._known) == start
             if self._is_open or not is_known or self._is_verified():
                 return False
-            return start not in self._withdrawn and start != self._drained
+            now_s = self._clock.read_monotonic()
+            return not self._is_withdrawn(start, now_s) and start != self._drained
 
     def drain(self) -> Departure | None:
         """
@@ -201,8 +208,9 @@
 
         Return the departure to store, or None for a target without an id.
 
-        Other targets and later starts are not affected. A target without an id serves
-        again from its next heartbeat on.
+        Other targets and later starts are not affected. If it is not known which start
+        has left, no heartbeat with its id counts for LATE_HEARTBEAT_S. A target without
+        an id serves again from its next heartbeat on.
         """
         with self._lock:
             known = self._known
@@ -211,8 +219,7 @@
             departure = None
             if target_id is not None:
                 departure = Departure(target_id, started, withdrawn=True)
-                if (target_id, started) not in self._withdrawn:
-                    self._withdrawn.append((target_id, started))
+                self._record_withdrawal(target_id, started)
             if known is None or known.target_id != target_id:
                 return departure
             if known.started is None or started is None or known.started <= started:
@@ -226,8 +233,8 @@
         """Restore a drain or withdrawal from before this daemon restarted."""
         start = (departure.target_id, departure.started)
         with self._lock:
-            if departure.withdrawn and start not in self._withdrawn:
-                self._withdrawn.append(start)
+            if departure.withdrawn:
+                self._record_withdrawal(departure.target_id, departure.started)
             known = self._known
             if known is None and departure.withdrawn:
                 self._drained = None if self._drained == start else self._drained
@@ -237,6 +244,8 @@
                 self._drain()
                 if departure.withdrawn:
                     self._status = ABSENT_TARGET
+            elif start == (known.target_id, None) and departure.withdrawn:
+                self._status = ABSENT_TARGET
 
     def mark_absent(self, status: TargetStatus) -> None:
         """Treat this target as absent until its next heartbeat."""
@@ -266,6 +275,19 @@
             return False
         return known.target_id is None or identify_start(known) == self._verified
 
+    def _record_withdrawal(self, target_id: str, started: int | None) -> None:
+        if (target_id, started) not in self._withdrawn:
+            self._withdrawn.append((target_id, started))
+        if started is None:
+            self._withdrawn_id = target_id
+            until = self._clock.read_monotonic() + LATE_HEARTBEAT_S
+            self._withdrawn_id_until = until
+
+    def _is_withdrawn(self, start: TargetStart, now_s: float) -> bool:
+        if start in self._withdrawn:
+            return True
+        return start[0] == self._withdrawn_id and now_s < self._withdrawn_id_until
+
     def _drain(self) -> None:
         if self._known is not None:
             self._drained = identify_start(self._known)
--- a/tests/state/membership/test_target.py
+++ b/tests/state/membership/test_target.py
@@ -9,7 +9,7 @@
 from unittest import TestCase
 
 from corianderhold.ids import ServiceName
-from corianderhold.state.membership.const import TARGET_TTL_S
+from corianderhold.state.membership.const import LATE_HEARTBEAT_S, TARGET_TTL_S
 from corianderhold.state.membership.model import Address, TargetState
 from corianderhold.state.membership.target import (
     Departure,
@@ -166,6 +166,24 @@
         self.holder.withdraw("t1", 5)
         self.assertIs(self.send_heartbeat().state, ABSENT)
 
+    def test_withdrawal_of_an_unknown_start_outlasts_late_heartbeats(self) -> None:
+        for restored in (False, True):
+            self.holder = LocalTarget(self.clock)
+            if restored:
+                self.holder.restore(Departure("t1", None, withdrawn=True))
+            else:
+                self.holder.withdraw("t1", None)
+            self.assertIs(self.send_heartbeat().state, ABSENT)
+            self.assertIs(self.send_heartbeat("t2").state, SERVING)
+            self.clock.advance(LATE_HEARTBEAT_S)
+            self.assertIs(self.send_heartbeat(started=6).state, SERVING)
+
+    def test_recalled_withdrawal_of_an_unknown_start_ends_what_serves(self) -> None:
+        self.send_heartbeat()
+        self.holder.restore(Departure("t1", None, withdrawn=True))
+        self.assertIs(self.holder.read().state, ABSENT)
+        self.assertIs(self.send_heartbeat(sequence=2).state, ABSENT)
+
     def test_target_marked_absent_is_back_with_its_next_heartbeat(self) -> None:
         known = self.send_heartbeat()
         self.holder.mark_absent(known)
