--- a/measurements/endurance/events.py
+++ b/measurements/endurance/events.py
@@ -1,6 +1,7 @@
 """Inject random faults, drains and changes one after another."""
 
 import random
+import re
 import time
 from collections import Counter
 from collections.abc import Callable
@@ -36,6 +37,7 @@
 UPLOADERS = 4
 DEADLY_PATH = "/catalogue/search?crash=1&work_ms=5"
 DEADLY_PAUSE_S = 0.1
+STARTED_LINE = re.compile("event=application_started")
 
 
 class Events:
@@ -63,6 +65,7 @@
             "target_crash": self._crash_target,
             "drain": self._drain_target,
             "forgotten_drain": self._drain_and_kill,
+            "drain_forgotten_by_all": self._drain_and_kill_all,
             "slow_stop": self._stop_beside_slow_readers,
             "broken_answers": self._break_answers,
             "deadly": lambda _: self._send_deadly(),
@@ -170,6 +173,26 @@
         time.sleep(FAULT_S)
         self._replace_drained(instance, bound)
 
+    def _drain_and_kill_all(self, instance: str) -> None:
+        """Kill all daemons after a target was drained while the store is away."""
+        self._fleet.set_store_faults({"down": True})
+        self._fleet.drain_target(instance)
+        bound = time.time() + DRAIN_SLACK_S
+        names = list(self._fleet.members)
+        for name in names:
+            self._fleet.get_daemon(name).kill()
+        daemons = [self._fleet.launch_daemon(name) for name in names]
+        for daemon in daemons:
+            daemon.wait_until_logged(STARTED_LINE)
+        for _ in range(LATE_ANNOUNCEMENTS):
+            self._fleet.deliver_late_announcement(instance)
+            time.sleep(FAULT_S / LATE_ANNOUNCEMENTS)
+        self._fleet.set_store_faults({"down": False})
+        for name in names:
+            self._fleet.wait_until_healthy(name)
+        time.sleep(FAULT_S)
+        self._replace_drained(instance, bound)
+
     def _stop_beside_slow_readers(self, instance: str) -> None:
         """Stop a daemon while callers read slowly; count the answers that it cuts."""
         host, port = self._fleet.members[instance].get_address("caller").split(":")
--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -147,15 +147,19 @@
     def start_daemon(self, instance: str) -> ManagedProcess:
         """Start or restart a daemon and wait until its health check passes."""
         daemon = self.launch_daemon(instance)
-        member = self.members[instance]
-        url = f"http://{member.get_address('admin')}/health"
+        self.wait_until_healthy(instance)
+        return daemon
+
+    def wait_until_healthy(self, instance: str) -> None:
+        """Wait until the health check of a daemon passes."""
+        daemon = self.get_daemon(instance)
+        url = f"http://{self.members[instance].get_address('admin')}/health"
 
         def is_healthy() -> bool:
             assert daemon.exit_code is None, daemon.read_log()[-2000:]
             return send_request("GET", url).status == 200
 
         wait_until(is_healthy, f"daemon {instance} is healthy", READY_LIMIT_S)
-        return daemon
 
     def launch_daemon(self, instance: str) -> ManagedProcess:
         """Start the process of a daemon without waiting for anything."""
