--- a/corianderhold/clock.py
+++ b/corianderhold/clock.py
@@ -24,3 +24,6 @@
     def read_wall(self) -> float:
         """Return seconds since the Unix epoch."""
         return time.time()
+
+
+PROCESS_STARTED_AT = SystemClock().read_monotonic()
--- a/corianderhold/coordination/membership/service.py
+++ b/corianderhold/coordination/membership/service.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, replace
 from random import Random
 
-from corianderhold.clock import Clock
+from corianderhold.clock import PROCESS_STARTED_AT, Clock
 from corianderhold.coordination.membership.const import (
     LEAVE_LINGER_S,
     MEMBER_LIMIT_BYTES,
@@ -91,7 +91,8 @@
 
     `seeds` are gossip addresses; `secret` is shared by the fleet. Port 0 in
     `gossip_address` lets the operating system choose. `target_ttl_s` is how long a
-    heartbeat of the local target is valid, in seconds.
+    heartbeat of the local target is valid, in seconds. `started_at` is when this
+    process started, on the monotonic clock.
     """
 
     instance: InstanceId
@@ -103,6 +104,7 @@
     seeds: tuple[Address, ...]
     secret: bytes
     target_ttl_s: float = TARGET_TTL_S
+    started_at: float = PROCESS_STARTED_AT
 
 
 def build_own_member(settings: MembershipSettings, gossip_address: Address) -> Member:
@@ -153,11 +155,11 @@
         self._clock = clock
         self._metrics = metrics
         self._target = LocalTarget(clock, settings.target_ttl_s, is_open=False)
-        self._verifier = (
-            None
-            if health is None
-            else TargetVerifier(health, clock, self._open_verified)
-        )
+        self._verifier = None
+        if health is not None:
+            self._verifier = TargetVerifier(
+                health, clock, self._open_verified, settings.started_at
+            )
         self._announced = self._target.read()
         self._departure: Departure | None = None
         self._endpoint = DatagramEndpoint(settings.gossip_address)
@@ -215,8 +217,6 @@
         self._swim.resume(self._clock.read_monotonic())
         self._thread.start()
         self._synchronizer.start()
-        if self._verifier is not None:
-            self._verifier.start()
         self.departures.start()
         log_event(
             "membership_started",
--- a/corianderhold/coordination/membership/verification.py
+++ b/corianderhold/coordination/membership/verification.py
@@ -32,10 +32,11 @@
     Ask a target itself whether it has left, as its heartbeat may have been held up.
 
     Only an answer to a check that was sent after this start of the daemon shows it.
-    The check follows the first heartbeat if that is in time, otherwise the second:
-    after TIMELY_HEARTBEAT_S a first one is late, and a target that has left may send
-    no other. A target that does not name itself is not checked again. Checks are sent
-    only between `begin` and `end`. Any thread may call.
+    The check follows the first heartbeat if that is in time, otherwise the second: more
+    than TIMELY_HEARTBEAT_S after `started_at`, the start of this process, a first one
+    is late, and a target that has left may send no other. A target that does not name
+    itself is not checked again. Checks are sent only between `begin` and `end`. Any
+    thread may call.
     """
 
     def __init__(
@@ -43,11 +44,12 @@
         health: HealthCheck,
         clock: Clock,
         on_verified: Callable[[TargetAnnouncement], None],
+        started_at: float,
     ) -> None:
         self._health = health
         self._clock = clock
         self._on_verified = on_verified
-        self._started_at = clock.read_monotonic()
+        self._started_at = started_at
         self._lock = threading.Lock()
         self._start: TargetStart | None = None
         self._sequence: int | None = None
@@ -62,10 +64,6 @@
         """Return whether a check is in progress."""
         return self._is_checking
 
-    def start(self) -> None:
-        """Count the time in which a first heartbeat is due from now on."""
-        self._started_at = self._clock.read_monotonic()
-
     def begin(self) -> None:
         """Check the target from now on, at once if it has sent a heartbeat in time."""
         self._is_enabled = True
--- a/tests/coordination/membership/test_verification.py
+++ b/tests/coordination/membership/test_verification.py
@@ -54,10 +54,17 @@
         self.health = FakeHealth()
         self.addCleanup(self.health.gate.set)
         self.verified: list[TargetAnnouncement] = []
-        self.verifier = TargetVerifier(self.health, self.clock, self.verified.append)
-        self.verifier.start()
+        self.verifier = self.build()
         self.verifier.begin()
 
+    def build(self) -> TargetVerifier:
+        return TargetVerifier(
+            self.health,
+            self.clock,
+            self.verified.append,
+            self.clock.read_monotonic(),
+        )
+
     def send(self, sequence: int, started: int = 5) -> None:
         heartbeat = replace(HEARTBEAT, sequence=sequence, started=started)
         self.verifier.handle_heartbeat(heartbeat)
@@ -125,8 +132,7 @@
         wait_until(lambda: self.verified == [HEARTBEAT], "the target is verified")
 
     def test_target_is_not_asked_before_or_after_the_doubt(self) -> None:
-        self.verifier = TargetVerifier(self.health, self.clock, self.verified.append)
-        self.verifier.start()
+        self.verifier = self.build()
         self.send(1)
         self.assertFalse(self.verifier.is_checking)
         self.verifier.begin()
