--- a/corianderhold/state/membership/target.py
+++ b/corianderhold/state/membership/target.py
@@ -153,7 +153,7 @@
     def open_to_later(self) -> None:
         """Let a target that is not verified serve from its next heartbeat on."""
         with self._lock:
-            if not self._is_open and not self._is_verified():
+            if not self._is_open and not self._is_believed():
                 self._expires_at_s = float("-inf")
             self._is_open = True
 
@@ -167,7 +167,7 @@
         with self._lock:
             start = identify_start(announcement)
             is_known = self._known is not None and identify_start(self._known) == start
-            if self._is_open or not is_known or self._is_verified():
+            if self._is_open or not is_known or self._is_believed():
                 return False
             now_s = self._clock.read_monotonic()
             return not self._is_withdrawn(start, now_s) and start != self._drained
@@ -263,17 +263,20 @@
         """Return the current status; absent once the last heartbeat has expired."""
         now_s = self._clock.read_monotonic()
         with self._lock:
-            is_believed = self._is_open or (
-                self._is_open_to_verified and self._is_verified()
+            is_open = self._is_open or (
+                self._is_open_to_verified and self._is_believed()
             )
-            is_present = is_believed and now_s < self._expires_at_s
+            is_present = is_open and now_s < self._expires_at_s
             return self._status if is_present else ABSENT_TARGET
 
-    def _is_verified(self) -> bool:
+    def _is_believed(self) -> bool:
+        """Return whether the known heartbeat can't undo a departure."""
         known = self._known
         if known is None:
             return False
-        return known.target_id is None or identify_start(known) == self._verified
+        if known.target_id is None or self._status.state is not TargetState.SERVING:
+            return True
+        return identify_start(known) == self._verified
 
     def _record_withdrawal(self, target_id: str, started: int | None) -> None:
         if (target_id, started) not in self._withdrawn:
--- a/tests/state/membership/test_target.py
+++ b/tests/state/membership/test_target.py
@@ -248,6 +248,15 @@
         self.announce(2)
         self.expect(ABSENT)
 
+    def test_target_that_drains_is_announced_without_verification(self) -> None:
+        self.holder.restore(Departure("t1", 5, withdrawn=False))
+        heartbeat = self.announce(1)
+        self.assertFalse(self.holder.needs_verification(heartbeat))
+        self.holder.open_to_verified()
+        self.expect(DRAINING)
+        self.holder.open_to_later()
+        self.expect(DRAINING)
+
     def test_heartbeat_before_the_end_of_the_doubt_is_not_believed_after_it(
         self,
     ) -> None:
