--- a/corianderhold/coordination/membership/const.py
+++ b/corianderhold/coordination/membership/const.py
@@ -100,6 +100,7 @@
 RECALL_PERIOD_S = 15.0
 HEALTH_CHECK_TIMEOUT_S = 1.0
 TIMELY_HEARTBEAT_S = 2.3  # 0.8 s to start and an interval of 1.5 s
+UNNAMED_HEARTBEAT_S = 3.0  # of a healthy target that does not name itself
 
 # Service
 FORGET_INTERVAL_S = 10.0
--- a/corianderhold/coordination/membership/verification.py
+++ b/corianderhold/coordination/membership/verification.py
@@ -8,6 +8,7 @@
 from corianderhold.coordination.membership.const import (
     HEALTH_CHECK_TIMEOUT_S,
     TIMELY_HEARTBEAT_S,
+    UNNAMED_HEARTBEAT_S,
 )
 from corianderhold.coordination.membership.health_check import HealthAnswer
 from corianderhold.log import log_event, log_warning
@@ -34,9 +35,10 @@
     Only an answer to a check that was sent after this start of the daemon shows it.
     The check follows the first heartbeat if that is in time, otherwise the second: more
     than TIMELY_HEARTBEAT_S after `started_at`, the start of this process, a first one
-    is late, and a target that has left may send no other. A target that does not name
-    itself is not checked again. Checks are sent only between `begin` and `end`. Any
-    thread may call.
+    is late, and a target that has left may send no other. A healthy target that does
+    not name itself is not checked again; it is believed with its first heartbeat from
+    UNNAMED_HEARTBEAT_S on. Checks are sent only between `begin` and `end`. Any thread
+    may call.
     """
 
     def __init__(
@@ -75,8 +77,13 @@
 
     def handle_heartbeat(self, announcement: TargetAnnouncement) -> None:
         """Check the target that has sent a heartbeat, without waiting."""
+        age_s = self._clock.read_monotonic() - self._started_at
+        if identify_start(announcement) == self._unnamed:
+            if age_s >= UNNAMED_HEARTBEAT_S:
+                self._on_verified(announcement)
+            return
         with self._lock:
-            if not self._record_heartbeat(announcement):
+            if not self._record_heartbeat(announcement, age_s):
                 return
             self._due = announcement
         self.check_due()
@@ -92,14 +99,11 @@
             self._is_checking = True
         threading.Thread(target=self._run, name="target-check", daemon=True).start()
 
-    def _record_heartbeat(self, announcement: TargetAnnouncement) -> bool:
+    def _record_heartbeat(self, announcement: TargetAnnouncement, age_s: float) -> bool:
         """Return whether a check is due; a repeated heartbeat does not count."""
         start, sequence = identify_start(announcement), announcement.sequence
-        if start == self._unnamed:
-            return False
         if start != self._start:
             self._start, self._sequence = start, sequence
-            age_s = self._clock.read_monotonic() - self._started_at
             return age_s <= TIMELY_HEARTBEAT_S
         known = self._sequence
         if sequence is not None and known is not None and sequence <= known:
--- a/tests/coordination/membership/test_verification.py
+++ b/tests/coordination/membership/test_verification.py
@@ -9,7 +9,10 @@
 from dataclasses import replace
 from unittest import TestCase
 
-from corianderhold.coordination.membership.const import TIMELY_HEARTBEAT_S
+from corianderhold.coordination.membership.const import (
+    TIMELY_HEARTBEAT_S,
+    UNNAMED_HEARTBEAT_S,
+)
 from corianderhold.coordination.membership.health_check import HealthAnswer
 from corianderhold.coordination.membership.verification import TargetVerifier
 from corianderhold.ids import ServiceName
@@ -113,6 +116,18 @@
         self.wait_for_checks(2)
         self.assertEqual(len(self.verified), 1)
 
+    def test_healthy_target_without_a_name_is_believed_later(self) -> None:
+        self.health.answer = HealthAnswer.UNNAMED
+        self.send(1)
+        self.wait_for_checks(1)
+        self.clock.advance(UNNAMED_HEARTBEAT_S - 0.1)
+        self.send(2)
+        self.assertEqual(self.verified, [])
+        self.clock.advance(0.1)
+        self.send(3)
+        self.assertEqual(self.verified, [replace(HEARTBEAT, sequence=3)])
+        self.assertEqual(self.health.checks, 1)
+
     def test_check_waits_for_the_configuration(self) -> None:
         self.health.answer = HealthAnswer.NOT_ASKED
         self.send(1)
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -33,8 +33,9 @@
     """
     Serve, send heartbeats and leave as the platform's servers do.
 
-    `names_itself` is whether its answers to health checks bear its id. `runs` has the
-    monotonic times of the requests that it has run, health checks not included.
+    `names_itself` is whether its answers to health checks bear its id, `admits_leaving`
+    whether it is unhealthy once it leaves. `runs` has the monotonic times of the
+    requests that it has run, health checks not included.
     """
 
     def __init__(self, target_id: str, address: Address, announce: str) -> None:
@@ -42,6 +43,7 @@
         self.address = address
         self.names_itself = True
         self.answers_health = True
+        self.admits_leaving = True
         self.is_leaving = False
         self.runs: list[float] = []
         self.health_checks = 0
@@ -109,7 +111,8 @@
 
     def _report_health(self, start_response: StartResponse) -> Iterable[bytes]:
         self.health_checks += 1
-        is_healthy = self.answers_health and not self.is_leaving
+        admits_leaving = self.is_leaving and self.admits_leaving
+        is_healthy = self.answers_health and not admits_leaving
         status = HTTPStatus.OK if is_healthy else HTTPStatus.SERVICE_UNAVAILABLE
         headers = [("Content-Length", "0")]
         if self.names_itself:
--- a/tests/platform/test_departures.py
+++ b/tests/platform/test_departures.py
@@ -14,7 +14,10 @@
 from pathlib import Path
 from unittest import TestCase
 
-from corianderhold.coordination.membership.const import RECALL_LIMIT_S
+from corianderhold.coordination.membership.const import (
+    RECALL_LIMIT_S,
+    UNNAMED_HEARTBEAT_S,
+)
 from tests.common.waiting import wait_until
 from tests.platform.fleet import HEARTBEAT_S, PlatformFleet, PlatformServer
 
@@ -26,6 +29,7 @@
 DOWN_S = 0.5
 AWAY_S = 1.3  # from the last start to the store's return
 RETURN_LIMIT_S = 2.5
+RETURN_SLACK_S = 0.5
 
 
 class DepartureTest(TestCase):
@@ -131,6 +135,7 @@
 
     def test_late_heartbeats_of_a_server_without_names_are_not_believed(self) -> None:
         self.fleet.servers[0].names_itself = False
+        self.fleet.servers[0].admits_leaving = False
         self.assertEqual(self.leave(late_heartbeats=2, kills=1), [])
 
     def test_servers_that_live_return_soon_after_an_outage(self) -> None:
@@ -153,6 +158,17 @@
         # A heartbeat after the start is up to an interval away.
         self.assertLess(returned_s, RETURN_LIMIT_S + HEARTBEAT_S)
 
+    def test_servers_without_names_return_a_little_later(self) -> None:
+        for server in self.fleet.servers:
+            server.names_itself = False
+        self.fleet.store.refuse = True
+        time.sleep(1.0)
+        started_at = self.restart_all()
+        time.sleep(AWAY_S)
+        self.fleet.store.refuse = False
+        limit_s = UNNAMED_HEARTBEAT_S + HEARTBEAT_S
+        self.assertLess(self.measure_return(started_at), limit_s + RETURN_SLACK_S)
+
     def test_servers_without_health_checks_return_once_no_heartbeat_is_late(
         self,
     ) -> None:
