--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -2,11 +2,13 @@
 
 import json
 import os
+import re
 import sys
 import threading
 import time
 from collections.abc import Iterable
 from configparser import ConfigParser
+from datetime import datetime
 from http import HTTPStatus
 from pathlib import Path
 
@@ -26,6 +28,7 @@
 HEALTH_PATH = "/healthz"
 ROUTE = ["r-1", "a.example", "/a/", "safe", 0.8, 0.5, 2, SERVICE, 2, True, None]
 READY_LIMIT_S = 30.0
+STARTED_LINE = re.compile(r"time=(\S+) [^\n]*event=application_started")
 PLATFORM_MAIN = str(ROOT / "platform" / "main.py")
 
 
@@ -186,6 +189,12 @@
         for daemon in self.daemons:
             daemon.kill()
 
+    def find_started_at(self) -> list[float]:
+        """Return when each daemon had started, on the monotonic clock."""
+        offset = time.time() - time.monotonic()
+        lines = [each.wait_for_line(STARTED_LINE)[1] for each in self.daemons]
+        return [datetime.fromisoformat(at).timestamp() - offset for at in lines]
+
     def send_to_all(self) -> bool:
         """Send a request to each daemon; return whether each was answered with 200."""
         statuses = [self.send(number) for number in range(len(self.ports))]
