--- a/corianderhold/coordination/membership/verification.py
+++ b/corianderhold/coordination/membership/verification.py
@@ -35,10 +35,11 @@
     Only an answer to a check that was sent after this start of the daemon shows it.
     The check follows the first heartbeat if that is in time, otherwise the second: more
     than TIMELY_HEARTBEAT_S after `started_at`, the start of this process, a first one
-    is late, and a target that has left may send no other. A healthy target that does
-    not name itself is not checked again; it is believed with its first heartbeat from
-    UNNAMED_HEARTBEAT_S on. Checks are sent only between `begin` and `end`. Any thread
-    may call.
+    is late, and a target that has left may send no other. A target that is cold has
+    just started, so that its first heartbeat is in time at any moment. A healthy target
+    that does not name itself is not checked again; it is believed with its first
+    heartbeat from UNNAMED_HEARTBEAT_S on. Checks are sent only between `begin` and
+    `end`. Any thread may call.
     """
 
     def __init__(
@@ -104,7 +105,7 @@
         start, sequence = identify_start(announcement), announcement.sequence
         if start != self._start:
             self._start, self._sequence = start, sequence
-            return age_s <= TIMELY_HEARTBEAT_S
+            return age_s <= TIMELY_HEARTBEAT_S or announcement.cold_s > 0
         known = self._sequence
         if sequence is not None and known is not None and sequence <= known:
             return False
--- a/tests/coordination/membership/test_verification.py
+++ b/tests/coordination/membership/test_verification.py
@@ -89,6 +89,12 @@
         self.wait_for_checks(1)
         self.assertEqual(len(self.verified), 1)
 
+    def test_first_heartbeat_of_a_target_that_has_just_started_is_in_time(self) -> None:
+        self.clock.advance(TIMELY_HEARTBEAT_S + 0.1)
+        cold = replace(HEARTBEAT, cold_s=3.0)
+        self.verifier.handle_heartbeat(cold)
+        wait_until(lambda: self.verified == [cold], "the target is verified")
+
     def test_target_that_says_it_leaves_is_not_verified(self) -> None:
         self.health.answer = HealthAnswer.UNHEALTHY
         for sequence in (1, 2, 3):
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -77,7 +77,14 @@
         self.is_leaving = True
         return [self.build_report() for _ in range(late_heartbeats)]
 
-    def build_report(self) -> bytes:
+    def restart(self) -> None:
+        """Become a new start of the server, which is cold; send only one heartbeat."""
+        self.id += "-new"
+        self._born = int(time.time() * 1000)
+        self.is_leaving = False
+        self.deliver(self.build_report(cold_s=3.0))
+
+    def build_report(self, state: str = "ready", cold_s: float = 0.0) -> bytes:
         """Return the next message that the server sends of itself."""
         with self._lock:
             self._sequence += 1
@@ -86,7 +93,7 @@
             "address": str(self.address),
             "born": self._born,
             "info": {"service": SERVICE, "version": "v1", "zone": "z", "slots": 40},
-            "status": {"state": "ready", "seq": sequence, "cold_remaining_s": 0},
+            "status": {"state": state, "seq": sequence, "cold_remaining_s": cold_s},
         }
         return json.dumps(report).encode()
 
--- a/tests/platform/test_departures.py
+++ b/tests/platform/test_departures.py
@@ -20,7 +20,12 @@
     UNNAMED_HEARTBEAT_S,
 )
 from tests.common.waiting import wait_until
-from tests.platform.fleet import HEARTBEAT_S, PlatformFleet, PlatformServer
+from tests.platform.fleet import (
+    HEARTBEAT_S,
+    STARTED_LINE,
+    PlatformFleet,
+    PlatformServer,
+)
 
 DOMAINS = ("z-1", "z-1", "z-2", "z-2")
 REQUEST_PAUSE_S = 0.05
@@ -30,6 +35,7 @@
 DOWN_S = 0.5
 AWAY_S = 1.3  # from the last start to the store's return
 RETURN_LIMIT_S = 2.5
+NEW_START_LIMIT_S = 1.0  # less than the interval of heartbeats
 RETURN_SLACK_S = 0.5  # until entries know of the target
 
 
@@ -72,11 +78,19 @@
         self.started_at = time.monotonic()
         self.fleet.start_daemons()
 
-    def leave(self, late_heartbeats: int, kills: int) -> list[float]:
+    def leave(
+        self,
+        late_heartbeats: int,
+        kills: int,
+        delay_s: float = HEARTBEAT_DELAY_S,
+        drains: bool = False,
+    ) -> list[float]:
         """
         Let a server leave in an outage, in which all daemons are killed.
 
-        Return the times of the requests that it has run over DRAIN_S later.
+        With `drains` it reports that it drains, again and again, in place of a
+        deregistration. Return the times of the requests that it has run over DRAIN_S
+        later.
         """
         server = self.fleet.servers[0]
         with self.press():
@@ -84,19 +98,25 @@
             time.sleep(1.0)
             late = server.begin_to_leave(late_heartbeats)
             sent_at = time.monotonic()
-            status = server.deliver(server.build_report(), "deregister")
+            if drains:
+                status = server.deliver(server.build_report("draining"))
+            else:
+                status = server.deliver(server.build_report(), "deregister")
             self.assertEqual(status, 200)
             left_at = time.monotonic()
             for place, report in enumerate(late):
                 early_s = (len(late) - 1 - place) * HEARTBEAT_S
-                at = sent_at - early_s + HEARTBEAT_DELAY_S
+                at = sent_at - early_s + delay_s
                 self.deliver_at(server, report, at)
             for _ in range(kills):
                 time.sleep(0.2)
                 self.restart_all()
             time.sleep(AWAY_S)
             self.fleet.store.refuse = False
-            time.sleep(left_at + SERVES_ON_S - time.monotonic())
+            while (left_s := left_at + SERVES_ON_S - time.monotonic()) > 0:
+                time.sleep(min(left_s, HEARTBEAT_S))
+                if drains:
+                    server.deliver(server.build_report("draining"))
         return [at - left_at for at in server.runs if at > left_at + DRAIN_S]
 
     def deliver_at(self, server: PlatformServer, report: bytes, at: float) -> None:
@@ -141,6 +161,33 @@
     def test_several_kills_in_one_outage_do_not_undo_a_departure(self) -> None:
         self.assertEqual(self.leave(late_heartbeats=3, kills=2), [])
 
+    def test_late_heartbeat_right_after_the_start_does_not_undo_a_departure(
+        self,
+    ) -> None:
+        self.assertEqual(self.leave(1, kills=1, delay_s=1.4), [])
+
+    def test_late_heartbeat_does_not_undo_a_drain_that_nobody_remembers(self) -> None:
+        self.assertEqual(self.leave(1, kills=1, drains=True), [])
+
+    def test_server_that_starts_anew_beside_a_start_in_doubt_waits_for_nothing(
+        self,
+    ) -> None:
+        server = self.fleet.servers[0]
+        server.begin_to_leave(late_heartbeats=0)
+        self.restart_all()
+        for daemon in self.fleet.daemons:
+            daemon.wait_until_logged(STARTED_LINE)
+        time.sleep(max(0.0, self.started_at + 3.0 - time.monotonic()))
+        began_at = time.monotonic()
+        server.restart()
+        with self.press():
+            wait_until(
+                lambda: any(at > began_at for at in server.runs),
+                "the new start runs requests",
+            )
+        first_s = min(at for at in server.runs if at > began_at) - began_at
+        self.assertLess(first_s, NEW_START_LIMIT_S)
+
     def test_late_heartbeats_of_a_server_without_names_are_not_believed(self) -> None:
         self.fleet.servers[0].names_itself = False
         self.fleet.servers[0].admits_leaving = False
