--- a/review/stand_ins_3/rig.py
+++ b/review/stand_ins_3/rig.py
@@ -522,8 +522,15 @@
         self.store.stop()
         self._folder.cleanup()
 
-    def build_document(self, version: int) -> bytes:
-        """Return a configuration with a safe and an unsafe route."""
+    def build_document(
+        self, version: int, tenants: dict[str, list[str]] | None = None
+    ) -> bytes:
+        """
+        Return a configuration with a safe and an unsafe route.
+
+        `tenants` maps the names of tenants to their keys.
+        """
+        keys = {TENANT: [KEY]} if tenants is None else tenants
         services = sorted({machine.server.service for machine in self.machines})
         first = services[0]
         rows = [
@@ -545,7 +552,7 @@
             },
             "tenants": {
                 "columns": ["name", "api_keys", "priority", "rate_per_s", "burst"],
-                "rows": [[TENANT, [KEY], 1, 0, 0]],
+                "rows": [[name, list(each), 1, 0, 0] for name, each in keys.items()],
             },
         }
         return json.dumps(document).encode()
@@ -582,8 +589,11 @@
 class Clients:
     """Send requests to each machine's daemon, as its clients do, `pause_s` apart."""
 
-    def __init__(self, fleet: Fleet, pause_s: float, prefix: str = PREFIX) -> None:
+    def __init__(
+        self, fleet: Fleet, pause_s: float, prefix: str = PREFIX, key: str = KEY
+    ) -> None:
         self._fleet = fleet
+        self._key = key
         self._pause_s = pause_s
         self._prefix = prefix
         self._stopped = threading.Event()
@@ -628,7 +638,7 @@
             "Host": HOST,
             "Request-Id": request_id,
             "Deadline-Ms": "2000",
-            "Authorization": f"Bearer {KEY}",
+            "Authorization": f"Bearer {self._key}",
         }
         with self._lock:
             self.sent[request_id] = time.monotonic()
