--- a/review/stand_ins_3/rig.py
+++ b/review/stand_ins_3/rig.py
@@ -484,6 +484,7 @@
         self, record: Record, services: list[str], zones: dict[str, str]
     ) -> None:
         self.record = record
+        self.routed = {PREFIX: min(services), UNSAFE_PREFIX: min(services)}
         self.zones = zones
         self._folder = tempfile.TemporaryDirectory()
         self.folder = Path(self._folder.name)
@@ -532,11 +533,11 @@
         """
         keys = {TENANT: [KEY]} if tenants is None else tenants
         services = sorted({machine.server.service for machine in self.machines})
-        first = services[0]
         rows = [
-            ["r-1", HOST, PREFIX, "safe", 2.0, 1.0, 2, first, 2, False, None],
-            ["r-2", HOST, UNSAFE_PREFIX, "unsafe", 2.0, 1.0, 0, first, 2, False, None],
+            ["r-1", HOST, PREFIX, "safe", 2.0, 1.0, 2],
+            ["r-2", HOST, UNSAFE_PREFIX, "unsafe", 2.0, 1.0, 0],
         ]
+        rows = [[*row, self.routed[str(row[2])], 2, False, None] for row in rows]
         document = {
             "version": version,
             "routes": {"columns": ROUTE_COLUMNS, "rows": rows},
